--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Everything that a developer or operator runs from a checkout.
+GO ?= go
+LINT = $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+BIN = bin
+
+.PHONY: all build test lint check-format bench demo run faults clean
+
+all: build
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+# Race detector on, no cached results; the report ends with "N passed, N failed".
+test: build
+	@$(GO) test -race -count=1 -json ./... | $(GO) run ./tools/cireport -known KNOWN-RED.txt
+
+check-format:
+	@test -z "$$(gofmt -l .)" || { echo "gofmt needed:"; gofmt -l .; exit 1; }
+
+lint:
+	$(LINT) run ./...
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+demo: build
+	scripts/demo.sh
+
+run: build
+	scripts/run.sh
+
+faults: build
+	scripts/faults.sh
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/internal/upstream/wire.go
@@ -0,0 +1,205 @@
+// Package upstream is the typed client of model engines and plain services.
+//
+// Engines speak the OpenAI HTTP form with a few headers and paths of their own;
+// docs/UPSTREAM.md describes the protocol that this file gives types for.
+package upstream
+
+// Headers of a generation request to an engine.
+const (
+	// HeaderRequestID names the request; the engine uses it for cancellation
+	// and resumption. It is "OWNER/INCARNATION/UUID".
+	HeaderRequestID = "X-Request-Id"
+	// HeaderAttempt counts attempts from 1; the engine drops the stream of a
+	// lower attempt of the same request when a higher one arrives.
+	HeaderAttempt = "X-Attempt"
+	// HeaderPriority is an integer; lower runs sooner.
+	HeaderPriority = "X-Priority"
+	// HeaderDeadline is the request's remaining time in milliseconds; the
+	// engine frees everything of the request once it is over.
+	HeaderDeadline = "X-Deadline-Ms"
+	// HeaderPromptTokens is the router's estimate of the prompt in tokens.
+	HeaderPromptTokens = "X-Prompt-Tokens"
+	// HeaderPrefixBlocks lists the prompt's prefix block hashes in hex,
+	// separated by commas, at most MaxPrefixBlocks of them.
+	HeaderPrefixBlocks = "X-Prefix-Blocks"
+	// HeaderReservation names the reservations, separated by commas, whose
+	// memory a prompt larger than the engine uses.
+	HeaderReservation = "X-Reservation"
+	// HeaderLastEventID resumes a stream after this position (standard
+	// header of server-sent events). An engine that still holds the stream
+	// repeats the chunks after the position; one that does not answers 409.
+	HeaderLastEventID = "Last-Event-ID"
+	// HeaderNotRun is "true" on an error answer of an upstream that refused
+	// the request before running it.
+	HeaderNotRun = "X-Not-Run"
+)
+
+// Sizes of prefix blocks, shared by the router and the engines' cache events.
+const (
+	// BlockTokens is the number of tokens of one prefix block.
+	BlockTokens = 512
+	// BytesPerToken is the estimate used to turn prompt bytes into tokens.
+	BytesPerToken = 4
+	// MaxPrefixBlocks bounds the header of prefix blocks.
+	MaxPrefixBlocks = 64
+)
+
+// Paths of an engine besides the OpenAI ones.
+const (
+	PathCancel   = "/engine/cancel"
+	PathLoad     = "/engine/load"
+	PathEvents   = "/engine/events"
+	PathHolds    = "/engine/holds"
+	PathReserve  = "/engine/reserve"
+	PathExport   = "/engine/export"
+	PathImport   = "/engine/import"
+	PathOrder    = "/engine/order"
+	PathObserved = "/engine/observed"
+	PathHealth   = "/health"
+)
+
+// Role is what an engine does at present.
+type Role string
+
+// Roles of an engine.
+const (
+	RoleMixed   Role = "mixed"
+	RolePrefill Role = "prefill"
+	RoleDecode  Role = "decode"
+)
+
+// LoadReport is the answer of GET PathLoad. It lags behind the truth.
+type LoadReport struct {
+	// Sequence grows with each report of one boot.
+	Sequence uint64 `json:"sequence"`
+	// Boot is the engine's incarnation; it changes when the engine restarts.
+	Boot string `json:"boot"`
+	// AgeMs is how old the figures are, in milliseconds.
+	AgeMs int64 `json:"age_ms"`
+	// QueuedPromptTokens are prompt tokens not yet computed.
+	QueuedPromptTokens int `json:"queued_prompt_tokens"`
+	// RunningStreams is the number of streams that generate tokens.
+	RunningStreams int `json:"running_streams"`
+	// QueuedRequests is the number of requests that wait for memory.
+	QueuedRequests int `json:"queued_requests"`
+	// UsedTokens and MemoryTokens are the KV memory in use and in all.
+	UsedTokens   int `json:"used_tokens"`
+	MemoryTokens int `json:"memory_tokens"`
+	// ReservedTokens are held by reservations, exports and imports.
+	ReservedTokens int `json:"reserved_tokens"`
+	// Leaving says that the engine is about to stop.
+	Leaving bool `json:"leaving"`
+	// Requests lists the IDs that the report has counted, up to 256 of the
+	// latest, so that a router does not count its own sends twice.
+	Requests []string `json:"requests,omitempty"`
+}
+
+// CacheEvent is one change of an engine's prefix cache.
+type CacheEvent struct {
+	Sequence uint64 `json:"sequence"`
+	// Added or removed prefix blocks, by hash in hex.
+	Added   []string `json:"added,omitempty"`
+	Removed []string `json:"removed,omitempty"`
+}
+
+// CacheEvents is the answer of GET PathEvents?after=SEQUENCE. Events come late
+// and with gaps; a gap shows as a missing sequence number.
+type CacheEvents struct {
+	Boot   string       `json:"boot"`
+	Events []CacheEvent `json:"events"`
+}
+
+// HoldKind is a kind of engine memory that outlives a connection.
+type HoldKind string
+
+// Kinds of holds.
+const (
+	HoldStream      HoldKind = "stream"
+	HoldReservation HoldKind = "reservation"
+	HoldExport      HoldKind = "export"
+	HoldImport      HoldKind = "import"
+)
+
+// Hold is engine memory that the engine keeps for the router. Its name carries
+// the owner, so that any instance can tell whether the owner still lives.
+type Hold struct {
+	Kind HoldKind `json:"kind"`
+	// Name is "OWNER/INCARNATION/UUID".
+	Name string `json:"name"`
+	// Tokens is the memory held.
+	Tokens int `json:"tokens"`
+	// DeadlineUnixMs is when the hold may be released by anyone, in
+	// milliseconds since the Unix epoch; zero is never.
+	DeadlineUnixMs int64 `json:"deadline_unix_ms"`
+}
+
+// Holds is the answer of GET PathHolds. DELETE PathHolds?name=NAME releases
+// one; releasing an absent hold succeeds.
+type Holds struct {
+	Boot  string `json:"boot"`
+	Holds []Hold `json:"holds"`
+}
+
+// ReserveRequest is the body of POST PathReserve: memory for one part of a
+// prompt larger than one engine. The engine answers 200, or 409 if it has not
+// enough free memory. Repeating a reservation by name succeeds.
+type ReserveRequest struct {
+	Name           string `json:"name"`
+	Tokens         int    `json:"tokens"`
+	DeadlineUnixMs int64  `json:"deadline_unix_ms"`
+}
+
+// CancelRequest is the body of POST PathCancel. Cancelling an absent request
+// succeeds.
+type CancelRequest struct {
+	RequestID string `json:"request_id"`
+}
+
+// OrderKind is a kind of order to an engine.
+type OrderKind string
+
+// Kinds of orders.
+const (
+	OrderLoadModel   OrderKind = "load-model"
+	OrderLoadAdapter OrderKind = "load-adapter"
+	OrderUnloadModel OrderKind = "unload-model"
+	OrderSetRole     OrderKind = "set-role"
+)
+
+// Order is the body of POST PathOrder. An engine that honours fencing answers
+// 412 to a number below the highest it has seen; one that checks issuers
+// answers 403 to a missing or wrong signature.
+type Order struct {
+	ID      string    `json:"id"`
+	Kind    OrderKind `json:"kind"`
+	Model   string    `json:"model,omitempty"`
+	Version string    `json:"version,omitempty"`
+	Adapter string    `json:"adapter,omitempty"`
+	Role    Role      `json:"role,omitempty"`
+	// Fence is the fencing number of the lease under which the order is given.
+	Fence uint64 `json:"fence"`
+	// Issuer is the instance that gives the order.
+	Issuer string `json:"issuer"`
+	// Signature is the hex HMAC-SHA256 of the order without this field,
+	// encoded as JSON, with the deployment's order key.
+	Signature string `json:"signature,omitempty"`
+}
+
+// LoadedModel is a model that an engine has in memory.
+type LoadedModel struct {
+	Model    string   `json:"model"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters,omitempty"`
+	// Loading says that the model is on its way and not usable yet.
+	Loading bool `json:"loading,omitempty"`
+}
+
+// Observed is the answer of GET PathObserved: what an engine really has.
+type Observed struct {
+	Boot   string        `json:"boot"`
+	Role   Role          `json:"role"`
+	Models []LoadedModel `json:"models"`
+	// Fence is the highest fencing number seen; zero if fencing is ignored.
+	Fence   uint64 `json:"fence"`
+	Leaving bool   `json:"leaving"`
+}
