--- /dev/null
+++ b/internal/peer/peertest/net.go
@@ -0,0 +1,178 @@
+// Package peertest connects buses in memory, with cuts and latency, for tests.
+package peertest
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/peer"
+)
+
+// Net is an in-memory network of buses. Use it inside a synctest bubble for
+// exact timing.
+type Net struct {
+	mu      sync.Mutex
+	nodes   map[string]*Node
+	cut     map[[2]string]bool
+	latency time.Duration
+}
+
+// NewNet returns a network in which each message takes latency.
+func NewNet(latency time.Duration) *Net {
+	return &Net{nodes: map[string]*Node{}, cut: map[[2]string]bool{}, latency: latency}
+}
+
+// Node is one instance's bus.
+type Node struct {
+	net        *Net
+	self       peer.Member
+	mu         sync.Mutex
+	broadcasts map[peer.Topic]peer.BroadcastHandler
+	calls      map[peer.Topic]peer.CallHandler
+}
+
+var _ peer.Bus = (*Node)(nil)
+
+// Join adds a member and returns its bus. A member with the same ID is
+// replaced, as after a restart.
+func (n *Net) Join(m peer.Member) *Node {
+	node := &Node{
+		net:        n,
+		self:       m,
+		broadcasts: map[peer.Topic]peer.BroadcastHandler{},
+		calls:      map[peer.Topic]peer.CallHandler{},
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[m.ID] = node
+	return node
+}
+
+// Leave removes a member at once, as in a crash.
+func (n *Net) Leave(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.nodes, id)
+}
+
+// Cut separates or rejoins two members in both directions.
+func (n *Net) Cut(a, b string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[[2]string{a, b}] = cut
+	n.cut[[2]string{b, a}] = cut
+}
+
+// reach returns the node of id if a message from "from" would arrive.
+func (n *Net) reach(from, id string) *Node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cut[[2]string{from, id}] {
+		return nil
+	}
+	return n.nodes[id]
+}
+
+// Self implements peer.Bus.
+func (b *Node) Self() peer.Member { return b.self }
+
+// Members implements peer.Bus: all members that are not cut off.
+func (b *Node) Members() []peer.Member {
+	b.net.mu.Lock()
+	defer b.net.mu.Unlock()
+	var members []peer.Member
+	for id, node := range b.net.nodes {
+		if !b.net.cut[[2]string{b.self.ID, id}] {
+			members = append(members, node.self)
+		}
+	}
+	sort.Slice(members, func(i, j int) bool { return members[i].ID < members[j].ID })
+	return members
+}
+
+// Neighbours implements peer.Bus.
+func (b *Node) Neighbours() []string {
+	var ids []string
+	for _, m := range b.Members() {
+		if m.ID != b.self.ID {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
+// Broadcast implements peer.Bus.
+func (b *Node) Broadcast(topic peer.Topic, payload []byte) {
+	for _, id := range b.Neighbours() {
+		time.AfterFunc(b.net.latency, func() { b.deliver(id, topic, payload) })
+	}
+}
+
+func (b *Node) deliver(id string, topic peer.Topic, payload []byte) {
+	node := b.net.reach(b.self.ID, id)
+	if node == nil {
+		return
+	}
+	node.mu.Lock()
+	h := node.broadcasts[topic]
+	node.mu.Unlock()
+	if h != nil {
+		h(b.self.ID, payload)
+	}
+}
+
+// Call implements peer.Bus.
+func (b *Node) Call(ctx context.Context, to string, topic peer.Topic, payload []byte) ([]byte, error) {
+	if err := pause(ctx, b.net.latency); err != nil {
+		return nil, err
+	}
+	node := b.net.reach(b.self.ID, to)
+	if node == nil {
+		return nil, peer.ErrUnreachable
+	}
+	node.mu.Lock()
+	h := node.calls[topic]
+	node.mu.Unlock()
+	if h == nil {
+		return nil, errors.New("no handler for topic " + string(topic))
+	}
+	answer, err := h(ctx, b.self.ID, payload)
+	if err != nil {
+		return nil, err
+	}
+	if err := pause(ctx, b.net.latency); err != nil {
+		return nil, err
+	}
+	if b.net.reach(to, b.self.ID) == nil {
+		return nil, peer.ErrUnreachable
+	}
+	return answer, nil
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// HandleBroadcast implements peer.Bus.
+func (b *Node) HandleBroadcast(topic peer.Topic, h peer.BroadcastHandler) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.broadcasts[topic] = h
+}
+
+// HandleCall implements peer.Bus.
+func (b *Node) HandleCall(topic peer.Topic, h peer.CallHandler) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.calls[topic] = h
+}
