--- /dev/null
+++ b/internal/standin/engine/events.go
@@ -0,0 +1,65 @@
+package engine
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/upstream"
+)
+
+// maxEvents bounds the cache events that are kept.
+const maxEvents = 4096
+
+// loggedEvent is a cache event and when it happened.
+type loggedEvent struct {
+	at    time.Time
+	event upstream.CacheEvent
+}
+
+// eventLog keeps cache events for readers, who see them late and not all.
+type eventLog struct {
+	lag      time.Duration
+	loss     float64
+	random   *rand.Rand
+	sequence uint64
+	events   []loggedEvent
+}
+
+func newEventLog(s Settings) eventLog {
+	return eventLog{lag: s.EventLag, loss: s.EventLoss, random: rand.New(rand.NewPCG(s.Seed, 0))}
+}
+
+func (l *eventLog) add(now time.Time, added, removed []string) {
+	l.sequence++
+	if l.random.Float64() < l.loss {
+		return
+	}
+	event := upstream.CacheEvent{Sequence: l.sequence, Added: added, Removed: removed}
+	l.events = append(l.events, loggedEvent{now, event})
+	if len(l.events) > maxEvents {
+		l.events = l.events[len(l.events)-maxEvents:]
+	}
+}
+
+// after returns the events with a higher sequence that are due.
+func (l *eventLog) after(now time.Time, sequence uint64) []upstream.CacheEvent {
+	due := []upstream.CacheEvent{}
+	for _, e := range l.events {
+		if e.event.Sequence > sequence && !e.at.After(now.Add(-l.lag)) {
+			due = append(due, e.event)
+		}
+	}
+	return due
+}
+
+// cacheChanged logs a change of the prefix cache. The caller holds mu.
+func (e *Engine) cacheChanged(added, removed []string) {
+	e.events.add(time.Now(), added, removed)
+}
+
+// Events returns the cache events after a sequence number.
+func (e *Engine) Events(after uint64) upstream.CacheEvents {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return upstream.CacheEvents{Boot: e.settings.Boot, Events: e.events.after(time.Now(), after)}
+}
--- /dev/null
+++ b/internal/standin/engine/holds.go
@@ -0,0 +1,209 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/upstream"
+)
+
+// hold is memory that outlives a connection, streams excepted.
+type hold struct {
+	kind     upstream.HoldKind
+	name     string
+	deadline time.Time
+	// private tokens and referenced blocks are the hold's memory.
+	private int
+	blocks  []string
+	// user is the stream that computes in a reservation's memory.
+	user *stream
+}
+
+func (h *hold) tokens() int { return h.private + len(h.blocks)*upstream.BlockTokens }
+
+func deadlineFrom(unixMs int64) time.Time {
+	if unixMs == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(unixMs)
+}
+
+func unixMs(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+// Reserve allocates memory for a part of a prompt larger than one engine.
+// Repeating a reservation succeeds. The error is a *Refusal.
+func (e *Engine) Reserve(req upstream.ReserveRequest) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.expire(now)
+	if old := e.holds[req.Name]; old != nil {
+		if old.kind != upstream.HoldReservation || old.private != req.Tokens {
+			return refuse(http.StatusConflict, "the name %q is taken", req.Name)
+		}
+		return nil
+	}
+	if req.Name == "" || req.Tokens <= 0 {
+		return refuse(http.StatusBadRequest, "a reservation needs a name and tokens")
+	}
+	if !e.memory.take(req.Tokens) {
+		return refuse(http.StatusConflict, "%d tokens are not free", req.Tokens)
+	}
+	e.addHold(now, &hold{
+		kind:     upstream.HoldReservation,
+		name:     req.Name,
+		deadline: deadlineFrom(req.DeadlineUnixMs),
+		private:  req.Tokens,
+	})
+	return nil
+}
+
+func (e *Engine) addHold(now time.Time, h *hold) {
+	e.holds[h.name] = h
+	e.record.holdsMade++
+	e.changed(now)
+	e.signal()
+}
+
+// bindReservation gives the stream the reservation that this engine holds for
+// it. The other names belong to other engines and are only recorded.
+func (e *Engine) bindReservation(s *stream) *Refusal {
+	if len(s.req.Reservations) == 0 {
+		return nil
+	}
+	for _, name := range s.req.Reservations {
+		h := e.holds[name]
+		if h == nil || h.kind != upstream.HoldReservation {
+			continue
+		}
+		if h.user != nil {
+			return refuse(http.StatusConflict, "reservation %q is in use", name)
+		}
+		h.user = s
+		s.reserved = h
+		return nil
+	}
+	return refuse(http.StatusConflict, "none of the reservations is in this engine")
+}
+
+// Export pins the cached blocks that begin the prefix and returns them. The
+// error is a *Refusal.
+func (e *Engine) Export(req upstream.ExportRequest) (upstream.ExportAnswer, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.holds[req.Name] != nil || req.Name == "" {
+		return upstream.ExportAnswer{}, refuse(http.StatusConflict, "the name %q is taken", req.Name)
+	}
+	n := e.memory.match(req.Blocks)
+	if n == 0 {
+		return upstream.ExportAnswer{}, refuse(http.StatusNotFound, "no block of the prefix is cached")
+	}
+	h := &hold{
+		kind:     upstream.HoldExport,
+		name:     req.Name,
+		deadline: deadlineFrom(req.DeadlineUnixMs),
+		blocks:   slices.Clone(req.Blocks[:n]),
+	}
+	e.memory.ref(h.blocks)
+	e.addHold(time.Now(), h)
+	return upstream.ExportAnswer{Blocks: h.blocks, Tokens: h.tokens()}, nil
+}
+
+// Import allocates memory for blocks that another engine exported, takes the
+// time of the transfer and adds the blocks to the prefix cache. They stay pinned
+// until the hold is released. The error is a *Refusal, or ctx's error.
+func (e *Engine) Import(ctx context.Context, req upstream.ImportRequest) error {
+	h, err := e.beginImport(req)
+	if err != nil {
+		return err
+	}
+	set := e.settings
+	seconds := float64(len(req.Blocks)*upstream.BlockTokens) / float64(set.TransferTokensPerSecond)
+	if !sleep(ctx, set.scaled(time.Duration(seconds*float64(time.Second)))) {
+		e.Release(req.Name)
+		return ctx.Err()
+	}
+	return e.endImport(h, slices.Clone(req.Blocks))
+}
+
+func (e *Engine) beginImport(req upstream.ImportRequest) (*hold, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.holds[req.Name] != nil || req.Name == "" {
+		return nil, refuse(http.StatusConflict, "the name %q is taken", req.Name)
+	}
+	tokens := len(req.Blocks) * upstream.BlockTokens
+	if tokens == 0 || !e.memory.take(tokens) {
+		return nil, refuse(http.StatusConflict, "%d tokens are not free", tokens)
+	}
+	h := &hold{
+		kind:     upstream.HoldImport,
+		name:     req.Name,
+		deadline: deadlineFrom(req.DeadlineUnixMs),
+		private:  tokens,
+	}
+	e.addHold(time.Now(), h)
+	return h, nil
+}
+
+func (e *Engine) endImport(h *hold, blocks []string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.holds[h.name] != h {
+		return refuse(http.StatusConflict, "the import was released")
+	}
+	e.memory.share(blocks)
+	h.private, h.blocks = 0, blocks
+	e.changed(time.Now())
+	return nil
+}
+
+// Holds lists all memory that the engine keeps for routers, streams included.
+func (e *Engine) Holds() upstream.Holds {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.expire(time.Now())
+	list := upstream.Holds{Boot: e.settings.Boot, Holds: []upstream.Hold{}}
+	for _, h := range e.holds {
+		list.Holds = append(list.Holds, upstream.Hold{Kind: h.kind, Name: h.name, Tokens: h.tokens(), DeadlineUnixMs: unixMs(h.deadline)})
+	}
+	for s := range e.active {
+		list.Holds = append(list.Holds, upstream.Hold{Kind: upstream.HoldStream, Name: s.req.ID, Tokens: s.tokens(), DeadlineUnixMs: unixMs(s.deadline())})
+	}
+	slices.SortFunc(list.Holds, func(a, b upstream.Hold) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Release frees the hold or ends the stream of a name. Releasing an unknown name
+// succeeds.
+func (e *Engine) Release(name string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if h := e.holds[name]; h != nil {
+		e.release(now, h)
+	}
+	if s := e.streams[name]; s != nil {
+		e.finish(now, s, errCanceled)
+	}
+	e.changed(now)
+}
+
+// release frees a hold's memory and fails the stream that used it.
+func (e *Engine) release(now time.Time, h *hold) {
+	delete(e.holds, h.name)
+	e.memory.give(h.private)
+	e.memory.unref(h.blocks)
+	if h.user != nil {
+		e.finish(now, h.user, errLostHold)
+	}
+	e.signal()
+}
--- /dev/null
+++ b/internal/standin/engine/memory.go
@@ -0,0 +1,117 @@
+package engine
+
+import (
+	"container/list"
+
+	"github.com/banyanroute/banyanroute/internal/upstream"
+)
+
+// block is one block of the prefix cache, upstream.BlockTokens long.
+type block struct {
+	hash string
+	// refs counts the streams and holds that use the block. A block without
+	// any is in the LRU list and may be evicted.
+	refs int
+	idle *list.Element
+}
+
+// memory accounts for an engine's KV memory in tokens. Blocks of the prefix
+// cache are shared; everything else belongs to one stream or hold.
+type memory struct {
+	capacity int
+	// private counts the tokens that belong to one stream or hold each.
+	private int
+	blocks  map[string]*block
+	// lru holds blocks without references, the longest unused first.
+	lru *list.List
+	// onChange hears of blocks that were added or evicted.
+	onChange func(added, removed []string)
+}
+
+func newMemory(capacity int, onChange func(added, removed []string)) *memory {
+	return &memory{capacity: capacity, blocks: map[string]*block{}, lru: list.New(), onChange: onChange}
+}
+
+// used returns the tokens in use, unreferenced cache blocks included.
+func (m *memory) used() int { return m.private + len(m.blocks)*upstream.BlockTokens }
+
+// pinned returns the tokens that eviction can't free.
+func (m *memory) pinned() int { return m.used() - m.lru.Len()*upstream.BlockTokens }
+
+// take allocates n private tokens and evicts blocks if needed. It changes
+// nothing and returns false if that is not enough.
+func (m *memory) take(n int) bool {
+	if m.pinned()+n > m.capacity {
+		return false
+	}
+	m.evict(m.used() + n - m.capacity)
+	m.private += n
+	return true
+}
+
+// evict frees at least n tokens of unreferenced blocks, if there are as many.
+func (m *memory) evict(n int) {
+	var removed []string
+	for ; n > 0 && m.lru.Len() > 0; n -= upstream.BlockTokens {
+		b := m.lru.Remove(m.lru.Front()).(*block)
+		delete(m.blocks, b.hash)
+		removed = append(removed, b.hash)
+	}
+	if len(removed) > 0 {
+		m.onChange(nil, removed)
+	}
+}
+
+// give frees n private tokens.
+func (m *memory) give(n int) { m.private -= n }
+
+// match returns how many leading blocks of hashes are cached.
+func (m *memory) match(hashes []string) int {
+	for i, h := range hashes {
+		if m.blocks[h] == nil {
+			return i
+		}
+	}
+	return len(hashes)
+}
+
+// ref adds a reference to each of the cached blocks.
+func (m *memory) ref(hashes []string) {
+	for _, h := range hashes {
+		b := m.blocks[h]
+		b.refs++
+		if b.idle != nil {
+			m.lru.Remove(b.idle)
+			b.idle = nil
+		}
+	}
+}
+
+// unref removes a reference from each block. The last block of a prefix becomes
+// idle first, so that eviction shortens prefixes from their end.
+func (m *memory) unref(hashes []string) {
+	for i := len(hashes) - 1; i >= 0; i-- {
+		b := m.blocks[hashes[i]]
+		b.refs--
+		if b.refs == 0 {
+			b.idle = m.lru.PushBack(b)
+		}
+	}
+}
+
+// share turns private tokens into cached blocks that the caller references. A
+// block that is cached already is referenced, and its private tokens are freed.
+func (m *memory) share(hashes []string) {
+	var added []string
+	for _, h := range hashes {
+		m.private -= upstream.BlockTokens
+		if m.blocks[h] == nil {
+			m.blocks[h] = &block{hash: h}
+			added = append(added, h)
+		}
+		m.ref([]string{h})
+	}
+	if len(added) > 0 {
+		m.onChange(added, nil)
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/settings.go
@@ -0,0 +1,119 @@
+// Package engine models a model engine with continuous batching: one step
+// computes a chunk of waiting prompts and one token of each running stream. The
+// model has KV memory with a prefix cache, a queue ordered by priority, streams
+// that can be resumed, reservations, exports and imports of KV, late load
+// reports and cache events, and orders. It generates the text of package answer.
+//
+// Package enginehttp serves the model over HTTP.
+package engine
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/banyanroute/banyanroute/internal/upstream"
+)
+
+// Settings of an Engine. Times are those of an engine at time scale 1.
+type Settings struct {
+	Name string
+	// Boot is the incarnation; it must differ after each restart.
+	Boot string
+	// Models lists the models that are loaded from the start, each as
+	// "MODEL" or "MODEL:VERSION".
+	Models []string
+	// MemoryTokens is the KV memory in tokens.
+	MemoryTokens int
+	// ChunkTokens bounds the prompt tokens of one step.
+	ChunkTokens int
+	// MaxStreams bounds the streams in memory; MaxQueue those that wait.
+	MaxStreams int
+	MaxQueue   int
+
+	// A step takes StepBase, PerPromptToken for each prompt token computed,
+	// PerStream for each stream that generates, and PerResidentToken for
+	// each KV token of the streams in memory.
+	StepBase         time.Duration
+	PerPromptToken   time.Duration
+	PerStream        time.Duration
+	PerResidentToken time.Duration
+
+	// KeepStream is how long a stream outlives its connection.
+	KeepStream time.Duration
+	// DefaultDeadline applies to requests without a deadline.
+	DefaultDeadline time.Duration
+	// ReportLag is how old load reports are.
+	ReportLag time.Duration
+	// EventLag is how late cache events come; EventLoss is the share that
+	// never comes, chosen by Seed.
+	EventLag  time.Duration
+	EventLoss float64
+	Seed      uint64
+	// LoadTime is how long it takes to load a model or an adapter.
+	LoadTime time.Duration
+	// TransferTokensPerSecond is the speed of an import of KV.
+	TransferTokensPerSecond int
+
+	// Fencing makes the engine refuse orders with an old fencing number.
+	Fencing bool
+	// OrderKey, if set, makes the engine check the signature of orders.
+	OrderKey []byte
+	// TimeScale divides the times of steps, loads and transfers.
+	TimeScale float64
+}
+
+// Default returns the settings of an engine that computes about 20,000 prompt
+// tokens per second and generates a token in 10 ms without prompts to compute.
+func Default() Settings {
+	return Settings{
+		Name:                    "engine",
+		Boot:                    "1",
+		MemoryTokens:            500_000,
+		ChunkTokens:             1024,
+		MaxStreams:              256,
+		MaxQueue:                256,
+		StepBase:                6 * time.Millisecond,
+		PerPromptToken:          40 * time.Microsecond,
+		PerStream:               50 * time.Microsecond,
+		PerResidentToken:        20 * time.Nanosecond,
+		KeepStream:              10 * time.Second,
+		DefaultDeadline:         10 * time.Minute,
+		ReportLag:               200 * time.Millisecond,
+		EventLag:                500 * time.Millisecond,
+		EventLoss:               0.02,
+		Seed:                    1,
+		LoadTime:                5 * time.Second,
+		TransferTokensPerSecond: 1_000_000,
+		TimeScale:               1,
+	}
+}
+
+// scaled returns d divided by the time scale.
+func (s Settings) scaled(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / s.TimeScale)
+}
+
+// promptTokens returns the number of tokens of a prompt of some bytes.
+func promptTokens(bytes int) int {
+	return max(1, (bytes+upstream.BytesPerToken-1)/upstream.BytesPerToken)
+}
+
+// Check returns an error that names the first setting out of range.
+func (s Settings) Check() error {
+	switch {
+	case s.MemoryTokens <= 0:
+		return trace.BadParameter("memory-tokens must be positive, not %d", s.MemoryTokens)
+	case s.ChunkTokens <= 0:
+		return trace.BadParameter("chunk-tokens must be positive, not %d", s.ChunkTokens)
+	case s.MaxStreams <= 0:
+		return trace.BadParameter("max-streams must be positive, not %d", s.MaxStreams)
+	case s.TimeScale <= 0:
+		return trace.BadParameter("time-scale must be positive, not %v", s.TimeScale)
+	case s.TransferTokensPerSecond <= 0:
+		return trace.BadParameter("transfer-rate must be positive, not %d", s.TransferTokensPerSecond)
+	case s.StepBase <= 0:
+		return trace.BadParameter("step-base must be positive, not %v", s.StepBase)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/enginehttp/request.go
@@ -0,0 +1,130 @@
+package enginehttp
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/standin/answer"
+	"github.com/banyanroute/banyanroute/internal/standin/engine"
+	"github.com/banyanroute/banyanroute/internal/upstream"
+)
+
+// Limits and defaults of a generation request.
+const (
+	// maxBodyBytes is room for a prompt of four million tokens.
+	maxBodyBytes     = 16 << 20
+	defaultMaxTokens = 16
+)
+
+// body holds the fields of a generation request that the engine uses.
+type body struct {
+	Model               string          `json:"model"`
+	Messages            []message       `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+	MaxTokens           int             `json:"max_tokens"`
+	MaxCompletionTokens int             `json:"max_completion_tokens"`
+	Stream              bool            `json:"stream"`
+}
+
+type message struct {
+	Content json.RawMessage `json:"content"`
+}
+
+// call is a generation request and how it is to be answered.
+type call struct {
+	request engine.Request
+	chat    bool
+	stream  bool
+	// resume says that the client has the tokens up to position.
+	resume   bool
+	position int
+}
+
+// parse reads a generation request. It crashes the process if the fault
+// switches say so.
+func (s *Server) parse(w http.ResponseWriter, r *http.Request, chat bool) (*call, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		return nil, err
+	}
+	s.faults.CheckBody(data)
+	var b body
+	if err := json.Unmarshal(data, &b); err != nil {
+		return nil, err
+	}
+	c := &call{chat: chat, stream: b.Stream}
+	c.request = engine.Request{
+		ID:        r.Header.Get(upstream.HeaderRequestID),
+		Attempt:   max(1, headerInt(r, upstream.HeaderAttempt)),
+		Priority:  headerInt(r, upstream.HeaderPriority),
+		Model:     b.Model,
+		MaxTokens: maxTokens(b),
+		Blocks:    headerList(r, upstream.HeaderPrefixBlocks),
+
+		Reservations: headerList(r, upstream.HeaderReservation),
+	}
+	if c.request.ID == "" {
+		c.request.ID = s.nextID()
+	}
+	if ms := headerInt(r, upstream.HeaderDeadline); ms > 0 {
+		c.request.Deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
+	}
+	c.request.PromptBytes, c.request.Prompt = prompt(b)
+	if text := r.Header.Get(upstream.HeaderLastEventID); text != "" {
+		c.resume = true
+		c.position, err = strconv.Atoi(text)
+	}
+	return c, err
+}
+
+func maxTokens(b body) int {
+	switch {
+	case b.MaxTokens > 0:
+		return b.MaxTokens
+	case b.MaxCompletionTokens > 0:
+		return b.MaxCompletionTokens
+	}
+	return defaultMaxTokens
+}
+
+// prompt returns the length and hash of the text of all messages, or of the
+// prompt. Content that isn't a plain string counts as it is written.
+func prompt(b body) (int, answer.Hash) {
+	h := answer.NewHasher()
+	length := 0
+	add := func(raw json.RawMessage) {
+		var text string
+		if json.Unmarshal(raw, &text) != nil {
+			text = string(raw)
+		}
+		length += len(text)
+		h.WriteString(text)
+	}
+	for _, m := range b.Messages {
+		add(m.Content)
+	}
+	if len(b.Prompt) > 0 {
+		add(b.Prompt)
+	}
+	return length, h.Sum()
+}
+
+func headerInt(r *http.Request, name string) int {
+	n, err := strconv.Atoi(r.Header.Get(name))
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+func headerList(r *http.Request, name string) []string {
+	text := r.Header.Get(name)
+	if text == "" {
+		return nil
+	}
+	return strings.Split(text, ",")
+}
--- a/internal/upstream/wire.go
+++ b/internal/upstream/wire.go
@@ -203,3 +203,28 @@
 	Fence   uint64 `json:"fence"`
 	Leaving bool   `json:"leaving"`
 }
+
+// ExportRequest is the body of POST PathExport: it pins the cached blocks that
+// begin the prefix, so that another engine can import them. The engine answers
+// 404 if it has none of them.
+type ExportRequest struct {
+	Name           string   `json:"name"`
+	Blocks         []string `json:"blocks"`
+	DeadlineUnixMs int64    `json:"deadline_unix_ms"`
+}
+
+// ExportAnswer lists the blocks that are pinned, and their tokens.
+type ExportAnswer struct {
+	Blocks []string `json:"blocks"`
+	Tokens int      `json:"tokens"`
+}
+
+// ImportRequest is the body of POST PathImport: the engine allocates memory,
+// takes the time of the transfer, and answers 200 when the blocks are in its
+// prefix cache, or 409 if it has not enough free memory. The blocks stay pinned
+// until the hold is released.
+type ImportRequest struct {
+	Name           string   `json:"name"`
+	Blocks         []string `json:"blocks"`
+	DeadlineUnixMs int64    `json:"deadline_unix_ms"`
+}
