Engine model: tests in virtual time

Change: tests of step times, queueing, priorities, prefix cache, resumption, deadlines, reservations, export and import, load reports, orders, and random calls with a memory account (seeds 0 to 19).

--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,536 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/standin/answer"
+	"github.com/banyanroute/banyanroute/internal/upstream"
+)
+
+// steady is a Pace that never slows the engine.
+type steady struct{}
+
+func (steady) WaitThawed(context.Context) error { return nil }
+func (steady) SlowFactor() float64              { return 1 }
+
+// testSettings make times easy to work out: a step takes 1 ms and 1 ms for each
+// 100 prompt tokens.
+func testSettings() Settings {
+	s := Default()
+	s.Models = []string{"m"}
+	s.MemoryTokens = 10_240
+	s.ChunkTokens = 1000
+	s.StepBase = time.Millisecond
+	s.PerPromptToken = 10 * time.Microsecond
+	s.PerStream = 0
+	s.PerResidentToken = 0
+	s.EventLoss = 0
+	return s
+}
+
+// start runs an engine in the present bubble until the test ends.
+func start(t *testing.T, s Settings) *Engine {
+	t.Helper()
+	e := New(s, steady{})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = e.Run(ctx)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return e
+}
+
+func request(id string, promptTokens, maxTokens int) Request {
+	return Request{
+		ID: id, Attempt: 1, Model: "m", MaxTokens: maxTokens,
+		PromptBytes: promptTokens * upstream.BytesPerToken, Prompt: answer.Of(id),
+	}
+}
+
+func blocks(name string, n int) []string {
+	hashes := make([]string, n)
+	for i := range hashes {
+		hashes[i] = fmt.Sprintf("%s%d", name, i)
+	}
+	return hashes
+}
+
+func submit(t *testing.T, e *Engine, req Request) *Reader {
+	t.Helper()
+	r, err := e.Submit(req)
+	if err != nil {
+		t.Fatalf("submit %s: %v", req.ID, err)
+	}
+	return r
+}
+
+// finishTime waits for the whole answer and returns the time since start.
+func finishTime(t *testing.T, r *Reader, start time.Time) time.Duration {
+	t.Helper()
+	if _, err := r.Wait(t.Context(), math.MaxInt); err != nil {
+		t.Fatal(err)
+	}
+	return time.Since(start)
+}
+
+func wantStatus(t *testing.T, err error, status int) {
+	t.Helper()
+	var refusal *Refusal
+	if !errors.As(err, &refusal) || refusal.Status != status {
+		t.Errorf("got error %v, want status %d", err, status)
+	}
+}
+
+// wantEmpty checks that no memory is pinned and nothing is held.
+func wantEmpty(t *testing.T, e *Engine) {
+	t.Helper()
+	sum := e.Record(nil)
+	if sum.PinnedTokens != 0 || len(sum.Holds) != 0 || sum.Unfinished != 0 {
+		t.Errorf("engine is not empty: %+v", sum)
+	}
+}
+
+func TestStepTimeGrowsWithPrompt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := start(t, testSettings())
+		began := time.Now()
+		r := submit(t, e, request("a", 2500, 3))
+		if _, err := r.Wait(t.Context(), 0); err != nil {
+			t.Fatal(err)
+		}
+		// Steps of 1000, 1000 and 500 prompt tokens, then one token.
+		if got, want := time.Since(began), (11+11+6+1)*time.Millisecond; got != want {
+			t.Errorf("first token after %v, want %v", got, want)
+		}
+		if got, want := finishTime(t, r, began), (29+2)*time.Millisecond; got != want {
+			t.Errorf("last token after %v, want %v", got, want)
+		}
+		wantEmpty(t, e)
+	})
+}
+
+func TestTimeScale(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testSettings()
+		s.TimeScale = 10
+		e := start(t, s)
+		began := time.Now()
+		r := submit(t, e, request("a", 900, 1))
+		if got, want := finishTime(t, r, began), time.Millisecond+100*time.Microsecond; got != want {
+			t.Errorf("finished after %v, want %v", got, want)
+		}
+	})
+}
+
+func TestRequestsWaitForMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := start(t, testSettings())
+		first := submit(t, e, request("a", 9000, 10))
+		second := submit(t, e, request("b", 9000, 10))
+		synctest.Wait()
+		if _, err := e.Submit(request("c", 10_240, 1)); err == nil {
+			t.Error("a request larger than the memory was accepted")
+		} else {
+			wantStatus(t, err, http.StatusUnprocessableEntity)
+		}
+		began := time.Now()
+		alone := finishTime(t, first, began)
+		if both := finishTime(t, second, began); both != 2*alone {
+			t.Errorf("second finished after %v, want twice %v", both, alone)
+		}
+		wantEmpty(t, e)
+	})
+}
+
+func TestPriorityTakesPromptChunks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := start(t, testSettings())
+		began := time.Now()
+		long := request("long", 8000, 1)
+		long.Priority = 5
+		slow := submit(t, e, long)
+		time.Sleep(5 * time.Millisecond)
+		quick := submit(t, e, request("short", 1000, 1))
+		// The short prompt waits for the step under way, then has a whole step.
+		if got, want := finishTime(t, quick, began), (11+11+11)*time.Millisecond; got != want {
+			t.Errorf("short finished after %v, want %v", got, want)
+		}
+		finishTime(t, slow, began)
+		wantEmpty(t, e)
+	})
+}
+
+func TestPrefixCacheSavesPromptTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := start(t, testSettings())
+		one := request("a", 2048+100, 1)
+		one.Blocks = blocks("x", 4)
+		finishTime(t, submit(t, e, one), time.Now())
+		two := request("b", 2048+100, 1)
+		two.Blocks = append(blocks("x", 3), "y3")
+		finishTime(t, submit(t, e, two), time.Now())
+		recs := e.Record(func(RequestRecord) bool { return true }).Requests
+		if recs[0].ComputedTokens != 2148 || recs[1].CachedTokens != 3*512 || recs[1].ComputedTokens != 2148-3*512 {
+			t.Errorf("computed %+v", recs)
+		}
+		wantEmpty(t, e)
+	})
+}
+
+func TestPrefixCacheEvictsLongestUnused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := start(t, testSettings())
+		for _, name := range []string{"x", "y"} {
+			req := request(name, 5*512, 1)
+			req.Blocks = blocks(name, 5)
+			finishTime(t, submit(t, e, req), time.Now())
+		}
+		// 10 of 20 blocks are cached; 12 more push 2 out, from the end of x.
+		finishTime(t, submit(t, e, request("z", 12*512-1, 1)), time.Now())
+		if x, y := e.memory.match(blocks("x", 5)), e.memory.match(blocks("y", 5)); x != 3 || y != 5 {
+			t.Errorf("x has %d blocks and y %d, want 3 and 5", x, y)
+		}
+		time.Sleep(time.Second)
+		events := e.Events(0).Events
+		if n := len(events); n != 3 || !slices.Equal(events[2].Removed, []string{"x4", "x3"}) {
+			t.Errorf("events %+v", events)
+		}
+	})
+}
+
+func TestCacheEventsAreLateAndLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testSettings()
+		s.EventLoss = 0.5
+		e := start(t, s)
+		for i := range 20 {
+			req := request(fmt.Sprint(i), 512, 1)
+			req.Blocks = blocks(fmt.Sprint("b", i), 1)
+			finishTime(t, submit(t, e, req), time.Now())
+		}
+		if n := len(e.Events(0).Events); n != 0 {
+			t.Errorf("%d events came at once", n)
+		}
+		time.Sleep(s.EventLag)
+		events := e.Events(0).Events
+		if n := uint64(len(events)); n < 3 || n == e.events.sequence {
+			t.Fatalf("%d of %d events came", n, e.events.sequence)
+		}
+		after := events[2].Sequence
+		if rest := e.Events(after).Events; len(rest) != len(events)-3 {
+			t.Errorf("%d events after %d, want %d", len(rest), after, len(events)-3)
+		}
+	})
+}
+
+func TestResumeAndFencing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := start(t, testSettings())
+		first := submit(t, e, request("a", 100, 1000))
+		if _, err := first.Wait(t.Context(), 3); err != nil {
+			t.Fatal(err)
+		}
+		second, err := e.Resume("a", 2)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := first.Wait(t.Context(), 3); !errors.Is(err, errFenced) {
+			t.Errorf("older reader got %v", err)
+		}
+		first.Close(false) // It must not end the newer reader's stream.
+		_, err = e.Resume("a", 1)
+		wantStatus(t, err, http.StatusConflict)
+		_, err = e.Submit(request("a", 100, 1000))
+		wantStatus(t, err, http.StatusConflict)
+		third := request("a", 100, 5)
+		third.Attempt = 3
+		finishTime(t, submit(t, e, third), time.Now())
+		if _, err := second.Wait(t.Context(), 3); !errors.Is(err, errFenced) {
+			t.Errorf("reader of an older attempt got %v", err)
+		}
+		again, err := e.Resume("a", 3)
+		if err != nil {
+			t.Fatalf("a complete answer can't be read again: %v", err)
+		}
+		finishTime(t, again, time.Now())
+		time.Sleep(time.Minute)
+		_, err = e.Resume("a", 3)
+		wantStatus(t, err, http.StatusConflict)
+		wantEmpty(t, e)
+	})
+}
+
+func TestStreamOutlivesConnectionForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testSettings()
+		s.KeepStream = 100 * time.Millisecond
+		e := start(t, s)
+		r := submit(t, e, request("own/1/a", 100, 5000))
+		time.Sleep(50 * time.Millisecond)
+		r.Close(true)
+		holds := e.Holds().Holds
+		if len(holds) != 1 || holds[0].Kind != upstream.HoldStream || holds[0].Name != "own/1/a" || holds[0].Tokens != 5100 {
+			t.Errorf("holds %+v", holds)
+		}
+		time.Sleep(s.KeepStream)
+		synctest.Wait()
+		wantEmpty(t, e)
+	})
+}
+
+func TestDeadlineAndCancelFreeMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := start(t, testSettings())
+		req := request("late", 9000, 1000)
+		req.Deadline = time.Now().Add(30 * time.Millisecond)
+		late := submit(t, e, req)
+		waiting := request("waiting", 9000, 1000)
+		waiting.Deadline = time.Now().Add(20 * time.Millisecond)
+		never := submit(t, e, waiting)
+		_, err := never.Wait(t.Context(), 0)
+		var refusal *Refusal
+		if !errors.As(err, &refusal) || !refusal.NotRun {
+			t.Errorf("a request that never ran got %v", err)
+		}
+		_, err = late.Wait(t.Context(), 0)
+		if !errors.As(err, &refusal) || refusal.NotRun || refusal.Status != http.StatusGatewayTimeout {
+			t.Errorf("a request that ran got %v", err)
+		}
+		wantEmpty(t, e)
+		gone := submit(t, e, request("gone", 9000, 1000))
+		e.Cancel("gone")
+		e.Cancel("unknown")
+		_, err = gone.Wait(t.Context(), 0)
+		wantStatus(t, err, errCanceled.Status)
+		wantEmpty(t, e)
+	})
+}
+
+func reservation(name string, tokens int, deadline time.Time) upstream.ReserveRequest {
+	return upstream.ReserveRequest{Name: name, Tokens: tokens, DeadlineUnixMs: unixMs(deadline)}
+}
+
+func TestReservations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := start(t, testSettings())
+		deadline := time.Now().Add(time.Second)
+		for range 2 {
+			if err := e.Reserve(reservation("r1", 10_000, deadline)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		wantStatus(t, e.Reserve(reservation("r2", 1000, deadline)), http.StatusConflict)
+		wantStatus(t, e.Reserve(reservation("r1", 999, deadline)), http.StatusConflict)
+		huge := request("huge", 20_000, 10)
+		_, err := e.Submit(huge)
+		wantStatus(t, err, http.StatusUnprocessableEntity)
+		huge.Reservations = []string{"elsewhere"}
+		_, err = e.Submit(huge)
+		wantStatus(t, err, http.StatusConflict)
+		huge.Reservations = []string{"elsewhere", "r1"}
+		finishTime(t, submit(t, e, huge), time.Now())
+		if holds := e.Holds().Holds; len(holds) != 1 {
+			t.Errorf("holds %+v, want the reservation only", holds)
+		}
+		huge.ID = "huge2"
+		r := submit(t, e, huge)
+		e.Release("r1")
+		e.Release("r1")
+		_, err = r.Wait(t.Context(), 0)
+		wantStatus(t, err, errLostHold.Status)
+		wantEmpty(t, e)
+		if err := e.Reserve(reservation("r3", 10_000, deadline)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		wantEmpty(t, e)
+	})
+}
+
+func TestExportAndImport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		from, to := start(t, testSettings()), start(t, testSettings())
+		req := request("a", 2048, 1)
+		req.Blocks = blocks("x", 4)
+		finishTime(t, submit(t, from, req), time.Now())
+		deadline := unixMs(time.Now().Add(time.Minute))
+		got, err := from.Export(upstream.ExportRequest{Name: "o/1/e", Blocks: blocks("x", 6), DeadlineUnixMs: deadline})
+		if err != nil || len(got.Blocks) != 4 || got.Tokens != 2048 {
+			t.Fatalf("exported %+v, %v", got, err)
+		}
+		began := time.Now()
+		if err := to.Import(t.Context(), upstream.ImportRequest{Name: "o/1/i", Blocks: got.Blocks, DeadlineUnixMs: deadline}); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(began); took != 2048*time.Microsecond {
+			t.Errorf("import took %v", took)
+		}
+		finishTime(t, submit(t, to, req), time.Now())
+		if rec := to.Record(func(RequestRecord) bool { return true }).Requests[0]; rec.CachedTokens != 3*512 {
+			t.Errorf("%d cached tokens after the import", rec.CachedTokens)
+		}
+		from.Release("o/1/e")
+		wantEmpty(t, from)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		wantEmpty(t, to)
+	})
+}
+
+func TestLoadReportLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testSettings()
+		e := start(t, s)
+		time.Sleep(time.Second)
+		r := submit(t, e, request("a", 5000, 1000))
+		e.SetLeaving(true)
+		synctest.Wait()
+		if load := e.Load(); load.QueuedPromptTokens != 0 || load.Leaving || len(load.Requests) != 0 {
+			t.Errorf("new load is reported at once: %+v", load)
+		}
+		time.Sleep(s.ReportLag)
+		load := e.Load()
+		if load.QueuedPromptTokens != 5000 || !load.Leaving || !slices.Equal(load.Requests, []string{"a"}) || load.AgeMs != 200 {
+			t.Errorf("load is not reported after the lag: %+v", load)
+		}
+		finishTime(t, r, time.Now())
+		time.Sleep(s.ReportLag)
+		if load := e.Load(); load.UsedTokens != 0 || load.RunningStreams != 0 {
+			t.Errorf("load after the end: %+v", load)
+		}
+	})
+}
+
+func TestOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		key := []byte("secret")
+		s := testSettings()
+		s.Fencing, s.OrderKey = true, key
+		e := start(t, s)
+		load := upstream.Order{ID: "1", Kind: upstream.OrderLoadModel, Model: "n", Version: "2", Fence: 7, Issuer: "i1"}
+		wantStatus(t, e.Order(load), http.StatusForbidden)
+		if err := e.Order(load.Sign(key)); err != nil {
+			t.Fatal(err)
+		}
+		old := upstream.Order{ID: "2", Kind: upstream.OrderUnloadModel, Model: "m", Fence: 6, Issuer: "i2"}
+		wantStatus(t, e.Order(old.Sign(key)), http.StatusPreconditionFailed)
+		req := request("a", 10, 1)
+		req.Model = "n"
+		_, err := e.Submit(req)
+		wantStatus(t, err, http.StatusNotFound)
+		time.Sleep(s.LoadTime)
+		finishTime(t, submit(t, e, req), time.Now())
+		role := upstream.Order{ID: "3", Kind: upstream.OrderSetRole, Role: upstream.RoleDecode, Fence: 8}
+		if err := e.Order(role.Sign(key)); err != nil {
+			t.Fatal(err)
+		}
+		obs := e.Observed()
+		if obs.Fence != 8 || obs.Role != upstream.RoleDecode || len(obs.Models) != 2 || obs.Models[1].Loading {
+			t.Errorf("observed %+v", obs)
+		}
+	})
+}
+
+func TestEngineWithoutFencingTakesOldOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := start(t, testSettings())
+		for _, fence := range []uint64{7, 3} {
+			o := upstream.Order{ID: fmt.Sprint(fence), Kind: upstream.OrderUnloadModel, Model: "m", Fence: fence}
+			if err := e.Order(o); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if obs := e.Observed(); obs.Fence != 0 || len(obs.Models) != 0 {
+			t.Errorf("observed %+v", obs)
+		}
+	})
+}
+
+// TestMemoryIsReleased runs random calls and checks after each that the memory
+// adds up, and at the end that none is lost.
+func TestMemoryIsReleased(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runRandomCalls(t, seed) })
+		})
+	}
+}
+
+func runRandomCalls(t *testing.T, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	e := start(t, testSettings())
+	var readers []*Reader
+	for range 400 {
+		name := fmt.Sprint(random.IntN(12))
+		deadline := time.Now().Add(time.Duration(random.IntN(400)) * time.Millisecond)
+		prefix := blocks(fmt.Sprint("p", random.IntN(3)), 1+random.IntN(6))
+		switch random.IntN(8) {
+		case 0, 1, 2:
+			req := request(name, 1+random.IntN(6000), 1+random.IntN(40))
+			req.Attempt, req.Blocks, req.Deadline = random.IntN(4), prefix, deadline
+			if random.IntN(4) == 0 {
+				req.Reservations = []string{"r" + name}
+			}
+			if r, err := e.Submit(req); err == nil {
+				readers = append(readers, r)
+			}
+		case 3:
+			_ = e.Reserve(reservation("r"+name, 1+random.IntN(6000), deadline))
+		case 4:
+			_, _ = e.Export(upstream.ExportRequest{Name: "x" + name, Blocks: prefix, DeadlineUnixMs: unixMs(deadline)})
+		case 5:
+			_ = e.Import(t.Context(), upstream.ImportRequest{Name: "i" + name, Blocks: prefix, DeadlineUnixMs: unixMs(deadline)})
+		case 6:
+			e.Release([]string{"", "r", "x", "i"}[random.IntN(4)] + name)
+		case 7:
+			if len(readers) > 0 {
+				readers[random.IntN(len(readers))].Close(random.IntN(2) == 0)
+			}
+		}
+		time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
+		checkMemory(t, e)
+	}
+	time.Sleep(time.Hour)
+	synctest.Wait()
+	wantEmpty(t, e)
+	if len(e.streams) != 0 {
+		t.Errorf("%d streams are not forgotten", len(e.streams))
+	}
+}
+
+// checkMemory compares the memory in use with the sum of its owners.
+func checkMemory(t *testing.T, e *Engine) {
+	t.Helper()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	private, refs := 0, 0
+	for s := range e.active {
+		private += s.private
+		refs += len(s.shared)
+	}
+	for _, h := range e.holds {
+		private += h.private
+		refs += len(h.blocks)
+	}
+	for _, b := range e.memory.blocks {
+		refs -= b.refs
+		if (b.refs == 0) != (b.idle != nil) {
+			t.Fatalf("block %s has %d references and idle=%v", b.hash, b.refs, b.idle != nil)
+		}
+	}
+	if private != e.memory.private || refs != 0 || e.memory.used() > e.memory.capacity {
+		t.Fatalf("private %d, accounted %d, references off by %d, used %d", private, e.memory.private, refs, e.memory.used())
+	}
+}
