--- a/internal/standin/enginehttp/request.go
+++ b/internal/standin/enginehttp/request.go
@@ -75,7 +75,7 @@
 	}
 	c.request.PromptBytes, c.request.Prompt = prompt(b)
 	if text := r.Header.Get(upstream.HeaderLastEventID); text != "" {
-		c.resume = true
+		c.resume, c.stream = true, true
 		c.position, err = strconv.Atoi(text)
 	}
 	return c, err
