banyanload: scenarios, open-loop load, checks, reports and plots

After a run it compares the records of the stand-ins with what callers got: non-idempotent calls that ran twice, refusals as not run that ran, engine memory that is still held. Loopback addresses only. Seen: each broken promise that the tests build in is found; go test -race -count=3 ./internal/loadtest/... passes.

--- /dev/null
+++ b/internal/loadtest/client/client_test.go
@@ -0,0 +1,122 @@
+package client
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/loadtest/workload"
+	"github.com/banyanroute/banyanroute/internal/standin/answer"
+)
+
+func item() workload.Item {
+	return workload.Item{
+		Number: 1, Kind: workload.Generate, Key: "k", Timeout: time.Minute, Stream: true,
+		Prompt: workload.Prompt{Seed: 1, Tokens: 100}, Output: 3,
+	}
+}
+
+// chunk returns an event with a piece of the answer.
+func chunk(text string) string {
+	return fmt.Sprintf("data: {\"choices\":[{\"delta\":{\"content\":%q},\"finish_reason\":null}]}\n\n", text)
+}
+
+const (
+	finish = "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"length\"}],\"usage\":{\"completion_tokens\":3}}\n\n"
+	done   = "data: [DONE]\n\n"
+)
+
+// do answers one request with status and body and returns the outcome.
+func do(t *testing.T, item workload.Item, status int, body string, headers ...string) Outcome {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		for i := 0; i < len(headers); i += 2 {
+			w.Header().Set(headers[i], headers[i+1])
+		}
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}))
+	defer server.Close()
+	return New("m", "s", time.Second).Do(t.Context(), server.URL, item)
+}
+
+func TestStreams(t *testing.T) {
+	prompt := item().Prompt.Hash()
+	w := func(position int) string { return chunk(answer.Token(prompt, position)) }
+	for name, c := range map[string]struct {
+		body      string
+		complete  bool
+		violation bool
+	}{
+		"whole":              {w(1) + ": comment\n\n" + w(2) + w(3) + finish + done, true, false},
+		"no end marker":      {w(1) + w(2) + w(3) + finish, false, false},
+		"error event":        {w(1) + "data: {\"error\":{\"code\":3003}}\n\n", false, false},
+		"gap":                {w(1) + w(3) + finish + done, false, true},
+		"duplicate":          {w(1) + w(1) + w(2) + w(3) + finish + done, false, true},
+		"short":              {w(1) + w(2) + finish + done, false, true},
+		"other answer":       {chunk(answer.Token(answer.Of("x"), 1)), false, true},
+		"no finish reason":   {w(1) + w(2) + w(3) + done, false, true},
+		"one token too many": {w(1) + w(2) + w(3) + w(4) + finish + done, false, true},
+	} {
+		out := do(t, item(), http.StatusOK, c.body)
+		if out.Complete != c.complete || (out.Violation != "") != c.violation || c.complete == (out.Failure+out.Violation != "") {
+			t.Errorf("%s: %+v", name, out)
+		}
+	}
+}
+
+func TestWholeAnswers(t *testing.T) {
+	it := item()
+	it.Stream = false
+	body := func(text string) string {
+		return fmt.Sprintf(`{"choices":[{"message":{"content":%q},"finish_reason":"length"}]}`, text)
+	}
+	text := answer.Text(it.Prompt.Hash(), 3)
+	if out := do(t, it, http.StatusOK, body(text)); !out.Complete || out.Tokens != 3 {
+		t.Errorf("whole answer: %+v", out)
+	}
+	if out := do(t, it, http.StatusOK, body(text[:len(text)-2])); out.Violation == "" {
+		t.Errorf("short answer: %+v", out)
+	}
+}
+
+func TestRefusal(t *testing.T) {
+	out := do(t, item(), http.StatusServiceUnavailable, "{}", headerResultCode, "2001", headerExecution, "not-run", "Retry-After", "2", headerRequestID, "r")
+	if out.ResultCode != 2001 || out.Execution != "not-run" || out.RetryAfter != 2*time.Second || out.RequestID != "r" || out.Complete {
+		t.Errorf("got %+v", out)
+	}
+}
+
+func TestRequestsOnTheWire(t *testing.T) {
+	type seen struct {
+		path, key, timeout, auth, body string
+		length                         int64
+	}
+	var got seen
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		got = seen{r.Method + " " + r.URL.Path, r.Header.Get(headerIdempotencyKey), r.Header.Get(headerTimeout), r.Header.Get("Authorization"), string(body), r.ContentLength}
+	}))
+	defer server.Close()
+	c := New("m", "booking", time.Second)
+	c.Do(t.Context(), server.URL, item())
+	if got.path != "POST /v1/chat/completions" || got.timeout != "1m0s" || got.auth != "Bearer k" || int64(len(got.body)) != got.length || !strings.Contains(got.body, `"max_tokens":3`) {
+		t.Errorf("generate: %+v", got)
+	}
+	c.Do(t.Context(), server.URL, workload.Item{Number: 4, Kind: workload.Post, Key: "k", Timeout: time.Minute, IdempotencyKey: "id"})
+	if got.path != "POST /services/booking/items/4" || got.key != "id" {
+		t.Errorf("post: %+v", got)
+	}
+}
+
+func TestRefusesOtherMachines(t *testing.T) {
+	out := New("m", "s", time.Second).Do(t.Context(), "http://192.0.2.1:80", item())
+	if out.Status != 0 || out.Failure == "" {
+		t.Errorf("got %+v", out)
+	}
+}
--- /dev/null
+++ b/internal/loadtest/report/result.go
@@ -0,0 +1,154 @@
+// Package report holds the results of load experiments: it collects outcomes,
+// writes them as text and JSON, compares two results and draws plots.
+package report
+
+import (
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/banyanroute/banyanroute/internal/loadtest/scenario"
+)
+
+// Quantiles of a duration, in milliseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// Group is the result of one kind of request in one phase.
+type Group struct {
+	// Name is the bucket of prompt lengths, or the kind of a call.
+	Name string `json:"name"`
+	// MinTokens and MaxTokens bound the prompts; zero for calls.
+	MinTokens int `json:"min_tokens,omitempty"`
+	MaxTokens int `json:"max_tokens,omitempty"`
+	// Sent counts requests, Complete those with a whole answer, and InTime
+	// those whose answer came within the time limit.
+	Sent     int `json:"sent"`
+	Complete int `json:"complete"`
+	InTime   int `json:"in_time"`
+	// FirstToken, TokenGap and Total are of complete requests; the first two
+	// are of streams only.
+	FirstToken Quantiles `json:"time_to_first_token"`
+	TokenGap   Quantiles `json:"time_between_tokens"`
+	Total      Quantiles `json:"total_time"`
+}
+
+// Count is how often something happened.
+type Count struct {
+	Name  string `json:"name"`
+	Count int    `json:"count"`
+}
+
+// Phase is the result of one phase.
+type Phase struct {
+	Name        string  `json:"name"`
+	Load        float64 `json:"load"`
+	WithoutLong bool    `json:"without_long"`
+	// Seconds is the planned duration, without the time to drain.
+	Seconds float64 `json:"seconds"`
+	Groups  []Group `json:"groups"`
+	// Offered and Goodput are requests sent, and finished in time, per
+	// second of the phase; TokensPerSecond counts tokens finished in time.
+	Offered         float64 `json:"offered_per_second"`
+	Goodput         float64 `json:"goodput_per_second"`
+	TokensPerSecond float64 `json:"tokens_per_second"`
+	// Refusals counts answers with a result code, and Failures requests
+	// without a complete answer and without a result code.
+	Refusals []Count `json:"refusals"`
+	Failures []Count `json:"failures"`
+	// NotSent counts requests over the bound on requests in flight.
+	NotSent int `json:"not_sent"`
+	// SendDelay is how late the load tool sent requests.
+	SendDelay Quantiles `json:"send_delay"`
+}
+
+// Slowdown compares the short requests of two phases of the same load, with and
+// without long requests.
+type Slowdown struct {
+	Group string  `json:"group"`
+	Load  float64 `json:"load"`
+	With  string  `json:"with"`
+	// Without is the phase without long requests.
+	Without string `json:"without"`
+	// FirstToken and Total are ratios of the quantiles, with to without.
+	FirstTokenP50 float64 `json:"first_token_p50"`
+	FirstTokenP95 float64 `json:"first_token_p95"`
+	TotalP50      float64 `json:"total_p50"`
+	TotalP95      float64 `json:"total_p95"`
+}
+
+// Machine is where the experiment ran.
+type Machine struct {
+	OS   string `json:"os"`
+	Arch string `json:"arch"`
+	CPU  string `json:"cpu,omitempty"`
+	CPUs int    `json:"cpus"`
+	Go   string `json:"go"`
+}
+
+// Result is one run of a scenario.
+type Result struct {
+	Version  string            `json:"version"`
+	Command  []string          `json:"command"`
+	Started  time.Time         `json:"started"`
+	Machine  Machine           `json:"machine"`
+	Scenario scenario.Scenario `json:"scenario"`
+	Phases   []Phase           `json:"phases"`
+	Slowdown []Slowdown        `json:"slowdown"`
+	// Violations lists broken promises, at most MaxViolations of them;
+	// ViolationCount counts all.
+	Violations     []string `json:"violations"`
+	ViolationCount int      `json:"violation_count"`
+	// Checked says which records of stand-ins were compared after the run.
+	Checked []string `json:"checked"`
+}
+
+// MaxViolations bounds the violations that a result lists.
+const MaxViolations = 100
+
+// Violate adds a violation.
+func (r *Result) Violate(text string) {
+	r.ViolationCount++
+	if len(r.Violations) < MaxViolations {
+		r.Violations = append(r.Violations, text)
+	}
+}
+
+// Load reads a result from a JSON file.
+func Load(file string) (*Result, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	var r Result
+	if err := json.Unmarshal(data, &r); err != nil {
+		return nil, trace.BadParameter("%s: %v", file, err)
+	}
+	return &r, nil
+}
+
+// Save writes the result to a JSON file.
+func (r *Result) Save(file string) error {
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.ConvertSystemError(os.WriteFile(file, append(data, '\n'), 0o644))
+}
+
+// group returns the group of a name, or nil.
+func (p *Phase) group(name string) *Group {
+	for i := range p.Groups {
+		if p.Groups[i].Name == name {
+			return &p.Groups[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/loadtest/runner/runner.go
@@ -0,0 +1,200 @@
+// Package runner runs load experiments: it sends the requests of a scenario in
+// an open loop, collects the outcomes and afterwards compares what callers got
+// with what the upstreams' stand-ins recorded.
+package runner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/banyanroute/banyanroute/internal/loadtest/client"
+	"github.com/banyanroute/banyanroute/internal/loadtest/report"
+	"github.com/banyanroute/banyanroute/internal/loadtest/scenario"
+	"github.com/banyanroute/banyanroute/internal/loadtest/workload"
+)
+
+// progressInterval is the time between two lines of progress.
+const progressInterval = 5 * time.Second
+
+// Options of a run.
+type Options struct {
+	Scenario *scenario.Scenario
+	// Command is kept in the result.
+	Command []string
+	// Progress gets a line every few seconds.
+	Progress io.Writer
+}
+
+// run is a run under way.
+type run struct {
+	options   Options
+	scenario  *scenario.Scenario
+	client    *client.Client
+	generator *workload.Generator
+	inFlight  atomic.Int64
+	requests  sync.WaitGroup
+
+	mu sync.Mutex
+	// violations are broken promises that callers saw.
+	violations []string
+	// refused are the IDs of the requests that were refused as not run, and
+	// completed the idempotency keys of calls that were answered.
+	refused   []string
+	completed map[string]struct{}
+}
+
+// Run runs a scenario. If ctx ends early, the result covers what was sent.
+func Run(ctx context.Context, options Options) (*report.Result, error) {
+	s := options.Scenario
+	if err := s.Check(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	started := time.Now()
+	r := &run{
+		options:   options,
+		scenario:  s,
+		client:    client.New(s.Model, s.Calls.Service, time.Duration(s.Grace)),
+		generator: workload.New(s, fmt.Sprintf("%x", started.UnixNano())),
+		completed: map[string]struct{}{},
+	}
+	collectors := r.phases(ctx)
+	r.requests.Wait()
+	res := &report.Result{
+		Version:    Version(),
+		Command:    options.Command,
+		Started:    started,
+		Machine:    thisMachine(),
+		Scenario:   *s,
+		Violations: []string{},
+		Checked:    []string{},
+	}
+	for _, c := range collectors {
+		res.Phases = append(res.Phases, c.Phase())
+	}
+	res.Slowdown = report.Slowdowns(s, res.Phases)
+	for _, v := range r.violations {
+		res.Violate(v)
+	}
+	if err := r.check(ctx, res); err != nil {
+		return res, trace.Wrap(err)
+	}
+	return res, nil
+}
+
+// phases runs the phases one after another.
+func (r *run) phases(ctx context.Context) []*report.PhaseCollector {
+	var collectors []*report.PhaseCollector
+	for _, p := range r.scenario.Phases {
+		if ctx.Err() != nil {
+			break
+		}
+		c := report.NewPhaseCollector(r.scenario, p)
+		collectors = append(collectors, c)
+		stop := r.progress(p, c)
+		r.phase(ctx, p, c)
+		if p.Drain {
+			r.requests.Wait()
+		}
+		stop()
+	}
+	return collectors
+}
+
+// phase sends the requests of one phase at their times.
+func (r *run) phase(ctx context.Context, p scenario.Phase, c *report.PhaseCollector) {
+	began := time.Now()
+	r.generator.Begin(p)
+	for {
+		item, ok := r.generator.Next()
+		if !ok {
+			item.At = time.Duration(p.Duration)
+		}
+		if !waitUntil(ctx, began.Add(item.At)) || !ok {
+			return
+		}
+		if r.inFlight.Load() >= int64(r.scenario.MaxInFlight) {
+			c.NotSent()
+			continue
+		}
+		c.Sent(item, time.Since(began)-item.At)
+		r.inFlight.Add(1)
+		r.requests.Add(1)
+		go r.send(ctx, item, c)
+	}
+}
+
+// waitUntil returns false if ctx ended before the time.
+func waitUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// send sends one request and notes its outcome.
+func (r *run) send(ctx context.Context, item workload.Item, c *report.PhaseCollector) {
+	defer r.requests.Done()
+	defer r.inFlight.Add(-1)
+	out := r.client.Do(context.WithoutCancel(ctx), r.scenario.Targets[item.Target], item)
+	c.Add(item, out)
+	r.note(item, out)
+}
+
+// executionNotRun is what an instance says of a request that did not run.
+const executionNotRun = "not-run"
+
+// note keeps what the checks after the run need.
+func (r *run) note(item workload.Item, out client.Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case out.Violation != "":
+		r.violations = append(r.violations, fmt.Sprintf("request %d: %s", item.Number, out.Violation))
+	case out.Total > item.Timeout+time.Duration(r.scenario.Grace):
+		r.violations = append(r.violations, fmt.Sprintf("request %d: %s after %v, limit %v", item.Number, outcomeName(out), out.Total.Round(time.Millisecond), item.Timeout))
+	}
+	if out.Execution == executionNotRun && out.RequestID != "" && item.Kind != workload.Post {
+		r.refused = append(r.refused, out.RequestID)
+	}
+	if out.Complete && item.Kind == workload.Post {
+		r.completed[item.IdempotencyKey] = struct{}{}
+	}
+}
+
+func outcomeName(out client.Outcome) string {
+	if out.Complete {
+		return "answered"
+	}
+	return out.Failure
+}
+
+// progress writes a line every few seconds until the returned function is called.
+func (r *run) progress(p scenario.Phase, c *report.PhaseCollector) (stop func()) {
+	done := make(chan struct{})
+	ticker := time.NewTicker(progressInterval)
+	began := time.Now()
+	go func() {
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+				sent, complete, failed := c.Progress()
+				fmt.Fprintf(r.options.Progress, "phase %s: %v of %v, %d sent, %d complete, %d failed, %d in flight\n",
+					p.Name, time.Since(began).Round(time.Second), time.Duration(p.Duration), sent, complete, failed, r.inFlight.Load())
+			}
+		}
+	}()
+	return func() { close(done) }
+}
