--- /dev/null
+++ b/internal/dispatch/body.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/banyanroute/banyanroute/internal/admit"
+)
+
+// Body is the caller's JSON object, which is forwarded without a copy. Fields
+// of our own are sent before the caller's first field.
+type Body struct {
+	// Rest is the object after its opening brace.
+	Rest []byte
+	// Empty says that the object has no field.
+	Empty bool
+	// AddStream asks for a stream where the caller's body does not.
+	AddStream bool
+}
+
+// Sections returns the body to send; a continuation that is not empty is sent
+// as the field "continuation".
+func (b *Body) Sections(continuation string) [][]byte {
+	var fields []string
+	if b.AddStream {
+		fields = append(fields, `"stream":true`)
+	}
+	if continuation != "" {
+		quoted, _ := json.Marshal(continuation) //nolint:errcheck // a string always encodes
+		fields = append(fields, `"continuation":`+string(quoted))
+	}
+	head := "{" + strings.Join(fields, ",")
+	if len(fields) > 0 && !b.Empty {
+		head += ","
+	}
+	return [][]byte{[]byte(head), b.Rest}
+}
+
+// delta is the part of a chunk that carries text.
+type delta struct {
+	Choices []struct {
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+}
+
+// appendDelta appends the text of a chunk's first choice.
+func appendDelta(text, chunk []byte) []byte {
+	var d delta
+	if json.Unmarshal(chunk, &d) != nil || len(d.Choices) == 0 {
+		return text
+	}
+	text = append(text, d.Choices[0].Text...)
+	return append(text, d.Choices[0].Delta.Content...)
+}
+
+// joinBlocks formats prefix block hashes for the engine.
+func joinBlocks(blocks []uint64) string {
+	var b strings.Builder
+	for i, block := range blocks {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(strconv.FormatUint(block, 16))
+	}
+	return b.String()
+}
+
+// joinParts formats the names of reservations for the engine.
+func joinParts(parts []admit.Part) string {
+	names := make([]string, 0, len(parts))
+	for _, part := range parts {
+		names = append(names, part.Name)
+	}
+	return strings.Join(names, ",")
+}
--- /dev/null
+++ b/internal/dispatch/connection.go
@@ -0,0 +1,124 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/banyanroute/banyanroute/internal/upstream"
+)
+
+// errNotHeld says that the engine does not hold the stream to resume.
+var errNotHeld = errors.New("engine does not hold the stream")
+
+// refusal is an answer that proves that the upstream did not run the request.
+type refusal struct{ status int }
+
+// Error implements error.
+func (e *refusal) Error() string { return fmt.Sprintf("upstream refused with status %d", e.status) }
+
+// failure is an error answer of the upstream's own, to be passed on.
+type failure struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// Error implements error.
+func (e *failure) Error() string { return fmt.Sprintf("upstream answered status %d", e.status) }
+
+// maxErrorBytes bounds the body of an upstream's error answer.
+const maxErrorBytes = 64 << 10
+
+// message is one thing that a connection delivers: the accepted header, an
+// event, or the error that ended it.
+type message struct {
+	accepted bool
+	event    upstream.Event
+	err      error
+}
+
+// connection is one HTTP exchange of a generation request. Its reader runs in
+// its own goroutine, so that the request can watch for silence and deadlines.
+type connection struct {
+	messages chan message
+	cancel   context.CancelFunc
+}
+
+// connect starts the exchange and returns at once.
+func connect(ctx context.Context, upstreams Upstreams, call upstream.Call) *connection {
+	ctx, cancel := context.WithCancel(ctx)
+	c := &connection{messages: make(chan message), cancel: cancel}
+	go c.read(ctx, upstreams, call)
+	return c
+}
+
+// close ends the exchange; its goroutine stops soon after.
+func (c *connection) close() { c.cancel() }
+
+// read sends the call and delivers what comes back.
+func (c *connection) read(ctx context.Context, upstreams Upstreams, call upstream.Call) {
+	res, err := upstreams.Do(ctx, call)
+	if err != nil {
+		c.deliver(ctx, message{err: err})
+		return
+	}
+	defer res.Body.Close()
+	if err := checkAnswer(res); err != nil {
+		c.deliver(ctx, message{err: err})
+		return
+	}
+	if !c.deliver(ctx, message{accepted: true}) {
+		return
+	}
+	events := upstream.NewEventReader(res.Body)
+	for {
+		event, err := events.Next()
+		event.Data = append([]byte(nil), event.Data...)
+		if !c.deliver(ctx, message{event: event, err: err}) || err != nil || event.End {
+			return
+		}
+	}
+}
+
+// deliver hands over a message unless the connection was closed.
+func (c *connection) deliver(ctx context.Context, m message) bool {
+	select {
+	case c.messages <- m:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// checkAnswer returns nil for a stream; a refusal, failure, errNotHeld or
+// ErrLost for anything else.
+func checkAnswer(res *http.Response) error {
+	isStream := strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream")
+	if res.StatusCode == http.StatusOK && isStream {
+		return nil
+	}
+	if res.StatusCode == http.StatusConflict {
+		return errNotHeld
+	}
+	if isRefusal(res) {
+		return &refusal{status: res.StatusCode}
+	}
+	if res.StatusCode/100 == 5 {
+		return fmt.Errorf("%w: status %d", upstream.ErrLost, res.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
+	if err != nil {
+		return fmt.Errorf("%w: %w", upstream.ErrLost, err)
+	}
+	return &failure{status: res.StatusCode, header: res.Header, body: body}
+}
+
+// isRefusal states whether the answer proves that the upstream did not run the
+// request: only the upstream itself can say so.
+func isRefusal(res *http.Response) bool {
+	return res.StatusCode >= 400 && res.Header.Get(upstream.HeaderNotRun) == "true"
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,112 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/banyanroute/banyanroute/charts"
+	"github.com/banyanroute/banyanroute/internal/admit"
+	"github.com/banyanroute/banyanroute/internal/chart"
+	"github.com/banyanroute/banyanroute/internal/ledger"
+	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/result"
+	"github.com/banyanroute/banyanroute/internal/upstream"
+)
+
+// Scheduler chooses upstreams. Package admit implements it.
+type Scheduler interface {
+	// Acquire waits for an upstream or refuses the request.
+	Acquire(ctx context.Context, r *admit.Request) (*admit.Grant, *result.Error)
+	// MayRetry returns nil if the request may be tried again.
+	MayRetry(r *admit.Request, ran result.Execution) *result.Error
+	// ObserveProbe takes the result of a health probe.
+	ObserveProbe(id string, ok bool, latency time.Duration)
+}
+
+// Upstreams is the part of the upstream client that dispatch needs.
+type Upstreams interface {
+	Do(ctx context.Context, call upstream.Call) (*http.Response, error)
+	Probe(ctx context.Context, baseURL string) (time.Duration, error)
+	Cancel(ctx context.Context, baseURL, requestID string) error
+}
+
+// Claims is the part of the ledger that dispatch needs.
+type Claims interface {
+	Begin(ctx context.Context, r ledger.Request) (*ledger.Claim, *ledger.Answer, *result.Error)
+}
+
+// Options configures a Dispatcher.
+type Options struct {
+	// Instance and Incarnation name the owner of engine memory.
+	Instance    string
+	Incarnation uint64
+	Scheduler   Scheduler
+	Upstreams   Upstreams
+	Claims      Claims
+	// SilenceTimeout is the longest silence of an upstream before the
+	// dispatcher reconnects to look whether the stream still lives.
+	SilenceTimeout time.Duration
+	// MaxAnswerBytes bounds an answer that is kept whole. Default 8 MiB.
+	MaxAnswerBytes int64
+}
+
+// defaultMaxAnswerBytes bounds an answer that is kept whole.
+const defaultMaxAnswerBytes = 8 << 20
+
+// Dispatcher runs requests. It is safe for concurrent use.
+type Dispatcher struct {
+	opts      Options
+	lifecycle *chart.Chart
+	cancels   *canceller
+	log       logger
+	// background counts work that outlives its caller: calls that must run
+	// to their end once they were sent.
+	background sync.WaitGroup
+}
+
+// logger is the part of logrus that the package uses.
+type logger interface {
+	Debugf(format string, args ...any)
+	Infof(format string, args ...any)
+	Warnf(format string, args ...any)
+}
+
+// New returns a dispatcher. It fails if the request chart is invalid.
+func New(opts Options) (*Dispatcher, error) {
+	lifecycle, err := chart.Load(charts.FS, "request")
+	if err != nil {
+		return nil, err
+	}
+	if opts.MaxAnswerBytes == 0 {
+		opts.MaxAnswerBytes = defaultMaxAnswerBytes
+	}
+	log := logging.For("dispatch")
+	return &Dispatcher{
+		opts:      opts,
+		lifecycle: lifecycle,
+		cancels:   newCanceller(opts.Upstreams, log),
+		log:       log,
+	}, nil
+}
+
+// Run cancels abandoned requests at their engines until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) error { return d.cancels.run(ctx) }
+
+// Wait blocks until all calls that outlived their callers have ended.
+func (d *Dispatcher) Wait() { d.background.Wait() }
+
+// NewRequestID returns "INSTANCE/INCARNATION/UUID", which names the request at
+// upstreams and lets any instance find out whether the owner still lives.
+func (d *Dispatcher) NewRequestID() string {
+	return d.opts.Instance + "/" + strconv.FormatUint(d.opts.Incarnation, 10) + "/" + uuid.NewString()
+}
+
+// remainingMs returns the milliseconds until deadline as text, at least 1.
+func remainingMs(deadline time.Time) string {
+	return strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10)
+}
--- /dev/null
+++ b/internal/dispatch/generate.go
@@ -0,0 +1,244 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/admit"
+	"github.com/banyanroute/banyanroute/internal/chart"
+	"github.com/banyanroute/banyanroute/internal/result"
+	"github.com/banyanroute/banyanroute/internal/upstream"
+)
+
+// Events of charts/request.yaml.
+const (
+	eventAdmitted     chart.Event = "admitted"
+	eventRefused      chart.Event = "refused"
+	eventSent         chart.Event = "sent"
+	eventNotRun       chart.Event = "refused-before-run"
+	eventStarted      chart.Event = "answer-started"
+	eventComplete     chart.Event = "answer-complete"
+	eventLost         chart.Event = "upstream-lost"
+	eventAnswerFailed chart.Event = "answer-failed"
+	eventDeadline     chart.Event = "deadline"
+	eventCallerLeft   chart.Event = "caller-left"
+)
+
+// Actions of charts/request.yaml.
+const (
+	actionChoose chart.Action = "choose"
+	actionFollow chart.Action = "follow"
+	actionDecide chart.Action = "decide-retry"
+	actionCancel chart.Action = "cancel"
+)
+
+// Generation is one request to a model.
+type Generation struct {
+	// ID names the request at upstreams; see Dispatcher.NewRequestID.
+	ID string
+	// Path is the OpenAI path, for example "/v1/chat/completions".
+	Path string
+	// Body is the caller's body as sections that ask for a stream.
+	Body Body
+	// Continuable says that another engine can continue a partial answer from
+	// its text.
+	Continuable bool
+	// Route is what the scheduler needs to know.
+	Route admit.Request
+}
+
+// Sink takes the answer of a generation request in order, without gaps or
+// duplicates. An error says that the caller has left.
+type Sink interface {
+	// Chunk takes the JSON of one chunk and the text that it adds.
+	Chunk(data []byte) error
+	// End takes the end of a complete answer.
+	End() error
+}
+
+// generation is the state of one request's life.
+type generation struct {
+	d       *Dispatcher
+	req     *Generation
+	sink    Sink
+	machine *chart.Machine
+
+	grant   *admit.Grant
+	attempt int
+	// follower relays the granted upstream's answer; nil between attempts.
+	follower *follower
+	// delivered is the position of the last chunk given to the sink.
+	delivered uint64
+	// text is the delivered text, for continuing on another engine.
+	text []byte
+	// ran is what is known about execution so far.
+	ran result.Execution
+	// err is the latest error; the caller sees it if the request fails.
+	err *result.Error
+}
+
+// Generate runs a request to its end. It returns nil if the sink got the whole
+// answer, else the final result code.
+func (d *Dispatcher) Generate(ctx context.Context, req *Generation, sink Sink) *result.Error {
+	ctx, cancel := context.WithDeadline(ctx, req.Route.Deadline)
+	defer cancel()
+	g := &generation{d: d, req: req, sink: sink, machine: d.lifecycle.NewMachine(), ran: result.NotRun}
+	event := eventAdmitted
+	for {
+		actions, err := g.machine.Fire(event)
+		if err != nil {
+			return result.Wrap(err, result.Internal, "request state")
+		}
+		event = g.do(ctx, actions)
+		if g.machine.Done() {
+			return g.outcome()
+		}
+	}
+}
+
+// do runs a transition's actions and returns the event that comes next.
+func (g *generation) do(ctx context.Context, actions []chart.Action) chart.Event {
+	var next chart.Event
+	for _, action := range actions {
+		switch action {
+		case actionChoose:
+			next = g.choose(ctx)
+		case actionFollow:
+			next = g.follow(ctx)
+		case actionDecide:
+			next = g.decideRetry(ctx)
+		case actionCancel:
+			g.cancelUpstream()
+		}
+	}
+	return next
+}
+
+// outcome returns the final result in a final state.
+func (g *generation) outcome() *result.Error {
+	switch g.machine.State() {
+	case "complete":
+		return nil
+	case "abandoned":
+		return result.New(result.CallerGone, "the caller closed the connection").WithExecution(g.ran)
+	default:
+		return g.err.WithExecution(worse(g.ran, g.err.Execution))
+	}
+}
+
+// worse returns the less certain of two executions for the caller: what ran or
+// may have run stays so whatever a later attempt says.
+func worse(a, b result.Execution) result.Execution {
+	if a == result.NotRun {
+		return b
+	}
+	return a
+}
+
+// choose acquires an upstream.
+func (g *generation) choose(ctx context.Context) chart.Event {
+	g.attempt++
+	g.req.Route.Attempt = g.attempt
+	grant, err := g.d.opts.Scheduler.Acquire(ctx, &g.req.Route)
+	if err != nil {
+		g.err = err
+		return contextEvent(ctx, eventRefused)
+	}
+	g.grant = grant
+	return eventSent
+}
+
+// contextEvent returns the event of an ended context, or else otherwise.
+func contextEvent(ctx context.Context, otherwise chart.Event) chart.Event {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return eventDeadline
+	case ctx.Err() != nil:
+		return eventCallerLeft
+	}
+	return otherwise
+}
+
+// decideRetry returns eventAdmitted if another attempt is allowed.
+func (g *generation) decideRetry(ctx context.Context) chart.Event {
+	if event := contextEvent(ctx, ""); event != "" {
+		g.err = result.New(result.DeadlineExceeded, "the request did not finish within its time")
+		return event
+	}
+	if g.delivered > 0 && !g.req.Continuable {
+		return eventRefused
+	}
+	if err := g.d.opts.Scheduler.MayRetry(&g.req.Route, g.ran); err != nil {
+		if g.err == nil {
+			g.err = err
+		}
+		return eventRefused
+	}
+	return eventAdmitted
+}
+
+// cancelUpstream frees the request's memory at the present engine.
+func (g *generation) cancelUpstream() {
+	if g.grant == nil {
+		return
+	}
+	g.d.cancels.add(cancellation{
+		baseURL:   g.grant.Upstream().URL,
+		requestID: g.req.ID,
+		deadline:  g.req.Route.Deadline,
+	})
+}
+
+// release ends the grant with an outcome and remembers the upstream, so that
+// the next attempt goes elsewhere.
+func (g *generation) release(outcome admit.Outcome) {
+	g.grant.Done(outcome)
+	if outcome != admit.Completed {
+		g.req.Route.Avoid = append(g.req.Route.Avoid, g.grant.Upstream().ID)
+	}
+}
+
+// call returns the HTTP call of the present attempt.
+func (g *generation) call(resume bool) upstream.Call {
+	up := g.grant.Upstream()
+	header := http.Header{}
+	header.Set("Content-Type", "application/json")
+	header.Set(upstream.HeaderRequestID, g.req.ID)
+	header.Set(upstream.HeaderAttempt, strconv.Itoa(g.attempt))
+	header.Set(upstream.HeaderPriority, strconv.Itoa(g.grant.Priority()))
+	header.Set(upstream.HeaderDeadline, remainingMs(g.req.Route.Deadline))
+	header.Set(upstream.HeaderPromptTokens, strconv.Itoa(g.req.Route.PromptTokens))
+	setIfPresent(header, upstream.HeaderPrefixBlocks, joinBlocks(g.req.Route.Blocks))
+	setIfPresent(header, upstream.HeaderReservation, joinParts(g.grant.Parts()))
+	body := g.req.Body.Sections("")
+	position := strconv.FormatUint(g.delivered, 10)
+	switch {
+	case resume:
+		header.Set(upstream.HeaderLastEventID, position)
+	case g.delivered > 0:
+		header.Set(upstream.HeaderContinueFrom, position)
+		body = g.req.Body.Sections(string(g.text))
+	}
+	return upstream.Call{
+		Method: http.MethodPost,
+		URL:    up.URL + g.req.Path,
+		Header: header,
+		Body:   body,
+		Fresh:  resume,
+	}
+}
+
+func setIfPresent(header http.Header, name, value string) {
+	if value != "" {
+		header.Set(name, value)
+	}
+}
+
+// deadlineError is the result of a request whose time is over.
+func (g *generation) deadlineError() *result.Error {
+	return result.New(result.DeadlineExceeded, "the request did not finish within its time of %s",
+		time.Since(g.req.Route.Deadline).Round(time.Millisecond))
+}
--- /dev/null
+++ b/internal/dispatch/service.go
@@ -0,0 +1,228 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/admit"
+	"github.com/banyanroute/banyanroute/internal/ledger"
+	"github.com/banyanroute/banyanroute/internal/result"
+	"github.com/banyanroute/banyanroute/internal/upstream"
+)
+
+// ServiceCall is one call of a plain service.
+type ServiceCall struct {
+	// ID names the call at upstreams; see Dispatcher.NewRequestID.
+	ID     string
+	Method string
+	// Path is the path and query below the service.
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Unhurried calls may be silent until their deadline, as a generation that
+	// is not streamed.
+	Unhurried bool
+	// Route is what the scheduler needs to know.
+	Route admit.Request
+	// Claim identifies a call that must run at most once.
+	Claim ledger.Request
+}
+
+// Answer is a whole answer of a plain service.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Replayed says that the answer was stored by an earlier call with the
+	// same idempotency key.
+	Replayed bool
+}
+
+// Idempotent calls a service and may try again on another upstream.
+func (d *Dispatcher) Idempotent(ctx context.Context, call *ServiceCall) (*Answer, *result.Error) {
+	ctx, cancel := context.WithDeadline(ctx, call.Route.Deadline)
+	defer cancel()
+	ran := result.NotRun
+	for {
+		answer, err := d.tryOnce(ctx, call, false, nil)
+		if err == nil {
+			return answer, nil
+		}
+		ran = worse(ran, err.Execution)
+		if ctx.Err() != nil || !isAttemptError(err) {
+			return nil, d.ended(ctx, err).WithExecution(ran)
+		}
+		if refused := d.opts.Scheduler.MayRetry(&call.Route, ran); refused != nil {
+			return nil, err.WithExecution(ran)
+		}
+	}
+}
+
+// AtMostOnce calls a service under a claim of the ledger. Once the call was
+// sent, it runs to its end even if the caller leaves, so that a repeat gets the
+// stored answer.
+func (d *Dispatcher) AtMostOnce(ctx context.Context, call *ServiceCall) (*Answer, *result.Error) {
+	begin, cancel := context.WithDeadline(ctx, call.Route.Deadline)
+	defer cancel()
+	claim, stored, err := d.opts.Claims.Begin(begin, call.Claim)
+	if err != nil {
+		return nil, err
+	}
+	if stored != nil {
+		return &Answer{Status: stored.Status, Header: stored.Header, Body: stored.Body, Replayed: true}, nil
+	}
+	type outcome struct {
+		answer *Answer
+		err    *result.Error
+	}
+	done := make(chan outcome, 1)
+	d.background.Go(func() {
+		answer, err := d.runClaimed(context.WithoutCancel(ctx), call, claim)
+		done <- outcome{answer, err}
+	})
+	select {
+	case o := <-done:
+		return o.answer, o.err
+	case <-ctx.Done():
+		return nil, result.New(result.CallerGone, "the caller closed the connection")
+	}
+}
+
+// runClaimed sends a claimed call at most once. An upstream that proves that it
+// did not run the call lets another one have it.
+func (d *Dispatcher) runClaimed(ctx context.Context, call *ServiceCall, claim *ledger.Claim) (*Answer, *result.Error) {
+	ctx, cancel := context.WithDeadline(ctx, call.Route.Deadline)
+	defer cancel()
+	for {
+		answer, err := d.tryOnce(ctx, call, true, claim)
+		if err == nil {
+			d.settle(claim.Finish(context.WithoutCancel(ctx), stored(answer)))
+			return answer, nil
+		}
+		if err.Execution != result.NotRun {
+			d.settle(claim.Unknown(context.WithoutCancel(ctx)))
+			return nil, err
+		}
+		again := ctx.Err() == nil && isAttemptError(err) && d.opts.Scheduler.MayRetry(&call.Route, result.NotRun) == nil
+		if !again {
+			d.settle(claim.NotRun(context.WithoutCancel(ctx)))
+			return nil, err
+		}
+	}
+}
+
+// settle logs a claim that could not be settled at once; the ledger goes on
+// trying in the background.
+func (d *Dispatcher) settle(err error) {
+	if err != nil {
+		d.log.Warnf("claim not settled yet: %v", err)
+	}
+}
+
+func stored(a *Answer) ledger.Answer {
+	return ledger.Answer{Status: a.Status, Header: a.Header, Body: a.Body}
+}
+
+// isAttemptError states whether the error belongs to one attempt, so that
+// another upstream may do better.
+func isAttemptError(err *result.Error) bool {
+	switch err.Code {
+	case result.UpstreamLost, result.UpstreamRefused, result.Stalled:
+		return true
+	}
+	return false
+}
+
+// ended turns an error after the end of ctx into the deadline's or the
+// caller's.
+func (d *Dispatcher) ended(ctx context.Context, err *result.Error) *result.Error {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return result.Wrap(err, result.DeadlineExceeded, "the call did not finish within its time")
+	case ctx.Err() != nil:
+		return result.Wrap(err, result.CallerGone, "the caller closed the connection")
+	}
+	return err
+}
+
+// tryOnce makes one attempt on one upstream. The error's execution is NotRun
+// only with proof. A claim is checked once more right before the call is sent.
+func (d *Dispatcher) tryOnce(ctx context.Context, call *ServiceCall, fresh bool, claim *ledger.Claim) (*Answer, *result.Error) {
+	call.Route.Attempt++
+	grant, rerr := d.opts.Scheduler.Acquire(ctx, &call.Route)
+	if rerr != nil {
+		return nil, rerr
+	}
+	up := grant.Upstream()
+	call.Route.Avoid = append(call.Route.Avoid, up.ID)
+	if claim != nil {
+		if rerr := claim.MarkSending(ctx); rerr != nil {
+			grant.Done(admit.Cancelled)
+			return nil, rerr
+		}
+	}
+	grant.Sent()
+	answer, outcome, err := d.exchange(ctx, up, call, fresh)
+	grant.Done(outcome)
+	return answer, err
+}
+
+// exchange sends the call and reads the whole answer. Idempotent calls that
+// make no progress for the silence timeout are given up early, so that another
+// upstream can take them in time.
+func (d *Dispatcher) exchange(ctx context.Context, up admit.Upstream, call *ServiceCall, fresh bool) (*Answer, admit.Outcome, *result.Error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !fresh && !call.Unhurried {
+		watchdog := time.AfterFunc(serviceSilenceFactor*d.opts.SilenceTimeout, cancel)
+		defer watchdog.Stop()
+	}
+	res, err := d.opts.Upstreams.Do(ctx, serviceCall(up, call, fresh))
+	if err != nil {
+		return nil, admit.Lost, sendError(err)
+	}
+	defer res.Body.Close()
+	if isRefusal(res) {
+		return nil, admit.RefusedNotRun, result.New(result.UpstreamRefused, "upstream %s refused with status %d", up.ID, res.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(res.Body, d.opts.MaxAnswerBytes+1))
+	if err != nil {
+		return nil, admit.Lost, result.Wrap(err, result.UpstreamLost, "the answer of upstream %s broke off", up.ID)
+	}
+	if int64(len(body)) > d.opts.MaxAnswerBytes {
+		return nil, admit.Failed, result.New(result.UpstreamFailed, "the answer is over %d bytes", d.opts.MaxAnswerBytes)
+	}
+	answer := &Answer{Status: res.StatusCode, Header: res.Header, Body: body}
+	if !fresh && res.StatusCode >= http.StatusInternalServerError {
+		return nil, admit.Lost, result.New(result.UpstreamLost, "upstream %s answered status %d", up.ID, res.StatusCode)
+	}
+	return answer, admit.Completed, nil
+}
+
+// serviceSilenceFactor times the silence timeout is what one attempt of an
+// idempotent call may take.
+const serviceSilenceFactor = 2
+
+// sendError tells a call that was not sent from one that may have run.
+func sendError(err error) *result.Error {
+	if errors.Is(err, upstream.ErrNotSent) {
+		return result.Wrap(err, result.UpstreamLost, "the upstream could not be reached").WithExecution(result.NotRun)
+	}
+	return result.Wrap(err, result.UpstreamLost, "the upstream was lost after the call was sent")
+}
+
+// serviceCall builds the HTTP call to one upstream.
+func serviceCall(up admit.Upstream, call *ServiceCall, fresh bool) upstream.Call {
+	header := call.Header.Clone()
+	header.Set(upstream.HeaderRequestID, call.ID)
+	header.Set(upstream.HeaderDeadline, remainingMs(call.Route.Deadline))
+	c := upstream.Call{Method: call.Method, URL: fmt.Sprintf("%s%s", up.URL, call.Path), Header: header, Fresh: fresh}
+	if len(call.Body) > 0 {
+		c.Body = [][]byte{call.Body}
+	}
+	return c
+}
--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,197 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/banyanroute/banyanroute/internal/catalogue"
+	"github.com/banyanroute/banyanroute/internal/dispatch"
+	"github.com/banyanroute/banyanroute/internal/result"
+	"github.com/banyanroute/banyanroute/internal/upstream"
+)
+
+// span is the raw JSON of a field, without a copy: json.Unmarshal hands
+// UnmarshalJSON a part of its input, which the body outlives.
+type span []byte
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (s *span) UnmarshalJSON(data []byte) error {
+	*s = data
+	return nil
+}
+
+// present states whether the field is set to something other than null.
+func (s span) present() bool { return len(s) > 0 && string(s) != "null" }
+
+// generationFields are the fields of an OpenAI request that the router reads.
+type generationFields struct {
+	Model               string `json:"model"`
+	Messages            span   `json:"messages"`
+	Prompt              span   `json:"prompt"`
+	Stream              span   `json:"stream"`
+	MaxTokens           *int   `json:"max_tokens"`
+	MaxCompletionTokens *int   `json:"max_completion_tokens"`
+	N                   *int   `json:"n"`
+	Tools               span   `json:"tools"`
+	Logprobs            span   `json:"logprobs"`
+	Continuation        span   `json:"continuation"`
+}
+
+// generationRequest is a checked OpenAI request.
+type generationRequest struct {
+	model  string
+	stream bool
+	// simple says that the answer is one choice of plain text, so that it can
+	// be assembled from a stream and continued on another engine.
+	simple       bool
+	promptTokens int
+	outputTokens int
+	blocks       []uint64
+	fingerprint  uint64
+	body         dispatch.Body
+}
+
+// parseGeneration reads the fields that the router needs. It may change the
+// value of "stream" in body, in place.
+func parseGeneration(workspace string, body []byte) (*generationRequest, *result.Error) {
+	body = bytes.TrimSpace(body)
+	var f generationFields
+	if err := json.Unmarshal(body, &f); err != nil {
+		return nil, result.Wrap(err, result.BadRequest, "the body is not a valid request: %v", err)
+	}
+	if err := checkFields(&f); err != nil {
+		return nil, err
+	}
+	prompt := f.Messages
+	if !prompt.present() {
+		prompt = f.Prompt
+	}
+	req := &generationRequest{
+		model:        f.Model,
+		stream:       string(f.Stream) == "true",
+		simple:       (f.N == nil || *f.N == 1) && !f.Tools.present() && !f.Logprobs.present(),
+		promptTokens: max(1, len(prompt)/upstream.BytesPerToken),
+		outputTokens: outputTokens(&f),
+		blocks:       prefixBlocks(f.Model, prompt),
+		fingerprint:  fingerprint(workspace, body),
+	}
+	req.body = dispatch.Body{Rest: body[1:], Empty: len(bytes.TrimSpace(body[1:])) == 1}
+	if req.simple && !req.stream {
+		req.body.AddStream = !overwriteFalse(f.Stream)
+	}
+	return req, nil
+}
+
+// checkFields rejects requests that no engine could take.
+func checkFields(f *generationFields) *result.Error {
+	switch {
+	case f.Model == "":
+		return result.New(result.BadRequest, "field model is missing")
+	case !f.Messages.present() && !f.Prompt.present():
+		return result.New(result.BadRequest, "field messages or prompt is missing")
+	case f.Stream.present() && string(f.Stream) != "true" && string(f.Stream) != "false":
+		return result.New(result.BadRequest, "field stream must be true or false")
+	case f.Continuation.present():
+		return result.New(result.BadRequest, "field continuation is reserved")
+	case f.N != nil && *f.N < 1:
+		return result.New(result.BadRequest, "field n must be at least 1")
+	case f.MaxTokens != nil && *f.MaxTokens < 1:
+		return result.New(result.BadRequest, "field max_tokens must be at least 1")
+	case f.MaxCompletionTokens != nil && *f.MaxCompletionTokens < 1:
+		return result.New(result.BadRequest, "field max_completion_tokens must be at least 1")
+	}
+	return nil
+}
+
+// overwriteFalse turns the value false into true of the same length, in place,
+// so that the engine streams an answer that the caller wants whole. It returns
+// false if the body has no such value.
+func overwriteFalse(value span) bool {
+	if string(value) != "false" {
+		return false
+	}
+	copy(value, "true ")
+	return true
+}
+
+// defaultOutputTokens is the estimate for a request that sets no maximum.
+const defaultOutputTokens = 256
+
+// outputTokens returns the most tokens that the answer may have.
+func outputTokens(f *generationFields) int {
+	switch {
+	case f.MaxCompletionTokens != nil:
+		return *f.MaxCompletionTokens
+	case f.MaxTokens != nil:
+		return *f.MaxTokens
+	}
+	return defaultOutputTokens
+}
+
+// blockBytes is the estimated length of one prefix block of the prompt.
+const blockBytes = upstream.BlockTokens * upstream.BytesPerToken
+
+// prefixBlocks hashes the prompt's first whole blocks; each hash covers all
+// before it, so that equal hashes mean equal prefixes.
+func prefixBlocks(model string, prompt []byte) []uint64 {
+	count := min(len(prompt)/blockBytes, upstream.MaxPrefixBlocks)
+	blocks := make([]uint64, 0, count)
+	digest := xxhash.New()
+	digest.WriteString(model) //nolint:errcheck // never fails
+	for i := range count {
+		digest.Write(prompt[i*blockBytes : (i+1)*blockBytes]) //nolint:errcheck // never fails
+		blocks = append(blocks, digest.Sum64())
+	}
+	return blocks
+}
+
+// fingerprint identifies a workspace's body, for finding requests that crash
+// upstreams.
+func fingerprint(workspace string, body []byte) uint64 {
+	digest := xxhash.New()
+	digest.Write(binary.LittleEndian.AppendUint64(nil, uint64(len(workspace)))) //nolint:errcheck // never fails
+	digest.WriteString(workspace)                                               //nolint:errcheck // never fails
+	digest.Write(body)                                                          //nolint:errcheck // never fails
+	return digest.Sum64()
+}
+
+// timeout returns the time for a request: the caller's if it asks for less than
+// the first limit that is set, else that limit.
+func timeout(header string, fallback time.Duration, limits ...catalogue.Limits) (time.Duration, *result.Error) {
+	allowed := fallback
+	for _, l := range limits {
+		if l.Timeout > 0 {
+			allowed = l.Timeout.Std()
+			break
+		}
+	}
+	if header == "" {
+		return allowed, nil
+	}
+	asked, err := parseTimeout(header)
+	if err != nil || asked <= 0 {
+		return 0, result.New(result.BadRequest, "header %s must be a time above zero, for example 30s or 30", HeaderTimeout)
+	}
+	return min(asked, allowed), nil
+}
+
+// parseTimeout accepts a duration with a unit, or seconds.
+func parseTimeout(text string) (time.Duration, error) {
+	text = strings.TrimSpace(text)
+	if seconds, err := strconv.ParseFloat(text, 64); err == nil {
+		if seconds > maxTimeoutSeconds {
+			seconds = maxTimeoutSeconds
+		}
+		return time.Duration(seconds * float64(time.Second)), nil
+	}
+	return time.ParseDuration(text)
+}
+
+// maxTimeoutSeconds keeps a caller's number within time.Duration.
+const maxTimeoutSeconds = 24 * 60 * 60
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,177 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"net/http"
+	"net/textproto"
+	"path"
+	"strings"
+
+	"github.com/banyanroute/banyanroute/internal/admit"
+	"github.com/banyanroute/banyanroute/internal/catalogue"
+	"github.com/banyanroute/banyanroute/internal/dispatch"
+	"github.com/banyanroute/banyanroute/internal/ledger"
+	"github.com/banyanroute/banyanroute/internal/result"
+)
+
+// maxKeyBytes bounds an idempotency key.
+const maxKeyBytes = 256
+
+// callService serves a call of a plain service.
+func (h *Handler) callService(x *exchange) *result.Error {
+	service, route, rerr := x.serviceRoute()
+	if rerr != nil {
+		return rerr
+	}
+	key := x.r.Header.Get(HeaderIdempotencyKey)
+	if !route.Idempotent && (key == "" || len(key) > maxKeyBytes) {
+		return result.New(result.MissingKey, "this call needs the header %s of 1 to %d bytes", HeaderIdempotencyKey, maxKeyBytes)
+	}
+	limit, rerr := timeout(x.r.Header.Get(HeaderTimeout), h.opts.RequestTimeout, service.Limits, x.workspace.Limits)
+	if rerr != nil {
+		return rerr
+	}
+	body, free, rerr := h.readBody(x)
+	if rerr != nil {
+		return rerr
+	}
+	defer free()
+	permit, rerr := h.opts.Limiter.Take(x.workspace.Name, 0)
+	if rerr != nil {
+		return rerr
+	}
+	defer permit.Done(0)
+	call := h.serviceCall(x, service, body)
+	call.Route.Deadline = x.started.Add(limit)
+	call.Claim = claimRequest(x, call, key)
+	return h.runService(x, call, route.Idempotent)
+}
+
+// runService runs the call and writes its answer.
+func (h *Handler) runService(x *exchange, call *dispatch.ServiceCall, idempotent bool) *result.Error {
+	run := h.opts.Dispatcher.AtMostOnce
+	if idempotent {
+		run = h.opts.Dispatcher.Idempotent
+	}
+	answer, err := run(x.r.Context(), call)
+	if err != nil {
+		return err
+	}
+	writeAnswer(x.w, answer)
+	return nil
+}
+
+// serviceRoute returns the service and the first of its routes that matches.
+func (x *exchange) serviceRoute() (*catalogue.Entry, *catalogue.ServiceRoute, *result.Error) {
+	name := x.r.PathValue("name")
+	service := x.snapshot.Service(name)
+	if service == nil {
+		return nil, nil, result.New(result.UnknownService, "there is no service %q", name)
+	}
+	if !catalogue.Allows(x.workspace.Workspace.Services, name) {
+		return nil, nil, result.New(result.Forbidden, "workspace %s may not use service %s", x.workspace.Name, name)
+	}
+	below := "/" + x.r.PathValue("rest")
+	if !isPlainPath(below, x.r.URL.RawPath) {
+		return nil, nil, result.New(result.BadRequest, "the path must not have dot segments, empty segments or encoded slashes")
+	}
+	for i := range service.Service.Routes {
+		route := &service.Service.Routes[i]
+		if (route.Method == "*" || route.Method == x.r.Method) && strings.HasPrefix(below, route.Prefix) {
+			return service, route, nil
+		}
+	}
+	return nil, nil, result.New(result.UnknownRoute, "service %s has no route for %s %s", name, x.r.Method, below)
+}
+
+// isPlainPath states whether the upstream reads the path as the catalogue's
+// routes do. A path that the upstream would fold into another one could turn a
+// non-idempotent call into one that is repeated.
+func isPlainPath(decoded, raw string) bool {
+	trimmed := decoded
+	if len(trimmed) > 1 {
+		trimmed = strings.TrimSuffix(trimmed, "/")
+	}
+	hasEncodedSlash := strings.Contains(strings.ToLower(raw), "%2f") || strings.Contains(strings.ToLower(raw), "%5c")
+	return path.Clean(trimmed) == trimmed && !hasEncodedSlash && !strings.Contains(decoded, `\`)
+}
+
+// hopHeaders belong to one connection, or to the router, and are not forwarded.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Authorization", "Content-Length", HeaderTimeout,
+}
+
+// endToEnd returns a copy of header without the headers of one connection.
+func endToEnd(header http.Header) http.Header {
+	out := header.Clone()
+	for _, list := range header["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// serviceCall builds the call without its deadline and claim.
+func (h *Handler) serviceCall(x *exchange, service *catalogue.Entry, body []byte) *dispatch.ServiceCall {
+	header := endToEnd(x.r.Header)
+	header.Set(HeaderWorkspace, x.workspace.Name)
+	target := "/" + x.r.PathValue("rest")
+	if escaped := x.r.URL.EscapedPath(); escaped != "" {
+		target = strings.TrimPrefix(escaped, "/services/"+service.Name)
+	}
+	if x.r.URL.RawQuery != "" {
+		target += "?" + x.r.URL.RawQuery
+	}
+	return &dispatch.ServiceCall{
+		ID:     x.id,
+		Method: x.r.Method,
+		Path:   target,
+		Header: header,
+		Body:   body,
+		Route: admit.Request{
+			ID:          x.id,
+			Workspace:   x.workspace.Name,
+			Weight:      x.workspace.Workspace.Weight,
+			Target:      service.Name,
+			Service:     true,
+			Class:       classOf(x.workspace, service),
+			Fingerprint: fingerprint(x.workspace.Name, body),
+			DataCentre:  h.opts.DataCentre,
+		},
+	}
+}
+
+// claimRequest identifies the call by its key, and its content by a hash of
+// method, path and body.
+func claimRequest(x *exchange, call *dispatch.ServiceCall, key string) ledger.Request {
+	hash := sha256.New()
+	for _, part := range []string{x.r.PathValue("name"), call.Method, call.Path} {
+		hash.Write([]byte(part))
+		hash.Write([]byte{0})
+	}
+	hash.Write(call.Body)
+	req := ledger.Request{Workspace: x.workspace.Name, Key: key, Deadline: call.Route.Deadline}
+	hash.Sum(req.Fingerprint[:0])
+	return req
+}
+
+// writeAnswer sends an upstream's whole answer to the caller.
+func writeAnswer(w http.ResponseWriter, answer *dispatch.Answer) {
+	header := w.Header()
+	for name, values := range endToEnd(answer.Header) {
+		if name != HeaderRequestID {
+			header[name] = values
+		}
+	}
+	header.Set(HeaderResultCode, "0")
+	if answer.Replayed {
+		header.Set(HeaderReplayed, "true")
+	}
+	w.WriteHeader(answer.Status)
+	w.Write(answer.Body)
+}
--- /dev/null
+++ b/internal/upstream/client.go
@@ -0,0 +1,273 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Errors of calls to upstreams.
+var (
+	// ErrNotSent says that no byte of the call was written to a connection.
+	ErrNotSent = errors.New("call was not sent")
+	// ErrLost says that the connection failed after the call may have been
+	// written.
+	ErrLost = errors.New("connection to the upstream was lost")
+	// ErrConflict says that the engine has not enough memory or does not
+	// hold the stream.
+	ErrConflict = errors.New("upstream answered a conflict")
+)
+
+// StatusError is an unexpected HTTP status of a control call.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("upstream answered status %d: %s", e.Status, e.Body)
+}
+
+// Options tunes a Client.
+type Options struct {
+	// DialTimeout bounds the opening of a connection. Default 1 s.
+	DialTimeout time.Duration
+	// ControlTimeout bounds a control call (load, holds, orders). Default 2 s.
+	ControlTimeout time.Duration
+	// IdleTimeout ages out pooled connections, because a connection that
+	// something in between has forgotten looks healthy until it is used.
+	// Default 15 s.
+	IdleTimeout time.Duration
+	// IdlePerHost bounds the pooled connections to one upstream. Default 64.
+	IdlePerHost int
+}
+
+func (o *Options) setDefaults() {
+	setDefault(&o.DialTimeout, time.Second)
+	setDefault(&o.ControlTimeout, 2*time.Second)
+	setDefault(&o.IdleTimeout, 15*time.Second)
+	if o.IdlePerHost == 0 {
+		o.IdlePerHost = 64
+	}
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+// Client calls upstreams. It is safe for concurrent use.
+type Client struct {
+	opts Options
+	// pooled reuses connections; fresh opens one per call. A call that must
+	// run at most once uses fresh, because net/http silently repeats a call
+	// with an Idempotency-Key when a reused connection fails.
+	pooled *http.Transport
+	fresh  *http.Transport
+}
+
+// NewClient returns a client.
+func NewClient(opts Options) *Client {
+	opts.setDefaults()
+	c := &Client{opts: opts, pooled: newTransport(opts), fresh: newTransport(opts)}
+	c.fresh.DisableKeepAlives = true
+	return c
+}
+
+// maxHeaderBytes bounds the header of an upstream's answer.
+const maxHeaderBytes = 64 << 10
+
+func newTransport(opts Options) *http.Transport {
+	dialer := &net.Dialer{Timeout: opts.DialTimeout, KeepAlive: opts.IdleTimeout}
+	return &http.Transport{
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    opts.IdlePerHost,
+		IdleConnTimeout:        opts.IdleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.pooled.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// Call is one call that is forwarded to an upstream.
+type Call struct {
+	Method string
+	URL    string
+	Header http.Header
+	// Body holds the body's parts in order.
+	Body [][]byte
+	// Fresh opens a new connection, so that the call is written at most once
+	// and does not meet a forgotten connection.
+	Fresh bool
+}
+
+// size returns the body's length in bytes.
+func (c *Call) size() int64 {
+	var n int64
+	for _, part := range c.Body {
+		n += int64(len(part))
+	}
+	return n
+}
+
+// reader returns a new reader over the body's parts.
+func (c *Call) reader() io.Reader {
+	readers := make([]io.Reader, 0, len(c.Body))
+	for _, part := range c.Body {
+		readers = append(readers, bytes.NewReader(part))
+	}
+	return io.MultiReader(readers...)
+}
+
+// Do sends a call. The caller closes the answer's body. The error wraps
+// ErrNotSent only if no connection was obtained, which proves that the upstream
+// did not run the call; otherwise it wraps ErrLost.
+func (c *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
+	var gotConn atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, call.Method, call.URL, nil)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	req.Header = call.Header
+	if size := call.size(); size > 0 {
+		req.Body = io.NopCloser(call.reader())
+		req.ContentLength = size
+		req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(call.reader()), nil }
+	}
+	transport := c.pooled
+	if call.Fresh {
+		transport = c.fresh
+	}
+	res, err := transport.RoundTrip(req)
+	if err != nil && !gotConn.Load() {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrLost, err)
+	}
+	return res, nil
+}
+
+// Probe asks the upstream's health over a new connection and returns the time
+// that the answer took.
+func (c *Client) Probe(ctx context.Context, baseURL string) (time.Duration, error) {
+	start := time.Now()
+	err := c.control(ctx, http.MethodGet, baseURL+PathHealth, nil, nil, true)
+	return time.Since(start), err
+}
+
+// Load returns the engine's latest load report.
+func (c *Client) Load(ctx context.Context, baseURL string) (LoadReport, error) {
+	var r LoadReport
+	err := c.control(ctx, http.MethodGet, baseURL+PathLoad, nil, &r, false)
+	return r, err
+}
+
+// Events returns the engine's cache events after a sequence number.
+func (c *Client) Events(ctx context.Context, baseURL string, after uint64) (CacheEvents, error) {
+	var e CacheEvents
+	target := baseURL + PathEvents + "?after=" + strconv.FormatUint(after, 10)
+	err := c.control(ctx, http.MethodGet, target, nil, &e, false)
+	return e, err
+}
+
+// Holds lists the engine memory that the engine keeps for the router.
+func (c *Client) Holds(ctx context.Context, baseURL string) (Holds, error) {
+	var h Holds
+	err := c.control(ctx, http.MethodGet, baseURL+PathHolds, nil, &h, false)
+	return h, err
+}
+
+// ReleaseHold releases one hold; an absent hold is no error.
+func (c *Client) ReleaseHold(ctx context.Context, baseURL, name string) error {
+	target := baseURL + PathHolds + "?name=" + url.QueryEscape(name)
+	return c.control(ctx, http.MethodDelete, target, nil, nil, false)
+}
+
+// Reserve reserves engine memory; ErrConflict says that it is not free.
+func (c *Client) Reserve(ctx context.Context, baseURL string, r ReserveRequest) error {
+	return c.control(ctx, http.MethodPost, baseURL+PathReserve, r, nil, false)
+}
+
+// Cancel cancels a request and frees its memory; an absent one is no error.
+// It uses a new connection so that it is not lost with the request's own.
+func (c *Client) Cancel(ctx context.Context, baseURL, requestID string) error {
+	body := CancelRequest{RequestID: requestID}
+	return c.control(ctx, http.MethodPost, baseURL+PathCancel, body, nil, true)
+}
+
+// GiveOrder sends an order; a StatusError with 412 says that the fencing
+// number is old, one with 403 that the signature is wrong.
+func (c *Client) GiveOrder(ctx context.Context, baseURL string, o Order) error {
+	return c.control(ctx, http.MethodPost, baseURL+PathOrder, o, nil, true)
+}
+
+// Observe returns what the engine has loaded.
+func (c *Client) Observe(ctx context.Context, baseURL string) (Observed, error) {
+	var o Observed
+	err := c.control(ctx, http.MethodGet, baseURL+PathObserved, nil, &o, false)
+	return o, err
+}
+
+// maxControlBytes bounds the answer of a control call.
+const maxControlBytes = 4 << 20
+
+// control sends a JSON call and decodes its JSON answer into out.
+func (c *Client) control(ctx context.Context, method, target string, in, out any, fresh bool) error {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.ControlTimeout)
+	defer cancel()
+	call := Call{Method: method, URL: target, Header: http.Header{}, Fresh: fresh}
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		call.Body = [][]byte{data}
+		call.Header.Set("Content-Type", "application/json")
+	}
+	res, err := c.Do(ctx, call)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxControlBytes))
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrLost, err)
+	}
+	return decodeControl(res.StatusCode, data, out)
+}
+
+func decodeControl(status int, data []byte, out any) error {
+	if status == http.StatusConflict {
+		return ErrConflict
+	}
+	if status/100 != 2 {
+		return &StatusError{Status: status, Body: string(data[:min(len(data), 200)])}
+	}
+	if out == nil {
+		return nil
+	}
+	return trace.Wrap(json.Unmarshal(data, out), "decoding the upstream's answer")
+}
--- a/internal/upstream/wire.go
+++ b/internal/upstream/wire.go
@@ -29,6 +29,10 @@
 	// header of server-sent events). An engine that still holds the stream
 	// repeats the chunks after the position; one that does not answers 409.
 	HeaderLastEventID = "Last-Event-ID"
+	// HeaderContinueFrom continues an answer whose first chunks another engine
+	// made: positions start after it, and the body carries the text so far in
+	// the field "continuation".
+	HeaderContinueFrom = "X-Continue-From"
 	// HeaderNotRun is "true" on an error answer of an upstream that refused
 	// the request before running it.
 	HeaderNotRun = "X-Not-Run"
