Claim idempotency keys before sending; keep outcomes for repeats

Cause: non-idempotent calls need one arbiter across instances. Change: internal/ledger claims a key by one conditional row write, which is never taken over. Concurrent claims share transactions; a write without an answer is settled by its ID or fenced off by a later write. Outcomes that the store does not take wait in memory. Rows age by charts/claim.yaml.

--- /dev/null
+++ b/internal/ledger/batch.go
@@ -0,0 +1,168 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/banyanroute/banyanroute/internal/platform"
+)
+
+// Bounds of the transactions that carry claims.
+const (
+	// maxBatchRows is the number of rows that one transaction writes.
+	maxBatchRows = 128
+	// maxFlights is the number of transactions under way at a time.
+	maxFlights = 4
+)
+
+// op is a conditional write of one row; an empty value deletes it.
+type op struct {
+	key    string
+	expect platform.Version
+	value  []byte
+	done   chan opResult
+}
+
+// opResult is the outcome of an op. Without err, row is the present row and
+// won states whether the op wrote it.
+type opResult struct {
+	row platform.Row
+	won bool
+	err error
+}
+
+// batcher joins concurrent single-row writes into few transactions: one goes
+// out at once while fewer than maxFlights are under way, and the writes that
+// arrive meanwhile share the next one.
+type batcher struct {
+	table   platform.Table
+	gate    *gate
+	timeout time.Duration
+
+	mu      sync.Mutex
+	queue   []*op
+	flights int
+	// commits and rows count what was sent to the table.
+	commits, rows int64
+}
+
+// submit queues a write. Its result arrives on the returned channel, after the
+// batcher's timeout at the latest.
+func (b *batcher) submit(key string, expect platform.Version, value []byte) <-chan opResult {
+	o := &op{key: key, expect: expect, value: value, done: make(chan opResult, 1)}
+	if !b.gate.enter(time.Now()) {
+		o.done <- opResult{err: platform.ErrUnavailable}
+		return o.done
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.queue = append(b.queue, o)
+	if b.flights < maxFlights {
+		b.flights++
+		go b.fly()
+	}
+	return o.done
+}
+
+// fly sends batches until the queue is empty.
+func (b *batcher) fly() {
+	for {
+		batch := b.take()
+		if len(batch) == 0 {
+			return
+		}
+		b.send(batch)
+	}
+}
+
+// take removes the next batch from the queue; an empty one ends the flight.
+// A key occurs once in a batch, because two writes of one row in the same
+// transaction would both see their condition met.
+func (b *batcher) take() []*op {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var batch, rest []*op
+	keys := map[string]bool{}
+	for _, o := range b.queue {
+		if keys[o.key] || len(batch) == maxBatchRows {
+			rest = append(rest, o)
+			continue
+		}
+		keys[o.key] = true
+		batch = append(batch, o)
+	}
+	b.queue = rest
+	if len(batch) == 0 {
+		b.flights--
+	}
+	return batch
+}
+
+// send commits a batch. Writes whose condition failed are answered with the
+// present row, and the others go into a new transaction.
+func (b *batcher) send(batch []*op) {
+	ctx, cancel := context.WithTimeout(context.Background(), b.timeout)
+	defer cancel()
+	for len(batch) > 0 {
+		id := uuid.NewString()
+		res, err := b.commit(ctx, id, batch)
+		if err != nil {
+			fail(batch, err)
+			return
+		}
+		rows := make(map[string]platform.Row, len(res.Rows))
+		for _, row := range res.Rows {
+			rows[row.Key] = row
+		}
+		rest := answer(batch, rows, id)
+		if len(rest) == len(batch) {
+			fail(batch, errNoProgress)
+			return
+		}
+		batch = rest
+	}
+}
+
+// errNoProgress says that the table refused a transaction without naming a
+// failed condition.
+var errNoProgress = errors.New("transaction refused without a failed condition")
+
+func (b *batcher) commit(ctx context.Context, id string, batch []*op) (platform.TxnResult, error) {
+	txn := platform.Txn{ID: id}
+	for _, o := range batch {
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: o.key, Version: o.expect})
+		txn.Writes = append(txn.Writes, platform.Write{Key: o.key, Value: o.value, Delete: len(o.value) == 0})
+	}
+	b.mu.Lock()
+	b.commits++
+	b.rows += int64(len(batch))
+	b.mu.Unlock()
+	res, err := platform.CommitSettled(ctx, b.table, txn)
+	b.gate.report(err == nil, time.Now())
+	return res, err
+}
+
+// answer delivers the results that rows decide and returns the other ops. A
+// row counts as won only if it carries the transaction's ID.
+func answer(batch []*op, rows map[string]platform.Row, id string) []*op {
+	var rest []*op
+	for _, o := range batch {
+		row, ok := rows[o.key]
+		if !ok {
+			rest = append(rest, o)
+			continue
+		}
+		o.done <- opResult{row: row, won: row.WriteID == id}
+	}
+	return rest
+}
+
+func fail(batch []*op, err error) {
+	for _, o := range batch {
+		o.done <- opResult{err: err}
+	}
+}
--- /dev/null
+++ b/internal/ledger/decide.go
@@ -0,0 +1,150 @@
+package ledger
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/banyanroute/banyanroute/internal/chart"
+	"github.com/banyanroute/banyanroute/internal/platform"
+	"github.com/banyanroute/banyanroute/internal/result"
+)
+
+// Events of charts/claim.yaml.
+const (
+	eventBegin  chart.Event = "begin"
+	eventFinish chart.Event = "finish"
+	eventRefuse chart.Event = "refuse"
+	eventLose   chart.Event = "lose"
+	eventAge    chart.Event = "age"
+	eventForget chart.Event = "forget"
+)
+
+// Actions of charts/claim.yaml.
+const (
+	actionClaim         chart.Action = "claim"
+	actionReportClaimed chart.Action = "report-claimed"
+	actionReplay        chart.Action = "replay"
+	actionReportSpent   chart.Action = "report-spent"
+	actionWrite         chart.Action = "write"
+	actionDropAnswer    chart.Action = "drop-answer"
+	actionDelete        chart.Action = "delete"
+)
+
+// decision is what Begin does after it has met a present row.
+type decision int
+
+const (
+	// report gives the caller an answer or an error.
+	report decision = iota
+	// reclaim tries again on the row's present version.
+	reclaim
+	// holds says that the row is this claim's own.
+	holds
+)
+
+// decide says what a claim does on a row that it has not won.
+func (l *Ledger) decide(ctx context.Context, claim *Claim, row platform.Row) (decision, *Answer, *result.Error) {
+	rec, err := decodeRow(row)
+	if err != nil {
+		return report, nil, result.Wrap(err, result.Internal, "the key's row is unreadable")
+	}
+	if rec.ClaimID == claim.record.ClaimID && rec.State == stateClaimed {
+		return holds, nil, nil
+	}
+	if rec.State != stateAbsent && rec.Fingerprint != claim.record.Fingerprint {
+		l.counts.keyReused.Add(1)
+		return report, nil, result.New(result.KeyReused, "the idempotency key was used with another route or body")
+	}
+	t, err := l.chart.Next(rec.State, eventBegin)
+	if err != nil {
+		return report, nil, result.From(err)
+	}
+	if contains(t.Do, actionClaim) {
+		return reclaim, nil, nil
+	}
+	answer, rerr := l.report(ctx, t.Do, rec)
+	return report, answer, rerr
+}
+
+// report answers a repeat from the present row.
+func (l *Ledger) report(ctx context.Context, actions []chart.Action, rec record) (*Answer, *result.Error) {
+	switch {
+	case contains(actions, actionReplay):
+		return l.replay(ctx, rec)
+	case contains(actions, actionReportClaimed):
+		return nil, l.reportClaimed(rec, time.Now())
+	case contains(actions, actionReportSpent):
+		return nil, result.New(result.AnswerUnavailable, "the request ran; its answer is no longer kept")
+	default:
+		return nil, l.unknown()
+	}
+}
+
+// reportClaimed tells a repeat about a claim whose outcome is not stored.
+func (l *Ledger) reportClaimed(rec record, now time.Time) *result.Error {
+	over := now.After(rec.deadline().Add(outcomeGrace))
+	if over || l.options.Gone(rec.Owner, rec.Incarnation) {
+		return l.unknown()
+	}
+	l.counts.stillRunning.Add(1)
+	left := rec.deadline().Add(outcomeGrace).Sub(now)
+	wait := min(jitter(retryStillRunning), max(left, 0)+time.Millisecond)
+	return result.New(result.StillRunning, "an earlier attempt with this key is still running").After(wait)
+}
+
+func (l *Ledger) unknown() *result.Error {
+	l.counts.unknown.Add(1)
+	return result.New(result.OutcomeUnknown, "an earlier attempt with this key may have run; it is not sent again")
+}
+
+// replay returns the stored answer of a finished row.
+func (l *Ledger) replay(ctx context.Context, rec record) (*Answer, *result.Error) {
+	if rec.Answer != nil {
+		l.counts.replayed.Add(1)
+		return rec.Answer, nil
+	}
+	data, err := l.objects.GetObject(ctx, rec.ObjectKey)
+	if err != nil {
+		return nil, result.Wrap(err, result.AnswerUnavailable, "the request ran; its stored answer cannot be read now").
+			After(jitter(retryAnswer))
+	}
+	answer, err := decodeAnswer(data)
+	if err != nil {
+		return nil, result.Wrap(err, result.AnswerUnavailable, "the request ran; its stored answer is unreadable")
+	}
+	l.counts.replayed.Add(1)
+	return answer, nil
+}
+
+// checkKey refuses a key that tells its own age and is too old: its row may be
+// forgotten, and a very late repeat must not run again.
+func (l *Ledger) checkKey(req Request, now time.Time) *result.Error {
+	if req.Key == "" {
+		return result.New(result.MissingKey, "the call needs an Idempotency-Key header")
+	}
+	made, ok := keyTime(req.Key)
+	if ok && now.Sub(made) > l.options.KeyTime-keyTimeMargin {
+		l.counts.unknown.Add(1)
+		return result.New(result.OutcomeUnknown, "the idempotency key is too old to know whether it has run")
+	}
+	return nil
+}
+
+// keyTimeMargin covers the difference between the clocks of callers and
+// instances.
+const keyTimeMargin = 1 * time.Hour
+
+// keyTime returns the time that a UUID of version 7 carries.
+func keyTime(key string) (time.Time, bool) {
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != 7 {
+		return time.Time{}, false
+	}
+	var ms int64
+	for _, b := range id[:6] {
+		ms = ms<<8 | int64(b)
+	}
+	return time.UnixMilli(ms), true
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,262 @@
+// Package ledger makes non-idempotent requests run at most once. A conditional
+// write of one row claims a request's idempotency key before anything is sent
+// to an upstream, and a claim is never taken over: after a send whose outcome
+// is unknown, no instance sends again. The row keeps the outcome, so that a
+// repeat gets the stored answer from any instance.
+//
+// charts/claim.yaml is the row's life; docs/design/0005-at-most-once.md weighs
+// the alternatives.
+package ledger
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/banyanroute/banyanroute/charts"
+	"github.com/banyanroute/banyanroute/internal/chart"
+	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/platform"
+	"github.com/banyanroute/banyanroute/internal/result"
+)
+
+var log = logging.For("ledger")
+
+// Defaults of Options.
+const (
+	defaultTableTimeout = 2 * time.Second
+	defaultAnswerTime   = 24 * time.Hour
+	defaultKeyTime      = 30 * 24 * time.Hour
+	defaultInlineBytes  = 4 << 10
+	defaultPendingBytes = 8 << 20
+)
+
+// Times that a caller is told to wait before a repeat.
+const (
+	retryStoreDown    = 2 * time.Second
+	retryStillRunning = 1 * time.Second
+	retryAnswer       = 2 * time.Second
+)
+
+// outcomeGrace is how long after a claim's deadline its holder may still store
+// the outcome before repeats are told that it is unknown.
+const outcomeGrace = 2 * time.Second
+
+// Options configures a Ledger. Zero values take the defaults.
+type Options struct {
+	// Instance and Incarnation name the holder in claim rows.
+	Instance    string
+	Incarnation uint64
+	// TableTimeout bounds the wait for the table; the default is 2 s.
+	TableTimeout time.Duration
+	// AnswerTime is how long answers are kept; the default is 24 hours.
+	AnswerTime time.Duration
+	// KeyTime is how long a key stays used; the default is 30 days.
+	KeyTime time.Duration
+	// InlineBytes is the largest answer body kept in the row itself; larger
+	// ones go to the object store. The default is 4 KiB.
+	InlineBytes int
+	// PendingBytes bounds the answers that wait in memory for the store to
+	// come back; the default is 8 MiB. Answers over it are not kept.
+	PendingBytes int
+	// Gone, if set, states whether an instance's incarnation has ended for
+	// certain; repeats of its claims are then told at once that the outcome
+	// is unknown.
+	Gone func(instance string, incarnation uint64) bool
+	// Sweeps, if set, states whether this instance ages old rows now. Two
+	// instances that do so at once do no harm.
+	Sweeps func() bool
+}
+
+func (o Options) withDefaults() Options {
+	if o.TableTimeout == 0 {
+		o.TableTimeout = defaultTableTimeout
+	}
+	if o.AnswerTime == 0 {
+		o.AnswerTime = defaultAnswerTime
+	}
+	if o.KeyTime == 0 {
+		o.KeyTime = defaultKeyTime
+	}
+	if o.InlineBytes == 0 {
+		o.InlineBytes = defaultInlineBytes
+	}
+	if o.PendingBytes == 0 {
+		o.PendingBytes = defaultPendingBytes
+	}
+	if o.Gone == nil {
+		o.Gone = func(string, uint64) bool { return false }
+	}
+	if o.Sweeps == nil {
+		o.Sweeps = func() bool { return false }
+	}
+	return o
+}
+
+// Request is a non-idempotent request to claim.
+type Request struct {
+	Workspace string
+	// Key is the caller's idempotency key, unique within the workspace.
+	Key string
+	// Fingerprint is a hash of the route and body.
+	Fingerprint [32]byte
+	// Deadline is the end of the request; nothing is sent after it.
+	Deadline time.Time
+}
+
+// Answer is a whole answer of an upstream.
+type Answer struct {
+	Status int                 `cbor:"1,keyasint"`
+	Header map[string][]string `cbor:"2,keyasint,omitempty"`
+	Body   []byte              `cbor:"3,keyasint,omitempty"`
+}
+
+// Ledger claims idempotency keys for one instance. It is safe for concurrent
+// use.
+type Ledger struct {
+	table   platform.Table
+	objects platform.Objects
+	options Options
+	chart   *chart.Chart
+	gate    gate
+	batcher *batcher
+	settler *settler
+	counts  counters
+	// sweepAfter is the last row that Sweep has read; only Run's goroutine
+	// uses it.
+	sweepAfter string
+}
+
+// New returns a ledger on the table and object store.
+func New(table platform.Table, objects platform.Objects, options Options) *Ledger {
+	c, err := chart.Load(charts.FS, "claim")
+	if err != nil {
+		panic(err) // The chart is embedded in the program.
+	}
+	l := &Ledger{table: table, objects: objects, options: options.withDefaults(), chart: c}
+	l.batcher = &batcher{table: table, gate: &l.gate, timeout: l.options.TableTimeout}
+	l.settler = newSettler(l)
+	return l
+}
+
+// Begin claims the request's key. Exactly one of its results is not nil: the
+// claim to send under, the stored answer of an earlier attempt, or an error.
+// An error that says result.NotRun holds for this call and, unless the code is
+// result.StoreUnavailable or result.ClaimLost, for the key as well.
+func (l *Ledger) Begin(ctx context.Context, req Request) (*Claim, *Answer, *result.Error) {
+	if err := l.checkKey(req, time.Now()); err != nil {
+		return nil, nil, err
+	}
+	claim := l.newClaim(req)
+	value, err := claim.record.encode()
+	if err != nil {
+		return nil, nil, result.From(err)
+	}
+	expect := platform.Version(0)
+	for {
+		res, waitErr := l.write(ctx, claim, expect, value)
+		if waitErr != nil {
+			return nil, nil, waitErr
+		}
+		if res.err != nil {
+			l.fence(claim, expect, res.err)
+			l.counts.storeDown.Add(1)
+			return nil, nil, storeUnavailable(res.err)
+		}
+		if res.won {
+			claim.version = res.row.Version
+			l.counts.claimed.Add(1)
+			return claim, nil, nil
+		}
+		next, answer, rerr := l.decide(ctx, claim, res.row)
+		if next != reclaim {
+			return l.ended(next, claim, res.row, answer, rerr)
+		}
+		expect = res.row.Version
+	}
+}
+
+// ended maps a decision that ends Begin to its results.
+func (l *Ledger) ended(d decision, claim *Claim, row platform.Row, answer *Answer, err *result.Error) (*Claim, *Answer, *result.Error) {
+	if d == holds {
+		claim.version = row.Version
+		l.counts.claimed.Add(1)
+		return claim, nil, nil
+	}
+	return nil, answer, err
+}
+
+// write submits the claim row and waits for its result. If ctx ends first, the
+// claim is given back once its write is known.
+func (l *Ledger) write(ctx context.Context, claim *Claim, expect platform.Version, value []byte) (opResult, *result.Error) {
+	done := l.batcher.submit(claim.key, expect, value)
+	select {
+	case res := <-done:
+		return res, nil
+	case <-ctx.Done():
+		go func() {
+			res := <-done
+			if res.err != nil {
+				l.fence(claim, expect, res.err)
+				return
+			}
+			if res.won {
+				l.settler.push(&outcome{claim: claim, from: stateClaimed, version: res.row.Version, event: eventRefuse, record: claim.record})
+			}
+		}()
+		return opResult{}, callEnded(ctx)
+	}
+}
+
+// fence gives up a claim whose write failed with err. A write that may still
+// take effect is fenced off in the background by a later one to the same row.
+func (l *Ledger) fence(claim *Claim, expect platform.Version, err error) {
+	if errors.Is(err, platform.ErrUnavailable) {
+		return
+	}
+	from := stateAbsent
+	if expect != 0 {
+		from = stateNotRun
+	}
+	l.settler.push(&outcome{claim: claim, from: from, version: expect, event: eventRefuse, record: claim.record})
+}
+
+func (l *Ledger) newClaim(req Request) *Claim {
+	return &Claim{
+		ledger:   l,
+		key:      rowKey(req.Workspace, req.Key),
+		deadline: req.Deadline,
+		record: record{
+			State:          stateClaimed,
+			ClaimID:        uuid.NewString(),
+			Owner:          l.options.Instance,
+			Incarnation:    l.options.Incarnation,
+			Fingerprint:    req.Fingerprint,
+			BegunUnixMs:    time.Now().UnixMilli(),
+			DeadlineUnixMs: req.Deadline.UnixMilli(),
+		},
+	}
+}
+
+func storeUnavailable(cause error) *result.Error {
+	return result.Wrap(cause, result.StoreUnavailable, "the table service did not take the claim; nothing was sent").
+		After(jitter(retryStoreDown))
+}
+
+// callEnded is the error of a call whose ctx ended before the claim was known.
+func callEnded(ctx context.Context) *result.Error {
+	code := result.CallerGone
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		code = result.DeadlineExceeded
+	}
+	return result.New(code, "the call ended before its key was claimed").WithExecution(result.NotRun)
+}
+
+// Run settles outcomes that the store has not taken and ages old rows, until
+// ctx ends.
+func (l *Ledger) Run(ctx context.Context) error {
+	l.settler.run(ctx)
+	return nil
+}
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,247 @@
+package ledger
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/banyanroute/banyanroute/internal/platform/memstore"
+	"github.com/banyanroute/banyanroute/internal/result"
+)
+
+func newLedger(t *testing.T, store *memstore.Store, name string) *Ledger {
+	t.Helper()
+	l := New(store, store, Options{Instance: name, Incarnation: 1})
+	go func() { _ = l.Run(t.Context()) }()
+	return l
+}
+
+func booking(key string) Request {
+	return Request{
+		Workspace:   "school",
+		Key:         key,
+		Fingerprint: sha256.Sum256([]byte("book " + key)),
+		Deadline:    time.Now().Add(10 * time.Second),
+	}
+}
+
+func mustClaim(t *testing.T, l *Ledger, req Request) *Claim {
+	t.Helper()
+	claim, answer, err := l.Begin(t.Context(), req)
+	if claim == nil || answer != nil || err != nil {
+		t.Fatalf("Begin: claim %v, answer %v, error %v; want a claim", claim, answer, err)
+	}
+	return claim
+}
+
+func wantCode(t *testing.T, l *Ledger, req Request, code result.Code, x result.Execution) *result.Error {
+	t.Helper()
+	claim, answer, err := l.Begin(t.Context(), req)
+	if claim != nil || answer != nil || err == nil || err.Code != code || err.Execution != x {
+		t.Fatalf("Begin: claim %v, answer %v, error %v; want %v, %v", claim, answer, err, code, x)
+	}
+	return err
+}
+
+func wantAnswer(t *testing.T, l *Ledger, req Request, body string) {
+	t.Helper()
+	claim, answer, err := l.Begin(t.Context(), req)
+	if claim != nil || answer == nil || err != nil {
+		t.Fatalf("Begin: claim %v, answer %v, error %v; want an answer", claim, answer, err)
+	}
+	if string(answer.Body) != body {
+		t.Fatalf("stored body has %d bytes, want %d", len(answer.Body), len(body))
+	}
+}
+
+func TestRepeatGetsStoredAnswerFromAnyInstance(t *testing.T) {
+	for name, body := range map[string]string{"inline": "slot 7", "object": string(make([]byte, 100<<10))} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := memstore.New()
+				a, b := newLedger(t, store, "a"), newLedger(t, store, "b")
+				claim := mustClaim(t, a, booking("k"))
+				err := wantCode(t, b, booking("k"), result.StillRunning, result.MayHaveRun)
+				if err.RetryAfter <= 0 {
+					t.Fatal("no time to come back")
+				}
+				if err := claim.Finish(t.Context(), Answer{Status: 200, Body: []byte(body)}); err != nil {
+					t.Fatal(err)
+				}
+				wantAnswer(t, a, booking("k"), body)
+				wantAnswer(t, b, booking("k"), body)
+			})
+		})
+	}
+}
+
+func TestKeyReusedWithAnotherBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New()
+		l := newLedger(t, store, "a")
+		mustClaim(t, l, booking("k"))
+		other := booking("k")
+		other.Fingerprint[0]++
+		wantCode(t, l, other, result.KeyReused, result.NotRun)
+		other.Workspace = "plates"
+		mustClaim(t, l, other)
+	})
+}
+
+func TestConcurrentBeginsGiveOneClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New()
+		store.SetFaults(memstore.Faults{Delay: 5 * time.Millisecond})
+		l := newLedger(t, store, "a")
+		var mu sync.Mutex
+		claims := 0
+		var wg sync.WaitGroup
+		for range 64 {
+			wg.Go(func() {
+				claim, _, err := l.Begin(t.Context(), booking("k"))
+				if claim == nil && err.Code != result.StillRunning {
+					t.Errorf("got %v, want still running", err)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				if claim != nil {
+					claims++
+				}
+			})
+		}
+		wg.Wait()
+		if claims != 1 {
+			t.Fatalf("%d claims of one key, want 1", claims)
+		}
+	})
+}
+
+func TestStoreDownRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New()
+		l := newLedger(t, store, "a")
+		store.SetFaults(memstore.Faults{Down: true})
+		start := time.Now()
+		err := wantCode(t, l, booking("k"), result.StoreUnavailable, result.NotRun)
+		if waited := time.Since(start); waited > 0 || err.RetryAfter <= 0 {
+			t.Fatalf("waited %v, come back after %v", waited, err.RetryAfter)
+		}
+		store.SetFaults(memstore.Faults{})
+		time.Sleep(2 * gateMaxPause)
+		mustClaim(t, l, booking("k"))
+	})
+}
+
+func TestFinishIsStoredAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New()
+		a, b := newLedger(t, store, "a"), newLedger(t, store, "b")
+		claim := mustClaim(t, a, booking("k"))
+		store.SetFaults(memstore.Faults{Down: true})
+		if err := claim.Finish(t.Context(), Answer{Status: 200, Body: []byte("late")}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Hour)
+		store.SetFaults(memstore.Faults{})
+		start := time.Now()
+		if left := a.Drain(t.Context()); left != 0 {
+			t.Fatalf("%d outcomes left", left)
+		}
+		t.Logf("stored %v after the outage", time.Since(start))
+		wantAnswer(t, b, booking("k"), "late")
+	})
+}
+
+func TestUnansweredClaimIsFencedOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New()
+		a, b := newLedger(t, store, "a"), newLedger(t, store, "b")
+		store.SetFaults(memstore.Faults{LoseAnswers: 1})
+		time.AfterFunc(time.Millisecond, func() { store.SetFaults(memstore.Faults{Down: true}) })
+		wantCode(t, a, booking("k"), result.StoreUnavailable, result.NotRun)
+		store.SetFaults(memstore.Faults{})
+		a.Drain(t.Context())
+		mustClaim(t, b, booking("k"))
+	})
+}
+
+func TestMarkSendingAfterDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLedger(t, memstore.New(), "a")
+		claim := mustClaim(t, l, booking("k"))
+		if err := claim.MarkSending(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Second)
+		if err := claim.MarkSending(t.Context()); err == nil || err.Execution != result.NotRun {
+			t.Fatalf("got %v, want a refusal", err)
+		}
+		if err := claim.NotRun(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if err := claim.Finish(t.Context(), Answer{}); err == nil {
+			t.Fatal("a claim ended twice")
+		}
+		mustClaim(t, l, booking("k"))
+	})
+}
+
+func TestCallerLeavesWhileClaiming(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New()
+		l := newLedger(t, store, "a")
+		store.SetFaults(memstore.Faults{Delay: time.Second})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		_, _, err := l.Begin(ctx, booking("k"))
+		if err == nil || err.Execution != result.NotRun || !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			t.Fatalf("got %v", err)
+		}
+		store.SetFaults(memstore.Faults{})
+		time.Sleep(2 * time.Second)
+		mustClaim(t, l, booking("k"))
+	})
+}
+
+func TestSweepAgesRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New()
+		l := New(store, store, Options{Instance: "a", Sweeps: func() bool { return true }})
+		go func() { _ = l.Run(t.Context()) }()
+		finished, lost, refused := booking("finished"), booking("lost"), booking("refused")
+		large := Answer{Status: 200, Body: make([]byte, 100<<10)}
+		_ = mustClaim(t, l, finished).Finish(t.Context(), large)
+		_ = mustClaim(t, l, lost).Unknown(t.Context())
+		_ = mustClaim(t, l, refused).NotRun(t.Context())
+		mustClaim(t, l, booking("abandoned"))
+		time.Sleep(defaultAnswerTime + time.Hour)
+		wantCode(t, l, finished, result.AnswerUnavailable, result.Ran)
+		wantCode(t, l, lost, result.OutcomeUnknown, result.MayHaveRun)
+		wantCode(t, l, booking("abandoned"), result.OutcomeUnknown, result.MayHaveRun)
+		time.Sleep(defaultKeyTime)
+		if rows, _ := store.Scan(t.Context(), rowPrefix, "", 10); len(rows) != 0 {
+			t.Fatalf("%d rows left after the key time", len(rows))
+		}
+	})
+}
+
+func TestOldDatedKeyIsNeverRunAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLedger(t, memstore.New(), "a")
+		id, err := uuid.NewV7()
+		if err != nil {
+			t.Fatal(err)
+		}
+		made, _ := keyTime(id.String())
+		time.Sleep(time.Until(made))
+		mustClaim(t, l, booking(id.String()))
+		time.Sleep(defaultKeyTime)
+		wantCode(t, l, booking(id.String()), result.OutcomeUnknown, result.MayHaveRun)
+	})
+}
--- /dev/null
+++ b/internal/ledger/settle.go
@@ -0,0 +1,190 @@
+package ledger
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/chart"
+	"github.com/banyanroute/banyanroute/internal/platform"
+)
+
+// Pauses of the background work.
+const (
+	settlePause = 250 * time.Millisecond
+	sweepPause  = 1 * time.Minute
+)
+
+// maxSettlesPerPass bounds the outcomes that one pass writes, so that a long
+// outage does not end with a burst.
+const maxSettlesPerPass = 128
+
+// outcome is the end of a claim that the table has not confirmed.
+type outcome struct {
+	claim *Claim
+	// from and version are the row's last known state and version.
+	from    chart.State
+	version platform.Version
+	event   chart.Event
+	// record is the row to write.
+	record record
+}
+
+// size returns the bytes of the answer that the outcome keeps in memory.
+func (o *outcome) size() int {
+	if o.record.Answer == nil {
+		return 0
+	}
+	return len(o.record.Answer.Body)
+}
+
+// settler writes the ends of claims, and keeps those that the store does not
+// take until it does.
+type settler struct {
+	ledger *Ledger
+	mu     sync.Mutex
+	queue  []*outcome
+	bytes  int
+	// busy counts outcomes that are being written.
+	busy atomic.Int64
+	// wake tells run that the queue is not empty.
+	wake chan struct{}
+}
+
+func newSettler(l *Ledger) *settler {
+	return &settler{ledger: l, wake: make(chan struct{}, 1)}
+}
+
+// push queues an outcome. An answer over the memory bound is dropped: the row
+// will then say that the request ran and that its answer is gone.
+func (s *settler) push(o *outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.bytes+o.size() > s.ledger.options.PendingBytes {
+		s.ledger.counts.answersDropped.Add(1)
+		o.record.Answer = nil
+	}
+	s.bytes += o.size()
+	s.queue = append(s.queue, o)
+	s.signal()
+}
+
+// signal wakes run.
+func (s *settler) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// take removes up to maxSettlesPerPass outcomes.
+func (s *settler) take() []*outcome {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := min(len(s.queue), maxSettlesPerPass)
+	batch := append([]*outcome(nil), s.queue[:n]...)
+	s.queue = append([]*outcome(nil), s.queue[n:]...)
+	for _, o := range batch {
+		s.bytes -= o.size()
+	}
+	s.busy.Add(int64(n))
+	return batch
+}
+
+// pending returns the number of outcomes that are not stored yet.
+func (s *settler) pending() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.queue) + int(s.busy.Load())
+}
+
+// run settles queued outcomes and ages rows until ctx ends.
+func (s *settler) run(ctx context.Context) {
+	sweep := time.NewTicker(sweepPause)
+	defer sweep.Stop()
+	for {
+		select {
+		case <-s.wake:
+			s.pass(ctx)
+		case <-sweep.C:
+			if s.ledger.options.Sweeps() {
+				s.ledger.Sweep(ctx)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// pass waits a moment and tries queued outcomes once; all of a pass share few
+// transactions.
+func (s *settler) pass(ctx context.Context) {
+	select {
+	case <-time.After(settlePause):
+	case <-ctx.Done():
+		return
+	}
+	var wg sync.WaitGroup
+	for _, o := range s.take() {
+		wg.Go(func() {
+			defer s.busy.Add(-1)
+			if !s.try(ctx, o) {
+				s.push(o)
+			}
+		})
+	}
+	wg.Wait()
+	if s.pending() > 0 {
+		s.signal()
+	}
+}
+
+// try writes an outcome and states whether it is settled: written, or no
+// longer this claim's to write.
+func (s *settler) try(ctx context.Context, o *outcome) bool {
+	if err := s.ledger.store(ctx, &o.record); err != nil {
+		return false
+	}
+	for {
+		t, err := s.ledger.chart.Next(o.from, o.event)
+		if err != nil || !contains(t.Do, actionWrite) {
+			return true
+		}
+		o.record.State = finalState(t.To, &o.record)
+		value, err := o.record.encode()
+		if err != nil {
+			return true
+		}
+		res := <-s.ledger.batcher.submit(o.claim.key, o.version, value)
+		if res.err != nil {
+			return false
+		}
+		if res.won {
+			return true
+		}
+		present, err := decodeRow(res.row)
+		if err != nil || present.ClaimID != o.record.ClaimID || present.State == o.record.State {
+			return true
+		}
+		o.from = present.State
+		o.version = res.row.Version
+	}
+}
+
+// finalState replaces "finished" by "spent" if the answer was not kept.
+func finalState(to chart.State, rec *record) chart.State {
+	if to == stateFinished && rec.Answer == nil && rec.ObjectKey == "" {
+		return stateSpent
+	}
+	return to
+}
+
+func contains(actions []chart.Action, want chart.Action) bool {
+	for _, a := range actions {
+		if a == want {
+			return true
+		}
+	}
+	return false
+}
