--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,208 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/oklog/run"
+
+	"github.com/banyanroute/banyanroute/internal/admin"
+	"github.com/banyanroute/banyanroute/internal/admit"
+	"github.com/banyanroute/banyanroute/internal/catalogue"
+	"github.com/banyanroute/banyanroute/internal/control"
+	"github.com/banyanroute/banyanroute/internal/dispatch"
+	"github.com/banyanroute/banyanroute/internal/entry"
+	"github.com/banyanroute/banyanroute/internal/ledger"
+	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/member"
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/platform/httpclient"
+	"github.com/banyanroute/banyanroute/internal/quota"
+	"github.com/banyanroute/banyanroute/internal/result"
+	"github.com/banyanroute/banyanroute/internal/settings"
+	"github.com/banyanroute/banyanroute/internal/upstream"
+)
+
+var log = logging.For("daemon")
+
+// Daemon is one instance.
+type Daemon struct {
+	settings    settings.Settings
+	incarnation uint64
+
+	platform   *httpclient.Client
+	upstreams  *upstream.Client
+	overlay    *member.Overlay
+	replica    *catalogue.Replica
+	scheduler  *admit.Scheduler
+	limiter    *quota.Limiter
+	ledger     *ledger.Ledger
+	dispatcher *dispatch.Dispatcher
+	controller *control.Controller
+	endpoints  *endpoints
+
+	callers   *http.Server
+	operators *http.Server
+	links     *http.Server
+
+	draining  atomic.Bool
+	drainOnce sync.Once
+	// drain is closed when a planned stop begins.
+	drain chan struct{}
+}
+
+// New builds an instance from checked settings. Nothing runs or listens yet.
+func New(s settings.Settings) (*Daemon, error) {
+	d := &Daemon{settings: s, incarnation: uint64(time.Now().UnixNano()), drain: make(chan struct{})}
+	d.endpoints = newEndpoints()
+	d.platform = httpclient.New(httpclient.Options{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout.Std()})
+	d.upstreams = upstream.NewClient(upstream.Options{})
+	if err := d.buildState(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if err := d.buildTraffic(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return d, trace.Wrap(d.buildServers())
+}
+
+// self describes this instance to the others.
+func (d *Daemon) self() peer.Member {
+	return peer.Member{
+		ID:          d.settings.Instance,
+		Incarnation: d.incarnation,
+		Address:     d.settings.Listen.Links.Address,
+		DataCentre:  d.settings.DataCentre,
+		Region:      d.settings.Region,
+	}
+}
+
+// buildState builds what instances share: links, catalogue, limits, claims.
+func (d *Daemon) buildState() error {
+	overlay, err := member.New(member.Options{
+		Self:     d.self(),
+		Secret:   []byte(d.settings.Secrets.Links),
+		LiveList: d.platform,
+	})
+	if err != nil {
+		return err
+	}
+	d.overlay = overlay
+	d.replica = catalogue.NewReplica(catalogue.NewStore(d.platform), overlay, catalogue.Options{Seed: d.incarnation})
+	d.limiter = quota.New(overlay, quota.Options{})
+	d.ledger = ledger.New(d.platform, d.platform, ledger.Options{
+		Instance:    d.settings.Instance,
+		Incarnation: d.incarnation,
+	})
+	return nil
+}
+
+// buildTraffic builds the parts that requests go through.
+func (d *Daemon) buildTraffic() error {
+	d.scheduler = admit.New(admit.Options{
+		Instance:    d.settings.Instance,
+		Incarnation: d.incarnation,
+		Seed:        d.incarnation,
+		Reserver:    &reserver{client: d.upstreams, endpoints: d.endpoints},
+		OnPoison:    func(payload []byte) { d.controller.BroadcastPoison(payload) },
+	})
+	d.controller = control.New(control.Options{
+		Bus:         d.overlay,
+		Scheduler:   d.scheduler,
+		Limiter:     d.limiter,
+		Upstreams:   d.upstreams,
+		LiveList:    d.platform,
+		OnUpstreams: d.endpoints.set,
+	})
+	d.replica.Subscribe(d.controller.SetCatalogue)
+	dispatcher, err := dispatch.New(dispatch.Options{
+		Instance:       d.settings.Instance,
+		Incarnation:    d.incarnation,
+		Scheduler:      d.scheduler,
+		Upstreams:      d.upstreams,
+		Claims:         d.ledger,
+		SilenceTimeout: d.settings.Limits.SilenceTimeout.Std(),
+	})
+	d.dispatcher = dispatcher
+	return err
+}
+
+// limiterAdapter gives entry the limiter through its interface.
+type limiterAdapter struct{ limiter *quota.Limiter }
+
+// Take implements entry.Limiter.
+func (a limiterAdapter) Take(workspace string, tokens int) (entry.Permit, *result.Error) {
+	permit, err := a.limiter.Take(workspace, tokens)
+	if err != nil {
+		return nil, err
+	}
+	return permit, nil
+}
+
+// Run runs the instance until a signal or a drain request has stopped it.
+func (d *Daemon) Run(ctx context.Context) error {
+	var group run.Group
+	d.addActor(&group, "member", d.overlay.Run)
+	d.addActor(&group, "catalogue", d.replica.Run)
+	d.addActor(&group, "quota", d.limiter.Run)
+	d.addActor(&group, "ledger", d.ledger.Run)
+	d.addActor(&group, "dispatch", d.dispatcher.Run)
+	d.addActor(&group, "control", d.controller.Run)
+	for _, s := range []struct {
+		name   string
+		server *http.Server
+		listen settings.Listener
+	}{
+		{"links", d.links, d.settings.Listen.Links},
+		{"operators", d.operators, d.settings.Listen.Operators},
+		{"callers", d.callers, d.settings.Listen.Callers},
+	} {
+		if err := d.addServer(&group, s.name, s.server, s.listen); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	d.addStop(ctx, &group)
+	log.Infof("instance %s of %s starts, incarnation %d", d.settings.Instance, d.settings.DataCentre, d.incarnation)
+	err := group.Run()
+	log.Info("instance stopped")
+	return err
+}
+
+// addActor adds an actor that ends with its context.
+func (d *Daemon) addActor(group *run.Group, name string, f func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error {
+		err := f(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		return trace.Wrap(err, "part %s ended", name)
+	}, func(error) { cancel() })
+}
+
+// Drain begins a planned stop. It returns at once.
+func (d *Daemon) Drain() {
+	d.drainOnce.Do(func() { close(d.drain) })
+}
+
+// handler returns the operators' handler.
+func (d *Daemon) handler() http.Handler {
+	dumps := admin.NewDumps()
+	dumps.Register("control", d.controller.Dump)
+	dumps.Register("scheduler", d.scheduler.Dump)
+	dumps.Register("limits", d.limiter.Dump)
+	dumps.Register("claims", d.ledger.Dump)
+	dumps.Register("members", d.overlay.Dump)
+	return admin.NewHandler(admin.Options{
+		Replica:              d.replica,
+		Bus:                  d.overlay,
+		Dumps:                dumps,
+		Drain:                d.Drain,
+		Draining:             d.draining.Load,
+		BootstrapTokenSHA256: d.settings.Secrets.BootstrapTokenSHA256,
+	})
+}
--- /dev/null
+++ b/internal/daemon/doc.go
@@ -0,0 +1,3 @@
+// Package daemon wires the parts of an instance together, starts them as
+// actors of a run group, and stops them in order.
+package daemon
--- /dev/null
+++ b/internal/daemon/endpoints.go
@@ -0,0 +1,67 @@
+package daemon
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/gravitational/trace"
+
+	"github.com/banyanroute/banyanroute/internal/admit"
+	"github.com/banyanroute/banyanroute/internal/upstream"
+)
+
+// endpoints is the present set of upstreams, for parts that call them by ID.
+type endpoints struct {
+	current atomic.Pointer[map[string]admit.Upstream]
+}
+
+func newEndpoints() *endpoints {
+	e := &endpoints{}
+	e.set(nil)
+	return e
+}
+
+// set replaces the set.
+func (e *endpoints) set(list []admit.Upstream) {
+	byID := make(map[string]admit.Upstream, len(list))
+	for _, up := range list {
+		byID[up.ID] = up
+	}
+	e.current.Store(&byID)
+}
+
+// all returns the present set by ID; it must not be changed.
+func (e *endpoints) all() map[string]admit.Upstream { return *e.current.Load() }
+
+// url returns the base URL of an upstream.
+func (e *endpoints) url(id string) (string, error) {
+	up, ok := e.all()[id]
+	if !ok {
+		return "", trace.NotFound("the catalogue has no upstream %q", id)
+	}
+	return up.URL, nil
+}
+
+// reserver makes reservations for prompts larger than one engine.
+type reserver struct {
+	client    *upstream.Client
+	endpoints *endpoints
+}
+
+// Reserve implements gang.Reserver.
+func (r *reserver) Reserve(ctx context.Context, upstreamID string, req upstream.ReserveRequest) error {
+	url, err := r.endpoints.url(upstreamID)
+	if err != nil {
+		return err
+	}
+	return r.client.Reserve(ctx, url, req)
+}
+
+// Release implements gang.Reserver.
+func (r *reserver) Release(ctx context.Context, upstreamID, name string) error {
+	url, err := r.endpoints.url(upstreamID)
+	if err != nil {
+		return err
+	}
+	return r.client.ReleaseHold(ctx, url, name)
+}
