--- /dev/null
+++ b/internal/health/health_test.go
@@ -0,0 +1,113 @@
+package health
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func newTracker(t testing.TB, known bool) *Tracker {
+	j, err := NewJudge()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return j.NewTracker(epoch, known)
+}
+
+func TestNewUpstreamIsWarmedUp(t *testing.T) {
+	h := newTracker(t, false)
+	if s := h.Share(epoch, false); s != firstShare {
+		t.Errorf("share at first %v", s)
+	}
+	if s := h.Share(epoch.Add(warmTime), false); s != 1 || h.State() != StateHealthy {
+		t.Errorf("share after warming %v in %s", s, h.State())
+	}
+}
+
+func TestFailedUpstreamReturnsThroughWarming(t *testing.T) {
+	h := newTracker(t, true)
+	h.Probe(false, epoch)
+	if h.Share(epoch, false) != 1 {
+		t.Error("one failed probe must not fail an upstream")
+	}
+	h.Probe(false, epoch)
+	if h.Share(epoch, false) != 0 || h.Share(epoch, true) != 1 {
+		t.Error("a failed upstream is out unless panicking")
+	}
+	h.Probe(true, epoch)
+	if h.State() != StateWarming {
+		t.Errorf("state %s", h.State())
+	}
+}
+
+func TestErrorsFailWhileProbesSucceed(t *testing.T) {
+	h := newTracker(t, true)
+	for range 4 {
+		h.Failure(epoch)
+	}
+	if h.State() != StateFailed {
+		t.Errorf("state %s after four errors in a row", h.State())
+	}
+}
+
+func TestSlowUpstreamIsEasedAndReturns(t *testing.T) {
+	h := newTracker(t, true)
+	for range 10 {
+		h.Latency(8)
+	}
+	h.Compare(1, epoch)
+	if s := h.Share(epoch, false); s != slowShare {
+		t.Errorf("share %v", s)
+	}
+	for range 30 {
+		h.Latency(1)
+	}
+	h.Compare(1, epoch)
+	if h.State() != StateWarming {
+		t.Errorf("state %s", h.State())
+	}
+}
+
+func TestAllFailedIsDoubted(t *testing.T) {
+	if !Panicking(0, 15) || !Panicking(7, 15) || Panicking(8, 15) || Panicking(0, 1) {
+		t.Error("panic threshold")
+	}
+}
+
+// TestLeavingGetsNothing checks the chart's first invariant on random events.
+func TestLeavingGetsNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		j, err := NewJudge()
+		if err != nil {
+			t.Fatal(err)
+		}
+		h := j.NewTracker(epoch, true)
+		now, leaving := epoch, false
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
+			case 0:
+				h.Probe(rapid.Bool().Draw(t, "ok"), now)
+			case 1:
+				h.Success(now)
+			case 2:
+				h.Failure(now)
+			case 3:
+				h.Latency(rapid.Float64Range(0, 10).Draw(t, "ratio"))
+			case 4:
+				h.Compare(1, now)
+			case 5:
+				leaving = rapid.Bool().Draw(t, "leaving")
+				h.Leaving(leaving, now)
+			case 6:
+				h.Restarted(now)
+			}
+			if leaving && h.Share(now, rapid.Bool().Draw(t, "panic")) != 0 {
+				t.Fatal("a leaving upstream has a share")
+			}
+		}
+	})
+}
