--- a/internal/dispatch/body.go
+++ b/internal/dispatch/body.go
@@ -44,17 +44,21 @@
 		Delta struct {
 			Content string `json:"content"`
 		} `json:"delta"`
+		FinishReason *string `json:"finish_reason"`
 	} `json:"choices"`
 }
 
-// appendDelta appends the text of a chunk's first choice.
-func appendDelta(text, chunk []byte) []byte {
+// addChunk appends the text of a chunk's first choice and notes whether the
+// chunk says that the answer is finished.
+func (g *generation) addChunk(data []byte) {
 	var d delta
-	if json.Unmarshal(chunk, &d) != nil || len(d.Choices) == 0 {
-		return text
+	if json.Unmarshal(data, &d) != nil || len(d.Choices) == 0 {
+		return
 	}
-	text = append(text, d.Choices[0].Text...)
-	return append(text, d.Choices[0].Delta.Content...)
+	choice := d.Choices[0]
+	g.text = append(g.text, choice.Text...)
+	g.text = append(g.text, choice.Delta.Content...)
+	g.finished = g.finished || choice.FinishReason != nil
 }
 
 // joinBlocks formats prefix block hashes for the engine.
--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -112,7 +112,7 @@
 func (f *follower) onEvent(ctx context.Context, event upstream.Event) chart.Event {
 	g := f.g
 	if event.End {
-		return f.complete(ctx)
+		return f.complete()
 	}
 	position := event.Position
 	if position == 0 {
@@ -132,7 +132,7 @@
 		return eventCallerLeft
 	}
 	g.delivered = position
-	g.text = appendDelta(g.text, event.Data)
+	g.addChunk(event.Data)
 	g.grant.Progress(1)
 	f.progress++
 	f.resumes = 0
@@ -142,7 +142,7 @@
 }
 
 // complete hands the end to the sink.
-func (f *follower) complete(context.Context) chart.Event {
+func (f *follower) complete() chart.Event {
 	f.g.ran = result.Ran
 	f.g.release(admit.Completed)
 	if err := f.g.sink.End(); err != nil {
@@ -229,8 +229,12 @@
 	return ""
 }
 
-// lost gives the upstream up.
+// lost gives the upstream up. An answer of which only the end marker is
+// missing is complete all the same.
 func (f *follower) lost(err error, outcome admit.Outcome) chart.Event {
+	if f.g.finished {
+		return f.complete()
+	}
 	f.g.d.log.Infof("lost upstream %s for request %s: %v", f.g.grant.Upstream().ID, f.g.req.ID, err)
 	code := result.UpstreamLost
 	if outcome == admit.Stalled {
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -74,6 +74,9 @@
 	delivered uint64
 	// text is the delivered text, for continuing on another engine.
 	text []byte
+	// finished says that a delivered chunk had a finish reason, so that only
+	// the end marker is missing.
+	finished bool
 	// ran is what is known about execution so far.
 	ran result.Execution
 	// err is the latest error; the caller sees it if the request fails.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -271,7 +271,9 @@
 }
 
 func (e *Engine) decoded(now time.Time, s *stream) {
-	s.position++
+	if s.position < s.req.MaxTokens {
+		s.position++
+	}
 	s.record.GeneratedTokens++
 	e.record.generated++
 	if s.position >= s.req.MaxTokens {
--- a/internal/standin/engine/reader.go
+++ b/internal/standin/engine/reader.go
@@ -62,11 +62,12 @@
 func (e *Engine) newStream(now time.Time, req Request) *stream {
 	e.arrivals++
 	return &stream{
-		req:     req,
-		order:   e.arrivals,
-		prompt:  promptTokens(req.PromptBytes),
-		expires: now.Add(e.settings.KeepStream),
-		changed: make(chan struct{}),
+		req:      req,
+		order:    e.arrivals,
+		prompt:   promptTokens(req.PromptBytes),
+		position: req.Start,
+		expires:  now.Add(e.settings.KeepStream),
+		changed:  make(chan struct{}),
 	}
 }
 
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -24,6 +24,9 @@
 	Prompt      answer.Hash
 	// MaxTokens is the number of tokens to generate.
 	MaxTokens int
+	// Start is the number of tokens that another engine has generated already;
+	// generation goes on after it.
+	Start int
 	// Blocks are the hashes of the prompt's prefix blocks.
 	Blocks []string
 	// Reservations name the memory of a prompt larger than the engine, in
--- a/internal/standin/enginehttp/request.go
+++ b/internal/standin/enginehttp/request.go
@@ -28,6 +28,8 @@
 	MaxTokens           int             `json:"max_tokens"`
 	MaxCompletionTokens int             `json:"max_completion_tokens"`
 	Stream              bool            `json:"stream"`
+	// Continuation is the text of the tokens before HeaderContinueFrom.
+	Continuation string `json:"continuation"`
 }
 
 type message struct {
@@ -74,6 +76,9 @@
 		c.request.Deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
 	}
 	c.request.PromptBytes, c.request.Prompt = prompt(b)
+	c.request.Start = headerInt(r, upstream.HeaderContinueFrom)
+	c.request.PromptBytes += len(b.Continuation)
+	c.position = c.request.Start
 	if text := r.Header.Get(upstream.HeaderLastEventID); text != "" {
 		c.resume = true
 		c.position, err = strconv.Atoi(text)
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -15,6 +15,9 @@
 // endMarker is the data of the last event of a complete stream.
 const endMarker = "[DONE]"
 
+// errorEvent is the type of an event that reports the end of a failed stream.
+const errorEvent = "error"
+
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
 
@@ -48,10 +51,13 @@
 func (r *EventReader) Next() (Event, error) {
 	r.data = r.data[:0]
 	var event Event
-	hasData := false
+	hasData, isError := false, false
 	for r.scanner.Scan() {
 		line := r.scanner.Bytes()
 		if len(line) == 0 {
+			if hasData && isError {
+				return Event{}, fmt.Errorf("%w: the engine reports %s", ErrLost, r.data)
+			}
 			if hasData {
 				return finishEvent(event, r.data), nil
 			}
@@ -66,6 +72,8 @@
 				return Event{}, fmt.Errorf("%w: bad event ID %q", ErrLost, value)
 			}
 			event.Position = position
+		case "event":
+			isError = value == errorEvent
 		case "data":
 			r.appendData(value, hasData)
 			hasData = true
