--- /dev/null
+++ b/cmd/banyanctl/client.go
@@ -0,0 +1,188 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/admin"
+	"github.com/banyanroute/banyanroute/internal/catalogue"
+	"github.com/banyanroute/banyanroute/internal/result"
+)
+
+// Bounds of sending an edit.
+const (
+	maxAnswerBytes   = 64 << 20
+	editTries        = 5
+	editFirstPause   = 200 * time.Millisecond
+	editPauseFactor  = 2
+	defaultURLScheme = "http://"
+)
+
+// errOutcomeUnknown says that an edit was sent and not answered.
+var errOutcomeUnknown = errors.New("the edit was sent and its outcome is unknown")
+
+// client calls the operators' API of the first instance that answers.
+type client struct {
+	bases []string
+	token string
+	http  *http.Client
+}
+
+func newClient(opts globalOptions) (*client, error) {
+	transport := &http.Transport{}
+	if opts.CACert != "" {
+		pem, err := os.ReadFile(opts.CACert)
+		if err != nil {
+			return nil, err
+		}
+		pool := x509.NewCertPool()
+		if !pool.AppendCertsFromPEM(pem) {
+			return nil, fmt.Errorf("%s holds no PEM certificate", opts.CACert)
+		}
+		transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	}
+	c := &client{token: opts.Token, http: &http.Client{Timeout: opts.Timeout, Transport: transport}}
+	for _, base := range strings.Split(opts.Address, ",") {
+		if !strings.Contains(base, "://") {
+			base = defaultURLScheme + base
+		}
+		c.bases = append(c.bases, strings.TrimSuffix(strings.TrimSpace(base), "/"))
+	}
+	return c, nil
+}
+
+// get reads a path of the first instance that answers.
+func (c *client) get(ctx context.Context, path string, answer any) error {
+	return c.call(ctx, http.MethodGet, path, nil, answer)
+}
+
+// call tries each address in turn until an instance answers; a refusal is an
+// answer.
+func (c *client) call(ctx context.Context, method, path string, body []byte, answer any) error {
+	var errs []error
+	for _, base := range c.bases {
+		err := c.callOne(ctx, base, method, path, body, answer)
+		var server *serverError
+		if err == nil || errors.As(err, &server) {
+			return err
+		}
+		errs = append(errs, err)
+	}
+	return fmt.Errorf("%w: %w", errUnreachable, errors.Join(errs...))
+}
+
+func (c *client) callOne(ctx context.Context, base, method, path string, body []byte, answer any) error {
+	req, err := http.NewRequestWithContext(ctx, method, base+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return decodeRefusal(resp.StatusCode, data)
+	}
+	return json.Unmarshal(data, answer)
+}
+
+// decodeRefusal turns an answer that is not 200 into an error.
+func decodeRefusal(status int, data []byte) error {
+	var answer admin.ErrorAnswer
+	if err := json.Unmarshal(data, &answer); err != nil || answer.Error.Code == result.OK {
+		return fmt.Errorf("status %d: %s", status, bytes.TrimSpace(data))
+	}
+	return &serverError{body: answer.Error}
+}
+
+// send sends an edit until its outcome is known: each try carries the same
+// edit ID, so that the edit takes effect at most once.
+func (c *client) send(ctx context.Context, edit catalogue.Edit) (catalogue.Applied, error) {
+	body, err := json.Marshal(edit)
+	if err != nil {
+		return catalogue.Applied{}, err
+	}
+	var applied catalogue.Applied
+	wait := editFirstPause
+	for try := 1; ; try++ {
+		err = c.call(ctx, http.MethodPost, admin.PathEdits, body, &applied)
+		if !isUnsure(err) || try == editTries {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return applied, fmt.Errorf("%w: %w", errOutcomeUnknown, err)
+		case <-time.After(wait):
+		}
+		wait *= editPauseFactor
+	}
+	var server *serverError
+	if err != nil && !errors.As(err, &server) {
+		return applied, fmt.Errorf("%w; send it again with --id %s: %w", errOutcomeUnknown, edit.ID, err)
+	}
+	return applied, err
+}
+
+// isUnsure states whether an edit may have been accepted although it failed.
+func isUnsure(err error) bool {
+	var server *serverError
+	if errors.As(err, &server) {
+		return server.body.Code == result.EditUnknown || server.body.Code == result.Internal
+	}
+	return err != nil
+}
+
+func (c *client) entries(ctx context.Context, kind, owner string) (admin.Entries, error) {
+	var answer admin.Entries
+	query := url.Values{"kind": {kind}, "owner": {owner}}
+	err := c.get(ctx, admin.PathEntries+"?"+query.Encode(), &answer)
+	return answer, err
+}
+
+func (c *client) entry(ctx context.Context, key catalogue.Key) (admin.EntryAnswer, error) {
+	var answer admin.EntryAnswer
+	err := c.get(ctx, admin.PathEntries+"/"+url.PathEscape(string(key.Kind))+"/"+url.PathEscape(key.Name), &answer)
+	return answer, err
+}
+
+// changes returns up to limit changes; without after, the last ones.
+func (c *client) changes(ctx context.Context, after *catalogue.Revision, limit int) ([]catalogue.Change, error) {
+	query := url.Values{"limit": {strconv.Itoa(limit)}}
+	if after != nil {
+		query.Set("after", strconv.FormatUint(uint64(*after), 10))
+	}
+	var answer admin.HistoryAnswer
+	err := c.get(ctx, admin.PathHistory+"?"+query.Encode(), &answer)
+	return answer.Changes, err
+}
+
+func (c *client) change(ctx context.Context, rev catalogue.Revision) (catalogue.Change, error) {
+	var answer catalogue.Change
+	err := c.get(ctx, admin.PathHistory+"/"+strconv.FormatUint(uint64(rev), 10), &answer)
+	return answer, err
+}
+
+func (c *client) changeByID(ctx context.Context, id string) (catalogue.Change, error) {
+	var answer catalogue.Change
+	err := c.get(ctx, admin.PathEdits+"/"+url.PathEscape(id), &answer)
+	return answer, err
+}
--- /dev/null
+++ b/cmd/banyanctl/exit.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/banyanroute/banyanroute/internal/admin"
+	"github.com/banyanroute/banyanroute/internal/catalogue"
+	"github.com/banyanroute/banyanroute/internal/result"
+)
+
+// Exit codes, documented in docs/operators/banyanctl.md.
+const (
+	exitOK          = 0
+	exitFailure     = 1
+	exitInvalid     = 2
+	exitConflict    = 3
+	exitForbidden   = 4
+	exitNotFound    = 5
+	exitUnknown     = 6
+	exitUnavailable = 7
+	exitDifferent   = 8
+)
+
+// errDifferent says that a diff found differences; it prints nothing.
+var errDifferent = errors.New("differences found")
+
+// errUnreachable says that no instance answered.
+var errUnreachable = errors.New("no instance answered")
+
+// serverError is an instance's refusal.
+type serverError struct {
+	body admin.ErrorBody
+}
+
+// Error implements error.
+func (e *serverError) Error() string {
+	return fmt.Sprintf("%d %s: %s", e.body.Code, e.body.Name, e.body.Message)
+}
+
+// exitByCode maps result codes to exit codes.
+var exitByCode = map[result.Code]int{
+	result.EditInvalid:      exitInvalid,
+	result.BadRequest:       exitInvalid,
+	result.BodyTooLarge:     exitInvalid,
+	result.EditConflict:     exitConflict,
+	result.EditForbidden:    exitForbidden,
+	result.Unauthenticated:  exitForbidden,
+	result.Forbidden:        exitForbidden,
+	result.EntryNotFound:    exitNotFound,
+	result.EditUnknown:      exitUnknown,
+	result.StoreUnavailable: exitUnavailable,
+	result.NotReady:         exitUnavailable,
+	result.Draining:         exitUnavailable,
+}
+
+// exitCode maps an error to the exit code.
+func exitCode(err error) int {
+	var server *serverError
+	var fields catalogue.FieldErrors
+	switch {
+	case errors.As(err, &server):
+		if code, ok := exitByCode[server.body.Code]; ok {
+			return code
+		}
+	case errors.As(err, &fields):
+		return exitInvalid
+	case errors.Is(err, errDifferent):
+		return exitDifferent
+	case errors.Is(err, errOutcomeUnknown):
+		return exitUnknown
+	case errors.Is(err, errUnreachable):
+		return exitUnavailable
+	}
+	return exitFailure
+}
+
+// printError explains an error in one or more lines.
+func printError(w io.Writer, err error) {
+	var server *serverError
+	if errors.Is(err, errDifferent) {
+		return
+	}
+	if !errors.As(err, &server) {
+		fmt.Fprintln(w, err)
+		return
+	}
+	if len(server.body.Fields) > 0 {
+		fmt.Fprintf(w, "%d %s\n%v\n", server.body.Code, server.body.Name, server.body.Fields)
+		return
+	}
+	fmt.Fprintln(w, server)
+	if c := server.body.Conflict; c != nil {
+		printChanges(w, c.Changes)
+	}
+	if s := server.body.RetryAfterSeconds; s > 0 {
+		fmt.Fprintf(w, "come back after %d s\n", s)
+	}
+}
--- /dev/null
+++ b/internal/admin/status.go
@@ -0,0 +1,93 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/banyanroute/banyanroute/internal/catalogue"
+	"github.com/banyanroute/banyanroute/internal/peer"
+)
+
+// topicStatus asks an instance for its status.
+const topicStatus peer.Topic = "admin/status"
+
+// Bounds of asking the fleet.
+const (
+	statusTimeout  = time.Second
+	statusParallel = 16
+)
+
+// own returns the status of this instance.
+func (a *api) own() InstanceStatus {
+	s := a.describe(a.Bus.Self())
+	s.Started = a.started
+	s.Phase = PhaseReady
+	switch {
+	case a.Draining != nil && a.Draining():
+		s.Phase = PhaseDraining
+	case a.readiness() != nil:
+		s.Phase = PhaseStarting
+	}
+	if snap := a.Replica.Snapshot(); snap != nil {
+		s.Revision = snap.Revision()
+		s.Digest = snap.Digest().String()
+	}
+	return s
+}
+
+// describe returns what the bus knows of a member.
+func (a *api) describe(m peer.Member) InstanceStatus {
+	return InstanceStatus{
+		ID:          m.ID,
+		Incarnation: m.Incarnation,
+		Address:     m.Address,
+		DataCentre:  m.DataCentre,
+		Region:      m.Region,
+		Phase:       PhaseUnreachable,
+	}
+}
+
+// handleStatus answers another instance.
+func (a *api) handleStatus(context.Context, string, []byte) ([]byte, error) {
+	return cbor.Marshal(a.own())
+}
+
+// status asks all members, a few at a time.
+func (a *api) status(w http.ResponseWriter, r *http.Request, _ catalogue.Operator) error {
+	members := a.Bus.Members()
+	answer := Status{Instance: a.Bus.Self().ID, Instances: make([]InstanceStatus, len(members))}
+	slots := make(chan struct{}, statusParallel)
+	var wg sync.WaitGroup
+	for i, m := range members {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			answer.Instances[i] = a.ask(r.Context(), m)
+		})
+	}
+	wg.Wait()
+	return writeJSON(w, answer)
+}
+
+// ask returns the status of a member; one that does not answer is unreachable.
+func (a *api) ask(ctx context.Context, m peer.Member) InstanceStatus {
+	if m.ID == a.Bus.Self().ID {
+		return a.own()
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	status := a.describe(m)
+	data, err := a.Bus.Call(ctx, m.ID, topicStatus, nil)
+	if err != nil {
+		return status
+	}
+	var answer InstanceStatus
+	if err := cbor.Unmarshal(data, &answer); err != nil {
+		return status
+	}
+	return answer
+}
--- /dev/null
+++ b/internal/catalogue/change.go
@@ -0,0 +1,69 @@
+package catalogue
+
+import (
+	"fmt"
+	"time"
+)
+
+// Update is what one change did to one entry.
+type Update struct {
+	Key Key `json:"key" cbor:"1,keyasint"`
+	// Before and After are nil if the entry did not exist before, or does
+	// not exist after.
+	Before *Record `json:"before,omitempty" cbor:"2,keyasint,omitempty"`
+	After  *Record `json:"after,omitempty" cbor:"3,keyasint,omitempty"`
+}
+
+// decode fills in the entries of both records.
+func (u *Update) decode() error {
+	for _, r := range []*Record{u.Before, u.After} {
+		if r == nil {
+			continue
+		}
+		if err := r.decode(); err != nil {
+			return err
+		}
+		if r.Entry.Key() != u.Key {
+			return fmt.Errorf("update of %s holds %s", u.Key, r.Entry.Key())
+		}
+	}
+	return nil
+}
+
+// Change is one accepted edit. It is stored once under its revision and never
+// overwritten.
+type Change struct {
+	Revision Revision `json:"revision" cbor:"1,keyasint"`
+	// EditID is unique per edit; a repeated edit is recognised by it.
+	EditID string `json:"edit_id" cbor:"2,keyasint"`
+	// Operator is the name of the operator entry, or "bootstrap".
+	Operator string `json:"operator" cbor:"3,keyasint"`
+	// At is when the accepting instance committed the change, by its clock.
+	At      time.Time `json:"at" cbor:"4,keyasint"`
+	Message string    `json:"message,omitempty" cbor:"5,keyasint,omitempty"`
+	Updates []Update  `json:"updates" cbor:"6,keyasint"`
+	// Digest is the digest of the whole catalogue after the change.
+	Digest Digest `json:"digest,string" cbor:"7,keyasint"`
+	// Fingerprint identifies the content of the edit.
+	Fingerprint string `json:"fingerprint" cbor:"8,keyasint"`
+}
+
+// decode fills in the entries of all records.
+func (c *Change) decode() error {
+	for i := range c.Updates {
+		if err := c.Updates[i].decode(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// touches states whether the change updates one of keys.
+func (c *Change) touches(keys map[Key]bool) bool {
+	for _, u := range c.Updates {
+		if keys[u.Key] {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/catalogue/fleet_test.go
@@ -0,0 +1,137 @@
+package catalogue
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/peer/peertest"
+	"github.com/banyanroute/banyanroute/internal/platform/memstore"
+)
+
+// admin may edit everything.
+var admin = Operator{Name: "root", Owners: []string{All}}
+
+func hashOf(text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(sum[:])
+}
+
+func workspace(name, owner string, concurrent int) Entry {
+	return Entry{Kind: KindWorkspace, Name: name, Owner: owner, Limits: Limits{Concurrent: concurrent},
+		Workspace: &WorkspaceSpec{KeySHA256: []string{hashOf(name)}, Models: []string{All}}}
+}
+
+func model(name, version string) Entry {
+	return Entry{Kind: KindModel, Name: name, Owner: "models", Model: &ModelSpec{Version: version}}
+}
+
+// fleet is a number of replicas over one store.
+type fleet struct {
+	t     *testing.T
+	net   *peertest.Net
+	table *memstore.Store
+	nodes map[string]*node
+	edits int
+}
+
+type node struct {
+	*Replica
+	stop context.CancelFunc
+	// installed lists the revisions in the order of their installation.
+	installed []Revision
+}
+
+func newFleet(t *testing.T, size int) *fleet {
+	f := &fleet{t: t, net: peertest.NewNet(time.Millisecond), table: memstore.New(), nodes: map[string]*node{}}
+	for i := range size {
+		f.start(fmt.Sprintf("i%d", i))
+	}
+	t.Cleanup(f.stopAll)
+	return f
+}
+
+// start starts an instance, or starts it again with no memory.
+func (f *fleet) start(id string) *node {
+	f.stop(id)
+	bus := f.net.Join(peer.Member{ID: id})
+	ctx, cancel := context.WithCancel(f.t.Context())
+	n := &node{stop: cancel}
+	n.Replica = NewReplica(NewStore(f.table), bus, Options{Seed: uint64(len(f.nodes) + 1)})
+	n.Subscribe(func(s *Snapshot) { n.installed = append(n.installed, s.Revision()) })
+	f.nodes[id] = n
+	go n.Run(ctx)
+	return n
+}
+
+func (f *fleet) stop(id string) {
+	if n := f.nodes[id]; n != nil {
+		n.stop()
+		f.net.Leave(id)
+		synctest.Wait()
+		delete(f.nodes, id)
+	}
+}
+
+func (f *fleet) stopAll() {
+	for _, n := range f.nodes {
+		n.stop()
+	}
+}
+
+// cut separates one instance from all others, or rejoins it.
+func (f *fleet) cut(id string, cut bool) {
+	for other := range f.nodes {
+		if other != id {
+			f.net.Cut(id, other, cut)
+		}
+	}
+}
+
+// put edits entries through one instance, based on its present revision.
+func (f *fleet) put(id string, entries ...Entry) (Applied, error) {
+	f.edits++
+	n := f.nodes[id]
+	ctx, cancel := context.WithTimeout(f.t.Context(), 10*time.Second)
+	defer cancel()
+	return n.Apply(ctx, Edit{ID: fmt.Sprintf("edit-%d", f.edits), Base: n.Revision(), By: admin, Puts: entries})
+}
+
+func (f *fleet) mustPut(id string, entries ...Entry) Revision {
+	f.t.Helper()
+	applied, err := f.put(id, entries...)
+	if err != nil {
+		f.t.Fatalf("edit through %s: %v", id, err)
+	}
+	return applied.Revision
+}
+
+// wantAll fails unless every instance has the revision within limit, and
+// returns how long it took.
+func (f *fleet) wantAll(rev Revision, limit time.Duration) time.Duration {
+	f.t.Helper()
+	begin := time.Now()
+	for {
+		behind := ""
+		for id, n := range f.nodes {
+			if n.Revision() < rev {
+				behind = id
+			}
+		}
+		if behind == "" {
+			return time.Since(begin)
+		}
+		if time.Since(begin) > limit {
+			f.t.Fatalf("%s has revision %d after %s; want %d", behind, f.nodes[behind].Revision(), limit, rev)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// settle lets the fleet run.
+func settle(d time.Duration) { time.Sleep(d) }
--- /dev/null
+++ b/internal/catalogue/message.go
@@ -0,0 +1,146 @@
+package catalogue
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/banyanroute/banyanroute/internal/peer"
+)
+
+// Topics of the catalogue between instances.
+const (
+	// topicOffer is the broadcast of a new revision.
+	topicOffer peer.Topic = "catalogue/offer"
+	// topicFetch is the call for the changes after a revision.
+	topicFetch peer.Topic = "catalogue/fetch"
+	// topicPage is the call for one page of a whole catalogue.
+	topicPage peer.Topic = "catalogue/page"
+)
+
+// Bounds of messages.
+const (
+	// maxInlineBytes is the longest encoded change that travels inside an
+	// offer; longer ones are fetched.
+	maxInlineBytes = 2 << 10
+	// maxFetchBytes and maxPageBytes are the sizes at which an answer ends.
+	maxFetchBytes = 128 << 10
+	maxPageBytes  = 128 << 10
+)
+
+// offer tells the others about a new revision.
+type offer struct {
+	Revision Revision `cbor:"1,keyasint"`
+	Digest   Digest   `cbor:"2,keyasint"`
+	// Change is the change that made the revision, if it is short.
+	Change *Change `cbor:"3,keyasint,omitempty"`
+}
+
+// fetchRequest asks for the changes after the caller's revision.
+type fetchRequest struct {
+	Revision Revision `cbor:"1,keyasint"`
+	Digest   Digest   `cbor:"2,keyasint"`
+}
+
+// fetchAnswer holds the next changes. If there are none and Revision is higher
+// than the caller's, the caller is too far behind and fetches pages.
+type fetchAnswer struct {
+	Revision Revision `cbor:"1,keyasint"`
+	Digest   Digest   `cbor:"2,keyasint"`
+	Changes  []Change `cbor:"3,keyasint,omitempty"`
+}
+
+// pageRequest asks for the records after a key, in ascending order.
+type pageRequest struct {
+	After string `cbor:"1,keyasint"`
+}
+
+// pageAnswer is one page of the catalogue at a revision. The last page has no
+// Next.
+type pageAnswer struct {
+	Revision Revision `cbor:"1,keyasint"`
+	Digest   Digest   `cbor:"2,keyasint"`
+	Records  []Record `cbor:"3,keyasint,omitempty"`
+	Next     string   `cbor:"4,keyasint,omitempty"`
+}
+
+// encoder and decoder are the CBOR modes of all messages.
+var (
+	encoder = mustMode(cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode())
+	decoder = mustMode(cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxNestedLevels:  16,
+		MaxArrayElements: 1 << 16,
+		MaxMapPairs:      1 << 10,
+	}.DecMode())
+)
+
+func mustMode[M any](mode M, err error) M {
+	if err != nil {
+		panic(fmt.Sprintf("CBOR options: %v", err))
+	}
+	return mode
+}
+
+// forPeers returns the change without what only the history needs.
+func (c Change) forPeers() Change {
+	updates := make([]Update, len(c.Updates))
+	for i, u := range c.Updates {
+		updates[i] = Update{Key: u.Key, After: u.After}
+	}
+	c.Updates = updates
+	return c
+}
+
+// encode returns the CBOR form of a message. The types of this package always
+// encode.
+func encode(message any) []byte {
+	data, err := encoder.Marshal(message)
+	if err != nil {
+		panic(fmt.Sprintf("encoding %T: %v", message, err))
+	}
+	return data
+}
+
+// decodeOffer decodes and checks an offer.
+func decodeOffer(data []byte) (offer, error) {
+	var o offer
+	if err := decoder.Unmarshal(data, &o); err != nil {
+		return o, err
+	}
+	if o.Change == nil {
+		return o, nil
+	}
+	if o.Change.Revision != o.Revision || o.Change.Digest != o.Digest {
+		return o, fmt.Errorf("offer of revision %d holds change %d", o.Revision, o.Change.Revision)
+	}
+	return o, o.Change.decode()
+}
+
+// decodeFetchAnswer decodes and checks an answer.
+func decodeFetchAnswer(data []byte) (fetchAnswer, error) {
+	var a fetchAnswer
+	if err := decoder.Unmarshal(data, &a); err != nil {
+		return a, err
+	}
+	for i := range a.Changes {
+		if err := a.Changes[i].decode(); err != nil {
+			return a, err
+		}
+	}
+	return a, nil
+}
+
+// decodePageAnswer decodes and checks a page.
+func decodePageAnswer(data []byte) (pageAnswer, error) {
+	var a pageAnswer
+	if err := decoder.Unmarshal(data, &a); err != nil {
+		return a, err
+	}
+	for i := range a.Records {
+		if err := a.Records[i].decode(); err != nil {
+			return a, err
+		}
+	}
+	return a, nil
+}
--- /dev/null
+++ b/internal/catalogue/replica.go
@@ -0,0 +1,265 @@
+package catalogue
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/peer"
+)
+
+var log = logging.For("catalogue")
+
+// source says where an installed snapshot came from.
+type source string
+
+const (
+	sourceEdit  source = "edit"
+	sourceStore source = "store"
+	sourcePush  source = "push"
+	sourceFetch source = "fetch"
+)
+
+// Options tune a Replica; zero values are the defaults.
+type Options struct {
+	// Exchange is the mean time between two exchanges with a neighbour; the
+	// default is 2 s.
+	Exchange time.Duration
+	// PollRate is the rate of polls of the head row, in reads per second over
+	// the whole fleet; the default is 40.
+	PollRate float64
+	// MinPoll is the shortest time between two polls of one instance; the
+	// default is 2 s.
+	MinPoll time.Duration
+	// CallTimeout bounds one call to a peer or read of the store; the
+	// default is 1 s.
+	CallTimeout time.Duration
+	// Seed makes the jitter reproducible; zero takes a random one.
+	Seed uint64
+}
+
+// Defaults of Options.
+const (
+	defaultExchange    = 2 * time.Second
+	defaultPollRate    = 40
+	defaultMinPoll     = 2 * time.Second
+	defaultCallTimeout = time.Second
+)
+
+func (o Options) withDefaults() Options {
+	if o.Exchange <= 0 {
+		o.Exchange = defaultExchange
+	}
+	if o.PollRate <= 0 {
+		o.PollRate = defaultPollRate
+	}
+	if o.MinPoll <= 0 {
+		o.MinPoll = defaultMinPoll
+	}
+	if o.CallTimeout <= 0 {
+		o.CallTimeout = defaultCallTimeout
+	}
+	if o.Seed == 0 {
+		o.Seed = rand.Uint64()
+	}
+	return o
+}
+
+// Replica keeps this instance's copy of the catalogue current. It hears of new
+// revisions from peers, compares with a neighbour from time to time, and polls
+// the head row as a backstop. It is safe for concurrent use.
+type Replica struct {
+	store *Store
+	bus   peer.Bus
+	opts  Options
+
+	current atomic.Pointer[Snapshot]
+
+	// mu guards installation and the fields below it.
+	mu          sync.Mutex
+	subscribers []func(*Snapshot)
+	// noticed is the highest revision heard of, and who has it.
+	noticed     Revision
+	noticedFrom string
+	random      *rand.Rand
+
+	// wakeFetch and wakePoll each hold at most one request.
+	wakeFetch chan struct{}
+	wakePoll  chan struct{}
+}
+
+// NewReplica returns a replica and registers its handlers on the bus, which
+// must not have been started.
+func NewReplica(store *Store, bus peer.Bus, opts Options) *Replica {
+	opts = opts.withDefaults()
+	r := &Replica{
+		store:     store,
+		bus:       bus,
+		opts:      opts,
+		random:    rand.New(rand.NewPCG(opts.Seed, 0)),
+		wakeFetch: make(chan struct{}, 1),
+		wakePoll:  make(chan struct{}, 1),
+	}
+	bus.HandleBroadcast(topicOffer, r.handleOffer)
+	bus.HandleCall(topicFetch, r.handleFetch)
+	bus.HandleCall(topicPage, r.handlePage)
+	return r
+}
+
+// Run keeps the replica current until ctx ends.
+func (r *Replica) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	wg.Go(func() { r.runExchange(ctx) })
+	wg.Go(func() { r.runPoll(ctx) })
+	wg.Wait()
+	return ctx.Err()
+}
+
+// Snapshot returns the present catalogue, or nil if there is none yet.
+func (r *Replica) Snapshot() *Snapshot { return r.current.Load() }
+
+// Ready states whether the instance has a catalogue: one that the store or a
+// peer with one had when the instance started, or a later one.
+func (r *Replica) Ready() bool { return r.Snapshot() != nil }
+
+// Revision returns the revision of the present catalogue, or zero.
+func (r *Replica) Revision() Revision {
+	if snap := r.Snapshot(); snap != nil {
+		return snap.revision
+	}
+	return 0
+}
+
+// Subscribe calls f with each newly installed snapshot, in order, and at once
+// with the present one if there is one. f must not block.
+func (r *Replica) Subscribe(f func(*Snapshot)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.subscribers = append(r.subscribers, f)
+	if snap := r.Snapshot(); snap != nil {
+		f(snap)
+	}
+}
+
+// Apply makes an edit through this instance and installs it here at once; see
+// Store.Apply.
+func (r *Replica) Apply(ctx context.Context, edit Edit) (Applied, error) {
+	applied, err := r.store.Apply(ctx, edit)
+	if err != nil {
+		return applied, err
+	}
+	if snap := r.store.latest.Load(); snap != nil {
+		r.Install(snap)
+	}
+	return applied, nil
+}
+
+// Install installs a snapshot that was read from, or committed to, the store
+// and tells the other instances. It returns false, and changes nothing, unless
+// the snapshot's revision is higher than the present one.
+func (r *Replica) Install(snap *Snapshot) bool {
+	if !r.install(snap, sourceEdit) {
+		return false
+	}
+	r.announce(snap)
+	return true
+}
+
+// install makes snap the present snapshot if its revision is higher.
+func (r *Replica) install(snap *Snapshot, from source) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if old := r.Snapshot(); old != nil && snap.revision <= old.revision {
+		return false
+	}
+	r.replace(snap, from)
+	return true
+}
+
+// repair replaces content that has the store's revision and another digest.
+func (r *Replica) repair(snap *Snapshot) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.Snapshot()
+	if old == nil || snap.revision != old.revision || snap.digest == old.digest {
+		return
+	}
+	log.Errorf("content of revision %d differed from the store and was replaced", snap.revision)
+	r.replace(snap, sourceStore)
+}
+
+// replace publishes snap. The caller holds mu.
+func (r *Replica) replace(snap *Snapshot, from source) {
+	r.current.Store(snap)
+	r.store.Offer(snap)
+	metrics.GetOrCreateCounter(fmt.Sprintf("catalogue_installs_total{source=%q}", from)).Inc()
+	log.Infof("installed revision %d with %d entries from %s", snap.revision, snap.Len(), from)
+	for _, f := range r.subscribers {
+		f(snap)
+	}
+}
+
+// announce broadcasts a revision, with its change if that is short.
+func (r *Replica) announce(snap *Snapshot) {
+	o := offer{Revision: snap.revision, Digest: snap.digest}
+	if n := len(snap.recent); n > 0 {
+		change := snap.recent[n-1].forPeers()
+		if changeSize(change) <= maxInlineBytes {
+			o.Change = &change
+		}
+	}
+	r.bus.Broadcast(topicOffer, encode(o))
+}
+
+// notice remembers that a peer has a revision, and wakes the fetching.
+func (r *Replica) notice(from string, rev Revision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rev <= r.noticed || rev <= r.Revision() {
+		return
+	}
+	r.noticed, r.noticedFrom = rev, from
+	wake(r.wakeFetch)
+}
+
+// behind returns the highest revision heard of and who has it, if it is higher
+// than the present one.
+func (r *Replica) behind() (from string, behind bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.noticedFrom, r.noticed > r.Revision()
+}
+
+// diverged reports a peer that has other content under the same revision; the
+// store decides.
+func (r *Replica) diverged(from string, rev Revision) {
+	log.Errorf("%s has other content of revision %d", from, rev)
+	metrics.GetOrCreateCounter("catalogue_diverged_total").Inc()
+	wake(r.wakePoll)
+}
+
+// refused counts and logs content from a peer that is not trusted.
+func (r *Replica) refused(what, from string, err error) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("catalogue_refused_total{what=%q}", what)).Inc()
+	log.Warnf("refused %s from %s: %v", what, from, err)
+}
+
+// jitter returns a random time from 3/4 to 5/4 of mean.
+func (r *Replica) jitter(mean time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return mean*3/4 + time.Duration(r.random.Int64N(int64(mean)/2+1))
+}
+
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
