--- /dev/null
+++ b/internal/localfleet/fleet.go
@@ -0,0 +1,331 @@
+package localfleet
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/banyanroute/banyanroute/internal/platform"
+)
+
+// Layout says what to start.
+type Layout struct {
+	// Bin is the folder with the built programs, Dir the folder for settings
+	// and logs.
+	Bin, Dir string
+	// Instances, Engines and Services are numbers of processes.
+	Instances, Engines, Services int
+	// Model and Service are the names that callers use.
+	Model, Service string
+	// DataCentres are given to instances and upstreams in turn.
+	DataCentres []string
+	Region      string
+	// MemoryTokens is the KV memory of each engine.
+	MemoryTokens int
+	// EngineFlags are added to each engine's command line.
+	EngineFlags []string
+	// Algorithm and ShortWeight go into the policy entry.
+	Algorithm   string
+	ShortWeight float64
+	// InstanceSettings is YAML that is added to each instance's settings.
+	InstanceSettings string
+	// LiveLag is how far the live list lags; zero is the stand-in's default.
+	LiveLag time.Duration
+}
+
+// Keys of the local deployment. They protect nothing.
+const (
+	// Token is the operator's token.
+	Token = "local-operator-token"
+	// CallerKey is the key of workspace "alpha", OtherKey of workspace "beta".
+	CallerKey = "local-alpha-key"
+	OtherKey  = "local-beta-key"
+	// linkSecret is shared by the instances.
+	linkSecret = "local-link-secret-0123456789"
+	orderKey   = "local-order-key-0123456789"
+)
+
+// Instance is one running instance with its addresses.
+type Instance struct {
+	*Process
+	Callers, Operators, Links string
+	line                      platform.Listed
+}
+
+// Upstream is one running engine or service process.
+type Upstream struct {
+	*Process
+	Address    string
+	DataCentre string
+	service    string
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Layout    Layout
+	Platform  *Process
+	Instances []*Instance
+	Engines   []*Upstream
+	Services  []*Upstream
+	// PlatformURL is the base URL of the platform's stand-in.
+	PlatformURL string
+}
+
+// startTimeout bounds the wait for a process to answer.
+const startTimeout = 20 * time.Second
+
+// Start starts everything, fills the catalogue and waits until all instances
+// are ready. On error it stops what it has started.
+func Start(ctx context.Context, layout Layout) (*Fleet, error) {
+	f := &Fleet{Layout: layout}
+	if err := f.start(ctx); err != nil {
+		f.Stop()
+		return nil, trace.Wrap(err)
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	if err := os.MkdirAll(f.Layout.Dir, 0o755); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	l := &f.Layout
+	addresses, err := freeAddresses(1 + l.Engines + l.Services + 3*l.Instances)
+	if err != nil {
+		return err
+	}
+	if err := f.startPlatform(ctx, addresses[0]); err != nil {
+		return err
+	}
+	if err := f.startUpstreams(ctx, addresses[1:1+l.Engines+l.Services]); err != nil {
+		return err
+	}
+	if err := f.startInstances(ctx, addresses[1+l.Engines+l.Services:]); err != nil {
+		return err
+	}
+	if err := f.applyCatalogue(ctx); err != nil {
+		return err
+	}
+	for _, in := range f.Instances {
+		if err := WaitOK(ctx, "http://"+in.Operators+"/readyz"); err != nil {
+			return trace.Wrap(err, "instance %s", in.Name)
+		}
+	}
+	return f.waitCatalogue(ctx)
+}
+
+func (f *Fleet) startPlatform(ctx context.Context, address string) error {
+	args := []string{"platform", "--listen", address}
+	if f.Layout.LiveLag > 0 {
+		args = append(args, "--live-lag", f.Layout.LiveLag.String())
+	}
+	f.Platform = newProcess(f.Layout.Dir, "platform", f.bin("banyanstandin"), args...)
+	f.PlatformURL = "http://" + address
+	if err := f.Platform.Start(); err != nil {
+		return err
+	}
+	return WaitOK(ctx, f.PlatformURL+"/live")
+}
+
+func (f *Fleet) bin(name string) string { return filepath.Join(f.Layout.Bin, name) }
+
+// centre returns the data centre of the i-th process of a kind.
+func (f *Fleet) centre(i int) string { return f.Layout.DataCentres[i%len(f.Layout.DataCentres)] }
+
+func (f *Fleet) startUpstreams(ctx context.Context, addresses []string) error {
+	for i := range f.Layout.Engines {
+		name := fmt.Sprintf("engine-%d", i+1)
+		args := append([]string{"engine", "--listen", addresses[i], "--name", name, "--models", f.Layout.Model + ":v1",
+			"--memory-tokens", fmt.Sprint(f.Layout.MemoryTokens)}, f.Layout.EngineFlags...)
+		f.Engines = append(f.Engines, f.upstream(name, addresses[i], "", i, args))
+	}
+	for i := range f.Layout.Services {
+		name := fmt.Sprintf("%s-%d", f.Layout.Service, i+1)
+		address := addresses[f.Layout.Engines+i]
+		args := []string{"service", "--listen", address, "--name", name}
+		f.Services = append(f.Services, f.upstream(name, address, f.Layout.Service, i, args))
+	}
+	for _, up := range f.Upstreams() {
+		if err := up.Start(); err != nil {
+			return err
+		}
+	}
+	for _, up := range f.Upstreams() {
+		if err := WaitOK(ctx, "http://"+up.Address+"/health"); err != nil {
+			return trace.Wrap(err, "upstream %s", up.Name)
+		}
+		if err := f.List(ctx, platform.Listed{ID: up.Name, Role: "upstream", Address: up.Address, DataCentre: up.DataCentre, Region: f.Layout.Region, Phase: platform.Live}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) upstream(name, address, service string, i int, args []string) *Upstream {
+	return &Upstream{
+		Process:    newProcess(f.Layout.Dir, name, f.bin("banyanstandin"), args...),
+		Address:    address,
+		DataCentre: f.centre(i),
+		service:    service,
+	}
+}
+
+// Upstreams returns engines and services.
+func (f *Fleet) Upstreams() []*Upstream {
+	return append(append([]*Upstream(nil), f.Engines...), f.Services...)
+}
+
+func (f *Fleet) startInstances(ctx context.Context, addresses []string) error {
+	for i := range f.Layout.Instances {
+		in, err := f.newInstance(i, addresses[3*i:3*i+3])
+		if err != nil {
+			return err
+		}
+		f.Instances = append(f.Instances, in)
+		if err := in.Start(); err != nil {
+			return err
+		}
+		if err := f.List(ctx, in.line); err != nil {
+			return err
+		}
+	}
+	for _, in := range f.Instances {
+		if err := WaitOK(ctx, "http://"+in.Operators+"/healthz"); err != nil {
+			return trace.Wrap(err, "instance %s", in.Name)
+		}
+	}
+	return nil
+}
+
+// newInstance writes the settings of the i-th instance.
+func (f *Fleet) newInstance(i int, addresses []string) (*Instance, error) {
+	name := fmt.Sprintf("i%d", i+1)
+	in := &Instance{Callers: addresses[0], Operators: addresses[1], Links: addresses[2]}
+	in.line = platform.Listed{ID: name, Role: "instance", Address: in.Links, DataCentre: f.centre(i), Region: f.Layout.Region, Phase: platform.Live}
+	text := fmt.Sprintf(`instance: %s
+region: %s
+data_centre: %s
+listen:
+  callers: {address: "%s"}
+  operators: {address: "%s"}
+  links: {address: "%s"}
+platform:
+  url: %s
+secrets:
+  links: %s
+  orders: %s
+  bootstrap_token_sha256: %s
+%s
+`, name, f.Layout.Region, f.centre(i), in.Callers, in.Operators, in.Links, f.PlatformURL, linkSecret, orderKey, sha256Hex(Token), f.Layout.InstanceSettings)
+	file := filepath.Join(f.Layout.Dir, name+".yaml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	in.Process = newProcess(f.Layout.Dir, name, f.bin("banyanrouted"), "--config", file)
+	return in, nil
+}
+
+func sha256Hex(text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(sum[:])
+}
+
+// List sets a line of the platform's live list.
+func (f *Fleet) List(ctx context.Context, line platform.Listed) error {
+	return Send(ctx, http.MethodPut, f.PlatformURL+"/standin/live/"+line.ID, line)
+}
+
+// Unlist removes a line of the platform's live list.
+func (f *Fleet) Unlist(ctx context.Context, id string) error {
+	return Send(ctx, http.MethodDelete, f.PlatformURL+"/standin/live/"+id, nil)
+}
+
+// Stop ends all processes of the deployment.
+func (f *Fleet) Stop() {
+	for _, in := range f.Instances {
+		in.Kill()
+	}
+	for _, up := range f.Upstreams() {
+		up.Kill()
+	}
+	if f.Platform != nil {
+		f.Platform.Kill()
+	}
+}
+
+// Ctl runs banyanctl against an instance and returns its output.
+func (f *Fleet) Ctl(ctx context.Context, instance int, args ...string) (string, error) {
+	base := []string{"--address", "http://" + f.Instances[instance].Operators, "--token", Token}
+	out, err := exec.CommandContext(ctx, f.bin("banyanctl"), append(base, args...)...).CombinedOutput()
+	if err != nil {
+		return string(out), trace.Wrap(err, "banyanctl %v: %s", args, out)
+	}
+	return string(out), nil
+}
+
+// Send sends a JSON call and checks that its status is 2xx.
+func Send(ctx context.Context, method, url string, body any) error {
+	var payload bytes.Buffer
+	if body != nil {
+		if err := json.NewEncoder(&payload).Encode(body); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, &payload)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	res.Body.Close()
+	if res.StatusCode/100 != 2 {
+		return trace.BadParameter("%s %s answered status %d", method, url, res.StatusCode)
+	}
+	return nil
+}
+
+// Fetch decodes the JSON answer of a GET call.
+func Fetch(ctx context.Context, url string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer res.Body.Close()
+	return trace.Wrap(json.NewDecoder(res.Body).Decode(out))
+}
+
+// probePause is the wait between two looks at a starting process.
+const probePause = 50 * time.Millisecond
+
+// WaitOK waits until a GET of url answers 200.
+func WaitOK(ctx context.Context, url string) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for {
+		err := Send(ctx, http.MethodGet, url, nil)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return trace.Wrap(err, "waiting for %s", url)
+		case <-time.After(probePause):
+		}
+	}
+}
