Membership: links between instances over WebSocket with CBOR

Links are authenticated by an HMAC challenge. Broadcasts flood with a window per origin; calls use direct links that close when idle.

--- /dev/null
+++ b/internal/member/dump.go
@@ -0,0 +1,87 @@
+package member
+
+import (
+	"sort"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/peer"
+)
+
+// Dump is the overlay's state for operators.
+type Dump struct {
+	Self        peer.Member      `json:"self"`
+	Members     []DumpedMember   `json:"members"`
+	Links       []DumpedLink     `json:"links"`
+	Wanted      []string         `json:"wanted"`
+	Unreachable []string         `json:"unreachable_data_centres,omitempty"`
+	Listed      int              `json:"listed"`
+	Traffic     []Traffic        `json:"traffic"`
+	Direct      DumpedDirectLink `json:"direct_links"`
+}
+
+// DumpedMember is one known instance.
+type DumpedMember struct {
+	peer.Member
+	State string `json:"state"`
+	Seq   uint64 `json:"seq"`
+}
+
+// DumpedLink is one open overlay link.
+type DumpedLink struct {
+	Peer       string `json:"peer"`
+	DataCentre string `json:"data_centre"`
+	Dialled    bool   `json:"dialled"`
+	// SilentMillis is the time since the last message.
+	SilentMillis int64 `json:"silent_ms"`
+}
+
+// DumpedDirectLink counts the links that carry only calls.
+type DumpedDirectLink struct {
+	Dialled  int `json:"dialled"`
+	Accepted int `json:"accepted"`
+}
+
+// dumpTimeout bounds the wait for the control goroutine.
+const dumpTimeout = time.Second
+
+// Dump returns the present state, or only the members if the overlay does not
+// run. The result is a Dump.
+func (o *Overlay) Dump() any {
+	reply := make(chan Dump, 1)
+	timer := time.NewTimer(dumpTimeout)
+	defer timer.Stop()
+	select {
+	case o.events <- dumpRequested{reply}:
+	case <-timer.C:
+		return Dump{Self: o.self, Traffic: o.Traffic()}
+	}
+	select {
+	case d := <-reply:
+		return d
+	case <-timer.C:
+		return Dump{Self: o.self, Traffic: o.Traffic()}
+	}
+}
+
+func (c *control) dump(now time.Time) Dump {
+	d := Dump{Self: c.table.self.member(), Listed: len(c.listed), Traffic: c.o.Traffic()}
+	d.Direct.Dialled, d.Direct.Accepted = c.o.direct.count()
+	for _, e := range c.table.entries {
+		d.Members = append(d.Members, DumpedMember{e.member(), string(stateOf[e.Status]), e.Seq})
+	}
+	sort.Slice(d.Members, func(i, j int) bool { return d.Members[i].ID < d.Members[j].ID })
+	for id, l := range c.links {
+		d.Links = append(d.Links, DumpedLink{id, l.peer.DataCentre, l.dialled, l.silentFor(now).Milliseconds()})
+	}
+	sort.Slice(d.Links, func(i, j int) bool { return d.Links[i].Peer < d.Links[j].Peer })
+	for id := range c.wanted {
+		d.Wanted = append(d.Wanted, id)
+	}
+	sort.Strings(d.Wanted)
+	for centre := range c.centres.unreachable() {
+		d.Unreachable = append(d.Unreachable, centre)
+	}
+	sort.Strings(d.Unreachable)
+	sort.Slice(d.Traffic, func(i, j int) bool { return d.Traffic[i].Topic < d.Traffic[j].Topic })
+	return d
+}
--- /dev/null
+++ b/internal/member/links.go
@@ -0,0 +1,148 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/banyanroute/banyanroute/internal/peer"
+)
+
+// Accept runs the acceptor's side of a link on conn and serves it until it is
+// closed.
+func (o *Overlay) Accept(conn Conn) {
+	done := make(chan struct{})
+	started := o.spawn(func(ctx context.Context) {
+		defer close(done)
+		o.acceptLink(ctx, conn)
+	})
+	if !started {
+		conn.Close()
+		return
+	}
+	<-done
+}
+
+func (o *Overlay) acceptLink(ctx context.Context, conn Conn) {
+	defer conn.Close()
+	shaking, cancel := context.WithTimeout(ctx, o.timing.DialTimeout)
+	defer cancel()
+	first, err := welcome(shaking, conn, o.secret, recordOf(o.Self()), o.refusal)
+	if err != nil {
+		log.WithError(err).Debug("A link was not accepted.")
+		return
+	}
+	o.serveLink(ctx, newLink(conn, first.Kind, false, first.From.member()))
+}
+
+// refusal gives the reason for not taking a link.
+func (o *Overlay) refusal(first hello) string {
+	switch {
+	case first.Version != protocolVersion:
+		return "unknown protocol version"
+	case first.To != "" && first.To != o.self.ID:
+		return "this is instance " + o.self.ID
+	case first.From.ID == o.self.ID:
+		return "the same instance ID"
+	case first.Kind == linkOverlay && len(o.links.Load().links) >= maxOverlayLinks:
+		return "too many links"
+	case first.Kind != linkOverlay && first.Kind != linkDirect:
+		return "unknown kind of link"
+	}
+	return ""
+}
+
+// openLink dials m and runs the handshake.
+func (o *Overlay) openLink(ctx context.Context, m peer.Member, kind linkKind) (*link, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.timing.DialTimeout)
+	defer cancel()
+	conn, err := o.dialer.Dial(ctx, m.Address)
+	if err != nil {
+		return nil, err
+	}
+	first := hello{Kind: kind, To: m.ID, From: recordOf(o.Self())}
+	other, err := greet(ctx, conn, o.secret, first)
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return newLink(conn, kind, true, other.member()), nil
+}
+
+// serveLink runs a link until it is closed.
+func (o *Overlay) serveLink(ctx context.Context, l *link) {
+	defer l.close()
+	if !o.spawn(func(ctx context.Context) { l.write(ctx) }) {
+		return
+	}
+	if l.kind == linkOverlay {
+		o.post(ctx, linkOpened{l})
+		defer o.post(ctx, linkClosed{l})
+	} else if !l.dialled {
+		o.direct.accepted(l)
+		defer o.direct.remove(l)
+	}
+	for {
+		frame, err := l.conn.Read(ctx)
+		if err != nil {
+			return
+		}
+		if err := o.receive(ctx, l, frame); err != nil {
+			log.WithError(err).WithField("peer", l.peer.ID).Warn("A message could not be decoded; the link is closed.")
+			return
+		}
+	}
+}
+
+// receive decodes and handles one message.
+func (o *Overlay) receive(ctx context.Context, l *link, frame []byte) error {
+	started := time.Now()
+	var m message
+	if err := decoding.Unmarshal(frame, &m); err != nil {
+		return trace.Wrap(err, "decoding a message")
+	}
+	l.touch()
+	topic := m.topic()
+	switch {
+	case m.Broadcast != nil:
+		o.receiveBroadcast(l, m.Broadcast, frame)
+	case m.Call != nil:
+		o.receiveCall(l, *m.Call)
+	case m.Answer != nil:
+		l.deliver(*m.Answer)
+	case l.kind == linkOverlay:
+		o.post(ctx, received{l, m})
+	}
+	o.counters.received(topic, len(frame), time.Since(started))
+	return nil
+}
+
+// topic names the kind of message in metrics.
+func (m *message) topic() string {
+	switch {
+	case m.Heartbeat != nil:
+		return "heartbeat"
+	case m.Gossip != nil:
+		return "gossip"
+	case m.Broadcast != nil:
+		return "broadcast/" + string(m.Broadcast.Topic)
+	case m.Call != nil:
+		return "call/" + string(m.Call.Topic)
+	case m.Answer != nil:
+		return "answer"
+	case m.Sync != nil:
+		return "sync"
+	}
+	return "bye"
+}
+
+// sendOn encodes and queues a message; a full queue closes the link.
+func (o *Overlay) sendOn(l *link, m message) {
+	frame := encode(m)
+	if !l.send(frame) {
+		l.close()
+		return
+	}
+	o.counters.sent(m.topic(), len(frame))
+}
--- /dev/null
+++ b/internal/member/memnet_test.go
@@ -0,0 +1,364 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/platform"
+)
+
+var errClosed = errors.New("connection closed")
+
+// memNet connects overlays in memory. A cut is silent: what is sent is lost and
+// dialling hangs. A frozen instance reads and writes nothing until it thaws.
+type memNet struct {
+	mu      sync.Mutex
+	latency time.Duration
+	nodes   map[string]*Overlay
+	cut     map[[2]string]bool
+	thawed  map[string]chan struct{}
+	list    []platform.Listed
+	bytes   int
+}
+
+func newMemNet() *memNet {
+	return &memNet{
+		latency: time.Millisecond,
+		nodes:   map[string]*Overlay{},
+		cut:     map[[2]string]bool{},
+		thawed:  map[string]chan struct{}{},
+	}
+}
+
+func (n *memNet) List(context.Context) ([]platform.Listed, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]platform.Listed(nil), n.list...), nil
+}
+
+func (n *memNet) setCut(a, b string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[[2]string{a, b}], n.cut[[2]string{b, a}] = cut, cut
+}
+
+func (n *memNet) isCut(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[[2]string{a, b}]
+}
+
+// wait blocks while id is frozen.
+func (n *memNet) wait(ctx context.Context, id string) error {
+	n.mu.Lock()
+	thawed := n.thawed[id]
+	n.mu.Unlock()
+	if thawed == nil {
+		return ctx.Err()
+	}
+	select {
+	case <-thawed:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// memDialer dials as one instance; addresses are instance IDs.
+type memDialer struct {
+	net  *memNet
+	from string
+}
+
+func (d memDialer) Dial(ctx context.Context, address string) (Conn, error) {
+	d.net.mu.Lock()
+	target := d.net.nodes[address]
+	d.net.mu.Unlock()
+	if d.net.isCut(d.from, address) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if target == nil {
+		return nil, errors.New("connection refused")
+	}
+	toTarget, toDialler := make(chan frame, 4096), make(chan frame, 4096)
+	closed := make(chan struct{})
+	once := &sync.Once{}
+	ours := &memConn{net: d.net, self: d.from, peer: address, in: toDialler, out: toTarget, closed: closed, once: once}
+	theirs := &memConn{net: d.net, self: address, peer: d.from, in: toTarget, out: toDialler, closed: closed, once: once}
+	go target.Accept(theirs)
+	return ours, nil
+}
+
+type frame struct {
+	data []byte
+	at   time.Time
+}
+
+type memConn struct {
+	net        *memNet
+	self, peer string
+	in         <-chan frame
+	out        chan<- frame
+	closed     chan struct{}
+	once       *sync.Once
+	// mute loses what is sent, for good.
+	mute atomic.Bool
+}
+
+func (c *memConn) Read(ctx context.Context) ([]byte, error) {
+	for {
+		select {
+		case f := <-c.in:
+			time.Sleep(time.Until(f.at))
+			if err := c.net.wait(ctx, c.self); err != nil {
+				return nil, err
+			}
+			return f.data, nil
+		case <-c.closed:
+			return nil, errClosed
+		case <-ctx.Done():
+			c.Close()
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (c *memConn) Write(ctx context.Context, data []byte) error {
+	if err := c.net.wait(ctx, c.self); err != nil {
+		return err
+	}
+	if c.mute.Load() || c.net.isCut(c.self, c.peer) {
+		return nil // a write into a silent connection succeeds
+	}
+	c.net.mu.Lock()
+	c.net.bytes += len(data)
+	c.net.mu.Unlock()
+	select {
+	case c.out <- frame{data, time.Now().Add(c.net.latency)}:
+		return nil
+	case <-c.closed:
+		return errClosed
+	}
+}
+
+func (c *memConn) Close() { c.once.Do(func() { close(c.closed) }) }
+
+// node is one instance of a test cluster.
+type node struct {
+	*Overlay
+	stop    context.CancelFunc
+	stopped chan struct{}
+	thaw    chan Dump
+	got     sync.Map // payload -> count of deliveries
+}
+
+// cluster is a deployment in memory. It is used in a synctest bubble.
+type cluster struct {
+	t      *testing.T
+	net    *memNet
+	nodes  map[string]*node
+	starts uint64
+}
+
+func newCluster(t *testing.T) *cluster {
+	return &cluster{t: t, net: newMemNet(), nodes: map[string]*node{}}
+}
+
+const testTopic peer.Topic = "test"
+
+// start runs one instance whose ID is "region/data centre/name".
+func (c *cluster) start(id string) *node {
+	parts := strings.Split(id, "/")
+	c.starts++
+	self := peer.Member{ID: id, Incarnation: c.starts, Address: id, Region: parts[0], DataCentre: parts[0] + "/" + parts[1]}
+	o, err := New(Options{Self: self, Secret: []byte("secret"), LiveList: c.net, Dialer: memDialer{c.net, id}})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	n := &node{Overlay: o, stopped: make(chan struct{})}
+	o.HandleBroadcast(testTopic, func(_ string, payload []byte) {
+		count, _ := n.got.LoadOrStore(string(payload), new(atomic.Int64))
+		count.(*atomic.Int64).Add(1)
+	})
+	o.HandleCall(testTopic, func(_ context.Context, from string, payload []byte) ([]byte, error) {
+		return append([]byte(from+": "), payload...), nil
+	})
+	var ctx context.Context
+	ctx, n.stop = context.WithCancel(context.Background())
+	c.net.mu.Lock()
+	c.net.nodes[id] = o
+	c.net.mu.Unlock()
+	go func() {
+		defer close(n.stopped)
+		_ = o.Run(ctx)
+	}()
+	c.nodes[id] = n
+	return n
+}
+
+// startAll starts and lists n instances over the data centres in turn.
+func (c *cluster) startAll(n int, centres ...string) {
+	for i := range n {
+		id := fmt.Sprintf("%s/n%03d", centres[i%len(centres)], i)
+		c.listAs(id, platform.Live)
+		c.start(id)
+	}
+}
+
+// listAs sets an instance's phase on the platform's list; "" removes it.
+func (c *cluster) listAs(id string, phase platform.Phase) {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	var list []platform.Listed
+	for _, item := range c.net.list {
+		if item.ID != id {
+			list = append(list, item)
+		}
+	}
+	if phase != "" {
+		list = append(list, platform.Listed{ID: id, Role: "instance", Address: id, Phase: phase})
+	}
+	c.net.list = list
+}
+
+// kill ends an instance without a word to the others.
+func (c *cluster) kill(id string) {
+	c.net.mu.Lock()
+	delete(c.net.nodes, id)
+	c.net.mu.Unlock()
+	for other := range c.nodes {
+		c.net.setCut(id, other, true)
+	}
+	c.nodes[id].stop()
+	<-c.nodes[id].stopped
+	for other := range c.nodes {
+		c.net.setCut(id, other, false)
+	}
+	delete(c.nodes, id)
+}
+
+// leave ends an instance as planned.
+func (c *cluster) leave(id string) {
+	c.nodes[id].stop()
+	<-c.nodes[id].stopped
+	c.net.mu.Lock()
+	delete(c.net.nodes, id)
+	c.net.mu.Unlock()
+	delete(c.nodes, id)
+}
+
+// freeze stops an instance's links and its control goroutine.
+func (c *cluster) freeze(id string) {
+	n := c.nodes[id]
+	c.net.mu.Lock()
+	c.net.thawed[id] = make(chan struct{})
+	c.net.mu.Unlock()
+	n.thaw = make(chan Dump) // the control goroutine waits for the receiver
+	n.events <- dumpRequested{n.thaw}
+}
+
+func (c *cluster) unfreeze(id string) {
+	c.net.mu.Lock()
+	close(c.net.thawed[id])
+	delete(c.net.thawed, id)
+	c.net.mu.Unlock()
+	<-c.nodes[id].thaw
+}
+
+// split cuts or joins the instances on both sides.
+func (c *cluster) split(side func(id string) bool, cut bool) {
+	for a := range c.nodes {
+		for b := range c.nodes {
+			if side(a) && !side(b) {
+				c.net.setCut(a, b, cut)
+			}
+		}
+	}
+}
+
+func (c *cluster) stopAll() {
+	for _, n := range c.nodes {
+		n.stop()
+	}
+	for _, n := range c.nodes {
+		<-n.stopped
+	}
+}
+
+func (c *cluster) ids() []string {
+	ids := make([]string, 0, len(c.nodes))
+	for id := range c.nodes {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// sees returns the IDs that an instance believes to be alive.
+func (c *cluster) sees(id string) []string {
+	var ids []string
+	for _, m := range c.nodes[id].Members() {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
+
+// disagreement returns "" if each instance sees exactly the running ones that
+// connected says it can reach.
+func (c *cluster) disagreement(connected func(a, b string) bool) string {
+	for _, id := range c.ids() {
+		var want []string
+		for _, other := range c.ids() {
+			if connected(id, other) {
+				want = append(want, other)
+			}
+		}
+		if got := c.sees(id); fmt.Sprint(got) != fmt.Sprint(want) {
+			return fmt.Sprintf("%s sees %v, want %v", id, got, want)
+		}
+	}
+	return ""
+}
+
+func all(string, string) bool { return true }
+
+// converge waits in virtual time until all agree and returns how long it took.
+func (c *cluster) converge(limit time.Duration, connected func(a, b string) bool) time.Duration {
+	c.t.Helper()
+	start := time.Now()
+	for {
+		problem := c.disagreement(connected)
+		if problem == "" {
+			return time.Since(start)
+		}
+		if time.Since(start) > limit {
+			c.t.Fatalf("no agreement after %v: %s", limit, problem)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// reached returns how many instances received the payload, failing the test on
+// a second delivery.
+func (c *cluster) reached(payload string) int {
+	count := 0
+	for id, n := range c.nodes {
+		times, ok := n.got.Load(payload)
+		if ok {
+			count++
+		}
+		if ok && times.(*atomic.Int64).Load() > 1 {
+			c.t.Fatalf("%s received the broadcast %d times", id, times.(*atomic.Int64).Load())
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/member/message.go
@@ -0,0 +1,131 @@
+package member
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/banyanroute/banyanroute/internal/peer"
+)
+
+// protocolVersion is refused by instances that do not know it.
+const protocolVersion = 1
+
+// linkKind says what a link is for.
+type linkKind uint8
+
+const (
+	// linkOverlay carries heartbeats, gossip, broadcasts and calls.
+	linkOverlay linkKind = iota + 1
+	// linkDirect carries calls only.
+	linkDirect
+)
+
+// hello opens a link; the dialler sends it first.
+type hello struct {
+	_       struct{} `cbor:",toarray"`
+	Version int
+	Kind    linkKind
+	// To is the ID that the dialler expects; another instance may have
+	// taken over the address.
+	To    string
+	From  record
+	Nonce []byte
+}
+
+// challenge is the acceptor's answer to hello.
+type challenge struct {
+	_     struct{} `cbor:",toarray"`
+	From  record
+	Nonce []byte
+	MAC   []byte
+	// Refusal is set if the acceptor does not take the link.
+	Refusal string
+}
+
+// proof ends the handshake.
+type proof struct {
+	_   struct{} `cbor:",toarray"`
+	MAC []byte
+}
+
+// message is one frame on an established link; exactly one field is set.
+type message struct {
+	Heartbeat *heartbeat   `cbor:"1,keyasint,omitempty"`
+	Gossip    []record     `cbor:"2,keyasint,omitempty"`
+	Broadcast *broadcast   `cbor:"3,keyasint,omitempty"`
+	Call      *callRequest `cbor:"4,keyasint,omitempty"`
+	Answer    *callAnswer  `cbor:"5,keyasint,omitempty"`
+	Sync      *tableSync   `cbor:"6,keyasint,omitempty"`
+	// Bye announces that the sender closes the link on purpose.
+	Bye bool `cbor:"7,keyasint,omitempty"`
+}
+
+// heartbeat shows that the sender runs.
+type heartbeat struct {
+	_ struct{} `cbor:",toarray"`
+	// Digest covers the sender's member table.
+	Digest uint64
+	// Counters are the highest known counters of data centres.
+	Counters map[string]uint64
+}
+
+// tableSync carries a whole member table.
+type tableSync struct {
+	_       struct{} `cbor:",toarray"`
+	Records []record
+	// Reply asks for the receiver's table.
+	Reply bool
+}
+
+// broadcast is flooded over the overlay.
+type broadcast struct {
+	_           struct{} `cbor:",toarray"`
+	Origin      string
+	Incarnation uint64
+	Seq         uint64
+	Topic       peer.Topic
+	Payload     []byte
+}
+
+// callRequest asks the receiver's handler.
+type callRequest struct {
+	_       struct{} `cbor:",toarray"`
+	ID      uint64
+	Topic   peer.Topic
+	Payload []byte
+	// TimeoutMillis is the time that the caller waits.
+	TimeoutMillis uint64
+}
+
+// callAnswer answers the call with the same ID on the same link.
+type callAnswer struct {
+	_       struct{} `cbor:",toarray"`
+	ID      uint64
+	Payload []byte
+	// Error is the handler's error, or empty.
+	Error string
+}
+
+// maxCollectionElements bounds arrays and maps of a message from outside.
+const maxCollectionElements = 1 << 16
+
+var decoding = newDecoding()
+
+func newDecoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: maxCollectionElements,
+		MaxMapPairs:      maxCollectionElements,
+	}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}
+
+// encode never fails: all message types are plain data.
+func encode(v any) []byte {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- /dev/null
+++ b/internal/member/overlay.go
@@ -0,0 +1,263 @@
+package member
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/platform"
+)
+
+var log = logging.For("member")
+
+const (
+	// maxOverlayLinks bounds the links that an instance accepts beside those
+	// that it wants; above it, dialers are refused.
+	maxOverlayLinks = 64
+	// maxConcurrentCalls bounds the calls of others that are being handled.
+	maxConcurrentCalls = 1024
+	// eventQueue is the number of events that wait for the control goroutine.
+	eventQueue = 1024
+)
+
+// Options configures an Overlay.
+type Options struct {
+	// Self is this instance; its Address is where others reach its links.
+	Self peer.Member
+	// Secret is shared by all instances of the deployment.
+	Secret []byte
+	// LiveList gives the first instances to dial.
+	LiveList platform.LiveList
+	// Dialer opens links; nil means WebSocket without TLS.
+	Dialer Dialer
+	// Timing overrides intervals and timeouts.
+	Timing Timing
+}
+
+// Overlay connects this instance to the others. It implements peer.Bus.
+type Overlay struct {
+	self     peer.Member
+	secret   []byte
+	liveList platform.LiveList
+	dialer   Dialer
+	timing   Timing
+	counters *counters
+	filter   *filter
+	direct   *directLinks
+	calls    atomic.Uint64
+	slots    chan struct{}
+	sequence atomic.Uint64
+
+	broadcastHandlers map[peer.Topic]peer.BroadcastHandler
+	callHandlers      map[peer.Topic]peer.CallHandler
+
+	events  chan event
+	members atomic.Pointer[memberView]
+	links   atomic.Pointer[linkView]
+
+	// mu guards running and the wait group's growth.
+	mu      sync.Mutex
+	running context.Context
+	workers sync.WaitGroup
+}
+
+var _ peer.Bus = (*Overlay)(nil)
+
+// memberView is an immutable list of members.
+type memberView struct {
+	members []peer.Member
+	byID    map[string]peer.Member
+}
+
+// linkView is an immutable set of open overlay links.
+type linkView struct {
+	links []*link
+	byID  map[string]*link
+	ids   []string
+}
+
+// New returns an overlay that is not yet running.
+func New(opts Options) (*Overlay, error) {
+	if opts.Self.ID == "" || opts.Self.Address == "" || len(opts.Secret) == 0 {
+		return nil, trace.BadParameter("an overlay needs its own ID and address and the shared secret")
+	}
+	if opts.Dialer == nil {
+		opts.Dialer = NewWebSocketDialer(nil)
+	}
+	o := &Overlay{
+		self:              opts.Self,
+		secret:            opts.Secret,
+		liveList:          opts.LiveList,
+		dialer:            opts.Dialer,
+		timing:            opts.Timing.withDefaults(),
+		counters:          newCounters(),
+		filter:            newFilter(),
+		slots:             make(chan struct{}, maxConcurrentCalls),
+		broadcastHandlers: map[peer.Topic]peer.BroadcastHandler{},
+		callHandlers:      map[peer.Topic]peer.CallHandler{},
+		events:            make(chan event, eventQueue),
+	}
+	o.direct = newDirectLinks(o)
+	o.publishMembers([]peer.Member{opts.Self})
+	o.links.Store(&linkView{})
+	o.counters.observe(o)
+	return o, nil
+}
+
+// Run keeps the overlay until ctx ends, then tells the others that this
+// instance has left. It must be called once.
+func (o *Overlay) Run(ctx context.Context) error {
+	c, err := newControl(o, time.Now())
+	if err != nil {
+		return trace.Wrap(err, "starting the overlay")
+	}
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	o.mu.Lock()
+	o.running = running
+	o.mu.Unlock()
+	o.spawn(func(run context.Context) { o.readList(run) })
+	c.loop(ctx)
+	c.farewell()
+	o.mu.Lock()
+	stop()
+	o.mu.Unlock()
+	c.closeAll()
+	o.direct.closeAll()
+	o.workers.Wait()
+	return ctx.Err()
+}
+
+// spawn starts a goroutine that Run waits for. It returns false if the
+// overlay is not running.
+func (o *Overlay) spawn(f func(ctx context.Context)) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.running == nil || o.running.Err() != nil {
+		return false
+	}
+	ctx := o.running
+	o.workers.Add(1)
+	go func() {
+		defer o.workers.Done()
+		f(ctx)
+	}()
+	return true
+}
+
+// post hands an event to the control goroutine.
+func (o *Overlay) post(ctx context.Context, e event) {
+	select {
+	case o.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+// SetLeaving tells all instances that this one takes no new work.
+func (o *Overlay) SetLeaving() {
+	o.spawn(func(ctx context.Context) { o.post(ctx, leaveRequested{}) })
+}
+
+// Self implements peer.Bus.
+func (o *Overlay) Self() peer.Member { return o.members.Load().byID[o.self.ID] }
+
+// Members implements peer.Bus.
+func (o *Overlay) Members() []peer.Member { return o.members.Load().members }
+
+// Neighbours implements peer.Bus.
+func (o *Overlay) Neighbours() []string { return o.links.Load().ids }
+
+// HandleBroadcast implements peer.Bus.
+func (o *Overlay) HandleBroadcast(topic peer.Topic, h peer.BroadcastHandler) {
+	o.broadcastHandlers[topic] = h
+}
+
+// HandleCall implements peer.Bus.
+func (o *Overlay) HandleCall(topic peer.Topic, h peer.CallHandler) {
+	o.callHandlers[topic] = h
+}
+
+func (o *Overlay) publishMembers(members []peer.Member) {
+	view := &memberView{members: members, byID: make(map[string]peer.Member, len(members))}
+	for _, m := range members {
+		view.byID[m.ID] = m
+	}
+	o.members.Store(view)
+}
+
+// Broadcast implements peer.Bus.
+func (o *Overlay) Broadcast(topic peer.Topic, payload []byte) {
+	b := &broadcast{
+		Origin:      o.self.ID,
+		Incarnation: o.self.Incarnation,
+		Seq:         o.sequence.Add(1),
+		Topic:       topic,
+		Payload:     payload,
+	}
+	o.filter.check(b)
+	o.flood(b, encode(message{Broadcast: b}), nil)
+}
+
+// flood sends a broadcast on all overlay links but the one it came from.
+func (o *Overlay) flood(b *broadcast, frame []byte, from *link) {
+	for _, l := range o.links.Load().links {
+		if l == from || l.peer.ID == b.Origin {
+			continue
+		}
+		if l.send(frame) {
+			o.counters.sent("broadcast/"+string(b.Topic), len(frame))
+		} else {
+			o.counters.drop("queue")
+		}
+	}
+}
+
+// receiveBroadcast handles and forwards a broadcast that is new.
+func (o *Overlay) receiveBroadcast(l *link, b *broadcast, frame []byte) {
+	switch o.filter.check(b) {
+	case duplicate:
+		o.counters.drop("duplicate")
+		return
+	case overRate:
+		o.counters.drop("rate")
+		return
+	}
+	o.flood(b, frame, l)
+	if h := o.broadcastHandlers[b.Topic]; h != nil {
+		h(b.Origin, b.Payload)
+	}
+}
+
+// readList polls the platform's list of live instances.
+func (o *Overlay) readList(ctx context.Context) {
+	if o.liveList == nil {
+		return
+	}
+	for {
+		listed, err := o.liveList.List(ctx)
+		if err != nil {
+			log.WithError(err).Debug("The live list cannot be read.")
+		} else {
+			o.post(ctx, listRead{listed})
+		}
+		timer := time.NewTimer(o.listInterval())
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+	}
+}
+
+// listInterval grows with the fleet and is spread by up to a quarter.
+func (o *Overlay) listInterval() time.Duration {
+	interval := time.Duration(len(o.Members())) * listIntervalPerMember
+	interval = max(interval, o.timing.ListInterval)
+	return interval + rand.N(interval/4)
+}
--- /dev/null
+++ b/internal/member/overlay_test.go
@@ -0,0 +1,289 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/platform"
+)
+
+func TestMain(m *testing.M) {
+	_ = logging.Setup(io.Discard, "error")
+	goleak.VerifyTestMain(m)
+}
+
+// The stated bounds, in virtual time.
+const (
+	joinBound   = 8 * time.Second
+	leaveBound  = 3 * time.Second
+	deathBound  = 20 * time.Second
+	regionBound = 30 * time.Second
+	healBound   = 30 * time.Second
+	// falseDeathBound is how long a live, connected instance may be missing.
+	falseDeathBound = 5 * time.Second
+)
+
+func TestJoinLeaveAndKill(t *testing.T) {
+	for _, size := range []int{2, 7, 30} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t)
+			defer c.stopAll()
+			c.startAll(size, "r1/a", "r1/b", "r1/c")
+			t.Logf("%d instances: joined in %v", size, c.converge(joinBound, all))
+			victim := c.ids()[1]
+			c.leave(victim)
+			t.Logf("left in %v", c.converge(leaveBound, all))
+			c.start(victim)
+			t.Logf("back in %v", c.converge(joinBound, all))
+			c.kill(victim)
+			t.Logf("declared dead in %v", c.converge(deathBound, all))
+		})
+	}
+}
+
+func TestDegreeIsBoundedAndMostLinksAreLocal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.stopAll()
+		c.startAll(60, "r1/a", "r1/b", "r2/c")
+		c.converge(joinBound, all)
+		time.Sleep(30 * time.Second)
+		local, links := 0, 0
+		for id, n := range c.nodes {
+			if degree := len(n.Neighbours()); degree > maxDegree {
+				t.Errorf("%s has %d neighbours", id, degree)
+			}
+			for _, other := range n.Neighbours() {
+				links++
+				if n.members.Load().byID[other].DataCentre == n.self.DataCentre {
+					local++
+				}
+			}
+		}
+		if local*100 < links*60 {
+			t.Errorf("%d of %d links are local", local, links)
+		}
+	})
+}
+
+func TestBroadcastReachesEachMemberOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.stopAll()
+		c.startAll(30, "r1/a", "r1/b", "r2/c")
+		c.converge(joinBound, all)
+		time.Sleep(2 * time.Second)
+		c.nodes[c.ids()[0]].Broadcast(testTopic, []byte("x"))
+		time.Sleep(time.Second)
+		if got := c.reached("x"); got != 29 {
+			t.Fatalf("the broadcast reached %d of 29", got)
+		}
+	})
+}
+
+func TestCallOverDirectLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.stopAll()
+		c.startAll(30, "r1/a")
+		c.converge(joinBound, all)
+		caller := c.nodes[c.ids()[0]]
+		for _, id := range c.ids()[1:] {
+			got, err := caller.Call(t.Context(), id, testTopic, []byte("hi"))
+			if err != nil || string(got) != caller.self.ID+": hi" {
+				t.Fatalf("call to %s: %q, %v", id, got, err)
+			}
+		}
+		time.Sleep(3 * time.Minute)
+		if dialled, accepted := caller.direct.count(); dialled+accepted != 0 {
+			t.Errorf("%d dialled and %d accepted links are still open", dialled, accepted)
+		}
+		if _, err := caller.Call(t.Context(), "nobody", testTopic, nil); !errors.Is(err, peer.ErrUnreachable) {
+			t.Errorf("call to an unknown instance: %v", err)
+		}
+	})
+}
+
+func TestSilentDirectLinkIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.stopAll()
+		c.startAll(30, "r1/a")
+		c.converge(joinBound, all)
+		caller := c.nodes[c.ids()[0]]
+		target := notNeighbour(c, caller)
+		if _, err := caller.Call(t.Context(), target, testTopic, nil); err != nil {
+			t.Fatal(err)
+		}
+		caller.direct.slot(caller.members.Load().byID[target]).link.conn.(*memConn).mute.Store(true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := caller.Call(ctx, target, testTopic, nil); !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("call on a silent link: %v", err)
+		}
+		if _, err := caller.Call(t.Context(), target, testTopic, nil); err != nil {
+			t.Fatalf("call after the silent link: %v", err)
+		}
+	})
+}
+
+func notNeighbour(c *cluster, n *node) string {
+	for _, id := range c.ids() {
+		if id != n.self.ID && n.links.Load().byID[id] == nil {
+			return id
+		}
+	}
+	c.t.Fatal("all are neighbours")
+	return ""
+}
+
+// watch samples for d how long any member of "watched" is missing from any
+// other's view, and returns the longest time.
+func watch(c *cluster, d time.Duration, watched func(id string) bool) time.Duration {
+	const step = 200 * time.Millisecond
+	missing := map[[2]string]time.Duration{}
+	longest := time.Duration(0)
+	for range int(d / step) {
+		time.Sleep(step)
+		for _, id := range c.ids() {
+			view := c.nodes[id].members.Load().byID
+			for _, other := range c.ids() {
+				key := [2]string{id, other}
+				if _, ok := view[other]; ok || !watched(id) || !watched(other) {
+					delete(missing, key)
+					continue
+				}
+				missing[key] += step
+				longest = max(longest, missing[key])
+			}
+		}
+	}
+	return longest
+}
+
+func TestFalseSuspicionIsRefuted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.stopAll()
+		c.startAll(7, "r1/a", "r1/b", "r1/c")
+		c.converge(joinBound, all)
+		time.Sleep(5 * time.Second)
+		one := c.nodes[c.ids()[0]]
+		for _, other := range one.Neighbours()[1:] {
+			c.net.setCut(one.self.ID, other, true)
+		}
+		longest := watch(c, 3*time.Minute, func(string) bool { return true })
+		if longest > falseDeathBound {
+			t.Errorf("a live instance was missing for %v", longest)
+		}
+		t.Logf("longest false death %v", longest)
+	})
+}
+
+func TestFreezeAndThaw(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.stopAll()
+		c.startAll(7, "r1/a", "r1/b", "r1/c")
+		c.converge(joinBound, all)
+		frozen := c.ids()[2]
+		c.freeze(frozen)
+		others := func(a, b string) bool { return a == frozen || b != frozen }
+		t.Logf("declared dead in %v", c.converge(deathBound, others))
+		time.Sleep(time.Minute)
+		c.unfreeze(frozen)
+		t.Logf("back in %v", c.converge(healBound, all))
+		rest := func(id string) bool { return id != frozen }
+		if longest := watch(c, time.Minute, rest); longest > 0 {
+			t.Errorf("an instance that was not frozen was missing for %v", longest)
+		}
+	})
+}
+
+func TestRegionCutAndHealed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.stopAll()
+		c.startAll(40, "r1/a", "r1/b", "r2/c", "r2/d")
+		c.converge(joinBound, all)
+		time.Sleep(5 * time.Second)
+		first := func(id string) bool { return strings.HasPrefix(id, "r1") }
+		c.split(first, true)
+		same := func(a, b string) bool { return first(a) == first(b) }
+		t.Logf("cut noticed in %v", c.converge(regionBound, same))
+		time.Sleep(5 * time.Minute)
+		c.split(first, false)
+		t.Logf("healed in %v", c.converge(healBound, all))
+	})
+}
+
+func TestListIsBelievedAndCorrected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.stopAll()
+		c.startAll(5, "r1/a", "r1/b")
+		c.listAs("r1/a/gone", platform.Live)
+		c.converge(joinBound, all) // dead though listed
+		unlisted := c.start("r1/b/new")
+		c.converge(joinBound, all)
+		c.listAs("r1/b/new", "")
+		time.Sleep(time.Minute)
+		c.converge(0, all) // live though unlisted
+		c.listAs(unlisted.self.ID, platform.Leaving)
+		time.Sleep(5 * time.Second)
+		for id, n := range c.nodes {
+			if !n.members.Load().byID[unlisted.self.ID].Leaving {
+				t.Errorf("%s does not know that the instance is leaving", id)
+			}
+		}
+	})
+}
+
+// A list that still says "leaving" of an earlier process must not make its
+// successor leave.
+func TestStaleLeavingIsNotBelievedOfNewProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.stopAll()
+		c.startAll(5, "r1/a")
+		c.converge(joinBound, all)
+		id := c.ids()[0]
+		c.listAs(id, platform.Leaving)
+		c.leave(id)
+		n := c.start(id)
+		time.Sleep(10 * time.Second)
+		c.listAs(id, platform.Live)
+		time.Sleep(30 * time.Second)
+		c.converge(0, all)
+		if n.Self().Leaving {
+			t.Error("the new process believes that it is leaving")
+		}
+	})
+}
+
+func TestSetLeavingSpreadsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.stopAll()
+		c.startAll(30, "r1/a", "r1/b", "r2/c")
+		c.converge(joinBound, all)
+		time.Sleep(2 * time.Second)
+		id := c.ids()[0]
+		c.nodes[id].SetLeaving()
+		time.Sleep(2 * time.Second)
+		for other, n := range c.nodes {
+			if !n.members.Load().byID[id].Leaving {
+				t.Errorf("%s does not know", other)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/member/transport.go
@@ -0,0 +1,93 @@
+package member
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+
+	"github.com/coder/websocket"
+	"github.com/gravitational/trace"
+)
+
+// Conn carries whole messages in order between two instances.
+type Conn interface {
+	// Read waits for the next message.
+	Read(ctx context.Context) ([]byte, error)
+	// Write sends one message. It is not called concurrently.
+	Write(ctx context.Context, data []byte) error
+	// Close ends the connection at once and unblocks Read and Write.
+	Close()
+}
+
+// Dialer opens connections to the link listeners of other instances.
+type Dialer interface {
+	// Dial connects to a host:port.
+	Dial(ctx context.Context, address string) (Conn, error)
+}
+
+const (
+	// LinkPath is the path of the link endpoint.
+	LinkPath = "/link"
+	// maxMessageBytes is the largest message that a link takes.
+	maxMessageBytes = 16 << 20
+)
+
+// webSocketDialer dials over WebSocket.
+type webSocketDialer struct {
+	scheme string
+	client *http.Client
+}
+
+// NewWebSocketDialer returns the production Dialer. With a nil config links
+// are plain TCP, authenticated but not encrypted.
+func NewWebSocketDialer(config *tls.Config) Dialer {
+	scheme := "ws"
+	if config != nil {
+		scheme = "wss"
+	}
+	transport := &http.Transport{TLSClientConfig: config, DisableKeepAlives: true}
+	return &webSocketDialer{scheme: scheme, client: &http.Client{Transport: transport}}
+}
+
+// Dial implements Dialer.
+func (d *webSocketDialer) Dial(ctx context.Context, address string) (Conn, error) {
+	opts := &websocket.DialOptions{HTTPClient: d.client}
+	conn, _, err := websocket.Dial(ctx, d.scheme+"://"+address+LinkPath, opts)
+	if err != nil {
+		return nil, trace.Wrap(err, "dialling %s", address)
+	}
+	conn.SetReadLimit(maxMessageBytes)
+	return webSocketConn{conn}, nil
+}
+
+// webSocketConn adapts a WebSocket connection to Conn.
+type webSocketConn struct{ ws *websocket.Conn }
+
+func (c webSocketConn) Read(ctx context.Context) ([]byte, error) {
+	kind, data, err := c.ws.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if kind != websocket.MessageBinary {
+		return nil, trace.BadParameter("message is not binary")
+	}
+	return data, nil
+}
+
+func (c webSocketConn) Write(ctx context.Context, data []byte) error {
+	return c.ws.Write(ctx, websocket.MessageBinary, data)
+}
+
+func (c webSocketConn) Close() { _ = c.ws.CloseNow() }
+
+// Handler returns the link endpoint, to be mounted at LinkPath.
+func (o *Overlay) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ws, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return // Accept has answered
+		}
+		ws.SetReadLimit(maxMessageBytes)
+		o.Accept(webSocketConn{ws})
+	})
+}
--- /dev/null
+++ b/internal/member/websocket_test.go
@@ -0,0 +1,94 @@
+package member
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/platform"
+)
+
+// growingList is a live list that instances are added to.
+type growingList struct {
+	mu     sync.Mutex
+	listed []platform.Listed
+}
+
+func (l *growingList) List(context.Context) ([]platform.Listed, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]platform.Listed(nil), l.listed...), nil
+}
+
+func (l *growingList) add(id, address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.listed = append(l.listed, platform.Listed{ID: id, Role: "instance", Address: address})
+}
+
+// serve starts an overlay on a loopback port and stops it with the test.
+func serve(t *testing.T, id, secret string, list *growingList) *Overlay {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	self := peer.Member{ID: id, Incarnation: 1, Address: address, DataCentre: "a", Region: "r"}
+	o, err := New(Options{Self: self, Secret: []byte(secret), LiveList: list})
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.HandleCall(testTopic, func(_ context.Context, from string, _ []byte) ([]byte, error) {
+		return []byte(from), nil
+	})
+	list.add(id, address)
+	server := &http.Server{Handler: o.Handler()}
+	go func() { _ = server.Serve(listener) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		_ = o.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-stopped
+		_ = server.Close()
+	})
+	return o
+}
+
+func TestWebSocketLinks(t *testing.T) {
+	var list growingList
+	a := serve(t, "a", "secret", &list)
+	b := serve(t, "b", "secret", &list)
+	for len(a.Members()) < 2 || len(b.Neighbours()) == 0 {
+		runtime.Gosched()
+	}
+	got, err := b.Call(t.Context(), "a", testTopic, nil)
+	if err != nil || string(got) != "b" {
+		t.Fatalf("call: %q, %v", got, err)
+	}
+}
+
+func TestWrongSecretIsRefused(t *testing.T) {
+	var list growingList
+	a := serve(t, "a", "secret", &list)
+	stranger, err := New(Options{Self: peer.Member{ID: "b", Address: "127.0.0.1:1"}, Secret: []byte("other")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for !a.spawn(func(context.Context) {}) {
+		runtime.Gosched()
+	}
+	_, err = stranger.openLink(t.Context(), a.self, linkOverlay)
+	if err == nil || !strings.Contains(err.Error(), "secret") {
+		t.Fatalf("link with a wrong secret: %v", err)
+	}
+}
