--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -34,7 +34,7 @@
 		DataCentre:     d.settings.DataCentre,
 		Catalogue:      d.replica.Snapshot,
 		Dispatcher:     d.dispatcher,
-		Limiter:        limiterAdapter{d.limiter},
+		Limiter:        d.limiter,
 		BodyBytes:      limits.BodyBytes,
 		BodiesBytes:    limits.BodiesBytes,
 		BodyTimeout:    limits.BodyTimeout.Std(),
--- /dev/null
+++ b/tools/demo/main.go
@@ -0,0 +1,222 @@
+// Command demo starts a small deployment on loopback, sends short, very long
+// and non-idempotent requests, edits the catalogue, and prints what happened.
+// It ends by itself, with 0 if everything went as it should.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/banyanroute/banyanroute/internal/localfleet"
+)
+
+// demoTimeout bounds the whole demo.
+const demoTimeout = 3 * time.Minute
+
+func main() {
+	bin := flag.String("bin", "bin", "folder with the built programs")
+	flag.Parse()
+	ctx, cancel := context.WithTimeout(context.Background(), demoTimeout)
+	defer cancel()
+	if err := demo(ctx, *bin); err != nil {
+		fmt.Fprintln(os.Stderr, "demo failed:", trace.UserMessage(err))
+		cancel()
+		os.Exit(1) //nolint:gocritic // cancel was called
+	}
+}
+
+// demo runs all steps.
+func demo(ctx context.Context, bin string) error {
+	dir, err := os.MkdirTemp("", "banyanroute-demo-")
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer os.RemoveAll(dir)
+	say("starting a platform stand-in, 3 engines, 2 booking services and 3 instances on loopback")
+	fleet, err := localfleet.Start(ctx, localfleet.Layout{
+		Bin: bin, Dir: dir, Instances: 3, Engines: 3, Services: 2,
+		Model: "tutor-llm", Service: "booking-api",
+		DataCentres: []string{"palermo", "catania", "trapani"}, Region: "sicilia",
+		MemoryTokens: 400_000, EngineFlags: []string{"--time-scale", "10"},
+		Algorithm: "banyan", ShortWeight: 0.5, LiveLag: 500 * time.Millisecond,
+	})
+	if err != nil {
+		return err
+	}
+	defer fleet.Stop()
+	d := &run{ctx: ctx, fleet: fleet}
+	for _, step := range []func() error{d.short, d.longBesideShort, d.bookOnce, d.repeatAfterKill, d.editCatalogue, d.drain} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	say("done")
+	return nil
+}
+
+func say(format string, args ...any) { fmt.Printf("demo: "+format+"\n", args...) }
+
+// run is the state of one demo.
+type run struct {
+	ctx   context.Context
+	fleet *localfleet.Fleet
+}
+
+// short sends a short question through each instance.
+func (d *run) short() error {
+	for i, in := range d.fleet.Instances {
+		a, err := ask(d.ctx, in.Callers, 1000, 8)
+		if err != nil {
+			return err
+		}
+		say("short question of 1k tokens through i%d: first token after %s, %d tokens, whole answer: %t", i+1, a.firstToken.Round(time.Millisecond), a.tokens, a.whole)
+		if !a.whole {
+			return trace.BadParameter("the answer was not whole")
+		}
+	}
+	return nil
+}
+
+// longBesideShort sends a prompt of twice an engine's memory and short
+// questions beside it.
+func (d *run) longBesideShort() error {
+	const longTokens = 900_000
+	type outcome struct {
+		answer response
+		err    error
+	}
+	long := make(chan outcome, 1)
+	go func() {
+		a, err := ask(d.ctx, d.fleet.Instances[0].Callers, longTokens, 8)
+		long <- outcome{a, err}
+	}()
+	time.Sleep(200 * time.Millisecond)
+	for range 5 {
+		a, err := ask(d.ctx, d.fleet.Instances[1].Callers, 1000, 8)
+		if err != nil {
+			return err
+		}
+		say("short question beside the long one: first token after %s", a.firstToken.Round(time.Millisecond))
+	}
+	o := <-long
+	if o.err != nil {
+		return o.err
+	}
+	say("prompt of %d tokens, over twice one engine's memory: first token after %s, whole answer: %t", longTokens, o.answer.firstToken.Round(time.Millisecond), o.answer.whole)
+	return nil
+}
+
+// bookOnce sends the same booking through two instances.
+func (d *run) bookOnce() error {
+	first, err := book(d.ctx, d.fleet.Instances[0].Callers, "flight-1", "slot=9")
+	if err != nil {
+		return err
+	}
+	second, err := book(d.ctx, d.fleet.Instances[1].Callers, "flight-1", "slot=9")
+	if err != nil {
+		return err
+	}
+	say("booking through i1: status %d; the same again through i2: status %d, replayed: %t", first.status, second.status, second.replayed)
+	if first.status != 200 || !second.replayed || first.body != second.body {
+		return trace.BadParameter("the repeat did not get the stored answer")
+	}
+	other, err := book(d.ctx, d.fleet.Instances[1].Callers, "flight-1", "slot=10")
+	if err != nil {
+		return err
+	}
+	say("the same key with another body: status %d, result code %s", other.status, other.code)
+	return d.expectRuns("flight-1", 1)
+}
+
+// repeatAfterKill repeats a booking through another instance after the first
+// instance has died.
+func (d *run) repeatAfterKill() error {
+	first, err := book(d.ctx, d.fleet.Instances[2].Callers, "flight-2", "slot=11")
+	if err != nil {
+		return err
+	}
+	d.fleet.Instances[2].Kill()
+	again, err := book(d.ctx, d.fleet.Instances[0].Callers, "flight-2", "slot=11")
+	if err != nil {
+		return err
+	}
+	say("booking through i3: status %d; i3 killed; the same through i1: status %d, replayed: %t", first.status, again.status, again.replayed)
+	return d.expectRuns("flight-2", 1)
+}
+
+// editCatalogue removes an upstream with banyanctl and shows where calls go.
+func (d *run) editCatalogue() error {
+	before, err := d.servedBy(12)
+	if err != nil {
+		return err
+	}
+	if _, err := d.fleet.Ctl(d.ctx, 0, "delete", "upstream/booking-api-1"); err != nil {
+		return err
+	}
+	start := time.Now()
+	want, err := d.fleet.Revision(d.ctx, 0)
+	for err == nil && want > 0 {
+		var rev uint64
+		if rev, err = d.fleet.Revision(d.ctx, 1); rev >= want {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if err != nil {
+		return err
+	}
+	after, err := d.servedBy(12)
+	if err != nil {
+		return err
+	}
+	say("lookups were served by %v; after banyanctl deleted booking-api-1 (in force on i2 within %s): %v", before, time.Since(start).Round(time.Millisecond), after)
+	if after["booking-api-1"] > 0 {
+		return trace.BadParameter("a deleted upstream got new work")
+	}
+	return nil
+}
+
+// servedBy counts which upstream serves lookups through i2.
+func (d *run) servedBy(n int) (map[string]int, error) {
+	counts := map[string]int{}
+	for range n {
+		name, err := lookup(d.ctx, d.fleet.Instances[1].Callers)
+		if err != nil {
+			return nil, err
+		}
+		counts[name]++
+	}
+	return counts, nil
+}
+
+// drain stops an instance while a stream runs through it.
+func (d *run) drain() error {
+	type outcome struct {
+		answer response
+		err    error
+	}
+	stream := make(chan outcome, 1)
+	go func() {
+		a, err := ask(d.ctx, d.fleet.Instances[1].Callers, 50_000, 2000)
+		stream <- outcome{a, err}
+	}()
+	time.Sleep(300 * time.Millisecond)
+	if _, err := d.fleet.Ctl(d.ctx, 1, "drain"); err != nil {
+		return err
+	}
+	o := <-stream
+	if o.err != nil {
+		return o.err
+	}
+	ended := d.fleet.Instances[1].Join(30 * time.Second)
+	say("i2 drained while it streamed: whole answer of %d tokens: %t, process ended by itself: %t", o.answer.tokens, o.answer.whole, ended)
+	if !o.answer.whole || !ended {
+		return trace.BadParameter("the planned stop cut a request or did not end")
+	}
+	return nil
+}
