--- /dev/null
+++ b/internal/retry/budget.go
@@ -0,0 +1,47 @@
+// Package retry bounds retries to a share of successes, so that retries cannot
+// multiply the load of a failing or full fleet.
+package retry
+
+import "github.com/hashicorp/golang-lru/v2/simplelru"
+
+const (
+	// share is the part of a retry that each success earns.
+	share = 0.1
+	// initial is the number of retries before any success.
+	initial = 5.0
+	// most bounds the retries that can be saved up.
+	most = 50.0
+	// MaxKeys bounds the workspaces or upstreams of one Budgets.
+	MaxKeys = 4096
+)
+
+// Budgets holds one retry budget per key, for example per workspace. It is not
+// safe for concurrent use.
+type Budgets struct {
+	tokens *simplelru.LRU[string, float64]
+}
+
+// NewBudgets returns budgets that all start with a few retries.
+func NewBudgets() *Budgets {
+	tokens, err := simplelru.NewLRU[string, float64](MaxKeys, nil)
+	if err != nil {
+		panic(err) // only for a size of zero or less
+	}
+	return &Budgets{tokens: tokens}
+}
+
+// Success earns a part of a retry for key.
+func (b *Budgets) Success(key string) {
+	b.tokens.Add(key, min(b.Left(key)+share, most))
+}
+
+// Left returns the retries that key may make now.
+func (b *Budgets) Left(key string) float64 {
+	if left, known := b.tokens.Get(key); known {
+		return left
+	}
+	return initial
+}
+
+// Spend takes one retry from key's budget.
+func (b *Budgets) Spend(key string) { b.tokens.Add(key, max(b.Left(key)-1, 0)) }
