--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -196,6 +196,7 @@
 // onSilence tells a dead connection from a dead upstream: an upstream that
 // answers a probe over a new connection gets a resumption, another is lost.
 func (f *follower) onSilence(ctx context.Context) chart.Event {
+	f.g.ran = worse(f.g.ran, result.MayHaveRun)
 	if !f.alive(ctx) {
 		f.g.cancelUpstream()
 		return f.lost(upstream.ErrLost, admit.Lost)
