--- a/cmd/banyanstandin/commands.go
+++ b/cmd/banyanstandin/commands.go
@@ -39,13 +39,23 @@
 	Listen   string        `long:"listen" default:"127.0.0.1:9201" description:"loopback IP and port"`
 	Name     string        `long:"name" default:"service" description:"name of the service"`
 	WorkTime time.Duration `long:"work-time" default:"2ms" description:"how long one call takes"`
+	Journal  string        `long:"journal" description:"file that gets a line for each execution"`
 }
 
 // Execute implements flags.Commander.
 func (c *serviceCommand) Execute([]string) error {
 	var g run.Group
 	faults := fault.New(os.Exit)
-	server := service.New(service.Settings{Name: c.Name, WorkTime: c.WorkTime}, faults)
+	settings := service.Settings{Name: c.Name, WorkTime: c.WorkTime}
+	if c.Journal != "" {
+		journal, err := os.OpenFile(c.Journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		defer journal.Close()
+		settings.Journal = journal
+	}
+	server := service.New(settings, faults)
 	if err := serve(&g, "service", c.Listen, faults.Wrap(server)); err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/localfleet/catalogue.go
+++ b/internal/localfleet/catalogue.go
@@ -55,7 +55,7 @@
 }
 
 func (f *Fleet) upstreamEntry(up *Upstream) string {
-	spec := fmt.Sprintf("url: \"http://%s\", data_centre: %s", up.Address, up.DataCentre)
+	spec := fmt.Sprintf("url: \"http://%s\", data_centre: %s", up.reach(), up.DataCentre)
 	if up.service != "" {
 		spec += ", service: " + up.service
 	} else {
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -39,6 +39,9 @@
 	ShortWeight float64
 	// InstanceSettings is YAML that is added to each instance's settings.
 	InstanceSettings string
+	// Relays puts a relay with fault switches in front of each upstream and of
+	// the platform.
+	Relays bool
 	// LiveLag is how far the live list lags; zero is the stand-in's default.
 	LiveLag time.Duration
 }
@@ -67,7 +70,27 @@
 	*Process
 	Address    string
 	DataCentre string
-	service    string
+	// Relay stands in front of the upstream; nil without relays.
+	Relay *Relay
+	// Journal is the file with the executions of a plain service.
+	Journal string
+	service string
+}
+
+// Relay is a TCP relay with fault switches.
+type Relay struct {
+	*Process
+	Address string
+	// Control is the base URL of the fault switches.
+	Control string
+}
+
+// reach is the address that instances use.
+func (u *Upstream) reach() string {
+	if u.Relay != nil {
+		return u.Relay.Address
+	}
+	return u.Address
 }
 
 // Fleet is a running deployment.
@@ -79,6 +102,8 @@
 	Services  []*Upstream
 	// PlatformURL is the base URL of the platform's stand-in.
 	PlatformURL string
+	// PlatformRelay stands in front of the platform; nil without relays.
+	PlatformRelay *Relay
 }
 
 // startTimeout bounds the wait for a process to answer.
@@ -110,6 +135,9 @@
 	if err := f.startUpstreams(ctx, addresses[1:1+l.Engines+l.Services]); err != nil {
 		return err
 	}
+	if err := f.startRelays(ctx); err != nil {
+		return err
+	}
 	if err := f.startInstances(ctx, addresses[1+l.Engines+l.Services:]); err != nil {
 		return err
 	}
@@ -152,8 +180,11 @@
 	for i := range f.Layout.Services {
 		name := fmt.Sprintf("%s-%d", f.Layout.Service, i+1)
 		address := addresses[f.Layout.Engines+i]
-		args := []string{"service", "--listen", address, "--name", name}
-		f.Services = append(f.Services, f.upstream(name, address, f.Layout.Service, i, args))
+		journal := filepath.Join(f.Layout.Dir, name+".journal")
+		args := []string{"service", "--listen", address, "--name", name, "--journal", journal}
+		up := f.upstream(name, address, f.Layout.Service, i, args)
+		up.Journal = journal
+		f.Services = append(f.Services, up)
 	}
 	for _, up := range f.Upstreams() {
 		if err := up.Start(); err != nil {
@@ -226,7 +257,7 @@
   orders: %s
   bootstrap_token_sha256: %s
 %s
-`, name, f.Layout.Region, f.centre(i), in.Callers, in.Operators, in.Links, f.PlatformURL, linkSecret, orderKey, sha256Hex(Token), f.Layout.InstanceSettings)
+`, name, f.Layout.Region, f.centre(i), in.Callers, in.Operators, in.Links, f.platformReach(), linkSecret, orderKey, sha256Hex(Token), f.Layout.InstanceSettings)
 	file := filepath.Join(f.Layout.Dir, name+".yaml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return nil, trace.ConvertSystemError(err)
@@ -258,6 +289,9 @@
 	for _, up := range f.Upstreams() {
 		up.Kill()
 	}
+	for _, r := range f.relays() {
+		r.Kill()
+	}
 	if f.Platform != nil {
 		f.Platform.Kill()
 	}
--- /dev/null
+++ b/internal/localfleet/relay.go
@@ -0,0 +1,59 @@
+package localfleet
+
+import (
+	"context"
+	"strings"
+)
+
+// startRelays puts a relay in front of each upstream and of the platform.
+func (f *Fleet) startRelays(ctx context.Context) error {
+	if !f.Layout.Relays {
+		return nil
+	}
+	for _, up := range f.Upstreams() {
+		relay, err := f.startRelay(ctx, up.Name, up.Address)
+		if err != nil {
+			return err
+		}
+		up.Relay = relay
+	}
+	relay, err := f.startRelay(ctx, "platform", strings.TrimPrefix(f.PlatformURL, "http://"))
+	f.PlatformRelay = relay
+	return err
+}
+
+func (f *Fleet) startRelay(ctx context.Context, name, target string) (*Relay, error) {
+	addresses, err := freeAddresses(2)
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{Address: addresses[0], Control: "http://" + addresses[1]}
+	r.Process = newProcess(f.Layout.Dir, name+"-relay", f.bin("banyanstandin"),
+		"relay", "--listen", addresses[0], "--to", target, "--control", addresses[1])
+	if err := r.Start(); err != nil {
+		return nil, err
+	}
+	return r, WaitOK(ctx, r.Control+"/standin/faults")
+}
+
+// relays returns all relays.
+func (f *Fleet) relays() []*Relay {
+	var out []*Relay
+	for _, up := range f.Upstreams() {
+		if up.Relay != nil {
+			out = append(out, up.Relay)
+		}
+	}
+	if f.PlatformRelay != nil {
+		out = append(out, f.PlatformRelay)
+	}
+	return out
+}
+
+// platformReach is the platform's base URL for instances.
+func (f *Fleet) platformReach() string {
+	if f.PlatformRelay != nil {
+		return "http://" + f.PlatformRelay.Address
+	}
+	return f.PlatformURL
+}
