Schedule with a fair bounded queue, health, suspicion and several engines

Acquire refuses at once what cannot finish in time; a queue of lanes by class and size is fair between workspaces by virtual finish times; short requests do not wait behind long ones; aged and suspect requests get an upstream kept free.

--- /dev/null
+++ b/internal/admit/acquire.go
@@ -0,0 +1,254 @@
+package admit
+
+import (
+	"context"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/load"
+	"github.com/banyanroute/banyanroute/internal/poison"
+	"github.com/banyanroute/banyanroute/internal/result"
+	"github.com/banyanroute/banyanroute/internal/route"
+)
+
+// Times and shares of the queue.
+const (
+	// shortWindow and longWindow are the most queued work, in seconds, that
+	// an upstream may have to get another short or long request.
+	shortWindow = 1.0
+	longWindow  = 0.5
+	// waitShare is the part of a normal request's time that it may wait;
+	// longWaitShare is that of a long, batch or suspect one.
+	waitShare     = 0.25
+	longWaitShare = 0.75
+	// ageShare is the part of the wait after which a request is aged.
+	ageShare = 0.5
+	// minShortReserve is the part of an engine's memory that long requests
+	// leave free; ShortWeight adds up to moreShortReserve.
+	minShortReserve  = 0.05
+	moreShortReserve = 0.2
+)
+
+// Acquire waits for an upstream for r and returns a grant, whose Done must be
+// called. It refuses at once what cannot finish in time or never fits. No
+// refusal of Acquire has run.
+func (s *Scheduler) Acquire(ctx context.Context, r *Request) (*Grant, *result.Error) {
+	s.mu.Lock()
+	now := time.Now()
+	p := s.pools[poolKey{r.Target, r.Service}]
+	if p == nil || len(p.states) == 0 {
+		defer s.mu.Unlock()
+		return nil, s.noUpstream(r)
+	}
+	if grant, refusal, done := s.baseline(p, r, now); done {
+		s.mu.Unlock()
+		return grant, refusal
+	}
+	if refusal := s.refuseNow(p, r, now); refusal != nil {
+		s.mu.Unlock()
+		return nil, refusal
+	}
+	if s.needsGang(p, r) {
+		s.mu.Unlock()
+		return s.acquireGang(ctx, p, r)
+	}
+	w := s.newWaiter(p, r, now)
+	if refusal := s.enqueue(p, w, now); refusal != nil {
+		s.mu.Unlock()
+		return nil, refusal
+	}
+	s.pumpLane(p, w.lane, p.view, now)
+	s.mu.Unlock()
+	return s.await(ctx, p, w)
+}
+
+// await waits for the decision on w.
+func (s *Scheduler) await(ctx context.Context, p *pool, w *waiter) (*Grant, *result.Error) {
+	select {
+	case d := <-w.answer:
+		return d.grant, d.refusal
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	if w.index >= 0 {
+		s.drop(p, w)
+		s.pump(p, p.view, time.Now())
+	}
+	s.mu.Unlock()
+	select {
+	case d := <-w.answer:
+		if d.grant != nil {
+			d.grant.Done(Cancelled)
+		}
+	default:
+	}
+	return nil, result.Wrap(context.Cause(ctx), result.CallerGone, "the caller left while the request waited").WithExecution(result.NotRun)
+}
+
+// noUpstream refuses a request that no upstream can take.
+func (s *Scheduler) noUpstream(r *Request) *result.Error {
+	return result.New(result.NoUpstream, "no upstream of %q can take a request", r.Target).After(s.retryAfter(time.Second))
+}
+
+// refuseNow checks what no wait can mend.
+func (s *Scheduler) refuseNow(p *pool, r *Request, now time.Time) *result.Error {
+	if verdict, left := s.poison.Verdict(r.Fingerprint, now); verdict == poison.Condemned {
+		return result.New(result.PoisonSuspect, "the request was in flight in repeated upstream crashes").After(left)
+	}
+	s.judgePool(p, now, false)
+	if !p.hasUsable(r) {
+		return s.noUpstream(r)
+	}
+	needs := p.speed.service(0, r.OutputTokens)
+	if !now.Add(needs).Before(r.Deadline) {
+		return s.unmeetable("the answer takes about %s", needs)
+	}
+	return nil
+}
+
+// unmeetable refuses a request that cannot finish in time.
+func (s *Scheduler) unmeetable(format string, needs time.Duration) *result.Error {
+	return result.New(result.DeadlineUnmeetable, format, needs.Round(time.Millisecond)).After(s.retryAfter(needs))
+}
+
+// hasUsable states whether any upstream could ever take r as things are. An
+// upstream that was tried before may be used again if it is the only one.
+func (p *pool) hasUsable(r *Request) bool {
+	found := false
+	for _, st := range p.states {
+		if !st.usable() && !p.panicking {
+			continue
+		}
+		if st.listedLeaving || st.reportedLeaving {
+			continue
+		}
+		if route.Usable(&route.Candidate{ID: st.upstream.ID, Share: 1}, &route.Demand{Avoid: r.Avoid}) {
+			return true
+		}
+		found = true
+	}
+	return found && len(p.states) == 1
+}
+
+// newWaiter fills in the demand of r.
+func (s *Scheduler) newWaiter(p *pool, r *Request, now time.Time) *waiter {
+	w := &waiter{request: r, index: -1, queuedAt: now, answer: make(chan decision, 1)}
+	w.demand = route.Demand{
+		PromptTokens: r.PromptTokens,
+		OutputTokens: r.OutputTokens,
+		Short:        r.Service || r.PromptTokens <= s.shortTokens(),
+		Plain:        r.Service,
+		DataCentre:   r.DataCentre,
+		Avoid:        r.Avoid,
+		Window:       longWindow,
+		ShortReserve: minShortReserve + moreShortReserve*s.policy.ShortWeight,
+	}
+	if w.demand.Short {
+		w.demand.Window = shortWindow
+	}
+	if len(p.states) == 1 {
+		w.demand.Avoid = nil
+	}
+	w.lane = laneFirst + classRank(r.Class)
+	if !w.demand.Short {
+		w.lane += classCount
+	}
+	if verdict, _ := s.poison.Verdict(r.Fingerprint, now); verdict >= poison.Suspect {
+		w.lane = laneSuspect
+		w.demand.Alone = true
+	}
+	s.findHolders(w)
+	w.work = float64(max(r.PromptTokens, 1))
+	if len(w.demand.Holders) > 0 {
+		w.work = max(w.work-float64(w.demand.Holders[0].Tokens), 1)
+	}
+	w.setTimes(now)
+	return w
+}
+
+// findHolders looks up who probably caches a prefix of the prompt.
+func (s *Scheduler) findHolders(w *waiter) {
+	var found [load.MaxHolders]load.PrefixHolder
+	n := s.prefix.Lookup(w.request.Blocks, &found)
+	count := 0
+	for _, h := range found[:n] {
+		if st := s.byID[h.ID]; st != nil {
+			w.holders[count] = route.Holder{Candidate: &st.candidate, Tokens: h.Tokens}
+			count++
+		}
+	}
+	w.demand.Holders = w.holders[:count]
+}
+
+// setTimes sets when w ages and when it is refused.
+func (w *waiter) setTimes(now time.Time) {
+	share := waitShare
+	if !w.demand.Short || w.demand.Alone || classRank(w.request.Class) == classCount-1 {
+		share = longWaitShare
+	}
+	wait := time.Duration(share * float64(w.request.Deadline.Sub(now)))
+	w.expireAt = now.Add(wait)
+	w.ageAt = now.Add(time.Duration(ageShare * float64(wait)))
+}
+
+// enqueue adds w to the queue, or refuses it at once if it would wait for too
+// long or the queue is full.
+func (s *Scheduler) enqueue(p *pool, w *waiter, now time.Time) *result.Error {
+	p.short.arrived(w.work, w.demand.Short, now)
+	wait := time.Duration(0)
+	if p.queue.count > 0 && w.lane >= laneFirst {
+		wait = p.drain.wait(p.queue.workAhead(w.request, w.lane, w.work))
+	}
+	if now.Add(wait).After(w.expireAt) {
+		return s.unmeetable("the queue alone takes about %s", wait)
+	}
+	needs := wait + p.speed.service(w.work, w.request.OutputTokens)
+	if now.Add(needs).After(w.request.Deadline) {
+		return s.unmeetable("the request takes about %s", needs)
+	}
+	if p.queue.count >= s.options.MaxQueued || p.queue.work+w.work > s.options.MaxQueuedWork {
+		if refusal := s.makeRoom(p, w); refusal != nil {
+			return refusal
+		}
+	}
+	if p.queue.count == 0 {
+		p.drain.begin(now)
+	}
+	p.queue.push(w)
+	s.startTicking(p)
+	return nil
+}
+
+// makeRoom refuses the last request of the workspace that uses the most of the
+// queue, which may be w itself.
+func (s *Scheduler) makeRoom(p *pool, w *waiter) *result.Error {
+	full := result.New(result.Overloaded, "the queue is full").After(s.retryAfter(p.drain.wait(p.queue.work)))
+	victim := p.queue.heaviest(w.request, w.work)
+	if victim == nil || victim.work < w.work && p.queue.count < s.options.MaxQueued {
+		return full
+	}
+	s.refuse(p, victim, full)
+	return nil
+}
+
+// refuse ends the wait of w with a refusal.
+func (s *Scheduler) refuse(p *pool, w *waiter, refusal *result.Error) {
+	s.drop(p, w)
+	w.answer <- decision{refusal: refusal}
+}
+
+// drop takes w out of the queue and gives up the upstream kept for it.
+func (s *Scheduler) drop(p *pool, w *waiter) {
+	p.queue.remove(w)
+	s.unkeep(w, time.Now())
+}
+
+// unkeep gives up the upstream that is kept free for w.
+func (s *Scheduler) unkeep(w *waiter, now time.Time) {
+	if w.kept == nil {
+		return
+	}
+	st := w.kept
+	w.kept = nil
+	st.owner = nil
+	s.refresh(st, now)
+}
--- /dev/null
+++ b/internal/admit/admit_test.go
@@ -0,0 +1,376 @@
+package admit
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/catalogue"
+	"github.com/banyanroute/banyanroute/internal/result"
+	"github.com/banyanroute/banyanroute/internal/upstream"
+)
+
+const model = "tutor-llm"
+
+func engines(n int) []Upstream {
+	list := make([]Upstream, n)
+	for i := range list {
+		list[i] = Upstream{ID: fmt.Sprintf("e%02d", i), Models: []string{model}, MemoryTokens: 400_000}
+	}
+	return list
+}
+
+func newScheduler(n int) *Scheduler {
+	s := New(Options{Instance: "i1", Seed: 1})
+	s.SetUpstreams(engines(n))
+	return s
+}
+
+var requestNumber int
+
+func request(tokens int) *Request {
+	requestNumber++
+	return &Request{
+		ID: fmt.Sprintf("i1/1/%d", requestNumber), Workspace: "w", Target: model, Fingerprint: uint64(requestNumber),
+		PromptTokens: tokens, OutputTokens: 100, Class: catalogue.ClassInteractive,
+		Deadline: time.Now().Add(30 * time.Second), Attempt: 1,
+	}
+}
+
+func acquire(t *testing.T, s *Scheduler, r *Request) *Grant {
+	t.Helper()
+	g, refusal := s.Acquire(t.Context(), r)
+	if refusal != nil {
+		t.Fatalf("%+v refused: %v", r, refusal)
+	}
+	return g
+}
+
+func TestUnknownTargetIsRefused(t *testing.T) {
+	s := newScheduler(1)
+	r := request(10)
+	r.Target = "other"
+	if _, refusal := s.Acquire(t.Context(), r); refusal == nil || refusal.Code != result.NoUpstream || refusal.RetryAfter == 0 {
+		t.Errorf("got %v", refusal)
+	}
+}
+
+func TestLeavingUpstreamGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScheduler(2)
+		s.SetLeaving("e00", true)
+		s.ObserveLoad("e00", upstream.LoadReport{Sequence: 1, Boot: "a"}) // the report does not know yet
+		for range 20 {
+			g := acquire(t, s, request(10))
+			if g.Upstream().ID == "e00" {
+				t.Fatal("a request went to a leaving upstream")
+			}
+			g.Done(Completed)
+		}
+	})
+}
+
+func TestFailedUpstreamsAreAvoidedUnlessAllFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScheduler(3)
+		fail := func(id string) {
+			s.ObserveProbe(id, false, 0)
+			s.ObserveProbe(id, false, 0)
+		}
+		fail("e00")
+		for range 20 {
+			g := acquire(t, s, request(10))
+			if g.Upstream().ID == "e00" {
+				t.Fatal("a request went to a failed upstream")
+			}
+			g.Done(Completed)
+		}
+		fail("e01")
+		fail("e02")
+		acquire(t, s, request(10)).Done(Completed)
+	})
+}
+
+// TestWaitingRequestGetsFreedUpstream fills an upstream and lets one go.
+func TestWaitingRequestGetsFreedUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Options{Seed: 1, MaxRunningPerEngine: 1})
+		s.SetUpstreams(engines(1))
+		first := acquire(t, s, request(10))
+		var wait sync.WaitGroup
+		wait.Go(func() { acquire(t, s, request(10)).Done(Completed) })
+		synctest.Wait()
+		first.Done(Completed)
+		wait.Wait()
+	})
+}
+
+func TestQueueTimeoutIsAnsweredInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Options{Seed: 1, MaxRunningPerEngine: 1})
+		s.SetUpstreams(engines(1))
+		defer acquire(t, s, request(10)).Done(Completed)
+		start := time.Now()
+		_, refusal := s.Acquire(t.Context(), request(10))
+		if refusal == nil || refusal.Code != result.QueueTimeout || refusal.Execution != result.NotRun || refusal.RetryAfter < minRetryAfter {
+			t.Fatalf("got %v", refusal)
+		}
+		if waited := time.Since(start); waited > 8*time.Second {
+			t.Errorf("refused after %s of 30 s; the wait is a quarter", waited)
+		}
+	})
+}
+
+func TestCallerThatLeavesFreesItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Options{Seed: 1, MaxRunningPerEngine: 1})
+		s.SetUpstreams(engines(1))
+		first := acquire(t, s, request(10))
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		if _, refusal := s.Acquire(ctx, request(10)); refusal == nil || refusal.Code != result.CallerGone || refusal.Execution != result.NotRun {
+			t.Fatalf("got %v", refusal)
+		}
+		first.Done(Completed)
+		if d := s.Dump().(Dump); d.Pools[0].Waiting != 0 || d.Upstreams[0].InFlight != 0 {
+			t.Errorf("left behind: %+v", d)
+		}
+	})
+}
+
+// TestFairBetweenWorkspaces lets a heavy workspace fill the queue; a light one
+// must still be served soon, and weights must show.
+func TestFairBetweenWorkspaces(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Options{Seed: 1, MaxRunningPerEngine: 1})
+		s.SetUpstreams(engines(1))
+		blocker := acquire(t, s, request(1000))
+		var mu sync.Mutex
+		var order []string
+		var wait sync.WaitGroup
+		submit := func(workspace string, weight float64) {
+			r := request(1000)
+			r.Workspace, r.Weight = workspace, weight
+			wait.Go(func() {
+				g := acquire(t, s, r)
+				mu.Lock()
+				order = append(order, workspace)
+				mu.Unlock()
+				g.Done(Completed)
+			})
+			synctest.Wait()
+		}
+		for range 30 {
+			submit("heavy", 1)
+		}
+		for range 10 {
+			submit("light", 2)
+		}
+		blocker.Done(Completed)
+		wait.Wait()
+		light := 0
+		for _, w := range order[:15] {
+			if w == "light" {
+				light++
+			}
+		}
+		if light != 10 {
+			t.Errorf("%d of 10 light requests in the first 15: %v", light, order)
+		}
+	})
+}
+
+func TestFullQueueRefusesTheHeaviestWorkspace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Options{Seed: 1, MaxRunningPerEngine: 1, MaxQueued: 5})
+		s.SetUpstreams(engines(1))
+		blocker := acquire(t, s, request(1000))
+		var wait sync.WaitGroup
+		refused := map[string]int{}
+		submit := func(workspace string) {
+			r := request(1000)
+			r.Workspace = workspace
+			wait.Go(func() {
+				g, refusal := s.Acquire(t.Context(), r)
+				if refusal != nil {
+					refused[workspace]++
+					return
+				}
+				g.Done(Completed)
+			})
+			synctest.Wait()
+		}
+		for range 6 {
+			submit("heavy")
+		}
+		submit("light")
+		if refused["heavy"] != 2 || refused["light"] != 0 {
+			t.Errorf("refused at once: %v", refused)
+		}
+		blocker.Done(Completed)
+		wait.Wait()
+	})
+}
+
+func TestShortRequestsDoNotWaitBehindLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScheduler(2)
+		var held []*Grant
+		for range 2 {
+			held = append(held, acquire(t, s, request(200_000)))
+		}
+		var wait sync.WaitGroup
+		wait.Go(func() { acquire(t, s, request(200_000)).Done(Completed) })
+		synctest.Wait()
+		acquire(t, s, request(1000)).Done(Completed) // at once: no virtual time passes
+		if p := acquire(t, s, request(1000)).Priority(); p >= held[0].Priority() {
+			t.Errorf("priority %d of a short request, %d of a long one", p, held[0].Priority())
+		}
+		for _, g := range held {
+			g.Done(Completed)
+		}
+		wait.Wait()
+	})
+}
+
+func TestPoisonAcrossInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var b *Scheduler
+		a := New(Options{Instance: "a", Seed: 1, OnPoison: func(p []byte) { b.ObservePoison("a", p) }})
+		b = New(Options{Instance: "b", Seed: 2})
+		a.SetUpstreams(engines(3))
+		b.SetUpstreams(engines(3))
+		crash := func(fingerprint uint64) *Grant {
+			r := request(1000)
+			r.Fingerprint = fingerprint
+			g := acquire(t, a, r)
+			g.Done(Lost)
+			a.ObserveProbe(g.Upstream().ID, false, 0)
+			return g
+		}
+		crash(99)
+		bystander := acquire(t, a, request(1000))
+		second := crash(99)
+		if second.Upstream().ID == bystander.Upstream().ID {
+			t.Error("a suspect ran beside a fresh request")
+		}
+		bystander.Done(Completed)
+		for name, s := range map[string]*Scheduler{"a": a, "b": b} {
+			r := request(1000)
+			r.Fingerprint = 99
+			if _, refusal := s.Acquire(t.Context(), r); refusal == nil || refusal.Code != result.PoisonSuspect || refusal.Execution != result.NotRun {
+				t.Errorf("instance %s: %v", name, refusal)
+			}
+			acquire(t, s, request(1000)).Done(Completed)
+		}
+	})
+}
+
+func TestDeadlineUnmeetableIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScheduler(1)
+		for range 30 { // 1000 tokens a second, 50 ms between tokens
+			g := acquire(t, s, request(1000))
+			time.Sleep(time.Second)
+			g.FirstToken()
+			time.Sleep(5 * time.Second)
+			g.Progress(100)
+			g.Done(Completed)
+		}
+		start := time.Now()
+		_, refusal := s.Acquire(t.Context(), request(100_000))
+		if refusal == nil || refusal.Code != result.DeadlineUnmeetable || refusal.RetryAfter == 0 || time.Since(start) > 0 {
+			t.Errorf("got %v after %s", refusal, time.Since(start))
+		}
+		acquire(t, s, request(1000)).Done(Completed)
+	})
+}
+
+func TestPeerHintsSpreadRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newScheduler(2), newScheduler(2)
+		g := acquire(t, a, request(50_000))
+		b.ObservePeerHint("a", a.PeerHint())
+		for range 10 {
+			other := acquire(t, b, request(1000))
+			if other.Upstream().ID == g.Upstream().ID {
+				t.Error("a request joined a peer's long one although another engine is idle")
+			}
+			other.Done(Completed)
+		}
+	})
+}
+
+func TestNeverFitsIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Options{Seed: 1, Reserver: newMemory()})
+		s.SetUpstreams(engines(2))
+		_, refusal := s.Acquire(t.Context(), request(1_000_000))
+		if refusal == nil || refusal.Code != result.NeverFits || refusal.Execution != result.NotRun {
+			t.Errorf("got %v", refusal)
+		}
+	})
+}
+
+// memory is a gang.Reserver in memory.
+type memory struct {
+	mu   sync.Mutex
+	held map[string]int
+}
+
+func newMemory() *memory { return &memory{held: map[string]int{}} }
+
+func (m *memory) Reserve(_ context.Context, id string, r upstream.ReserveRequest) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.held[id+" "+r.Name] = r.Tokens
+	return nil
+}
+
+func (m *memory) Release(_ context.Context, id, name string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.held, id+" "+name)
+	return nil
+}
+
+func TestPromptOverOneEngineGetsSeveral(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory()
+		s := New(Options{Seed: 1, Reserver: m})
+		s.SetUpstreams(engines(5))
+		g := acquire(t, s, request(1_000_000))
+		total := 0
+		for _, part := range g.Parts() {
+			total += part.Tokens
+		}
+		if total != 1_000_100 || len(g.Parts()) != 3 || len(m.held) != 3 || g.Parts()[0].Upstream.ID != g.Upstream().ID {
+			t.Errorf("parts %+v", g.Parts())
+		}
+		g.Done(Completed)
+		synctest.Wait()
+		if len(m.held) != 0 {
+			t.Errorf("still held: %v", m.held)
+		}
+	})
+}
+
+func benchmarkAcquire(b *testing.B, n int) {
+	s := newScheduler(n)
+	r := request(2000)
+	r.Deadline = time.Now().Add(time.Hour)
+	b.ReportAllocs()
+	for b.Loop() {
+		g, refusal := s.Acquire(context.Background(), r)
+		if refusal != nil {
+			b.Fatal(refusal)
+		}
+		g.Done(Completed)
+	}
+}
+
+func BenchmarkAcquire25(b *testing.B)  { benchmarkAcquire(b, 25) }
+func BenchmarkAcquire800(b *testing.B) { benchmarkAcquire(b, 800) }
--- /dev/null
+++ b/internal/admit/queue.go
@@ -0,0 +1,244 @@
+package admit
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/catalogue"
+	"github.com/banyanroute/banyanroute/internal/load"
+	"github.com/banyanroute/banyanroute/internal/result"
+	"github.com/banyanroute/banyanroute/internal/route"
+)
+
+// The lanes of a pool in the order in which they are served. A lane whose first
+// request has no upstream does not hold up the other lanes.
+const (
+	// laneAged holds requests with little time left, by deadline.
+	laneAged = iota
+	// laneSuspect holds requests that must run alone, by deadline.
+	laneSuspect
+	// laneFirst is the first lane of normal requests: three lanes of short
+	// requests by class, then three of long ones.
+	laneFirst
+	laneCount = laneFirst + 2*classCount
+)
+
+// classCount is the number of scheduling classes.
+const classCount = 3
+
+// classRank returns 0 for the most urgent class.
+func classRank(c catalogue.Class) int {
+	switch c {
+	case catalogue.ClassInteractive:
+		return 0
+	case catalogue.ClassBatch:
+		return 2
+	}
+	return 1
+}
+
+// waiter is one request that waits for an upstream.
+type waiter struct {
+	request *Request
+	demand  route.Demand
+	holders [load.MaxHolders]route.Holder
+	// work is the request's share of the queue, in tokens.
+	work float64
+	// tag is the virtual time at which the request is due; the lanes of aged
+	// and suspect requests use the deadline instead.
+	tag  float64
+	lane int
+	// index is the place in the lane's heap; -1 is not queued.
+	index int
+	// ageAt is when the request moves to the lane of aged ones; expireAt is
+	// when it is refused.
+	ageAt    time.Time
+	expireAt time.Time
+	queuedAt time.Time
+	// kept is the upstream that is kept free for the request, or nil.
+	kept *state
+	// condemned is for how long the request is refused as poison.
+	condemned time.Duration
+	answer    chan decision
+}
+
+// decision ends a wait; exactly one field is set.
+type decision struct {
+	grant   *Grant
+	refusal *result.Error
+}
+
+// lane is a heap of waiters by tag. It implements heap.Interface.
+type lane []*waiter
+
+func (l lane) Len() int           { return len(l) }
+func (l lane) Less(i, j int) bool { return l[i].tag < l[j].tag }
+
+func (l lane) Swap(i, j int) {
+	l[i], l[j] = l[j], l[i]
+	l[i].index, l[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (l *lane) Push(x any) {
+	w := x.(*waiter)
+	w.index = len(*l)
+	*l = append(*l, w)
+}
+
+// Pop implements heap.Interface.
+func (l *lane) Pop() any {
+	old := *l
+	w := old[len(old)-1]
+	old[len(old)-1] = nil
+	*l = old[:len(old)-1]
+	w.index = -1
+	return w
+}
+
+// flow is the queued work of one workspace in one pool.
+type flow struct {
+	weight float64
+	count  int
+	work   float64
+	// lastTag is the virtual finish time of the last request queued.
+	lastTag float64
+}
+
+// queue holds the waiters of one pool, fair between workspaces: each request
+// gets a virtual finish time that grows with its work over the workspace's
+// weight, and the lowest goes first.
+type queue struct {
+	lanes   [laneCount]lane
+	flows   map[string]*flow
+	virtual float64
+	count   int
+	work    float64
+}
+
+// push adds w to its lane and sets its tag.
+func (q *queue) push(w *waiter) {
+	f := q.flow(w.request)
+	f.lastTag = max(f.lastTag, q.virtual) + w.work/f.weight
+	f.count++
+	f.work += w.work
+	q.count++
+	q.work += w.work
+	w.tag = f.lastTag
+	if w.lane < laneFirst {
+		w.tag = deadlineTag(w.request)
+	}
+	heap.Push(&q.lanes[w.lane], w)
+}
+
+// flow returns the workspace's flow.
+func (q *queue) flow(r *Request) *flow {
+	f := q.flows[r.Workspace]
+	if f == nil {
+		f = &flow{}
+		q.flows[r.Workspace] = f
+	}
+	f.weight = r.Weight
+	if f.weight <= 0 {
+		f.weight = 1
+	}
+	return f
+}
+
+// remove takes w out of the queue.
+func (q *queue) remove(w *waiter) {
+	heap.Remove(&q.lanes[w.lane], w.index)
+	q.count--
+	q.work -= w.work
+	f := q.flows[w.request.Workspace]
+	f.count--
+	f.work -= w.work
+	if f.count == 0 && f.lastTag <= q.virtual {
+		delete(q.flows, w.request.Workspace)
+	}
+	if q.count == 0 {
+		q.virtual = 0
+		q.work = 0
+		clear(q.flows)
+	}
+}
+
+// served advances the virtual time to a request that is about to run.
+func (q *queue) served(w *waiter) {
+	if w.lane >= laneFirst {
+		q.virtual = max(q.virtual, w.tag-w.work/q.flow(w.request).weight)
+	}
+}
+
+// promote moves w to the lane of aged requests.
+func (q *queue) promote(w *waiter) {
+	heap.Remove(&q.lanes[w.lane], w.index)
+	w.lane = laneAged
+	w.tag = deadlineTag(w.request)
+	w.demand.Aged = true
+	heap.Push(&q.lanes[laneAged], w)
+}
+
+// workAhead estimates the queued work that is served before a new request of
+// the lane: the lanes before it, and in its own lane each workspace's part.
+func (q *queue) workAhead(r *Request, laneIndex int, work float64) float64 {
+	ahead := 0.0
+	for i := range laneIndex {
+		for _, w := range q.lanes[i] {
+			ahead += w.work
+		}
+	}
+	weight := r.Weight
+	if weight <= 0 {
+		weight = 1
+	}
+	start := q.virtual
+	if f := q.flows[r.Workspace]; f != nil {
+		start = max(start, f.lastTag)
+	}
+	tag := start + work/weight
+	for _, w := range q.lanes[laneIndex] {
+		if w.tag <= tag {
+			ahead += w.work
+		}
+	}
+	return ahead
+}
+
+// heaviest returns the last waiter of the workspace with the most queued work
+// for its weight, except r's own; nil if r's is the heaviest.
+func (q *queue) heaviest(r *Request, work float64) *waiter {
+	own := work
+	weight := r.Weight
+	if weight <= 0 {
+		weight = 1
+	}
+	if f := q.flows[r.Workspace]; f != nil {
+		own += f.work
+	}
+	name, most := "", own/weight
+	for workspace, f := range q.flows {
+		if part := f.work / f.weight; workspace != r.Workspace && part > most {
+			name, most = workspace, part
+		}
+	}
+	if name == "" {
+		return nil
+	}
+	return q.last(name)
+}
+
+// last returns the waiter of a workspace that would run last.
+func (q *queue) last(workspace string) *waiter {
+	var last *waiter
+	for i := laneCount - 1; i >= laneFirst && last == nil; i-- {
+		for _, w := range q.lanes[i] {
+			if w.request.Workspace == workspace && (last == nil || w.tag > last.tag) {
+				last = w
+			}
+		}
+	}
+	return last
+}
+
+func deadlineTag(r *Request) float64 { return float64(r.Deadline.UnixMilli()) }
--- a/internal/admit/scheduler.go
+++ b/internal/admit/scheduler.go
@@ -1,138 +1,210 @@
 package admit
 
 import (
-	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/catalogue"
+	"github.com/banyanroute/banyanroute/internal/gang"
+	"github.com/banyanroute/banyanroute/internal/health"
+	"github.com/banyanroute/banyanroute/internal/load"
+	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/poison"
 	"github.com/banyanroute/banyanroute/internal/result"
-	"github.com/banyanroute/banyanroute/internal/upstream"
+	"github.com/banyanroute/banyanroute/internal/retry"
+	"github.com/banyanroute/banyanroute/internal/route"
 )
 
+var log = logging.For("admit")
+
+// Algorithms of catalogue.PolicySpec.
+const (
+	AlgorithmBanyan        = "banyan"
+	AlgorithmRoundRobin    = "round-robin"
+	AlgorithmLeastRequests = "least-requests"
+)
+
+// defaultShortTokens is used if the policy does not set ShortTokens.
+const defaultShortTokens = 4096
+
 // Scheduler takes the traffic decisions of one instance. All methods are safe
 // for concurrent use; no lock is held during network calls.
 type Scheduler struct {
-	options Options
-
-	mu        sync.Mutex
-	random    *rand.Rand
-	policy    catalogue.PolicySpec
-	upstreams []*state
-}
-
-// state is what the scheduler knows of one upstream.
-type state struct {
-	upstream Upstream
-	work     float64
-	leaving  bool
+	options  Options
+	judge    *health.Judge
+	acquirer *gang.Acquirer
+
+	mu     sync.Mutex
+	random *rand.Rand
+	policy catalogue.PolicySpec
+	// first is when the first upstreams were set; those are warm at once.
+	first  time.Time
+	byID   map[string]*state
+	byKey  map[load.Key]*state
+	pools  map[poolKey]*pool
+	prefix *load.PrefixIndex
+	poison *poison.Table
+	retry  *retry.Policy
+	// peerKeys lists the upstreams of each peer's last hint.
+	peerKeys map[string][]load.Key
 }
 
 // New returns a Scheduler without upstreams.
 func New(options Options) *Scheduler {
+	judge, err := health.NewJudge()
+	if err != nil {
+		panic(err) // the embedded chart is broken
+	}
 	options = options.withDefaults()
-	return &Scheduler{options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed))}
+	s := &Scheduler{
+		options:  options,
+		judge:    judge,
+		random:   rand.New(rand.NewPCG(options.Seed, options.Seed)),
+		byID:     map[string]*state{},
+		byKey:    map[load.Key]*state{},
+		pools:    map[poolKey]*pool{},
+		prefix:   load.NewPrefixIndex(),
+		poison:   poison.NewTable(),
+		retry:    retry.NewPolicy(),
+		peerKeys: map[string][]load.Key{},
+	}
+	if options.Reserver != nil {
+		s.acquirer = gang.NewAcquirer(options.Reserver)
+	}
+	return s
 }
 
 // SetUpstreams replaces the set of upstreams; known ones keep their state.
 func (s *Scheduler) SetUpstreams(list []Upstream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known := make(map[string]*state, len(s.upstreams))
-	for _, u := range s.upstreams {
-		known[u.upstream.ID] = u
+	now := time.Now()
+	if s.first.IsZero() && len(list) > 0 {
+		s.first = now
 	}
-	next := make([]*state, 0, len(list))
+	next := make(map[string]*state, len(list))
+	byKey := make(map[load.Key]*state, len(list))
+	members := map[poolKey][]*state{}
 	for _, u := range list {
-		st := known[u.ID]
-		if st == nil {
-			st = &state{}
+		st := s.stateOf(u, now)
+		next[u.ID] = st
+		byKey[st.key] = st
+		for _, key := range poolKeys(u) {
+			members[key] = append(members[key], st)
 		}
-		st.upstream = u
-		next = append(next, st)
 	}
-	s.upstreams = next
+	s.byID, s.byKey = next, byKey
+	s.setPools(members, now)
 }
 
-// SetPolicy replaces the policy.
-func (s *Scheduler) SetPolicy(p catalogue.PolicySpec) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.policy = p
+// stateOf returns the state of u, new or as it was.
+func (s *Scheduler) stateOf(u Upstream, now time.Time) *state {
+	st := s.byID[u.ID]
+	if st == nil || st.upstream.URL != u.URL {
+		st = &state{
+			key:    load.KeyOf(u.ID),
+			load:   load.NewTracker(),
+			health: s.judge.NewTracker(now, now.Equal(s.first)),
+		}
+	}
+	st.upstream = u
+	st.single = route.View{&st.candidate}
+	st.candidate.ID = u.ID
+	st.candidate.DataCentre = u.DataCentre
+	return st
 }
 
-// ObserveLoad takes an engine's load report.
-func (s *Scheduler) ObserveLoad(id string, r upstream.LoadReport) { s.SetLeaving(id, r.Leaving) }
-
-// ObserveCache takes an engine's cache events.
-func (s *Scheduler) ObserveCache(string, upstream.CacheEvents) {}
+// poolKeys lists what an upstream serves.
+func poolKeys(u Upstream) []poolKey {
+	if u.Service != "" {
+		return []poolKey{{target: u.Service, service: true}}
+	}
+	keys := make([]poolKey, 0, len(u.Models))
+	for _, model := range u.Models {
+		keys = append(keys, poolKey{target: model})
+	}
+	return keys
+}
 
-// ObserveProbe takes the result of a health probe.
-func (s *Scheduler) ObserveProbe(string, bool, time.Duration) {}
+// setPools applies the members of each pool. A pool without members stays
+// while requests wait in it.
+func (s *Scheduler) setPools(members map[poolKey][]*state, now time.Time) {
+	for key := range members {
+		if s.pools[key] == nil {
+			s.pools[key] = newPool(key)
+		}
+	}
+	for key, p := range s.pools {
+		p.setStates(members[key])
+		if len(p.states) == 0 && p.queue.count == 0 {
+			delete(s.pools, key)
+			continue
+		}
+		s.judgePool(p, now, true)
+		s.pump(p, p.view, now)
+	}
+}
 
-// SetLeaving marks an upstream that takes no new request.
-func (s *Scheduler) SetLeaving(id string, leaving bool) {
+// SetPolicy replaces the policy.
+func (s *Scheduler) SetPolicy(p catalogue.PolicySpec) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, u := range s.upstreams {
-		if u.upstream.ID == id {
-			u.leaving = leaving
-		}
+	s.policy = p
+	now := time.Now()
+	for _, pool := range s.pools {
+		s.judgePool(pool, now, true)
+		s.pump(pool, pool.view, now)
 	}
 }
 
-// PeerHint returns a CBOR payload for the other instances' ObservePeerHint.
-func (s *Scheduler) PeerHint() []byte { return nil }
-
-// ObservePeerHint takes another instance's PeerHint.
-func (s *Scheduler) ObservePeerHint(string, []byte) {}
+// judgePool compares the upstreams of p with one another.
+func (s *Scheduler) judgePool(p *pool, now time.Time, forced bool) {
+	p.judge(now, forced, s.options.MaxRunningPerEngine, s.policy.ShortWeight)
+}
 
-// ObservePoison takes another instance's Options.OnPoison payload.
-func (s *Scheduler) ObservePoison(string, []byte) {}
+// shortTokens returns the longest prompt that counts as short.
+func (s *Scheduler) shortTokens() int {
+	if s.policy.ShortTokens > 0 {
+		return s.policy.ShortTokens
+	}
+	return defaultShortTokens
+}
 
-// Acquire waits for an upstream for r.
-func (s *Scheduler) Acquire(_ context.Context, r *Request) (*Grant, *result.Error) {
+// MayRetry returns nil if another attempt of r is allowed, and spends retry
+// budget. ran is what is known about the execution of the last attempt. The
+// last of r.Avoid is taken for the upstream where it failed.
+func (s *Scheduler) MayRetry(r *Request, ran result.Execution) *result.Error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var eligible []*state
-	for _, u := range s.upstreams {
-		if u.serves(r) {
-			eligible = append(eligible, u)
-		}
+	a := retry.Attempt{
+		Workspace:     r.Workspace,
+		Ran:           ran,
+		NonIdempotent: r.NonIdempotent,
+		Deadline:      r.Deadline,
+		Number:        r.Attempt,
 	}
-	if len(eligible) == 0 {
-		return nil, result.New(result.NoUpstream, "no upstream of %q can take a request", r.Target).After(time.Second)
+	if len(r.Avoid) > 0 {
+		a.Upstream = r.Avoid[len(r.Avoid)-1]
 	}
-	best := eligible[s.random.IntN(len(eligible))]
-	if other := eligible[s.random.IntN(len(eligible))]; other.work < best.work {
-		best = other
+	if p := s.pools[poolKey{r.Target, r.Service}]; p != nil {
+		a.Needs = p.speed.service(float64(r.PromptTokens), r.OutputTokens)
 	}
-	work := float64(r.PromptTokens + r.OutputTokens)
-	best.work += work
-	return &Grant{scheduler: s, state: best, upstream: best.upstream, work: work}, nil
-}
-
-// serves states whether u may take r.
-func (u *state) serves(r *Request) bool {
-	if u.leaving || slices.Contains(r.Avoid, u.upstream.ID) {
-		return false
-	}
-	if r.Service {
-		return u.upstream.Service == r.Target
+	refusal := s.retry.Allow(a, time.Now())
+	if refusal != nil && refusal.Code.Info().RetryHelps {
+		return refusal.After(s.retryAfter(time.Second))
 	}
-	return slices.Contains(u.upstream.Models, r.Target)
+	return refusal
 }
 
-// MayRetry returns nil if another attempt of r is allowed. ran is what is known
-// about the last attempt.
-func (s *Scheduler) MayRetry(r *Request, _ result.Execution) *result.Error {
-	if !time.Now().Before(r.Deadline) {
-		return result.New(result.DeadlineExceeded, "no time is left for another attempt")
-	}
-	return nil
+// retryAfter spreads when refused callers come back.
+func (s *Scheduler) retryAfter(d time.Duration) time.Duration {
+	d = min(max(d, minRetryAfter), maxRetryAfter)
+	return d + time.Duration(s.random.Int64N(int64(d)))
 }
 
-// Dump returns the state for operators.
-func (s *Scheduler) Dump() any { return struct{}{} }
+// Times to come back.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = 30 * time.Second
+)
--- a/internal/admit/types.go
+++ b/internal/admit/types.go
@@ -50,10 +50,13 @@
 	DataCentre string
 	// Avoid lists upstreams that were tried already.
 	Avoid []string
-	// Suspect says that the request was in flight in an upstream crash.
+	// Suspect says that the caller of Acquire saw the request's upstream
+	// lost; the scheduler's own record of losses decides what it means.
 	Suspect bool
 	// Attempt counts from 1.
 	Attempt int
+	// NonIdempotent requests must run at most once.
+	NonIdempotent bool
 }
 
 // Part is one reservation of a prompt larger than one engine.
--- a/internal/gang/acquire.go
+++ b/internal/gang/acquire.go
@@ -85,8 +85,11 @@
 	request := upstream.ReserveRequest{Name: r.Name, Tokens: r.Tokens, DeadlineUnixMs: deadline.UnixMilli()}
 	for pause := firstPause; ; pause = min(2*pause, longestPause) {
 		err := a.reserver.Reserve(ctx, r.UpstreamID, request)
-		if err == nil || !errors.Is(err, ErrNoMemory) {
-			return err
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, ErrNoMemory) {
+			return &EngineError{UpstreamID: r.UpstreamID, Cause: err}
 		}
 		if holding && time.Now().After(giveUp) {
 			return err
--- a/internal/gang/errors.go
+++ b/internal/gang/errors.go
@@ -1,7 +1,24 @@
 package gang
 
-import "errors"
+import (
+	"errors"
+	"fmt"
+)
 
 // ErrNoMemory says that an engine refused a reservation for lack of free
 // memory.
 var ErrNoMemory = errors.New("not enough free memory for the reservation")
+
+// EngineError says which engine failed during a reservation.
+type EngineError struct {
+	UpstreamID string
+	Cause      error
+}
+
+// Error implements error.
+func (e *EngineError) Error() string {
+	return fmt.Sprintf("reserving on %s: %v", e.UpstreamID, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *EngineError) Unwrap() error { return e.Cause }
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -110,6 +110,10 @@
 	t.fire(eventProbeOK, now)
 }
 
+// Crashed takes a lost connection with a failed probe after it, which together
+// are proof enough.
+func (t *Tracker) Crashed(now time.Time) { t.fire(eventProbeFailed, now) }
+
 // Success takes a completed request or progress of an answer.
 func (t *Tracker) Success(now time.Time) {
 	t.errorRate -= errorGain * t.errorRate
@@ -185,10 +189,8 @@
 
 // Restarted begins warming again: a new process has an empty cache.
 func (t *Tracker) Restarted(now time.Time) {
-	if t.machine.State() == StateHealthy {
-		t.fire(eventErrorsHigh, now)
-		t.fire(eventProbeOK, now)
-	}
+	t.fire(eventErrorsHigh, now)
+	t.fire(eventProbeOK, now)
 	t.failedProbes = 0
 }
 
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -16,7 +16,11 @@
 	if v, _ := x.Verdict(7, epoch); v != Suspect {
 		t.Errorf("verdict %d before the judgement", v)
 	}
-	x.Dismiss("e1")
+	x.Dismiss("e1", epoch.Add(-1))
+	if v, _ := x.Verdict(7, epoch); v != Suspect {
+		t.Errorf("verdict %d after a report from before the loss", v)
+	}
+	x.Dismiss("e1", epoch.Add(1))
 	if v, _ := x.Verdict(7, epoch); v != Clear {
 		t.Errorf("verdict %d after it", v)
 	}
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -129,9 +129,13 @@
 	return notices
 }
 
-// Dismiss says that the upstream lives on with the same boot, so that losses
-// there were cut connections.
-func (t *Table) Dismiss(upstreamID string) { delete(t.pending, upstreamID) }
+// Dismiss says that the upstream was seen alive with the same boot at a time
+// after the losses there, so that they were cut connections.
+func (t *Table) Dismiss(upstreamID string, seen time.Time) {
+	if p := t.pending[upstreamID]; p != nil && seen.After(p.at) {
+		delete(t.pending, upstreamID)
+	}
+}
 
 // HasPending states whether losses on the upstream wait to be judged.
 func (t *Table) HasPending(upstreamID string) bool { return t.pending[upstreamID] != nil }
--- a/internal/route/filter.go
+++ b/internal/route/filter.go
@@ -22,6 +22,9 @@
 	return c.Share > 0 && !slices.Contains(d.Avoid, c.ID)
 }
 
+// Untried passes upstreams that were not tried yet, whatever their state.
+func Untried(c *Candidate, d *Demand) bool { return !slices.Contains(d.Avoid, c.ID) }
+
 // NotExclusive passes upstreams that are not kept for another request.
 func NotExclusive(c *Candidate, _ *Demand) bool { return !c.Exclusive }
 
