--- a/cmd/banyanctl/edit.go
+++ b/cmd/banyanctl/edit.go
@@ -53,6 +53,8 @@
 		fmt.Fprintf(f.app.out, "%s %s\n", verb(u), u.Key)
 	}
 	switch {
+	case len(applied.Updates) == 0:
+		fmt.Fprintf(f.app.out, "nothing to change at revision %d\n", applied.Revision)
 	case applied.DryRun:
 		fmt.Fprintf(f.app.out, "dry run: would be revision %d; nothing was changed\n", applied.Revision)
 	case applied.Repeated:
--- a/internal/catalogue/apply.go
+++ b/internal/catalogue/apply.go
@@ -1,6 +1,7 @@
 package catalogue
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -32,10 +33,12 @@
 	// Revision is the revision that the edit became; for a dry run, the one
 	// that it would become.
 	Revision Revision `json:"revision"`
+	// Updates is empty if the entries were so already; there is then no new
+	// revision.
+	Updates []Update `json:"updates"`
 	// Repeated says that an earlier sending of the edit was accepted.
-	Repeated bool     `json:"repeated,omitempty"`
-	DryRun   bool     `json:"dry_run,omitempty"`
-	Updates  []Update `json:"updates"`
+	Repeated bool `json:"repeated,omitempty"`
+	DryRun   bool `json:"dry_run,omitempty"`
 }
 
 // ConflictError says which changes of the edit's entries came first.
@@ -96,6 +99,10 @@
 		return Applied{}, false, err
 	}
 	applied := Applied{Revision: change.Revision, Updates: change.Updates, DryRun: edit.DryRun}
+	if len(change.Updates) == 0 {
+		applied.Revision = snap.revision
+		return applied, true, nil
+	}
 	if edit.DryRun {
 		return applied, true, nil
 	}
@@ -226,6 +233,9 @@
 			return err
 		}
 		key := edit.Puts[i].Key()
+		if before := snap.records[key]; before != nil && bytes.Equal(before.JSON, after.JSON) {
+			continue
+		}
 		change.Updates = append(change.Updates, Update{Key: key, Before: snap.records[key], After: after})
 	}
 	for _, key := range edit.Deletes {
--- a/internal/catalogue/change.go
+++ b/internal/catalogue/change.go
@@ -48,12 +48,17 @@
 	Fingerprint string `json:"fingerprint" cbor:"8,keyasint"`
 }
 
-// decode fills in the entries of all records.
+// decode fills in the entries of all records. A change writes records of its
+// own revision only, so that an old one under a new number is refused.
 func (c *Change) decode() error {
 	for i := range c.Updates {
-		if err := c.Updates[i].decode(); err != nil {
+		u := &c.Updates[i]
+		if err := u.decode(); err != nil {
 			return err
 		}
+		if u.After != nil && u.After.Revision != c.Revision {
+			return fmt.Errorf("change %d writes %s with revision %d", c.Revision, u.Key, u.After.Revision)
+		}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/catalogue/edit_test.go
@@ -0,0 +1,255 @@
+package catalogue
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/platform/memstore"
+	"github.com/banyanroute/banyanroute/internal/result"
+)
+
+func apply(t *testing.T, s *Store, e Edit) (Applied, error) {
+	t.Helper()
+	if e.By.Name == "" {
+		e.By = admin
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	return s.Apply(ctx, e)
+}
+
+func mustApply(t *testing.T, s *Store, e Edit) Applied {
+	t.Helper()
+	applied, err := apply(t, s, e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return applied
+}
+
+// wantCode fails unless err has the code and its text the part.
+func wantCode(t *testing.T, err error, code result.Code, part string) {
+	t.Helper()
+	if err == nil || result.From(err).Code != code || !strings.Contains(err.Error(), part) {
+		t.Fatalf("got %v; want %s with %q", err, code, part)
+	}
+}
+
+func TestRacingOperatorsOneWinnerPerRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := memstore.New()
+		table.SetFaults(memstore.Faults{Delay: time.Millisecond})
+		var wg sync.WaitGroup
+		errs := make([]error, 12)
+		for i := range errs {
+			wg.Go(func() {
+				_, errs[i] = apply(t, NewStore(table), Edit{ID: fmt.Sprint(i), Puts: []Entry{model("m", fmt.Sprintf("v%d", i))}})
+			})
+		}
+		wg.Wait()
+		won := 0
+		for _, err := range errs {
+			if err == nil {
+				won++
+				continue
+			}
+			wantCode(t, err, result.EditConflict, "model/m (revision 1 by root)")
+		}
+		if won != 1 {
+			t.Fatalf("%d edits of the same entry won", won)
+		}
+	})
+}
+
+func TestUnrelatedEditsAreRebased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := memstore.New()
+		table.SetFaults(memstore.Faults{Delay: time.Millisecond})
+		var wg sync.WaitGroup
+		for i := range 8 {
+			wg.Go(func() {
+				mustApply(t, NewStore(table), Edit{ID: fmt.Sprint(i), Puts: []Entry{workspace(fmt.Sprintf("w%d", i), "a", i+1)}})
+			})
+		}
+		wg.Wait()
+		snap, err := NewStore(table).Load(t.Context())
+		if err != nil || snap.Revision() != 8 || snap.Len() != 8 {
+			t.Fatalf("got %+v, %v", snap, err)
+		}
+	})
+}
+
+func TestRebaseChecksReferencesAgain(t *testing.T) {
+	s := NewStore(memstore.New())
+	mustApply(t, s, Edit{ID: "1", Puts: []Entry{model("m", "v1")}})
+	mustApply(t, s, Edit{ID: "2", Base: 1, Deletes: []Key{{KindModel, "m"}}})
+	up := Entry{Kind: KindUpstream, Name: "u", Owner: "a", Upstream: &UpstreamSpec{URL: "http://127.0.0.1:1", DataCentre: "d", Models: []string{"m"}}}
+	_, err := apply(t, s, Edit{ID: "3", Base: 1, Puts: []Entry{up}})
+	wantCode(t, err, result.EditInvalid, "upstream/u: upstream.models[0]: the catalogue has no model/m")
+}
+
+func TestConflictWithDeletion(t *testing.T) {
+	s := NewStore(memstore.New())
+	mustApply(t, s, Edit{ID: "1", Puts: []Entry{model("m", "v1")}})
+	mustApply(t, s, Edit{ID: "2", Base: 1, Deletes: []Key{{KindModel, "m"}}})
+	_, err := apply(t, s, Edit{ID: "3", Base: 1, Puts: []Entry{model("m", "v2")}})
+	wantCode(t, err, result.EditConflict, "model/m (revision 2 by root)")
+	var conflict *ConflictError
+	if !errors.As(err, &conflict) || conflict.Head != 2 || len(conflict.Changes) != 1 {
+		t.Fatalf("got %+v", conflict)
+	}
+}
+
+func TestLostAnswerIsFoundAfterLaterEdits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := memstore.New()
+		table.SetFaults(memstore.Faults{LoseAnswers: 1})
+		time.AfterFunc(10*time.Millisecond, func() { table.SetFaults(memstore.Faults{Down: true}) })
+		edit := Edit{ID: "lost", Puts: []Entry{model("m", "v1")}}
+		_, err := apply(t, NewStore(table), edit)
+		wantCode(t, err, result.EditUnknown, "edit lost")
+		table.SetFaults(memstore.Faults{})
+		other := NewStore(table)
+		mustApply(t, other, Edit{ID: "later", Base: 1, Puts: []Entry{model("m", "v2")}})
+		applied := mustApply(t, NewStore(table), edit)
+		if applied.Revision != 1 || !applied.Repeated {
+			t.Fatalf("got %+v", applied)
+		}
+		snap, _ := other.Load(t.Context())
+		if snap.Revision() != 2 || snap.Model("m").Model.Version != "v2" {
+			t.Fatalf("the repeated edit took effect again: %+v", snap.Model("m").Model)
+		}
+	})
+}
+
+func TestLostAnswerAndLaterEditDuringSettling(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := memstore.New()
+		table.SetFaults(memstore.Faults{LoseAnswers: 1})
+		time.AfterFunc(5*time.Millisecond, func() {
+			mustApply(t, NewStore(table), Edit{ID: "later", Base: 1, Puts: []Entry{model("m", "v2")}})
+		})
+		applied := mustApply(t, NewStore(table), Edit{ID: "lost", Puts: []Entry{model("m", "v1")}})
+		if applied.Revision != 1 {
+			t.Fatalf("got %+v", applied)
+		}
+	})
+}
+
+func TestEditIDIsNotUsedTwice(t *testing.T) {
+	s := NewStore(memstore.New())
+	mustApply(t, s, Edit{ID: "1", Puts: []Entry{model("m", "v1")}})
+	_, err := apply(t, s, Edit{ID: "1", Base: 1, Puts: []Entry{model("m", "v2")}})
+	wantCode(t, err, result.EditInvalid, "was used for another edit, revision 1")
+}
+
+func TestRejectedEditChangesNothing(t *testing.T) {
+	table := memstore.New()
+	s := NewStore(table)
+	mustApply(t, s, Edit{ID: "1", Puts: []Entry{model("m", "v1"), workspace("w", "b", 1)}})
+	ann := Operator{Name: "ann", Owners: []string{"a"}}
+	moved := workspace("w", "a", 1)
+	cases := map[string]struct {
+		edit Edit
+		code result.Code
+		want string
+	}{
+		"one bad of two":  {Edit{Puts: []Entry{model("n", "v1"), model("bad name", "v1")}}, result.EditInvalid, "name: \"bad name\" is not a name"},
+		"other owner":     {Edit{By: ann, Puts: []Entry{workspace("w", "b", 2)}}, result.EditForbidden, "owner"},
+		"taken over":      {Edit{By: ann, Puts: []Entry{moved}}, result.EditForbidden, "owner"},
+		"deletes other's": {Edit{By: ann, Deletes: []Key{{KindWorkspace, "w"}}}, result.EditForbidden, "owner"},
+		"absent":          {Edit{Deletes: []Key{{KindModel, "x"}}}, result.EntryNotFound, "model/x"},
+		"future base":     {Edit{Base: 9, Puts: []Entry{model("n", "v1")}}, result.EditInvalid, "base: 9 is not a revision yet"},
+		"twice":           {Edit{Puts: []Entry{model("n", "v1")}, Deletes: []Key{{KindModel, "n"}}}, result.EditInvalid, "edited twice"},
+		"empty":           {Edit{}, result.EditInvalid, "allowed is 1 to 256"},
+		"same key":        {Edit{Puts: []Entry{{Kind: KindWorkspace, Name: "x", Owner: "a", Workspace: &WorkspaceSpec{KeySHA256: []string{hashOf("w")}}}}}, result.EditInvalid, "must be unique"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if c.edit.Base == 0 {
+				c.edit.Base = 1
+			}
+			c.edit.ID = name
+			_, err := apply(t, s, c.edit)
+			wantCode(t, err, c.code, c.want)
+		})
+	}
+	if writes := table.Counts().Writes; writes != 5 {
+		t.Fatalf("%d rows were written; want the 5 of the first edit", writes)
+	}
+}
+
+func TestDryRunAndUnchanged(t *testing.T) {
+	table := memstore.New()
+	s := NewStore(table)
+	if applied := mustApply(t, s, Edit{ID: "1", DryRun: true, Puts: []Entry{model("m", "v1")}}); applied.Revision != 1 || table.Counts().Writes != 0 {
+		t.Fatalf("got %+v, %d writes", applied, table.Counts().Writes)
+	}
+	mustApply(t, s, Edit{ID: "2", Puts: []Entry{model("m", "v1")}})
+	if applied := mustApply(t, s, Edit{ID: "3", Base: 1, Puts: []Entry{model("m", "v1")}}); applied.Revision != 1 || len(applied.Updates) != 0 {
+		t.Fatalf("got %+v", applied)
+	}
+}
+
+func TestUndoIsANewEdit(t *testing.T) {
+	s := NewStore(memstore.New())
+	mustApply(t, s, Edit{ID: "1", Puts: []Entry{model("m", "v1")}})
+	mustApply(t, s, Edit{ID: "2", Base: 1, Puts: []Entry{model("m", "v2"), model("n", "v1")}})
+	change, err := s.Change(t.Context(), 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	undo, err := change.Inverse()
+	if err != nil {
+		t.Fatal(err)
+	}
+	undo.ID = "undo"
+	if applied := mustApply(t, s, undo); applied.Revision != 3 {
+		t.Fatalf("got %+v", applied)
+	}
+	snap, _ := s.Load(t.Context())
+	if snap.Model("m").Model.Version != "v1" || snap.Model("n") != nil {
+		t.Fatalf("undo left %+v", snap.Entries(KindModel))
+	}
+}
+
+// TestLoadDuringEdits reads the whole catalogue while edits are committed
+// between the pages of the scan.
+func TestLoadDuringEdits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := memstore.New()
+		s := NewStore(table)
+		rev := Revision(0)
+		for part := range 5 {
+			var puts []Entry
+			for i := range maxEditEntries {
+				puts = append(puts, workspace(fmt.Sprintf("w%d-%d", part, i), "a", 1))
+			}
+			rev = mustApply(t, s, Edit{ID: fmt.Sprint("part", part), Base: rev, Puts: puts}).Revision
+		}
+		table.SetFaults(memstore.Faults{Delay: 2 * time.Millisecond})
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			for i := range 10 {
+				base := s.latest.Load().Revision()
+				mustApply(t, s, Edit{ID: fmt.Sprint("during", i), Base: base, Puts: []Entry{workspace(fmt.Sprintf("w%d-7", i%5), "a", i+2)}})
+			}
+		})
+		fresh := NewStore(table)
+		h, _, err := readHead(t.Context(), table)
+		if err != nil {
+			t.Fatal(err)
+		}
+		snap, err := fresh.readAll(t.Context(), h)
+		wg.Wait()
+		if err != nil || snap.Revision() < 6 || digestOf(snap.records) != snap.digest {
+			t.Fatalf("got %v, %v", snap, err)
+		}
+	})
+}
--- a/internal/catalogue/replica.go
+++ b/internal/catalogue/replica.go
@@ -157,6 +157,9 @@
 	if snap := r.store.latest.Load(); snap != nil {
 		r.Install(snap)
 	}
+	if applied.Revision > r.Revision() {
+		wake(r.wakePoll)
+	}
 	return applied, nil
 }
 
