--- /dev/null
+++ b/tools/loadfleet/fault.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/banyanroute/banyanroute/internal/localfleet"
+	"github.com/banyanroute/banyanroute/internal/standin/fault"
+)
+
+// Kinds of faults of an engine.
+const (
+	faultKill   = "kill"
+	faultFreeze = "freeze"
+	faultGrey   = "grey"
+	faultSilent = "silent"
+	faultLeave  = "leave"
+)
+
+// greyFactor is how many times as long a grey engine takes.
+const greyFactor = 8
+
+// schedule is a fault with its time.
+type schedule struct {
+	kind          string
+	start, length time.Duration
+}
+
+// parseFault reads KIND@START+LENGTH.
+func parseFault(text string) (schedule, error) {
+	kind, rest, ok := strings.Cut(text, "@")
+	from, length, ok2 := strings.Cut(rest, "+")
+	start, err := time.ParseDuration(from)
+	span, err2 := time.ParseDuration(length)
+	if !ok || !ok2 || err != nil || err2 != nil {
+		return schedule{}, trace.BadParameter("fault %q must be KIND@START+LENGTH", text)
+	}
+	switch kind {
+	case faultKill, faultFreeze, faultGrey, faultSilent, faultLeave:
+		return schedule{kind, start, span}, nil
+	}
+	return schedule{}, trace.BadParameter("unknown kind of fault %q", kind)
+}
+
+// startFault lets the first engine fail at the time given. The returned function
+// ends the schedule.
+func startFault(ctx context.Context, fleet *localfleet.Fleet, text string) (stop func(), err error) {
+	if text == "" {
+		return func() {}, nil
+	}
+	s, err := parseFault(text)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var done sync.WaitGroup
+	done.Go(func() { s.run(ctx, fleet.Engines[0]) })
+	return func() { cancel(); done.Wait() }, nil
+}
+
+func (s schedule) run(ctx context.Context, engine *localfleet.Upstream) {
+	if !pause(ctx, s.start) {
+		return
+	}
+	report("begin "+s.kind, s.begin(engine))
+	pause(ctx, s.length)
+	report("end "+s.kind, s.end(engine))
+}
+
+func report(what string, err error) {
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "loadfleet: %s failed: %v\n", what, err)
+		return
+	}
+	fmt.Fprintf(os.Stderr, "loadfleet: %s\n", what)
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s schedule) begin(engine *localfleet.Upstream) error {
+	switch s.kind {
+	case faultKill:
+		engine.Kill()
+		return nil
+	case faultFreeze:
+		engine.Freeze()
+		return nil
+	case faultGrey:
+		return set(engine, fault.Faults{SlowFactor: greyFactor})
+	case faultSilent:
+		return set(engine, fault.Faults{StallOpen: true})
+	}
+	return set(engine, fault.Faults{Leaving: true})
+}
+
+func (s schedule) end(engine *localfleet.Upstream) error {
+	switch s.kind {
+	case faultKill:
+		return trace.Wrap(engine.Start())
+	case faultFreeze:
+		engine.Thaw()
+		return nil
+	}
+	return set(engine, fault.Faults{})
+}
+
+// set replaces the engine's fault switches.
+func set(engine *localfleet.Upstream, f fault.Faults) error {
+	body, err := json.Marshal(f)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	req, err := http.NewRequest(http.MethodPut, "http://"+engine.Address+"/standin/faults", bytes.NewReader(body))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(resp.Body.Close())
+}
--- /dev/null
+++ b/tools/loadfleet/main.go
@@ -0,0 +1,162 @@
+// Command loadfleet measures a whole deployment on loopback. It starts the
+// processes, runs a scenario of banyanload against them once for each routing
+// algorithm, and writes results, tables and plots into a folder.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/banyanroute/banyanroute/internal/localfleet"
+)
+
+// options come from the command line.
+type options struct {
+	bin, out, scenario, algorithms, engineFlags, centres, region, model, service string
+
+	instances, engines, services, memory int
+	shortWeight                          float64
+	seed                                 uint64
+	fault                                string
+	overhead                             time.Duration
+	rate                                 float64
+}
+
+func parse() options {
+	var o options
+	flag.StringVar(&o.bin, "bin", "bin", "folder with the built programs")
+	flag.StringVar(&o.out, "out", ".", "folder for results")
+	flag.StringVar(&o.scenario, "scenario", "", "scenario file; without one only -overhead is measured")
+	flag.StringVar(&o.algorithms, "algorithms", "banyan", "routing algorithms, separated by commas")
+	flag.StringVar(&o.engineFlags, "engine-flags", "--time-scale 4", "flags of each engine")
+	flag.StringVar(&o.centres, "data-centres", "palermo,catania,trapani", "data centres, separated by commas")
+	flag.StringVar(&o.region, "region", "sicilia", "region")
+	flag.StringVar(&o.model, "model", "tutor-llm", "model")
+	flag.StringVar(&o.service, "service", "booking-api", "plain service")
+	flag.IntVar(&o.instances, "instances", 7, "instances")
+	flag.IntVar(&o.engines, "engines", 15, "engines")
+	flag.IntVar(&o.services, "services", 3, "processes of the plain service")
+	flag.IntVar(&o.memory, "memory-tokens", 500_000, "KV memory of an engine in tokens")
+	flag.Float64Var(&o.shortWeight, "short-weight", 0.5, "short_weight of the policy")
+	flag.Uint64Var(&o.seed, "seed", 1, "seed of the scenario")
+	flag.StringVar(&o.fault, "fault", "", "fault of the first engine as KIND@START+LENGTH, for example grey@20s+10s; kinds: kill, freeze, grey, silent, leave")
+	flag.DurationVar(&o.overhead, "overhead", 0, "measure the time that an instance adds for so long")
+	flag.Float64Var(&o.rate, "overhead-rate", 100, "requests per second over each way")
+	flag.Parse()
+	return o
+}
+
+func main() {
+	if err := measure(context.Background(), parse()); err != nil {
+		fmt.Fprintln(os.Stderr, "loadfleet:", trace.UserMessage(err))
+		os.Exit(1)
+	}
+}
+
+// measure runs all algorithms and draws their results together.
+func measure(ctx context.Context, o options) error {
+	if err := os.MkdirAll(o.out, 0o755); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	var results []string
+	for _, algorithm := range strings.Split(o.algorithms, ",") {
+		file, err := measureOne(ctx, o, algorithm)
+		if err != nil {
+			return trace.Wrap(err, "%s", algorithm)
+		}
+		if file != "" {
+			results = append(results, file)
+		}
+	}
+	if len(results) == 0 {
+		return nil
+	}
+	return load(ctx, o, os.Stdout, append([]string{"plot", "--out", o.out}, results...)...)
+}
+
+// measureOne starts a fleet with one algorithm and returns the result's file.
+func measureOne(ctx context.Context, o options, algorithm string) (string, error) {
+	dir, err := os.MkdirTemp("", "banyanroute-load-")
+	if err != nil {
+		return "", trace.ConvertSystemError(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	fleet, err := localfleet.Start(ctx, localfleet.Layout{
+		Bin: o.bin, Dir: dir, Instances: o.instances, Engines: o.engines, Services: o.services,
+		Model: o.model, Service: o.service, DataCentres: strings.Split(o.centres, ","), Region: o.region,
+		MemoryTokens: o.memory, EngineFlags: strings.Fields(o.engineFlags),
+		Algorithm: algorithm, ShortWeight: o.shortWeight,
+	})
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	defer fleet.Stop()
+	if o.overhead > 0 {
+		if err := measureOverhead(ctx, o, fleet, algorithm); err != nil {
+			return "", trace.Wrap(err)
+		}
+	}
+	if o.scenario == "" {
+		return "", nil
+	}
+	return runScenario(ctx, o, fleet, algorithm)
+}
+
+func measureOverhead(ctx context.Context, o options, fleet *localfleet.Fleet, algorithm string) error {
+	return load(ctx, o, os.Stdout, "overhead", "--direct", "http://"+fleet.Engines[0].Address,
+		"--through", "http://"+fleet.Instances[0].Callers, "--key", localfleet.CallerKey, "--model", o.model,
+		"--rate", fmt.Sprint(o.rate), "--duration", o.overhead.String(),
+		"--json", filepath.Join(o.out, "overhead-"+algorithm+".json"))
+}
+
+func runScenario(ctx context.Context, o options, fleet *localfleet.Fleet, algorithm string) (string, error) {
+	name := strings.TrimSuffix(filepath.Base(o.scenario), ".yaml") + "-" + algorithm
+	file := filepath.Join(o.out, name+".json")
+	args := []string{"run", "--name", name, "--json", file, "--seed", fmt.Sprint(o.seed),
+		"--key", localfleet.CallerKey, "--key", localfleet.OtherKey}
+	for _, in := range fleet.Instances {
+		args = append(args, "--target", "http://"+in.Callers)
+	}
+	for i, e := range fleet.Engines {
+		// A killed engine has no record to compare.
+		if i > 0 || !strings.HasPrefix(o.fault, faultKill) {
+			args = append(args, "--engine", "http://"+e.Address)
+		}
+	}
+	for _, s := range fleet.Services {
+		args = append(args, "--service", "http://"+s.Address)
+	}
+	stop, err := startFault(ctx, fleet, o.fault)
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	defer stop()
+	text, err := os.Create(filepath.Join(o.out, name+".txt"))
+	if err != nil {
+		return "", trace.ConvertSystemError(err)
+	}
+	defer func() { _ = text.Close() }()
+	err = load(ctx, o, text, append(args, o.scenario)...)
+	if _, statErr := os.Stat(file); statErr != nil {
+		return "", trace.Wrap(err)
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "loadfleet: %s: %v\n", name, err)
+	}
+	return file, nil
+}
+
+// load runs banyanload.
+func load(ctx context.Context, o options, out *os.File, args ...string) error {
+	cmd := exec.CommandContext(ctx, filepath.Join(o.bin, "banyanload"), args...)
+	cmd.Stdout, cmd.Stderr = out, os.Stderr
+	return trace.Wrap(cmd.Run())
+}
