--- a/tools/demo/main.go
+++ b/tools/demo/main.go
@@ -7,7 +7,9 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -155,7 +157,8 @@
 	if err != nil {
 		return err
 	}
-	if _, err := d.fleet.Ctl(d.ctx, 0, "delete", "upstream/booking-api-1"); err != nil {
+	removed := slices.MaxFunc(slices.Collect(maps.Keys(before)), func(a, b string) int { return before[a] - before[b] })
+	if _, err := d.fleet.Ctl(d.ctx, 0, "delete", "upstream/"+removed); err != nil {
 		return err
 	}
 	start := time.Now()
@@ -174,8 +177,8 @@
 	if err != nil {
 		return err
 	}
-	say("lookups were served by %v; after banyanctl deleted booking-api-1 (in force on i2 within %s): %v", before, time.Since(start).Round(time.Millisecond), after)
-	if after["booking-api-1"] > 0 {
+	say("lookups were served by %v; after banyanctl deleted %s (in force on i2 within %s): %v", before, removed, time.Since(start).Round(time.Millisecond), after)
+	if after[removed] > 0 {
 		return trace.BadParameter("a deleted upstream got new work")
 	}
 	return nil
--- /dev/null
+++ b/tools/faults/end.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/localfleet"
+	"github.com/banyanroute/banyanroute/internal/upstream"
+)
+
+// memoryTime is the time in which engines must be free of everything.
+const memoryTime = 30 * time.Second
+
+// checkEnd checks that no engine holds anything for a request that is over.
+func checkEnd(ctx context.Context, fleet *localfleet.Fleet, r *report) {
+	end := time.Now().Add(memoryTime)
+	for _, e := range fleet.Engines {
+		problem := "never asked"
+		for time.Now().Before(end) && problem != "" {
+			problem = heldBy(ctx, e)
+			if problem != "" {
+				time.Sleep(500 * time.Millisecond)
+			}
+		}
+		r.check(noMemoryLost, problem)
+	}
+}
+
+// heldBy returns what an engine still holds, or nothing.
+func heldBy(ctx context.Context, e *localfleet.Upstream) string {
+	var holds upstream.Holds
+	if err := localfleet.Fetch(ctx, "http://"+e.Address+upstream.PathHolds, &holds); err != nil {
+		return e.Name + " does not answer: " + err.Error()
+	}
+	var load upstream.LoadReport
+	if err := localfleet.Fetch(ctx, "http://"+e.Address+upstream.PathLoad, &load); err != nil {
+		return e.Name + " does not answer: " + err.Error()
+	}
+	if len(holds.Holds) > 0 || load.ReservedTokens > 0 || load.RunningStreams > 0 || load.QueuedRequests > 0 {
+		return fmt.Sprintf("%s holds %d things: %+v; load %d streams, %d queued, %d reserved tokens",
+			e.Name, len(holds.Holds), holds.Holds, load.RunningStreams, load.QueuedRequests, load.ReservedTokens)
+	}
+	return ""
+}
--- /dev/null
+++ b/tools/faults/report.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// promise names one of the promises that the run checks.
+type promise string
+
+// Promises that are judged from outside.
+const (
+	inTime       promise = "each request finishes or fails within its time"
+	wholeAnswer  promise = "each caller gets its whole own answer, in order"
+	notRunIsTrue promise = "a refusal that says not-run is true"
+	atMostOnce   promise = "a non-idempotent call runs at most once"
+	noMemoryLost promise = "no engine loses memory for good"
+	inForce      promise = "an accepted edit is in force everywhere and never reverts"
+	noCut        promise = "a planned stop cuts off no request"
+)
+
+// promises in the order of the report.
+var promises = []promise{inTime, wholeAnswer, notRunIsTrue, atMostOnce, noMemoryLost, inForce, noCut}
+
+// maxExamples bounds the violations that are kept word for word.
+const maxExamples = 10
+
+// verdict is what was found about one promise.
+type verdict struct {
+	Promise    promise  `json:"promise"`
+	Checked    int      `json:"checked"`
+	Violations int      `json:"violations"`
+	Examples   []string `json:"examples,omitempty"`
+}
+
+// report collects verdicts. It is safe for concurrent use.
+type report struct {
+	mu       sync.Mutex
+	Command  string         `json:"command"`
+	Seed     uint64         `json:"seed"`
+	Duration string         `json:"duration"`
+	Machine  string         `json:"machine"`
+	Faults   []string       `json:"faults"`
+	Results  map[string]int `json:"results"`
+	// RecoverySeconds is, per fault, the time from its end until requests
+	// succeeded again without a failure for one second.
+	RecoverySeconds map[string][]float64 `json:"recovery_seconds"`
+	Verdicts        []*verdict           `json:"verdicts"`
+	// lastFailure is when a request last failed.
+	lastFailure time.Time
+}
+
+func newReport(o options) *report {
+	r := &report{
+		Command: fmt.Sprintf("go run ./tools/faults -seed %d -duration %s -instances %d -engines %d -pairs=%t",
+			o.seed, o.duration, o.instances, o.engines, o.pairs),
+		Seed: o.seed, Duration: o.duration.String(),
+		Machine: fmt.Sprintf("%s/%s, %d cores", runtime.GOOS, runtime.GOARCH, runtime.NumCPU()),
+		Results: map[string]int{}, RecoverySeconds: map[string][]float64{},
+	}
+	for _, p := range promises {
+		r.Verdicts = append(r.Verdicts, &verdict{Promise: p})
+	}
+	return r
+}
+
+// check counts one judgement; problem is empty if the promise held.
+func (r *report) check(p promise, problem string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := r.Verdicts[slices.Index(promises, p)]
+	v.Checked++
+	if problem == "" {
+		return
+	}
+	v.Violations++
+	if len(v.Examples) < maxExamples {
+		v.Examples = append(v.Examples, problem)
+	}
+	fmt.Printf("faults: VIOLATION of %q: %s\n", p, problem)
+}
+
+// result counts one request's outcome.
+func (r *report) result(kind string, failed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Results[kind]++
+	if failed {
+		r.lastFailure = time.Now()
+	}
+}
+
+// failedSince states whether a request failed after a moment.
+func (r *report) failedSince(t time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastFailure.After(t)
+}
+
+// failure returns when a request last failed.
+func (r *report) failure() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastFailure
+}
+
+// fault notes a fault that was caused.
+func (r *report) fault(text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Faults = append(r.Faults, text)
+	fmt.Println("faults:", text)
+}
+
+// recovered notes how long a fault's effects lasted after its end.
+func (r *report) recovered(fault string, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.RecoverySeconds[fault] = append(r.RecoverySeconds[fault], took.Seconds())
+}
+
+// finish prints and stores the report; a violation is an error.
+func (r *report) finish(file string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Printf("\n%s\n\nrequests by result:\n", r.Command)
+	for _, kind := range sortedKeys(r.Results) {
+		fmt.Printf("  %-44s %d\n", kind, r.Results[kind])
+	}
+	fmt.Println("\nseconds until requests succeeded again, by fault:")
+	for _, name := range sortedKeys(r.RecoverySeconds) {
+		fmt.Printf("  %-32s %s\n", name, formatSeconds(r.RecoverySeconds[name]))
+	}
+	fmt.Println("\npromises:")
+	violations := 0
+	for _, v := range r.Verdicts {
+		fmt.Printf("  %-62s checked %6d, violations %d\n", v.Promise, v.Checked, v.Violations)
+		violations += v.Violations
+	}
+	if file != "" {
+		if err := writeJSON(file, r); err != nil {
+			return err
+		}
+	}
+	if violations > 0 {
+		return trace.BadParameter("%d violations", violations)
+	}
+	return nil
+}
+
+func formatSeconds(list []float64) string {
+	var parts []string
+	for _, s := range list {
+		parts = append(parts, fmt.Sprintf("%.1f", s))
+	}
+	return strings.Join(parts, " ")
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
