Explore the claim chart; run schedules with faults against the ledger

Cause: at most once must hold for every interleaving, not for the tested ones. Change: internal/modelcheck walks all reachable states of a model. TestSchedulesRunAtMostOnce runs 9 faults singly, twice and in pairs. Conclusion: claims stay with their holder; no second write before the send.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -247,11 +247,11 @@
 
 // callEnded is the error of a call whose ctx ended before the claim was known.
 func callEnded(ctx context.Context) *result.Error {
-	code := result.CallerGone
+	const detail = "the call ended before its key was claimed"
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		code = result.DeadlineExceeded
+		return result.New(result.DeadlineExceeded, detail).WithExecution(result.NotRun).After(jitter(retryStoreDown))
 	}
-	return result.New(code, "the call ended before its key was claimed").WithExecution(result.NotRun)
+	return result.New(result.CallerGone, detail).WithExecution(result.NotRun)
 }
 
 // Run settles outcomes that the store has not taken and ages old rows, until
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -122,6 +122,46 @@
 	})
 }
 
+func TestOneKeyTwiceInOneBatchGivesOneClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New()
+		store.SetFaults(memstore.Faults{Delay: 5 * time.Millisecond})
+		l := newLedger(t, store, "a")
+		var wg sync.WaitGroup
+		for _, key := range []string{"1", "2", "3", "4"} {
+			wg.Go(func() { mustClaim(t, l, booking(key)) })
+		}
+		synctest.Wait()
+		claims := make(chan *Claim, 2)
+		for range 2 {
+			wg.Go(func() {
+				claim, _, _ := l.Begin(t.Context(), booking("k"))
+				claims <- claim
+			})
+		}
+		wg.Wait()
+		if first, second := <-claims, <-claims; (first == nil) == (second == nil) {
+			t.Fatalf("claims %v and %v of one key, want one", first, second)
+		}
+	})
+}
+
+func TestHangingStoreRefusesAtOnceAfterFirstTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New()
+		l := newLedger(t, store, "a")
+		store.SetFaults(memstore.Faults{Delay: time.Minute})
+		wantCode(t, l, booking("k"), result.StoreUnavailable, result.NotRun)
+		start := time.Now()
+		for i := range 100 {
+			wantCode(t, l, booking(string(rune('a'+i))), result.StoreUnavailable, result.NotRun)
+		}
+		if waited := time.Since(start); waited > 0 {
+			t.Fatalf("100 refusals took %v", waited)
+		}
+	})
+}
+
 func TestStoreDownRefusesAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := memstore.New()
@@ -220,7 +260,7 @@
 		_ = mustClaim(t, l, lost).Unknown(t.Context())
 		_ = mustClaim(t, l, refused).NotRun(t.Context())
 		mustClaim(t, l, booking("abandoned"))
-		time.Sleep(defaultAnswerTime + time.Hour)
+		time.Sleep(defaultAnswerTime + 2*sweepPause)
 		wantCode(t, l, finished, result.AnswerUnavailable, result.Ran)
 		wantCode(t, l, lost, result.OutcomeUnknown, result.MayHaveRun)
 		wantCode(t, l, booking("abandoned"), result.OutcomeUnknown, result.MayHaveRun)
--- /dev/null
+++ b/internal/ledger/model_test.go
@@ -0,0 +1,279 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/banyanroute/banyanroute/charts"
+	"github.com/banyanroute/banyanroute/internal/chart"
+	"github.com/banyanroute/banyanroute/internal/modelcheck"
+)
+
+// Bounds of the model: two instances with one call each on one key, writes
+// that arrive arbitrarily late, and pauses of any length between two steps.
+const (
+	modelHolders = 2
+	modelWrites  = 2
+	modelStates  = 3_000_000
+)
+
+// phase is what a holder of the model does.
+type phase uint8
+
+const (
+	idle phase = iota
+	claiming
+	unsure
+	holding
+	sending
+	ending
+	givenUp
+	over
+)
+
+// modelWrite is a commit under way. From the zero event on, nothing listens.
+type modelWrite struct {
+	event  chart.Event
+	expect uint8
+	heard  bool
+}
+
+// holder is one instance's call.
+type holder struct {
+	phase  phase
+	expect uint8
+	// wire says that the call is on its way to the upstream.
+	wire, executed, saidNotRun bool
+	writes                     [modelWrites]modelWrite
+}
+
+// claimState is a state of the model. The row's claim is the holder's index
+// plus one.
+type claimState struct {
+	row     chart.State
+	claim   uint8
+	version uint8
+	holders [modelHolders]holder
+}
+
+// claimModel interprets charts/claim.yaml; its switches remove one mechanism
+// each.
+type claimModel struct {
+	chart *chart.Chart
+	// takeOver lets a holder claim a claimed row.
+	takeOver bool
+	// blind drops the condition of writes.
+	blind bool
+	// sendUnsure sends although the claim's write was not answered.
+	sendUnsure bool
+	// forgets lets the row be forgotten at any time instead of after the
+	// key time.
+	forgets bool
+}
+
+type claimStep = modelcheck.Step[claimState]
+
+// commit applies a write to the row and states whether it took effect.
+func (m claimModel) commit(s *claimState, i int, w modelWrite) bool {
+	if w.expect != s.version && !m.blind {
+		return false
+	}
+	t, err := m.chart.Next(s.row, w.event)
+	if err != nil {
+		return false
+	}
+	s.row, s.claim = t.To, uint8(i+1)
+	s.version++
+	return true
+}
+
+// issue puts a write under way; without a free slot the step does not exist.
+func (h *holder) issue(event chart.Event, expect uint8) bool {
+	for i := range h.writes {
+		if h.writes[i].event == "" {
+			h.writes[i] = modelWrite{event: event, expect: expect, heard: true}
+			h.expect = expect
+			return true
+		}
+	}
+	return false
+}
+
+func (m claimModel) steps(s claimState) []claimStep {
+	var steps []claimStep
+	add := func(name string, i int, change func(*claimState, *holder) bool) {
+		to := s
+		if change(&to, &to.holders[i]) {
+			steps = append(steps, claimStep{Name: fmt.Sprintf("instance %d: %s", i, name), To: to})
+		}
+	}
+	for i := range s.holders {
+		m.holderSteps(s.holders[i], func(name string, change func(*claimState, *holder) bool) { add(name, i, change) })
+		for slot, w := range s.holders[i].writes {
+			if w.event != "" {
+				m.writeSteps(i, slot, w, func(name string, change func(*claimState, *holder) bool) { add(name, i, change) })
+			}
+		}
+	}
+	aged, err := m.chart.Next(s.row, eventAge)
+	if err == nil && aged.To != s.row {
+		to := s
+		to.row, to.version = aged.To, s.version+1
+		steps = append(steps, claimStep{Name: "sweeper ages the row", To: to})
+	}
+	if gone, err := m.chart.Next(s.row, eventForget); m.forgets && err == nil && gone.To == stateAbsent && s.row != stateAbsent {
+		to := s
+		to.row, to.claim, to.version = stateAbsent, 0, 0
+		steps = append(steps, claimStep{Name: "sweeper forgets the row", To: to})
+	}
+	return steps
+}
+
+// holderSteps are the steps that an instance takes by itself.
+func (m claimModel) holderSteps(h holder, add func(string, func(*claimState, *holder) bool)) {
+	if h.wire {
+		add("upstream executes", func(_ *claimState, h *holder) bool { h.wire, h.executed = false, true; return true })
+		add("call is lost", func(_ *claimState, h *holder) bool { h.wire = false; return true })
+	}
+	if h.phase != over && h.phase != idle {
+		add("dies", func(_ *claimState, h *holder) bool { h.phase = over; return true })
+	}
+	end := func(event chart.Event) func(*claimState, *holder) bool {
+		return func(_ *claimState, h *holder) bool { h.phase = ending; return h.issue(event, h.expect) }
+	}
+	switch h.phase {
+	case idle:
+		add("begins", func(_ *claimState, h *holder) bool { h.phase = claiming; return h.issue(eventBegin, 0) })
+	case unsure:
+		add("commits again", func(_ *claimState, h *holder) bool { h.phase = claiming; return h.issue(eventBegin, h.expect) })
+		add("gives up", func(_ *claimState, h *holder) bool {
+			h.phase, h.saidNotRun = givenUp, true
+			return h.issue(eventRefuse, h.expect)
+		})
+		if m.sendUnsure {
+			add("sends unsure", func(_ *claimState, h *holder) bool { h.phase, h.wire = sending, true; return true })
+		}
+	case holding:
+		add("sends", func(_ *claimState, h *holder) bool { h.phase, h.wire = sending, true; return true })
+		add("does not send", func(s *claimState, h *holder) bool { h.saidNotRun = true; return end(eventRefuse)(s, h) })
+	case sending:
+		if h.executed {
+			add("gets the answer", end(eventFinish))
+		}
+		add("loses the upstream", end(eventLose))
+	}
+}
+
+// writeSteps are the fates of a commit under way.
+func (m claimModel) writeSteps(i, slot int, w modelWrite, add func(string, func(*claimState, *holder) bool)) {
+	name := string(w.event)
+	add(name+" is answered", func(s *claimState, h *holder) bool {
+		if !w.heard {
+			return false
+		}
+		h.writes[slot] = modelWrite{}
+		won := m.commit(s, i, w)
+		return m.hear(s, i, w, won)
+	})
+	add(name+" is not answered yet", func(_ *claimState, h *holder) bool {
+		h.writes[slot].heard = false
+		if h.phase == claiming && w.event == eventBegin {
+			h.phase = unsure
+		}
+		return w.heard
+	})
+	add(name+" takes effect unheard", func(s *claimState, h *holder) bool {
+		h.writes[slot] = modelWrite{}
+		m.commit(s, i, w)
+		return !w.heard
+	})
+	add(name+" is lost", func(_ *claimState, h *holder) bool { h.writes[slot] = modelWrite{}; return !w.heard })
+}
+
+// hear is what an instance does on the answer of its write.
+func (m claimModel) hear(s *claimState, i int, w modelWrite, won bool) bool {
+	h := &s.holders[i]
+	own := s.claim == uint8(i+1)
+	switch {
+	case h.phase == claiming && w.event == eventBegin && (won || own && s.row == stateClaimed):
+		h.phase, h.expect = holding, s.version
+	case h.phase == claiming && w.event == eventBegin:
+		t, err := m.chart.Next(s.row, eventBegin)
+		if err == nil && (t.To == stateClaimed && s.row != stateClaimed || m.takeOver && s.row == stateClaimed) {
+			return h.issue(eventBegin, s.version)
+		}
+		h.phase = over
+	case !won && own && (h.phase == givenUp || h.phase == ending) && w.event != eventBegin && s.version != w.expect:
+		t, err := m.chart.Next(s.row, w.event)
+		if err == nil && t.To != s.row {
+			return h.issue(w.event, s.version)
+		}
+	}
+	return true
+}
+
+func (m claimModel) explore() modelcheck.Report[claimState] {
+	executions := func(s claimState) int {
+		n := 0
+		for _, h := range s.holders {
+			if h.executed || h.wire {
+				n++
+			}
+		}
+		return n
+	}
+	return modelcheck.Explore(modelcheck.Model[claimState]{
+		Initial: claimState{row: m.chart.Initial},
+		Steps:   m.steps,
+		Invariants: []modelcheck.Invariant[claimState]{
+			{Name: "at most one execution", Holds: func(s claimState) bool { return executions(s) <= 1 }},
+			{Name: "not run is true", Holds: func(s claimState) bool {
+				for _, h := range s.holders {
+					if h.saidNotRun && (h.executed || h.wire) {
+						return false
+					}
+				}
+				return true
+			}},
+			{Name: "a claimable row has no call under way", Holds: func(s claimState) bool {
+				return s.row != stateNotRun || executions(s) == 0
+			}},
+		},
+		MaxStates: modelStates,
+	})
+}
+
+func loadClaimChart(t *testing.T) *chart.Chart {
+	t.Helper()
+	c, err := chart.Load(charts.FS, "claim")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func TestModelOfClaim(t *testing.T) {
+	r := claimModel{chart: loadClaimChart(t)}.explore()
+	t.Logf("%d states, %d steps, depth %d, complete %v", r.States, r.Steps, r.Depth, r.Complete)
+	if r.Violation != nil || !r.Complete {
+		t.Fatalf("complete %v, %v", r.Complete, r.Violation)
+	}
+}
+
+func TestModelOfClaimNeedsEachMechanism(t *testing.T) {
+	c := loadClaimChart(t)
+	for name, m := range map[string]claimModel{
+		"claim taken over":      {chart: c, takeOver: true},
+		"write without version": {chart: c, blind: true},
+		"send before answer":    {chart: c, sendUnsure: true},
+		"row forgotten early":   {chart: c, forgets: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := m.explore()
+			if r.Violation == nil {
+				t.Fatalf("no violation in %d states", r.States)
+			}
+			t.Logf("%d states\n%v", r.States, r.Violation)
+		})
+	}
+}
--- /dev/null
+++ b/internal/ledger/schedule_test.go
@@ -0,0 +1,373 @@
+package ledger
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/platform"
+	"github.com/banyanroute/banyanroute/internal/platform/memstore"
+	"github.com/banyanroute/banyanroute/internal/result"
+)
+
+// Sizes of a schedule.
+const (
+	scheduleInstances = 3
+	scheduleRepeats   = 6
+	requestTime       = 5 * time.Second
+)
+
+// schedules is the number of seeds per combination of faults.
+var schedules = flag.Int("schedules", 10, "seeds per combination of faults")
+
+// fault is one thing that goes wrong in a schedule.
+type fault string
+
+const (
+	faultKill       fault = "kill"
+	faultFreeze     fault = "freeze"
+	faultDown       fault = "store down"
+	faultSlow       fault = "store slow"
+	faultLostAnswer fault = "answer lost"
+	faultLostWrite  fault = "write lost"
+	faultLateWrite  fault = "write late"
+	faultUpstream   fault = "upstream lost"
+	faultRefuse     fault = "upstream refuses"
+)
+
+var allFaults = []fault{faultKill, faultFreeze, faultDown, faultSlow, faultLostAnswer,
+	faultLostWrite, faultLateWrite, faultUpstream, faultRefuse}
+
+// process is an instance that can be killed or frozen between two steps, and
+// its link to the table.
+type process struct {
+	platform.Table
+	*world
+	ledger *Ledger
+	// stopAt counts down the steps until the process freezes or dies.
+	stopAt int
+	stop   fault
+	thawed time.Time
+	dead   bool
+	cancel context.CancelFunc
+}
+
+// step is called between any two actions of a process; it states whether the
+// process still lives.
+func (p *process) step() bool {
+	p.mu.Lock()
+	p.stopAt--
+	if p.stopAt == 0 && p.stop == faultKill {
+		p.dead = true
+		p.cancel()
+	}
+	if p.stopAt == 0 && p.stop == faultFreeze {
+		p.thawed = time.Now().Add(p.span(3 * requestTime))
+	}
+	wait, dead := time.Until(p.thawed), p.dead
+	p.mu.Unlock()
+	time.Sleep(wait)
+	return !dead
+}
+
+// Commit implements platform.Table with writes that arrive late.
+func (p *process) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	if !p.step() {
+		return platform.TxnResult{}, platform.ErrUnavailable
+	}
+	p.mu.Lock()
+	late := p.lateWrites > 0
+	p.lateWrites = max(0, p.lateWrites-1)
+	delay := p.span(requestTime)
+	p.mu.Unlock()
+	if late {
+		time.AfterFunc(delay, func() { _, _ = p.store.Commit(context.Background(), txn) })
+		return platform.TxnResult{}, platform.ErrUnknownOutcome
+	}
+	res, err := p.store.Commit(ctx, txn)
+	if !p.step() {
+		return platform.TxnResult{}, platform.ErrUnknownOutcome
+	}
+	return res, err
+}
+
+// world is one schedule: the store, the upstream and what callers were told.
+type world struct {
+	mu         sync.Mutex
+	rng        *rand.Rand
+	store      *memstore.Store
+	processes  []*process
+	lateWrites int
+	// upstreamFaults are the coming calls' faults at the upstream.
+	upstreamFaults []fault
+	executions     int
+	violations     []string
+	unknownSaid    bool
+}
+
+// span returns a random duration up to limit. The caller holds mu.
+func (w *world) span(limit time.Duration) time.Duration {
+	return 1 + time.Duration(w.rng.Int64N(int64(limit)))
+}
+
+func newWorld(ctx context.Context, seed uint64, faults []fault) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), store: memstore.New()}
+	w.store.SetFaults(memstore.Faults{Delay: time.Millisecond})
+	for i := range scheduleInstances {
+		p := &process{Table: w.store, world: w}
+		p.ledger = New(p, w.store, Options{Instance: fmt.Sprint("i", i), Incarnation: 1})
+		runCtx, cancel := context.WithCancel(ctx)
+		p.cancel = cancel
+		go func() { _ = p.ledger.Run(runCtx) }()
+		w.processes = append(w.processes, p)
+	}
+	for _, f := range faults {
+		w.inject(f)
+	}
+	return w
+}
+
+// inject schedules one fault.
+func (w *world) inject(f fault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	start, length := w.span(20*time.Millisecond), w.span(requestTime)
+	change := func(set func(*memstore.Faults)) {
+		faults := w.store.Faults()
+		set(&faults)
+		w.store.SetFaults(faults)
+	}
+	switch f {
+	case faultKill, faultFreeze:
+		p := w.processes[w.rng.IntN(2)]
+		p.stop, p.stopAt = f, 1+w.rng.IntN(10)
+	case faultDown:
+		time.AfterFunc(start, func() { change(func(s *memstore.Faults) { s.Down = true }) })
+		time.AfterFunc(start+length, func() { change(func(s *memstore.Faults) { s.Down = false }) })
+	case faultSlow:
+		slow := w.span(4 * time.Second)
+		time.AfterFunc(start, func() { change(func(s *memstore.Faults) { s.Delay = slow }) })
+		time.AfterFunc(start+length, func() { change(func(s *memstore.Faults) { s.Delay = time.Millisecond }) })
+	case faultLostAnswer:
+		time.AfterFunc(start, func() { change(func(s *memstore.Faults) { s.LoseAnswers += 3 }) })
+	case faultLostWrite:
+		time.AfterFunc(start, func() { change(func(s *memstore.Faults) { s.LoseWrites += 3 }) })
+	case faultLateWrite:
+		w.lateWrites += 1 + w.rng.IntN(6)
+	default:
+		w.upstreamFaults = append(w.upstreamFaults, f)
+	}
+}
+
+// call carries out one request of the caller through one instance, as the
+// dispatcher does.
+func (p *process) call(ctx context.Context, req Request) {
+	if !p.step() {
+		return
+	}
+	claim, answer, err := p.ledger.Begin(ctx, req)
+	if answer != nil && p.executed() != 1 {
+		p.violate("an answer was stored of %d executions", p.executed())
+	}
+	if err != nil && err.Code == result.OutcomeUnknown {
+		p.mu.Lock()
+		p.unknownSaid = true
+		p.mu.Unlock()
+	}
+	if err != nil && err.Execution == result.NotRun && err.Code != result.StoreUnavailable && err.RetryAfter == 0 {
+		p.violate("refused with %v and no time to come back", err)
+	}
+	if claim == nil || !p.step() {
+		return
+	}
+	if claim.MarkSending(ctx) != nil {
+		_ = claim.NotRun(ctx)
+		return
+	}
+	p.send(ctx, claim)
+}
+
+// send gives the request to the upstream and ends the claim.
+func (p *process) send(ctx context.Context, claim *Claim) {
+	if !p.step() {
+		return
+	}
+	outcome := p.execute()
+	if !p.step() {
+		return
+	}
+	switch outcome {
+	case faultRefuse:
+		_ = claim.NotRun(ctx)
+	case faultUpstream:
+		_ = claim.Unknown(ctx)
+	default:
+		_ = claim.Finish(ctx, Answer{Status: 200, Body: []byte("booked")})
+	}
+	p.step()
+}
+
+// execute is the upstream: it counts executions from outside.
+func (w *world) execute() fault {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var f fault
+	if len(w.upstreamFaults) > 0 {
+		f, w.upstreamFaults = w.upstreamFaults[0], w.upstreamFaults[1:]
+	}
+	if f != faultRefuse && (f != faultUpstream || w.rng.IntN(2) == 0) {
+		w.executions++
+	}
+	return f
+}
+
+func (w *world) executed() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.executions
+}
+
+func (w *world) violate(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.violations = append(w.violations, fmt.Sprintf(format, args...))
+}
+
+// finalWord is what a repeat is told at the end: "answer", "claimable",
+// "may have run" or "still running".
+func (w *world) finalWord(ctx context.Context) string {
+	l := w.processes[scheduleInstances-1].ledger
+	claim, answer, err := l.Begin(ctx, booking("k"))
+	switch {
+	case claim != nil:
+		return "claimable"
+	case answer != nil:
+		return "answer"
+	case err.Code == result.OutcomeUnknown:
+		return "may have run"
+	}
+	return err.Error()
+}
+
+// tally sums up the schedules of one combination of faults.
+type tally struct {
+	schedules, violations, executed, answers, claimable, unknown, falseUnknown int
+	// recovery is the longest time from the last fault until a repeat gets a
+	// final word.
+	recovery time.Duration
+}
+
+func (c *tally) run(t *testing.T, seed uint64, faults []fault) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t.Context(), seed, faults)
+		var wg sync.WaitGroup
+		for range scheduleRepeats {
+			w.mu.Lock()
+			start := w.span(2 * requestTime)
+			if w.rng.IntN(2) == 0 {
+				start = w.span(30 * time.Millisecond)
+			}
+			p := w.processes[w.rng.IntN(scheduleInstances)]
+			w.mu.Unlock()
+			wg.Go(func() {
+				time.Sleep(start)
+				req := booking("k")
+				req.Deadline = time.Now().Add(requestTime)
+				ctx, cancel := context.WithDeadline(t.Context(), req.Deadline)
+				defer cancel()
+				p.call(ctx, req)
+			})
+		}
+		wg.Wait()
+		c.recovery = max(c.recovery, w.recover(t.Context()))
+		time.Sleep(4 * requestTime)
+		c.judge(t, seed, faults, w, w.finalWord(t.Context()))
+	})
+}
+
+// recover waits until a repeat would get a final word, and returns how long
+// that takes after the last call has ended.
+func (w *world) recover(ctx context.Context) time.Duration {
+	start := time.Now()
+	for {
+		rows, err := w.store.Read(ctx, rowKey("school", "k"))
+		if err == nil {
+			rec, _ := decodeRow(rows[0])
+			if rec.State != stateClaimed || time.Now().After(rec.deadline().Add(outcomeGrace)) {
+				return time.Since(start)
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (c *tally) judge(t *testing.T, seed uint64, faults []fault, w *world, word string) {
+	c.schedules++
+	n := w.executed()
+	c.executed += n
+	if n > 1 {
+		w.violate("executed %d times", n)
+	}
+	switch word {
+	case "answer":
+		c.answers++
+	case "claimable":
+		c.claimable++
+		if n > 0 {
+			w.violate("a repeat may run although the request ran")
+		}
+	case "may have run":
+		c.unknown++
+		if n == 0 {
+			c.falseUnknown++
+		}
+	default:
+		w.violate("no final word: %s", word)
+	}
+	if len(w.violations) > 0 {
+		c.violations++
+		t.Errorf("faults %v, seed %d: %v", faults, seed, w.violations)
+	}
+}
+
+func (c *tally) String() string {
+	return fmt.Sprintf("%d schedules, %d violations, %d executed, %d answers, %d claimable, %d may-have-run (%d of them not run), final word within %v",
+		c.schedules, c.violations, c.executed, c.answers, c.claimable, c.unknown, c.falseUnknown, c.recovery)
+}
+
+// combinations returns no fault, each fault, the same twice, and each pair.
+func combinations() [][]fault {
+	all := [][]fault{nil}
+	for i, f := range allFaults {
+		all = append(all, []fault{f}, []fault{f, f})
+		for _, g := range allFaults[i+1:] {
+			all = append(all, []fault{f, g})
+		}
+	}
+	return all
+}
+
+func TestSchedulesRunAtMostOnce(t *testing.T) {
+	var total tally
+	for _, faults := range combinations() {
+		var c tally
+		for seed := range uint64(*schedules) {
+			c.run(t, seed, faults)
+		}
+		t.Logf("%v: %v", faults, &c)
+		total.schedules += c.schedules
+		total.violations += c.violations
+		total.executed += c.executed
+		total.unknown += c.unknown
+		total.falseUnknown += c.falseUnknown
+		total.answers += c.answers
+		total.claimable += c.claimable
+		total.recovery = max(total.recovery, c.recovery)
+	}
+	t.Logf("all: %v", &total)
+}
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -13,7 +13,7 @@
 // Pauses of the background work.
 const (
 	settlePause = 250 * time.Millisecond
-	sweepPause  = 1 * time.Minute
+	sweepPause  = 10 * time.Minute
 )
 
 // maxSettlesPerPass bounds the outcomes that one pass writes, so that a long
