Add leases with fencing tokens on the platform's table

Cause: orders to engines and the ageing of rows need one holder at a time. Change: internal/lease; validity counts from before the request, less 5 %; a contender takes over only what it has itself seen unchanged for the duration and 5 %, so clocks need the same rate, not the same time. Ruled out: an expiry time in the row, which needs clocks that agree.

--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,253 @@
+// Package lease implements named leases with fencing tokens on the platform's
+// table.
+//
+// A holder's lease is valid for a time that counts from before it sent the
+// request that won or renewed it. A contender takes a lease over only after it
+// has itself seen the row unchanged for that time and a margin, so the clocks
+// of two instances need the same rate, within the margin, but not the same
+// time. A holder that was paused finds its lease lapsed by Valid; what it sent
+// before it looked is the business of the fencing token.
+package lease
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+
+	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/platform"
+)
+
+var log = logging.For("lease")
+
+// rowPrefix starts the key of each lease's row.
+const rowPrefix = "lease/"
+
+// Defaults of Options.
+const (
+	defaultDuration = 15 * time.Second
+	// driftShare is the part of the duration that covers different rates of
+	// two clocks.
+	driftShare = 20
+)
+
+// renewalsPerDuration is how often a holder tries to renew within the duration.
+const renewalsPerDuration = 3
+
+// Options configures a Lease.
+type Options struct {
+	// Name is the lease's name; all contenders use the same.
+	Name string
+	// Holder is the contender's name, for operators.
+	Holder string
+	// Duration is how long an unrenewed lease is valid; all contenders use
+	// the same. The default is 15 s.
+	Duration time.Duration
+}
+
+// row is the value of a lease's row, encoded as CBOR. It is never deleted, so
+// that Fence never goes back.
+type row struct {
+	// ID is unique per Lease; empty after a release.
+	ID     string `cbor:"1,keyasint"`
+	Holder string `cbor:"2,keyasint"`
+	Fence  uint64 `cbor:"3,keyasint"`
+	// Renewals changes the row with each renewal.
+	Renewals uint64 `cbor:"4,keyasint"`
+}
+
+// Lease is one contender for a named lease. It is safe for concurrent use.
+type Lease struct {
+	table   platform.Table
+	options Options
+	id      string
+
+	mu sync.Mutex
+	// seen is the row's last known version, first seen at seenAt.
+	seen   platform.Version
+	seenAt time.Time
+	row    row
+	// validUntil is the end of our validity; zero if we do not hold it.
+	validUntil time.Time
+}
+
+// New returns a contender that does not hold the lease yet.
+func New(table platform.Table, options Options) *Lease {
+	if options.Duration == 0 {
+		options.Duration = defaultDuration
+	}
+	return &Lease{table: table, options: options, id: uuid.NewString()}
+}
+
+// margin is the drift margin of one duration.
+func (l *Lease) margin() time.Duration { return l.options.Duration / driftShare }
+
+// Valid states whether this contender holds the lease at now, which must come
+// from time.Now on this instance.
+func (l *Lease) Valid(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Before(l.validUntil)
+}
+
+// Fence returns the fencing token of the lease as last seen. It grows with each
+// change of holder.
+func (l *Lease) Fence() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.row.Fence
+}
+
+// Holder returns the holder as last seen; empty if there is none.
+func (l *Lease) Holder() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.row.Holder
+}
+
+// Acquire renews the lease if this contender holds it, tries to take it if it
+// is free or has lapsed, and states whether it is held. It must not be called
+// concurrently with itself or Release.
+func (l *Lease) Acquire(ctx context.Context) (bool, error) {
+	if err := l.look(ctx); err != nil {
+		return l.Valid(time.Now()), err
+	}
+	next, ok := l.claimable(time.Now())
+	if !ok {
+		return false, nil
+	}
+	return l.write(ctx, next)
+}
+
+// look reads the row.
+func (l *Lease) look(ctx context.Context) error {
+	rows, err := l.table.Read(ctx, rowPrefix+l.options.Name)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return l.note(rows[0])
+}
+
+// note takes in the row's present version. seenAt is taken after the read, so
+// that the row was written before.
+func (l *Lease) note(present platform.Row) error {
+	var r row
+	if present.Version != 0 {
+		if err := cbor.Unmarshal(present.Value, &r); err != nil {
+			return trace.Wrap(err, "decoding lease row %q", present.Key)
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if present.Version != l.seen || l.seenAt.IsZero() {
+		l.seen, l.seenAt, l.row = present.Version, time.Now(), r
+	}
+	if r.ID != l.id {
+		l.validUntil = time.Time{}
+	}
+	return nil
+}
+
+// claimable returns the row to write, and false if another holder's lease may
+// still be valid.
+func (l *Lease) claimable(now time.Time) (row, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	next := row{ID: l.id, Holder: l.options.Holder, Fence: l.row.Fence, Renewals: l.row.Renewals + 1}
+	if l.row.ID == l.id {
+		if now.Before(l.validUntil) {
+			return next, true
+		}
+	} else if l.row.ID != "" && now.Sub(l.seenAt) < l.options.Duration+l.margin() {
+		return row{}, false
+	}
+	// A lapsed lease of our own gets a new token too: what was sent under
+	// the old one must not be taken for new.
+	next.Fence++
+	return next, true
+}
+
+// write commits the row on the version last seen.
+func (l *Lease) write(ctx context.Context, next row) (bool, error) {
+	value, err := cbor.Marshal(next)
+	if err != nil {
+		return false, trace.Wrap(err)
+	}
+	key := rowPrefix + l.options.Name
+	l.mu.Lock()
+	txn := platform.Txn{
+		ID:         uuid.NewString(),
+		Conditions: []platform.Condition{{Key: key, Version: l.seen}},
+		Writes:     []platform.Write{{Key: key, Value: value}},
+	}
+	l.mu.Unlock()
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, l.options.Duration/renewalsPerDuration)
+	defer cancel()
+	res, err := platform.CommitSettled(ctx, l.table, txn)
+	if err != nil {
+		return l.Valid(time.Now()), trace.Wrap(err)
+	}
+	if len(res.Rows) != 1 {
+		return false, trace.BadParameter("table answered a lease's write with %d rows", len(res.Rows))
+	}
+	if err := l.note(res.Rows[0]); err != nil || !res.Committed {
+		return false, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.validUntil = start.Add(l.options.Duration - l.margin())
+	return time.Now().Before(l.validUntil), nil
+}
+
+// Release gives the lease up, so that another contender need not wait.
+func (l *Lease) Release(ctx context.Context) error {
+	l.mu.Lock()
+	held := l.row.ID == l.id
+	l.validUntil = time.Time{}
+	next := row{Fence: l.row.Fence, Renewals: l.row.Renewals + 1}
+	l.mu.Unlock()
+	if !held {
+		return nil
+	}
+	_, err := l.write(ctx, next)
+	l.mu.Lock()
+	l.validUntil = time.Time{}
+	l.mu.Unlock()
+	return err
+}
+
+// Run acquires and renews the lease until ctx ends, and then releases it.
+func (l *Lease) Run(ctx context.Context) error {
+	held := false
+	for {
+		ok, err := l.Acquire(ctx)
+		if err != nil && ctx.Err() == nil {
+			log.Debugf("cannot reach the table for lease %q: %v", l.options.Name, err)
+		}
+		if ok != held {
+			held = ok
+			log.Infof("lease %q held: %v, token %d", l.options.Name, held, l.Fence())
+		}
+		pause := l.options.Duration / renewalsPerDuration
+		select {
+		case <-time.After(pause*3/4 + rand.N(pause/4)):
+		case <-ctx.Done():
+			return l.releaseAtEnd(ctx)
+		}
+	}
+}
+
+func (l *Lease) releaseAtEnd(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), l.options.Duration/renewalsPerDuration)
+	defer cancel()
+	if err := l.Release(ctx); err != nil {
+		log.Infof("lease %q lapses by itself: %v", l.options.Name, err)
+	}
+	return nil
+}
