--- a/internal/admit/acquire.go
+++ b/internal/admit/acquire.go
@@ -12,10 +12,6 @@
 
 // Times and shares of the queue.
 const (
-	// shortWindow and longWindow are the most queued work, in seconds, that
-	// an upstream may have to get another short or long request.
-	shortWindow = 1.0
-	longWindow  = 0.5
 	// waitShare is the part of a normal request's time that it may wait;
 	// longWaitShare is that of a long, batch or suspect one.
 	waitShare     = 0.25
@@ -28,6 +24,23 @@
 	moreShortReserve = 0.2
 )
 
+// windows are the most queued work of the same or a smaller size, in seconds,
+// that an upstream may have to get another request of a size.
+var windows = [route.Sizes]float64{
+	route.SizeShort:  1.0,
+	route.SizeMedium: 1.0,
+	route.SizeLong:   1.0,
+	route.SizeHuge:   8.0,
+}
+
+// sizeOf returns the size of r's prompt.
+func (s *Scheduler) sizeOf(r *Request) route.Size {
+	if r.Service {
+		return route.SizeShort
+	}
+	return route.SizeOf(r.PromptTokens, s.shortTokens())
+}
+
 // Acquire waits for an upstream for r and returns a grant, whose Done must be
 // called. It refuses at once what cannot finish in time or never fits. No
 // refusal of Acquire has run.
@@ -135,23 +148,17 @@
 	w.demand = route.Demand{
 		PromptTokens: r.PromptTokens,
 		OutputTokens: r.OutputTokens,
-		Short:        r.Service || r.PromptTokens <= s.shortTokens(),
+		Size:         s.sizeOf(r),
 		Plain:        r.Service,
 		DataCentre:   r.DataCentre,
 		Avoid:        r.Avoid,
-		Window:       longWindow,
+		Window:       windows[s.sizeOf(r)],
 		ShortReserve: minShortReserve + moreShortReserve*s.policy.ShortWeight,
 	}
-	if w.demand.Short {
-		w.demand.Window = shortWindow
-	}
 	if len(p.states) == 1 {
 		w.demand.Avoid = nil
 	}
-	w.lane = laneFirst + classRank(r.Class)
-	if !w.demand.Short {
-		w.lane += classCount
-	}
+	w.lane = laneFirst + route.Sizes*classRank(r.Class) + int(w.demand.Size)
 	if verdict, _ := s.poison.Verdict(r.Fingerprint, now); verdict >= poison.Suspect {
 		w.lane = laneSuspect
 		w.demand.Alone = true
@@ -182,7 +189,7 @@
 // setTimes sets when w ages and when it is refused.
 func (w *waiter) setTimes(now time.Time) {
 	share := waitShare
-	if !w.demand.Short || w.demand.Alone || classRank(w.request.Class) == classCount-1 {
+	if !w.demand.IsShort() || w.demand.Alone || classRank(w.request.Class) == classCount-1 {
 		share = longWaitShare
 	}
 	wait := time.Duration(share * float64(w.request.Deadline.Sub(now)))
@@ -193,7 +200,7 @@
 // enqueue adds w to the queue, or refuses it at once if it would wait for too
 // long or the queue is full.
 func (s *Scheduler) enqueue(p *pool, w *waiter, now time.Time) *result.Error {
-	p.short.arrived(w.work, w.demand.Short, now)
+	p.short.arrived(w.work, w.demand.IsShort(), now)
 	wait := time.Duration(0)
 	if p.queue.count > 0 && w.lane >= laneFirst {
 		wait = p.drain.wait(p.queue.workAhead(w.request, w.lane, w.work))
--- a/internal/admit/baseline.go
+++ b/internal/admit/baseline.go
@@ -24,7 +24,7 @@
 	if s.needsGang(p, r) {
 		return nil, nil, false
 	}
-	d := route.Demand{PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, Plain: r.Service, Avoid: r.Avoid, Short: true}
+	d := route.Demand{PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, Plain: r.Service, Avoid: r.Avoid, Size: s.sizeOf(r)}
 	c := picker.Pick(p.view, &d, route.Untried, route.LeastRequests, s.random)
 	if c == nil {
 		return nil, s.noUpstream(r), true
--- a/internal/admit/dump.go
+++ b/internal/admit/dump.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/banyanroute/banyanroute/internal/route"
 )
 
 // Dump is the scheduler's state for operators.
@@ -22,7 +24,7 @@
 	State       string  `json:"state"`
 	Share       float64 `json:"share"`
 	Queued      float64 `json:"queued_prompt_tokens"`
-	Urgent      float64 `json:"urgent_prompt_tokens"`
+	Short       float64 `json:"short_prompt_tokens"`
 	Streams     int     `json:"streams"`
 	FreeTokens  int     `json:"free_tokens"`
 	TokensPerS  float64 `json:"prefill_tokens_per_second"`
@@ -72,7 +74,7 @@
 	ratio, _ := st.health.LatencySample()
 	return UpstreamDump{
 		ID: st.upstream.ID, State: string(st.health.State()), Share: st.candidate.Share,
-		Queued: st.candidate.Queued, Urgent: st.candidate.Urgent, Streams: st.candidate.Streams,
+		Queued: st.candidate.Queued, Short: st.candidate.Work[route.SizeShort], Streams: st.candidate.Streams,
 		FreeTokens: st.candidate.FreeTokens, TokensPerS: st.candidate.Rate,
 		ShortOnly: st.candidate.ShortOnly, Exclusive: st.candidate.Exclusive,
 		InFlight: st.load.InFlight(), LatencyRate: ratio,
--- a/internal/admit/gang.go
+++ b/internal/admit/gang.go
@@ -152,12 +152,12 @@
 			st = &state{upstream: Upstream{ID: h.UpstreamID}, load: load.NewTracker(), health: s.judge.NewTracker(now, true)}
 		}
 		if g == nil {
-			d := route.Demand{PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, Avoid: r.Avoid}
+			d := route.Demand{PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, Avoid: r.Avoid, Size: route.SizeHuge}
 			g = s.newGrant(p, r, st, &d, now)
 		} else {
 			g.others = append(g.others, st)
 		}
-		st.load.Sent(load.Send{ID: r.ID, Work: float64(h.Tokens), Memory: h.Tokens, SentAt: now}, 0)
+		st.load.Sent(load.Send{ID: r.ID, Work: float64(h.Tokens), Memory: h.Tokens, Size: route.SizeHuge, SentAt: now}, 0)
 		s.refresh(st, now)
 		g.parts = append(g.parts, Part{Upstream: st.upstream, Name: h.Name, Tokens: h.Tokens})
 	}
--- a/internal/admit/pump.go
+++ b/internal/admit/pump.go
@@ -15,8 +15,9 @@
 	// lookahead is how many aged or suspect requests are tried if the first
 	// has no upstream.
 	lookahead = 8
-	// choices is the number of random candidates of one decision.
-	choices = 8
+	// choices is the number of random candidates of one decision; smaller
+	// pools are looked through whole.
+	choices = 16
 	// suspectShare is the part of a pool that may be kept free at a time, at
 	// least one upstream.
 	suspectShare = 0.125
@@ -125,7 +126,7 @@
 	}
 	roomy := func(c *route.Candidate, d *route.Demand) bool {
 		need := d.PromptTokens + d.OutputTokens
-		return route.Usable(c, d) && route.NotExclusive(c, d) && (d.Plain || c.MemoryTokens == 0 || need <= c.MemoryTokens)
+		return route.Usable(c, d) && route.NotExclusive(c, d) && route.OpenToLong(c, d) && (d.Plain || c.MemoryTokens == 0 || need <= c.MemoryTokens)
 	}
 	c := route.Best{}.Pick(p.view, &w.demand, roomy, route.LeastRequests, s.random)
 	if c == nil {
@@ -159,7 +160,7 @@
 		ID:     r.ID,
 		Work:   max(route.EstimatedWork(&st.candidate, d), 1),
 		Memory: r.PromptTokens + r.OutputTokens,
-		Short:  d.Short,
+		Size:   d.Size,
 		SentAt: now,
 	}
 	if d.Plain {
@@ -178,7 +179,7 @@
 // request with little time left gets the priority of a short one.
 func priority(r *Request, d *route.Demand, sp *speed, now time.Time) int {
 	base := priorityOfClass * classRank(r.Class)
-	if d.Short {
+	if d.IsShort() {
 		return base
 	}
 	left := r.Deadline.Sub(now)
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -17,10 +17,10 @@
 	laneAged = iota
 	// laneSuspect holds requests that must run alone, by deadline.
 	laneSuspect
-	// laneFirst is the first lane of normal requests: three lanes of short
-	// requests by class, then three of long ones.
+	// laneFirst is the first lane of normal requests: by class, and in each
+	// class by size.
 	laneFirst
-	laneCount = laneFirst + 2*classCount
+	laneCount = laneFirst + route.Sizes*classCount
 )
 
 // classCount is the number of scheduling classes.
--- a/internal/admit/state.go
+++ b/internal/admit/state.go
@@ -44,7 +44,7 @@
 	e := st.load.Estimate(now)
 	c := &st.candidate
 	c.Queued = e.Queued
-	c.Urgent = e.Urgent
+	c.Work = e.Work
 	c.Streams = e.Streams
 	c.LongStreams = e.LongStreams
 	c.MemoryTokens = st.upstream.MemoryTokens
--- a/internal/load/hint.go
+++ b/internal/load/hint.go
@@ -45,7 +45,7 @@
 			}
 			return 1
 		}
-		return cmp.Compare(b.Outstanding.Short+b.Outstanding.Long, a.Outstanding.Short+a.Outstanding.Long)
+		return cmp.Compare(b.Outstanding.total(), a.Outstanding.total())
 	})
 	if len(entries) > MaxHintEntries {
 		entries = entries[:MaxHintEntries]
@@ -77,7 +77,21 @@
 // maxHintWork bounds a plausible amount of work in tokens.
 const maxHintWork = 1e12
 
+// total returns the work of all sizes.
+func (o Outstanding) total() float64 {
+	sum := 0.0
+	for _, work := range o.Work {
+		sum += work
+	}
+	return sum
+}
+
 // valid rejects negative, not-a-number and implausible amounts.
 func (o Outstanding) valid() bool {
-	return o.Short >= 0 && o.Long >= 0 && o.Short+o.Long < maxHintWork && o.Streams >= 0 && o.LongStreams >= 0 && o.Memory >= 0
+	for _, work := range o.Work {
+		if !(work >= 0 && work < maxHintWork) {
+			return false
+		}
+	}
+	return o.Streams >= 0 && o.LongStreams >= 0 && o.Memory >= 0
 }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -13,7 +13,7 @@
 func TestReportIsCorrectedByOwnSends(t *testing.T) {
 	tr := NewTracker()
 	tr.Report(upstream.LoadReport{Sequence: 1, Boot: "a", MemoryTokens: 1000, Requests: []string{"old"}}, epoch)
-	tr.Sent(Send{ID: "old", Work: 500, SentAt: epoch.Add(-time.Millisecond), Short: true}, 0)
+	tr.Sent(Send{ID: "old", Work: 500, SentAt: epoch.Add(-time.Millisecond)}, 0)
 	tr.Sent(Send{ID: "new", Work: 700, Memory: 90, SentAt: epoch.Add(time.Millisecond)}, 0)
 	tr.FirstToken("old", epoch)
 	e := tr.Estimate(epoch)
@@ -35,7 +35,7 @@
 
 func TestPeerHintsExpire(t *testing.T) {
 	tr := NewTracker()
-	tr.PeerHint("p", Outstanding{Long: 4000, Streams: 1}, epoch)
+	tr.PeerHint("p", Outstanding{Work: [4]float64{3: 4000}, Streams: 1}, epoch)
 	if e := tr.Estimate(epoch.Add(time.Second)); e.Queued != 4000 {
 		t.Errorf("got %+v", e)
 	}
@@ -98,7 +98,7 @@
 func TestHintRoundTripAndLimits(t *testing.T) {
 	entries := make([]HintEntry, 100)
 	for i := range entries {
-		entries[i] = HintEntry{Key: Key(i), Outstanding: Outstanding{Long: float64(i)}}
+		entries[i] = HintEntry{Key: Key(i), Outstanding: Outstanding{Work: [4]float64{3: float64(i)}}}
 	}
 	entries[0].Outstanding.Exclusive = true
 	data, err := EncodeHint(entries)
--- a/internal/load/tracker.go
+++ b/internal/load/tracker.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/banyanroute/banyanroute/internal/route"
 	"github.com/banyanroute/banyanroute/internal/upstream"
 )
 
@@ -40,7 +41,7 @@
 	Work float64
 	// Memory is the KV memory of the whole request in tokens.
 	Memory int
-	Short  bool
+	Size   route.Size
 	SentAt time.Time
 
 	aheadAtSend float64
@@ -52,10 +53,9 @@
 // Outstanding is what one instance has in flight on one upstream.
 type Outstanding struct {
 	_ struct{} `cbor:",toarray"`
-	// Short and Long are prompt tokens that are not computed yet.
-	Short float64
-	Long  float64
-	// Streams and LongStreams count the requests.
+	// Work is prompt tokens that are not computed yet, by size.
+	Work [route.Sizes]float64
+	// Streams counts the requests, LongStreams those that are not short.
 	Streams     int
 	LongStreams int
 	// Memory is in tokens.
@@ -67,7 +67,7 @@
 // Estimate is the corrected load of one upstream.
 type Estimate struct {
 	Queued      float64
-	Urgent      float64
+	Work        [route.Sizes]float64
 	Streams     int
 	LongStreams int
 	// UsedTokens is the KV memory in use.
@@ -163,16 +163,11 @@
 	for _, s := range t.sends {
 		o.Streams++
 		o.Memory += s.Memory
-		if !s.Short {
+		if s.Size != route.SizeShort {
 			o.LongStreams++
 		}
-		if !s.firstToken.IsZero() {
-			continue
-		}
-		if s.Short {
-			o.Short += s.Work
-		} else {
-			o.Long += s.Work
+		if s.firstToken.IsZero() {
+			o.Work[s.Size] += s.Work
 		}
 	}
 	return o
@@ -207,8 +202,10 @@
 }
 
 func (e *Estimate) add(o Outstanding) {
-	e.Queued += o.Short + o.Long
-	e.Urgent += o.Short
+	for size, work := range o.Work {
+		e.Work[size] += work
+		e.Queued += work
+	}
 	e.Streams += o.Streams
 	e.LongStreams += o.LongStreams
 	e.UsedTokens += o.Memory
--- a/internal/route/filter.go
+++ b/internal/route/filter.go
@@ -35,32 +35,33 @@
 
 // FitsMemory passes upstreams whose free memory holds the request. A long
 // request leaves ShortReserve of the memory free unless it is aged or the
-// upstream is otherwise empty.
+// upstream is otherwise empty. A huge one waits for memory in the engine, which
+// frees it as streams end while smaller requests go first: an engine kept empty
+// for it in the router would idle.
 func FitsMemory(c *Candidate, d *Demand) bool {
 	if d.Plain || c.MemoryTokens == 0 {
 		return true
 	}
+	if d.Size == SizeHuge && !d.Alone {
+		return d.PromptTokens+d.OutputTokens <= c.MemoryTokens
+	}
 	free := c.FreeTokens
-	if !d.Short && !d.Aged && c.Streams > 0 {
+	if !d.IsShort() && !d.Aged && c.Streams > 0 {
 		free -= int(d.ShortReserve * float64(c.MemoryTokens))
 	}
 	return d.PromptTokens+d.OutputTokens-d.cachedOn(c) <= free
 }
 
-// WithinWindow passes upstreams whose queued work is below the demand's window.
-// Short requests run at a higher priority, so only other short work counts.
+// WithinWindow passes upstreams whose queued work of the same or a smaller size
+// is below the demand's window.
 func WithinWindow(c *Candidate, d *Demand) bool {
-	ahead := c.Queued
-	if d.Short {
-		ahead = c.Urgent
-	}
-	return ahead < d.Window*c.Rate*c.Share
+	return workUpTo(c, d.Size) < d.Window*c.Rate*c.Share
 }
 
 // OpenToLong passes upstreams that take a request of this size: short-only ones
 // take no long request that has time to wait.
 func OpenToLong(c *Candidate, d *Demand) bool {
-	return d.Short || d.Aged || !c.ShortOnly
+	return d.IsShort() || d.Aged || !c.ShortOnly
 }
 
 // Standard is the filter of the default algorithm.
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -17,7 +17,7 @@
 }
 
 func short() *Demand {
-	return &Demand{PromptTokens: 2000, OutputTokens: 200, Short: true, DataCentre: "d", Window: 1}
+	return &Demand{PromptTokens: 2000, OutputTokens: 200, DataCentre: "d", Window: 1}
 }
 
 func TestAffinityIsBoundedByLoad(t *testing.T) {
@@ -25,11 +25,11 @@
 	d := short()
 	d.Holders = []Holder{{Candidate: v[0], Tokens: 1536}}
 	random := rand.New(rand.NewPCG(1, 1))
-	v[0].Urgent = 1000
+	v[0].Work[0] = 1000
 	if got := (Sample{Choices: 2}).Pick(v, d, Standard, LeastWork, random); got != v[0] {
 		t.Errorf("a cached prefix that saves more than the queue costs must win, got %s", got.ID)
 	}
-	v[0].Urgent = 4000
+	v[0].Work[0] = 4000
 	if got := (Sample{Choices: 2}).Pick(v, d, Standard, LeastWork, random); got != v[1] {
 		t.Errorf("a queue longer than the saving must lose, got %s", got.ID)
 	}
@@ -39,7 +39,7 @@
 	v := fleet(2)
 	v[0].ShortOnly = true
 	v[1].Streams, v[1].FreeTokens = 1, 150_000
-	d := &Demand{PromptTokens: 100_000, Window: 1, ShortReserve: 0.2}
+	d := &Demand{PromptTokens: 100_000, Size: SizeLong, Window: 1, ShortReserve: 0.2}
 	random := rand.New(rand.NewPCG(1, 1))
 	if got := (Best{}).Pick(v, d, Standard, LeastWork, random); got != nil {
 		t.Errorf("got %s, want none: 50k of 150k free is below the reserve", got.ID)
@@ -59,7 +59,7 @@
 		d := short()
 		for _, c := range v {
 			c.Share = rapid.SampledFrom([]float64{0, 0.3, 1}).Draw(t, "share")
-			c.Urgent = rapid.Float64Range(0, 40_000).Draw(t, "urgent")
+			c.Work[0] = rapid.Float64Range(0, 40_000).Draw(t, "urgent")
 			c.FreeTokens = rapid.IntRange(0, 8000).Draw(t, "free")
 			c.Exclusive = rapid.Bool().Draw(t, "exclusive")
 			any = any || Standard(c, d)
@@ -78,7 +78,7 @@
 	v := fleet(n)
 	random := rand.New(rand.NewPCG(1, 1))
 	for _, c := range v {
-		c.Urgent = float64(random.IntN(10_000))
+		c.Work[0] = float64(random.IntN(10_000))
 	}
 	d := short()
 	d.Holders = []Holder{{Candidate: v[0], Tokens: 1024}, {Candidate: v[n/2], Tokens: 512}}
--- a/internal/route/score.go
+++ b/internal/route/score.go
@@ -4,14 +4,14 @@
 type Scorer func(c *Candidate, d *Demand) float64
 
 const (
-	// longInterference is the part of queued long work that delays a short
+	// longInterference is the part of queued longer work that delays a
 	// request although its priority is higher: chunks in progress end first.
 	longInterference = 0.05
 	// streamSeconds is the delay that each running stream adds.
 	streamSeconds = 0.002
-	// longStreamSeconds is the delay that each long stream adds for a short
-	// request that shares its batches.
-	longStreamSeconds = 0.05
+	// chunkSeconds is the delay of a short request on an upstream that
+	// computes a longer prompt: about one chunk of that prompt.
+	chunkSeconds = 0.05
 	// remoteSeconds is the cost of an upstream in another data centre.
 	remoteSeconds = 0.002
 	// cacheTrust is the part of a hinted prefix that is counted, since hints
@@ -27,12 +27,24 @@
 	return float64(d.PromptTokens) - cacheTrust*float64(d.cachedOn(c))
 }
 
-// WorkAhead returns the queued work on c that runs before the request.
-func WorkAhead(c *Candidate, d *Demand) float64 {
-	if !d.Short {
+// workUpTo returns the queued work on c of the given size and smaller ones.
+// Work of unknown size counts as huge.
+func workUpTo(c *Candidate, size Size) float64 {
+	if size == SizeHuge {
 		return c.Queued
 	}
-	return c.Urgent + longInterference*max(c.Queued-c.Urgent, 0)
+	sum := 0.0
+	for _, work := range c.Work[:size+1] {
+		sum += work
+	}
+	return sum
+}
+
+// WorkAhead returns the queued work on c that delays the request: work of the
+// same or a smaller size, and a little of the rest.
+func WorkAhead(c *Candidate, d *Demand) float64 {
+	ahead := workUpTo(c, d.Size)
+	return ahead + longInterference*max(c.Queued-ahead, 0)
 }
 
 // LeastWork scores by the estimated time to the first token in seconds, with
@@ -40,8 +52,8 @@
 // time is divided by its share.
 func LeastWork(c *Candidate, d *Demand) float64 {
 	seconds := (WorkAhead(c, d)+EstimatedWork(c, d))/c.Rate + streamSeconds*float64(c.Streams)
-	if d.Short {
-		seconds += longStreamSeconds * float64(c.LongStreams)
+	if d.IsShort() && c.Queued > workUpTo(c, d.Size) {
+		seconds += chunkSeconds
 	}
 	if c.MemoryTokens > 0 {
 		used := float64(c.MemoryTokens-c.FreeTokens) / float64(c.MemoryTokens)
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -14,8 +14,8 @@
 	// Queued is the estimate of prompt tokens that are not computed yet,
 	// corrected for sends that the last report does not count.
 	Queued float64
-	// Urgent is the part of Queued that belongs to short requests.
-	Urgent float64
+	// Work is the part of Queued whose size is known, by size.
+	Work [Sizes]float64
 	// Streams is the estimate of the streams that are being served.
 	Streams int
 	// LongStreams is the part of Streams with long prompts.
@@ -42,8 +42,7 @@
 type Demand struct {
 	PromptTokens int
 	OutputTokens int
-	// Short says that the prompt counts as short.
-	Short bool
+	Size         Size
 	// Aged says that the request has little time left and may use upstreams
 	// and memory that are otherwise kept for short requests.
 	Aged bool
