--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -96,6 +96,8 @@
 	listed  chan []platform.Listed
 	news    chan string
 	dumps   chan chan State
+	// instances is the number of instances on the live list.
+	instances atomic.Int64
 
 	// The fields below belong to the control goroutine.
 	revision catalogue.Revision
@@ -266,7 +268,14 @@
 // applyList believes the list when it says that an upstream leaves.
 func (c *Controller) applyList(list []platform.Listed) {
 	c.listing = false
+	if list == nil {
+		return
+	}
+	instances := 0
 	for _, l := range list {
+		if l.Role == "instance" {
+			instances++
+		}
 		if l.Role != "upstream" {
 			continue
 		}
@@ -276,8 +285,13 @@
 			c.clearLeaving(l.ID)
 		}
 	}
+	c.instances.Store(int64(instances))
 }
 
+// ListedInstances returns the number of instances on the platform's list, or
+// zero if it was never read.
+func (c *Controller) ListedInstances() int { return int(c.instances.Load()) }
+
 // leaveSource says who told that an upstream is leaving.
 type leaveSource string
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 
@@ -21,6 +22,7 @@
 	"github.com/banyanroute/banyanroute/internal/member"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/platform/httpclient"
+	"github.com/banyanroute/banyanroute/internal/quota"
 	"github.com/banyanroute/banyanroute/internal/result"
 	"github.com/banyanroute/banyanroute/internal/settings"
 	"github.com/banyanroute/banyanroute/internal/upstream"
@@ -39,7 +41,7 @@
 	store      *catalogue.Store
 	replica    *catalogue.Replica
 	scheduler  *admit.Scheduler
-	limiter    unlimited
+	limiter    *quota.Limiter
 	ledger     *ledger.Ledger
 	dispatcher *dispatch.Dispatcher
 	controller *control.Controller
@@ -95,9 +97,14 @@
 	d.overlay = overlay
 	d.store = catalogue.NewStore(d.platform)
 	d.replica = catalogue.NewReplica(d.store, overlay, catalogue.Options{Seed: d.incarnation})
+	d.limiter = quota.New(overlay, quota.Options{Listed: func() int { return d.controller.ListedInstances() }})
+	metrics.RegisterSet(d.limiter.Metrics())
+	metrics.RegisterSet(overlay.Metrics())
 	d.ledger = ledger.New(d.platform, d.platform, ledger.Options{
 		Instance:    d.settings.Instance,
 		Incarnation: d.incarnation,
+		Gone:        d.isGone,
+		Sweeps:      d.isFirst,
 	})
 	return nil
 }
@@ -132,23 +139,42 @@
 	return err
 }
 
-// unlimited admits everything.
-type unlimited struct{}
-
-// SetLimits implements control.Limiter.
-func (unlimited) SetLimits(map[string]catalogue.Limits) {}
+// limits gives entry the limiter through its interface.
+type limits struct{ *quota.Limiter }
 
 // Take implements entry.Limiter.
-func (unlimited) Take(string, int) (entry.Permit, *result.Error) { return unlimited{}, nil }
+func (l limits) Take(workspace string, tokens int) (entry.Permit, *result.Error) {
+	permit, err := l.Limiter.Take(workspace, tokens)
+	if err != nil {
+		return nil, err
+	}
+	return permit, nil
+}
 
-// Done implements entry.Permit.
-func (unlimited) Done(int) {}
+// isGone states whether an incarnation of an instance has ended for certain,
+// because a later one of the same instance is known.
+func (d *Daemon) isGone(instance string, incarnation uint64) bool {
+	for _, m := range d.overlay.Members() {
+		if m.ID == instance {
+			return m.Incarnation > incarnation
+		}
+	}
+	return false
+}
+
+// isFirst states whether this instance is the first of the members, which does
+// work that one instance is enough for.
+func (d *Daemon) isFirst() bool {
+	members := d.overlay.Members()
+	return len(members) > 0 && members[0].ID == d.settings.Instance
+}
 
 // Run runs the instance until a signal or a drain request has stopped it.
 func (d *Daemon) Run(ctx context.Context) error {
 	var group run.Group
 	d.addActor(&group, "member", d.overlay.Run)
 	d.addActor(&group, "catalogue", d.replica.Run)
+	d.addActor(&group, "quota", d.limiter.Run)
 	d.addActor(&group, "ledger", d.ledger.Run)
 	d.addActor(&group, "dispatch", d.dispatcher.Run)
 	d.addActor(&group, "control", d.controller.Run)
@@ -194,6 +220,7 @@
 	dumps := &admin.Dumps{}
 	dumps.Register("control", d.controller.Dump)
 	dumps.Register("scheduler", d.scheduler.Dump)
+	dumps.Register("limits", d.limiter.Dump)
 	dumps.Register("claims", d.ledger.Dump)
 	dumps.Register("members", d.overlay.Dump)
 	return admin.NewHandler(admin.Options{
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -29,21 +29,21 @@
 
 // buildServers builds the three HTTP servers.
 func (d *Daemon) buildServers() {
-	limits := d.settings.Limits
+	bounds := d.settings.Limits
 	callers := entry.NewHandler(entry.Options{
 		DataCentre:     d.settings.DataCentre,
 		Catalogue:      d.replica.Snapshot,
 		Dispatcher:     d.dispatcher,
-		Limiter:        d.limiter,
-		BodyBytes:      limits.BodyBytes,
-		BodiesBytes:    limits.BodiesBytes,
-		BodyTimeout:    limits.BodyTimeout.Std(),
-		RequestTimeout: limits.RequestTimeout.Std(),
+		Limiter:        limits{d.limiter},
+		BodyBytes:      bounds.BodyBytes,
+		BodiesBytes:    bounds.BodiesBytes,
+		BodyTimeout:    bounds.BodyTimeout.Std(),
+		RequestTimeout: bounds.RequestTimeout.Std(),
 		Draining:       d.draining.Load,
 	})
-	d.callers = newServer(callers, limits.HeaderBytes)
-	d.operators = newServer(d.handler(), limits.HeaderBytes)
-	d.links = newServer(d.overlay.Handler(), limits.HeaderBytes)
+	d.callers = newServer(callers, bounds.HeaderBytes)
+	d.operators = newServer(d.handler(), bounds.HeaderBytes)
+	d.links = newServer(d.overlay.Handler(), bounds.HeaderBytes)
 }
 
 func newServer(h http.Handler, headerBytes int64) *http.Server {
