--- a/cmd/banyanload/commands.go
+++ b/cmd/banyanload/commands.go
@@ -29,6 +29,7 @@
 	Engines    []string `long:"engine" description:"engine to check in place of the scenario's; may be repeated"`
 	Services   []string `long:"service" description:"service to check in place of the scenario's; may be repeated"`
 	Keys       []string `long:"key" description:"workspace key in place of the scenario's; may be repeated"`
+	Revision   string   `long:"revision" description:"version to note in place of the program's"`
 	Name       string   `long:"name" description:"name in place of the scenario's"`
 	Positional struct {
 		Scenario string `positional-arg-name:"SCENARIO" required:"true"`
@@ -54,6 +55,9 @@
 	if err != nil {
 		log.Errorf("the checks after the run failed: %v", err)
 	}
+	if c.Revision != "" {
+		res.Version = c.Revision
+	}
 	if c.JSON != "" {
 		if err := res.Save(c.JSON); err != nil {
 			return trace.Wrap(err)
--- a/internal/loadtest/report/plot.go
+++ b/internal/loadtest/report/plot.go
@@ -26,24 +26,33 @@
 // legendRoom enlarges the vertical axis so that the legend hides no line.
 const legendRoom = 1.6
 
-// Plot draws time to first token by prompt length and the slowdown of short
-// requests over load, for one or more results, as PNG and SVG files in folder.
-// It returns the names of the files.
+// drawing is one plot and the name of its files.
+type drawing struct {
+	name string
+	draw func([]*Result) (*plot.Plot, error)
+}
+
+// Plot draws time to first token by prompt length and over the run, and the
+// slowdown of short requests over load, for one or more results, as PNG and SVG
+// files in folder. It returns the names of the files.
 func Plot(folder string, results []*Result) ([]string, error) {
-	first, err := firstTokenPlot(results)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	files, err := save(first, folder, "first-token")
-	if err != nil || !hasSlowdown(results) {
-		return files, trace.Wrap(err)
+	drawings := []drawing{{"first-token", firstTokenPlot}, {"timeline", timelinePlot}}
+	if hasSlowdown(results) {
+		drawings = append(drawings, drawing{"slowdown", slowdownPlot})
 	}
-	slow, err := slowdownPlot(results)
-	if err != nil {
-		return nil, trace.Wrap(err)
+	var files []string
+	for _, d := range drawings {
+		p, err := d.draw(results)
+		if err != nil {
+			return files, trace.Wrap(err)
+		}
+		saved, err := save(p, folder, d.name)
+		if err != nil {
+			return files, trace.Wrap(err)
+		}
+		files = append(files, saved...)
 	}
-	more, err := save(slow, folder, "slowdown")
-	return append(files, more...), trace.Wrap(err)
+	return files, nil
 }
 
 func save(p *plot.Plot, folder, name string) ([]string, error) {
@@ -179,23 +188,24 @@
 	return slices.ContainsFunc(results, func(r *Result) bool { return len(r.Slowdown) > 0 })
 }
 
-// slowdownPlot draws the slowdown at p95 over load.
+// slowdownPlot draws the slowdown at p95 over load, for the shortest prompts.
 func slowdownPlot(results []*Result) (*plot.Plot, error) {
 	p := newPlot("Slowdown of short requests beside long ones", "load", "p95 with long requests / without")
 	var curves []curve
 	for i, r := range results {
-		byGroup := map[string]int{}
+		if len(r.Slowdown) == 0 {
+			continue
+		}
+		group := r.Slowdown[0].Group
+		name := fmt.Sprintf("%s, %s tokens", label(results, i), group)
+		first, total := curve{name: name + ", first token"}, curve{name: name + ", total"}
 		for _, s := range r.Slowdown {
-			k, ok := byGroup[s.Group]
-			if !ok {
-				k = len(curves)
-				byGroup[s.Group] = k
-				name := fmt.Sprintf("%s, %s tokens", label(results, i), s.Group)
-				curves = append(curves, curve{name: name + ", first token"}, curve{name: name + ", total"})
+			if s.Group == group {
+				first.points = append(first.points, plotter.XY{X: s.Load, Y: s.FirstTokenP95})
+				total.points = append(total.points, plotter.XY{X: s.Load, Y: s.TotalP95})
 			}
-			curves[k].points = append(curves[k].points, plotter.XY{X: s.Load, Y: s.FirstTokenP95})
-			curves[k+1].points = append(curves[k+1].points, plotter.XY{X: s.Load, Y: s.TotalP95})
 		}
+		curves = append(curves, first, total)
 	}
 	for _, c := range curves {
 		slices.SortFunc(c.points, func(a, b plotter.XY) int {
--- a/internal/loadtest/report/report_test.go
+++ b/internal/loadtest/report/report_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -33,9 +34,32 @@
 		}
 	}
 	r.Slowdown = Slowdowns(&s, r.Phases)
+	r.Timeline = sampleTimeline()
 	return r
 }
 
+// sampleTimeline has a failure in second 4 and a slow second 6.
+func sampleTimeline() []Second {
+	began := time.Unix(0, 0)
+	timeline := NewTimeline(began, 5000)
+	item := workload.Item{Kind: workload.Generate, Timeout: time.Second, Stream: true}
+	for i := range 10 {
+		out := client.Outcome{Complete: i != 4, FirstToken: 10 * time.Millisecond}
+		if i == 6 {
+			out.FirstToken *= 5
+		}
+		timeline.Add(began.Add(time.Duration(i)*time.Second), item, out)
+		timeline.Add(began.Add(time.Duration(i)*time.Second), item, client.Outcome{Complete: true, FirstToken: 10 * time.Millisecond})
+	}
+	return timeline.Seconds()
+}
+
+func TestDisturbed(t *testing.T) {
+	if got := Disturbed(sampleTimeline()); !slices.Equal(got, []int{4, 6}) {
+		t.Errorf("got %v, want [4 6]", got)
+	}
+}
+
 func fill(s *scenario.Scenario, p scenario.Phase, took time.Duration) Phase {
 	c := NewPhaseCollector(s, p)
 	item := workload.Item{Kind: workload.Generate, Group: "short", Timeout: time.Second, Stream: true}
@@ -106,7 +130,7 @@
 		t.Fatalf("loaded %+v, %v", r, err)
 	}
 	files, err := Plot(folder, []*Result{r, r})
-	if err != nil || len(files) != 4 {
+	if err != nil || len(files) != 6 {
 		t.Fatalf("plotted %v, %v", files, err)
 	}
 	for _, file := range files {
--- a/internal/loadtest/report/result.go
+++ b/internal/loadtest/report/result.go
@@ -102,6 +102,7 @@
 	Scenario scenario.Scenario `json:"scenario"`
 	Phases   []Phase           `json:"phases"`
 	Slowdown []Slowdown        `json:"slowdown"`
+	Timeline []Second          `json:"timeline"`
 	// Violations lists broken promises, at most MaxViolations of them;
 	// ViolationCount counts all.
 	Violations     []string `json:"violations"`
--- a/internal/loadtest/report/text.go
+++ b/internal/loadtest/report/text.go
@@ -28,6 +28,7 @@
 			return err
 		}
 	}
+	r.writeDisturbed(w)
 	fmt.Fprintf(w, "\nchecked: %s\nviolations: %d\n", strings.Join(r.Checked, ", "), r.ViolationCount)
 	for _, v := range r.Violations {
 		fmt.Fprintf(w, "  %s\n", v)
--- a/internal/loadtest/runner/runner.go
+++ b/internal/loadtest/runner/runner.go
@@ -37,6 +37,7 @@
 	scenario  *scenario.Scenario
 	client    *client.Client
 	generator *workload.Generator
+	timeline  *report.Timeline
 	inFlight  atomic.Int64
 	requests  sync.WaitGroup
 
@@ -61,6 +62,7 @@
 		scenario:  s,
 		client:    client.New(s.Model, s.Calls.Service, time.Duration(s.Grace)),
 		generator: workload.New(s, fmt.Sprintf("%x", started.UnixNano())),
+		timeline:  report.NewTimeline(started, s.LongTokens),
 		completed: map[string]struct{}{},
 	}
 	collectors := r.phases(ctx)
@@ -77,6 +79,7 @@
 	for _, c := range collectors {
 		res.Phases = append(res.Phases, c.Phase())
 	}
+	res.Timeline = r.timeline.Seconds()
 	res.Slowdown = report.Slowdowns(s, res.Phases)
 	for _, v := range r.violations {
 		res.Violate(v)
@@ -145,8 +148,10 @@
 func (r *run) send(ctx context.Context, item workload.Item, c *report.PhaseCollector) {
 	defer r.requests.Done()
 	defer r.inFlight.Add(-1)
+	sent := time.Now()
 	out := r.client.Do(context.WithoutCancel(ctx), r.scenario.Targets[item.Target], item)
 	c.Add(item, out)
+	r.timeline.Add(sent, item, out)
 	r.note(item, out)
 }
 
--- a/tools/loadfleet/main.go
+++ b/tools/loadfleet/main.go
@@ -120,7 +120,7 @@
 func runScenario(ctx context.Context, o options, fleet *localfleet.Fleet, algorithm string) (string, error) {
 	name := strings.TrimSuffix(filepath.Base(o.scenario), ".yaml") + "-" + algorithm
 	file := filepath.Join(o.out, name+".json")
-	args := []string{"run", "--name", name, "--json", file, "--seed", fmt.Sprint(o.seed),
+	args := []string{"run", "--name", name, "--json", file, "--seed", fmt.Sprint(o.seed), "--revision", revision(ctx),
 		"--key", localfleet.CallerKey, "--key", localfleet.OtherKey}
 	for _, in := range fleet.Instances {
 		args = append(args, "--target", "http://"+in.Callers)
@@ -154,6 +154,15 @@
 	return file, nil
 }
 
+// revision returns the checkout's revision, or "unknown".
+func revision(ctx context.Context) string {
+	out, err := exec.CommandContext(ctx, "git", "describe", "--always", "--dirty").Output()
+	if err != nil {
+		return "unknown"
+	}
+	return strings.TrimSpace(string(out))
+}
+
 // load runs banyanload.
 func load(ctx context.Context, o options, out *os.File, args ...string) error {
 	cmd := exec.CommandContext(ctx, filepath.Join(o.bin, "banyanload"), args...)
