--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"encoding/json"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -58,7 +59,7 @@
 }
 
 // parseGeneration reads the fields that the router needs. It may change the
-// value of "stream" in body, in place.
+// value of "stream" in body, in place, so that engines always stream.
 func parseGeneration(workspace string, body []byte) (*generationRequest, *result.Error) {
 	body = bytes.TrimSpace(body)
 	var f generationFields
@@ -82,8 +83,9 @@
 		fingerprint:  fingerprint(workspace, body),
 	}
 	req.body = dispatch.Body{Rest: body[1:], Empty: len(bytes.TrimSpace(body[1:])) == 1}
-	if req.simple && !req.stream {
-		req.body.AddStream = !overwriteFalse(f.Stream)
+	if req.simple {
+		overwriteStream(f.Stream)
+		req.body.AddStream = !hasStreamKey(f.Stream, body)
 	}
 	return req, nil
 }
@@ -109,15 +111,21 @@
 	return nil
 }
 
-// overwriteFalse turns the value false into true of the same length, in place,
-// so that the engine streams an answer that the caller wants whole. It returns
-// false if the body has no such value.
-func overwriteFalse(value span) bool {
-	if string(value) != "false" {
-		return false
+// overwriteStream turns the value false or null into true of the same length, in
+// place, so that the engine streams an answer that the caller wants whole.
+func overwriteStream(value span) {
+	switch string(value) {
+	case "false":
+		copy(value, "true ")
+	case "null":
+		copy(value, "true")
 	}
-	copy(value, "true ")
-	return true
+}
+
+// hasStreamKey states whether the engine will find the field. The decoder here
+// also takes the key in other cases, which an engine may not.
+func hasStreamKey(value span, body []byte) bool {
+	return len(value) > 0 && bytes.Contains(body, []byte(`"stream"`))
 }
 
 // defaultOutputTokens is the estimate for a request that sets no maximum.
@@ -185,9 +193,10 @@
 func parseTimeout(text string) (time.Duration, error) {
 	text = strings.TrimSpace(text)
 	if seconds, err := strconv.ParseFloat(text, 64); err == nil {
-		if seconds > maxTimeoutSeconds {
-			seconds = maxTimeoutSeconds
+		if math.IsNaN(seconds) {
+			return 0, strconv.ErrSyntax
 		}
+		seconds = max(0, min(seconds, maxTimeoutSeconds))
 		return time.Duration(seconds * float64(time.Second)), nil
 	}
 	return time.ParseDuration(text)
