--- a/cmd/banyanctl/exit.go
+++ b/cmd/banyanctl/exit.go
@@ -26,8 +26,11 @@
 // errDifferent says that a diff found differences; it prints nothing.
 var errDifferent = errors.New("differences found")
 
-// errUnreachable says that no instance answered.
-var errUnreachable = errors.New("no instance answered")
+// errUnreachable says that no instance could be connected to.
+var errUnreachable = errors.New("no instance is reachable")
+
+// errNoAnswer says that the call was sent to an instance that did not answer.
+var errNoAnswer = errors.New("no instance answered")
 
 // serverError is an instance's refusal.
 type serverError struct {
@@ -60,6 +63,8 @@
 	var server *serverError
 	var fields catalogue.FieldErrors
 	switch {
+	case errors.Is(err, errOutcomeUnknown):
+		return exitUnknown
 	case errors.As(err, &server):
 		if code, ok := exitByCode[server.body.Code]; ok {
 			return code
@@ -68,9 +73,7 @@
 		return exitInvalid
 	case errors.Is(err, errDifferent):
 		return exitDifferent
-	case errors.Is(err, errOutcomeUnknown):
-		return exitUnknown
-	case errors.Is(err, errUnreachable):
+	case errors.Is(err, errUnreachable), errors.Is(err, errNoAnswer):
 		return exitUnavailable
 	}
 	return exitFailure
@@ -82,7 +85,7 @@
 	if errors.Is(err, errDifferent) {
 		return
 	}
-	if !errors.As(err, &server) {
+	if errors.Is(err, errOutcomeUnknown) || !errors.As(err, &server) {
 		fmt.Fprintln(w, err)
 		return
 	}
--- a/internal/catalogue/apply.go
+++ b/internal/catalogue/apply.go
@@ -84,13 +84,15 @@
 // attempt tries once to make the edit the next revision. It returns done =
 // false if another edit was first.
 func (s *Store) attempt(ctx context.Context, edit *Edit) (_ Applied, done bool, _ error) {
-	if applied, found, err := s.FindEdit(ctx, edit); err != nil || found {
-		return applied, found, err
-	}
 	snap, version, err := s.load(ctx)
 	if err != nil {
 		return Applied{}, false, err
 	}
+	// The look-up comes after the load: an earlier acceptance is then either
+	// found here, or later than the loaded head, which makes the commit fail.
+	if applied, found, err := s.FindEdit(ctx, edit); err != nil || found {
+		return applied, found, err
+	}
 	if err := s.checkBase(ctx, edit, snap); err != nil {
 		return Applied{}, false, err
 	}
--- a/internal/catalogue/edit_test.go
+++ b/internal/catalogue/edit_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/banyanroute/banyanroute/internal/platform"
 	"github.com/banyanroute/banyanroute/internal/platform/memstore"
 	"github.com/banyanroute/banyanroute/internal/result"
 )
@@ -253,3 +254,35 @@
 		}
 	})
 }
+
+// interposed calls before ahead of the read of a key.
+type interposed struct {
+	platform.Table
+	key    string
+	before func()
+}
+
+func (p *interposed) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if keys[0] == p.key && p.before != nil {
+		before := p.before
+		p.before = nil
+		before()
+	}
+	return p.Table.Read(ctx, keys...)
+}
+
+// TestSameEditThroughTwoInstances lets the second sending be accepted while the
+// first is under way.
+func TestSameEditThroughTwoInstances(t *testing.T) {
+	for _, key := range []string{headRow, idRow("same")} {
+		synctest.Test(t, func(t *testing.T) {
+			table := memstore.New()
+			edit := Edit{ID: "same", Puts: []Entry{model("m", "v1")}}
+			other := func() { mustApply(t, NewStore(table), edit) }
+			applied := mustApply(t, NewStore(&interposed{Table: table, key: key, before: other}), edit)
+			if applied.Revision != 1 || !applied.Repeated {
+				t.Fatalf("accepted as %+v", applied)
+			}
+		})
+	}
+}
--- a/internal/catalogue/poll.go
+++ b/internal/catalogue/poll.go
@@ -24,7 +24,9 @@
 		return
 	}
 	failing := r.newBackoff()
-	wait := r.jitter(r.pollInterval())
+	// The first pause is spread over a whole interval, so that instances that
+	// start together do not poll together.
+	wait := r.below(r.pollInterval())
 	for {
 		timer := time.NewTimer(wait)
 		select {
--- /dev/null
+++ b/internal/catalogue/size_test.go
@@ -0,0 +1,153 @@
+package catalogue
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/platform"
+	"github.com/banyanroute/banyanroute/internal/platform/memstore"
+)
+
+// Size of the target fleet.
+const (
+	targetInstances = 410
+	// maxReadsPerSecond bounds the calls to the store of a quiet fleet.
+	maxReadsPerSecond = 2 * defaultPollRate
+	// maxCallsPerSecond is what the store serves.
+	maxCallsPerSecond = 2000
+)
+
+// countingTable counts calls, also those that fail.
+type countingTable struct {
+	platform.Table
+	calls atomic.Int64
+}
+
+func (c *countingTable) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	c.calls.Add(1)
+	return c.Table.Read(ctx, keys...)
+}
+
+func (c *countingTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	c.calls.Add(1)
+	return c.Table.Scan(ctx, prefix, after, limit)
+}
+
+// peak returns the highest number of calls in any of the coming seconds.
+func (c *countingTable) peak(seconds int) int64 {
+	highest := int64(0)
+	for range seconds {
+		before := c.calls.Load()
+		time.Sleep(time.Second)
+		highest = max(highest, c.calls.Load()-before)
+	}
+	return highest
+}
+
+// sparseBus has few neighbours and a fixed list of members, like the overlay of
+// a large fleet.
+type sparseBus struct {
+	peer.Bus
+	members    []peer.Member
+	neighbours []string
+	// bytes counts the payloads of calls once, and of broadcasts once per
+	// neighbour of each instance, as they are flooded.
+	bytes *atomic.Int64
+}
+
+func (b *sparseBus) Broadcast(topic peer.Topic, payload []byte) {
+	b.bytes.Add(int64(len(payload) * sparseDegree * len(b.members)))
+	b.Bus.Broadcast(topic, payload)
+}
+
+func (b *sparseBus) Call(ctx context.Context, to string, topic peer.Topic, payload []byte) ([]byte, error) {
+	answer, err := b.Bus.Call(ctx, to, topic, payload)
+	b.bytes.Add(int64(len(payload) + len(answer)))
+	return answer, err
+}
+
+func (b *sparseBus) Members() []peer.Member { return b.members }
+func (b *sparseBus) Neighbours() []string   { return b.neighbours }
+
+// sparseDegree is the number of neighbours of an instance, on a ring with
+// chords.
+const sparseDegree = 6
+
+func sparse(bus peer.Bus, at int, members []peer.Member, bytes *atomic.Int64) peer.Bus {
+	b := &sparseBus{Bus: bus, members: members, bytes: bytes}
+	distance := 1
+	for range sparseDegree {
+		b.neighbours = append(b.neighbours, members[(at+distance)%len(members)].ID)
+		distance *= 3
+	}
+	return b
+}
+
+func newTargetFleet(t *testing.T) (*fleet, *countingTable, *atomic.Int64) {
+	bytes := &atomic.Int64{}
+	f := newFleet(t, 0)
+	counting := &countingTable{Table: f.table}
+	f.reads = counting
+	members := make([]peer.Member, targetInstances)
+	for i := range members {
+		members[i].ID = fmt.Sprintf("i%d", i)
+	}
+	for i := range members {
+		f.wrap = func(bus peer.Bus) peer.Bus { return sparse(bus, i, members, bytes) }
+		f.start(members[i].ID)
+	}
+	return f, counting, bytes
+}
+
+func TestTargetFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, table, bytes := newTargetFleet(t)
+		start, quiet := table.peak(5), table.peak(15)
+		t.Logf("calls to the store per second: %d at the start of the whole fleet, %d later", start, quiet)
+		if start > maxCallsPerSecond || quiet > maxReadsPerSecond {
+			t.Errorf("want at most %d at the start and %d later", maxCallsPerSecond, maxReadsPerSecond)
+		}
+		pushed := f.wantAll(f.mustPut("i0", model("m", "v1")), inForce)
+		applied := mustApply(t, NewStore(f.table), Edit{ID: "silent", Base: 1, Puts: []Entry{model("m", "v2")}})
+		polled := f.wantAll(applied.Revision, backstop)
+		f.logBytes(bytes)
+		t.Logf("in force on %d instances %s after acceptance, %s if it was not announced", targetInstances, pushed, polled)
+	})
+}
+
+// Rate of changes of the target: 3,400 a day.
+const targetEditEvery = 25 * time.Second
+
+// logBytes logs the payload that an instance sends per second at the target's
+// rate of changes.
+func (f *fleet) logBytes(bytes *atomic.Int64) {
+	const edits = 4
+	bytes.Store(0)
+	for i := range edits {
+		f.wantAll(f.mustPut(fmt.Sprintf("i%d", i), workspace("alpha", "a", i+1)), inForce)
+		settle(targetEditEvery)
+	}
+	perSecond := float64(bytes.Load()) / float64(len(f.nodes)) / (edits * targetEditEvery.Seconds())
+	f.t.Logf("payload per instance: %.0f B/s with an edit every %s", perSecond, targetEditEvery)
+}
+
+func TestTargetFleetAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, table, _ := newTargetFleet(t)
+		settle(5 * time.Second)
+		f.table.SetFaults(memstore.Faults{Down: true})
+		during := table.peak(30)
+		f.table.SetFaults(memstore.Faults{})
+		after := table.peak(15)
+		t.Logf("calls to the store per second: %d during the outage, %d after it", during, after)
+		if max(during, after) > maxReadsPerSecond {
+			t.Errorf("want at most %d", maxReadsPerSecond)
+		}
+		f.wantAll(f.mustPut("i0", model("m", "v1")), inForce)
+	})
+}
