Release engine memory whose deadline has passed or whose owner is gone

Cause: streams, exports, imports and reservations outlive their instances. Change: internal/reclaim. One sweeper per engine by rendezvous hashing; a hold goes when its deadline has passed, when a higher incarnation of its owner is a member, when its owner says that it does not need it, or when the owner is no member, silent directly and through two members for 30 s, and not on the live list. Conclusion: bounded recovery without a holder of the whole picture.

--- /dev/null
+++ b/internal/reclaim/name.go
@@ -0,0 +1,46 @@
+package reclaim
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/banyanroute/banyanroute/internal/peer"
+)
+
+// holdName is a parsed name of a hold, "OWNER/INCARNATION/UUID".
+type holdName struct {
+	owner       string
+	incarnation uint64
+}
+
+// parseName parses the name of a hold; false means that it names no owner.
+func parseName(name string) (holdName, bool) {
+	parts := strings.Split(name, "/")
+	if len(parts) != 3 || parts[0] == "" || parts[2] == "" {
+		return holdName{}, false
+	}
+	incarnation, err := strconv.ParseUint(parts[1], 10, 64)
+	if err != nil {
+		return holdName{}, false
+	}
+	return holdName{owner: parts[0], incarnation: incarnation}, true
+}
+
+// chosen returns the member that sweeps an engine, by rendezvous hashing: the
+// one with the highest hash of engine and member. A change of members moves
+// only the engines of the members that came or left.
+func chosen(engine string, members []peer.Member) string {
+	best, bestHash := "", uint64(0)
+	for _, m := range members {
+		if m.Leaving {
+			continue
+		}
+		hash := xxhash.Sum64String(engine + "\x00" + m.ID)
+		if best == "" || hash > bestHash || hash == bestHash && m.ID < best {
+			best, bestHash = m.ID, hash
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/reclaim/reclaim.go
@@ -0,0 +1,268 @@
+// Package reclaim frees engine memory that nobody will free otherwise: streams
+// kept for resumption, exports, imports and reservations whose deadline has
+// passed or whose owner has died.
+//
+// Each engine has one sweeper, chosen among the members by rendezvous hashing.
+// Sweepers need not agree: releasing a hold twice is harmless, and a hold is
+// released only on grounds that are true for every instance.
+package reclaim
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/upstream"
+)
+
+var log = logging.For("reclaim")
+
+// Times of the sweeper.
+const (
+	// sweepInterval is the mean pause between two sweeps.
+	sweepInterval = 10 * time.Second
+	// ownerGrace is how long an owner must be missing, or a hold without a
+	// deadline be seen, before its owner is asked.
+	ownerGrace = 30 * time.Second
+	// unnamedGrace is how long a hold whose name gives no owner is left.
+	unnamedGrace = 10 * time.Minute
+	// deadlineMargin covers differences between clocks.
+	deadlineMargin = 5 * time.Second
+	// engineTimeout bounds one call to an engine.
+	engineTimeout = 3 * time.Second
+)
+
+// maxEngineCalls bounds the calls to engines that one sweep makes at a time.
+const maxEngineCalls = 8
+
+// HoldLister lists and releases the holds of an engine.
+type HoldLister interface {
+	Holds(ctx context.Context, engineURL string) (upstream.Holds, error)
+	// Release succeeds if the hold is absent.
+	Release(ctx context.Context, engineURL, name string) error
+}
+
+// Engine is one engine to sweep.
+type Engine struct {
+	ID  string
+	URL string
+}
+
+// Options configures a Sweeper.
+type Options struct {
+	Bus     peer.Bus
+	Holds   HoldLister
+	Engines func() []Engine
+	// Listed, if set, states whether the platform's live list shows an
+	// instance. A listed owner that no member reaches may be cut off, so its
+	// holds stay until their deadline or until the list drops it.
+	Listed func(owner string) bool
+	// Needed states whether this instance still needs a hold of its own.
+	Needed func(name string) bool
+}
+
+// State is the sweeper's state for a dump.
+type State struct {
+	// Engines are the engines that this instance swept last.
+	Engines []string `json:"engines"`
+	// Watched is the number of holds with a grace period under way.
+	Watched int `json:"watched_holds"`
+	// Released counts released holds by reason.
+	Released map[Reason]int `json:"released"`
+	// Failed counts lists and releases that the engine did not answer.
+	Failed int `json:"failed_calls"`
+}
+
+// Sweeper sweeps this instance's share of the engines.
+type Sweeper struct {
+	options Options
+	asker   *asker
+	// since is when a hold was first seen with its present doubt; only
+	// Run's goroutine uses it.
+	since map[watchKey]watch
+
+	mu    sync.Mutex
+	state State
+}
+
+// watchKey identifies a hold of an engine.
+type watchKey struct{ engine, name string }
+
+// watch is a grace period: the doubt about a hold, and since when.
+type watch struct {
+	doubt doubt
+	start time.Time
+}
+
+// New returns a sweeper and registers its handler on the bus, which must not
+// be started yet.
+func New(options Options) *Sweeper {
+	s := &Sweeper{options: options, since: map[watchKey]watch{}}
+	s.state.Released = map[Reason]int{}
+	s.asker = newAsker(options.Bus, options.Needed)
+	return s
+}
+
+// Run sweeps until ctx ends.
+func (s *Sweeper) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-time.After(sweepInterval/2 + rand.N(sweepInterval)):
+			s.Sweep(ctx)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// Dump returns a copy of the sweeper's State.
+func (s *Sweeper) Dump() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.state
+	state.Released = make(map[Reason]int, len(s.state.Released))
+	for reason, n := range s.state.Released {
+		state.Released[reason] = n
+	}
+	return state
+}
+
+// listing is the answer of one engine.
+type listing struct {
+	engine Engine
+	holds  []upstream.Hold
+	err    error
+}
+
+// Sweep looks once at this instance's share of the engines. It must not be
+// called concurrently with itself or Run.
+func (s *Sweeper) Sweep(ctx context.Context) {
+	members := s.options.Bus.Members()
+	self := s.options.Bus.Self().ID
+	var mine []Engine
+	for _, e := range s.options.Engines() {
+		if chosen(e.ID, members) == self {
+			mine = append(mine, e)
+		}
+	}
+	listings := s.list(ctx, mine)
+	s.asker.forget()
+	kept := map[watchKey]watch{}
+	for _, l := range listings {
+		if l.err != nil {
+			s.keepWatches(l.engine, kept)
+			continue
+		}
+		for _, hold := range l.holds {
+			s.sweepHold(ctx, l.engine, hold, members, kept)
+		}
+	}
+	s.since = kept
+	s.note(mine, len(kept))
+}
+
+// list asks the engines for their holds, a few at a time.
+func (s *Sweeper) list(ctx context.Context, engines []Engine) []listing {
+	listings := make([]listing, len(engines))
+	slots := make(chan struct{}, maxEngineCalls)
+	var wg sync.WaitGroup
+	for i, e := range engines {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+			defer cancel()
+			holds, err := s.options.Holds.Holds(ctx, e.URL)
+			listings[i] = listing{engine: e, holds: holds.Holds, err: err}
+		})
+	}
+	wg.Wait()
+	return listings
+}
+
+// keepWatches keeps the grace periods of an engine that did not answer.
+func (s *Sweeper) keepWatches(e Engine, kept map[watchKey]watch) {
+	for key, w := range s.since {
+		if key.engine == e.ID {
+			kept[key] = w
+		}
+	}
+	s.failed()
+}
+
+// sweepHold judges one hold and releases it if there is a reason.
+func (s *Sweeper) sweepHold(ctx context.Context, e Engine, hold upstream.Hold, members []peer.Member, kept map[watchKey]watch) {
+	now := time.Now()
+	reason, d := judge(hold, members, now)
+	key := watchKey{e.ID, hold.Name}
+	if d != noDoubt {
+		w, ok := s.since[key]
+		if !ok || w.doubt != d {
+			w = watch{doubt: d, start: now}
+		}
+		reason = s.resolve(ctx, &w, hold.Name, now)
+		kept[key] = w
+	}
+	if reason == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	if err := s.options.Holds.Release(ctx, e.URL, hold.Name); err != nil {
+		s.failed()
+		return
+	}
+	delete(kept, key)
+	log.Infof("released %d tokens of %s on %s: %s", hold.Tokens, hold.Name, e.ID, reason)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.Released[reason]++
+}
+
+// resolve returns a reason to release a hold in doubt. A missing owner is asked
+// in each sweep: it counts as gone only after it was silent for the whole
+// grace.
+func (s *Sweeper) resolve(ctx context.Context, w *watch, name string, now time.Time) Reason {
+	over := now.Sub(w.start) >= w.doubt.grace()
+	switch {
+	case w.doubt == unnamed && over:
+		return ReasonUnnamed
+	case w.doubt == unnamed, w.doubt == endless && !over:
+		return ""
+	}
+	got := s.asker.ask(ctx, name)
+	switch {
+	case got == answerNeeded:
+		w.start = now
+	case got == answerNotNeeded && over:
+		return ReasonNotNeeded
+	case got == answerNobody && over && w.doubt == ownerMissing && !s.listed(name):
+		return ReasonOwnerGone
+	}
+	return ""
+}
+
+// listed states whether the live list shows the owner of a hold.
+func (s *Sweeper) listed(name string) bool {
+	parsed, ok := parseName(name)
+	return ok && s.options.Listed != nil && s.options.Listed(parsed.owner)
+}
+
+func (s *Sweeper) failed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.Failed++
+}
+
+func (s *Sweeper) note(mine []Engine, watched int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.Engines = s.state.Engines[:0:0]
+	for _, e := range mine {
+		s.state.Engines = append(s.state.Engines, e.ID)
+	}
+	s.state.Watched = watched
+}
