Test overload and a slow engine against the real scheduler in virtual time

Three instances, five engines, hints every 200 ms, load reports 300 ms old (go test ./internal/admit -run 'Overload|Grey' -v). A queue that was held up for a moment looked as if it stood still and made the wait estimate refuse requests at 0.5 of capacity; the estimate is now bounded by half of this instance's part of the capacity.

--- a/internal/admit/acquire.go
+++ b/internal/admit/acquire.go
@@ -203,7 +203,7 @@
 	p.short.arrived(w.work, w.demand.IsShort(), now)
 	wait := time.Duration(0)
 	if p.queue.count > 0 && w.lane >= laneFirst {
-		wait = p.drain.wait(p.queue.workAhead(w.request, w.lane, w.work))
+		wait = p.drain.wait(p.queue.workAhead(w.request, w.lane, w.work), s.capacity(p, now))
 	}
 	if now.Add(wait).After(w.expireAt) {
 		return s.unmeetable("the queue alone takes about %s", wait)
@@ -225,10 +225,22 @@
 	return nil
 }
 
+// capacity returns this instance's part of the pool's speed, in tokens per
+// second, with the instances that sent a hint of late.
+func (s *Scheduler) capacity(p *pool, now time.Time) float64 {
+	instances := 1
+	for _, peer := range s.peers {
+		if now.Sub(peer.seenAt) < peerLifetime {
+			instances++
+		}
+	}
+	return p.capacity / float64(instances)
+}
+
 // makeRoom refuses the last request of the workspace that uses the most of the
 // queue, which may be w itself.
 func (s *Scheduler) makeRoom(p *pool, w *waiter) *result.Error {
-	full := result.New(result.Overloaded, "the queue is full").After(s.retryAfter(p.drain.wait(p.queue.work)))
+	full := result.New(result.Overloaded, "the queue is full").After(s.retryAfter(p.drain.wait(p.queue.work, p.capacity)))
 	victim := p.queue.heaviest(w.request, w.work)
 	if victim == nil || victim.work < w.work && p.queue.count < s.options.MaxQueued {
 		return full
--- a/internal/admit/observe.go
+++ b/internal/admit/observe.go
@@ -12,6 +12,9 @@
 // maxPeers bounds the instances whose hints are remembered.
 const maxPeers = 512
 
+// peerLifetime is how long an instance counts after its last hint.
+const peerLifetime = 5 * time.Second
+
 // ObserveLoad takes an engine's load report.
 func (s *Scheduler) ObserveLoad(id string, r upstream.LoadReport) {
 	s.update(id, func(st *state, now time.Time) {
@@ -143,12 +146,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	old, known := s.peerKeys[from]
-	if !known && len(s.peerKeys) >= maxPeers {
-		clear(s.peerKeys)
-	}
 	now := time.Now()
-	for _, key := range old {
+	old, known := s.peers[from]
+	if !known && len(s.peers) >= maxPeers {
+		s.forgetPeers(now)
+	}
+	for _, key := range old.keys {
 		if st := s.byKey[key]; st != nil {
 			st.load.ForgetPeer(from)
 		}
@@ -160,14 +163,27 @@
 			st.load.PeerHint(from, e.Outstanding, now)
 		}
 	}
-	s.peerKeys[from] = keys
-	for _, key := range append(old, keys...) {
+	s.peers[from] = peerState{keys: keys, seenAt: now}
+	for _, key := range append(old.keys, keys...) {
 		if st := s.byKey[key]; st != nil {
 			s.refresh(st, now)
 		}
 	}
 }
 
+// forgetPeers drops the instances that have sent no hint of late; if that frees
+// no place, all are dropped, which only makes estimates less exact.
+func (s *Scheduler) forgetPeers(now time.Time) {
+	for id, p := range s.peers {
+		if now.Sub(p.seenAt) > peerLifetime {
+			delete(s.peers, id)
+		}
+	}
+	if len(s.peers) >= maxPeers {
+		clear(s.peers)
+	}
+}
+
 // refresh brings st's candidate up to date.
 func (s *Scheduler) refresh(st *state, now time.Time) {
 	for _, key := range poolKeys(st.upstream) {
--- /dev/null
+++ b/internal/admit/overload_test.go
@@ -0,0 +1,304 @@
+package admit
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/catalogue"
+	"github.com/banyanroute/banyanroute/internal/result"
+	"github.com/banyanroute/banyanroute/internal/upstream"
+)
+
+// work is one request on a fakeEngine.
+type work struct {
+	id       string
+	left     int
+	priority int
+	order    int
+	ctx      context.Context
+	first    chan struct{}
+}
+
+type workHeap []*work
+
+func (h workHeap) Len() int { return len(h) }
+func (h workHeap) Less(i, j int) bool {
+	if h[i].priority != h[j].priority {
+		return h[i].priority < h[j].priority
+	}
+	return h[i].order < h[j].order
+}
+func (h workHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *workHeap) Push(x any)   { *h = append(*h, x.(*work)) }
+func (h *workHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// fakeEngine computes prompts in chunks by priority, in virtual time.
+type fakeEngine struct {
+	mu      sync.Mutex
+	queue   workHeap
+	wake    chan struct{}
+	order   int
+	reports uint64
+	slow    float64
+}
+
+func newFakeEngine(ctx context.Context) *fakeEngine {
+	e := &fakeEngine{wake: make(chan struct{}, 1), slow: 1}
+	go e.run(ctx)
+	return e
+}
+
+func (e *fakeEngine) submit(ctx context.Context, id string, tokens, priority int) *work {
+	e.mu.Lock()
+	e.order++
+	w := &work{id: id, left: tokens, priority: priority, order: e.order, ctx: ctx, first: make(chan struct{})}
+	heap.Push(&e.queue, w)
+	e.mu.Unlock()
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+	return w
+}
+
+func (e *fakeEngine) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.wake:
+		}
+		for e.chunk() {
+			if ctx.Err() != nil {
+				return
+			}
+		}
+	}
+}
+
+// chunk computes one chunk; it returns false if there is nothing to do.
+func (e *fakeEngine) chunk() bool {
+	e.mu.Lock()
+	if len(e.queue) == 0 {
+		e.mu.Unlock()
+		return false
+	}
+	w := e.queue[0]
+	tokens := min(w.left, modelChunk)
+	e.mu.Unlock()
+	if w.ctx.Err() == nil {
+		time.Sleep(time.Duration(e.slow * float64(tokens) / modelRate * float64(time.Second)))
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w.left -= tokens
+	if w.left <= 0 || w.ctx.Err() != nil {
+		heap.Remove(&e.queue, slices.Index(e.queue, w))
+		close(w.first)
+	}
+	return true
+}
+
+func (e *fakeEngine) report() upstream.LoadReport {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reports++
+	r := upstream.LoadReport{Sequence: e.reports, Boot: "b", AgeMs: 300, MemoryTokens: modelMemory}
+	for _, w := range e.queue {
+		r.QueuedPromptTokens += w.left
+		r.QueuedRequests++
+		r.Requests = append(r.Requests, w.id)
+	}
+	return r
+}
+
+// fleet is a few instances in front of a few engines, in virtual time.
+type fleet struct {
+	instances []*Scheduler
+	engines   map[string]*fakeEngine
+	list      []Upstream
+}
+
+func newFleet(ctx context.Context, instances, engineCount int, algorithm string) *fleet {
+	f := &fleet{engines: map[string]*fakeEngine{}, list: engines(engineCount)}
+	for _, u := range f.list {
+		f.engines[u.ID] = newFakeEngine(ctx)
+	}
+	for i := range instances {
+		s := New(Options{Instance: fmt.Sprint(i), Seed: uint64(i)})
+		s.SetUpstreams(f.list)
+		s.SetPolicy(catalogue.PolicySpec{Algorithm: algorithm, ShortWeight: 0.5})
+		f.instances = append(f.instances, s)
+	}
+	go f.gossip(ctx)
+	return f
+}
+
+// gossip sends hints every 200 ms and load reports, 300 ms old, every 400 ms.
+func (f *fleet) gossip(ctx context.Context) {
+	for turn := 0; ctx.Err() == nil; turn++ {
+		reports := map[string]upstream.LoadReport{}
+		for id, e := range f.engines {
+			reports[id] = e.report()
+		}
+		time.Sleep(200 * time.Millisecond)
+		for i, from := range f.instances {
+			hint := from.PeerHint()
+			for j, to := range f.instances {
+				if i != j {
+					to.ObservePeerHint(fmt.Sprint(i), hint)
+				}
+			}
+			for _, u := range f.list {
+				if turn%2 == 0 {
+					from.ObserveLoad(u.ID, reports[u.ID])
+				}
+			}
+		}
+	}
+}
+
+// tally is what callers saw. goodTokens counts answers that were complete in
+// time, between from and to.
+type tally struct {
+	mu                        sync.Mutex
+	from, to                  time.Time
+	offered, goodTokens, late int
+	refused                   map[result.Code]int
+	shortFirst                []float64
+}
+
+// call sends one request as the dispatcher would, with one attempt.
+func (f *fleet) call(ctx context.Context, s *Scheduler, r *Request, t *tally) {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	start := time.Now()
+	g, refusal := s.Acquire(ctx, r)
+	if refusal != nil {
+		t.count(func() { t.refused[refusal.Code]++ })
+		return
+	}
+	g.Sent()
+	w := f.engines[g.Upstream().ID].submit(ctx, r.ID, r.PromptTokens, g.Priority())
+	select {
+	case <-w.first:
+	case <-ctx.Done():
+	}
+	first := time.Since(start).Seconds()
+	if ctx.Err() == nil {
+		g.FirstToken()
+		time.Sleep(time.Duration(r.OutputTokens) * 20 * time.Millisecond)
+	}
+	if ctx.Err() != nil {
+		t.count(func() { t.late++ })
+		g.Done(Cancelled)
+		return
+	}
+	g.Progress(r.OutputTokens)
+	g.Done(Completed)
+	t.count(func() {
+		if r.PromptTokens <= defaultShortTokens {
+			t.shortFirst = append(t.shortFirst, first)
+		}
+		if now := time.Now(); now.After(t.from) && now.Before(t.to) {
+			t.goodTokens += r.PromptTokens
+		}
+	})
+}
+
+// count changes the tally.
+func (t *tally) count(change func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	change()
+}
+
+// offer runs load times the engines' capacity for seconds of virtual time.
+func offer(t *testing.T, algorithm string, load float64, prepare func(*fleet)) *tally {
+	const instances, engineCount, seconds, meanTokens = 3, 5, 100, 9_000
+	counts := &tally{refused: map[result.Code]int{}}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFleet(ctx, instances, engineCount, algorithm)
+		if prepare != nil {
+			prepare(f)
+		}
+		random := rand.New(rand.NewPCG(5, 6))
+		perSecond := load * engineCount * modelRate / meanTokens
+		begin := time.Now()
+		counts.from, counts.to = begin.Add(30*time.Second), begin.Add(seconds*time.Second)
+		for time.Since(begin) < seconds*time.Second {
+			time.Sleep(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
+			r := request(int(1000 * math.Pow(3, random.Float64())))
+			r.Deadline = time.Now().Add(20 * time.Second)
+			r.Workspace = fmt.Sprint(random.IntN(4))
+			if random.IntN(8) == 0 {
+				r.PromptTokens = int(20_000 * math.Pow(7, random.Float64()))
+				r.Deadline = time.Now().Add(60 * time.Second)
+			}
+			counts.offered += r.PromptTokens
+			s := f.instances[random.IntN(instances)]
+			go f.call(ctx, s, r, counts)
+			synctest.Wait()
+		}
+		time.Sleep(70 * time.Second)
+		cancel()
+		time.Sleep(time.Second)
+	})
+	slices.Sort(counts.shortFirst)
+	return counts
+}
+
+func (c *tally) String() string {
+	return fmt.Sprintf("offered %8d, good %8d tokens, late %4d, refused %v, short first token p50 %.2f p95 %.2f s",
+		c.offered, c.goodTokens, c.late, c.refused, quantile(c.shortFirst, 0.5), quantile(c.shortFirst, 0.95))
+}
+
+// TestNoCollapseUnderOverload offers up to 1.5 of capacity: the work that is
+// finished in time must stay near the best, and what is admitted finishes.
+func TestNoCollapseUnderOverload(t *testing.T) {
+	best, last := 0, 0
+	for _, load := range []float64{0.5, 0.8, 1.0, 1.5} {
+		c := offer(t, AlgorithmBanyan, load, nil)
+		t.Logf("load %.1f: %s", load, c)
+		if c.late > 0 {
+			t.Errorf("%d admitted requests were not finished in time at load %.1f", c.late, load)
+		}
+		best, last = max(best, c.goodTokens), c.goodTokens
+	}
+	if float64(last) < 0.95*float64(best) {
+		t.Errorf("good work at 1.5 is %d, the best is %d", last, best)
+	}
+	baseline := offer(t, AlgorithmRoundRobin, 1.5, nil)
+	t.Logf("round robin, load 1.5: %s", baseline)
+	if float64(last) < 0.95*float64(baseline.goodTokens) || baseline.late == 0 {
+		t.Error("round robin finishes more, or it is not overloaded")
+	}
+}
+
+// TestGreyEngineIsEased makes one engine eight times slower without any error.
+func TestGreyEngineIsEased(t *testing.T) {
+	grey := func(f *fleet) { f.engines["e00"].slow = 8 }
+	well, ill := offer(t, AlgorithmBanyan, 0.5, nil), offer(t, AlgorithmBanyan, 0.5, grey)
+	baseline := offer(t, AlgorithmLeastRequests, 0.5, grey)
+	t.Logf("well: %s", well)
+	t.Logf("grey: %s", ill)
+	t.Logf("grey, least requests: %s", baseline)
+	if p95 := quantile(ill.shortFirst, 0.95); p95 > 2*quantile(well.shortFirst, 0.95) || ill.late > 0 {
+		t.Errorf("p95 %.2f s with a grey engine, late %d", p95, ill.late)
+	}
+}
--- a/internal/admit/pool.go
+++ b/internal/admit/pool.go
@@ -34,6 +34,8 @@
 	panicking bool
 	turn      int
 	ticking   bool
+	// capacity is the sum of the prefill speeds, in tokens per second.
+	capacity float64
 	// largest is the memory of the largest engine in tokens; 0 is unknown.
 	largest int
 	// gangTurn lets one prompt of several parts reserve at a time.
@@ -89,6 +91,7 @@
 	p.panicking = health.Panicking(usable, total)
 	reserved := p.short.engines(usable, shortWeight, now)
 	p.speed.best = 0
+	p.capacity = 0
 	for _, st := range p.states {
 		st.refresh(now, p.panicking, maxRunning)
 		st.candidate.ShortOnly = false
@@ -96,6 +99,7 @@
 			st.candidate.ShortOnly = true
 			reserved--
 		}
+		p.capacity += st.candidate.Rate * st.candidate.Share
 		if rate, measured := st.load.Rate(); measured && st.usable() {
 			p.speed.best = max(p.speed.best, rate)
 		}
--- a/internal/admit/pump.go
+++ b/internal/admit/pump.go
@@ -248,5 +248,5 @@
 		return s.noUpstream(w.request)
 	}
 	waited := time.Since(w.queuedAt).Round(time.Millisecond)
-	return result.New(result.QueueTimeout, "the request waited for %s", waited).After(s.retryAfter(p.drain.wait(p.queue.work)))
+	return result.New(result.QueueTimeout, "the request waited for %s", waited).After(s.retryAfter(p.drain.wait(p.queue.work, p.capacity)))
 }
--- a/internal/admit/scheduler.go
+++ b/internal/admit/scheduler.go
@@ -46,8 +46,13 @@
 	prefix *load.PrefixIndex
 	poison *poison.Table
 	retry  *retry.Policy
-	// peerKeys lists the upstreams of each peer's last hint.
-	peerKeys map[string][]load.Key
+	peers  map[string]peerState
+}
+
+// peerState is what the last hint of another instance said.
+type peerState struct {
+	keys   []load.Key
+	seenAt time.Time
 }
 
 // New returns a Scheduler without upstreams.
@@ -58,16 +63,16 @@
 	}
 	options = options.withDefaults()
 	s := &Scheduler{
-		options:  options,
-		judge:    judge,
-		random:   rand.New(rand.NewPCG(options.Seed, options.Seed)),
-		byID:     map[string]*state{},
-		byKey:    map[load.Key]*state{},
-		pools:    map[poolKey]*pool{},
-		prefix:   load.NewPrefixIndex(),
-		poison:   poison.NewTable(),
-		retry:    retry.NewPolicy(),
-		peerKeys: map[string][]load.Key{},
+		options: options,
+		judge:   judge,
+		random:  rand.New(rand.NewPCG(options.Seed, options.Seed)),
+		byID:    map[string]*state{},
+		byKey:   map[load.Key]*state{},
+		pools:   map[poolKey]*pool{},
+		prefix:  load.NewPrefixIndex(),
+		poison:  poison.NewTable(),
+		retry:   retry.NewPolicy(),
+		peers:   map[string]peerState{},
 	}
 	if options.Reserver != nil {
 		s.acquirer = gang.NewAcquirer(options.Reserver)
--- a/internal/admit/speed.go
+++ b/internal/admit/speed.go
@@ -66,6 +66,9 @@
 const (
 	// drainWindow is the time over which the speed of the queue is measured.
 	drainWindow = 500 * time.Millisecond
+	// leastDrain is the part of the capacity below which the speed of the
+	// queue is not believed.
+	leastDrain = 0.5
 	// drainGain is the weight of one window.
 	drainGain = 0.3
 )
@@ -101,9 +104,12 @@
 }
 
 // wait returns how long work ahead in the queue takes; zero while unknown.
-func (d *drain) wait(ahead float64) time.Duration {
+// capacity is this instance's part of the upstreams' speed in tokens per second:
+// a queue that is held up for a moment is not taken for one that stands still.
+func (d *drain) wait(ahead, capacity float64) time.Duration {
 	if d.rate <= 0 {
 		return 0
 	}
-	return time.Duration(ahead / d.rate * float64(time.Second))
+	rate := max(d.rate, leastDrain*capacity)
+	return time.Duration(ahead / rate * float64(time.Second))
 }
