--- a/internal/admit/overload_test.go
+++ b/internal/admit/overload_test.go
@@ -263,9 +263,9 @@
 	return counts
 }
 
-func (c *tally) String() string {
+func (t *tally) String() string {
 	return fmt.Sprintf("offered %8d, good %8d tokens, late %4d, refused %v, short first token p50 %.2f p95 %.2f s",
-		c.offered, c.goodTokens, c.late, c.refused, quantile(c.shortFirst, 0.5), quantile(c.shortFirst, 0.95))
+		t.offered, t.goodTokens, t.late, t.refused, quantile(t.shortFirst, 0.5), quantile(t.shortFirst, 0.95))
 }
 
 // TestNoCollapseUnderOverload offers up to 1.5 of capacity: the work that is
