--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -96,8 +96,8 @@
 	listed  chan []platform.Listed
 	news    chan string
 	dumps   chan chan State
-	// instances is the number of instances on the live list.
-	instances atomic.Int64
+	// instances holds the IDs of the instances on the live list.
+	instances atomic.Pointer[map[string]bool]
 
 	// The fields below belong to the control goroutine.
 	revision catalogue.Revision
@@ -271,10 +271,10 @@
 	if list == nil {
 		return
 	}
-	instances := 0
+	instances := map[string]bool{}
 	for _, l := range list {
 		if l.Role == "instance" {
-			instances++
+			instances[l.ID] = true
 		}
 		if l.Role != "upstream" {
 			continue
@@ -285,12 +285,23 @@
 			c.clearLeaving(l.ID)
 		}
 	}
-	c.instances.Store(int64(instances))
+	c.instances.Store(&instances)
 }
 
 // ListedInstances returns the number of instances on the platform's list, or
 // zero if it was never read.
-func (c *Controller) ListedInstances() int { return int(c.instances.Load()) }
+func (c *Controller) ListedInstances() int {
+	if listed := c.instances.Load(); listed != nil {
+		return len(*listed)
+	}
+	return 0
+}
+
+// IsListed states whether the platform's list shows an instance.
+func (c *Controller) IsListed(id string) bool {
+	listed := c.instances.Load()
+	return listed != nil && (*listed)[id]
+}
 
 // leaveSource says who told that an upstream is leaving.
 type leaveSource string
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/platform/httpclient"
 	"github.com/banyanroute/banyanroute/internal/quota"
+	"github.com/banyanroute/banyanroute/internal/reclaim"
 	"github.com/banyanroute/banyanroute/internal/result"
 	"github.com/banyanroute/banyanroute/internal/settings"
 	"github.com/banyanroute/banyanroute/internal/upstream"
@@ -45,6 +46,7 @@
 	ledger     *ledger.Ledger
 	dispatcher *dispatch.Dispatcher
 	controller *control.Controller
+	sweeper    *reclaim.Sweeper
 	endpoints  *endpoints
 
 	callers   *http.Server
@@ -135,8 +137,18 @@
 		Claims:         d.ledger,
 		SilenceTimeout: d.settings.Limits.SilenceTimeout.Std(),
 	})
+	if err != nil {
+		return err
+	}
 	d.dispatcher = dispatcher
-	return err
+	d.sweeper = reclaim.New(reclaim.Options{
+		Bus:     d.overlay,
+		Holds:   holdLister{d.upstreams},
+		Engines: d.endpoints.engines,
+		Listed:  d.controller.IsListed,
+		Needed:  dispatcher.Needs,
+	})
+	return nil
 }
 
 // limits gives entry the limiter through its interface.
@@ -178,6 +190,7 @@
 	d.addActor(&group, "ledger", d.ledger.Run)
 	d.addActor(&group, "dispatch", d.dispatcher.Run)
 	d.addActor(&group, "control", d.controller.Run)
+	d.addActor(&group, "reclaim", d.sweeper.Run)
 	for _, s := range []struct {
 		name   string
 		server *http.Server
@@ -220,6 +233,8 @@
 	dumps := &admin.Dumps{}
 	dumps.Register("control", d.controller.Dump)
 	dumps.Register("scheduler", d.scheduler.Dump)
+	dumps.Register("requests", d.dispatcher.Dump)
+	dumps.Register("reclaim", d.sweeper.Dump)
 	dumps.Register("limits", d.limiter.Dump)
 	dumps.Register("claims", d.ledger.Dump)
 	dumps.Register("members", d.overlay.Dump)
--- a/internal/daemon/endpoints.go
+++ b/internal/daemon/endpoints.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/banyanroute/banyanroute/internal/admit"
+	"github.com/banyanroute/banyanroute/internal/reclaim"
 	"github.com/banyanroute/banyanroute/internal/upstream"
 )
 
@@ -33,6 +34,17 @@
 // all returns the present set by ID; it must not be changed.
 func (e *endpoints) all() map[string]admit.Upstream { return *e.current.Load() }
 
+// engines returns the engines, without plain services.
+func (e *endpoints) engines() []reclaim.Engine {
+	var list []reclaim.Engine
+	for _, up := range e.all() {
+		if up.Service == "" {
+			list = append(list, reclaim.Engine{ID: up.ID, URL: up.URL})
+		}
+	}
+	return list
+}
+
 // url returns the base URL of an upstream.
 func (e *endpoints) url(id string) (string, error) {
 	up, ok := e.all()[id]
@@ -65,3 +77,16 @@
 	}
 	return r.client.ReleaseHold(ctx, url, name)
 }
+
+// holdLister gives reclaim the upstream client.
+type holdLister struct{ client *upstream.Client }
+
+// Holds implements reclaim.HoldLister.
+func (h holdLister) Holds(ctx context.Context, engineURL string) (upstream.Holds, error) {
+	return h.client.Holds(ctx, engineURL)
+}
+
+// Release implements reclaim.HoldLister.
+func (h holdLister) Release(ctx context.Context, engineURL, name string) error {
+	return h.client.ReleaseHold(ctx, engineURL, name)
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -64,6 +64,7 @@
 	lifecycle *chart.Chart
 	cancels   *canceller
 	log       logger
+	active    activeRequests
 	// background counts work that outlives its caller: calls that must run
 	// to their end once they were sent.
 	background sync.WaitGroup
@@ -97,6 +98,10 @@
 // Run cancels abandoned requests at their engines until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) error { return d.cancels.run(ctx) }
 
+// Needs states whether a request that runs here still needs engine memory of
+// the given name: its stream, or a reservation "REQUEST-ID-NUMBER".
+func (d *Dispatcher) Needs(name string) bool { return d.active.covers(name) }
+
 // Wait blocks until all calls that outlived their callers have ended.
 func (d *Dispatcher) Wait() { d.background.Wait() }
 
@@ -110,3 +115,16 @@
 func remainingMs(deadline time.Time) string {
 	return strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10)
 }
+
+// State is the dispatcher's part of a dump.
+type State struct {
+	// Generations is the number of generation requests under way.
+	Generations int `json:"generations"`
+	// PendingCancels is the number of cancellations that wait.
+	PendingCancels int `json:"pending_cancels"`
+}
+
+// Dump returns the present state.
+func (d *Dispatcher) Dump() any {
+	return State{Generations: d.active.count(), PendingCancels: len(d.cancels.queue)}
+}
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -88,6 +88,7 @@
 func (d *Dispatcher) Generate(ctx context.Context, req *Generation, sink Sink) *result.Error {
 	ctx, cancel := context.WithDeadline(ctx, req.Route.Deadline)
 	defer cancel()
+	defer d.active.add(req.ID)()
 	g := &generation{d: d, req: req, sink: sink, machine: d.lifecycle.NewMachine(), ran: result.NotRun}
 	event := eventAdmitted
 	for {
