--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -99,7 +99,7 @@
 func (d *Dispatcher) Run(ctx context.Context) error { return d.cancels.run(ctx) }
 
 // Needs states whether a request that runs here still needs engine memory of
-// the given name: its stream, or a reservation "REQUEST-ID-NUMBER".
+// the given name: its stream, or a reservation whose name begins with its ID.
 func (d *Dispatcher) Needs(name string) bool { return d.active.covers(name) }
 
 // Wait blocks until all calls that outlived their callers have ended.
--- a/internal/dispatch/generate_test.go
+++ b/internal/dispatch/generate_test.go
@@ -170,3 +170,20 @@
 		})
 	}
 }
+
+// TestNeedsCoversStreamsAndReservations checks which names of engine memory
+// belong to a request that runs here.
+func TestNeedsCoversStreamsAndReservations(t *testing.T) {
+	d := newTestDispatcher(t, fakeNet{}, nil)
+	id := d.NewRequestID()
+	remove := d.active.add(id)
+	for name, want := range map[string]bool{id: true, id + "-0-1": true, d.NewRequestID(): false, "x": false, "": false} {
+		if d.Needs(name) != want {
+			t.Errorf("%q: got %t", name, !want)
+		}
+	}
+	remove()
+	if d.Needs(id) {
+		t.Error("an ended request still needs its memory")
+	}
+}
