--- a/internal/catalogue/fields.go
+++ b/internal/catalogue/fields.go
@@ -45,7 +45,7 @@
 	fields := structFields(t)
 	for i := 0; i+1 < len(node.Content); i += 2 {
 		name := node.Content[i].Value
-		full := strings.TrimPrefix(path+"."+name, ".")
+		full := joinPath(path, name)
 		fieldType, ok := fields[name]
 		if !ok {
 			w.errs = append(w.errs, FieldError{File: w.file, Line: node.Content[i].Line, Field: full,
@@ -56,6 +56,17 @@
 	}
 }
 
+// joinPath appends a name to a dotted path; an empty name is written as quotes.
+func joinPath(path, name string) string {
+	if name == "" {
+		name = `""`
+	}
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
 // structFields maps the YAML names of a struct's fields to their types.
 func structFields(t reflect.Type) map[string]reflect.Type {
 	fields := make(map[string]reflect.Type, t.NumField())
