--- a/internal/upstream/wire.go
+++ b/internal/upstream/wire.go
@@ -29,6 +29,10 @@
 	// header of server-sent events). An engine that still holds the stream
 	// repeats the chunks after the position; one that does not answers 409.
 	HeaderLastEventID = "Last-Event-ID"
+	// HeaderContinueFrom continues an answer whose first chunks another engine
+	// made: positions start after it, and the body carries the text so far in
+	// the field "continuation".
+	HeaderContinueFrom = "X-Continue-From"
 	// HeaderNotRun is "true" on an error answer of an upstream that refused
 	// the request before running it.
 	HeaderNotRun = "X-Not-Run"
@@ -203,3 +207,28 @@
 	Fence   uint64 `json:"fence"`
 	Leaving bool   `json:"leaving"`
 }
+
+// ExportRequest is the body of POST PathExport: it pins the cached blocks that
+// begin the prefix, so that another engine can import them. The engine answers
+// 404 if it has none of them.
+type ExportRequest struct {
+	Name           string   `json:"name"`
+	Blocks         []string `json:"blocks"`
+	DeadlineUnixMs int64    `json:"deadline_unix_ms"`
+}
+
+// ExportAnswer lists the blocks that are pinned, and their tokens.
+type ExportAnswer struct {
+	Blocks []string `json:"blocks"`
+	Tokens int      `json:"tokens"`
+}
+
+// ImportRequest is the body of POST PathImport: the engine allocates memory,
+// takes the time of the transfer, and answers 200 when the blocks are in its
+// prefix cache, or 409 if it has not enough free memory. The blocks stay pinned
+// until the hold is released.
+type ImportRequest struct {
+	Name           string   `json:"name"`
+	Blocks         []string `json:"blocks"`
+	DeadlineUnixMs int64    `json:"deadline_unix_ms"`
+}
