--- a/internal/catalogue/schedule_test.go
+++ b/internal/catalogue/schedule_test.go
@@ -93,8 +93,8 @@
 	mu       sync.Mutex
 	outcomes []outcome
 	pending  sync.WaitGroup
-	// ended holds the installed revisions of instances that were restarted.
-	ended [][]Revision
+	// ended holds the instances before their restarts.
+	ended []*node
 }
 
 func (r *scheduleRun) do(s step) {
@@ -129,7 +129,7 @@
 	case stepRejoin:
 		r.cut(id, false)
 	case stepRestart:
-		r.ended = append(r.ended, r.nodes[id].installed)
+		r.ended = append(r.ended, r.nodes[id])
 		r.start(id)
 	}
 }
@@ -171,16 +171,17 @@
 		return err
 	}
 	runs := r.ended
+	synctest.Wait()
 	for id, n := range r.nodes {
-		runs = append(runs, n.installed)
+		runs = append(runs, n)
 		if snap := n.Snapshot(); snap == nil || snap.revision != h.Revision || snap.digest != h.Digest || digestOf(snap.records) != h.Digest {
 			return fmt.Errorf("%s does not have the head, revision %d", id, h.Revision)
 		}
 	}
-	for _, installed := range runs {
-		for i := 1; i < len(installed); i++ {
-			if installed[i] <= installed[i-1] {
-				return fmt.Errorf("an instance went from revision %d to %d", installed[i-1], installed[i])
+	for _, n := range runs {
+		for i := 1; i < len(n.installed); i++ {
+			if n.installed[i] <= n.installed[i-1] {
+				return fmt.Errorf("an instance went from revision %d to %d", n.installed[i-1], n.installed[i])
 			}
 		}
 	}
--- a/internal/platform/httpclient/httpclient_test.go
+++ b/internal/platform/httpclient/httpclient_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,13 +57,13 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			calls := 0
-			client := serve(t, func(w http.ResponseWriter, r *http.Request) { calls++; c.handler(w, r) })
+			var calls atomic.Int32
+			client := serve(t, func(w http.ResponseWriter, r *http.Request) { calls.Add(1); c.handler(w, r) })
 			if _, err := client.Commit(t.Context(), platform.Txn{ID: "x"}); !errors.Is(err, c.want) {
 				t.Errorf("got %v, want %v", err, c.want)
 			}
-			if calls != 1 {
-				t.Errorf("the write was sent %d times", calls)
+			if n := calls.Load(); n != 1 {
+				t.Errorf("the write was sent %d times", n)
 			}
 		})
 	}
@@ -117,12 +118,15 @@
 	if _, after, err := client.Weights(t.Context(), "m", "v"); !errors.Is(err, platform.ErrRateLimited) || after != 7*time.Second {
 		t.Errorf("got %v after %s", err, after)
 	}
-	var path string
+	path := make(chan string, 1)
 	client = serve(t, func(w http.ResponseWriter, r *http.Request) {
-		path = r.URL.EscapedPath()
+		path <- r.URL.EscapedPath()
 		w.WriteHeader(http.StatusNoContent)
 	})
-	if err := client.PutObject(t.Context(), "answers/a b?c", nil); err != nil || path != "/objects/answers/a%20b%3Fc" {
-		t.Errorf("got %v, path %s", err, path)
+	if err := client.PutObject(t.Context(), "answers/a b?c", nil); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-path; got != "/objects/answers/a%20b%3Fc" {
+		t.Errorf("got path %s", got)
 	}
 }
