Bring engines to the declared state by orders under a fenced lease

Cause: models, versions, adapters and roles must follow the catalogue and the demand, and an old holder that wakes up must do no lasting harm. Change: internal/order. A pure plan compares declared with observed state; targets follow demand with hysteresis; charts/order.yaml is the holder's life. An order carries the lease's token and, where checked, a signature. For engines that ignore tokens a new holder waits 10 s, the longest time an order can be under way, and whatever a late order spoils is observed and repaired. Loads take from one shared rate in the table. A lease gives its token and validity in one call: apart, a token of the next holder could be read. Ruled out: orders as a queue to be carried out once; a late or lost one would leave its effect for good. An engine that restarts forgets its highest token, so one order with an older token was seen there; the chart's invariant says so now. Conclusion: repair is the mechanism; tokens and spacing lessen what it mends.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -95,8 +95,16 @@
 	return now.Before(l.validUntil)
 }
 
-// Fence returns the fencing token of the lease as last seen. It grows with each
-// change of holder.
+// Held returns the fencing token under which this contender holds the lease at
+// now, and false if it does not. Tokens grow with each change of holder.
+func (l *Lease) Held(now time.Time) (fence uint64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.row.Fence, now.Before(l.validUntil)
+}
+
+// Fence returns the lease's fencing token as last seen, for operators; it may
+// be another holder's.
 func (l *Lease) Fence() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- /dev/null
+++ b/internal/order/controller.go
@@ -0,0 +1,325 @@
+// Package order brings engines to the state that the catalogue declares: it
+// observes them, plans orders, and gives these under the lease of the engines'
+// group with its fencing token.
+//
+// Some engines ignore fencing tokens, so each order is safe to arrive late: it
+// wishes for a state, and whatever a late one spoils is observed and repaired.
+// A new holder waits for the longest time that an order can be under way
+// before its first order to such an engine.
+package order
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/banyanroute/banyanroute/charts"
+	"github.com/banyanroute/banyanroute/internal/chart"
+	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/upstream"
+)
+
+var log = logging.For("order")
+
+// Times of a controller.
+const (
+	// observeInterval is the mean pause between two observations.
+	observeInterval = 5 * time.Second
+	observeTimeout  = 3 * time.Second
+	// orderTimeout is the longest time that an order can be under way.
+	orderTimeout = 10 * time.Second
+	// repeatAfter is when an order without visible effect is given again.
+	repeatAfter = 30 * time.Second
+)
+
+// maxObservations bounds the observations that run at a time.
+const maxObservations = 16
+
+// Lease is the right to give orders to a group.
+type Lease interface {
+	// Held returns the fencing token under which this instance holds the
+	// lease at now, and false if it does not.
+	Held(now time.Time) (fence uint64, ok bool)
+}
+
+// Loads limits the use of the weight store; WeightRate implements it.
+type Loads interface {
+	Take(ctx context.Context) (time.Duration, error)
+}
+
+// Options configures a Controller.
+type Options struct {
+	Group string
+	// Instance is the issuer of the orders.
+	Instance string
+	Lease    Lease
+	Engines  Engines
+	Loads    Loads
+	// Declared returns the group's part of the present catalogue.
+	Declared func() Declared
+	// Demand returns the load of each model in the group.
+	Demand func() map[string]Demand
+	// Key signs orders to engines that check the issuer.
+	Key []byte
+}
+
+// State is a controller's state for a dump.
+type State struct {
+	Group string `json:"group"`
+	// Holding states whether this instance gives orders, and Fence under
+	// which token.
+	Holding bool   `json:"holding"`
+	Fence   uint64 `json:"fence"`
+	// Observed is the number of engines that answered last.
+	Observed int `json:"observed"`
+	// Missing is the number of orders that the last plan needed.
+	Missing int `json:"missing"`
+	// Given counts orders by outcome.
+	Given   int               `json:"given"`
+	Refused int               `json:"refused"`
+	Failed  int               `json:"failed"`
+	Targets map[string]Target `json:"targets"`
+}
+
+// given identifies an order for the purpose of not repeating it at once.
+type given struct {
+	engine, boot            string
+	kind                    upstream.OrderKind
+	model, version, adapter string
+	role                    upstream.Role
+}
+
+// Controller gives the orders of one group. One goroutine runs it.
+type Controller struct {
+	options  Options
+	follower follower
+	machine  *chart.Machine
+	// fence is the token of the present holding, held since heldSince.
+	fence     uint64
+	heldSince time.Time
+	given     map[given]time.Time
+
+	mu    sync.Mutex
+	state State
+}
+
+// New returns a controller of one group.
+func New(options Options) *Controller {
+	loaded, err := chart.Load(charts.FS, "order")
+	if err != nil {
+		panic(err) // The chart is embedded in the program.
+	}
+	return &Controller{options: options, machine: loaded.NewMachine(), state: State{Group: options.Group}}
+}
+
+// States and events of charts/order.yaml.
+const (
+	stateSpacing  chart.State = "spacing"
+	stateOrdering chart.State = "ordering"
+
+	eventAcquired chart.Event = "acquired"
+	eventSpaced   chart.Event = "spaced"
+	eventLapsed   chart.Event = "lapsed"
+	eventFenced   chart.Event = "fenced"
+
+	actionStartAnew chart.Action = "start-anew"
+)
+
+// fire takes a transition of the chart.
+func (c *Controller) fire(event chart.Event) {
+	actions, err := c.machine.Fire(event)
+	if err != nil {
+		log.Errorf("order chart: %v", err)
+	}
+	for _, action := range actions {
+		if action == actionStartAnew {
+			c.heldSince = time.Now()
+			c.given = map[given]time.Time{}
+			c.follower = follower{}
+		}
+	}
+}
+
+// Run observes and repairs while the lease is held, until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-time.After(observeInterval*3/4 + rand.N(observeInterval/2)):
+			c.Step(ctx)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// Dump returns a copy of the controller's State.
+func (c *Controller) Dump() any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
+}
+
+// Step observes the group once and gives the missing orders. It must not be
+// called concurrently with itself or Run.
+func (c *Controller) Step(ctx context.Context) {
+	now := time.Now()
+	if !c.holds(now) {
+		c.note(func(s *State) { s.Holding = false })
+		return
+	}
+	declared := c.options.Declared()
+	observed := c.observe(ctx, declared.Engines)
+	targets := c.follower.targets(c.options.Demand(), count(observed), now)
+	steps := Plan(declared, observed, targets)
+	c.note(func(s *State) {
+		s.Holding, s.Fence, s.Observed, s.Missing, s.Targets = true, c.fence, len(observed), len(steps), targets
+	})
+	for _, step := range steps {
+		if !c.holds(time.Now()) {
+			return
+		}
+		c.give(ctx, step, observed[step.Engine.ID].Boot)
+	}
+}
+
+// holds states whether this instance may give orders, and follows the lease.
+func (c *Controller) holds(now time.Time) bool {
+	fence, ok := c.options.Lease.Held(now)
+	if !ok {
+		c.fire(eventLapsed)
+		c.fence = 0
+		return false
+	}
+	if fence != c.fence {
+		c.fence = fence
+		c.fire(eventAcquired)
+	}
+	if now.Sub(c.heldSince) >= orderTimeout {
+		c.fire(eventSpaced)
+	}
+	state := c.machine.State()
+	return state == stateSpacing || state == stateOrdering
+}
+
+// observe returns the state of the engines that answer.
+func (c *Controller) observe(ctx context.Context, engines []Engine) map[string]upstream.Observed {
+	observed := make(map[string]upstream.Observed, len(engines))
+	slots := make(chan struct{}, maxObservations)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, e := range engines {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			ctx, cancel := context.WithTimeout(ctx, observeTimeout)
+			defer cancel()
+			o, err := c.options.Engines.Observe(ctx, e)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			observed[e.ID] = o
+		})
+	}
+	wg.Wait()
+	return observed
+}
+
+// count returns the number of engines with each model.
+func count(observed map[string]upstream.Observed) map[string]int {
+	have := map[string]int{}
+	for _, o := range observed {
+		models := map[string]bool{}
+		for _, m := range o.Models {
+			models[m.Model] = true
+		}
+		for model := range models {
+			have[model]++
+		}
+	}
+	return have
+}
+
+// give sends one order, unless the same one was given a moment ago.
+func (c *Controller) give(ctx context.Context, step Step, boot string) {
+	now := time.Now()
+	if !step.Engine.Fencing && c.machine.State() != stateOrdering {
+		return
+	}
+	o := step.Order
+	key := given{step.Engine.ID, boot, o.Kind, o.Model, o.Version, o.Adapter, o.Role}
+	if last, ok := c.given[key]; ok && now.Sub(last) < repeatAfter {
+		return
+	}
+	if o.Kind == upstream.OrderLoadModel && !c.mayLoad(ctx) {
+		return
+	}
+	c.forget(now)
+	c.given[key] = now
+	c.send(ctx, step)
+}
+
+// forget drops the memory of orders that may be repeated.
+func (c *Controller) forget(now time.Time) {
+	for key, last := range c.given {
+		if now.Sub(last) >= repeatAfter {
+			delete(c.given, key)
+		}
+	}
+}
+
+// mayLoad takes one load from the shared rate.
+func (c *Controller) mayLoad(ctx context.Context) bool {
+	if c.options.Loads == nil {
+		return true
+	}
+	wait, err := c.options.Loads.Take(ctx)
+	return err == nil && wait == 0
+}
+
+// send gives the order if the lease is still valid right before.
+func (c *Controller) send(ctx context.Context, step Step) {
+	o := step.Order
+	o.ID = uuid.NewString()
+	o.Fence = c.fence
+	o.Issuer = c.options.Instance
+	if step.Engine.ChecksIssuer {
+		signed, err := Sign(o, c.options.Key)
+		if err != nil {
+			return
+		}
+		o = signed
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if fence, ok := c.options.Lease.Held(time.Now()); !ok || fence != c.fence {
+		return
+	}
+	err := c.options.Engines.Order(ctx, step.Engine, o)
+	switch {
+	case errors.Is(err, ErrFenced):
+		c.fire(eventFenced)
+		log.Warnf("engine %s has seen a newer token than %d", step.Engine.ID, c.fence)
+		c.note(func(s *State) { s.Refused++ })
+	case errors.Is(err, ErrIssuer):
+		log.Errorf("engine %s does not accept orders of %s", step.Engine.ID, o.Issuer)
+		c.note(func(s *State) { s.Refused++ })
+	case err != nil:
+		log.Infof("order %s to engine %s failed: %v", o.Kind, step.Engine.ID, err)
+		c.note(func(s *State) { s.Failed++ })
+	default:
+		log.Infof("ordered %s %s %s%s%s at engine %s", o.Kind, o.Model, o.Version, o.Adapter, o.Role, step.Engine.ID)
+		c.note(func(s *State) { s.Given++ })
+	}
+}
+
+func (c *Controller) note(change func(*State)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(&c.state)
+}
--- /dev/null
+++ b/internal/order/engines.go
@@ -0,0 +1,108 @@
+package order
+
+import (
+	"bytes"
+	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/gravitational/trace"
+
+	"github.com/banyanroute/banyanroute/internal/upstream"
+)
+
+// Errors of an engine's answer to an order.
+var (
+	// ErrFenced says that the engine has seen a higher fencing token.
+	ErrFenced = errors.New("engine has seen a higher fencing token")
+	// ErrIssuer says that the engine does not accept the issuer.
+	ErrIssuer = errors.New("engine does not accept the order's issuer")
+)
+
+// maxObservedBytes bounds the answer of an engine.
+const maxObservedBytes = 1 << 20
+
+// Engines observes engines and gives them orders.
+type Engines interface {
+	Observe(ctx context.Context, e Engine) (upstream.Observed, error)
+	// Order returns ErrFenced, ErrIssuer, or an error after which the order
+	// may still be carried out.
+	Order(ctx context.Context, e Engine, o upstream.Order) error
+}
+
+// Sign returns the order with its signature: the hex HMAC-SHA256 of the order
+// without the signature, encoded as JSON.
+func Sign(o upstream.Order, key []byte) (upstream.Order, error) {
+	o.Signature = ""
+	data, err := json.Marshal(o)
+	if err != nil {
+		return o, trace.Wrap(err)
+	}
+	mac := hmac.New(sha256.New, key)
+	mac.Write(data)
+	o.Signature = hex.EncodeToString(mac.Sum(nil))
+	return o, nil
+}
+
+// Verify states whether the order carries a valid signature.
+func Verify(o upstream.Order, key []byte) bool {
+	signed, err := Sign(o, key)
+	return err == nil && hmac.Equal([]byte(signed.Signature), []byte(o.Signature))
+}
+
+// HTTPEngines reaches engines over HTTP.
+type HTTPEngines struct {
+	Client *http.Client
+}
+
+// Observe implements Engines.
+func (h HTTPEngines) Observe(ctx context.Context, e Engine) (upstream.Observed, error) {
+	var o upstream.Observed
+	data, err := h.call(ctx, http.MethodGet, e.URL+upstream.PathObserved, nil)
+	if err != nil {
+		return o, err
+	}
+	return o, trace.Wrap(json.Unmarshal(data, &o), "decoding the state of engine %q", e.ID)
+}
+
+// Order implements Engines.
+func (h HTTPEngines) Order(ctx context.Context, e Engine, o upstream.Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	_, err = h.call(ctx, http.MethodPost, e.URL+upstream.PathOrder, body)
+	return err
+}
+
+// call makes one call and returns the body of a successful answer.
+func (h HTTPEngines) call(ctx context.Context, method, url string, body []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := h.Client.Do(req)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxObservedBytes))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	switch {
+	case resp.StatusCode == http.StatusPreconditionFailed:
+		return nil, ErrFenced
+	case resp.StatusCode == http.StatusForbidden:
+		return nil, ErrIssuer
+	case resp.StatusCode/100 != 2:
+		return nil, trace.BadParameter("engine answered %s", resp.Status)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/order/plan.go
@@ -0,0 +1,216 @@
+package order
+
+import (
+	"math"
+	"sort"
+
+	"github.com/banyanroute/banyanroute/internal/upstream"
+)
+
+// Bounds of a plan.
+const (
+	// maxLoadingShare is the part of a model's engines that load at a time.
+	maxLoadingShare = 4
+	// minRoleEngines is the least number of a model's engines that take
+	// separate roles.
+	minRoleEngines = 4
+)
+
+// Target is how many engines of the group a model should have, and how many of
+// them only prefill.
+type Target struct {
+	Engines int
+	Prefill int
+}
+
+// Step is one order to one engine.
+type Step struct {
+	Engine Engine
+	Order  upstream.Order
+}
+
+// Plan returns the orders that bring the observed engines nearer to the wanted
+// state. It is a pure function; engines that were not observed or are leaving
+// get no orders. Orders wish for a state and may be repeated.
+func Plan(d Declared, observed map[string]upstream.Observed, targets map[string]Target) []Step {
+	p := planner{declared: d, observed: observed, targets: targets}
+	assigned := p.assign()
+	var steps []Step
+	for _, m := range d.Models {
+		steps = append(steps, p.modelSteps(m, assigned[m.Name])...)
+	}
+	return steps
+}
+
+type planner struct {
+	declared Declared
+	observed map[string]upstream.Observed
+	targets  map[string]Target
+}
+
+// want returns a model's target within its declared bounds.
+func (p *planner) want(m Model) int {
+	return max(m.Min, min(p.targets[m.Name].Engines, m.Max))
+}
+
+// assign gives each usable engine one model. An engine keeps its present model
+// unless another model lacks engines and its own has more than it wants.
+func (p *planner) assign() map[string][]Engine {
+	assigned := map[string][]Engine{}
+	var spare []Engine
+	for _, e := range p.declared.Engines {
+		o, ok := p.observed[e.ID]
+		if !ok || o.Leaving {
+			continue
+		}
+		if model := p.present(e, o); model != "" {
+			assigned[model] = append(assigned[model], e)
+		} else {
+			spare = append(spare, e)
+		}
+	}
+	spare = p.fill(assigned, spare, p.want)
+	p.move(assigned)
+	p.fill(assigned, spare, func(m Model) int { return m.Max })
+	return assigned
+}
+
+// present returns the declared model that the engine serves or loads now.
+func (p *planner) present(e Engine, o upstream.Observed) string {
+	for _, l := range o.Models {
+		for _, m := range p.declared.Models {
+			if m.Name == l.Model && contains(e.Models, m.Name) {
+				return m.Name
+			}
+		}
+	}
+	return ""
+}
+
+// fill gives spare engines to models below the limit and returns the rest.
+func (p *planner) fill(assigned map[string][]Engine, spare []Engine, limit func(Model) int) []Engine {
+	var rest []Engine
+	for _, e := range spare {
+		if m, ok := p.neediest(assigned, e, limit); ok {
+			assigned[m.Name] = append(assigned[m.Name], e)
+		} else {
+			rest = append(rest, e)
+		}
+	}
+	return rest
+}
+
+// neediest returns the model furthest below its limit that the engine may
+// serve.
+func (p *planner) neediest(assigned map[string][]Engine, e Engine, limit func(Model) int) (Model, bool) {
+	var best Model
+	most := 0
+	for _, m := range p.declared.Models {
+		lack := limit(m) - len(assigned[m.Name])
+		if lack > most && contains(e.Models, m.Name) {
+			best, most = m, lack
+		}
+	}
+	return best, most > 0
+}
+
+// move takes engines from models above their target for models below it.
+func (p *planner) move(assigned map[string][]Engine) {
+	for _, from := range p.declared.Models {
+		var kept []Engine
+		surplus := len(assigned[from.Name]) - p.want(from)
+		for _, e := range assigned[from.Name] {
+			to, ok := p.neediest(assigned, e, p.want)
+			if surplus <= 0 || !ok || to.Name == from.Name {
+				kept = append(kept, e)
+				continue
+			}
+			assigned[to.Name] = append(assigned[to.Name], e)
+			surplus--
+		}
+		assigned[from.Name] = kept
+	}
+}
+
+// modelSteps returns the orders to the engines of one model.
+func (p *planner) modelSteps(m Model, engines []Engine) []Step {
+	sort.Slice(engines, func(i, j int) bool { return engines[i].ID < engines[j].ID })
+	loading := 0
+	for _, e := range engines {
+		for _, l := range p.observed[e.ID].Models {
+			if l.Loading {
+				loading++
+				break
+			}
+		}
+	}
+	roles := p.roles(m, engines)
+	var steps []Step
+	for _, e := range engines {
+		l, ok := loaded(p.observed[e.ID], m.Name, m.Version)
+		switch {
+		case !ok && loading < max(1, len(engines)/maxLoadingShare):
+			loading++
+			steps = append(steps, Step{e, upstream.Order{Kind: upstream.OrderLoadModel, Model: m.Name, Version: m.Version}})
+		case ok && !l.Loading:
+			steps = append(steps, p.tidy(m, e, l, roles[e.ID])...)
+		}
+	}
+	return steps
+}
+
+// tidy returns the orders to an engine that has its model: missing adapters,
+// other models that it still holds, and its role.
+func (p *planner) tidy(m Model, e Engine, l upstream.LoadedModel, role upstream.Role) []Step {
+	var steps []Step
+	for _, adapter := range m.Adapters {
+		if !contains(l.Adapters, adapter) {
+			steps = append(steps, Step{e, upstream.Order{
+				Kind: upstream.OrderLoadAdapter, Model: m.Name, Version: m.Version, Adapter: adapter,
+			}})
+		}
+	}
+	for _, other := range p.observed[e.ID].Models {
+		if other.Model != m.Name || other.Version != m.Version {
+			steps = append(steps, Step{e, upstream.Order{
+				Kind: upstream.OrderUnloadModel, Model: other.Model, Version: other.Version,
+			}})
+		}
+	}
+	if present := p.observed[e.ID].Role; role != "" && present != role {
+		steps = append(steps, Step{e, upstream.Order{Kind: upstream.OrderSetRole, Role: role}})
+	}
+	return steps
+}
+
+// roles returns the wanted role of each engine: engines keep theirs as far as
+// the target allows.
+func (p *planner) roles(m Model, engines []Engine) map[string]upstream.Role {
+	roles := map[string]upstream.Role{}
+	prefill := p.targets[m.Name].Prefill
+	if len(engines) < minRoleEngines || prefill <= 0 || prefill >= len(engines) {
+		for _, e := range engines {
+			roles[e.ID] = upstream.RoleMixed
+		}
+		return roles
+	}
+	byRole := append([]Engine(nil), engines...)
+	sort.SliceStable(byRole, func(i, j int) bool {
+		return p.observed[byRole[i].ID].Role == upstream.RolePrefill && p.observed[byRole[j].ID].Role != upstream.RolePrefill
+	})
+	for i, e := range byRole {
+		roles[e.ID] = upstream.RoleDecode
+		if i < prefill {
+			roles[e.ID] = upstream.RolePrefill
+		}
+	}
+	return roles
+}
+
+// prefillEngines returns the number of prefill engines for a share of work.
+func prefillEngines(engines int, share float64) int {
+	if share <= 0 {
+		return 0
+	}
+	return max(1, min(int(math.Round(share*float64(engines))), engines-1))
+}
--- /dev/null
+++ b/internal/order/plan_test.go
@@ -0,0 +1,204 @@
+package order
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/banyanroute/banyanroute/internal/catalogue"
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/upstream"
+)
+
+// carryOut applies an order to an engine's state at once.
+func carryOut(o *upstream.Observed, order upstream.Order) {
+	for i, m := range o.Models {
+		if m.Model != order.Model || m.Version != order.Version {
+			continue
+		}
+		switch order.Kind {
+		case upstream.OrderLoadModel:
+			return
+		case upstream.OrderLoadAdapter:
+			o.Models[i].Adapters = append(o.Models[i].Adapters, order.Adapter)
+		case upstream.OrderUnloadModel:
+			o.Models = append(append([]upstream.LoadedModel(nil), o.Models[:i]...), o.Models[i+1:]...)
+			return
+		}
+	}
+	switch order.Kind {
+	case upstream.OrderLoadModel:
+		o.Models = append(o.Models, upstream.LoadedModel{Model: order.Model, Version: order.Version})
+	case upstream.OrderSetRole:
+		o.Role = order.Role
+	}
+}
+
+// TestPlanConverges carries out plans until nothing is missing.
+func TestPlanConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := Declared{}
+		for m := range rapid.IntRange(1, 3).Draw(t, "models") {
+			least := rapid.IntRange(0, 3).Draw(t, "min")
+			d.Models = append(d.Models, Model{
+				Name: fmt.Sprint("m", m), Version: "2", Adapters: []string{"x"}[:rapid.IntRange(0, 1).Draw(t, "adapters")],
+				Min: least, Max: rapid.IntRange(max(least, 1), 12).Draw(t, "max"),
+			})
+		}
+		observed := map[string]upstream.Observed{}
+		models := []string{"m0", "m1", "m2", "old"}
+		for e := range rapid.IntRange(1, 12).Draw(t, "engines") {
+			id := fmt.Sprint("e", e)
+			d.Engines = append(d.Engines, Engine{ID: id, Models: models[:rapid.IntRange(1, 3).Draw(t, "may")]})
+			o := upstream.Observed{Boot: "1", Role: upstream.RoleMixed}
+			for _, name := range models {
+				if v := rapid.IntRange(0, 4).Draw(t, "version"); v == 1 || v == 2 {
+					o.Models = append(o.Models, upstream.LoadedModel{Model: name, Version: fmt.Sprint(v)})
+				}
+			}
+			observed[id] = o
+		}
+		targets := map[string]Target{"m0": {Engines: rapid.IntRange(0, 9).Draw(t, "target"), Prefill: 1}}
+		for round := 0; ; round++ {
+			steps := Plan(d, observed, targets)
+			if !reflect.DeepEqual(steps, Plan(d, observed, targets)) {
+				t.Fatal("the plan is not deterministic")
+			}
+			if len(steps) == 0 {
+				break
+			}
+			if round > 100 {
+				t.Fatalf("still missing after %d rounds: %v", round, steps)
+			}
+			for _, s := range steps {
+				o := observed[s.Engine.ID]
+				carryOut(&o, s.Order)
+				observed[s.Engine.ID] = o
+			}
+		}
+		for _, e := range d.Engines {
+			for _, m := range d.Models {
+				if _, ok := loaded(observed[e.ID], m.Name, m.Version); ok && contains(e.Models, m.Name) && len(observed[e.ID].Models) > 1 {
+					t.Fatalf("engine %s ends with %v", e.ID, observed[e.ID].Models)
+				}
+			}
+		}
+	})
+}
+
+func TestDeclareSharesBounds(t *testing.T) {
+	entries := []catalogue.Entry{{Kind: catalogue.KindModel, Name: "tutor-llm", Model: &catalogue.ModelSpec{Version: "1", MinEngines: 7, MaxEngines: 11}}}
+	for i := range 15 {
+		dc := []string{"palermo", "catania", "trapani"}[i%3]
+		entries = append(entries, catalogue.Entry{Kind: catalogue.KindUpstream, Name: fmt.Sprint("e", i),
+			Upstream: &catalogue.UpstreamSpec{DataCentre: dc, Models: []string{"tutor-llm"}}})
+	}
+	least, most := 0, 0
+	for name, d := range Declare(entries) {
+		if len(d.Engines) != 5 || len(d.Models) != 1 {
+			t.Fatalf("group %s: %+v", name, d)
+		}
+		least += d.Models[0].Min
+		most += d.Models[0].Max
+	}
+	if least != 7 || most != 11 {
+		t.Fatalf("shares add up to %d and %d, want 7 and 11", least, most)
+	}
+}
+
+func TestContendersAreFew(t *testing.T) {
+	var members []peer.Member
+	for i := range 20 {
+		members = append(members, peer.Member{ID: fmt.Sprint("i", i), DataCentre: []string{"palermo", "catania"}[i%2], Leaving: i < 10})
+	}
+	n := 0
+	for _, m := range members {
+		if Contends("palermo", m.ID, members) {
+			n++
+			if m.Leaving || m.DataCentre != "palermo" {
+				t.Errorf("%+v contends", m)
+			}
+		}
+	}
+	if n != contenders {
+		t.Fatalf("%d contend, want %d", n, contenders)
+	}
+}
+
+// TestHysteresis compares the changes of the target with those of a rule
+// without hysteresis under noisy demand.
+func TestHysteresis(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	var f follower
+	changes, naive, last, lastNaive := 0, 0, 0, 0
+	now := time.Unix(0, 0)
+	for range 6 * 3600 / 5 {
+		now = now.Add(observeInterval)
+		demand := Demand{Engines: 5 + 1.5*rng.Float64(), PrefillShare: 0.2 + 0.2*rng.Float64()}
+		got := f.targets(map[string]Demand{"m": demand}, map[string]int{"m": 8}, now)["m"]
+		if now := int(demand.Engines/sizeFor + 1); now != lastNaive {
+			naive++
+			lastNaive = now
+		}
+		if got.Engines != last {
+			changes++
+			last = got.Engines
+		}
+	}
+	t.Logf("6 h of noisy demand: %d changes, %d without hysteresis", changes, naive)
+	if changes > 3 {
+		t.Fatalf("%d changes of the target", changes)
+	}
+	for range int(growAfter/observeInterval) - 1 {
+		now = now.Add(observeInterval)
+		if got := f.targets(map[string]Demand{"m": {Engines: 14}}, nil, now)["m"].Engines; got != last {
+			t.Fatalf("a short spike changes the target from %d to %d", last, got)
+		}
+	}
+	for range 100 {
+		now = now.Add(observeInterval)
+		last = f.targets(map[string]Demand{"m": {Engines: 14}}, nil, now)["m"].Engines
+	}
+	if last != 20 {
+		t.Fatalf("%d engines for a load of 14, want 20", last)
+	}
+}
+
+func TestHTTPEnginesSignAndAreRefused(t *testing.T) {
+	key := []byte("order key")
+	status := http.StatusOK
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == upstream.PathObserved {
+			_, _ = w.Write([]byte(`{"boot":"b","role":"mixed"}`))
+			return
+		}
+		w.WriteHeader(status)
+	}))
+	defer srv.Close()
+	h := HTTPEngines{Client: srv.Client()}
+	e := Engine{ID: "e", URL: srv.URL}
+	if o, err := h.Observe(t.Context(), e); err != nil || o.Boot != "b" {
+		t.Fatalf("%+v, %v", o, err)
+	}
+	o, err := Sign(upstream.Order{ID: "1", Kind: upstream.OrderSetRole, Fence: 3}, key)
+	if err != nil || !Verify(o, key) || Verify(o, []byte("other")) {
+		t.Fatalf("signature %q, %v", o.Signature, err)
+	}
+	forged := o
+	forged.Fence++
+	if Verify(forged, key) {
+		t.Fatal("a changed order is accepted")
+	}
+	for code, want := range map[int]error{200: nil, 412: ErrFenced, 403: ErrIssuer} {
+		status = code
+		if err := h.Order(t.Context(), e, o); err != want {
+			t.Errorf("status %d: %v, want %v", code, err, want)
+		}
+	}
+}
