Blame no request for upstreams that it did not reach, nor for wide outages

A request that met two dead upstreams would have become a suspect and then been condemned; nothing had been written. Outcome Unreached, and a loss before Sent, blame nobody. A loss right after a failed probe counts as a crash at once, since the probe comes first when the dispatcher looks whether the upstream lives.

--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -247,6 +247,7 @@
 			r := request(1000)
 			r.Fingerprint = fingerprint
 			g := acquire(t, a, r)
+			g.Sent()
 			g.Done(Lost)
 			a.ObserveProbe(g.Upstream().ID, false, 0)
 			return g
@@ -269,6 +270,27 @@
 	})
 }
 
+// TestDeadUpstreamCondemnsNobody has a request meet two dead upstreams; nothing
+// was written to either.
+func TestDeadUpstreamCondemnsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScheduler(3)
+		r := request(1000)
+		for range 2 {
+			g := acquire(t, s, r)
+			g.Sent()
+			g.Done(Unreached)
+			s.ObserveProbe(g.Upstream().ID, false, 0)
+			s.ObserveProbe(g.Upstream().ID, false, 0)
+		}
+		g := acquire(t, s, r)
+		if g.alone {
+			t.Error("a request that met dead upstreams is a suspect")
+		}
+		g.Done(Completed)
+	})
+}
+
 func TestDeadlineUnmeetableIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newScheduler(1)
--- a/internal/admit/grant.go
+++ b/internal/admit/grant.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/poison"
@@ -24,14 +25,15 @@
 	alone bool
 	kept  *waiter
 	done  sync.Once
+	// tokens counts the answer's tokens.
+	tokens atomic.Int64
+	sent   atomic.Bool
 
 	ahead, work float64
 	grantedAt   time.Time
 
 	// Guarded by the scheduler's lock.
-	sentAt  time.Time
 	firstAt time.Time
-	tokens  int
 }
 
 // Upstream returns the upstream to send to.
@@ -44,12 +46,9 @@
 // made; empty for any other request. The first belongs to Upstream.
 func (g *Grant) Parts() []Part { return g.parts }
 
-// Sent says that the first byte of the request is about to be written.
-func (g *Grant) Sent() {
-	g.scheduler.mu.Lock()
-	defer g.scheduler.mu.Unlock()
-	g.sentAt = time.Now()
-}
+// Sent says that the first byte of the request is about to be written. A loss
+// before that is not the request's fault.
+func (g *Grant) Sent() { g.sent.Store(true) }
 
 // FirstToken says that the first token of the answer arrived.
 func (g *Grant) FirstToken() {
@@ -93,9 +92,7 @@
 
 // Progress says that tokens more tokens of the answer arrived.
 func (g *Grant) Progress(tokens int) {
-	g.scheduler.mu.Lock()
-	defer g.scheduler.mu.Unlock()
-	g.tokens += tokens
+	g.tokens.Add(int64(tokens))
 }
 
 // Done ends the grant. Later calls have no effect.
@@ -127,15 +124,22 @@
 	s.changed(st, now, st.health.State() != before)
 }
 
+// probeMemory is how long a failed probe proves that a loss right after it was
+// a crash.
+const probeMemory = 2 * time.Second
+
 // learn feeds the outcome to health, retry budgets, prefixes and suspicions.
 func (s *Scheduler) learn(g *Grant, outcome Outcome, now time.Time) {
 	st, r := g.state, g.request
+	if outcome == Lost && !g.sent.Load() {
+		outcome = Unreached
+	}
 	switch outcome {
 	case Completed:
 		st.health.Success(now)
 		s.retry.Success(r.Workspace, st.upstream.ID)
 		if !g.firstAt.IsZero() {
-			g.pool.speed.output(g.tokens, r.OutputTokens, now.Sub(g.firstAt))
+			g.pool.speed.output(int(g.tokens.Load()), r.OutputTokens, now.Sub(g.firstAt))
 		}
 		for _, block := range r.Blocks {
 			s.prefix.Add(block, st.upstream.ID)
@@ -148,7 +152,10 @@
 	case Lost:
 		st.health.Failure(now)
 		s.poison.Lost(st.upstream.ID, st.boot, r.Fingerprint, g.alone, now)
-	case Stalled, Failed:
+		if now.Sub(st.probeFailedAt) < probeMemory {
+			s.crashed(st, now)
+		}
+	case Unreached, Stalled, Failed:
 		st.health.Failure(now)
 	case Cancelled:
 	}
--- a/internal/admit/observe.go
+++ b/internal/admit/observe.go
@@ -62,8 +62,10 @@
 func (s *Scheduler) ObserveProbe(id string, ok bool, _ time.Duration) {
 	s.update(id, func(st *state, now time.Time) {
 		st.health.Probe(ok, now)
+		st.probeFailedAt = time.Time{}
 		switch {
 		case !ok:
+			st.probeFailedAt = now
 			s.crashed(st, now)
 		case st.upstream.Service != "":
 			s.poison.Dismiss(id, now.Add(-serviceRestart))
--- a/internal/admit/state.go
+++ b/internal/admit/state.go
@@ -32,6 +32,8 @@
 	// gang says that the upstream is kept free for a prompt of several parts.
 	gang        bool
 	pausedUntil time.Time
+	// probeFailedAt is when the last probe failed; zero if it succeeded.
+	probeFailedAt time.Time
 }
 
 // setLeaving applies both sources of news on leaving.
--- a/internal/admit/types.go
+++ b/internal/admit/types.go
@@ -77,6 +77,9 @@
 	Completed Outcome = iota
 	// RefusedNotRun: the upstream refused before running the request.
 	RefusedNotRun
+	// Unreached: nothing was written, for example because the connection was
+	// refused. The request is not blamed for the upstream's state.
+	Unreached
 	// Lost: the connection was lost or the upstream crashed.
 	Lost
 	// Failed: the upstream answered with an error of its own.
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -43,6 +43,31 @@
 	}
 }
 
+// TestOutageCondemnsNobody crashes many engines at once: their requests are not
+// blamed, except one that was in flight on several of them.
+func TestOutageCondemnsNobody(t *testing.T) {
+	x := NewTable()
+	const repeated = 1000
+	for e := range 20 {
+		id := fmt.Sprint(e)
+		x.Lost(id, "b", uint64(e), false, epoch)
+		x.Lost(id, "b", repeated, false, epoch)
+		x.Confirm(id, epoch)
+	}
+	blamed := 0
+	for e := range uint64(20) {
+		if v, _ := x.Verdict(e, epoch); v != Clear {
+			blamed++
+		}
+	}
+	if blamed >= outageUpstreams {
+		t.Errorf("%d of 20 requests are suspects", blamed)
+	}
+	if v, _ := x.Verdict(repeated, epoch); v != Condemned {
+		t.Errorf("verdict %d on the request that was in each crash", v)
+	}
+}
+
 func TestNoticesRoundTrip(t *testing.T) {
 	x, y := NewTable(), NewTable()
 	x.Lost("e1", "b1", 7, false, epoch)
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -83,6 +83,7 @@
 type Table struct {
 	suspects *simplelru.LRU[uint64, *suspect]
 	pending  map[string]*pendingLosses
+	outage   outage
 }
 
 // NewTable returns an empty table.
@@ -91,7 +92,7 @@
 	if err != nil {
 		panic(err) // only for a size of zero or less
 	}
-	return &Table{suspects: suspects, pending: map[string]*pendingLosses{}}
+	return &Table{suspects: suspects, pending: map[string]*pendingLosses{}, outage: newOutage()}
 }
 
 // Lost takes an attempt whose connection was lost on an upstream. boot is the
@@ -113,7 +114,9 @@
 }
 
 // Confirm says that the upstream did crash: it has another boot or does not
-// answer probes. It returns what the other instances must be told.
+// answer probes. It returns what the other instances must be told. While many
+// upstreams crash at once, as when a data centre is lost, only fingerprints that
+// were lost more than once are blamed.
 func (t *Table) Confirm(upstreamID string, now time.Time) []Notice {
 	p := t.pending[upstreamID]
 	if p == nil {
@@ -121,8 +124,13 @@
 	}
 	delete(t.pending, upstreamID)
 	id := CrashID(upstreamID, p.boot)
+	wide := t.outage.crashed(upstreamID, now)
 	notices := make([]Notice, 0, len(p.losses))
 	for _, l := range p.losses {
+		repeated := t.outage.lostBefore(l.fingerprint, id, now)
+		if wide && !repeated && !t.suspects.Contains(l.fingerprint) {
+			continue
+		}
 		s := t.blame(l.fingerprint, Crash{ID: id, Alone: l.alone}, now)
 		notices = append(notices, Notice{Fingerprint: l.fingerprint, Crashes: s.crashes})
 	}
