--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -96,6 +96,7 @@
 	listed  chan []platform.Listed
 	news    chan string
 	dumps   chan chan State
+	loads   chan chan []EngineLoad
 	// instances holds the IDs of the instances on the live list.
 	instances atomic.Pointer[map[string]bool]
 
@@ -124,6 +125,7 @@
 		listed:  make(chan []platform.Listed, 1),
 		news:    make(chan string, maxPolls),
 		dumps:   make(chan chan State),
+		loads:   make(chan chan []EngineLoad),
 		polls:   map[string]*poll{},
 		leaving: map[string]leave{},
 	}
@@ -175,6 +177,8 @@
 			c.applyList(list)
 		case id := <-c.news:
 			c.markLeaving(id, leavesByPeer)
+		case answer := <-c.loads:
+			answer <- c.engineLoads()
 		case answer := <-c.dumps:
 			answer <- c.state()
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,6 +47,7 @@
 	dispatcher *dispatch.Dispatcher
 	controller *control.Controller
 	sweeper    *reclaim.Sweeper
+	orders     *orderGroups
 	endpoints  *endpoints
 
 	callers   *http.Server
@@ -148,6 +149,7 @@
 		Listed:  d.controller.IsListed,
 		Needed:  dispatcher.Needs,
 	})
+	d.orders = newOrderGroups(d)
 	return nil
 }
 
@@ -191,6 +193,7 @@
 	d.addActor(&group, "dispatch", d.dispatcher.Run)
 	d.addActor(&group, "control", d.controller.Run)
 	d.addActor(&group, "reclaim", d.sweeper.Run)
+	d.addActor(&group, "order", d.orders.Run)
 	for _, s := range []struct {
 		name   string
 		server *http.Server
@@ -234,6 +237,7 @@
 	dumps.Register("control", d.controller.Dump)
 	dumps.Register("scheduler", d.scheduler.Dump)
 	dumps.Register("requests", d.dispatcher.Dump)
+	dumps.Register("orders", d.orders.Dump)
 	dumps.Register("reclaim", d.sweeper.Dump)
 	dumps.Register("limits", d.limiter.Dump)
 	dumps.Register("claims", d.ledger.Dump)
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -163,6 +163,7 @@
 	c.listener("listen.links", s.Listen.Links)
 	c.baseURL("platform.url", s.Platform.URL)
 	c.duration("platform.timeout", s.Platform.Timeout, 50*time.Millisecond, time.Minute)
+	c.number("platform.loads_per_minute", s.Platform.LoadsPerMinute, 1, 100_000, "")
 	c.secret("secrets.links", s.Secrets.Links, true)
 	c.secret("secrets.orders", s.Secrets.Orders, false)
 	if hash := s.Secrets.BootstrapTokenSHA256; hash != "" && !hexSHA256.MatchString(hash) {
@@ -227,7 +228,11 @@
 }
 
 func (c *checker) size(field string, value, low, high int64) {
+	c.number(field, value, low, high, " bytes")
+}
+
+func (c *checker) number(field string, value, low, high int64, unit string) {
 	if value < low || value > high {
-		c.fail(field, "%d is out of range; allowed is %d to %d bytes", value, low, high)
+		c.fail(field, "%d is out of range; allowed is %d to %d%s", value, low, high, unit)
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,6 +52,9 @@
 	URL string `yaml:"url"`
 	// Timeout bounds one call.
 	Timeout Duration `yaml:"timeout"`
+	// LoadsPerMinute is the number of models that the fleet may load from the
+	// weight store in a minute.
+	LoadsPerMinute int64 `yaml:"loads_per_minute"`
 }
 
 // Secrets are shared by all instances of a deployment.
@@ -100,7 +103,7 @@
 // default are empty.
 func Defaults() Settings {
 	return Settings{
-		Platform: Platform{Timeout: Duration(2 * time.Second)},
+		Platform: Platform{Timeout: Duration(2 * time.Second), LoadsPerMinute: 60},
 		Limits: Limits{
 			HeaderBytes:    32 << 10,
 			BodyBytes:      8 << 20,
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -218,19 +218,6 @@
 	return c.control(ctx, http.MethodPost, baseURL+PathCancel, body, nil, true)
 }
 
-// GiveOrder sends an order; a StatusError with 412 says that the fencing
-// number is old, one with 403 that the signature is wrong.
-func (c *Client) GiveOrder(ctx context.Context, baseURL string, o Order) error {
-	return c.control(ctx, http.MethodPost, baseURL+PathOrder, o, nil, true)
-}
-
-// Observe returns what the engine has loaded.
-func (c *Client) Observe(ctx context.Context, baseURL string) (Observed, error) {
-	var o Observed
-	err := c.control(ctx, http.MethodGet, baseURL+PathObserved, nil, &o, false)
-	return o, err
-}
-
 // maxControlBytes bounds the answer of a control call.
 const maxControlBytes = 4 << 20
 
