--- a/cmd/banyanctl/client.go
+++ b/cmd/banyanctl/client.go
@@ -220,3 +220,34 @@
 	err := c.get(ctx, admin.PathEdits+"/"+url.PathEscape(id), &answer)
 	return answer, err
 }
+
+// waitPause is the pause between two looks at the fleet.
+const waitPause = 50 * time.Millisecond
+
+// waitInForce waits until all reachable instances have a revision.
+func (c *client) waitInForce(ctx context.Context, rev catalogue.Revision, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for {
+		var status admin.Status
+		err := c.get(ctx, admin.PathStatus, &status)
+		behind := instancesBehind(status, rev)
+		if err == nil && len(behind) == 0 {
+			return nil
+		}
+		if !pause(ctx, waitPause) {
+			return fmt.Errorf("%w: revision %d is not yet on %s", errNotInForce, rev, orNone(behind))
+		}
+	}
+}
+
+// instancesBehind lists the reachable instances below a revision.
+func instancesBehind(status admin.Status, rev catalogue.Revision) []string {
+	var behind []string
+	for _, s := range status.Instances {
+		if s.Phase != admin.PhaseUnreachable && s.Revision < rev {
+			behind = append(behind, s.ID)
+		}
+	}
+	return behind
+}
--- a/cmd/banyanctl/edit.go
+++ b/cmd/banyanctl/edit.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -16,10 +17,11 @@
 // editFlags are the flags of commands that edit.
 type editFlags struct {
 	app     *app
-	DryRun  bool    `long:"dry-run" description:"Check the edit and change nothing"`
-	Message string  `short:"m" long:"message" description:"Note for the history"`
-	ID      string  `long:"id" description:"Edit ID; give the same one to repeat an edit whose outcome is unknown"`
-	Base    *uint64 `long:"base" description:"Revision that the edit is based on; it is refused if one of its entries has changed since"`
+	DryRun  bool          `long:"dry-run" description:"Check the edit and change nothing"`
+	Message string        `short:"m" long:"message" description:"Note for the history"`
+	ID      string        `long:"id" description:"Edit ID; give the same one to repeat an edit whose outcome is unknown"`
+	Base    *uint64       `long:"base" description:"Revision that the edit is based on; it is refused if one of its entries has changed since"`
+	Wait    time.Duration `long:"wait" description:"Wait until all reachable instances have the edit, for up to this time"`
 }
 
 // send completes an edit, sends it and prints the outcome. The base is the
@@ -41,11 +43,15 @@
 	if err != nil {
 		return err
 	}
-	if f.app.Output != outputTable {
-		return f.app.print(applied)
+	if f.app.Output == outputTable {
+		f.printApplied(applied)
+	} else if err := f.app.print(applied); err != nil {
+		return err
+	}
+	if f.Wait == 0 || applied.DryRun {
+		return nil
 	}
-	f.printApplied(applied)
-	return nil
+	return cl.waitInForce(f.app.ctx, applied.Revision, f.Wait)
 }
 
 func (f *editFlags) printApplied(applied catalogue.Applied) {
--- a/cmd/banyanctl/exit.go
+++ b/cmd/banyanctl/exit.go
@@ -21,11 +21,15 @@
 	exitUnknown     = 6
 	exitUnavailable = 7
 	exitDifferent   = 8
+	exitNotInForce  = 9
 )
 
 // errDifferent says that a diff found differences; it prints nothing.
 var errDifferent = errors.New("differences found")
 
+// errNotInForce says that an accepted edit is not everywhere yet.
+var errNotInForce = errors.New("accepted, and not yet in force everywhere")
+
 // errUnreachable says that no instance could be connected to.
 var errUnreachable = errors.New("no instance is reachable")
 
@@ -63,6 +67,8 @@
 	var server *serverError
 	var fields catalogue.FieldErrors
 	switch {
+	case errors.Is(err, errNotInForce):
+		return exitNotInForce
 	case errors.Is(err, errOutcomeUnknown):
 		return exitUnknown
 	case errors.As(err, &server):
--- a/cmd/banyanctl/main.go
+++ b/cmd/banyanctl/main.go
@@ -54,7 +54,8 @@
 
 Exit codes: 0 done; 1 wrong use or another failure; 2 invalid edit; 3 conflict
 with another edit; 4 not allowed; 5 not found; 6 outcome unknown, repeat with
-the same --id; 7 unavailable, come back later; 8 diff found differences.`
+the same --id; 7 unavailable, come back later; 8 diff found differences;
+9 accepted, and not yet everywhere when --wait ended.`
 
 // run executes one command and returns the exit code.
 func run(ctx context.Context, args []string, out, errOut io.Writer) int {
--- a/cmd/banyanctl/main_test.go
+++ b/cmd/banyanctl/main_test.go
@@ -112,7 +112,7 @@
 	d.want(exitOK, "revision 1", 0, "apply", "-f", file, "--id", "e1")
 	d.want(exitOK, "accepted earlier", 0, "apply", "-f", file, "--id", "e1")
 	d.want(exitOK, "concurrent: 5", 0, "get", "workspace/alpha", "-o", "yaml")
-	d.want(exitOK, "revision 2", 0, "edit", "workspace/alpha", "--set", "limits.concurrent=7")
+	d.want(exitOK, "revision 2", 0, "edit", "workspace/alpha", "--set", "limits.concurrent=7", "--wait", "10s")
 	d.want(exitOK, `"concurrent": 7`, 0, "list", "workspace", "-o", "json")
 	d.want(exitDifferent, "+   concurrent: 7", 0, "diff", "1", "2")
 	d.want(exitDifferent, "+   concurrent: 5", 0, "diff", "-f", file)
@@ -124,6 +124,7 @@
 	d.want(exitOK, "undo revision 2", 0, "history")
 	d.want(exitOK, "i2", 0, "status")
 	d.want(exitOK, `"x": 1`, 0, "dump", "part")
+	d.want(exitOK, `"revision": 3`, 0, "dump", "catalogue")
 	d.want(exitOK, "planned stop begun", 0, "drain")
 	d.table.SetFaults(memstore.Faults{Down: true})
 	d.want(exitUnavailable, "come back after", 0, "edit", "workspace/alpha", "--set", "class=batch")
@@ -213,3 +214,12 @@
 		t.Fatalf("sent %d times with IDs %v", sent, ids)
 	}
 }
+
+func TestWaitNamesInstancesBehind(t *testing.T) {
+	status := admin.Status{Instances: []admin.InstanceStatus{
+		{ID: "a", Phase: admin.PhaseReady, Revision: 3}, {ID: "b", Phase: admin.PhaseReady, Revision: 2}, {ID: "c", Phase: admin.PhaseUnreachable},
+	}}
+	if got := instancesBehind(status, 3); len(got) != 1 || got[0] != "b" {
+		t.Fatalf("got %v", got)
+	}
+}
--- a/internal/admin/handler.go
+++ b/internal/admin/handler.go
@@ -46,7 +46,8 @@
 	Drain func()
 	// Draining states whether the planned stop has begun.
 	Draining func() bool
-	// Dumps holds the state dumps of the process.
+	// Dumps holds the state dumps of the process. NewHandler adds the one of
+	// the catalogue.
 	Dumps *Dumps
 }
 
@@ -62,6 +63,7 @@
 	if opts.Dumps == nil {
 		opts.Dumps = &Dumps{}
 	}
+	opts.Dumps.Register("catalogue", opts.Replica.Dump)
 	a := &api{Options: opts, started: time.Now()}
 	a.Bus.HandleCall(topicStatus, a.handleStatus)
 	mux := http.NewServeMux()
--- a/internal/catalogue/replica.go
+++ b/internal/catalogue/replica.go
@@ -136,6 +136,40 @@
 	return 0
 }
 
+// ReplicaState is the replica's part of a state dump.
+type ReplicaState struct {
+	Ready    bool         `json:"ready"`
+	Revision Revision     `json:"revision"`
+	Digest   string       `json:"digest"`
+	Entries  map[Kind]int `json:"entries"`
+	// KeptChanges is the number of changes kept for peers.
+	KeptChanges int `json:"kept_changes"`
+	// Noticed is the highest revision heard of, and NoticedFrom who has it.
+	Noticed     Revision `json:"noticed"`
+	NoticedFrom string   `json:"noticed_from,omitempty"`
+	// PollInterval is the present mean time between two polls.
+	PollInterval Duration `json:"poll_interval"`
+}
+
+// Dump returns the replica's state; its type is ReplicaState.
+func (r *Replica) Dump() any {
+	state := ReplicaState{PollInterval: Duration(r.pollInterval()), Entries: map[Kind]int{}}
+	r.mu.Lock()
+	state.Noticed, state.NoticedFrom = r.noticed, r.noticedFrom
+	r.mu.Unlock()
+	snap := r.Snapshot()
+	if snap == nil {
+		return state
+	}
+	state.Ready = true
+	state.Revision, state.Digest = snap.revision, snap.digest.String()
+	state.KeptChanges = len(snap.recent)
+	for kind, entries := range snap.entries {
+		state.Entries[kind] = len(entries)
+	}
+	return state
+}
+
 // Subscribe calls f with each newly installed snapshot, in order, and at once
 // with the present one if there is one. f must not block.
 func (r *Replica) Subscribe(f func(*Snapshot)) {
@@ -201,6 +235,7 @@
 func (r *Replica) replace(snap *Snapshot, from source) {
 	r.current.Store(snap)
 	r.store.Offer(snap)
+	metrics.GetOrCreateGauge("catalogue_revision", nil).Set(float64(snap.revision))
 	metrics.GetOrCreateCounter(fmt.Sprintf("catalogue_installs_total{source=%q}", from)).Inc()
 	log.Infof("installed revision %d with %d entries from %s", snap.revision, snap.Len(), from)
 	for _, f := range r.subscribers {
--- a/internal/catalogue/snapshot.go
+++ b/internal/catalogue/snapshot.go
@@ -28,7 +28,18 @@
 const keptChanges = 256
 
 // defaultPolicy applies while the catalogue has no policy entry.
-var defaultPolicy = PolicySpec{ShortWeight: 0.5, ShortTokens: 4000, Algorithm: AlgorithmBanyan}
+var defaultPolicy = PolicySpec{ShortWeight: 0.5, ShortTokens: 4096, Algorithm: AlgorithmBanyan}
+
+// withDefaults fills in the fields that a policy entry leaves out.
+func (p PolicySpec) withDefaults() PolicySpec {
+	if p.ShortTokens == 0 {
+		p.ShortTokens = defaultPolicy.ShortTokens
+	}
+	if p.Algorithm == "" {
+		p.Algorithm = defaultPolicy.Algorithm
+	}
+	return p
+}
 
 // emptySnapshot is the catalogue before the first edit.
 func emptySnapshot() *Snapshot { return newSnapshot(0, 0, map[Key]*Record{}, nil) }
@@ -76,7 +87,7 @@
 		}
 	}
 	if e := s.Entry(Key{KindPolicy, PolicyName}); e != nil {
-		s.policy = *e.Policy
+		s.policy = e.Policy.withDefaults()
 	}
 }
 
