Test how instances hear of leaving upstreams and new catalogues

Seen failing without each mechanism: without the broadcast a peer without the list goes on sending to the leaving upstream; without the revision check an older catalogue is installed; without the check for unconfirmed news an upstream that stays gets no work again.

--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,227 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/admit"
+	"github.com/banyanroute/banyanroute/internal/catalogue"
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/peer/peertest"
+	"github.com/banyanroute/banyanroute/internal/platform"
+	"github.com/banyanroute/banyanroute/internal/platform/memstore"
+	"github.com/banyanroute/banyanroute/internal/upstream"
+)
+
+// fakeWorld is the live list and the upstreams.
+type fakeWorld struct {
+	mu      sync.Mutex
+	list    []platform.Listed
+	down    bool
+	leaving map[string]bool
+	boot    string
+	limits  map[string]catalogue.Limits
+}
+
+var errDown = errors.New("down")
+
+// List implements platform.LiveList.
+func (w *fakeWorld) List(context.Context) ([]platform.Listed, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.down {
+		return nil, errDown
+	}
+	return slices.Clone(w.list), nil
+}
+
+// Probe implements Upstreams.
+func (w *fakeWorld) Probe(context.Context, string) (time.Duration, error) { return 0, nil }
+
+// Load implements Upstreams.
+func (w *fakeWorld) Load(_ context.Context, url string) (upstream.LoadReport, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return upstream.LoadReport{Boot: w.boot, Leaving: w.leaving[url], MemoryTokens: 1000}, nil
+}
+
+// Events implements Upstreams.
+func (w *fakeWorld) Events(context.Context, string, uint64) (upstream.CacheEvents, error) {
+	return upstream.CacheEvents{}, nil
+}
+
+// SetLimits implements Limiter.
+func (w *fakeWorld) SetLimits(limits map[string]catalogue.Limits) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limits = limits
+}
+
+func (w *fakeWorld) set(f func(w *fakeWorld)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f(w)
+}
+
+// instance is a controller with its scheduler.
+type instance struct {
+	scheduler *admit.Scheduler
+	c         *Controller
+}
+
+// startInstance runs a controller until the test's context ends.
+func startInstance(ctx context.Context, net *peertest.Net, name string, world *fakeWorld, snapshot *catalogue.Snapshot) *instance {
+	in := &instance{scheduler: admit.New(admit.Options{Instance: name, Incarnation: 1, Seed: 1})}
+	in.c = New(Options{
+		Bus:       net.Join(peer.Member{ID: name, Incarnation: 1}),
+		Scheduler: in.scheduler, Limiter: world, Upstreams: world, LiveList: world,
+	})
+	in.c.SetCatalogue(snapshot)
+	go in.c.Run(ctx)
+	return in
+}
+
+// takes states whether the instance sends new work to an engine.
+func (in *instance) takes(engine string) bool {
+	for range 40 {
+		grant, err := in.scheduler.Acquire(context.Background(), &admit.Request{
+			ID: "x", Workspace: "w", Target: "m", PromptTokens: 10, OutputTokens: 10, Deadline: time.Now().Add(time.Minute),
+		})
+		if err != nil {
+			return false
+		}
+		defer grant.Done(admit.Cancelled)
+		if grant.Upstream().ID == engine {
+			return true
+		}
+	}
+	return false
+}
+
+// newSnapshot returns a catalogue with engines e1 and e2 of model m.
+func newSnapshot(t *testing.T, extra ...catalogue.Entry) *catalogue.Snapshot {
+	t.Helper()
+	engine := func(name string) catalogue.Entry {
+		return catalogue.Entry{Kind: catalogue.KindUpstream, Name: name, Owner: "o", Upstream: &catalogue.UpstreamSpec{
+			URL: "http://" + name, DataCentre: "dc", Models: []string{"m"}, MemoryTokens: 100_000,
+		}}
+	}
+	puts := append([]catalogue.Entry{
+		{Kind: catalogue.KindModel, Name: "m", Owner: "o", Model: &catalogue.ModelSpec{Version: "v1"}},
+		engine("e1"), engine("e2"),
+	}, extra...)
+	store := catalogue.NewStore(memstore.New())
+	edit := catalogue.Edit{ID: "edit-1", Puts: puts, By: catalogue.Operator{Name: "root", Owners: []string{"*"}}}
+	if _, err := store.Apply(t.Context(), edit); err != nil {
+		t.Fatal(err)
+	}
+	snapshot, err := store.Load(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return snapshot
+}
+
+// leaveTime is the time in which a leaving upstream must get nothing new.
+const leaveTime = 3 * time.Second
+
+// TestLeavingUpstreamGetsNothingNew checks that the news that an upstream is
+// leaving stops new work in all instances, whoever brings it, and that the
+// upstream is taken back when it stays or has restarted.
+func TestLeavingUpstreamGetsNothingNew(t *testing.T) {
+	cases := map[string]struct{ leave, back func(w *fakeWorld) }{
+		"said by itself": {
+			func(w *fakeWorld) { w.leaving = map[string]bool{"http://e1": true} },
+			func(w *fakeWorld) { w.leaving = nil },
+		},
+		"said by the list": {
+			func(w *fakeWorld) {
+				w.list = []platform.Listed{{ID: "e1", Role: "upstream", Phase: platform.Leaving}}
+			},
+			func(w *fakeWorld) { w.list[0].Phase = platform.Live },
+		},
+		"restarted": {
+			func(w *fakeWorld) { w.leaving = map[string]bool{"http://e1": true} },
+			func(w *fakeWorld) { w.leaving, w.boot = nil, "b2" },
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				net := peertest.NewNet(time.Millisecond)
+				world := &fakeWorld{boot: "b1"}
+				first := startInstance(ctx, net, "i1", world, newSnapshot(t))
+				second := startInstance(ctx, net, "i2", &fakeWorld{boot: "b1", down: true}, newSnapshot(t))
+				time.Sleep(2 * time.Second)
+				if !first.takes("e1") || !second.takes("e1") {
+					t.Fatal("a healthy engine gets no work")
+				}
+				world.set(c.leave)
+				time.Sleep(leaveTime)
+				if first.takes("e1") || second.takes("e1") || !first.takes("e2") {
+					t.Fatal("a leaving engine gets new work, or another gets none")
+				}
+				world.set(c.back)
+				time.Sleep(2 * peerNewsTime)
+				if !first.takes("e1") || !second.takes("e1") {
+					t.Fatal("an engine that is back gets no work")
+				}
+				cancel()
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// TestCatalogueNeverGoesBack checks that a lower revision is not installed and
+// that limits and upstreams follow the catalogue.
+func TestCatalogueNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		world := &fakeWorld{boot: "b1"}
+		workspace := catalogue.Entry{
+			Kind: catalogue.KindWorkspace, Name: "w", Owner: "o", Limits: catalogue.Limits{Concurrent: 7},
+			Workspace: &catalogue.WorkspaceSpec{KeySHA256: []string{"e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"}},
+		}
+		store := catalogue.NewStore(memstore.New())
+		by := catalogue.Operator{Name: "root", Owners: []string{"*"}}
+		old := applied(t, store, catalogue.Edit{ID: "a", Puts: []catalogue.Entry{workspace}, By: by})
+		workspace.Limits.Concurrent = 9
+		current := applied(t, store, catalogue.Edit{ID: "b", Base: 1, Puts: []catalogue.Entry{workspace}, By: by})
+		in := startInstance(ctx, peertest.NewNet(0), "i1", world, current)
+		time.Sleep(time.Second)
+		in.c.SetCatalogue(old)
+		time.Sleep(time.Second)
+		world.set(func(w *fakeWorld) {
+			if w.limits["w"].Concurrent != 9 {
+				t.Errorf("limits %+v", w.limits)
+			}
+		})
+		if state := in.c.Dump().(State); state.Revision != 2 {
+			t.Errorf("revision %d", state.Revision)
+		}
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
+
+// applied applies an edit and returns the catalogue after it.
+func applied(t *testing.T, store *catalogue.Store, edit catalogue.Edit) *catalogue.Snapshot {
+	t.Helper()
+	if _, err := store.Apply(t.Context(), edit); err != nil {
+		t.Fatal(err)
+	}
+	snapshot, err := store.Load(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return snapshot
+}
