--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -4,7 +4,7 @@
 // is unknown, no instance sends again. The row keeps the outcome, so that a
 // repeat gets the stored answer from any instance.
 //
-// charts/claim.yaml is the row's life; docs/design/0005-at-most-once.md weighs
+// charts/claim.yaml is the row's life; docs/design/0021-at-most-once.md weighs
 // the alternatives.
 package ledger
 
