--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/banyanroute/banyanroute/internal/ledger"
 	"github.com/banyanroute/banyanroute/internal/logging"
 	"github.com/banyanroute/banyanroute/internal/member"
+	"github.com/banyanroute/banyanroute/internal/order"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/platform/httpclient"
 	"github.com/banyanroute/banyanroute/internal/quota"
@@ -47,7 +48,7 @@
 	dispatcher *dispatch.Dispatcher
 	controller *control.Controller
 	sweeper    *reclaim.Sweeper
-	orders     *orderGroups
+	orders     *order.Manager
 	endpoints  *endpoints
 
 	callers   *http.Server
@@ -149,7 +150,7 @@
 		Listed:  d.controller.IsListed,
 		Needed:  dispatcher.Needs,
 	})
-	d.orders = newOrderGroups(d)
+	d.orders = d.newOrders()
 	return nil
 }
 
--- /dev/null
+++ b/tools/inforce/main.go
@@ -0,0 +1,194 @@
+// Command inforce measures, on real processes, the time from an operator's edit
+// to its being in force on every instance: quiet, under load, and with the
+// table service down from the moment of acceptance.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/banyanroute/banyanroute/internal/localfleet"
+)
+
+// options are the command line's.
+type options struct {
+	bin       string
+	instances int
+	edits     int
+	load      int
+}
+
+func main() {
+	var o options
+	flag.StringVar(&o.bin, "bin", "bin", "folder with the built programs")
+	flag.IntVar(&o.instances, "instances", 7, "number of instances")
+	flag.IntVar(&o.edits, "edits", 30, "edits per case")
+	flag.IntVar(&o.load, "load", 100, "requests per second in the case under load")
+	flag.Parse()
+	if err := measure(o); err != nil {
+		fmt.Fprintln(os.Stderr, "inforce:", trace.UserMessage(err))
+		os.Exit(1)
+	}
+}
+
+// runTimeout bounds the whole measurement.
+const runTimeout = 10 * time.Minute
+
+func measure(o options) error {
+	dir, err := os.MkdirTemp("", "banyanroute-inforce-")
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer os.RemoveAll(dir)
+	ctx, cancel := context.WithTimeout(context.Background(), runTimeout)
+	defer cancel()
+	fleet, err := localfleet.Start(ctx, localfleet.Layout{
+		Bin: o.bin, Dir: dir, Instances: o.instances, Engines: 4, Services: 1, Model: "tutor-llm", Service: "booking-api",
+		DataCentres: []string{"palermo", "catania", "trapani"}, Region: "sicilia", MemoryTokens: 400_000,
+		EngineFlags: []string{"--time-scale", "20"}, Algorithm: "banyan", ShortWeight: 0.5,
+	})
+	if err != nil {
+		return err
+	}
+	defer fleet.Stop()
+	m := &measurement{fleet: fleet, edits: o.edits}
+	if err := m.run(ctx, "quiet", false); err != nil {
+		return err
+	}
+	stop := startLoad(ctx, fleet, o.load)
+	err = m.run(ctx, fmt.Sprintf("%d requests/s", o.load), false)
+	stop()
+	if err != nil {
+		return err
+	}
+	return m.run(ctx, "store down after acceptance", true)
+}
+
+// measurement makes edits and watches all instances.
+type measurement struct {
+	fleet *localfleet.Fleet
+	edits int
+	next  int
+}
+
+// pollPause is the resolution of the measurement.
+const pollPause = 5 * time.Millisecond
+
+// inForceLimit bounds the wait for one edit.
+const inForceLimit = 30 * time.Second
+
+// run makes edits one after another and prints quantiles of the time until the
+// last instance has them in force, counted from acceptance.
+func (m *measurement) run(ctx context.Context, name string, storeDown bool) error {
+	var took []time.Duration
+	for range m.edits {
+		d, err := m.edit(ctx, storeDown)
+		if err != nil {
+			return trace.Wrap(err, "%s", name)
+		}
+		took = append(took, d)
+	}
+	slices.Sort(took)
+	at := func(q float64) time.Duration { return took[int(q*float64(len(took)-1))].Round(time.Millisecond) }
+	fmt.Printf("%-28s %d instances, %d edits: p50 %s, p99 %s, max %s\n", name, len(m.fleet.Instances), len(took), at(0.5), at(0.99), at(1))
+	return nil
+}
+
+// edit makes one edit through one instance, in turn.
+func (m *measurement) edit(ctx context.Context, storeDown bool) (time.Duration, error) {
+	m.next++
+	through := m.next % len(m.fleet.Instances)
+	if _, err := m.fleet.Ctl(ctx, through, "edit", "workspace/beta", "--set", fmt.Sprintf("limits.concurrent=%d", 100+m.next)); err != nil {
+		return 0, err
+	}
+	start := time.Now()
+	if storeDown {
+		if err := m.setStoreDown(ctx, true); err != nil {
+			return 0, err
+		}
+		defer m.setStoreDown(ctx, false) //nolint:errcheck // the next edit shows it
+	}
+	want, err := m.fleet.Revision(ctx, through)
+	if err != nil {
+		return 0, err
+	}
+	return m.await(ctx, start, want)
+}
+
+func (m *measurement) setStoreDown(ctx context.Context, down bool) error {
+	return localfleet.Send(ctx, http.MethodPut, m.fleet.PlatformURL+"/standin/faults", map[string]bool{"down": down})
+}
+
+// await returns when all instances have the revision in force.
+func (m *measurement) await(ctx context.Context, start time.Time, want uint64) (time.Duration, error) {
+	var wg sync.WaitGroup
+	last := make([]time.Duration, len(m.fleet.Instances))
+	for i := range m.fleet.Instances {
+		wg.Go(func() {
+			for time.Since(start) < inForceLimit {
+				if rev, err := m.fleet.Revision(ctx, i); err == nil && rev >= want {
+					last[i] = time.Since(start)
+					return
+				}
+				time.Sleep(pollPause)
+			}
+		})
+	}
+	wg.Wait()
+	if i := slices.Index(last, 0); i >= 0 {
+		return 0, trace.BadParameter("instance %d does not have revision %d after %s", i+1, want, inForceLimit)
+	}
+	return slices.Max(last), nil
+}
+
+// startLoad sends short requests at a rate until the returned function is
+// called.
+func startLoad(ctx context.Context, fleet *localfleet.Fleet, rate int) func() {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		ticker := time.NewTicker(time.Second / time.Duration(rate))
+		defer ticker.Stop()
+		for n := 0; ; n++ {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				wg.Go(func() { sendShort(ctx, fleet.Instances[n%len(fleet.Instances)].Callers) })
+			}
+		}
+	})
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+func sendShort(ctx context.Context, address string) {
+	body, err := json.Marshal(map[string]any{"model": "tutor-llm", "max_tokens": 8, "prompt": strings.Repeat("logbook ", 500)})
+	if err != nil {
+		return
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/completions", strings.NewReader(string(body)))
+	if err != nil {
+		return
+	}
+	req.Header.Set("Authorization", "Bearer "+localfleet.CallerKey)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return
+	}
+	defer res.Body.Close()
+	io.Copy(io.Discard, res.Body) //nolint:errcheck // only the load counts
+}
