--- a/internal/admit/acquire.go
+++ b/internal/admit/acquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/load"
@@ -108,7 +109,7 @@
 		return result.New(result.PoisonSuspect, "the request was in flight in repeated upstream crashes").After(left)
 	}
 	s.judgePool(p, now, false)
-	if !p.hasUsable(r) {
+	if some, _ := p.inService(nil); !some {
 		return s.noUpstream(r)
 	}
 	needs := p.speed.service(0, r.OutputTokens)
@@ -123,23 +124,19 @@
 	return result.New(result.DeadlineUnmeetable, format, needs.Round(time.Millisecond)).After(s.retryAfter(needs))
 }
 
-// hasUsable states whether any upstream could ever take r as things are. An
-// upstream that was tried before may be used again if it is the only one.
-func (p *pool) hasUsable(r *Request) bool {
-	found := false
+// inService states whether any upstream could take a request, and untried
+// whether one of them was not tried yet.
+func (p *pool) inService(avoid []string) (some, untried bool) {
 	for _, st := range p.states {
-		if !st.usable() && !p.panicking {
+		if st.listedLeaving || st.reportedLeaving || !st.usable() && !p.panicking {
 			continue
 		}
-		if st.listedLeaving || st.reportedLeaving {
-			continue
-		}
-		if route.Usable(&route.Candidate{ID: st.upstream.ID, Share: 1}, &route.Demand{Avoid: r.Avoid}) {
-			return true
+		some = true
+		if !slices.Contains(avoid, st.upstream.ID) {
+			return true, true
 		}
-		found = true
 	}
-	return found && len(p.states) == 1
+	return some, false
 }
 
 // newWaiter fills in the demand of r.
@@ -155,7 +152,7 @@
 		Window:       windows[s.sizeOf(r)],
 		ShortReserve: minShortReserve + moreShortReserve*s.policy.ShortWeight,
 	}
-	if len(p.states) == 1 {
+	if _, untried := p.inService(r.Avoid); !untried {
 		w.demand.Avoid = nil
 	}
 	w.lane = laneFirst + route.Sizes*classRank(r.Class) + int(w.demand.Size)
@@ -203,7 +200,7 @@
 	p.short.arrived(w.work, w.demand.IsShort(), now)
 	wait := time.Duration(0)
 	if p.queue.count > 0 && w.lane >= laneFirst {
-		wait = p.drain.wait(p.queue.workAhead(w.request, w.lane, w.work))
+		wait = p.drain.wait(p.queue.workAhead(w.request, w.lane, w.work), s.capacity(p, now))
 	}
 	if now.Add(wait).After(w.expireAt) {
 		return s.unmeetable("the queue alone takes about %s", wait)
@@ -225,10 +222,22 @@
 	return nil
 }
 
+// capacity returns this instance's part of the pool's speed, in tokens per
+// second, with the instances that sent a hint of late.
+func (s *Scheduler) capacity(p *pool, now time.Time) float64 {
+	instances := 1
+	for _, peer := range s.peers {
+		if now.Sub(peer.seenAt) < peerLifetime {
+			instances++
+		}
+	}
+	return p.capacity / float64(instances)
+}
+
 // makeRoom refuses the last request of the workspace that uses the most of the
 // queue, which may be w itself.
 func (s *Scheduler) makeRoom(p *pool, w *waiter) *result.Error {
-	full := result.New(result.Overloaded, "the queue is full").After(s.retryAfter(p.drain.wait(p.queue.work)))
+	full := result.New(result.Overloaded, "the queue is full").After(s.retryAfter(p.drain.wait(p.queue.work, p.capacity)))
 	victim := p.queue.heaviest(w.request, w.work)
 	if victim == nil || victim.work < w.work && p.queue.count < s.options.MaxQueued {
 		return full
--- a/internal/admit/observe.go
+++ b/internal/admit/observe.go
@@ -12,6 +12,9 @@
 // maxPeers bounds the instances whose hints are remembered.
 const maxPeers = 512
 
+// peerLifetime is how long an instance counts after its last hint.
+const peerLifetime = 5 * time.Second
+
 // ObserveLoad takes an engine's load report.
 func (s *Scheduler) ObserveLoad(id string, r upstream.LoadReport) {
 	s.update(id, func(st *state, now time.Time) {
@@ -59,8 +62,10 @@
 func (s *Scheduler) ObserveProbe(id string, ok bool, _ time.Duration) {
 	s.update(id, func(st *state, now time.Time) {
 		st.health.Probe(ok, now)
+		st.probeFailedAt = time.Time{}
 		switch {
 		case !ok:
+			st.probeFailedAt = now
 			s.crashed(st, now)
 		case st.upstream.Service != "":
 			s.poison.Dismiss(id, now.Add(-serviceRestart))
@@ -106,7 +111,7 @@
 			continue
 		}
 		s.judgePool(p, now, judged)
-		st.refresh(now, p.panicking, s.options.MaxRunningPerEngine)
+		st.refresh(now, p, s.options.MaxRunningPerEngine)
 		if judged {
 			s.pump(p, p.view, now)
 		} else {
@@ -143,12 +148,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	old, known := s.peerKeys[from]
-	if !known && len(s.peerKeys) >= maxPeers {
-		clear(s.peerKeys)
-	}
 	now := time.Now()
-	for _, key := range old {
+	old, known := s.peers[from]
+	if !known && len(s.peers) >= maxPeers {
+		s.forgetPeers(now)
+	}
+	for _, key := range old.keys {
 		if st := s.byKey[key]; st != nil {
 			st.load.ForgetPeer(from)
 		}
@@ -160,19 +165,32 @@
 			st.load.PeerHint(from, e.Outstanding, now)
 		}
 	}
-	s.peerKeys[from] = keys
-	for _, key := range append(old, keys...) {
+	s.peers[from] = peerState{keys: keys, seenAt: now}
+	for _, key := range append(old.keys, keys...) {
 		if st := s.byKey[key]; st != nil {
 			s.refresh(st, now)
 		}
 	}
 }
 
+// forgetPeers drops the instances that have sent no hint of late; if that frees
+// no place, all are dropped, which only makes estimates less exact.
+func (s *Scheduler) forgetPeers(now time.Time) {
+	for id, p := range s.peers {
+		if now.Sub(p.seenAt) > peerLifetime {
+			delete(s.peers, id)
+		}
+	}
+	if len(s.peers) >= maxPeers {
+		clear(s.peers)
+	}
+}
+
 // refresh brings st's candidate up to date.
 func (s *Scheduler) refresh(st *state, now time.Time) {
 	for _, key := range poolKeys(st.upstream) {
 		if p := s.pools[key]; p != nil {
-			st.refresh(now, p.panicking, s.options.MaxRunningPerEngine)
+			st.refresh(now, p, s.options.MaxRunningPerEngine)
 			return
 		}
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -96,8 +96,9 @@
 	listed  chan []platform.Listed
 	news    chan string
 	dumps   chan chan State
-	// instances is the number of instances on the live list.
-	instances atomic.Int64
+	loads   chan chan []EngineLoad
+	// instances holds the IDs of the instances on the live list.
+	instances atomic.Pointer[map[string]bool]
 
 	// The fields below belong to the control goroutine.
 	revision catalogue.Revision
@@ -124,6 +125,7 @@
 		listed:  make(chan []platform.Listed, 1),
 		news:    make(chan string, maxPolls),
 		dumps:   make(chan chan State),
+		loads:   make(chan chan []EngineLoad),
 		polls:   map[string]*poll{},
 		leaving: map[string]leave{},
 	}
@@ -175,6 +177,8 @@
 			c.applyList(list)
 		case id := <-c.news:
 			c.markLeaving(id, leavesByPeer)
+		case answer := <-c.loads:
+			answer <- c.engineLoads()
 		case answer := <-c.dumps:
 			answer <- c.state()
 		}
@@ -271,10 +275,10 @@
 	if list == nil {
 		return
 	}
-	instances := 0
+	instances := map[string]bool{}
 	for _, l := range list {
 		if l.Role == "instance" {
-			instances++
+			instances[l.ID] = true
 		}
 		if l.Role != "upstream" {
 			continue
@@ -285,12 +289,23 @@
 			c.clearLeaving(l.ID)
 		}
 	}
-	c.instances.Store(int64(instances))
+	c.instances.Store(&instances)
 }
 
 // ListedInstances returns the number of instances on the platform's list, or
 // zero if it was never read.
-func (c *Controller) ListedInstances() int { return int(c.instances.Load()) }
+func (c *Controller) ListedInstances() int {
+	if listed := c.instances.Load(); listed != nil {
+		return len(*listed)
+	}
+	return 0
+}
+
+// IsListed states whether the platform's list shows an instance.
+func (c *Controller) IsListed(id string) bool {
+	listed := c.instances.Load()
+	return listed != nil && (*listed)[id]
+}
 
 // leaveSource says who told that an upstream is leaving.
 type leaveSource string
