banyanload: check that leaving engines get no new work

Change: after a run, work that reached an engine later than leaving_grace after it began to leave is a violation. A test builds such an engine and sees it.

--- a/internal/loadtest/runner/check.go
+++ b/internal/loadtest/runner/check.go
@@ -34,7 +34,7 @@
 		if err := r.checkEngines(ctx, res); err != nil {
 			return trace.Wrap(err)
 		}
-		res.Checked = append(res.Checked, "engines hold no memory", "refusals as not run")
+		res.Checked = append(res.Checked, "engines hold no memory", "no new work for engines that leave", "refusals as not run")
 	}
 	return nil
 }
@@ -66,8 +66,9 @@
 	return nil
 }
 
-// checkEngines waits until the engines hold no memory and then looks for
-// requests that ran although callers were told that they did not.
+// checkEngines waits until the engines hold no memory. Then it looks for work
+// that reached an engine long after it began to leave, and for requests that ran
+// although callers were told that they did not.
 func (r *run) checkEngines(ctx context.Context, res *report.Result) error {
 	refused := map[string]bool{}
 	for _, id := range r.refused {
@@ -81,6 +82,9 @@
 		if sum.PinnedTokens > 0 || len(sum.Holds) > 0 {
 			res.Violate(fmt.Sprintf("engine %s holds %d tokens and %d holds %v after the run", sum.Name, sum.PinnedTokens, len(sum.Holds), time.Duration(r.scenario.Settle)))
 		}
+		if sum.MaxWhileLeavingMs > time.Duration(r.scenario.LeavingGrace).Milliseconds() {
+			res.Violate(fmt.Sprintf("engine %s got new work %d ms after it began to leave", sum.Name, sum.MaxWhileLeavingMs))
+		}
 		if len(refused) == 0 {
 			continue
 		}
--- a/internal/loadtest/runner/runner_test.go
+++ b/internal/loadtest/runner/runner_test.go
@@ -103,7 +103,7 @@
 func TestRunCompletesAllRequests(t *testing.T) {
 	s, _ := deploy(t, &router{})
 	res := runScenario(t, s)
-	if res.ViolationCount != 0 || len(res.Checked) != 3 {
+	if res.ViolationCount != 0 || len(res.Checked) != 4 {
 		t.Errorf("violations %v, checked %v", res.Violations, res.Checked)
 	}
 	for _, g := range res.Phases[0].Groups {
@@ -117,18 +117,22 @@
 	for _, c := range []struct {
 		name, want string
 		router     *router
-		reserve    bool
+		prepare    func(*scenario.Scenario, *engine.Engine)
 	}{
-		{"double writes", "ran 2 times", &router{doubleWrites: true}, false},
-		{"denied runs", "was refused as not run and ran", &router{denyRuns: true}, false},
-		{"held memory", "holds 100 tokens and 1 holds", &router{}, true},
+		{"double writes", "ran 2 times", &router{doubleWrites: true}, nil},
+		{"denied runs", "was refused as not run and ran", &router{denyRuns: true}, nil},
+		{"held memory", "holds 100 tokens and 1 holds", &router{}, func(_ *scenario.Scenario, e *engine.Engine) {
+			_ = e.Reserve(upstream.ReserveRequest{Name: "o/1/r", Tokens: 100})
+		}},
+		{"leaving engine", "after it began to leave", &router{}, func(s *scenario.Scenario, e *engine.Engine) {
+			e.SetLeaving(true)
+			s.LeavingGrace = scenario.Duration(time.Millisecond)
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s, model := deploy(t, c.router)
-			if c.reserve {
-				if err := model.Reserve(upstream.ReserveRequest{Name: "o/1/r", Tokens: 100}); err != nil {
-					t.Fatal(err)
-				}
+			if c.prepare != nil {
+				c.prepare(s, model)
 			}
 			res := runScenario(t, s)
 			if res.ViolationCount == 0 || !strings.Contains(res.Violations[0], c.want) {
--- a/internal/loadtest/scenario/scenario.go
+++ b/internal/loadtest/scenario/scenario.go
@@ -64,6 +64,9 @@
 	Grace Duration `yaml:"grace" json:"grace"`
 	// Settle is how long engines may take after the run to free all memory.
 	Settle Duration `yaml:"settle" json:"settle"`
+	// LeavingGrace is how long an engine may get new work after it began to
+	// report that it is leaving.
+	LeavingGrace Duration `yaml:"leaving_grace" json:"leaving_grace"`
 	// Phases run one after another.
 	Phases []Phase `yaml:"phases" json:"phases"`
 }
@@ -132,6 +135,7 @@
 	defaultMaxInFlight = 2000
 	defaultGrace       = time.Second
 	defaultSettle      = 15 * time.Second
+	defaultLeaving     = 5 * time.Second
 	defaultTimeout     = 60 * time.Second
 	defaultOutput      = 16
 	defaultLongTokens  = 32_000
@@ -153,6 +157,7 @@
 	s := &Scenario{
 		Seed: 1, StreamShare: 1, MaxInFlight: defaultMaxInFlight, LongTokens: defaultLongTokens,
 		Grace: Duration(defaultGrace), Settle: Duration(defaultSettle),
+		LeavingGrace: Duration(defaultLeaving),
 	}
 	decoder := yaml.NewDecoder(bytes.NewReader(data))
 	decoder.KnownFields(true)
