--- a/internal/admit/acquire.go
+++ b/internal/admit/acquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/load"
@@ -108,7 +109,7 @@
 		return result.New(result.PoisonSuspect, "the request was in flight in repeated upstream crashes").After(left)
 	}
 	s.judgePool(p, now, false)
-	if !p.hasUsable(r) {
+	if some, _ := p.inService(nil); !some {
 		return s.noUpstream(r)
 	}
 	needs := p.speed.service(0, r.OutputTokens)
@@ -123,23 +124,19 @@
 	return result.New(result.DeadlineUnmeetable, format, needs.Round(time.Millisecond)).After(s.retryAfter(needs))
 }
 
-// hasUsable states whether any upstream could ever take r as things are. An
-// upstream that was tried before may be used again if it is the only one.
-func (p *pool) hasUsable(r *Request) bool {
-	found := false
+// inService states whether any upstream could take a request, and untried
+// whether one of them was not tried yet.
+func (p *pool) inService(avoid []string) (some, untried bool) {
 	for _, st := range p.states {
-		if !st.usable() && !p.panicking {
+		if st.listedLeaving || st.reportedLeaving || !st.usable() && !p.panicking {
 			continue
 		}
-		if st.listedLeaving || st.reportedLeaving {
-			continue
-		}
-		if route.Usable(&route.Candidate{ID: st.upstream.ID, Share: 1}, &route.Demand{Avoid: r.Avoid}) {
-			return true
+		some = true
+		if !slices.Contains(avoid, st.upstream.ID) {
+			return true, true
 		}
-		found = true
 	}
-	return found && len(p.states) == 1
+	return some, false
 }
 
 // newWaiter fills in the demand of r.
@@ -155,7 +152,7 @@
 		Window:       windows[s.sizeOf(r)],
 		ShortReserve: minShortReserve + moreShortReserve*s.policy.ShortWeight,
 	}
-	if len(p.states) == 1 {
+	if _, untried := p.inService(r.Avoid); !untried {
 		w.demand.Avoid = nil
 	}
 	w.lane = laneFirst + route.Sizes*classRank(r.Class) + int(w.demand.Size)
--- a/internal/admit/grant.go
+++ b/internal/admit/grant.go
@@ -151,11 +151,15 @@
 		st.pausedUntil = now.Add(refusalPause)
 	case Lost:
 		st.health.Failure(now)
+		st.pausedUntil = now.Add(lossPause)
 		s.poison.Lost(st.upstream.ID, st.boot, r.Fingerprint, g.alone, now)
 		if now.Sub(st.probeFailedAt) < probeMemory {
 			s.crashed(st, now)
 		}
-	case Unreached, Stalled, Failed:
+	case Unreached:
+		st.health.Failure(now)
+		st.pausedUntil = now.Add(lossPause)
+	case Stalled, Failed:
 		st.health.Failure(now)
 	case Cancelled:
 	}
--- a/internal/admit/observe.go
+++ b/internal/admit/observe.go
@@ -111,7 +111,7 @@
 			continue
 		}
 		s.judgePool(p, now, judged)
-		st.refresh(now, p.panicking, s.options.MaxRunningPerEngine)
+		st.refresh(now, p, s.options.MaxRunningPerEngine)
 		if judged {
 			s.pump(p, p.view, now)
 		} else {
@@ -190,7 +190,7 @@
 func (s *Scheduler) refresh(st *state, now time.Time) {
 	for _, key := range poolKeys(st.upstream) {
 		if p := s.pools[key]; p != nil {
-			st.refresh(now, p.panicking, s.options.MaxRunningPerEngine)
+			st.refresh(now, p, s.options.MaxRunningPerEngine)
 			return
 		}
 	}
--- a/internal/admit/pool.go
+++ b/internal/admit/pool.go
@@ -32,8 +32,10 @@
 
 	judgedAt  time.Time
 	panicking bool
-	turn      int
-	ticking   bool
+	// shareScale multiplies the shares that health gives.
+	shareScale float64
+	turn       int
+	ticking    bool
 	// capacity is the sum of the prefill speeds, in tokens per second.
 	capacity float64
 	// largest is the memory of the largest engine in tokens; 0 is unknown.
@@ -89,23 +91,39 @@
 		}
 	}
 	p.panicking = health.Panicking(usable, total)
+	p.scaleShares(now)
 	reserved := p.short.engines(usable, shortWeight, now)
 	p.speed.best = 0
 	p.capacity = 0
 	for _, st := range p.states {
-		st.refresh(now, p.panicking, maxRunning)
+		st.refresh(now, p, maxRunning)
 		st.candidate.ShortOnly = false
 		if st.usable() && reserved > 0 {
 			st.candidate.ShortOnly = true
 			reserved--
 		}
-		p.capacity += st.candidate.Rate * st.candidate.Share
+		if st.usable() || p.panicking {
+			p.capacity += st.candidate.Rate
+		}
 		if rate, measured := st.load.Rate(); measured && st.usable() {
 			p.speed.best = max(p.speed.best, rate)
 		}
 	}
 }
 
+// scaleShares finds the factor that gives the best upstream its whole share: if
+// all are warming up or slow, nobody else could take what they do not get.
+func (p *pool) scaleShares(now time.Time) {
+	best := 0.0
+	for _, st := range p.states {
+		best = max(best, st.health.Share(now, p.panicking))
+	}
+	p.shareScale = 1
+	if best > 0 {
+		p.shareScale = 1 / best
+	}
+}
+
 // compareLatencies judges each upstream's latency against the median.
 func (p *pool) compareLatencies(now time.Time) {
 	p.ratios = p.ratios[:0]
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -181,9 +181,13 @@
 
 // workAhead estimates the queued work that is served before a new request of
 // the lane: the lanes before it, and in its own lane each workspace's part.
+// Suspects wait for upstreams of their own and delay nobody.
 func (q *queue) workAhead(r *Request, laneIndex int, work float64) float64 {
 	ahead := 0.0
 	for i := range laneIndex {
+		if i == laneSuspect {
+			continue
+		}
 		for _, w := range q.lanes[i] {
 			ahead += w.work
 		}
--- a/internal/admit/state.go
+++ b/internal/admit/state.go
@@ -11,6 +11,10 @@
 // refusalPause is how long an upstream that refused a request gets no other.
 const refusalPause = 200 * time.Millisecond
 
+// lossPause is how long an upstream that was lost gets no request, so that one
+// request does not use up its attempts while all upstreams are restarting.
+const lossPause = 500 * time.Millisecond
+
 // state is what the scheduler knows of one upstream.
 type state struct {
 	upstream  Upstream
@@ -41,8 +45,8 @@
 	st.health.Leaving(st.listedLeaving || st.reportedLeaving, now)
 }
 
-// refresh brings the candidate up to date.
-func (st *state) refresh(now time.Time, panicking bool, maxRunning int) {
+// refresh brings the candidate up to date with the judgement of its pool.
+func (st *state) refresh(now time.Time, p *pool, maxRunning int) {
 	e := st.load.Estimate(now)
 	c := &st.candidate
 	c.Queued = e.Queued
@@ -55,7 +59,7 @@
 	}
 	c.FreeTokens = max(c.MemoryTokens-e.UsedTokens, 0)
 	c.Rate, _ = st.load.Rate()
-	c.Share = st.health.Share(now, panicking)
+	c.Share = min(st.health.Share(now, p.panicking)*p.shareScale, 1)
 	if now.Before(st.pausedUntil) || st.load.InFlight() >= maxRunning {
 		c.Share = 0
 	}
--- a/internal/poison/outage.go
+++ b/internal/poison/outage.go
@@ -54,10 +54,10 @@
 	return o.upstreams.Len() >= outageUpstreams
 }
 
-// lostBefore notes a loss and states whether the fingerprint was in another
-// crash of late.
-func (o *outage) lostBefore(fingerprint, crash uint64, now time.Time) bool {
+// lostBefore notes a loss. If the fingerprint was in another crash of late, it
+// returns that crash and true.
+func (o *outage) lostBefore(fingerprint, crash uint64, now time.Time) (uint64, bool) {
 	last, known := o.losses.Peek(fingerprint)
 	o.losses.Add(fingerprint, lastLoss{crash: crash, at: now})
-	return known && last.crash != crash && now.Sub(last.at) <= outageWindow
+	return last.crash, known && last.crash != crash && now.Sub(last.at) <= outageWindow
 }
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -41,8 +41,8 @@
 	Clear Verdict = iota
 	// Suspect: the request must run alone.
 	Suspect
-	// Pending: the request was lost while suspect and it is not known yet
-	// whether the upstream crashed; it must wait.
+	// Pending: the request was lost again and it is not known yet whether
+	// the upstreams crashed; it must wait.
 	Pending
 	// Condemned: the request is refused.
 	Condemned
@@ -127,10 +127,13 @@
 	wide := t.outage.crashed(upstreamID, now)
 	notices := make([]Notice, 0, len(p.losses))
 	for _, l := range p.losses {
-		repeated := t.outage.lostBefore(l.fingerprint, id, now)
+		earlier, repeated := t.outage.lostBefore(l.fingerprint, id, now)
 		if wide && !repeated && !t.suspects.Contains(l.fingerprint) {
 			continue
 		}
+		if repeated {
+			t.blame(l.fingerprint, Crash{ID: earlier}, now)
+		}
 		s := t.blame(l.fingerprint, Crash{ID: id, Alone: l.alone}, now)
 		notices = append(notices, Notice{Fingerprint: l.fingerprint, Crashes: s.crashes})
 	}
@@ -161,7 +164,7 @@
 // Verdict returns what is known of a fingerprint and, if it is condemned, for
 // how long it is refused.
 func (t *Table) Verdict(fingerprint uint64, now time.Time) (Verdict, time.Duration) {
-	waiting := t.lostNow(fingerprint, now)
+	waiting := t.lossesNow(fingerprint, now)
 	s, known := t.suspects.Peek(fingerprint)
 	if known && now.Sub(s.lastCrash) > suspectTime {
 		t.suspects.Remove(fingerprint)
@@ -170,9 +173,9 @@
 	switch {
 	case known && s.condemned():
 		return Condemned, s.lastCrash.Add(refuseTime).Sub(now)
-	case known && waiting:
+	case known && waiting > 0 || waiting >= condemnCrashes:
 		return Pending, 0
-	case known || waiting:
+	case known || waiting > 0:
 		return Suspect, 0
 	}
 	return Clear, 0
@@ -230,16 +233,22 @@
 	return false
 }
 
-// lostNow states whether a loss of the fingerprint waits to be judged.
-func (t *Table) lostNow(fingerprint uint64, now time.Time) bool {
+// lossesNow returns on how many upstreams a loss of the fingerprint waits to be
+// judged.
+func (t *Table) lossesNow(fingerprint uint64, now time.Time) int {
+	n := 0
 	for _, p := range t.pending {
-		if now.Sub(p.at) > verdictTime {
-			continue
+		if now.Sub(p.at) <= verdictTime && p.has(fingerprint) {
+			n++
 		}
-		for _, l := range p.losses {
-			if l.fingerprint == fingerprint {
-				return true
-			}
+	}
+	return n
+}
+
+func (p *pendingLosses) has(fingerprint uint64) bool {
+	for _, l := range p.losses {
+		if l.fingerprint == fingerprint {
+			return true
 		}
 	}
 	return false
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -7,10 +7,12 @@
 const (
 	// share is the part of a retry that each success earns.
 	share = 0.1
-	// initial is the number of retries before any success.
-	initial = 5.0
-	// most bounds the retries that can be saved up.
-	most = 50.0
+	// workspaceRetries is what a workspace has before any success, and the
+	// most that it can save up.
+	workspaceRetries = 50.0
+	// upstreamRetries is the same for an upstream: when it crashes, all that
+	// one instance has in flight there may be tried elsewhere.
+	upstreamRetries = 100.0
 	// MaxKeys bounds the workspaces or upstreams of one Budgets.
 	MaxKeys = 4096
 )
@@ -18,21 +20,23 @@
 // Budgets holds one retry budget per key, for example per workspace. It is not
 // safe for concurrent use.
 type Budgets struct {
+	most   float64
 	tokens *simplelru.LRU[string, float64]
 }
 
-// NewBudgets returns budgets that all start with a few retries.
-func NewBudgets() *Budgets {
+// NewBudgets returns budgets that all start with most retries and never save up
+// more.
+func NewBudgets(most float64) *Budgets {
 	tokens, err := simplelru.NewLRU[string, float64](MaxKeys, nil)
 	if err != nil {
 		panic(err) // only for a size of zero or less
 	}
-	return &Budgets{tokens: tokens}
+	return &Budgets{most: most, tokens: tokens}
 }
 
 // Success earns a part of a retry for key.
 func (b *Budgets) Success(key string) {
-	b.tokens.Add(key, min(b.Left(key)+share, most))
+	b.tokens.Add(key, min(b.Left(key)+share, b.most))
 }
 
 // Left returns the retries that key may make now.
@@ -40,7 +44,7 @@
 	if left, known := b.tokens.Get(key); known {
 		return left
 	}
-	return initial
+	return b.most
 }
 
 // Spend takes one retry from key's budget.
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -33,7 +33,7 @@
 
 // NewPolicy returns a policy with full initial budgets.
 func NewPolicy() *Policy {
-	return &Policy{workspaces: NewBudgets(), upstreams: NewBudgets()}
+	return &Policy{workspaces: NewBudgets(workspaceRetries), upstreams: NewBudgets(upstreamRetries)}
 }
 
 // Success earns budget for the workspace and the upstream.
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -50,7 +50,7 @@
 				retries++
 			}
 		}
-		if float64(retries) > initial+share*float64(successes)+1e-6 {
+		if float64(retries) > workspaceRetries+share*float64(successes)+1e-6 {
 			t.Fatalf("%d retries after %d successes", retries, successes)
 		}
 	})
