--- a/internal/admit/scheduler.go
+++ b/internal/admit/scheduler.go
@@ -75,7 +75,9 @@
 		peers:   map[string]peerState{},
 	}
 	if options.Reserver != nil {
-		s.acquirer = gang.NewAcquirer(options.Reserver)
+		if s.acquirer, err = gang.NewAcquirer(options.Reserver); err != nil {
+			panic(err) // the embedded chart is broken
+		}
 	}
 	return s
 }
--- a/internal/gang/gang_test.go
+++ b/internal/gang/gang_test.go
@@ -93,12 +93,20 @@
 	})
 }
 
+func newAcquirer(t *testing.T, r Reserver) *Acquirer {
+	a, err := NewAcquirer(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
 func TestNothingIsHeldAfterAnError(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := newEngines(3, 100)
 		e.fail["e2"] = errors.New("connection refused")
 		shares, _ := Plan(list(3, 100), 250)
-		if _, err := NewAcquirer(e).Acquire(t.Context(), "a/1/x", shares, time.Now().Add(time.Minute)); err == nil {
+		if _, err := newAcquirer(t, e).Acquire(t.Context(), "a/1/x", shares, time.Now().Add(time.Minute)); err == nil {
 			t.Fatal("no error")
 		}
 		if len(e.held) != 0 {
@@ -116,7 +124,7 @@
 		finished := make([]int, 2)
 		for instance := range finished {
 			done.Go(func() {
-				a := NewAcquirer(e)
+				a := newAcquirer(t, e)
 				for round := range 10 {
 					ctx, cancel := context.WithTimeout(t.Context(), 5*time.Minute)
 					shares, _ := Plan(list(4, 100), 300)
