Leave half of the engines' memory to requests beside very large prompts

Two instances with prompts of three engines each could take all memory, and other requests were refused after waiting 22.5 s. A further large prompt now waits until reservations leave half of the pool's memory. In the test all ten finish over eight engines and 20 short requests a second wait 0 s at p95.

--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/catalogue"
+	"github.com/banyanroute/banyanroute/internal/gang"
 	"github.com/banyanroute/banyanroute/internal/result"
 	"github.com/banyanroute/banyanroute/internal/upstream"
 )
@@ -341,24 +344,45 @@
 type memory struct {
 	mu   sync.Mutex
 	held map[string]int
+	used map[string]int // by upstream
 }
 
-func newMemory() *memory { return &memory{held: map[string]int{}} }
+func newMemory() *memory { return &memory{held: map[string]int{}, used: map[string]int{}} }
 
 func (m *memory) Reserve(_ context.Context, id string, r upstream.ReserveRequest) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.used[id]+r.Tokens > 400_000 {
+		return gang.ErrNoMemory
+	}
 	m.held[id+" "+r.Name] = r.Tokens
+	m.used[id] += r.Tokens
 	return nil
 }
 
 func (m *memory) Release(_ context.Context, id, name string) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.used[id] -= m.held[id+" "+name]
 	delete(m.held, id+" "+name)
 	return nil
 }
 
+// report tells s the memory of each engine.
+func (m *memory) report(s *Scheduler, sequence uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, u := range engines(8) {
+		r := upstream.LoadReport{Sequence: sequence, Boot: "b", MemoryTokens: 400_000, UsedTokens: m.used[u.ID]}
+		for name, tokens := range m.held {
+			if strings.HasPrefix(name, u.ID) && tokens > 100_000 {
+				r.ReservedTokens += tokens
+			}
+		}
+		s.ObserveLoad(u.ID, r)
+	}
+}
+
 func TestPromptOverOneEngineGetsSeveral(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := newMemory()
@@ -380,6 +404,86 @@
 	})
 }
 
+// TestLargePromptsBesideShort has two instances run prompts of three engines
+// each, over eight engines that short requests keep busy. All finish in time.
+func TestLargePromptsBesideShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory()
+		instances := make([]*Scheduler, 2)
+		for i := range instances {
+			instances[i] = New(Options{Instance: fmt.Sprint(i), Seed: uint64(i), Reserver: m})
+			instances[i].SetUpstreams(engines(8))
+		}
+		stop := make(chan struct{})
+		reports := uint64(0)
+		go func() {
+			for i := 0; ; i++ {
+				reports++
+				for _, s := range instances {
+					m.report(s, reports)
+				}
+				select {
+				case <-stop:
+					return
+				case <-time.After(100 * time.Millisecond):
+					instances[i%2].ObservePeerHint(fmt.Sprint(1-i%2), instances[1-i%2].PeerHint())
+				}
+			}
+		}()
+		var wait, shorts sync.WaitGroup
+		finished := make([]int, 2)
+		for i, s := range instances {
+			wait.Go(func() {
+				for range 5 {
+					r := request(1_000_000)
+					r.Deadline = time.Now().Add(2 * time.Minute)
+					if g, refusal := s.Acquire(t.Context(), r); refusal == nil {
+						time.Sleep(10 * time.Second)
+						g.Done(Completed)
+						finished[i]++ // one goroutine each
+					}
+				}
+			})
+		}
+		waits := make([]time.Duration, 1000)
+		for i := range waits {
+			time.Sleep(50 * time.Millisecond)
+			r := request(4_000)
+			shorts.Go(func() {
+				start := time.Now()
+				g, refusal := instances[i%2].Acquire(t.Context(), r)
+				waits[i] = time.Since(start)
+				if refusal != nil {
+					t.Errorf("short request refused: %v", refusal)
+					return
+				}
+				for m.Reserve(t.Context(), g.Upstream().ID, upstream.ReserveRequest{Name: r.ID, Tokens: r.PromptTokens}) != nil {
+					time.Sleep(50 * time.Millisecond)
+				}
+				g.FirstToken()
+				time.Sleep(2 * time.Second)
+				_ = m.Release(t.Context(), g.Upstream().ID, r.ID)
+				g.Done(Completed)
+			})
+		}
+		shorts.Wait()
+		wait.Wait()
+		close(stop)
+		slices.Sort(waits)
+		t.Logf("waits of other requests: p50 %s, p95 %s, longest %s", waits[500], waits[950], waits[999])
+		if waits[950] > 0 {
+			t.Errorf("short requests wait %s at p95", waits[950])
+		}
+		if finished[0] != 5 || finished[1] != 5 {
+			t.Errorf("finished %v of 5 each", finished)
+		}
+		synctest.Wait()
+		if len(m.held) != 0 {
+			t.Errorf("still held: %v", m.held)
+		}
+	})
+}
+
 func benchmarkAcquire(b *testing.B, n int) {
 	s := newScheduler(n)
 	r := request(2000)
--- a/internal/admit/gang.go
+++ b/internal/admit/gang.go
@@ -16,6 +16,14 @@
 // gangPlans is the number of plans tried when engines fail during reservation.
 const gangPlans = 3
 
+const (
+	// gangShare is the part of a pool's memory that reservations may take
+	// before a further prompt of several parts has to wait.
+	gangShare = 0.5
+	// gangRoomInterval is how often a waiting prompt looks for room.
+	gangRoomInterval = 100 * time.Millisecond
+)
+
 // reservationGrace is how long reservations outlive the request's deadline.
 const reservationGrace = 5 * time.Second
 
@@ -39,6 +47,44 @@
 	case <-ctx.Done():
 		return nil, s.gangRefusal(ctx, context.Cause(ctx))
 	}
+	if err := s.awaitGangRoom(ctx, p, r.PromptTokens+r.OutputTokens); err != nil {
+		return nil, s.gangRefusal(ctx, err)
+	}
+	return s.tryGangs(ctx, p, r)
+}
+
+// awaitGangRoom waits until the reservations of all instances, with tokens
+// more, leave enough of the pool's memory to other requests.
+func (s *Scheduler) awaitGangRoom(ctx context.Context, p *pool, tokens int) error {
+	for !s.hasGangRoom(p, tokens) {
+		select {
+		case <-time.After(gangRoomInterval):
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+	return nil
+}
+
+// hasGangRoom applies gangShare to what the engines report and to the engines
+// that are kept free at present. With nothing reserved there is always room.
+func (s *Scheduler) hasGangRoom(p *pool, tokens int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reserved, total := 0, 0
+	for _, st := range p.states {
+		total += st.candidate.MemoryTokens
+		held := st.load.ReservedTokens()
+		if st.candidate.Exclusive {
+			held = st.candidate.MemoryTokens
+		}
+		reserved += held
+	}
+	return reserved == 0 || float64(reserved+tokens) <= gangShare*float64(total)
+}
+
+// tryGangs reserves engines for r, with another plan when one of them fails.
+func (s *Scheduler) tryGangs(ctx context.Context, p *pool, r *Request) (*Grant, *result.Error) {
 	avoid := append([]string(nil), r.Avoid...)
 	var err error
 	for range gangPlans {
--- a/internal/load/tracker.go
+++ b/internal/load/tracker.go
@@ -143,6 +143,9 @@
 // Ended removes a request in flight.
 func (t *Tracker) Ended(id string) { delete(t.sends, id) }
 
+// ReservedTokens returns the memory in reservations by the last report.
+func (t *Tracker) ReservedTokens() int { return t.report.ReservedTokens }
+
 // InFlight returns the number of this instance's requests on the upstream.
 func (t *Tracker) InFlight() int { return len(t.sends) }
 
