--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -127,10 +127,13 @@
 	wide := t.outage.crashed(upstreamID, now)
 	notices := make([]Notice, 0, len(p.losses))
 	for _, l := range p.losses {
-		repeated := t.outage.lostBefore(l.fingerprint, id, now)
+		earlier, repeated := t.outage.lostBefore(l.fingerprint, id, now)
 		if wide && !repeated && !t.suspects.Contains(l.fingerprint) {
 			continue
 		}
+		if repeated {
+			t.blame(l.fingerprint, Crash{ID: earlier}, now)
+		}
 		s := t.blame(l.fingerprint, Crash{ID: id, Alone: l.alone}, now)
 		notices = append(notices, Notice{Fingerprint: l.fingerprint, Crashes: s.crashes})
 	}
