Engine stand-in: a continued answer needs memory for its rest only

Cause: a request that goes on from another engine's tokens held memory for the whole answer, and one without a rest counted a token too many; TestContinuationNeedsMemoryForTheRestOnly was seen failing (1100 tokens for 1040, 41 generated for 40).

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -150,7 +150,7 @@
 		if s.phase == queued {
 			continue
 		}
-		resident += s.computed + s.position
+		resident += s.computed + s.position - s.req.Start
 		if s.phase == decoding {
 			st.decodes = append(st.decodes, s)
 			continue
@@ -208,7 +208,7 @@
 func (e *Engine) allocate(s *stream) bool {
 	matched := min(e.memory.match(s.req.Blocks), (s.prompt-1)/upstream.BlockTokens)
 	cached := s.req.Blocks[:matched]
-	need := s.prompt + s.req.MaxTokens - matched*upstream.BlockTokens
+	need := s.req.tokens() - matched*upstream.BlockTokens
 	if s.reserved != nil {
 		need = 0
 	}
@@ -273,9 +273,9 @@
 func (e *Engine) decoded(now time.Time, s *stream) {
 	if s.position < s.req.MaxTokens {
 		s.position++
+		s.record.GeneratedTokens++
+		e.record.generated++
 	}
-	s.record.GeneratedTokens++
-	e.record.generated++
 	if s.position >= s.req.MaxTokens {
 		e.finish(now, s, nil)
 		return
@@ -382,12 +382,11 @@
 
 // check refuses requests that the engine can never run.
 func (e *Engine) check(now time.Time, req Request) *Refusal {
-	prompt := promptTokens(req.PromptBytes)
 	switch {
 	case !e.orders.usable(now, req.Model):
 		return refuse(http.StatusNotFound, "model %q is not loaded", req.Model)
-	case len(req.Reservations) == 0 && prompt+req.MaxTokens > e.settings.MemoryTokens:
-		return refuse(http.StatusUnprocessableEntity, "%d tokens exceed the memory of %d", prompt+req.MaxTokens, e.settings.MemoryTokens)
+	case len(req.Reservations) == 0 && req.tokens() > e.settings.MemoryTokens:
+		return refuse(http.StatusUnprocessableEntity, "%d tokens exceed the memory of %d", req.tokens(), e.settings.MemoryTokens)
 	case len(e.active) >= e.settings.MaxStreams+e.settings.MaxQueue:
 		r := refuse(http.StatusServiceUnavailable, "the queue is full")
 		r.RetryAfter = time.Second
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -289,6 +289,27 @@
 	})
 }
 
+func TestContinuationNeedsMemoryForTheRestOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := start(t, testSettings())
+		req := request("a", 1000, 100)
+		req.Start = 60
+		r := submit(t, e, req)
+		time.Sleep(5 * time.Millisecond)
+		if holds := e.Holds().Holds; len(holds) != 1 || holds[0].Tokens != 1040 {
+			t.Errorf("holds %+v, want one of 1040 tokens", holds)
+		}
+		finishTime(t, r, time.Now())
+		done := request("b", 10, 5)
+		done.Start = 5
+		finishTime(t, submit(t, e, done), time.Now())
+		if sum := e.Record(nil); sum.GeneratedTokens != 40 {
+			t.Errorf("generated %d tokens, want 40", sum.GeneratedTokens)
+		}
+		wantEmpty(t, e)
+	})
+}
+
 func TestDeadlineAndCancelFreeMemory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := start(t, testSettings())
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -34,6 +34,11 @@
 	Reservations []string
 }
 
+// tokens returns the KV memory of the prompt and of what is to be generated.
+func (r Request) tokens() int {
+	return promptTokens(r.PromptBytes) + max(0, r.MaxTokens-r.Start)
+}
+
 // Refusal is the error of a request or call that the engine doesn't take.
 type Refusal struct {
 	// Status is the HTTP status of the answer.
--- a/internal/standin/enginehttp/server.go
+++ b/internal/standin/enginehttp/server.go
@@ -11,7 +11,6 @@
 	"github.com/banyanroute/banyanroute/internal/standin/engine"
 	"github.com/banyanroute/banyanroute/internal/standin/fault"
 	"github.com/banyanroute/banyanroute/internal/standin/httpjson"
-	"github.com/banyanroute/banyanroute/internal/standin/service"
 	"github.com/banyanroute/banyanroute/internal/upstream"
 )
 
@@ -147,7 +146,7 @@
 }
 
 func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
-	httpjson.Write(w, http.StatusOK, service.Health{Status: "ok", Leaving: s.faults.Get().Leaving})
+	httpjson.Write(w, http.StatusOK, upstream.Health{Status: "ok", Leaving: s.faults.Get().Leaving})
 }
 
 // record answers with what the engine ran; ?requests=all lists all requests,
--- a/internal/standin/enginehttp/server_test.go
+++ b/internal/standin/enginehttp/server_test.go
@@ -125,6 +125,23 @@
 	}
 }
 
+func TestContinueFromAnotherEngine(t *testing.T) {
+	f := start(t)
+	body := fmt.Sprintf(`{"model":"m","prompt":"hello","stream":true,"max_tokens":5,"continuation":%q}`, answer.Text(answer.Of("hello"), 3))
+	resp, err := f.post(t.Context(), t, body, upstream.HeaderRequestID, "o/1/a", upstream.HeaderContinueFrom, "3")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := read(t, resp.Body)
+	want := answer.Token(answer.Of("hello"), 4) + answer.Token(answer.Of("hello"), 5)
+	if got.text != want || strings.Join(got.ids, " ") != "4 5 6" || !got.done {
+		t.Errorf("continued %+v", got)
+	}
+	if sum := f.engine.Record(nil); sum.GeneratedTokens != 2 {
+		t.Errorf("generated %d tokens, want 2", sum.GeneratedTokens)
+	}
+}
+
 func TestWholeChatAnswer(t *testing.T) {
 	f := start(t)
 	body := `{"model":"m","messages":[{"content":"hel"},{"content":"lo"}],"max_completion_tokens":3}`
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -96,14 +96,8 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
-// Health is the answer of GET /health of a service or engine.
-type Health struct {
-	Status  string `json:"status"`
-	Leaving bool   `json:"leaving"`
-}
-
 func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
-	httpjson.Write(w, http.StatusOK, Health{Status: "ok", Leaving: s.faults.Get().Leaving})
+	httpjson.Write(w, http.StatusOK, upstream.Health{Status: "ok", Leaving: s.faults.Get().Leaving})
 }
 
 func (s *Server) call(w http.ResponseWriter, r *http.Request) {
--- a/internal/upstream/wire.go
+++ b/internal/upstream/wire.go
@@ -232,3 +232,11 @@
 	Blocks         []string `json:"blocks"`
 	DeadlineUnixMs int64    `json:"deadline_unix_ms"`
 }
+
+// Health is the answer of GET PathHealth of an engine or a plain service.
+type Health struct {
+	// Status is "ok".
+	Status string `json:"status"`
+	// Leaving says that the upstream is about to stop.
+	Leaving bool `json:"leaving"`
+}
