Load tools stop cleanly and note commands without folders of the machine

Cause: loadfleet, when asked to stop, left banyanload running and its files behind (seen by hand). Seen: after SIGTERM no process and no folder is left.

--- a/cmd/banyanload/commands.go
+++ b/cmd/banyanload/commands.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"path/filepath"
 	"syscall"
 	"time"
 
@@ -46,7 +47,7 @@
 	var res *report.Result
 	err = untilSignal(func(ctx context.Context) error {
 		var err error
-		res, err = runner.Run(ctx, runner.Options{Scenario: s, Command: os.Args, Progress: os.Stderr})
+		res, err = runner.Run(ctx, runner.Options{Scenario: s, Command: command(), Progress: os.Stderr})
 		return err
 	})
 	if res == nil {
@@ -97,6 +98,11 @@
 	}
 }
 
+// command returns the command line with the program's name alone.
+func command() []string {
+	return append([]string{filepath.Base(os.Args[0])}, os.Args[1:]...)
+}
+
 // untilSignal runs f and cancels its context on the first signal to stop.
 func untilSignal(f func(ctx context.Context) error) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -184,7 +190,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	res.Command = os.Args
+	res.Command = command()
 	res.WriteText(os.Stdout)
 	if c.JSON == "" {
 		return nil
--- a/tools/loadfleet/main.go
+++ b/tools/loadfleet/main.go
@@ -9,8 +9,10 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -55,7 +57,10 @@
 }
 
 func main() {
-	if err := measure(context.Background(), parse()); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := measure(ctx, parse())
+	stop()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "loadfleet:", trace.UserMessage(err))
 		os.Exit(1)
 	}
