--- a/tools/editspread/main.go
+++ b/tools/editspread/main.go
@@ -44,6 +44,7 @@
 	flag.IntVar(&m.edits, "edits", 100, "number of edits")
 	flag.DurationVar(&m.pause, "pause", 50*time.Millisecond, "pause between edits")
 	flag.BoolVar(&m.down, "store-down", false, "take the platform's services down right after each acceptance")
+	flag.IntVar(&m.load, "load", 0, "short requests per second meanwhile")
 	flag.Parse()
 	if err := m.run(layout); err != nil {
 		fmt.Fprintln(os.Stderr, "editspread:", trace.UserMessage(err))
@@ -56,6 +57,7 @@
 	edits int
 	pause time.Duration
 	down  bool
+	load  int
 	fleet *localfleet.Fleet
 	// accepted and inForce hold, per edit, the time from sending to the
 	// answer, and from the answer to the last instance.
@@ -78,13 +80,15 @@
 	if err := m.waitMembers(ctx); err != nil {
 		return err
 	}
+	stop := startLoad(ctx, m.fleet, m.load)
+	defer stop()
 	for i := range m.edits {
 		if err := m.one(ctx, i); err != nil {
 			return trace.Wrap(err, "edit %d", i)
 		}
 		time.Sleep(m.pause)
 	}
-	fmt.Printf("%d edits at %d instances, store down after acceptance: %t\n", m.edits, layout.Instances, m.down)
+	fmt.Printf("%d edits at %d instances, store down after acceptance: %t, %d requests/s\n", m.edits, layout.Instances, m.down, m.load)
 	report("sent to accepted", m.accepted)
 	report("accepted to in force everywhere", m.inForce)
 	return nil
