--- a/internal/loadtest/client/client_test.go
+++ b/internal/loadtest/client/client_test.go
@@ -70,6 +70,30 @@
 	}
 }
 
+// FuzzStream checks that any stream has exactly one verdict, and that it is
+// complete only with all tokens and an end marker.
+func FuzzStream(f *testing.F) {
+	prompt := item().Prompt.Hash()
+	whole := ""
+	for i := range 3 {
+		whole += chunk(answer.Token(prompt, i+1))
+	}
+	f.Add(whole + finish + done)
+	f.Add(whole + done)
+	f.Add("event: error\ndata: {}\n\n")
+	f.Add("data: [DONE]")
+	f.Fuzz(func(t *testing.T, body string) {
+		var out Outcome
+		out.readStream(strings.NewReader(body), item(), prompt, time.Now())
+		if out.Complete == (out.Failure+out.Violation != "") {
+			t.Fatalf("verdict %+v", out)
+		}
+		if out.Complete && (out.Tokens != item().Output || !strings.Contains(body, endMarker)) {
+			t.Fatalf("complete with %+v", out)
+		}
+	})
+}
+
 func TestWholeAnswers(t *testing.T) {
 	it := item()
 	it.Stream = false
