Catalogue: life cycle of a replica in a chart; start from the highest peer

Change: charts/catalogue.yaml with the states starting, current and behind, in the state dump. A new instance asks its neighbours first and transfers the catalogue once, from the highest; it used to transfer it from each neighbour that was higher than the one before. Pauses of settling a write are jittered.

--- a/internal/catalogue/exchange.go
+++ b/internal/catalogue/exchange.go
@@ -1,9 +1,11 @@
 package catalogue
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/peer"
@@ -193,22 +195,45 @@
 
 // readFromPeers returns the highest catalogue of a few neighbours, or nil.
 func (r *Replica) readFromPeers(ctx context.Context) *Snapshot {
-	var best *Snapshot
-	for _, id := range r.someNeighbours(startNeighbours) {
-		answer, err := r.callFetch(ctx, id, emptySnapshot())
-		if err != nil || (best != nil && answer.Revision <= best.revision) {
-			continue
-		}
-		snap, err := r.readWhole(ctx, id)
+	for _, offered := range r.askPeers(ctx) {
+		snap, err := offered.snapshot()
 		if err != nil {
-			r.refused("catalogue", id, err)
-			continue
+			snap, err = r.readWhole(ctx, offered.id)
 		}
-		if best == nil || snap.revision > best.revision {
-			best = snap
+		if err == nil {
+			return snap
+		}
+		r.refused("catalogue", offered.id, err)
+	}
+	return nil
+}
+
+// peerAnswer is what a neighbour has, seen from an empty catalogue.
+type peerAnswer struct {
+	id string
+	fetchAnswer
+}
+
+// snapshot returns the neighbour's catalogue if the answer holds all of it.
+func (a peerAnswer) snapshot() (*Snapshot, error) {
+	snap, err := emptySnapshot().withChanges(a.Changes)
+	if err == nil && snap.revision != a.Revision {
+		err = fmt.Errorf("answer ends at revision %d of %d", snap.revision, a.Revision)
+	}
+	return snap, err
+}
+
+// askPeers asks a few neighbours, and returns their answers by descending
+// revision.
+func (r *Replica) askPeers(ctx context.Context) []peerAnswer {
+	var answers []peerAnswer
+	for _, id := range r.someNeighbours(startNeighbours) {
+		if answer, err := r.callFetch(ctx, id, emptySnapshot()); err == nil {
+			answers = append(answers, peerAnswer{id, answer})
 		}
 	}
-	return best
+	slices.SortStableFunc(answers, func(a, b peerAnswer) int { return cmp.Compare(b.Revision, a.Revision) })
+	return answers
 }
 
 // call calls a peer with the replica's timeout.
--- a/internal/catalogue/fuzz_test.go
+++ b/internal/catalogue/fuzz_test.go
@@ -4,6 +4,9 @@
 	"encoding/json"
 	"errors"
 	"testing"
+
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/peer/peertest"
 )
 
 const fuzzEntries = `kind: workspace
@@ -67,7 +70,7 @@
 	f.Add(encode(base.page("")))
 	f.Add(encode(fetchRequest{Revision: 1}))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		r := &Replica{store: NewStore(nil), wakeFetch: make(chan struct{}, 1), wakePoll: make(chan struct{}, 1)}
+		r := NewReplica(NewStore(nil), peertest.NewNet(0).Join(peer.Member{ID: "i"}), Options{Seed: 1})
 		r.current.Store(base)
 		r.handleOffer("p", data)
 		if answer, err := decodeFetchAnswer(data); err == nil {
--- a/internal/catalogue/replica.go
+++ b/internal/catalogue/replica.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/banyanroute/banyanroute/internal/chart"
 	"github.com/banyanroute/banyanroute/internal/logging"
 	"github.com/banyanroute/banyanroute/internal/peer"
 )
@@ -87,6 +88,7 @@
 	// noticed is the highest revision heard of, and who has it.
 	noticed     Revision
 	noticedFrom string
+	machine     *chart.Machine
 	random      *rand.Rand
 
 	// wakeFetch and wakePoll each hold at most one request.
@@ -102,6 +104,7 @@
 		store:     store,
 		bus:       bus,
 		opts:      opts,
+		machine:   lifecycle.NewMachine(),
 		random:    rand.New(rand.NewPCG(opts.Seed, 0)),
 		wakeFetch: make(chan struct{}, 1),
 		wakePoll:  make(chan struct{}, 1),
@@ -138,7 +141,8 @@
 
 // ReplicaState is the replica's part of a state dump.
 type ReplicaState struct {
-	Ready    bool         `json:"ready"`
+	// State is the state in charts/catalogue.yaml.
+	State    chart.State  `json:"state"`
 	Revision Revision     `json:"revision"`
 	Digest   string       `json:"digest"`
 	Entries  map[Kind]int `json:"entries"`
@@ -155,13 +159,13 @@
 func (r *Replica) Dump() any {
 	state := ReplicaState{PollInterval: Duration(r.pollInterval()), Entries: map[Kind]int{}}
 	r.mu.Lock()
+	state.State = r.machine.State()
 	state.Noticed, state.NoticedFrom = r.noticed, r.noticedFrom
 	r.mu.Unlock()
 	snap := r.Snapshot()
 	if snap == nil {
 		return state
 	}
-	state.Ready = true
 	state.Revision, state.Digest = snap.revision, snap.digest.String()
 	state.KeptChanges = len(snap.recent)
 	for kind, entries := range snap.entries {
@@ -238,6 +242,12 @@
 	metrics.GetOrCreateGauge("catalogue_revision", nil).Set(float64(snap.revision))
 	metrics.GetOrCreateCounter(fmt.Sprintf("catalogue_installs_total{source=%q}", from)).Inc()
 	log.Infof("installed revision %d with %d entries from %s", snap.revision, snap.Len(), from)
+	r.fire(eventFirstInstalled)
+	if r.noticed > snap.revision {
+		r.fire(eventHigherNoticed)
+	} else {
+		r.fire(eventCaughtUp)
+	}
 	for _, f := range r.subscribers {
 		f(snap)
 	}
@@ -263,6 +273,7 @@
 		return
 	}
 	r.noticed, r.noticedFrom = rev, from
+	r.fire(eventHigherNoticed)
 	wake(r.wakeFetch)
 }
 
--- a/internal/catalogue/spread_test.go
+++ b/internal/catalogue/spread_test.go
@@ -72,11 +72,19 @@
 		rev := f.mustPut("i1", model("m", "v2"))
 		f.table.SetFaults(memstore.Faults{Down: true})
 		settle(time.Minute)
+		f.net.Join(peer.Member{ID: "i9"}).Broadcast(topicOffer, encode(offer{Revision: rev}))
+		settle(time.Second)
+		if state := f.nodes["i4"].Dump().(ReplicaState).State; state != "behind" {
+			t.Fatalf("the instance that is cut off and heard of revision %d is %q", rev, state)
+		}
 		if got := f.nodes["i4"].Revision(); got != 1 || !f.nodes["i4"].Ready() {
 			t.Fatalf("the instance that is cut off has revision %d", got)
 		}
 		f.cut("i4", false)
 		f.wantAll(rev, inForce)
+		if state := f.nodes["i4"].Dump().(ReplicaState).State; state != "current" {
+			t.Fatalf("the instance that is back is %q", state)
+		}
 	})
 }
 
--- a/internal/platform/settle.go
+++ b/internal/platform/settle.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 )
 
-// Pauses between tries to settle a write whose outcome is unknown.
+// Pauses between tries to settle a write whose outcome is unknown. Each is cut by
+// up to a half at random, so that the end of an outage brings no burst.
 const (
 	settleFirstPause = 20 * time.Millisecond
 	settleMaxPause   = 1 * time.Second
@@ -35,7 +37,7 @@
 			return TxnResult{}, ErrUnavailable
 		}
 		unknown = true
-		if !sleep(ctx, pause) {
+		if !sleep(ctx, pause/2+rand.N(pause/2)) {
 			return TxnResult{}, ErrUnknownOutcome
 		}
 		pause = min(2*pause, settleMaxPause)
