--- a/internal/admit/observe.go
+++ b/internal/admit/observe.go
@@ -62,8 +62,10 @@
 func (s *Scheduler) ObserveProbe(id string, ok bool, _ time.Duration) {
 	s.update(id, func(st *state, now time.Time) {
 		st.health.Probe(ok, now)
+		st.probeFailedAt = time.Time{}
 		switch {
 		case !ok:
+			st.probeFailedAt = now
 			s.crashed(st, now)
 		case st.upstream.Service != "":
 			s.poison.Dismiss(id, now.Add(-serviceRestart))
@@ -109,7 +111,7 @@
 			continue
 		}
 		s.judgePool(p, now, judged)
-		st.refresh(now, p.panicking, s.options.MaxRunningPerEngine)
+		st.refresh(now, p, s.options.MaxRunningPerEngine)
 		if judged {
 			s.pump(p, p.view, now)
 		} else {
@@ -188,7 +190,7 @@
 func (s *Scheduler) refresh(st *state, now time.Time) {
 	for _, key := range poolKeys(st.upstream) {
 		if p := s.pools[key]; p != nil {
-			st.refresh(now, p.panicking, s.options.MaxRunningPerEngine)
+			st.refresh(now, p, s.options.MaxRunningPerEngine)
 			return
 		}
 	}
