Share transactions with claim rows in large fleets, and pace them

Change: at most 8 instances commit claim rows, 240 transactions a second in all; the others send them their rows. A lost answer is settled by the same write, directly; a claim that stays unknown is fenced off as before. Ruled out: one batching instance (its pause stops all claims), a queue in the object store (no conditions there).

--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"golang.org/x/time/rate"
 
 	"github.com/banyanroute/banyanroute/internal/platform"
 )
@@ -42,6 +43,10 @@
 	table   platform.Table
 	gate    *gate
 	timeout time.Duration
+	// limit paces the transactions.
+	limit *rate.Limiter
+	// turn is held by the flight that takes the next batch.
+	turn chan struct{}
 
 	mu      sync.Mutex
 	queue   []*op
@@ -70,16 +75,35 @@
 
 // fly sends batches until the queue is empty.
 func (b *batcher) fly() {
-	for {
-		batch := b.take()
-		if len(batch) == 0 {
-			return
-		}
+	for batch := b.next(); len(batch) > 0; batch = b.next() {
 		b.send(batch)
 	}
 }
 
-// take removes the next batch from the queue; an empty one ends the flight.
+// next paces the transactions and returns the next batch; an empty one ends the
+// flight. One flight at a time waits here, so that writes gather meanwhile.
+func (b *batcher) next() []*op {
+	b.turn <- struct{}{}
+	defer func() { <-b.turn }()
+	if !b.waiting() {
+		return nil
+	}
+	_ = b.limit.Wait(context.Background())
+	return b.take()
+}
+
+// waiting states whether the queue has writes; if not, the flight ends.
+func (b *batcher) waiting() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.queue) == 0 {
+		b.flights--
+		return false
+	}
+	return true
+}
+
+// take removes the next batch from the queue.
 // A key occurs once in a batch, because two writes of one row in the same
 // transaction would both see their condition met.
 func (b *batcher) take() []*op {
@@ -96,9 +120,6 @@
 		batch = append(batch, o)
 	}
 	b.queue = rest
-	if len(batch) == 0 {
-		b.flights--
-	}
 	return batch
 }
 
--- a/internal/ledger/gate.go
+++ b/internal/ledger/gate.go
@@ -9,7 +9,7 @@
 // Pauses of the gate after failures of the table.
 const (
 	gateFirstPause = 100 * time.Millisecond
-	gateMaxPause   = 1 * time.Second
+	gateMaxPause   = 1 * time.Second // At least; see probeShare.
 )
 
 // gate is a circuit breaker before the table: while the table fails, calls are
@@ -17,6 +17,7 @@
 type gate struct {
 	mu       sync.Mutex
 	pause    time.Duration
+	maxPause time.Duration
 	shutTill time.Time
 }
 
@@ -45,10 +46,17 @@
 	if g.pause > 0 && now.Before(g.shutTill) {
 		return
 	}
-	g.pause = min(max(2*g.pause, gateFirstPause), gateMaxPause)
+	g.pause = min(max(2*g.pause, gateFirstPause), max(g.maxPause, gateMaxPause))
 	g.shutTill = now.Add(jitter(g.pause))
 }
 
+// setMaxPause lengthens the longest pause.
+func (g *gate) setMaxPause(d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.maxPause = d
+}
+
 // isOpen states whether calls pass freely.
 func (g *gate) isOpen() bool {
 	g.mu.Lock()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -14,10 +14,12 @@
 	"time"
 
 	"github.com/google/uuid"
+	"golang.org/x/time/rate"
 
 	"github.com/banyanroute/banyanroute/charts"
 	"github.com/banyanroute/banyanroute/internal/chart"
 	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/platform"
 	"github.com/banyanroute/banyanroute/internal/result"
 )
@@ -31,6 +33,7 @@
 	defaultKeyTime      = 30 * 24 * time.Hour
 	defaultInlineBytes  = 4 << 10
 	defaultPendingBytes = 8 << 20
+	defaultCommitRate   = 240
 )
 
 // Times that a caller is told to wait before a repeat.
@@ -61,6 +64,15 @@
 	// PendingBytes bounds the answers that wait in memory for the store to
 	// come back; the default is 8 MiB. Answers over it are not kept.
 	PendingBytes int
+	// Bus, if set, lets the instances of a large fleet share transactions. It
+	// must not be started yet.
+	Bus peer.Bus
+	// Batchers is the number of instances that write claim rows; the default
+	// is 8.
+	Batchers int
+	// CommitRate is the number of transactions per second with claim rows of
+	// the whole fleet; the default is 240.
+	CommitRate float64
 	// Gone, if set, states whether an instance's incarnation has ended for
 	// certain; repeats of its claims are then told at once that the outcome
 	// is unknown.
@@ -86,6 +98,12 @@
 	if o.PendingBytes == 0 {
 		o.PendingBytes = defaultPendingBytes
 	}
+	if o.Batchers == 0 {
+		o.Batchers = defaultBatchers
+	}
+	if o.CommitRate == 0 {
+		o.CommitRate = defaultCommitRate
+	}
 	if o.Gone == nil {
 		o.Gone = func(string, uint64) bool { return false }
 	}
@@ -122,6 +140,8 @@
 	chart   *chart.Chart
 	gate    gate
 	batcher *batcher
+	// rows writes claim rows: the batcher, or a relay before it.
+	rows    submitter
 	settler *settler
 	counts  counters
 	// sweepAfter is the last row that Sweep has read; only Run's goroutine
@@ -136,11 +156,22 @@
 		panic(err) // The chart is embedded in the program.
 	}
 	l := &Ledger{table: table, objects: objects, options: options.withDefaults(), chart: c}
-	l.batcher = &batcher{table: table, gate: &l.gate, timeout: l.options.TableTimeout}
+	l.batcher = &batcher{table: table, gate: &l.gate, timeout: l.options.TableTimeout, turn: make(chan struct{}, 1)}
+	l.batcher.limit = rate.NewLimiter(rate.Limit(l.options.CommitRate), commitBurst)
+	l.rows = l.batcher
+	if l.options.Bus != nil {
+		l.rows = newRelay(l.options.Bus, l.batcher, l.options)
+	}
 	l.settler = newSettler(l)
 	return l
 }
 
+// submitter writes single rows on conditions. A result without an error is
+// final; the row's claim ID tells whose write is present.
+type submitter interface {
+	submit(key string, expect platform.Version, value []byte) <-chan opResult
+}
+
 // Begin claims the request's key. Exactly one of its results is not nil: the
 // claim to send under, the stored answer of an earlier attempt, or an error.
 // An error that says result.NotRun holds for this call and, unless the code is
@@ -191,7 +222,7 @@
 // write submits the claim row and waits for its result. If ctx ends first, the
 // claim is given back once its write is known.
 func (l *Ledger) write(ctx context.Context, claim *Claim, expect platform.Version, value []byte) (opResult, *result.Error) {
-	done := l.batcher.submit(claim.key, expect, value)
+	done := l.rows.submit(claim.key, expect, value)
 	select {
 	case res := <-done:
 		return res, nil
--- a/internal/ledger/record_test.go
+++ b/internal/ledger/record_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/peer/peertest"
 	"github.com/banyanroute/banyanroute/internal/platform/memstore"
 )
 
@@ -64,6 +66,41 @@
 	}
 }
 
+// BenchmarkFleet measures the transactions of fleets with 4 callers on each
+// instance, each of which writes its own rows or sends them to 8.
+func BenchmarkFleet(b *testing.B) {
+	for _, instances := range []int{8, 32, 96} {
+		for _, shared := range []bool{false, true} {
+			b.Run(fmt.Sprintf("instances=%d/shared=%v", instances, shared), func(b *testing.B) {
+				store := memstore.New()
+				store.SetFaults(memstore.Faults{Delay: 5 * time.Millisecond})
+				net := peertest.NewNet(time.Millisecond)
+				var next atomic.Int64
+				var wg sync.WaitGroup
+				ledgers := make([]*Ledger, instances)
+				for i := range ledgers {
+					options := Options{Instance: fmt.Sprint("i", i), CommitRate: 1e6}
+					if shared {
+						options.CommitRate = 0
+						options.Bus = net.Join(peer.Member{ID: options.Instance})
+					}
+					ledgers[i] = New(store, store, options)
+				}
+				start := time.Now()
+				for _, l := range ledgers {
+					for range 4 {
+						wg.Go(func() { claimUntil(b, l, &next) })
+					}
+				}
+				wg.Wait()
+				seconds := time.Since(start).Seconds()
+				b.ReportMetric(float64(b.N)/seconds, "calls/s")
+				b.ReportMetric(float64(store.Counts().Commits)/seconds, "commits/s")
+			})
+		}
+	}
+}
+
 func claimUntil(b *testing.B, l *Ledger, next *atomic.Int64) {
 	ctx := context.Background()
 	for n := next.Add(1); n <= int64(b.N); n = next.Add(1) {
--- /dev/null
+++ b/internal/ledger/relay.go
@@ -0,0 +1,193 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+	"golang.org/x/time/rate"
+
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/platform"
+)
+
+// topicWrite asks another instance to commit a claim row in its batches.
+const topicWrite peer.Topic = "ledger.write"
+
+// Bounds of relayed writes.
+const (
+	// defaultBatchers is the number of instances that commit claim rows. In a
+	// larger fleet the others send their rows to these, because transactions
+	// of single rows from each instance would exceed the table's rate.
+	defaultBatchers = 8
+	// relayTimeout bounds the wait for a batching instance.
+	relayTimeout = 500 * time.Millisecond
+	// probeShare is the gate's longest pause per instance of the fleet, so
+	// that the probes of a large fleet during an outage stay few.
+	probeShare = 20 * time.Millisecond
+	// commitBurst is the number of transactions that may go out together.
+	commitBurst = 16
+)
+
+// relayWrite is a conditional write of one row.
+type relayWrite struct {
+	Key    string           `cbor:"1,keyasint"`
+	Expect platform.Version `cbor:"2,keyasint"`
+	Value  []byte           `cbor:"3,keyasint"`
+}
+
+// relayStatus is the kind of a relayed write's outcome.
+type relayStatus uint8
+
+const (
+	relayUnknown relayStatus = iota
+	relayLost
+	relayWon
+	relayUnavailable
+)
+
+// relayOutcome is the outcome of a relayed write with the present row.
+type relayOutcome struct {
+	Status  relayStatus      `cbor:"1,keyasint"`
+	Value   []byte           `cbor:"2,keyasint,omitempty"`
+	Version platform.Version `cbor:"3,keyasint,omitempty"`
+}
+
+// relay sends writes to the batching instances, and commits the writes that
+// others send here.
+type relay struct {
+	bus      peer.Bus
+	direct   *batcher
+	batchers int
+	// commitRate is the fleet's transactions per second.
+	commitRate float64
+}
+
+// newRelay registers the handler on the bus, which must not be started yet.
+func newRelay(bus peer.Bus, direct *batcher, options Options) *relay {
+	r := &relay{bus: bus, direct: direct, batchers: options.Batchers, commitRate: options.CommitRate}
+	bus.HandleCall(topicWrite, r.handle)
+	return r
+}
+
+// batcherFor returns the instance that commits a row, or "" for this one.
+func (r *relay) batcherFor(key string) string {
+	members := r.bus.Members()
+	r.share(len(members))
+	if len(members) <= r.batchers {
+		return ""
+	}
+	self := r.bus.Self().ID
+	batchers := highest(members, "", r.batchers)
+	for _, m := range batchers {
+		if m.ID == self {
+			return ""
+		}
+	}
+	if len(batchers) == 0 {
+		return ""
+	}
+	return highest(batchers, key, 1)[0].ID
+}
+
+// share gives this instance its share of the fleet's transactions.
+func (r *relay) share(members int) {
+	r.direct.limit.SetLimit(rate.Limit(r.commitRate / float64(max(1, min(members, r.batchers)))))
+	r.direct.gate.setMaxPause(time.Duration(members) * probeShare)
+}
+
+// highest returns the n members with the highest hashes, without leaving ones.
+func highest(members []peer.Member, key string, n int) []peer.Member {
+	ranked := make([]peer.Member, 0, len(members))
+	for _, m := range members {
+		if !m.Leaving {
+			ranked = append(ranked, m)
+		}
+	}
+	hash := func(m peer.Member) uint64 { return xxhash.Sum64String(key + "\x00" + m.ID) }
+	sort.Slice(ranked, func(i, j int) bool { return hash(ranked[i]) > hash(ranked[j]) })
+	return ranked[:min(n, len(ranked))]
+}
+
+// submit writes a row through its batching instance. If that one does not
+// answer, the same write goes out from here: the row's version lets only one
+// of the two take effect, and the claim's ID in the row shows that it did.
+func (r *relay) submit(key string, expect platform.Version, value []byte) <-chan opResult {
+	to := r.batcherFor(key)
+	if to == "" || len(value) == 0 {
+		return r.direct.submit(key, expect, value)
+	}
+	done := make(chan opResult, 1)
+	go func() {
+		res, unknown := r.send(to, relayWrite{Key: key, Expect: expect, Value: value})
+		if res.err != nil {
+			res = <-r.direct.submit(key, expect, value)
+		}
+		if unknown && errors.Is(res.err, platform.ErrUnavailable) {
+			res.err = platform.ErrUnknownOutcome
+		}
+		done <- res
+	}()
+	return done
+}
+
+// send asks a batching instance for a write, and states whether the write may
+// have taken effect although the result is an error.
+func (r *relay) send(to string, w relayWrite) (res opResult, unknown bool) {
+	payload, err := cbor.Marshal(w)
+	if err != nil {
+		return opResult{err: err}, false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+	defer cancel()
+	data, err := r.bus.Call(ctx, to, topicWrite, payload)
+	if err != nil {
+		return opResult{err: err}, true
+	}
+	var o relayOutcome
+	if err := cbor.Unmarshal(data, &o); err != nil {
+		return opResult{err: err}, true
+	}
+	switch o.Status {
+	case relayWon, relayLost:
+		row := platform.Row{Key: w.Key, Value: o.Value, Version: o.Version}
+		return opResult{row: row, won: o.Status == relayWon}, false
+	case relayUnavailable:
+		return opResult{err: platform.ErrUnavailable}, false
+	}
+	return opResult{err: platform.ErrUnknownOutcome}, true
+}
+
+// handle commits a write of another instance.
+func (r *relay) handle(_ context.Context, _ string, payload []byte) ([]byte, error) {
+	var w relayWrite
+	if err := cbor.Unmarshal(payload, &w); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if !strings.HasPrefix(w.Key, rowPrefix) {
+		return nil, trace.BadParameter("%q is not the key of a claim row", w.Key)
+	}
+	if _, err := decodeRecord(w.Value); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	data, err := cbor.Marshal(outcomeOf(<-r.direct.submit(w.Key, w.Expect, w.Value)))
+	return data, trace.Wrap(err)
+}
+
+// outcomeOf turns a batched write's result into a message.
+func outcomeOf(res opResult) relayOutcome {
+	switch {
+	case errors.Is(res.err, platform.ErrUnavailable):
+		return relayOutcome{Status: relayUnavailable}
+	case res.err != nil:
+		return relayOutcome{Status: relayUnknown}
+	case res.won:
+		return relayOutcome{Status: relayWon, Version: res.row.Version}
+	}
+	return relayOutcome{Status: relayLost, Value: res.row.Value, Version: res.row.Version}
+}
--- a/internal/ledger/schedule_test.go
+++ b/internal/ledger/schedule_test.go
@@ -10,6 +10,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/peer/peertest"
 	"github.com/banyanroute/banyanroute/internal/platform"
 	"github.com/banyanroute/banyanroute/internal/platform/memstore"
 	"github.com/banyanroute/banyanroute/internal/result"
@@ -115,14 +117,19 @@
 	return 1 + time.Duration(w.rng.Int64N(int64(limit)))
 }
 
-func newWorld(ctx context.Context, seed uint64, faults []fault) *world {
+func newWorld(ctx context.Context, seed uint64, faults []fault, relayed bool) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), store: memstore.New()}
 	w.store.SetFaults(memstore.Faults{Delay: time.Millisecond})
+	net := peertest.NewNet(time.Millisecond)
 	for i := range scheduleInstances {
 		p := &process{Table: w.store, world: w}
-		p.ledger = New(p, w.store, Options{Instance: fmt.Sprint("i", i), Incarnation: 1})
+		options := Options{Instance: fmt.Sprint("i", i), Incarnation: 1, Batchers: 1}
+		if relayed {
+			options.Bus = net.Join(peer.Member{ID: options.Instance, Incarnation: 1})
+		}
+		p.ledger = New(p, w.store, options)
 		runCtx, cancel := context.WithCancel(ctx)
-		p.cancel = cancel
+		p.cancel = func() { cancel(); net.Leave(options.Instance) }
 		go func() { _ = p.ledger.Run(runCtx) }()
 		w.processes = append(w.processes, p)
 	}
@@ -262,9 +269,9 @@
 	recovery time.Duration
 }
 
-func (c *tally) run(t *testing.T, seed uint64, faults []fault) {
+func (c *tally) run(t *testing.T, seed uint64, faults []fault, relayed bool) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t.Context(), seed, faults)
+		w := newWorld(t.Context(), seed, faults, relayed)
 		var wg sync.WaitGroup
 		for range scheduleRepeats {
 			w.mu.Lock()
@@ -352,12 +359,18 @@
 	return all
 }
 
-func TestSchedulesRunAtMostOnce(t *testing.T) {
+func TestSchedulesRunAtMostOnce(t *testing.T) { runSchedules(t, *schedules, false) }
+
+// TestSchedulesWithSharedTransactions lets one of the instances write the rows
+// of all.
+func TestSchedulesWithSharedTransactions(t *testing.T) { runSchedules(t, (*schedules+1)/2, true) }
+
+func runSchedules(t *testing.T, seeds int, relayed bool) {
 	var total tally
 	for _, faults := range combinations() {
 		var c tally
-		for seed := range uint64(*schedules) {
-			c.run(t, seed, faults)
+		for seed := range uint64(seeds) {
+			c.run(t, seed, faults, relayed)
 		}
 		t.Logf("%v: %v", faults, &c)
 		total.schedules += c.schedules
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -156,7 +156,7 @@
 		if err != nil {
 			return true
 		}
-		res := <-s.ledger.batcher.submit(o.claim.key, o.version, value)
+		res := <-s.ledger.rows.submit(o.claim.key, o.version, value)
 		if res.err != nil {
 			return false
 		}
--- a/internal/ledger/sweep.go
+++ b/internal/ledger/sweep.go
@@ -80,12 +80,12 @@
 			}
 			rec.Answer, rec.ObjectKey = nil, ""
 		case actionDelete:
-			return l.batcher.submit(row.Key, row.Version, nil)
+			return l.rows.submit(row.Key, row.Version, nil)
 		}
 	}
 	value, err := rec.encode()
 	if err != nil {
 		return nil
 	}
-	return l.batcher.submit(row.Key, row.Version, value)
+	return l.rows.submit(row.Key, row.Version, value)
 }
