--- /dev/null
+++ b/docs/doc.go
@@ -0,0 +1,2 @@
+// Package docs holds the pages; its tests check their links and commands.
+package docs
