--- a/internal/admit/acquire.go
+++ b/internal/admit/acquire.go
@@ -70,7 +70,9 @@
 		s.mu.Unlock()
 		return nil, refusal
 	}
-	s.pumpLane(p, w.lane, p.view, now)
+	if w.index == 0 || w.lane < laneFirst {
+		s.pumpLane(p, w.lane, p.view, now)
+	}
 	s.mu.Unlock()
 	return s.await(ctx, p, w)
 }
