--- a/tools/faults/calls.go
+++ b/tools/faults/calls.go
@@ -77,7 +77,7 @@
 	kind, problem := l.readAnswer(req, spec.stream, answer.Text(answer.Of(prompt), spec.output))
 	l.judgeTime(start, fmt.Sprintf("generation of %d tokens", spec.prompt), ctx.Err())
 	l.report.check(wholeAnswer, problem)
-	l.report.result("generation: "+kind, kind != "whole")
+	l.outcome("generation: "+kind, kind != "whole")
 }
 
 // readAnswer sends the request and returns the kind of outcome, and a problem
--- a/tools/faults/load.go
+++ b/tools/faults/load.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -35,18 +36,23 @@
 	random *rand.Rand
 	wg     sync.WaitGroup
 	edits  *edits
+	// rolling judges each broken connection as cut off by a planned stop.
+	rolling bool
+	// removed holds the instances that the balancer does not use.
+	removed sync.Map
 	// notRun holds the request IDs of calls that were refused as not run.
 	mu     sync.Mutex
 	notRun map[string]string
 }
 
-func newLoad(fleet *localfleet.Fleet, seed uint64, r *report) *load {
+func newLoad(fleet *localfleet.Fleet, o options, r *report) *load {
 	l := &load{
-		fleet:  fleet,
-		report: r,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
-		random: rand.New(rand.NewPCG(seed, 1)),
-		notRun: map[string]string{},
+		fleet:   fleet,
+		report:  r,
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		random:  rand.New(rand.NewPCG(o.seed, 1)),
+		notRun:  map[string]string{},
+		rolling: o.rolling,
 	}
 	l.edits = newEdits(fleet, r)
 	return l
@@ -72,7 +78,7 @@
 			l.wg.Go(func() { l.generate(context.WithoutCancel(ctx), spec) })
 		case <-bookings.C:
 			key := fmt.Sprintf("order-%d", n)
-			first := l.random.IntN(len(l.fleet.Instances))
+			first := l.pickInstance()
 			l.wg.Go(func() { l.book(context.WithoutCancel(ctx), key, first) })
 		case <-edits.C:
 			l.wg.Go(func() { l.edits.race(context.WithoutCancel(ctx), n) })
@@ -80,6 +86,30 @@
 	}
 }
 
+// pickInstance plays the balancer.
+func (l *load) pickInstance() int {
+	for {
+		i := l.random.IntN(len(l.fleet.Instances))
+		if _, out := l.removed.Load(i); !out {
+			return i
+		}
+	}
+}
+
+// outcome counts a request's outcome. While instances are replaced by planned
+// stops, a broken connection is a request that was cut off.
+func (l *load) outcome(kind string, failed bool) {
+	l.report.result(kind, failed)
+	if !l.rolling {
+		return
+	}
+	problem := ""
+	if strings.Contains(kind, "connection") || strings.Contains(kind, "no end marker") {
+		problem = kind
+	}
+	l.report.check(noCut, problem)
+}
+
 // generationSpec is one request to send.
 type generationSpec struct {
 	instance             int
@@ -95,7 +125,7 @@
 )
 
 func (l *load) nextGeneration(n int) generationSpec {
-	spec := generationSpec{instance: l.random.IntN(len(l.fleet.Instances)), prompt: shortPrompt, output: 40, salt: n, stream: l.random.IntN(4) > 0}
+	spec := generationSpec{instance: l.pickInstance(), prompt: shortPrompt, output: 40, salt: n, stream: l.random.IntN(4) > 0}
 	switch dice := l.random.IntN(100); {
 	case dice < 2:
 		spec.prompt = hugePrompt
@@ -110,6 +140,9 @@
 func (l *load) book(ctx context.Context, key string, first int) {
 	for try := range maxBookingTries {
 		instance := l.fleet.Instances[(first+try)%len(l.fleet.Instances)]
+		if _, out := l.removed.Load((first + try) % len(l.fleet.Instances)); out {
+			continue
+		}
 		if l.bookOnce(ctx, instance, key) {
 			return
 		}
@@ -124,10 +157,10 @@
 	answer := l.call(ctx, in, http.MethodPost, "/services/booking-api/bookings", key, "slot="+key)
 	l.judgeTime(start, "booking "+key, answer.err)
 	if answer.err != nil {
-		l.report.result("booking: connection failed", true)
+		l.outcome("booking: connection failed", true)
 		return false
 	}
-	l.report.result(fmt.Sprintf("booking: %d (%s)", answer.status, answer.code), answer.status != http.StatusOK)
+	l.outcome(fmt.Sprintf("booking: %d (%s)", answer.status, answer.code), answer.status != http.StatusOK)
 	if answer.execution == "not-run" {
 		l.mu.Lock()
 		l.notRun[answer.requestID] = key
--- a/tools/faults/main.go
+++ b/tools/faults/main.go
@@ -25,8 +25,11 @@
 	instances int
 	engines   int
 	pairs     bool
-	out       string
-	keep      string
+	// rolling replaces all instances one after another instead of causing
+	// faults.
+	rolling bool
+	out     string
+	keep    string
 }
 
 func main() {
@@ -37,6 +40,7 @@
 	flag.IntVar(&o.instances, "instances", 3, "number of instances")
 	flag.IntVar(&o.engines, "engines", 4, "number of engines")
 	flag.BoolVar(&o.pairs, "pairs", true, "let every second fault be two at once")
+	flag.BoolVar(&o.rolling, "rolling", false, "replace all instances one after another by planned stops, instead of faults")
 	flag.StringVar(&o.out, "out", "", "file for the report as JSON")
 	flag.StringVar(&o.keep, "keep", "", "folder that keeps settings and logs")
 	flag.Parse()
@@ -78,13 +82,17 @@
 // a quiet time.
 func run(ctx context.Context, fleet *localfleet.Fleet, o options, r *report) {
 	loadCtx, stopLoad := context.WithCancel(ctx)
-	load := newLoad(fleet, o.seed, r)
+	load := newLoad(fleet, o, r)
 	done := make(chan struct{})
 	go func() {
 		load.run(loadCtx)
 		close(done)
 	}()
-	newSchedule(fleet, o, r).run(ctx)
+	if o.rolling {
+		replaceAll(ctx, fleet, load, o, r)
+	} else {
+		newSchedule(fleet, o, r).run(ctx)
+	}
 	fmt.Printf("faults: schedule done, %s without faults\n", quietTime)
 	select {
 	case <-time.After(quietTime):
