--- a/tools/faults/calls.go
+++ b/tools/faults/calls.go
@@ -40,7 +40,7 @@
 
 // call makes one call of a plain service.
 func (l *load) call(ctx context.Context, in *localfleet.Instance, method, path, key, body string) reply {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout+2*answerSlack)
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout+2*l.slack)
 	defer cancel()
 	req, err := request(ctx, in, method, path, strings.NewReader(body))
 	if err != nil {
@@ -64,7 +64,7 @@
 
 // generate sends one generation request and judges its answer.
 func (l *load) generate(ctx context.Context, spec generationSpec) {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout+2*answerSlack)
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout+2*l.slack)
 	defer cancel()
 	prompt := fmt.Sprintf("%08d", spec.salt) + strings.Repeat("logbook ", spec.prompt/2)
 	body := fmt.Appendf(nil, `{"model":"tutor-llm","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"%s"}]}`, spec.stream, spec.output, prompt)
--- a/tools/faults/load.go
+++ b/tools/faults/load.go
@@ -19,9 +19,6 @@
 	editInterval       = 400 * time.Millisecond
 	// requestTimeout is the caller's time limit.
 	requestTimeout = 12 * time.Second
-	// answerSlack is what a caller waits beyond it before the promise counts
-	// as broken: the machine runs everything at once.
-	answerSlack = 2 * time.Second
 	// maxBookingTries bounds the caller's repeats of one booking.
 	maxBookingTries = 6
 	// repeatPause is the caller's wait between repeats.
@@ -36,6 +33,9 @@
 	random *rand.Rand
 	wg     sync.WaitGroup
 	edits  *edits
+	// slack is how much later than its time limit an answer may come: the
+	// machine runs everything at once.
+	slack time.Duration
 	// rolling judges each broken connection as cut off by a planned stop.
 	rolling bool
 	// removed holds the instances that the balancer does not use.
@@ -53,6 +53,7 @@
 		random:  rand.New(rand.NewPCG(o.seed, 1)),
 		notRun:  map[string]string{},
 		rolling: o.rolling,
+		slack:   o.slack,
 	}
 	l.edits = newEdits(fleet, r)
 	return l
@@ -174,7 +175,7 @@
 // failed at once is an answer too: the instance has died.
 func (l *load) judgeTime(start time.Time, what string, err error) {
 	problem := ""
-	if took := time.Since(start); took > requestTimeout+answerSlack {
+	if took := time.Since(start); took > requestTimeout+l.slack {
 		problem = fmt.Sprintf("%s took %s (%v)", what, took.Round(time.Millisecond), err)
 	}
 	l.report.check(inTime, problem)
--- a/tools/faults/main.go
+++ b/tools/faults/main.go
@@ -28,6 +28,7 @@
 	// rolling replaces all instances one after another instead of causing
 	// faults.
 	rolling bool
+	slack   time.Duration
 	out     string
 	keep    string
 }
@@ -41,6 +42,7 @@
 	flag.IntVar(&o.engines, "engines", 4, "number of engines")
 	flag.BoolVar(&o.pairs, "pairs", true, "let every second fault be two at once")
 	flag.BoolVar(&o.rolling, "rolling", false, "replace all instances one after another by planned stops, instead of faults")
+	flag.DurationVar(&o.slack, "slack", 2*time.Second, "how much later than its time limit an answer may come")
 	flag.StringVar(&o.out, "out", "", "file for the report as JSON")
 	flag.StringVar(&o.keep, "keep", "", "folder that keeps settings and logs")
 	flag.Parse()
--- a/tools/faults/rolling.go
+++ b/tools/faults/rolling.go
@@ -23,7 +23,7 @@
 		time.Sleep(balancerDelay)
 		l.removed.Store(i, true)
 		problem := ""
-		if !in.Join(requestTimeout + answerSlack + 15*time.Second) {
+		if !in.Join(stopLimit) {
 			problem = in.Name + " did not end after its last request's time"
 			in.Kill()
 		}
--- a/tools/faults/schedule.go
+++ b/tools/faults/schedule.go
@@ -197,7 +197,7 @@
 	in := pick(r, s.fleet.Instances)
 	probe := newStopProbe(ctx, in)
 	in.Terminate()
-	ended := in.Join(requestTimeout + answerSlack + 15*time.Second)
+	ended := in.Join(stopLimit)
 	problem := probe.problem()
 	if !ended {
 		problem = in.Name + " did not end after its last request's time"
--- a/tools/faults/stop.go
+++ b/tools/faults/stop.go
@@ -14,6 +14,10 @@
 // stopProbe is a long stream that runs through an instance while it stops.
 type stopProbe struct{ done chan string }
 
+// stopLimit bounds a planned stop: the time of the longest request, and time to
+// settle.
+const stopLimit = requestTimeout + 15*time.Second
+
 // Size of the probe: long enough to outlive the notice of a planned stop.
 const (
 	probePrompt = "stop probe "
