loadfleet: start again if a port was taken meanwhile

Cause: localfleet chooses free ports and closes them before the processes listen; beside other load on the machine an engine's port was gone (connection refused in the start of one of three fleets). Change: up to three starts.

--- a/tools/loadfleet/main.go
+++ b/tools/loadfleet/main.go
@@ -94,12 +94,7 @@
 		return "", trace.ConvertSystemError(err)
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	fleet, err := localfleet.Start(ctx, localfleet.Layout{
-		Bin: o.bin, Dir: dir, Instances: o.instances, Engines: o.engines, Services: o.services,
-		Model: o.model, Service: o.service, DataCentres: strings.Split(o.centres, ","), Region: o.region,
-		MemoryTokens: o.memory, EngineFlags: strings.Fields(o.engineFlags),
-		Algorithm: algorithm, ShortWeight: o.shortWeight,
-	})
+	fleet, err := startFleet(ctx, o, dir, algorithm)
 	if err != nil {
 		return "", trace.Wrap(err)
 	}
@@ -115,6 +110,26 @@
 	return runScenario(ctx, o, fleet, algorithm)
 }
 
+// startAttempts bounds the attempts to start a fleet. Another process may take
+// a port between its choice and its use.
+const startAttempts = 3
+
+func startFleet(ctx context.Context, o options, dir, algorithm string) (*localfleet.Fleet, error) {
+	layout := localfleet.Layout{
+		Bin: o.bin, Dir: dir, Instances: o.instances, Engines: o.engines, Services: o.services,
+		Model: o.model, Service: o.service, DataCentres: strings.Split(o.centres, ","), Region: o.region,
+		MemoryTokens: o.memory, EngineFlags: strings.Fields(o.engineFlags),
+		Algorithm: algorithm, ShortWeight: o.shortWeight,
+	}
+	for attempt := 1; ; attempt++ {
+		fleet, err := localfleet.Start(ctx, layout)
+		if err == nil || attempt == startAttempts || ctx.Err() != nil {
+			return fleet, trace.Wrap(err)
+		}
+		fmt.Fprintf(os.Stderr, "loadfleet: start %d failed: %v\n", attempt, err)
+	}
+}
+
 func measureOverhead(ctx context.Context, o options, fleet *localfleet.Fleet, algorithm string) error {
 	return load(ctx, o, os.Stdout, "overhead", "--direct", "http://"+fleet.Engines[0].Address,
 		"--through", "http://"+fleet.Instances[0].Callers, "--key", localfleet.CallerKey, "--model", o.model,
