Catalogue: errors name the field; fractions are refused; conflicts shown whole

Cause: a wrong type named no field; the YAML library cut 1.5 to 1 without an error (test 'prompt_tokens: 1.5' gave '1 entries' before); a conflict with a change that came from a peer lacked the entry before it (test failed with Before:<nil>).

--- a/internal/catalogue/apply.go
+++ b/internal/catalogue/apply.go
@@ -176,18 +176,22 @@
 			return storeError(err)
 		}
 	}
-	return conflict(edit, snap, since)
+	return s.conflict(ctx, edit, snap, since)
 }
 
 // conflict returns an error with those changes that touch the edit's entries.
-func conflict(edit *Edit, snap *Snapshot, since []Change) error {
+func (s *Store) conflict(ctx context.Context, edit *Edit, snap *Snapshot, since []Change) error {
 	keys := edit.keys()
 	found := &ConflictError{Base: edit.Base, Head: snap.revision}
 	for i := range since {
 		if !since[i].touches(keys) {
 			continue
 		}
-		c := since[i]
+		// Changes from peers lack the entries before; the history has them.
+		c, err := s.Change(ctx, since[i].Revision)
+		if err != nil {
+			c = since[i]
+		}
 		c.Updates = slices.DeleteFunc(slices.Clone(c.Updates), func(u Update) bool { return !keys[u.Key] })
 		found.Changes = append(found.Changes, c)
 	}
--- a/internal/catalogue/decode.go
+++ b/internal/catalogue/decode.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"regexp"
 	"strconv"
 	"strings"
 
@@ -32,7 +31,7 @@
 			break
 		}
 		if err != nil {
-			return nil, yamlErrors(file, Key{}, err)
+			return nil, syntaxErrors(file, err)
 		}
 		src.addDocument(&doc)
 	}
@@ -74,27 +73,11 @@
 		return unknown
 	}
 	if err := node.Decode(e); err != nil {
-		return yamlErrors(file, e.Key(), err)
+		return typeErrors(file, node, e.Key(), err)
 	}
 	return nil
 }
 
-// yamlLine finds the line number in an error of the YAML library.
-var yamlLine = regexp.MustCompile(`line (\d+): ([^\n]*)`)
-
-// yamlErrors turns an error of the YAML library into FieldErrors.
-func yamlErrors(file string, entry Key, err error) FieldErrors {
-	var errs FieldErrors
-	for _, m := range yamlLine.FindAllStringSubmatch(err.Error(), -1) {
-		line, _ := strconv.Atoi(m[1])
-		errs = append(errs, FieldError{File: file, Line: line, Entry: entry, Field: "(value)", Problem: m[2]})
-	}
-	if len(errs) == 0 {
-		errs = FieldErrors{{File: file, Entry: entry, Field: "(document)", Problem: err.Error()}}
-	}
-	return errs
-}
-
 func (s *Source) validate() error {
 	var errs FieldErrors
 	first := map[Key]int{}
--- a/internal/catalogue/edit_test.go
+++ b/internal/catalogue/edit_test.go
@@ -107,6 +107,26 @@
 	}
 }
 
+// TestConflictShowsWholeChange takes the change that came first from a peer,
+// which sends less than the history holds.
+func TestConflictShowsWholeChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		settle(time.Second)
+		f.wantAll(f.mustPut("i0", model("m", "v1")), inForce)
+		f.wantAll(f.mustPut("i0", model("m", "v2")), inForce)
+		_, err := f.nodes["i1"].Apply(t.Context(), Edit{ID: "x", Base: 1, By: admin, Puts: []Entry{model("m", "v3")}})
+		var conflict *ConflictError
+		if !errors.As(err, &conflict) || len(conflict.Changes) != 1 {
+			t.Fatalf("got %v", err)
+		}
+		u := conflict.Changes[0].Updates[0]
+		if u.Before == nil || u.Before.Entry.Model.Version != "v1" || u.After.Entry.Model.Version != "v2" {
+			t.Fatalf("got %+v", u)
+		}
+	})
+}
+
 func TestLostAnswerIsFoundAfterLaterEdits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := memstore.New()
--- a/internal/catalogue/fields.go
+++ b/internal/catalogue/fields.go
@@ -9,9 +9,13 @@
 	"go.yaml.in/yaml/v3"
 )
 
-// unknownFields lists the mapping keys of an entry that its types do not have.
-// It walks the node, since the YAML library reports neither the path of an
-// unknown field nor what is allowed in its place.
+// floatTag is the YAML tag of a number with a fraction or exponent.
+const floatTag = "!!float"
+
+// unknownFields lists the mapping keys of an entry that its types do not have,
+// and fractions in place of whole numbers. It walks the node, since the YAML
+// library reports neither the path of an unknown field nor what is allowed in
+// its place, and cuts off fractions without an error.
 func unknownFields(file string, node *yaml.Node) FieldErrors {
 	w := fieldWalker{file: file}
 	w.walk(node, reflect.TypeFor[Entry](), "")
@@ -24,6 +28,10 @@
 	errs FieldErrors
 }
 
+func (w *fieldWalker) fail(node *yaml.Node, field, format string, args ...any) {
+	w.errs = append(w.errs, FieldError{File: w.file, Line: node.Line, Field: field, Problem: fmt.Sprintf(format, args...)})
+}
+
 func (w *fieldWalker) walk(node *yaml.Node, t reflect.Type, path string) {
 	for t.Kind() == reflect.Pointer {
 		t = t.Elem()
@@ -32,6 +40,8 @@
 		node = node.Alias
 	}
 	switch {
+	case node.Kind == yaml.ScalarNode && t.Kind() == reflect.Int && node.ShortTag() == floatTag:
+		w.fail(node, path, "%q is not allowed; allowed is a whole number", node.Value)
 	case node.Kind == yaml.MappingNode && t.Kind() == reflect.Struct:
 		w.walkStruct(node, t, path)
 	case node.Kind == yaml.SequenceNode && t.Kind() == reflect.Slice:
@@ -48,8 +58,7 @@
 		full := joinPath(path, name)
 		fieldType, ok := fields[name]
 		if !ok {
-			w.errs = append(w.errs, FieldError{File: w.file, Line: node.Content[i].Line, Field: full,
-				Problem: "unknown field; allowed are " + strings.Join(sortedNames(fields), ", ")})
+			w.fail(node.Content[i], full, "unknown field; allowed are %s", strings.Join(sortedNames(fields), ", "))
 			continue
 		}
 		w.walk(node.Content[i+1], fieldType, full)
--- a/internal/catalogue/validate.go
+++ b/internal/catalogue/validate.go
@@ -98,7 +98,7 @@
 		return
 	}
 	if v.entry.Kind == KindOperator || v.entry.Kind == KindPolicy {
-		v.fail("limits", "a %s has no limits; allowed on workspace, model, service and upstream", v.entry.Kind)
+		v.fail("limits", "not allowed in an entry of kind %q; allowed on workspace, model, service and upstream", v.entry.Kind)
 	}
 	v.float("limits.requests_per_second", l.RequestsPerSecond, maxRequestsPerSecond)
 	v.float("limits.tokens_per_second", l.TokensPerSecond, maxTokensPerSecond)
@@ -256,7 +256,7 @@
 // float accepts 0 to high; the comparison is false for NaN.
 func (v *validator) float(field string, value, high float64) {
 	if !(value >= 0 && value <= high) {
-		v.fail(field, "%g is out of range; allowed is 0 to %g", value, high)
+		v.fail(field, "%g is out of range; allowed is 0 to %.0f", value, high)
 	}
 }
 
