Catalogue: a store that lost revisions takes no edit; two regions cut apart

Cause: after a restore of the store from an old copy, an edit was accepted under a revision that the instances already had, and none would have installed it (the new test got no error). A push that overtook the read of the head made the store's client read the whole catalogue (the new test counted a scan). Change: the head is read again, up to five times; a head that stays below what instances have refuses edits as not run.

--- a/internal/catalogue/edit_test.go
+++ b/internal/catalogue/edit_test.go
@@ -306,3 +306,53 @@
 		})
 	}
 }
+
+// TestPushOvertakesLoad lets a peer's push arrive between the read of the head
+// and its use: the head is read again, and not the whole catalogue.
+func TestPushOvertakesLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := memstore.New()
+		other := NewStore(table)
+		mustApply(t, other, Edit{ID: "1", Puts: []Entry{model("m", "v1")}})
+		late := &overtaken{Table: table}
+		s := NewStore(late)
+		late.after = func() {
+			mustApply(t, other, Edit{ID: "2", Base: 1, Puts: []Entry{model("m", "v2")}})
+			s.Offer(other.latest.Load())
+		}
+		snap, err := s.Load(t.Context())
+		if err != nil || snap.Revision() != 2 || table.Counts().Scans != 0 {
+			t.Fatalf("got %v, %v, %d scans", snap, err, table.Counts().Scans)
+		}
+	})
+}
+
+// overtaken calls after once, behind the first read.
+type overtaken struct {
+	platform.Table
+	after func()
+}
+
+func (o *overtaken) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	rows, err := o.Table.Read(ctx, keys...)
+	if after := o.after; after != nil {
+		o.after = nil
+		after()
+	}
+	return rows, err
+}
+
+// TestStoreThatLostRevisionsTakesNoEdit offers a revision that the store, as
+// restored from an old copy, does not have: instances would ignore an edit that
+// it accepted.
+func TestStoreThatLostRevisionsTakesNoEdit(t *testing.T) {
+	full, old := memstore.New(), memstore.New()
+	ahead := NewStore(full)
+	mustApply(t, ahead, Edit{ID: "1", Puts: []Entry{model("m", "v1")}})
+	mustApply(t, ahead, Edit{ID: "2", Base: 1, Puts: []Entry{model("m", "v2")}})
+	mustApply(t, NewStore(old), Edit{ID: "1", Puts: []Entry{model("m", "v1")}})
+	s := NewStore(old)
+	s.Offer(ahead.latest.Load())
+	_, err := apply(t, s, Edit{ID: "3", Base: 1, Puts: []Entry{model("n", "v1")}})
+	wantCode(t, err, result.StoreUnavailable, "revision 1 is below 2")
+}
--- a/internal/catalogue/spread_test.go
+++ b/internal/catalogue/spread_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/platform"
 	"github.com/banyanroute/banyanroute/internal/platform/memstore"
 	"github.com/banyanroute/banyanroute/internal/result"
 )
@@ -160,6 +163,61 @@
 	return renumbered
 }
 
+// TestRegionsCutApart leaves the store with one of two regions for minutes.
+func TestRegionsCutApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		far := &switchedTable{Table: f.table}
+		f.reads = far
+		for _, id := range []string{"far0", "far1", "far2"} {
+			f.start(id)
+		}
+		settle(time.Second)
+		f.wantAll(f.mustPut("far0", model("m", "v1")), inForce)
+		f.cutRegions(true)
+		far.down.Store(true)
+		settle(time.Second)
+		var rev Revision
+		for _, version := range []string{"v2", "v3", "v4"} {
+			rev = f.mustPut("i0", model("m", version))
+			settle(time.Minute)
+			_, err := f.put("far0", model("m", "w"+version))
+			if got := result.From(err); got.Code != result.StoreUnavailable || got.Execution != result.NotRun {
+				t.Fatalf("an edit in the region without the store: %v", err)
+			}
+		}
+		if n := f.nodes["far1"]; n.Revision() != 1 || !n.Ready() {
+			t.Fatalf("the region without the store has revision %d", n.Revision())
+		}
+		f.cutRegions(false)
+		f.wantAll(rev, inForce)
+	})
+}
+
+// switchedTable is a table that one region does not always reach.
+type switchedTable struct {
+	platform.Table
+	down atomic.Bool
+}
+
+func (s *switchedTable) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if s.down.Load() {
+		return nil, platform.ErrUnavailable
+	}
+	return s.Table.Read(ctx, keys...)
+}
+
+// cutRegions separates or rejoins the instances named far... and the others.
+func (f *fleet) cutRegions(cut bool) {
+	for id := range f.nodes {
+		for other := range f.nodes {
+			if strings.HasPrefix(id, "far") && !strings.HasPrefix(other, "far") {
+				f.net.Cut(id, other, cut)
+			}
+		}
+	}
+}
+
 func TestNewInstanceNeedsStoreOrPeer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
--- a/internal/catalogue/store.go
+++ b/internal/catalogue/store.go
@@ -73,29 +73,45 @@
 	}
 }
 
-// load returns the present catalogue and the version of its head row.
+// loadTries bounds the reads of the head row of one load.
+const loadTries = 5
+
+// load returns the present catalogue and the version of its head row. A push
+// from a peer, or an edit during a scan, can overtake the read of the head; it
+// is then read again.
 func (s *Store) load(ctx context.Context) (*Snapshot, platform.Version, error) {
-	h, version, err := readHead(ctx, s.table)
-	if err != nil {
-		return nil, 0, storeError(err)
-	}
-	snap, err := s.at(ctx, h)
-	if err != nil {
-		return nil, 0, storeError(err)
+	var h head
+	var known *Snapshot
+	for range loadTries {
+		var version platform.Version
+		var err error
+		if h, version, err = readHead(ctx, s.table); err != nil {
+			return nil, 0, storeError(err)
+		}
+		if known = s.known(); known.revision > h.Revision {
+			continue
+		}
+		if known, err = s.at(ctx, known, h); err != nil {
+			return nil, 0, storeError(err)
+		}
+		s.keep(known)
+		if known.revision == h.Revision {
+			return known, version, nil
+		}
 	}
-	s.keep(snap)
-	if snap.revision != h.Revision {
-		return s.load(ctx)
+	return nil, 0, result.New(result.StoreUnavailable, "the store's revision %d is below %d, which instances have", h.Revision, known.revision).After(storeRetryAfter)
+}
+
+// known returns the newest snapshot seen, or the empty one.
+func (s *Store) known() *Snapshot {
+	if known := s.latest.Load(); known != nil {
+		return known
 	}
-	return snap, version, nil
+	return emptySnapshot()
 }
 
 // at returns the snapshot of the head h, or of a later one.
-func (s *Store) at(ctx context.Context, h head) (*Snapshot, error) {
-	known := s.latest.Load()
-	if known == nil {
-		known = emptySnapshot()
-	}
+func (s *Store) at(ctx context.Context, known *Snapshot, h head) (*Snapshot, error) {
 	if known.revision == h.Revision && known.digest == h.Digest {
 		return known, nil
 	}
