--- a/cmd/banyanctl/edit.go
+++ b/cmd/banyanctl/edit.go
@@ -85,7 +85,7 @@
 	if err != nil {
 		return err
 	}
-	present, err := cl.entries(c.app.ctx, "", "")
+	present, err := cl.entries(c.app.ctx, string(catalogue.KindPolicy), "")
 	if err != nil {
 		return err
 	}
