--- a/internal/member/memnet_test.go
+++ b/internal/member/memnet_test.go
@@ -90,10 +90,9 @@
 		return nil, errors.New("connection refused")
 	}
 	toTarget, toDialler := make(chan frame, 4096), make(chan frame, 4096)
-	closed := make(chan struct{})
-	once := &sync.Once{}
-	ours := &memConn{net: d.net, self: d.from, peer: address, in: toDialler, out: toTarget, closed: closed, once: once}
-	theirs := &memConn{net: d.net, self: address, peer: d.from, in: toTarget, out: toDialler, closed: closed, once: once}
+	ours := &memConn{net: d.net, self: d.from, peer: address, in: toDialler, out: toTarget, closed: make(chan struct{})}
+	theirs := &memConn{net: d.net, self: address, peer: d.from, in: toTarget, out: toDialler, closed: make(chan struct{})}
+	ours.other, theirs.other = theirs, ours
 	go target.Accept(theirs)
 	return ours, nil
 }
@@ -109,7 +108,8 @@
 	in         <-chan frame
 	out        chan<- frame
 	closed     chan struct{}
-	once       *sync.Once
+	once       sync.Once
+	other      *memConn
 	// mute loses what is sent, for good.
 	mute atomic.Bool
 }
@@ -150,7 +150,13 @@
 	}
 }
 
-func (c *memConn) Close() { c.once.Do(func() { close(c.closed) }) }
+// Close ends the other side too, unless the two are cut from each other.
+func (c *memConn) Close() {
+	c.once.Do(func() { close(c.closed) })
+	if !c.net.isCut(c.self, c.peer) {
+		c.other.once.Do(func() { close(c.other.closed) })
+	}
+}
 
 // node is one instance of a test cluster.
 type node struct {
--- a/internal/member/overlay_test.go
+++ b/internal/member/overlay_test.go
@@ -206,6 +206,12 @@
 		t.Logf("declared dead in %v", c.converge(deathBound, others))
 		time.Sleep(time.Minute)
 		c.unfreeze(frozen)
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			if got := len(c.sees(frozen)); got != 7 {
+				t.Fatalf("the thawed instance sees %d of 7", got)
+			}
+		}
 		t.Logf("back in %v", c.converge(healBound, all))
 		rest := func(id string) bool { return id != frozen }
 		if longest := watch(c, time.Minute, rest); longest > 0 {
@@ -218,7 +224,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t)
 		defer c.stopAll()
-		c.startAll(40, "r1/a", "r1/b", "r2/c", "r2/d")
+		c.startAll(80, "r1/a", "r1/b", "r2/c", "r2/d")
 		c.converge(joinBound, all)
 		time.Sleep(5 * time.Second)
 		first := func(id string) bool { return strings.HasPrefix(id, "r1") }
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -270,6 +270,80 @@
 	})
 }
 
+// An instance that cannot reach its keeper stops using its lease when it runs
+// out and uses its part of the limit from then on.
+func TestCutOffInstanceFallsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(rateLimits())
+		defer f.stopAll()
+		f.startAll(testSize, 0)
+		fl := newFleet("")
+		fl.update(f.instances["i0"].bus.Members(), lostMemory, time.Now())
+		keeper := fl.keeper(hashOf(testWorkspace))
+		id := "i0"
+		if keeper == id {
+			id = "i1"
+		}
+		f.instances[id].rate = 150
+		f.run(settle)
+		before := f.run(5 * time.Second)
+		for _, other := range f.ids() {
+			f.net.Cut(id, other, other != id)
+		}
+		f.run(shortTTL + time.Second)
+		after := f.run(10 * time.Second)
+		t.Logf("%.1f/s with a lease, %.1f/s cut off", before, after)
+		if before < testLimit*0.85 || after > testLimit/testSize*1.1 {
+			t.Errorf("%.1f/s with a lease, %.1f/s cut off", before, after)
+		}
+	})
+}
+
+// Two keepers that follow one another know nothing of each other's leases. What
+// all instances hold together stays within the stated bound.
+func TestKeeperChangeStaysWithinBound(t *testing.T) {
+	const instances = 8
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		funds := capital{all: share{Requests: 100}, fallback: share{Requests: 100.0 / instances}}
+		old := newAccount(now.Add(-time.Hour))
+		held := map[string]share{}
+		until := map[string]time.Time{}
+		renew := func(a *account) {
+			from := fmt.Sprint(rapid.IntRange(0, instances-1).Draw(t, "from"))
+			q := ask{Demand: share{Requests: rapid.Float64Range(0, 200).Draw(t, "demand")}}
+			if left := until[from].Sub(now); left > 0 {
+				q.Held, q.LeftMillis = held[from], left.Milliseconds()
+			}
+			g := a.lend(from, q, funds, now)
+			if g.TTLMillis > 0 {
+				held[from], until[from] = g.Share, now.Add(time.Duration(g.TTLMillis)*time.Millisecond)
+			}
+		}
+		advance := func() {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+		}
+		for range 20 {
+			renew(old)
+			advance()
+		}
+		next := newAccount(now)
+		for range 40 {
+			renew(next)
+			sum := 0.0
+			for id, s := range held {
+				if until[id].After(now) {
+					sum += s.Requests
+				}
+			}
+			if sum > 100*(1+relaxedPart)+1e-6 {
+				t.Fatalf("instances hold %.1f of 100", sum)
+			}
+			advance()
+		}
+	})
+}
+
 func (f *testFleet) cutHalves(cut bool) {
 	for i := range testSize {
 		for j := range testSize {
