Capacity tool: control cost per node at several fleet sizes, with fits

Runs overlays and limiters over loopback in one process and prints CPU, heap, messages and bytes per node, idle, with broadcasts, and with limited requests.

--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -284,6 +284,7 @@
 			c.table.setLeaving(e)
 		}
 	}
+	c.o.listed.Store(int64(len(c.listed) + 1))
 }
 
 // farewell tells the neighbours that this instance has left.
--- a/internal/member/overlay.go
+++ b/internal/member/overlay.go
@@ -53,6 +53,7 @@
 	calls    atomic.Uint64
 	slots    chan struct{}
 	sequence atomic.Uint64
+	listed   atomic.Int64
 
 	broadcastHandlers map[peer.Topic]peer.BroadcastHandler
 	callHandlers      map[peer.Topic]peer.CallHandler
@@ -172,6 +173,10 @@
 // Neighbours implements peer.Bus.
 func (o *Overlay) Neighbours() []string { return o.links.Load().ids }
 
+// Listed returns the number of instances on the platform's list, this one
+// included, or zero before the list was read.
+func (o *Overlay) Listed() int { return int(o.listed.Load()) }
+
 // HandleBroadcast implements peer.Bus.
 func (o *Overlay) HandleBroadcast(topic peer.Topic, h peer.BroadcastHandler) {
 	o.broadcastHandlers[topic] = h
--- /dev/null
+++ b/tools/capacity/fleet.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/catalogue"
+	"github.com/banyanroute/banyanroute/internal/member"
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/platform"
+	"github.com/banyanroute/banyanroute/internal/quota"
+)
+
+// centres is the target's layout: two regions with five data centres.
+var centres = []struct{ region, name string }{{"r1", "a"}, {"r1", "b"}, {"r1", "c"}, {"r2", "d"}, {"r2", "e"}}
+
+const topic peer.Topic = "capacity"
+
+type node struct {
+	overlay *member.Overlay
+	limiter *quota.Limiter
+	server  *http.Server
+}
+
+// fleet is a number of instances in this process.
+type fleet struct {
+	nodes  []*node
+	list   []platform.Listed
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+}
+
+// List implements platform.LiveList. The list is complete before the first
+// node runs.
+func (f *fleet) List(context.Context) ([]platform.Listed, error) { return f.list, nil }
+
+func startFleet(n int, s scenario) (*fleet, error) {
+	f := &fleet{}
+	listeners := make([]net.Listener, n)
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		listeners[i] = l
+		centre := centres[i%len(centres)]
+		f.list = append(f.list, platform.Listed{
+			ID:         fmt.Sprintf("n%03d", i),
+			Role:       "instance",
+			Address:    l.Addr().String(),
+			DataCentre: centre.name,
+			Region:     centre.region,
+			Phase:      platform.Live,
+		})
+	}
+	var ctx context.Context
+	ctx, f.cancel = context.WithCancel(context.Background())
+	for i, l := range listeners {
+		if err := f.startNode(ctx, f.list[i], l, s); err != nil {
+			f.stop()
+			return nil, err
+		}
+	}
+	if s.broadcasts > 0 {
+		f.wait.Go(func() { f.broadcast(ctx, s) })
+	}
+	return f, nil
+}
+
+func (f *fleet) startNode(ctx context.Context, listed platform.Listed, l net.Listener, s scenario) error {
+	self := peer.Member{
+		ID:          listed.ID,
+		Incarnation: 1,
+		Address:     listed.Address,
+		DataCentre:  listed.DataCentre,
+		Region:      listed.Region,
+	}
+	o, err := member.New(member.Options{Self: self, Secret: []byte("capacity"), LiveList: f})
+	if err != nil {
+		return err
+	}
+	o.HandleBroadcast(topic, func(string, []byte) {})
+	n := &node{overlay: o, server: &http.Server{Handler: o.Handler()}}
+	f.nodes = append(f.nodes, n)
+	f.wait.Go(func() { _ = n.server.Serve(l) })
+	if s.takes > 0 {
+		n.limiter = quota.New(o, quota.Options{Listed: o.Listed})
+		n.limiter.SetLimits(limits(s.workspaces))
+		f.wait.Go(func() { _ = n.limiter.Run(ctx) })
+		f.wait.Go(func() { take(ctx, n.limiter, s) })
+	}
+	f.wait.Go(func() { _ = o.Run(ctx) })
+	return nil
+}
+
+// limits gives each workspace limits that its demand does not reach.
+func limits(workspaces int) map[string]catalogue.Limits {
+	all := make(map[string]catalogue.Limits, workspaces)
+	for i := range workspaces {
+		all[workspaceName(i)] = catalogue.Limits{RequestsPerSecond: 1e5, TokensPerSecond: 1e8, Concurrent: 1e5}
+	}
+	return all
+}
+
+func workspaceName(i int) string { return fmt.Sprintf("workspace-%04d", i) }
+
+// take makes requests whose workspaces follow a Zipf distribution.
+func take(ctx context.Context, l *quota.Limiter, s scenario) {
+	const skew, offset = 1.1, 5
+	random := rand.New(rand.NewPCG(rand.Uint64(), 1))
+	zipf := rand.NewZipf(random, skew, offset, uint64(s.workspaces-1))
+	ticker := time.NewTicker(time.Duration(float64(time.Second) / s.takes))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if p, err := l.Take(workspaceName(int(zipf.Uint64())), 1000); err == nil {
+				p.Done(1000)
+			}
+		}
+	}
+}
+
+// broadcast sends from random nodes at the scenario's rate.
+func (f *fleet) broadcast(ctx context.Context, s scenario) {
+	payload := make([]byte, s.bytes)
+	ticker := time.NewTicker(time.Duration(float64(time.Second) / s.broadcasts))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f.nodes[rand.N(len(f.nodes))].overlay.Broadcast(topic, payload)
+		}
+	}
+}
+
+// awaitMembers waits until each node sees all others.
+func (f *fleet) awaitMembers(limit time.Duration) error {
+	for deadline := time.Now().Add(limit); ; time.Sleep(100 * time.Millisecond) {
+		complete := 0
+		for _, n := range f.nodes {
+			if len(n.overlay.Members()) == len(f.nodes) {
+				complete++
+			}
+		}
+		if complete == len(f.nodes) {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%d of %d nodes see all members", complete, len(f.nodes))
+		}
+	}
+}
+
+func (f *fleet) stop() {
+	f.cancel()
+	for _, n := range f.nodes {
+		_ = n.server.Close()
+	}
+	f.wait.Wait()
+}
