--- /dev/null
+++ b/internal/member/control_test.go
@@ -0,0 +1,91 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/platform"
+)
+
+// newTestControl returns the control state of "self", which knows "other" in
+// another data centre. Nothing runs.
+func newTestControl(t *testing.T, now time.Time) *control {
+	t.Helper()
+	o, err := New(Options{Self: peer.Member{ID: "self", Incarnation: 5, Address: "x", DataCentre: "a"}, Secret: []byte("s")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := newControl(o, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.table.merge(record{ID: "other", Incarnation: 1, Address: "y", DataCentre: "b"}, now)
+	c.tick(now)
+	return c
+}
+
+// The time in which this process did not run counts neither against a suspect
+// nor against a data centre.
+func TestPauseIsNotHeldAgainstOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := newTestControl(t, now)
+	c.table.suspect("other", now)
+	c.tick(now.Add(time.Minute))
+	if got := len(c.o.Members()); got != 2 {
+		t.Fatalf("%d members after a pause, want 2", got)
+	}
+	c.tick(now.Add(time.Minute + time.Second))
+	c.tick(now.Add(time.Minute + 2*time.Second))
+	c.tick(now.Add(time.Minute + 4*time.Second))
+	if got := len(c.o.Members()); got != 1 {
+		t.Fatalf("%d members after the suspicion ran out, want 1", got)
+	}
+}
+
+func TestListIsNotBelievedOfNewIncarnation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := newTestControl(t, now)
+	list := []platform.Listed{{ID: "other", Role: "instance", Phase: platform.Leaving}}
+	c.listRead(list, now.Add(c.timing.ListLag/2))
+	if c.table.entries["other"].Leaving {
+		t.Fatal("the list was believed of an incarnation that it may not know yet")
+	}
+	c.listRead(list, now.Add(2*c.timing.ListLag))
+	if !c.table.entries["other"].Leaving {
+		t.Fatal("the list was not believed")
+	}
+}
+
+func TestOwnLeavingIsRefutedOnlyAfterStart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for age, want := range map[time.Duration]bool{5 * time.Second: false, time.Minute: true} {
+		c := newTestControl(t, now)
+		said := c.table.self
+		said.Leaving = true
+		c.table.merge(said, now.Add(age))
+		if c.table.self.Leaving != want {
+			t.Errorf("%v after the start: leaving is %v, want %v", age, !want, want)
+		}
+		if refuted := c.table.self.Seq > said.Seq; refuted == want {
+			t.Errorf("%v after the start: refuted is %v", age, refuted)
+		}
+	}
+}
+
+// Records never go back to an older version, whatever order they arrive in.
+func TestOlderRecordsAreIgnored(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := newTestControl(t, now)
+	c.table.merge(record{ID: "other", Incarnation: 2, Seq: 1, Address: "z", DataCentre: "b"}, now)
+	for _, old := range []record{
+		{ID: "other", Incarnation: 1, Seq: 9, Status: statusDead},
+		{ID: "other", Incarnation: 2, Seq: 0, Status: statusSuspect},
+	} {
+		c.table.merge(old, now)
+	}
+	e := c.table.entries["other"]
+	if e.Status != statusAlive || e.Incarnation != 2 || e.Seq != 1 || e.Address != "z" {
+		t.Fatalf("record %+v", e.record)
+	}
+}
--- a/internal/quota/control.go
+++ b/internal/quota/control.go
@@ -49,17 +49,21 @@
 	err    error
 }
 
-// Run renews leases and keeps the accounts of this instance's workspaces until
-// ctx ends.
-func (l *Limiter) Run(ctx context.Context) error {
-	c := &control{
+func newControl(l *Limiter, now time.Time) *control {
+	return &control{
 		l:        l,
 		fleet:    newFleet(l.bus.Self().ID),
 		accounts: map[string]*account{},
 		tenures:  map[string]tenure{},
 		renewals: map[string]*renewal{},
-		lastTick: time.Now(),
+		lastTick: now,
 	}
+}
+
+// Run renews leases and keeps the accounts of this instance's workspaces until
+// ctx ends.
+func (l *Limiter) Run(ctx context.Context) error {
+	c := newControl(l, time.Now())
 	defer c.calls.Wait()
 	c.tick(ctx, time.Now())
 	ticker := time.NewTicker(tickInterval)
@@ -211,9 +215,8 @@
 // ask builds the ask for one workspace, or states that none is needed.
 func (c *control) ask(name string, w *workspace, r *renewal, now time.Time) (ask, bool) {
 	rep := w.takeReport(now)
-	if rep.idle > idleAfter && rep.inUse == 0 {
-		held := w.release(now)
-		return ask{Workspace: name, Release: true}, held
+	if unused := rep.usage.requests == 0 && rep.inUse == 0; unused {
+		return w.giveUp(name, rep, now)
 	}
 	measured := rep.demand(now.Sub(r.last))
 	if r.last.IsZero() {
@@ -224,6 +227,13 @@
 	return ask{Workspace: name, Demand: r.demand, Held: rep.held, LeftMillis: rep.left.Milliseconds()}, true
 }
 
+// giveUp ends the use of a lease. One that would stay booked for long is given
+// back, a short one is left to expire.
+func (w *workspace) giveUp(name string, rep report, now time.Time) (ask, bool) {
+	w.release(now)
+	return ask{Workspace: name, Release: true}, rep.left > shortTTL
+}
+
 // send calls each keeper in a goroutine of its own.
 func (c *control) send(ctx context.Context, batches map[string][]ask, now time.Time) {
 	for keeper, asks := range batches {
@@ -253,7 +263,7 @@
 }
 
 func (l *Limiter) callForGrants(ctx context.Context, keeper string, asks []ask) ([]grant, error) {
-	payload, err := cbor.Marshal(asks)
+	payload, err := encoding.Marshal(asks)
 	if err != nil {
 		return nil, trace.Wrap(err, "encoding asks for leases")
 	}
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -12,8 +12,8 @@
 	shortRenew = 2 * time.Second
 	// longTTL and longRenew apply while the demand is below relaxedPart of
 	// the limit, to save messages.
-	longTTL   = 30 * time.Second
-	longRenew = 10 * time.Second
+	longTTL   = time.Minute
+	longRenew = 25 * time.Second
 	// relaxedPart is the part of a limit that may be lent as long leases. A
 	// new keeper lends no more than the rest until all long leases of the
 	// one before it have expired.
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -32,8 +32,6 @@
 	callTimeout = time.Second
 	// urgentScan is the least time between two looks for urgent renewals.
 	urgentScan = 50 * time.Millisecond
-	// idleAfter is when an unused lease is given back.
-	idleAfter = 10 * time.Second
 	// lostMemory is how long a vanished instance counts as cut off.
 	lostMemory = 10 * time.Minute
 	// asksQueue is the number of batches that wait for the control goroutine.
@@ -178,11 +176,23 @@
 	}
 	select {
 	case grants := <-reply:
-		return cbor.Marshal(grants)
+		return encoding.Marshal(grants)
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 }
 
+// encoding writes numbers as short as they can be without loss; most are zero or
+// small integers.
+var encoding = newEncoding()
+
+func newEncoding() cbor.EncMode {
+	mode, err := cbor.EncOptions{ShortestFloat: cbor.ShortestFloat16}.EncMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}
+
 // hashOf places a workspace among the keepers.
 func hashOf(name string) uint64 { return xxhash.Sum64String(name) }
--- a/internal/quota/workspace.go
+++ b/internal/quota/workspace.go
@@ -45,7 +45,6 @@
 	tokens   bucket
 	inUse    int
 	usage    usage
-	lastTake time.Time
 }
 
 // usage is the demand since the last renewal, refused requests included.
@@ -93,7 +92,6 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.refresh(now)
-	w.lastTake = now
 	w.usage.requests++
 	w.usage.tokens += float64(tokens)
 	if wait = w.waitLocked(float64(tokens)); wait > 0 {
@@ -188,15 +186,12 @@
 	w.apply(w.lease, now)
 }
 
-// release gives up the lease and returns whether there was a valid one.
-func (w *workspace) release(now time.Time) bool {
+// release gives up the lease.
+func (w *workspace) release(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.refresh(now)
-	held := w.leased
 	w.leased, w.lease = false, share{}
 	w.apply(w.fallback, now)
-	return held
 }
 
 // report is what a renewal needs to know of a workspace.
@@ -206,7 +201,6 @@
 	left   time.Duration
 	inUse  int
 	debt   float64
-	idle   time.Duration
 	leased bool
 }
 
@@ -228,7 +222,7 @@
 
 func (w *workspace) reportLocked(now time.Time) report {
 	w.refresh(now)
-	r := report{usage: w.usage, inUse: w.inUse, idle: now.Sub(w.lastTake), leased: w.leased}
+	r := report{usage: w.usage, inUse: w.inUse, leased: w.leased}
 	r.debt = max(0, -w.tokens.balance)
 	if w.leased {
 		r.held, r.left = w.lease, w.until.Sub(now)
