Broadcasts travel on a spanning tree, with announcements on the other links

Flooding sent each broadcast over every link: at 15 nodes one broadcast of 1,000 bytes a second cost 9.2 KB/s of payload per node. A duplicate now makes its link lazy on both sides; lazy links get a list of keys with the next heartbeat, and who missed one asks for it and makes the link eager again.

--- a/internal/member/bench_test.go
+++ b/internal/member/bench_test.go
@@ -31,7 +31,7 @@
 func BenchmarkHeartbeat(b *testing.B) {
 	c := newBenchControl(b, 410)
 	l := newLink(nil, linkOverlay, true, peer.Member{ID: "n001"})
-	frame := encode(c.heartbeatMessage())
+	frame := encode(c.heartbeatMessage(l))
 	now := time.Now()
 	b.ReportAllocs()
 	for b.Loop() {
--- /dev/null
+++ b/internal/member/broadcast.go
@@ -0,0 +1,81 @@
+package member
+
+import "github.com/banyanroute/banyanroute/internal/peer"
+
+// Broadcast implements peer.Bus.
+func (o *Overlay) Broadcast(topic peer.Topic, payload []byte) {
+	b := &broadcast{
+		Origin:      o.self.ID,
+		Incarnation: o.self.Incarnation,
+		Seq:         o.sequence.Add(1),
+		Topic:       topic,
+		Payload:     payload,
+	}
+	frame := encode(message{Broadcast: b})
+	o.filter.check(b, frame)
+	o.forward(b, frame, nil)
+}
+
+// forward sends a broadcast on the overlay links but the one it came from. Lazy
+// links get an announcement with the next heartbeat, unless the frame is not
+// kept for those that would ask for it.
+func (o *Overlay) forward(b *broadcast, frame []byte, from *link) {
+	for _, l := range o.links.Load().links {
+		if l == from || l.peer.ID == b.Origin {
+			continue
+		}
+		if l.lazy.Load() && len(frame) <= recentFrameBytes {
+			l.announce(b.key())
+			continue
+		}
+		o.sendFrame(l, frame, "broadcast/"+string(b.Topic))
+	}
+}
+
+// sendFrame sends an encoded broadcast, or drops it if the link is full.
+func (o *Overlay) sendFrame(l *link, frame []byte, topic string) {
+	if l.send(frame) {
+		o.counters.sent(topic, len(frame))
+	} else {
+		o.counters.drop("queue")
+	}
+}
+
+// receiveBroadcast handles and forwards a broadcast that is new. A duplicate
+// makes its link lazy on both sides, so that the eager links become a spanning
+// tree.
+func (o *Overlay) receiveBroadcast(l *link, b *broadcast, frame []byte) {
+	switch o.filter.check(b, frame) {
+	case duplicate:
+		o.counters.drop("duplicate")
+		if len(frame) <= recentFrameBytes && !l.lazy.Swap(true) {
+			o.sendOn(l, message{Prune: true})
+		}
+		return
+	case overRate:
+		o.counters.drop("rate")
+		return
+	}
+	o.forward(b, frame, l)
+	if h := o.broadcastHandlers[b.Topic]; h != nil {
+		h(b.Origin, b.Payload)
+	}
+}
+
+// receiveAnnounced asks for what was missed; the link joins the tree again.
+func (o *Overlay) receiveAnnounced(l *link, announced []broadcastKey) {
+	keys := o.filter.missing(announced)
+	if len(keys) == 0 {
+		return
+	}
+	l.lazy.Store(false)
+	o.sendOn(l, message{Graft: keys})
+}
+
+// receiveGraft sends what the peer missed.
+func (o *Overlay) receiveGraft(l *link, keys []broadcastKey) {
+	l.lazy.Store(false)
+	for _, frame := range o.filter.frames(keys) {
+		o.sendFrame(l, frame, "graft")
+	}
+}
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -245,14 +245,17 @@
 		return
 	}
 	c.nextHeartbeat = now.Add(c.timing.HeartbeatInterval)
-	m := c.heartbeatMessage()
 	for _, l := range c.links {
-		c.o.sendOn(l, m)
+		c.o.sendOn(l, c.heartbeatMessage(l))
 	}
 }
 
-func (c *control) heartbeatMessage() message {
-	return message{Heartbeat: &heartbeat{Digest: c.table.sum, Counters: c.centres.counters()}}
+func (c *control) heartbeatMessage(l *link) message {
+	return message{Heartbeat: &heartbeat{
+		Digest:    c.table.sum,
+		Counters:  c.centres.counters(),
+		Announced: l.takeAnnounced(),
+	}}
 }
 
 // gossip sends changed records to all overlay links.
--- a/internal/member/flood.go
+++ b/internal/member/flood.go
@@ -1,8 +1,10 @@
 package member
 
 import (
+	"encoding/binary"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
 	"golang.org/x/time/rate"
 )
@@ -17,6 +19,10 @@
 	// origin that an instance handles and forwards.
 	originRate  = 50
 	originBurst = 500
+	// recentFrames is the number of broadcasts kept for instances that missed
+	// them, recentFrameBytes the size above which one is not kept.
+	recentFrames     = 512
+	recentFrameBytes = 4 << 10
 )
 
 // window remembers which recent sequence numbers of an origin were seen.
@@ -56,10 +62,13 @@
 	w.highest = seq
 }
 
-// filter suppresses duplicate broadcasts in bounded memory.
+// filter suppresses duplicate broadcasts in bounded memory, and keeps recent
+// ones for those that missed them.
 type filter struct {
 	mu      sync.Mutex
 	windows *lru.Cache[string, *window]
+	// recent maps to the frame, or to nil if it was too large to keep.
+	recent *lru.Cache[broadcastKey, []byte]
 }
 
 func newFilter() *filter {
@@ -67,7 +76,22 @@
 	if err != nil {
 		panic(err) // the size is a constant
 	}
-	return &filter{windows: windows}
+	recent, err := lru.New[broadcastKey, []byte](recentFrames)
+	if err != nil {
+		panic(err)
+	}
+	return &filter{windows: windows, recent: recent}
+}
+
+// key returns a hash that identifies the broadcast.
+func (b *broadcast) key() broadcastKey {
+	var numbers [16]byte
+	binary.LittleEndian.PutUint64(numbers[0:], b.Incarnation)
+	binary.LittleEndian.PutUint64(numbers[8:], b.Seq)
+	d := xxhash.New()
+	_, _ = d.WriteString(b.Origin)
+	_, _ = d.Write(numbers[:])
+	return broadcastKey(d.Sum64())
 }
 
 // verdict is what the filter says about a broadcast.
@@ -79,7 +103,8 @@
 	overRate
 )
 
-func (f *filter) check(b *broadcast) verdict {
+// check classifies a broadcast and keeps a fresh one.
+func (f *filter) check(b *broadcast, frame []byte) verdict {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w, ok := f.windows.Get(b.Origin)
@@ -93,5 +118,35 @@
 	if !w.limit.Allow() {
 		return overRate
 	}
+	if len(frame) > recentFrameBytes {
+		frame = nil
+	}
+	f.recent.Add(b.key(), frame)
 	return fresh
 }
+
+// missing returns the announced broadcasts that were not received.
+func (f *filter) missing(announced []broadcastKey) []broadcastKey {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var keys []broadcastKey
+	for _, key := range announced {
+		if !f.recent.Contains(key) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// frames returns the kept frames of keys.
+func (f *filter) frames(keys []broadcastKey) [][]byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var frames [][]byte
+	for _, key := range keys {
+		if frame, ok := f.recent.Get(key); ok && frame != nil {
+			frames = append(frames, frame)
+		}
+	}
+	return frames
+}
--- a/internal/member/link.go
+++ b/internal/member/link.go
@@ -13,6 +13,8 @@
 	// linkQueueMessages and linkQueueBytes bound what waits to be sent.
 	linkQueueMessages = 1024
 	linkQueueBytes    = 24 << 20
+	// maxAnnounced bounds the announcements in one heartbeat.
+	maxAnnounced = 512
 )
 
 // link is an authenticated connection to one other instance.
@@ -31,8 +33,12 @@
 	closed chan struct{}
 	once   sync.Once
 
-	mu      sync.Mutex
-	pending map[uint64]chan callAnswer
+	// lazy links get announcements of broadcasts instead of the broadcasts.
+	lazy atomic.Bool
+
+	mu        sync.Mutex
+	pending   map[uint64]chan callAnswer
+	announced []broadcastKey
 
 	// Fields of the control goroutine.
 	mismatches    int
@@ -150,3 +156,21 @@
 		answers <- a
 	}
 }
+
+// announce notes a broadcast for the next heartbeat.
+func (l *link) announce(key broadcastKey) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.announced) < maxAnnounced {
+		l.announced = append(l.announced, key)
+	}
+}
+
+// takeAnnounced returns the broadcasts to announce.
+func (l *link) takeAnnounced() []broadcastKey {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	keys := l.announced
+	l.announced = nil
+	return keys
+}
--- a/internal/member/links.go
+++ b/internal/member/links.go
@@ -107,11 +107,18 @@
 	switch {
 	case m.Broadcast != nil:
 		o.receiveBroadcast(l, m.Broadcast, frame)
+	case m.Prune:
+		l.lazy.Store(true)
+	case m.Graft != nil:
+		o.receiveGraft(l, m.Graft)
 	case m.Call != nil:
 		o.receiveCall(l, *m.Call)
 	case m.Answer != nil:
 		l.deliver(*m.Answer)
 	case l.kind == linkOverlay:
+		if m.Heartbeat != nil {
+			o.receiveAnnounced(l, m.Heartbeat.Announced)
+		}
 		o.post(ctx, received{l, m})
 	}
 	o.counters.received(topic, len(frame), time.Since(started))
@@ -133,6 +140,10 @@
 		return "answer"
 	case m.Sync != nil:
 		return "sync"
+	case m.Prune:
+		return "prune"
+	case m.Graft != nil:
+		return "graft"
 	}
 	return "bye"
 }
--- a/internal/member/message.go
+++ b/internal/member/message.go
@@ -57,8 +57,16 @@
 	Sync      *tableSync   `cbor:"6,keyasint,omitempty"`
 	// Bye announces that the sender closes the link on purpose.
 	Bye bool `cbor:"7,keyasint,omitempty"`
+	// Prune asks the receiver to announce broadcasts on this link instead of
+	// sending them.
+	Prune bool `cbor:"8,keyasint,omitempty"`
+	// Graft asks for announced broadcasts, and for later ones to be sent.
+	Graft []broadcastKey `cbor:"9,keyasint,omitempty"`
 }
 
+// broadcastKey identifies a broadcast in announcements.
+type broadcastKey uint64
+
 // heartbeat shows that the sender runs.
 type heartbeat struct {
 	_ struct{} `cbor:",toarray"`
@@ -66,6 +74,9 @@
 	Digest uint64
 	// Counters are the highest known counters of data centres.
 	Counters map[string]uint64
+	// Announced lists broadcasts that the sender has and did not send on this
+	// link.
+	Announced []broadcastKey
 }
 
 // tableSync carries a whole member table.
--- a/internal/member/overlay.go
+++ b/internal/member/overlay.go
@@ -195,49 +195,6 @@
 	o.members.Store(view)
 }
 
-// Broadcast implements peer.Bus.
-func (o *Overlay) Broadcast(topic peer.Topic, payload []byte) {
-	b := &broadcast{
-		Origin:      o.self.ID,
-		Incarnation: o.self.Incarnation,
-		Seq:         o.sequence.Add(1),
-		Topic:       topic,
-		Payload:     payload,
-	}
-	o.filter.check(b)
-	o.flood(b, encode(message{Broadcast: b}), nil)
-}
-
-// flood sends a broadcast on all overlay links but the one it came from.
-func (o *Overlay) flood(b *broadcast, frame []byte, from *link) {
-	for _, l := range o.links.Load().links {
-		if l == from || l.peer.ID == b.Origin {
-			continue
-		}
-		if l.send(frame) {
-			o.counters.sent("broadcast/"+string(b.Topic), len(frame))
-		} else {
-			o.counters.drop("queue")
-		}
-	}
-}
-
-// receiveBroadcast handles and forwards a broadcast that is new.
-func (o *Overlay) receiveBroadcast(l *link, b *broadcast, frame []byte) {
-	switch o.filter.check(b) {
-	case duplicate:
-		o.counters.drop("duplicate")
-		return
-	case overRate:
-		o.counters.drop("rate")
-		return
-	}
-	o.flood(b, frame, l)
-	if h := o.broadcastHandlers[b.Topic]; h != nil {
-		h(b.Origin, b.Payload)
-	}
-}
-
 // readList polls the platform's list of live instances.
 func (o *Overlay) readList(ctx context.Context) {
 	if o.liveList == nil {
--- a/internal/member/overlay_test.go
+++ b/internal/member/overlay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"flag"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -95,6 +96,78 @@
 	})
 }
 
+// After the first broadcasts have found a spanning tree, each further one
+// crosses little more than one link per member.
+func TestBroadcastsUseSpanningTree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.stopAll()
+		c.startAll(30, "r1/a", "r1/b", "r2/c")
+		c.converge(joinBound, all)
+		time.Sleep(15 * time.Second)
+		broadcastRound(c, "warm", 30)
+		before := c.broadcastsSent()
+		broadcastRound(c, "count", 30)
+		perBroadcast := float64(c.broadcastsSent()-before) / 30
+		t.Logf("%.1f messages per broadcast to 29 members", perBroadcast)
+		if perBroadcast > 1.3*29 {
+			t.Errorf("%.1f messages per broadcast to 29 members", perBroadcast)
+		}
+	})
+}
+
+// broadcastRound sends a number of broadcasts from different members and checks
+// that each reaches all.
+func broadcastRound(c *cluster, name string, count int) {
+	c.t.Helper()
+	ids := c.ids()
+	for i := range count {
+		c.nodes[ids[i%len(ids)]].Broadcast(testTopic, []byte(fmt.Sprint(name, i)))
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(3 * time.Second)
+	for i := range count {
+		if got := c.reached(fmt.Sprint(name, i)); got != len(ids)-1 {
+			c.t.Errorf("broadcast %s%d reached %d of %d", name, i, got, len(ids)-1)
+		}
+	}
+}
+
+func (c *cluster) broadcastsSent() (total uint64) {
+	for _, n := range c.nodes {
+		for _, t := range n.Traffic() {
+			if strings.HasPrefix(t.Topic, "broadcast/") || t.Topic == "graft" {
+				total += t.SentMessages
+			}
+		}
+	}
+	return total
+}
+
+// A broadcast that a silent link of the tree lost arrives by another way.
+func TestLostBroadcastIsRepaired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.stopAll()
+		c.startAll(30, "r1/a", "r1/b", "r2/c")
+		c.converge(joinBound, all)
+		time.Sleep(15 * time.Second)
+		broadcastRound(c, "warm", 30)
+		origin := c.nodes[c.ids()[0]]
+		for _, l := range origin.links.Load().links {
+			if !l.lazy.Load() {
+				c.net.setCut(origin.self.ID, l.peer.ID, true)
+				break
+			}
+		}
+		origin.Broadcast(testTopic, []byte("lost"))
+		time.Sleep(5 * time.Second)
+		if got := c.reached("lost"); got != 29 {
+			t.Errorf("the broadcast reached %d of 29", got)
+		}
+	})
+}
+
 func TestCallOverDirectLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t)
--- a/internal/member/upkeep.go
+++ b/internal/member/upkeep.go
@@ -37,7 +37,7 @@
 	c.table.merge(recordOf(l.peer), now)
 	l.mismatches = mismatchesBeforeSync - 1
 	c.publishLinks()
-	c.o.sendOn(l, c.heartbeatMessage())
+	c.o.sendOn(l, c.heartbeatMessage(l))
 	if e, ok := c.table.entries[id]; ok && e.Status != statusAlive {
 		c.o.sendOn(l, message{Gossip: []record{e.record}})
 	}
--- a/internal/quota/control.go
+++ b/internal/quota/control.go
@@ -100,7 +100,7 @@
 
 // observe takes changes of the membership and of the set of workspaces.
 func (c *control) observe(now time.Time) {
-	change := c.fleet.update(c.l.bus.Members(), lostMemory, now)
+	change := c.fleet.update(c.l.bus.Members(), now)
 	workspaces := c.l.workspaces.Load()
 	if change.healed {
 		c.restartTenures(now)
--- a/internal/quota/fleet.go
+++ b/internal/quota/fleet.go
@@ -45,9 +45,9 @@
 
 // update takes the present members. Slices of the bus are immutable, so the
 // same slice means no change.
-func (f *fleet) update(members []peer.Member, memory time.Duration, now time.Time) change {
+func (f *fleet) update(members []peer.Member, now time.Time) change {
 	for id, l := range f.lost {
-		if now.Sub(l.at) > memory {
+		if now.Sub(l.at) > lostMemory {
 			delete(f.lost, id)
 		}
 	}
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -20,18 +20,18 @@
 func TestLostInstancesCountUntilForgotten(t *testing.T) {
 	now := time.Unix(1000, 0)
 	f := newFleet("a")
-	f.update(members("a", "b", "c", "d"), lostMemory, now)
+	f.update(members("a", "b", "c", "d"), now)
 	leaving := members("a", "b", "c", "d")
 	leaving[3].Leaving = true
-	f.update(leaving, lostMemory, now)
-	f.update(members("a", "b"), lostMemory, now) // c is lost, d has left
+	f.update(leaving, now)
+	f.update(members("a", "b"), now) // c is lost, d has left
 	if got := f.part(0); got != 2.0/3 {
 		t.Fatalf("sees %v of the fleet, want 2/3", got)
 	}
 	if got := f.part(4); got != 2.0/4 {
 		t.Fatalf("sees %v of the listed fleet, want 2/4", got)
 	}
-	f.update(members("a", "b"), lostMemory, now.Add(lostMemory+time.Second))
+	f.update(members("a", "b"), now.Add(lostMemory+time.Second))
 	if got := f.part(0); got != 1 {
 		t.Fatalf("sees %v of the fleet after it forgot, want 1", got)
 	}
@@ -71,7 +71,7 @@
 func otherThanKeeper(self string) string {
 	for id := self + "x"; ; id += "x" {
 		f := newFleet(self)
-		f.update(members(self, id), lostMemory, time.Unix(1000, 0))
+		f.update(members(self, id), time.Unix(1000, 0))
 		if f.keeper(hashOf(testWorkspace)) == self {
 			return id
 		}
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -278,7 +278,7 @@
 		defer f.stopAll()
 		f.startAll(testSize, 0)
 		fl := newFleet("")
-		fl.update(f.instances["i0"].bus.Members(), lostMemory, time.Now())
+		fl.update(f.instances["i0"].bus.Members(), time.Now())
 		keeper := fl.keeper(hashOf(testWorkspace))
 		id := "i0"
 		if keeper == id {
@@ -361,7 +361,7 @@
 		f.startAll(testSize, 100)
 		f.run(settle)
 		fl := newFleet("")
-		fl.update(f.instances["i0"].bus.Members(), lostMemory, time.Now())
+		fl.update(f.instances["i0"].bus.Members(), time.Now())
 		f.kill(fl.keeper(hashOf(testWorkspace)))
 		during := f.run(30 * time.Second)
 		f.run(20 * time.Second)
