--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -245,14 +245,17 @@
 		return
 	}
 	c.nextHeartbeat = now.Add(c.timing.HeartbeatInterval)
-	m := c.heartbeatMessage()
 	for _, l := range c.links {
-		c.o.sendOn(l, m)
+		c.o.sendOn(l, c.heartbeatMessage(l))
 	}
 }
 
-func (c *control) heartbeatMessage() message {
-	return message{Heartbeat: &heartbeat{Digest: c.table.sum, Counters: c.centres.counters()}}
+func (c *control) heartbeatMessage(l *link) message {
+	return message{Heartbeat: &heartbeat{
+		Digest:    c.table.sum,
+		Counters:  c.centres.counters(),
+		Announced: l.takeAnnounced(),
+	}}
 }
 
 // gossip sends changed records to all overlay links.
@@ -284,6 +287,7 @@
 			c.table.setLeaving(e)
 		}
 	}
+	c.o.listed.Store(int64(len(c.listed) + 1))
 }
 
 // farewell tells the neighbours that this instance has left.
