--- a/internal/ledger/decide.go
+++ b/internal/ledger/decide.go
@@ -54,7 +54,7 @@
 		return holds, nil, nil
 	}
 	if rec.State != stateAbsent && rec.Fingerprint != claim.record.Fingerprint {
-		l.counts.keyReused.Add(1)
+		l.counts.keyReused.Inc()
 		return report, nil, result.New(result.KeyReused, "the idempotency key was used with another route or body")
 	}
 	t, err := l.chart.Next(rec.State, eventBegin)
@@ -88,21 +88,21 @@
 	if over || l.options.Gone(rec.Owner, rec.Incarnation) {
 		return l.unknown()
 	}
-	l.counts.stillRunning.Add(1)
+	l.counts.stillRunning.Inc()
 	left := rec.deadline().Add(outcomeGrace).Sub(now)
 	wait := min(jitter(retryStillRunning), max(left, 0)+time.Millisecond)
 	return result.New(result.StillRunning, "an earlier attempt with this key is still running").After(wait)
 }
 
 func (l *Ledger) unknown() *result.Error {
-	l.counts.unknown.Add(1)
+	l.counts.unknown.Inc()
 	return result.New(result.OutcomeUnknown, "an earlier attempt with this key may have run; it is not sent again")
 }
 
 // replay returns the stored answer of a finished row.
 func (l *Ledger) replay(ctx context.Context, rec record) (*Answer, *result.Error) {
 	if rec.Answer != nil {
-		l.counts.replayed.Add(1)
+		l.counts.replayed.Inc()
 		return rec.Answer, nil
 	}
 	data, err := l.objects.GetObject(ctx, rec.ObjectKey)
@@ -114,7 +114,7 @@
 	if err != nil {
 		return nil, result.Wrap(err, result.AnswerUnavailable, "the request ran; its stored answer is unreadable")
 	}
-	l.counts.replayed.Add(1)
+	l.counts.replayed.Inc()
 	return answer, nil
 }
 
@@ -126,7 +126,7 @@
 	}
 	made, ok := keyTime(req.Key)
 	if ok && now.Sub(made) > l.options.KeyTime-keyTimeMargin {
-		l.counts.unknown.Add(1)
+		l.counts.unknown.Inc()
 		return result.New(result.OutcomeUnknown, "the idempotency key is too old to know whether it has run")
 	}
 	return nil
--- a/internal/ledger/dump.go
+++ b/internal/ledger/dump.go
@@ -2,14 +2,48 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // counters count what Begin told callers and what was stored.
 type counters struct {
-	claimed, replayed, stillRunning, unknown atomic.Int64
-	keyReused, storeDown, answersDropped     atomic.Int64
+	set *metrics.Set
+
+	claimed, replayed, stillRunning, unknown *metrics.Counter
+	keyReused, storeDown, answersDropped     *metrics.Counter
+}
+
+func newCounters() counters {
+	set := metrics.NewSet()
+	begin := func(outcome string) *metrics.Counter {
+		return set.NewCounter(`banyan_claims_total{outcome="` + outcome + `"}`)
+	}
+	return counters{
+		set:            set,
+		claimed:        begin("claimed"),
+		replayed:       begin("replayed"),
+		stillRunning:   begin("still-running"),
+		unknown:        begin("outcome-unknown"),
+		keyReused:      begin("key-reused"),
+		storeDown:      begin("store-unavailable"),
+		answersDropped: set.NewCounter("banyan_claim_answers_dropped_total"),
+	}
+}
+
+// Metrics returns the ledger's metrics, to be registered with /metrics.
+func (l *Ledger) Metrics() *metrics.Set { return l.counts.set }
+
+// addGauges adds the metrics that are read from the ledger's parts.
+func (l *Ledger) addGauges() {
+	l.counts.set.NewGauge("banyan_claims_pending", func() float64 { return float64(l.settler.pending()) })
+	l.counts.set.NewGauge("banyan_claim_store_reachable", func() float64 {
+		if l.gate.isOpen() {
+			return 1
+		}
+		return 0
+	})
 }
 
 // State is the ledger's state for a dump.
@@ -36,13 +70,13 @@
 	return State{
 		StoreReachable: l.gate.isOpen(),
 		Pending:        l.settler.pending(),
-		Claimed:        l.counts.claimed.Load(),
-		Replayed:       l.counts.replayed.Load(),
-		StillRunning:   l.counts.stillRunning.Load(),
-		OutcomeUnknown: l.counts.unknown.Load(),
-		KeyReused:      l.counts.keyReused.Load(),
-		StoreDown:      l.counts.storeDown.Load(),
-		AnswersDropped: l.counts.answersDropped.Load(),
+		Claimed:        int64(l.counts.claimed.Get()),
+		Replayed:       int64(l.counts.replayed.Get()),
+		StillRunning:   int64(l.counts.stillRunning.Get()),
+		OutcomeUnknown: int64(l.counts.unknown.Get()),
+		KeyReused:      int64(l.counts.keyReused.Get()),
+		StoreDown:      int64(l.counts.storeDown.Get()),
+		AnswersDropped: int64(l.counts.answersDropped.Get()),
 		Commits:        commits,
 		Rows:           rows,
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -144,8 +145,8 @@
 	rows    submitter
 	settler *settler
 	counts  counters
-	// sweepAfter is the last row that Sweep has read; only Run's goroutine
-	// uses it.
+	// sweepAfter is the last row that Sweep has read; only one goroutine of
+	// Run uses it.
 	sweepAfter string
 }
 
@@ -155,7 +156,7 @@
 	if err != nil {
 		panic(err) // The chart is embedded in the program.
 	}
-	l := &Ledger{table: table, objects: objects, options: options.withDefaults(), chart: c}
+	l := &Ledger{table: table, objects: objects, options: options.withDefaults(), chart: c, counts: newCounters()}
 	l.batcher = &batcher{table: table, gate: &l.gate, timeout: l.options.TableTimeout, turn: make(chan struct{}, 1)}
 	l.batcher.limit = rate.NewLimiter(rate.Limit(l.options.CommitRate), commitBurst)
 	l.rows = l.batcher
@@ -163,6 +164,7 @@
 		l.rows = newRelay(l.options.Bus, l.batcher, l.options)
 	}
 	l.settler = newSettler(l)
+	l.addGauges()
 	return l
 }
 
@@ -193,12 +195,12 @@
 		}
 		if res.err != nil {
 			l.fence(claim, expect, res.err)
-			l.counts.storeDown.Add(1)
+			l.counts.storeDown.Inc()
 			return nil, nil, storeUnavailable(res.err)
 		}
 		if res.won {
 			claim.version = res.row.Version
-			l.counts.claimed.Add(1)
+			l.counts.claimed.Inc()
 			return claim, nil, nil
 		}
 		next, answer, rerr := l.decide(ctx, claim, res.row)
@@ -213,7 +215,7 @@
 func (l *Ledger) ended(d decision, claim *Claim, row platform.Row, answer *Answer, err *result.Error) (*Claim, *Answer, *result.Error) {
 	if d == holds {
 		claim.version = row.Version
-		l.counts.claimed.Add(1)
+		l.counts.claimed.Inc()
 		return claim, nil, nil
 	}
 	return nil, answer, err
@@ -288,6 +290,9 @@
 // Run settles outcomes that the store has not taken and ages old rows, until
 // ctx ends.
 func (l *Ledger) Run(ctx context.Context) error {
-	l.settler.run(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { l.settler.run(ctx) })
+	wg.Go(func() { l.runSweeps(ctx) })
+	wg.Wait()
 	return nil
 }
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -10,11 +10,8 @@
 	"github.com/banyanroute/banyanroute/internal/platform"
 )
 
-// Pauses of the background work.
-const (
-	settlePause = 250 * time.Millisecond
-	sweepPause  = 10 * time.Minute
-)
+// settlePause is the pause between two passes over the queue.
+const settlePause = 250 * time.Millisecond
 
 // maxSettlesPerPass bounds the outcomes that one pass writes, so that a long
 // outage does not end with a burst.
@@ -62,7 +59,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.bytes+o.size() > s.ledger.options.PendingBytes {
-		s.ledger.counts.answersDropped.Add(1)
+		s.ledger.counts.answersDropped.Inc()
 		o.record.Answer = nil
 	}
 	s.bytes += o.size()
@@ -99,18 +96,12 @@
 	return len(s.queue) + int(s.busy.Load())
 }
 
-// run settles queued outcomes and ages rows until ctx ends.
+// run settles queued outcomes until ctx ends.
 func (s *settler) run(ctx context.Context) {
-	sweep := time.NewTicker(sweepPause)
-	defer sweep.Stop()
 	for {
 		select {
 		case <-s.wake:
 			s.pass(ctx)
-		case <-sweep.C:
-			if s.ledger.options.Sweeps() {
-				s.ledger.Sweep(ctx)
-			}
 		case <-ctx.Done():
 			return
 		}
--- a/internal/ledger/sweep.go
+++ b/internal/ledger/sweep.go
@@ -8,17 +8,33 @@
 	"github.com/banyanroute/banyanroute/internal/platform"
 )
 
-// sweepPage is the number of rows that one scan reads.
-const sweepPage = 256
+// Sizes and pauses of a sweep: at most 2,560 rows a second.
+const (
+	sweepPage      = 256
+	sweepPagePause = 100 * time.Millisecond
+	sweepPause     = 10 * time.Minute
+)
 
-// maxSweepPages bounds one call of Sweep; the next one continues.
-const maxSweepPages = 64
+// runSweeps sweeps while Options.Sweeps says so, until ctx ends.
+func (l *Ledger) runSweeps(ctx context.Context) {
+	for {
+		select {
+		case <-time.After(sweepPause):
+		case <-ctx.Done():
+			return
+		}
+		if l.options.Sweeps() {
+			l.Sweep(ctx)
+		}
+	}
+}
 
 // Sweep ages old rows: answers are dropped after AnswerTime, and keys are
-// forgotten after KeyTime. It reads a bounded number of rows and continues
-// where the call before ended.
+// forgotten after KeyTime. After a failure of the table, the next call
+// continues where this one ended. It must not be called concurrently with
+// itself or Run.
 func (l *Ledger) Sweep(ctx context.Context) {
-	for range maxSweepPages {
+	for ctx.Err() == nil {
 		rows, err := l.table.Scan(ctx, rowPrefix, l.sweepAfter, sweepPage)
 		if err != nil {
 			return
@@ -29,6 +45,7 @@
 		}
 		l.sweepAfter = rows[len(rows)-1].Key
 		l.sweepRows(ctx, rows)
+		time.Sleep(sweepPagePause)
 	}
 }
 
--- a/internal/order/controller.go
+++ b/internal/order/controller.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 
 	"github.com/banyanroute/banyanroute/charts"
@@ -27,8 +28,11 @@
 
 // Times of a controller.
 const (
-	// observeInterval is the mean pause between two observations.
+	// observeInterval is the least mean pause between two observations, and
+	// observeSpacing the pause per engine in a large group, so that the
+	// holder's messages stay few.
 	observeInterval = 5 * time.Second
+	observeSpacing  = 160 * time.Millisecond
 	observeTimeout  = 3 * time.Second
 	// orderTimeout is the longest time that an order can be under way.
 	orderTimeout = 10 * time.Second
@@ -65,6 +69,8 @@
 	Demand func() map[string]Demand
 	// Key signs orders to engines that check the issuer.
 	Key []byte
+	// Metrics, if set, counts the orders.
+	Metrics *metrics.Set
 }
 
 // State is a controller's state for a dump.
@@ -148,7 +154,7 @@
 func (c *Controller) Run(ctx context.Context) error {
 	for {
 		select {
-		case <-time.After(observeInterval*3/4 + rand.N(observeInterval/2)):
+		case <-time.After(c.pause()):
 			c.Step(ctx)
 		case <-ctx.Done():
 			return nil
@@ -156,6 +162,12 @@
 	}
 }
 
+// pause returns a jittered pause until the next observation.
+func (c *Controller) pause() time.Duration {
+	mean := max(observeInterval, time.Duration(len(c.options.Declared().Engines))*observeSpacing)
+	return mean*3/4 + rand.N(mean/2)
+}
+
 // Dump returns a copy of the controller's State.
 func (c *Controller) Dump() any {
 	c.mu.Lock()
@@ -305,19 +317,31 @@
 	case errors.Is(err, ErrFenced):
 		c.fire(eventFenced)
 		log.Warnf("engine %s has seen a newer token than %d", step.Engine.ID, c.fence)
+		c.countOrder("refused")
 		c.note(func(s *State) { s.Refused++ })
 	case errors.Is(err, ErrIssuer):
 		log.Errorf("engine %s does not accept orders of %s", step.Engine.ID, o.Issuer)
+		c.countOrder("refused")
 		c.note(func(s *State) { s.Refused++ })
 	case err != nil:
 		log.Infof("order %s to engine %s failed: %v", o.Kind, step.Engine.ID, err)
+		c.countOrder("failed")
 		c.note(func(s *State) { s.Failed++ })
 	default:
 		log.Infof("ordered %s %s %s%s%s at engine %s", o.Kind, o.Model, o.Version, o.Adapter, o.Role, step.Engine.ID)
+		c.countOrder("given")
 		c.note(func(s *State) { s.Given++ })
 	}
 }
 
+// countOrder counts an order in the metrics.
+func (c *Controller) countOrder(outcome string) {
+	if c.options.Metrics != nil {
+		name := `banyan_orders_total{group="` + c.options.Group + `",outcome="` + outcome + `"}`
+		c.options.Metrics.GetOrCreateCounter(name).Inc()
+	}
+}
+
 func (c *Controller) note(change func(*State)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/order/manager.go
+++ b/internal/order/manager.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/banyanroute/banyanroute/internal/catalogue"
 	"github.com/banyanroute/banyanroute/internal/lease"
 	"github.com/banyanroute/banyanroute/internal/peer"
@@ -36,6 +38,7 @@
 // instance contends for.
 type Manager struct {
 	options ManagerOptions
+	set     *metrics.Set
 
 	mu       sync.Mutex
 	declared map[string]Declared
@@ -51,9 +54,12 @@
 
 // NewManager returns a manager.
 func NewManager(options ManagerOptions) *Manager {
-	return &Manager{options: options, members: map[string]*member{}}
+	return &Manager{options: options, members: map[string]*member{}, set: metrics.NewSet()}
 }
 
+// Metrics returns the metrics of the orders, to be registered with /metrics.
+func (m *Manager) Metrics() *metrics.Set { return m.set }
+
 // Run follows the catalogue and the members until ctx ends; then it releases
 // its leases.
 func (m *Manager) Run(ctx context.Context) error {
@@ -102,6 +108,7 @@
 		Declared: func() Declared { return m.group(group) },
 		Demand:   func() map[string]Demand { return m.options.Demand(group) },
 		Key:      m.options.Key,
+		Metrics:  m.set,
 	})}
 	part.done.Go(func() { _ = l.Run(ctx) })
 	part.done.Go(func() { _ = part.controller.Run(ctx) })
--- a/internal/reclaim/reclaim.go
+++ b/internal/reclaim/reclaim.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/banyanroute/banyanroute/internal/logging"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/upstream"
@@ -84,6 +86,8 @@
 	// Run's goroutine uses it.
 	since map[watchKey]watch
 
+	set *metrics.Set
+
 	mu    sync.Mutex
 	state State
 }
@@ -100,12 +104,15 @@
 // New returns a sweeper and registers its handler on the bus, which must not
 // be started yet.
 func New(options Options) *Sweeper {
-	s := &Sweeper{options: options, since: map[watchKey]watch{}}
+	s := &Sweeper{options: options, since: map[watchKey]watch{}, set: metrics.NewSet()}
 	s.state.Released = map[Reason]int{}
 	s.asker = newAsker(options.Bus, options.Needed)
 	return s
 }
 
+// Metrics returns the sweeper's metrics, to be registered with /metrics.
+func (s *Sweeper) Metrics() *metrics.Set { return s.set }
+
 // Run sweeps until ctx ends.
 func (s *Sweeper) Run(ctx context.Context) error {
 	for {
@@ -217,6 +224,7 @@
 	}
 	delete(kept, key)
 	log.Infof("released %d tokens of %s on %s: %s", hold.Tokens, hold.Name, e.ID, reason)
+	s.set.GetOrCreateCounter(`banyan_holds_released_total{reason="` + string(reason) + `"}`).Inc()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state.Released[reason]++
@@ -255,6 +263,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state.Failed++
+	s.set.GetOrCreateCounter("banyan_hold_calls_failed_total").Inc()
 }
 
 func (s *Sweeper) note(mine []Engine, watched int) {
