Delete answers that no row names; fuzz relayed writes and questions

Cause: a holder that dies between storing a large answer and writing its row leaves an object for good. Change: forgetting a key deletes the object that its claim would have. Seen failing before: TestSweepAgesRows found the object. Tests of a repeat while the holder is known to be gone, and fuzz targets for what other instances send.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/banyanroute/banyanroute/internal/platform"
 	"github.com/banyanroute/banyanroute/internal/platform/memstore"
 	"github.com/banyanroute/banyanroute/internal/result"
 )
@@ -249,6 +250,24 @@
 	})
 }
 
+func TestRepeatOfDeadHolderIsToldAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New()
+		a := newLedger(t, store, "a")
+		gone := false
+		b := New(store, store, Options{Instance: "b", Gone: func(string, uint64) bool { return gone }})
+		claim := mustClaim(t, a, booking("k"))
+		wantCode(t, b, booking("k"), result.StillRunning, result.MayHaveRun)
+		gone = true
+		wantCode(t, b, booking("k"), result.OutcomeUnknown, result.MayHaveRun)
+		// It was only frozen: its answer counts when it comes.
+		if err := claim.Finish(t.Context(), Answer{Status: 200, Body: []byte("booked")}); err != nil {
+			t.Fatal(err)
+		}
+		wantAnswer(t, b, booking("k"), "booked")
+	})
+}
+
 func TestSweepAgesRows(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := memstore.New()
@@ -259,7 +278,10 @@
 		_ = mustClaim(t, l, finished).Finish(t.Context(), large)
 		_ = mustClaim(t, l, lost).Unknown(t.Context())
 		_ = mustClaim(t, l, refused).NotRun(t.Context())
-		mustClaim(t, l, booking("abandoned"))
+		orphan := objectPrefix + mustClaim(t, l, booking("abandoned")).record.ClaimID
+		if err := store.PutObject(t.Context(), orphan, []byte("left by a dead holder")); err != nil {
+			t.Fatal(err)
+		}
 		time.Sleep(defaultAnswerTime + 2*sweepPause)
 		wantCode(t, l, finished, result.AnswerUnavailable, result.Ran)
 		wantCode(t, l, lost, result.OutcomeUnknown, result.MayHaveRun)
@@ -268,6 +290,9 @@
 		if rows, _ := store.Scan(t.Context(), rowPrefix, "", 10); len(rows) != 0 {
 			t.Fatalf("%d rows left after the key time", len(rows))
 		}
+		if _, err := store.GetObject(t.Context(), orphan); !errors.Is(err, platform.ErrNotFound) {
+			t.Fatalf("an object of no row is left: %v", err)
+		}
 	})
 }
 
--- a/internal/ledger/relay_test.go
+++ b/internal/ledger/relay_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/peer/peertest"
 	"github.com/banyanroute/banyanroute/internal/platform/memstore"
@@ -101,3 +104,28 @@
 		}
 	})
 }
+
+func FuzzRelayedWrite(f *testing.F) {
+	rec := record{State: stateClaimed, ClaimID: "c"}
+	value, err := rec.encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	seed, err := cbor.Marshal(relayWrite{Key: rowKey("w", "k"), Value: value})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		store := memstore.New()
+		node := peertest.NewNet(0).Join(peer.Member{ID: "a"})
+		l := New(store, store, Options{Instance: "a", Bus: node})
+		_, err := l.rows.(*relay).handle(t.Context(), "b", payload)
+		rows, _ := store.Scan(t.Context(), "", "", 10)
+		for _, row := range rows {
+			if _, decodeErr := decodeRow(row); err != nil || decodeErr != nil || !strings.HasPrefix(row.Key, rowPrefix) {
+				t.Fatalf("row %q was written: %v, %v", row.Key, err, decodeErr)
+			}
+		}
+	})
+}
--- a/internal/ledger/sweep.go
+++ b/internal/ledger/sweep.go
@@ -97,6 +97,11 @@
 			}
 			rec.Answer, rec.ObjectKey = nil, ""
 		case actionDelete:
+			// A holder that died between storing its answer and writing
+			// the row has left an object that no row names.
+			if l.objects.DeleteObject(ctx, objectPrefix+rec.ClaimID) != nil {
+				return nil
+			}
 			return l.rows.submit(row.Key, row.Version, nil)
 		}
 	}
--- a/internal/reclaim/reclaim_test.go
+++ b/internal/reclaim/reclaim_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/peer/peertest"
 	"github.com/banyanroute/banyanroute/internal/upstream"
@@ -268,3 +270,22 @@
 		t.Errorf("a release took %v", longest)
 	}
 }
+
+func FuzzQuestion(f *testing.F) {
+	seed, err := cbor.Marshal(question{Name: "a/1/x"})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		a := newAsker(peertest.NewNet(0).Join(peer.Member{ID: "a", Incarnation: 1}), func(string) bool { return true })
+		data, err := a.handle(t.Context(), "b", payload)
+		if err != nil {
+			return
+		}
+		var r reply
+		if err := cbor.Unmarshal(data, &r); err != nil || r.Answer > answerNotNeeded {
+			t.Fatalf("reply %v, %v", r, err)
+		}
+	})
+}
