Lease and order tests wait for their actors

Cause: TestOneValidHolderUnderFaults ended after a fixed time, and failed (once in about 15 runs seen) while a frozen contender was still asleep. Change: the tests wait for the actors' ends instead.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -111,12 +112,13 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			store := memstore.New()
 			var leases []*Lease
+			var wg sync.WaitGroup
 			for i := range contenders {
 				l := contender(pausing{store, rand.New(rand.NewPCG(seed, uint64(i)))}, string(rune('a'+i)))
 				leases = append(leases, l)
-				go func() { _ = l.Run(ctx) }()
+				wg.Go(func() { _ = l.Run(ctx) })
 			}
-			go breakStore(ctx, store, rand.New(rand.NewPCG(seed, 99)))
+			wg.Go(func() { breakStore(ctx, store, rand.New(rand.NewPCG(seed, 99))) })
 			fence := uint64(0)
 			for start := time.Now(); time.Since(start) < length; time.Sleep(100 * time.Millisecond) {
 				valid := 0
@@ -137,8 +139,7 @@
 				}
 			}
 			cancel()
-			store.SetFaults(memstore.Faults{})
-			time.Sleep(4 * defaultDuration)
+			wg.Wait()
 		})
 	}
 	t.Logf("10 schedules of %v: %d changes of holder, held %.0f %% of the time",
--- a/internal/order/controller_test.go
+++ b/internal/order/controller_test.go
@@ -180,6 +180,8 @@
 	declared Declared
 	engines  *fakeEngines
 	store    *memstore.Store
+	// running are the instances' actors.
+	running sync.WaitGroup
 }
 
 func newBench(seed uint64, engines int, fencing bool) *bench {
@@ -220,8 +222,8 @@
 	c := New(Options{Group: "g", Instance: name, Lease: l, Engines: p, Declared: b.current,
 		Demand: func() map[string]Demand { return nil }, Key: b.engines.key,
 		Loads: WeightRate{Table: b.store, Interval: 5 * time.Second, Burst: 4}})
-	go func() { _ = l.Run(ctx) }()
-	go func() { _ = c.Run(ctx) }()
+	b.running.Go(func() { _ = l.Run(ctx) })
+	b.running.Go(func() { _ = c.Run(ctx) })
 }
 
 // missing returns the number of orders that the present state still needs.
@@ -300,6 +302,7 @@
 					t.Errorf("seed %d: %d orders without a valid lease", seed, b.engines.unleased)
 				}
 				cancel()
+				b.running.Wait()
 				time.Sleep(longestWait)
 			})
 		}
@@ -323,6 +326,7 @@
 			}
 			b.settle(t)
 			cancel()
+			b.running.Wait()
 			time.Sleep(longestWait)
 		}
 	})
@@ -357,6 +361,7 @@
 			t.Errorf("%d engines served and %d loaded", least, most)
 		}
 		cancel()
+		b.running.Wait()
 		time.Sleep(longestWait)
 	})
 }
--- a/internal/order/manager_test.go
+++ b/internal/order/manager_test.go
@@ -48,7 +48,7 @@
 				Entries: func() []catalogue.Entry { return entries }, Demand: func(string) map[string]Demand { return nil }})
 			ctx, cancel := context.WithCancel(t.Context())
 			managers[id], cancels[id] = m, cancel
-			go func() { _ = m.Run(ctx) }()
+			b.running.Go(func() { _ = m.Run(ctx) })
 		}
 		time.Sleep(10 * time.Minute)
 		for round := range 3 {
@@ -75,6 +75,7 @@
 		for _, cancel := range cancels {
 			cancel()
 		}
+		b.running.Wait()
 		time.Sleep(longestWait)
 		if rows, _ := b.store.Scan(t.Context(), "lease/", "", 10); len(rows) != 2 || b.store.Faults() != (memstore.Faults{}) {
 			t.Errorf("%d lease rows", len(rows))
