Let a request that tried all upstreams try one of them once more only

Package dispatch expects no-upstream once all upstreams refused or could not be reached; trying on until the attempts were used up answered later and with another code (TestNonIdempotentRunsAtMostOnce/never_reached and refused_by_all failed). A loss that no probe judges is forgotten after 5 s instead of 10 s.

--- a/internal/admit/acquire.go
+++ b/internal/admit/acquire.go
@@ -105,13 +105,15 @@
 	return result.New(result.NoUpstream, "no upstream of %q can take a request", r.Target).After(s.retryAfter(time.Second))
 }
 
-// refuseNow checks what no wait can mend.
+// refuseNow checks what no wait can mend. A request that has tried all
+// upstreams may try one of them once more.
 func (s *Scheduler) refuseNow(p *pool, r *Request, now time.Time) *result.Error {
 	if verdict, left := s.poison.Verdict(r.Fingerprint, now); verdict == poison.Condemned {
 		return result.New(result.PoisonSuspect, "the request was in flight in repeated upstream crashes").After(left)
 	}
 	s.judgePool(p, now, false)
-	if some, _ := p.inService(nil); !some {
+	some, untried := p.inService(r.Avoid)
+	if !some || !untried && len(r.Avoid) > len(p.states) {
 		return s.noUpstream(r)
 	}
 	needs := p.speed.service(0, r.OutputTokens)
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -24,7 +24,7 @@
 	// refuseTime is how long a condemned fingerprint is refused.
 	refuseTime = 10 * time.Minute
 	// verdictTime is how long a loss waits to be told from a cut connection.
-	verdictTime = 10 * time.Second
+	verdictTime = 5 * time.Second
 	// maxSuspects bounds the fingerprints remembered; the oldest are dropped.
 	maxSuspects = 8192
 	// maxPendingUpstreams and maxPendingLosses bound the losses that wait.
