--- /dev/null
+++ b/cmd/banyanctl/client.go
@@ -0,0 +1,253 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/admin"
+	"github.com/banyanroute/banyanroute/internal/catalogue"
+	"github.com/banyanroute/banyanroute/internal/result"
+)
+
+// Bounds of sending an edit.
+const (
+	maxAnswerBytes   = 64 << 20
+	editTries        = 5
+	editPauseFactor  = 2
+	defaultURLScheme = "http://"
+)
+
+// errOutcomeUnknown says that an edit was sent and not answered.
+var errOutcomeUnknown = errors.New("the edit was sent and its outcome is unknown")
+
+// client calls the operators' API of the first instance that answers.
+type client struct {
+	bases []string
+	token string
+	http  *http.Client
+	// retryPause is the pause before an edit is first sent again.
+	retryPause time.Duration
+}
+
+func newClient(opts globalOptions) (*client, error) {
+	transport := &http.Transport{}
+	if opts.CACert != "" {
+		pem, err := os.ReadFile(opts.CACert)
+		if err != nil {
+			return nil, err
+		}
+		pool := x509.NewCertPool()
+		if !pool.AppendCertsFromPEM(pem) {
+			return nil, fmt.Errorf("%s holds no PEM certificate", opts.CACert)
+		}
+		transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	}
+	c := &client{token: opts.Token, retryPause: opts.RetryPause, http: &http.Client{Timeout: opts.Timeout, Transport: transport}}
+	for _, base := range strings.Split(opts.Address, ",") {
+		if !strings.Contains(base, "://") {
+			base = defaultURLScheme + base
+		}
+		c.bases = append(c.bases, strings.TrimSuffix(strings.TrimSpace(base), "/"))
+	}
+	return c, nil
+}
+
+// get reads a path of the first instance that answers.
+func (c *client) get(ctx context.Context, path string, answer any) error {
+	return c.call(ctx, http.MethodGet, path, nil, answer)
+}
+
+// call tries each address in turn until an instance answers; a refusal is an
+// answer.
+func (c *client) call(ctx context.Context, method, path string, body []byte, answer any) error {
+	var errs []error
+	kind := errUnreachable
+	for _, base := range c.bases {
+		err := c.callOne(ctx, base, method, path, body, answer)
+		var server *serverError
+		if err == nil || errors.As(err, &server) {
+			return err
+		}
+		var op *net.OpError
+		if !errors.As(err, &op) || op.Op != "dial" {
+			kind = errNoAnswer
+		}
+		errs = append(errs, err)
+	}
+	return fmt.Errorf("%w: %w", kind, errors.Join(errs...))
+}
+
+func (c *client) callOne(ctx context.Context, base, method, path string, body []byte, answer any) error {
+	req, err := http.NewRequestWithContext(ctx, method, base+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return decodeRefusal(resp.StatusCode, data)
+	}
+	return json.Unmarshal(data, answer)
+}
+
+// decodeRefusal turns an answer that is not 200 into an error.
+func decodeRefusal(status int, data []byte) error {
+	var answer admin.ErrorAnswer
+	if err := json.Unmarshal(data, &answer); err != nil || answer.Error.Code == result.OK {
+		return fmt.Errorf("status %d: %s", status, bytes.TrimSpace(data))
+	}
+	return &serverError{body: answer.Error}
+}
+
+// send sends an edit until its outcome is known: each try carries the same
+// edit ID, so that the edit takes effect at most once. After a try whose
+// outcome is unknown, a refusal that does not concern the edit itself, such as
+// a store that is down, leaves it unknown.
+func (c *client) send(ctx context.Context, edit catalogue.Edit) (catalogue.Applied, error) {
+	var applied catalogue.Applied
+	body, err := json.Marshal(edit)
+	if err != nil {
+		return applied, err
+	}
+	unsure := false
+	wait := c.retryPause
+	for range editTries {
+		err = c.call(ctx, http.MethodPost, admin.PathEdits, body, &applied)
+		unsure = unsure || isUnsure(err)
+		if !unsure || isSettled(err) {
+			return applied, err
+		}
+		if !pause(ctx, wait) {
+			break
+		}
+		wait *= editPauseFactor
+	}
+	return applied, fmt.Errorf("%w; send it again with --id %s: %w", errOutcomeUnknown, edit.ID, err)
+}
+
+// pause waits for d and states whether ctx is still live.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// isUnsure states whether an edit may have been accepted although the call
+// failed.
+func isUnsure(err error) bool {
+	var server *serverError
+	if errors.As(err, &server) {
+		return server.body.Execution != result.NotRun && server.body.Code.Info().Execution != result.NotRun
+	}
+	return errors.Is(err, errNoAnswer)
+}
+
+// isSettled states whether the answer tells what became of an edit that was
+// sent before: it was accepted, or it is refused for what it is.
+func isSettled(err error) bool {
+	var server *serverError
+	if errors.As(err, &server) {
+		return settledCodes[server.body.Code]
+	}
+	return err == nil
+}
+
+// settledCodes are the refusals that come after the look-up of the edit ID.
+var settledCodes = map[result.Code]bool{
+	result.EditConflict:  true,
+	result.EditInvalid:   true,
+	result.EditForbidden: true,
+	result.EntryNotFound: true,
+}
+
+func (c *client) entries(ctx context.Context, kind, owner string) (admin.Entries, error) {
+	var answer admin.Entries
+	query := url.Values{"kind": {kind}, "owner": {owner}}
+	err := c.get(ctx, admin.PathEntries+"?"+query.Encode(), &answer)
+	return answer, err
+}
+
+func (c *client) entry(ctx context.Context, key catalogue.Key) (admin.EntryAnswer, error) {
+	var answer admin.EntryAnswer
+	err := c.get(ctx, admin.PathEntries+"/"+url.PathEscape(string(key.Kind))+"/"+url.PathEscape(key.Name), &answer)
+	return answer, err
+}
+
+// changes returns up to limit changes; without after, the last ones.
+func (c *client) changes(ctx context.Context, after *catalogue.Revision, limit int) ([]catalogue.Change, error) {
+	query := url.Values{"limit": {strconv.Itoa(limit)}}
+	if after != nil {
+		query.Set("after", strconv.FormatUint(uint64(*after), 10))
+	}
+	var answer admin.HistoryAnswer
+	err := c.get(ctx, admin.PathHistory+"?"+query.Encode(), &answer)
+	return answer.Changes, err
+}
+
+func (c *client) change(ctx context.Context, rev catalogue.Revision) (catalogue.Change, error) {
+	var answer catalogue.Change
+	err := c.get(ctx, admin.PathHistory+"/"+strconv.FormatUint(uint64(rev), 10), &answer)
+	return answer, err
+}
+
+func (c *client) changeByID(ctx context.Context, id string) (catalogue.Change, error) {
+	var answer catalogue.Change
+	err := c.get(ctx, admin.PathEdits+"/"+url.PathEscape(id), &answer)
+	return answer, err
+}
+
+// waitPause is the pause between two looks at the fleet.
+const waitPause = 50 * time.Millisecond
+
+// waitInForce waits until all reachable instances have a revision.
+func (c *client) waitInForce(ctx context.Context, rev catalogue.Revision, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for {
+		var status admin.Status
+		err := c.get(ctx, admin.PathStatus, &status)
+		behind := instancesBehind(status, rev)
+		if err == nil && len(behind) == 0 {
+			return nil
+		}
+		if !pause(ctx, waitPause) {
+			return fmt.Errorf("%w: revision %d is not yet on %s", errNotInForce, rev, orNone(behind))
+		}
+	}
+}
+
+// instancesBehind lists the reachable instances below a revision.
+func instancesBehind(status admin.Status, rev catalogue.Revision) []string {
+	var behind []string
+	for _, s := range status.Instances {
+		if s.Phase != admin.PhaseUnreachable && s.Revision < rev {
+			behind = append(behind, s.ID)
+		}
+	}
+	return behind
+}
--- /dev/null
+++ b/internal/daemon/orders.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/catalogue"
+	"github.com/banyanroute/banyanroute/internal/order"
+)
+
+// loadBurst is the number of models that may be loaded from the weight store
+// together.
+const loadBurst = 4
+
+// newOrders returns the part that gives orders to engines.
+func (d *Daemon) newOrders() *order.Manager {
+	return order.NewManager(order.ManagerOptions{
+		Bus:     d.overlay,
+		Table:   d.platform,
+		Engines: order.HTTPEngines{Client: &http.Client{}},
+		Loads: order.WeightRate{
+			Table:    d.platform,
+			Interval: time.Minute / time.Duration(d.settings.Platform.LoadsPerMinute),
+			Burst:    loadBurst,
+		},
+		Entries: d.orderEntries,
+		Demand:  d.demand,
+		Key:     []byte(d.settings.Secrets.Orders),
+	})
+}
+
+// orderEntries returns the catalogue's entries that declare engines' state.
+func (d *Daemon) orderEntries() []catalogue.Entry {
+	snapshot := d.replica.Snapshot()
+	if snapshot == nil {
+		return nil
+	}
+	var entries []catalogue.Entry
+	for _, kind := range []catalogue.Kind{catalogue.KindUpstream, catalogue.KindModel} {
+		for _, e := range snapshot.Entries(kind) {
+			entries = append(entries, *e)
+		}
+	}
+	return entries
+}
+
+// demand estimates the number of fully used engines of a data centre per model,
+// from the latest load reports.
+func (d *Daemon) demand(dataCentre string) map[string]order.Demand {
+	demand := map[string]order.Demand{}
+	for _, load := range d.controller.Loads() {
+		if load.DataCentre != dataCentre {
+			continue
+		}
+		for _, model := range load.Models {
+			of := demand[model]
+			of.Engines += load.Use() / float64(len(load.Models))
+			demand[model] = of
+		}
+	}
+	return demand
+}
