Share the model checker and shorten the tests' set-up

The walk over the interleavings of large prompts now uses internal/modelcheck: from each state, the state in which all are finished must be reachable.

--- a/internal/admit/isolation_test.go
+++ b/internal/admit/isolation_test.go
@@ -65,7 +65,7 @@
 // way is one way to isolate short requests.
 type way struct {
 	name        string
-	picker      route.Picker
+	picker      route.Picker // nil takes turns
 	score       route.Scorer
 	priorities  bool
 	hold        bool // long requests wait in the router for a free engine
@@ -84,6 +84,7 @@
 	random   *rand.Rand
 	capacity shortCapacity
 	done     []*job
+	turn     int
 }
 
 func (m *queueModel) after(d float64, call func()) {
@@ -118,7 +119,7 @@
 func (m *queueModel) release() {
 	var blocked [route.Sizes]bool
 	m.held = slices.DeleteFunc(m.held, func(j *job) bool {
-		size := route.SizeOf(j.tokens, defaultShortTokens)
+		picker, size := m.way.picker, route.SizeOf(j.tokens, defaultShortTokens)
 		d := &route.Demand{PromptTokens: j.tokens, OutputTokens: j.output, Size: size, Window: 1e9}
 		if blocked[size] {
 			return false
@@ -128,7 +129,11 @@
 			d.Window, d.ShortReserve = windows[size], minShortReserve+moreShortReserve*m.way.shortWeight
 			pass = route.Standard
 		}
-		c := m.way.picker.Pick(m.view, d, pass, m.way.score, m.random)
+		if m.way.picker == nil {
+			m.turn++
+			picker = route.RoundRobin{Turn: m.turn}
+		}
+		c := picker.Pick(m.view, d, pass, m.way.score, m.random)
 		if c == nil {
 			blocked[size] = true
 			return false
@@ -280,7 +285,7 @@
 )
 
 var ways = []way{
-	{name: "round robin", picker: &turns{}, score: route.LeastRequests},
+	{name: "round robin", score: route.LeastRequests},
 	{name: "least requests", picker: scan, score: route.LeastRequests},
 	{name: "least work of two, no priorities", picker: two, score: route.LeastWork},
 	{name: "shared pool with priorities", picker: many, score: route.LeastWork, priorities: true},
@@ -291,14 +296,6 @@
 	{name: "reserved short, weight 1", picker: many, score: route.LeastWork, priorities: true, hold: true, shortWeight: 1},
 }
 
-// turns is round robin over calls.
-type turns struct{ turn int }
-
-func (p *turns) Pick(v route.View, d *route.Demand, pass route.Filter, score route.Scorer, random route.Random) *route.Candidate {
-	p.turn++
-	return route.RoundRobin{Turn: p.turn}.Pick(v, d, pass, score, random)
-}
-
 // TestIsolation measures each way at 0.8 of capacity and checks the chosen one.
 func TestIsolation(t *testing.T) {
 	const load = 0.8
--- a/internal/gang/gang_test.go
+++ b/internal/gang/gang_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/banyanroute/banyanroute/internal/modelcheck"
 	"github.com/banyanroute/banyanroute/internal/upstream"
 )
 
@@ -156,16 +158,49 @@
 	})
 }
 
-// TestNoDeadlockInAllInterleavings walks every interleaving of three gangs that
-// hold and wait, over all choices of plans on four engines, and looks for a
-// state in which nobody can move.
+// gangs is the number of parts that each of three prompts holds; one more than
+// its plan has is finished.
+type gangs [3]int
+
+// explore walks every interleaving of three prompts that hold and wait. From
+// each state, a state in which all are finished must be reachable.
+func explore(plans [3][]Share) modelcheck.Report[gangs] {
+	var goal gangs
+	for i, plan := range plans {
+		goal[i] = len(plan) + 1
+	}
+	return modelcheck.Explore(modelcheck.Model[gangs]{
+		Steps: func(s gangs) (steps []modelcheck.Step[gangs]) {
+			for i, plan := range plans {
+				if s[i] > len(plan) || s[i] < len(plan) && taken(plans, s, plan[s[i]].UpstreamID) {
+					continue
+				}
+				next := s
+				next[i]++
+				steps = append(steps, modelcheck.Step[gangs]{Name: fmt.Sprintf("prompt %d goes on", i), To: next})
+			}
+			return steps
+		},
+		Goal:      func(s gangs) bool { return s == goal },
+		MaxStates: 1000,
+	})
+}
+
+// taken states whether any prompt holds the engine in state s.
+func taken(plans [3][]Share, s gangs, id string) bool {
+	for i, plan := range plans {
+		if s[i] <= len(plan) && slices.ContainsFunc(plan[:s[i]], func(share Share) bool { return share.UpstreamID == id }) {
+			return true
+		}
+	}
+	return false
+}
+
 func TestNoDeadlockInAllInterleavings(t *testing.T) {
 	plans := [][]Share{}
-	for _, out := range []int{-1, 0, 1, 2, 3} {
+	for out := range 4 {
 		all := list(4, 100)
-		for i := range all {
-			all[i].InService = i != out
-		}
+		all[out].InService = false
 		shares, err := Plan(all, 190)
 		if err != nil {
 			t.Fatal(err)
@@ -175,61 +210,14 @@
 	for _, a := range plans {
 		for _, b := range plans {
 			for _, c := range plans {
-				if state, stuck := findDeadlock([3][]Share{a, b, c}); stuck {
-					t.Fatalf("plans %v %v %v stop in %v", a, b, c, state)
+				if r := explore([3][]Share{a, b, c}); !r.Complete || r.Violation != nil {
+					t.Fatalf("plans %v %v %v: %v", a, b, c, r.Violation)
 				}
 			}
 		}
 	}
-	reversed := []Share{plans[0][1], plans[0][0]}
-	if _, stuck := findDeadlock([3][]Share{plans[0], reversed, plans[0]}); !stuck {
+	reversed := []Share{plans[3][1], plans[3][0]}
+	if r := explore([3][]Share{plans[3], reversed, plans[3]}); r.Violation == nil {
 		t.Error("the walk must find the deadlock of opposite orders")
 	}
 }
-
-// findDeadlock walks the states (parts held by each gang; len+1 is finished).
-func findDeadlock(plans [3][]Share) ([3]int, bool) {
-	seen := map[[3]int]bool{}
-	work := [][3]int{{}}
-	for len(work) > 0 {
-		s := work[0]
-		work = work[1:]
-		if seen[s] {
-			continue
-		}
-		seen[s] = true
-		moves, finished := 0, 0
-		for i, plan := range plans {
-			if s[i] > len(plan) {
-				finished++
-				continue
-			}
-			if s[i] < len(plan) && taken(plans, s, plan[s[i]].UpstreamID) {
-				continue
-			}
-			next := s
-			next[i]++
-			work = append(work, next)
-			moves++
-		}
-		if moves == 0 && finished < len(plans) {
-			return s, true
-		}
-	}
-	return [3]int{}, false
-}
-
-// taken states whether any gang holds the engine in state s.
-func taken(plans [3][]Share, s [3]int, id string) bool {
-	for i, plan := range plans {
-		if s[i] > len(plan) {
-			continue
-		}
-		for _, share := range plan[:s[i]] {
-			if share.UpstreamID == id {
-				return true
-			}
-		}
-	}
-	return false
-}
