Load reports come with answers; each instance follows a subset of a large fleet

Cause: at the target size each instance would have polled 800 engines, 200 reports a second, and a report listed up to 256 request IDs of all instances (15 KB). Ruled out: slower polls alone, since a report of half a minute's age says nothing. Change: streamed answers carry a report; a poll comes only where none did; reports list the asker's own requests, 16 at most; over 64 upstreams an instance follows 8 per model by rendezvous hashing, which TestSubsetAtTargetSize checks: at most 232 of 800 engines, each used by at least four instances.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -93,6 +93,7 @@
 	// changed wakes the goroutine for a new snapshot.
 	changed chan struct{}
 	reports chan pollResult
+	offers  chan offer
 	listed  chan []platform.Listed
 	news    chan string
 	dumps   chan chan State
@@ -122,6 +123,7 @@
 		log:     logging.For("control"),
 		changed: make(chan struct{}, 1),
 		reports: make(chan pollResult, maxPolls),
+		offers:  make(chan offer, maxPolls),
 		listed:  make(chan []platform.Listed, 1),
 		news:    make(chan string, maxPolls),
 		dumps:   make(chan chan State),
@@ -173,6 +175,8 @@
 			c.tick(ctx, now)
 		case r := <-c.reports:
 			c.report(r)
+		case o := <-c.offers:
+			c.takeOffer(o)
 		case list := <-c.listed:
 			c.applyList(list)
 		case id := <-c.news:
@@ -203,6 +207,7 @@
 
 // setUpstreams replaces the set of upstreams; known ones keep their polls.
 func (c *Controller) setUpstreams(entries []*catalogue.Entry) {
+	entries = subset(entries, c.opts.Bus.Self(), len(c.opts.Bus.Members()))
 	list := make([]admit.Upstream, 0, len(entries))
 	polls := make(map[string]*poll, len(entries))
 	for _, e := range entries {
--- a/internal/control/poll.go
+++ b/internal/control/poll.go
@@ -116,6 +116,31 @@
 	}
 }
 
+// offer is a load report that came with an answer.
+type offer struct {
+	id   string
+	load upstream.LoadReport
+}
+
+// OfferLoad takes a load report that came with an answer, and thus spares a
+// poll. It never blocks; a report that finds the queue full is dropped.
+func (c *Controller) OfferLoad(id string, load upstream.LoadReport) {
+	select {
+	case c.offers <- offer{id: id, load: load}:
+	default:
+	}
+}
+
+// takeOffer handles a report that came with an answer.
+func (c *Controller) takeOffer(o offer) {
+	p := c.polls[o.id]
+	if p == nil {
+		return
+	}
+	p.next = time.Now().Add(c.interval())
+	c.takeLoad(p, o.load)
+}
+
 // report takes the result of a poll.
 func (c *Controller) report(r pollResult) {
 	p := c.polls[r.id]
--- /dev/null
+++ b/internal/control/subset_test.go
@@ -0,0 +1,71 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/banyanroute/banyanroute/internal/catalogue"
+	"github.com/banyanroute/banyanroute/internal/peer"
+)
+
+// fleetEntries returns engines of some models in five data centres.
+func fleetEntries(engines, models int) []*catalogue.Entry {
+	var out []*catalogue.Entry
+	for i := range engines {
+		out = append(out, &catalogue.Entry{Kind: catalogue.KindUpstream, Name: fmt.Sprintf("e%d", i), Upstream: &catalogue.UpstreamSpec{
+			DataCentre: fmt.Sprintf("dc%d", i%5), Models: []string{fmt.Sprintf("m%d", i%models)},
+		}})
+	}
+	return out
+}
+
+// TestSubsetAtTargetSize checks the bounds of the subset at 410 instances, 800
+// engines and 29 models: small per instance, and each engine used by enough.
+func TestSubsetAtTargetSize(t *testing.T) {
+	const instances, engines, models = 410, 800, 29
+	entries := fleetEntries(engines, models)
+	users := map[string]int{}
+	for i := range instances {
+		self := peer.Member{ID: fmt.Sprintf("i%d", i), DataCentre: fmt.Sprintf("dc%d", i%5)}
+		chosen := subset(entries, self, instances)
+		if len(chosen) > models*minSubset {
+			t.Fatalf("instance %d follows %d engines", i, len(chosen))
+		}
+		perModel := map[string]int{}
+		for _, e := range chosen {
+			users[e.Name]++
+			perModel[e.Upstream.Models[0]]++
+		}
+		if len(perModel) != models {
+			t.Fatalf("instance %d reaches %d of %d models", i, len(perModel), models)
+		}
+	}
+	for _, e := range entries {
+		if users[e.Name] < coverage {
+			t.Errorf("engine %s is used by %d instances", e.Name, users[e.Name])
+		}
+	}
+}
+
+// TestSubsetIsStable checks that one engine more changes the subset by at most
+// one engine per model, and that small fleets are used whole.
+func TestSubsetIsStable(t *testing.T) {
+	entries := fleetEntries(800, 29)
+	self := peer.Member{ID: "i1", DataCentre: "dc1"}
+	before := map[string]bool{}
+	for _, e := range subset(entries[1:], self, 410) {
+		before[e.Name] = true
+	}
+	changed := 0
+	for _, e := range subset(entries, self, 410) {
+		if !before[e.Name] {
+			changed++
+		}
+	}
+	if changed > 1 {
+		t.Errorf("%d engines changed", changed)
+	}
+	if got := subset(entries[:25], self, 7); len(got) != 25 {
+		t.Errorf("a small fleet is used by %d of 25", len(got))
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -66,7 +66,7 @@
 	d := &Daemon{settings: s, incarnation: uint64(time.Now().UnixNano()), drain: make(chan struct{})}
 	d.endpoints = newEndpoints()
 	d.platform = httpclient.New(httpclient.Options{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout.Std()})
-	d.upstreams = upstream.NewClient(upstream.Options{})
+	d.upstreams = upstream.NewClient(upstream.Options{Owner: s.Instance})
 	if err := d.buildState(); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -137,6 +137,7 @@
 		Scheduler:      d.scheduler,
 		Upstreams:      d.upstreams,
 		Claims:         d.ledger,
+		OnLoad:         d.controller.OfferLoad,
 		SilenceTimeout: d.settings.Limits.SilenceTimeout.Std(),
 	})
 	if err != nil {
--- a/internal/dispatch/connection.go
+++ b/internal/dispatch/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -37,8 +38,10 @@
 // event, or the error that ended it.
 type message struct {
 	accepted bool
-	event    upstream.Event
-	err      error
+	// load is the load report that came with the accepted header, if any.
+	load  *upstream.LoadReport
+	event upstream.Event
+	err   error
 }
 
 // connection is one HTTP exchange of a generation request. Its reader runs in
@@ -71,7 +74,7 @@
 		c.deliver(ctx, message{err: err})
 		return
 	}
-	if !c.deliver(ctx, message{accepted: true}) {
+	if !c.deliver(ctx, message{accepted: true, load: loadReport(res.Header)}) {
 		return
 	}
 	events := upstream.NewEventReader(res.Body)
@@ -84,6 +87,19 @@
 	}
 }
 
+// loadReport returns the load report in an answer's header, or nil.
+func loadReport(header http.Header) *upstream.LoadReport {
+	text := header.Get(upstream.HeaderLoad)
+	if text == "" {
+		return nil
+	}
+	var r upstream.LoadReport
+	if json.Unmarshal([]byte(text), &r) != nil {
+		return nil
+	}
+	return &r
+}
+
 // deliver hands over a message unless the connection was closed.
 func (c *connection) deliver(ctx context.Context, m message) bool {
 	select {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -48,6 +48,9 @@
 	Scheduler   Scheduler
 	Upstreams   Upstreams
 	Claims      Claims
+	// OnLoad, if set, takes the load reports that come with answers. It must
+	// not block.
+	OnLoad func(upstreamID string, r upstream.LoadReport)
 	// SilenceTimeout is the longest silence of an upstream before the
 	// dispatcher reconnects to look whether the stream still lives.
 	SilenceTimeout time.Duration
--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -82,15 +82,18 @@
 		case m.err != nil:
 			return f.onError(ctx, m.err)
 		case m.accepted:
-			return f.onAccepted()
+			return f.onAccepted(m.load)
 		default:
 			return f.onEvent(ctx, m.event)
 		}
 	}
 }
 
-// onAccepted notes that the upstream has taken the request.
-func (f *follower) onAccepted() chart.Event {
+// onAccepted notes that the upstream has taken the request, and its load.
+func (f *follower) onAccepted(load *upstream.LoadReport) chart.Event {
+	if load != nil && f.g.d.opts.OnLoad != nil {
+		f.g.d.opts.OnLoad(f.g.grant.Upstream().ID, *load)
+	}
 	if f.accepted {
 		return ""
 	}
--- a/internal/standin/enginehttp/generate.go
+++ b/internal/standin/enginehttp/generate.go
@@ -116,6 +116,7 @@
 		}
 		return
 	}
+	w.Header().Set(upstream.HeaderLoad, s.loadHeader())
 	out.begin()
 	if err := out.copy(r.Context(), reader, view); errors.Is(err, errDropped) {
 		httpjson.Reset(w)
--- a/internal/standin/enginehttp/server.go
+++ b/internal/standin/enginehttp/server.go
@@ -3,9 +3,11 @@
 package enginehttp
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 
 	"github.com/banyanroute/banyanroute/internal/standin/engine"
@@ -82,8 +84,34 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
-	httpjson.Write(w, http.StatusOK, s.engine.Load())
+func (s *Server) load(w http.ResponseWriter, r *http.Request) {
+	report := s.engine.Load()
+	if owner := r.URL.Query().Get("owner"); owner != "" {
+		report.Requests = ownRequests(report.Requests, owner)
+	}
+	httpjson.Write(w, http.StatusOK, report)
+}
+
+// loadHeader returns the present load report for the header of an answer.
+func (s *Server) loadHeader() string {
+	report := s.engine.Load()
+	report.Requests = nil
+	text, err := json.Marshal(report)
+	if err != nil {
+		return ""
+	}
+	return string(text)
+}
+
+// ownRequests returns the latest requests of one owner.
+func ownRequests(ids []string, owner string) []string {
+	var own []string
+	for _, id := range ids {
+		if strings.HasPrefix(id, owner+"/") {
+			own = append(own, id)
+		}
+	}
+	return own[max(0, len(own)-upstream.MaxOwnRequests):]
 }
 
 func (s *Server) events(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/enginehttp/server_test.go
+++ b/internal/standin/enginehttp/server_test.go
@@ -261,3 +261,17 @@
 		t.Errorf("exit %d, %d more", code, len(f.exits))
 	}
 }
+
+func TestLoadReportListsOwnRequests(t *testing.T) {
+	ids := []string{"i1/1/a", "i10/1/b", "i2/1/c", "i1/1/d"}
+	if got := ownRequests(ids, "i1"); len(got) != 2 || got[0] != "i1/1/a" || got[1] != "i1/1/d" {
+		t.Fatalf("got %v", got)
+	}
+	var many []string
+	for range 100 {
+		many = append(many, "i1/1/x")
+	}
+	if got := ownRequests(many, "i1"); len(got) != upstream.MaxOwnRequests {
+		t.Fatalf("listed %d", len(got))
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -51,6 +51,8 @@
 	// something in between has forgotten looks healthy until it is used.
 	// Default 15 s.
 	IdleTimeout time.Duration
+	// Owner is this instance's name; load reports then list its requests only.
+	Owner string
 	// IdlePerHost bounds the pooled connections to one upstream. Default 64.
 	IdlePerHost int
 }
@@ -181,7 +183,8 @@
 // Load returns the engine's latest load report.
 func (c *Client) Load(ctx context.Context, baseURL string) (LoadReport, error) {
 	var r LoadReport
-	err := c.control(ctx, http.MethodGet, baseURL+PathLoad, nil, &r, false)
+	target := baseURL + PathLoad + "?owner=" + url.QueryEscape(c.opts.Owner)
+	err := c.control(ctx, http.MethodGet, target, nil, &r, false)
 	return r, err
 }
 
--- a/internal/upstream/wire.go
+++ b/internal/upstream/wire.go
@@ -33,6 +33,10 @@
 	// made: positions start after it, and the body carries the text so far in
 	// the field "continuation".
 	HeaderContinueFrom = "X-Continue-From"
+	// HeaderLoad carries a LoadReport as JSON, without requests, on the answer
+	// of a generation request. A router that uses an engine thus knows its
+	// load without asking.
+	HeaderLoad = "X-Load-Report"
 	// HeaderNotRun is "true" on an error answer of an upstream that refused
 	// the request before running it.
 	HeaderNotRun = "X-Not-Run"
@@ -44,6 +48,9 @@
 	BlockTokens = 512
 	// BytesPerToken is the estimate used to turn prompt bytes into tokens.
 	BytesPerToken = 4
+	// MaxOwnRequests bounds the request IDs in a report to one owner; older
+	// ones count as included.
+	MaxOwnRequests = 16
 	// MaxPrefixBlocks bounds the header of prefix blocks.
 	MaxPrefixBlocks = 64
 )
@@ -93,8 +100,9 @@
 	ReservedTokens int `json:"reserved_tokens"`
 	// Leaving says that the engine is about to stop.
 	Leaving bool `json:"leaving"`
-	// Requests lists the IDs that the report has counted, up to 256 of the
-	// latest, so that a router does not count its own sends twice.
+	// Requests lists the latest IDs that the report has counted, so that a
+	// router does not count its own sends twice. With ?owner=NAME only the
+	// IDs of that owner are listed, up to MaxOwnRequests.
 	Requests []string `json:"requests,omitempty"`
 }
 
