Catalogue: an offer of a revision that does not exist hides nothing

Cause: an instance remembered the highest revision that it had heard of; after a wrong offer it ignored true ones until the next exchange. The test of long changes, with such an offer before, had revision 0 after 200 ms. Change: a revision that its announcer does not give is forgotten.

--- a/internal/catalogue/exchange.go
+++ b/internal/catalogue/exchange.go
@@ -51,15 +51,13 @@
 	for _, id := range r.someNeighbours(1) {
 		r.fetchFrom(ctx, id)
 	}
-	if from, behind := r.behind(); behind {
-		r.fetchFrom(ctx, from)
-	}
 }
 
 // fetchNoticed fetches an announced revision, from neighbours if they have it
 // by now and else from the instance that announced it.
 func (r *Replica) fetchNoticed(ctx context.Context) {
 	if r.Snapshot() == nil {
+		r.forgetNotice()
 		return
 	}
 	spread := time.Duration(len(r.bus.Members())) * fetchSpread
@@ -74,6 +72,7 @@
 	}
 	if from, behind := r.behind(); behind {
 		r.fetchFrom(ctx, from)
+		r.forgetNotice()
 	}
 }
 
--- a/internal/catalogue/replica.go
+++ b/internal/catalogue/replica.go
@@ -285,6 +285,15 @@
 	return r.noticedFrom, r.noticed > r.Revision()
 }
 
+// forgetNotice lets go of a revision that could not be fetched, so that an offer
+// of one that does not exist cannot hide later ones. The exchange with neighbours
+// finds it if it exists.
+func (r *Replica) forgetNotice() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.noticed = min(r.noticed, r.Revision())
+}
+
 // diverged reports a peer that has other content under the same revision; the
 // store decides.
 func (r *Replica) diverged(from string, rev Revision) {
--- a/internal/catalogue/spread_test.go
+++ b/internal/catalogue/spread_test.go
@@ -49,11 +49,14 @@
 	})
 }
 
-// TestLongChangeIsFetched uses an edit that is too long to travel in the push.
+// TestLongChangeIsFetched uses an edit that is too long to travel in the push,
+// after an instance has offered a revision that does not exist.
 func TestLongChangeIsFetched(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 7)
 		settle(time.Second)
+		f.net.Join(peer.Member{ID: "wrong"}).Broadcast(topicOffer, encode(offer{Revision: 1 << 60}))
+		settle(time.Second)
 		var puts []Entry
 		for i := range 50 {
 			puts = append(puts, workspace(string(rune('a'+i%26))+string(rune('a'+i/26)), "a", 1))
