--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -32,8 +32,6 @@
 	callTimeout = time.Second
 	// urgentScan is the least time between two looks for urgent renewals.
 	urgentScan = 50 * time.Millisecond
-	// idleAfter is when an unused lease is given back.
-	idleAfter = 10 * time.Second
 	// lostMemory is how long a vanished instance counts as cut off.
 	lostMemory = 10 * time.Minute
 	// asksQueue is the number of batches that wait for the control goroutine.
@@ -56,6 +54,7 @@
 	// workspaces is an immutable map; its values are shared.
 	workspaces atomic.Pointer[map[string]*workspace]
 	urgent     chan struct{}
+	starved    starvedSet
 	asks       chan askBatch
 	results    chan renewed
 	limits     chan map[string]catalogue.Limits
@@ -130,6 +129,31 @@
 	}
 }
 
+// starvedSet collects the workspaces that want a larger share.
+type starvedSet struct {
+	mu    sync.Mutex
+	names map[string]bool
+}
+
+func (s *starvedSet) add(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.names == nil {
+		s.names = map[string]bool{}
+	}
+	s.names[name] = true
+}
+
+// drain moves all names to a set of the caller.
+func (s *starvedSet) drain(to map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name := range s.names {
+		to[name] = true
+	}
+	clear(s.names)
+}
+
 // Permit is the admission of one request.
 type Permit struct {
 	workspace *workspace
@@ -146,6 +170,7 @@
 	}
 	wait, unleased := w.take(tokens, time.Now())
 	if unleased || wait > 0 {
+		l.starved.add(name)
 		l.wake()
 	}
 	if wait > 0 {
@@ -178,11 +203,23 @@
 	}
 	select {
 	case grants := <-reply:
-		return cbor.Marshal(grants)
+		return encoding.Marshal(grants)
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 }
 
+// encoding writes numbers as short as they can be without loss; most are zero or
+// small integers.
+var encoding = newEncoding()
+
+func newEncoding() cbor.EncMode {
+	mode, err := cbor.EncOptions{ShortestFloat: cbor.ShortestFloat16}.EncMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}
+
 // hashOf places a workspace among the keepers.
 func hashOf(name string) uint64 { return xxhash.Sum64String(name) }
