--- a/internal/ledger/model_test.go
+++ b/internal/ledger/model_test.go
@@ -253,6 +253,7 @@
 }
 
 func TestModelOfClaim(t *testing.T) {
+	t.Parallel()
 	r := claimModel{chart: loadClaimChart(t)}.explore()
 	t.Logf("%d states, %d steps, depth %d, complete %v", r.States, r.Steps, r.Depth, r.Complete)
 	if r.Violation != nil || !r.Complete {
--- a/internal/ledger/schedule_test.go
+++ b/internal/ledger/schedule_test.go
@@ -366,6 +366,7 @@
 func TestSchedulesWithSharedTransactions(t *testing.T) { runSchedules(t, (*schedules+1)/2, true) }
 
 func runSchedules(t *testing.T, seeds int, relayed bool) {
+	t.Parallel()
 	var total tally
 	for _, faults := range combinations() {
 		var c tally
@@ -389,6 +390,7 @@
 // 50 ms for its upstream, claims in 5 ms, runs 30 ms and stores in 5 ms, and
 // counts how often callers are told "may have run" of a call that did not run.
 func TestPlaceOfClaim(t *testing.T) {
+	t.Parallel()
 	const calls, wait, runTime = 400, 50 * time.Millisecond, 30 * time.Millisecond
 	const life = wait + runTime + 10*time.Millisecond
 	falseUnknown, unknown := map[bool]int{}, map[bool]int{}
