--- a/internal/quota/control.go
+++ b/internal/quota/control.go
@@ -16,6 +16,8 @@
 	accounts map[string]*account
 	tenures  map[string]tenure
 	renewals map[string]*renewal
+	// starved names the workspaces that want a larger share.
+	starved  map[string]bool
 	lastTick time.Time
 	size     int
 	// nextUrgent bounds how often all workspaces are looked through.
@@ -49,17 +51,22 @@
 	err    error
 }
 
-// Run renews leases and keeps the accounts of this instance's workspaces until
-// ctx ends.
-func (l *Limiter) Run(ctx context.Context) error {
-	c := &control{
+func newControl(l *Limiter, now time.Time) *control {
+	return &control{
 		l:        l,
 		fleet:    newFleet(l.bus.Self().ID),
 		accounts: map[string]*account{},
 		tenures:  map[string]tenure{},
 		renewals: map[string]*renewal{},
-		lastTick: time.Now(),
+		starved:  map[string]bool{},
+		lastTick: now,
 	}
+}
+
+// Run renews leases and keeps the accounts of this instance's workspaces until
+// ctx ends.
+func (l *Limiter) Run(ctx context.Context) error {
+	c := newControl(l, time.Now())
 	defer c.calls.Wait()
 	c.tick(ctx, time.Now())
 	ticker := time.NewTicker(tickInterval)
@@ -96,7 +103,7 @@
 
 // observe takes changes of the membership and of the set of workspaces.
 func (c *control) observe(now time.Time) {
-	change := c.fleet.update(c.l.bus.Members(), lostMemory, now)
+	change := c.fleet.update(c.l.bus.Members(), now)
 	workspaces := c.l.workspaces.Load()
 	if change.healed {
 		c.restartTenures(now)
@@ -162,16 +169,26 @@
 	return grants
 }
 
-// renewDue asks for the leases whose time has come.
+// renewDue asks for the leases whose time has come. Leases of the same keeper
+// that are at least half way to theirs travel in the same call.
 func (c *control) renewDue(ctx context.Context, now time.Time) {
+	due := map[string]bool{}
+	for name, r := range c.renewals {
+		if !r.pending && !now.Before(r.next) {
+			due[c.tenures[name].keeper] = true
+		}
+	}
+	if len(due) == 0 {
+		return
+	}
 	batches := map[string][]ask{}
-	for name, w := range *c.known {
-		r := c.renewals[name]
-		if r == nil || r.pending || now.Before(r.next) {
+	for name, r := range c.renewals {
+		keeper := c.tenures[name].keeper
+		halfWay := r.next.Add(-r.next.Sub(r.last) / 2)
+		if r.pending || !due[keeper] || now.Before(halfWay) {
 			continue
 		}
-		if q, ok := c.ask(name, w, r, now); ok {
-			keeper := c.tenures[name].keeper
+		if q, ok := c.ask(name, (*c.known)[name], r, now); ok {
 			batches[keeper] = append(batches[keeper], q)
 		} else {
 			delete(c.renewals, name)
@@ -187,19 +204,27 @@
 	}
 	c.nextUrgent = now.Add(urgentScan)
 	c.observe(now)
+	c.l.starved.drain(c.starved)
 	batches := map[string][]ask{}
-	for name, w := range *c.known {
-		r := c.renewals[name]
-		if r != nil && r.pending {
+	for name := range c.starved {
+		w, r := (*c.known)[name], c.renewals[name]
+		if w == nil {
+			delete(c.starved, name)
 			continue
 		}
-		if wait := w.urgency(now); wait == 0 || (r != nil && now.Sub(r.last) < wait) {
+		wait := w.urgency(now)
+		if wait == 0 {
+			delete(c.starved, name)
+			continue
+		}
+		if r != nil && (r.pending || now.Sub(r.last) < wait) {
 			continue
 		}
 		if r == nil {
 			r = &renewal{}
 			c.renewals[name] = r
 		}
+		delete(c.starved, name)
 		if q, ok := c.ask(name, w, r, now); ok {
 			keeper := c.tenures[name].keeper
 			batches[keeper] = append(batches[keeper], q)
@@ -211,9 +236,8 @@
 // ask builds the ask for one workspace, or states that none is needed.
 func (c *control) ask(name string, w *workspace, r *renewal, now time.Time) (ask, bool) {
 	rep := w.takeReport(now)
-	if rep.idle > idleAfter && rep.inUse == 0 {
-		held := w.release(now)
-		return ask{Workspace: name, Release: true}, held
+	if unused := rep.usage.requests == 0 && rep.inUse == 0; unused {
+		return w.giveUp(name, rep, now)
 	}
 	measured := rep.demand(now.Sub(r.last))
 	if r.last.IsZero() {
@@ -221,7 +245,20 @@
 	}
 	r.demand = r.demand.zip(measured, func(old, latest float64) float64 { return max(latest, (old+latest)/2) })
 	r.last = now
-	return ask{Workspace: name, Demand: r.demand, Held: rep.held, LeftMillis: rep.left.Milliseconds()}, true
+	return ask{
+		Workspace:  name,
+		Demand:     r.demand,
+		Held:       rep.held,
+		LeftMillis: rep.left.Milliseconds(),
+		InUse:      rep.inUse,
+	}, true
+}
+
+// giveUp ends the use of a lease. One that would stay booked for long is given
+// back, a short one is left to expire.
+func (w *workspace) giveUp(name string, rep report, now time.Time) (ask, bool) {
+	w.release(now)
+	return ask{Workspace: name, Release: true}, rep.left > shortTTL
 }
 
 // send calls each keeper in a goroutine of its own.
@@ -253,7 +290,7 @@
 }
 
 func (l *Limiter) callForGrants(ctx context.Context, keeper string, asks []ask) ([]grant, error) {
-	payload, err := cbor.Marshal(asks)
+	payload, err := encoding.Marshal(asks)
 	if err != nil {
 		return nil, trace.Wrap(err, "encoding asks for leases")
 	}
