Run large suspects alone; bound the scan of a large fleet

A crash of any engine of a prompt with several parts makes it a suspect, and a suspect keeps its engines free of others until it ends; before, it took four crashes until such a prompt was refused (the test then gets a grant instead of poison-suspect).

--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -421,6 +421,39 @@
 	})
 }
 
+// TestLargePoisonIsCondemned has a prompt of several engines crash one of them
+// twice, the second time alone on its engines.
+func TestLargePoisonIsCondemned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory()
+		s := New(Options{Seed: 1, Reserver: m})
+		s.SetUpstreams(engines(8))
+		r := request(1_000_000)
+		for attempt := range 2 {
+			g := acquire(t, s, r)
+			g.Sent()
+			if fresh := acquire(t, s, request(1000)); attempt == 1 {
+				for _, part := range g.Parts() {
+					if part.Upstream.ID == fresh.Upstream().ID {
+						t.Error("a fresh request runs beside a suspect")
+					}
+				}
+			}
+			g.Done(Lost)
+			s.ObserveProbe(g.Parts()[1].Upstream.ID, false, 0)
+			for i, part := range g.Parts() {
+				if i != 1 {
+					time.Sleep(time.Millisecond)
+					s.ObserveLoad(part.Upstream.ID, upstream.LoadReport{Sequence: uint64(attempt) + 1, Boot: "b"})
+				}
+			}
+		}
+		if _, refusal := s.Acquire(t.Context(), r); refusal == nil || refusal.Code != result.PoisonSuspect {
+			t.Errorf("got %v", refusal)
+		}
+	})
+}
+
 // TestEnginesAreKeptFreeForLargePrompts has a prompt wait for memory on three of
 // four engines; nothing new may go there, from this instance or a peer.
 func TestEnginesAreKeptFreeForLargePrompts(t *testing.T) {
--- a/internal/admit/grant.go
+++ b/internal/admit/grant.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/banyanroute/banyanroute/internal/gang"
 	"github.com/banyanroute/banyanroute/internal/poison"
 )
 
@@ -23,8 +24,11 @@
 	// alone says that the request is a suspect on an upstream of its own,
 	// which is kept free for kept.
 	alone bool
-	kept  *waiter
-	done  sync.Once
+	// gangKept lists the engines that are kept free until the end of a
+	// suspect that runs on several.
+	gangKept []gang.Share
+	kept     *waiter
+	done     sync.Once
 	// tokens counts the answer's tokens.
 	tokens atomic.Int64
 	sent   atomic.Bool
@@ -116,6 +120,7 @@
 		other.load.Ended(g.request.ID)
 		s.refresh(other, now)
 	}
+	s.setGang(g.gangKept, false)
 	before := st.health.State()
 	s.learn(g, outcome, now)
 	if g.kept != nil {
@@ -128,6 +133,14 @@
 // a crash.
 const probeMemory = 2 * time.Second
 
+// lost notes that g was lost on st.
+func (s *Scheduler) lost(st *state, g *Grant, now time.Time) {
+	s.poison.Lost(st.upstream.ID, st.boot, g.request.Fingerprint, g.alone, now)
+	if now.Sub(st.probeFailedAt) < probeMemory {
+		s.crashed(st, now)
+	}
+}
+
 // learn feeds the outcome to health, retry budgets, prefixes and suspicions.
 func (s *Scheduler) learn(g *Grant, outcome Outcome, now time.Time) {
 	st, r := g.state, g.request
@@ -152,9 +165,9 @@
 	case Lost:
 		st.health.Failure(now)
 		st.pausedUntil = now.Add(lossPause)
-		s.poison.Lost(st.upstream.ID, st.boot, r.Fingerprint, g.alone, now)
-		if now.Sub(st.probeFailedAt) < probeMemory {
-			s.crashed(st, now)
+		s.lost(st, g, now)
+		for _, other := range g.others {
+			s.lost(other, g, now)
 		}
 	case Unreached:
 		st.health.Failure(now)
--- a/internal/admit/pump.go
+++ b/internal/admit/pump.go
@@ -242,7 +242,7 @@
 // lateRefusal says why w is refused at the end of its wait.
 func (s *Scheduler) lateRefusal(p *pool, w *waiter) *result.Error {
 	if w.condemned > 0 {
-		return result.New(result.PoisonSuspect, "the request was in flight in repeated upstream crashes").After(w.condemned)
+		return condemned(w.condemned)
 	}
 	if len(p.states) == 0 {
 		return s.noUpstream(w.request)
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -31,7 +31,7 @@
 
 // Sample takes the lowest score of Choices candidates drawn at random and of
 // those that cache a prefix. If none of them passes, it takes the first that
-// passes in a scan from a random place.
+// passes in a bounded scan from a random place.
 type Sample struct {
 	// Choices is the number of random draws.
 	Choices int
@@ -67,11 +67,15 @@
 	return firstPassing(v, d, pass, random)
 }
 
-// firstPassing returns the first candidate that passes in a scan from a random
-// place.
+// maxScan bounds the candidates of one scan, so that a decision takes no longer
+// in a large fleet. A request that waits is tried again soon, from another place.
+const maxScan = 256
+
+// firstPassing returns the first candidate that passes in a scan of up to
+// maxScan candidates from a random place.
 func firstPassing(v View, d *Demand, pass Filter, random Random) *Candidate {
 	start := random.IntN(len(v))
-	for i := range v {
+	for i := range min(len(v), maxScan) {
 		if c := v[(start+i)%len(v)]; pass(c, d) {
 			return c
 		}
