--- a/internal/member/overlay.go
+++ b/internal/member/overlay.go
@@ -53,6 +53,7 @@
 	calls    atomic.Uint64
 	slots    chan struct{}
 	sequence atomic.Uint64
+	listed   atomic.Int64
 
 	broadcastHandlers map[peer.Topic]peer.BroadcastHandler
 	callHandlers      map[peer.Topic]peer.CallHandler
@@ -172,6 +173,10 @@
 // Neighbours implements peer.Bus.
 func (o *Overlay) Neighbours() []string { return o.links.Load().ids }
 
+// Listed returns the number of instances on the platform's list, this one
+// included, or zero before the list was read.
+func (o *Overlay) Listed() int { return int(o.listed.Load()) }
+
 // HandleBroadcast implements peer.Bus.
 func (o *Overlay) HandleBroadcast(topic peer.Topic, h peer.BroadcastHandler) {
 	o.broadcastHandlers[topic] = h
@@ -190,49 +195,6 @@
 	o.members.Store(view)
 }
 
-// Broadcast implements peer.Bus.
-func (o *Overlay) Broadcast(topic peer.Topic, payload []byte) {
-	b := &broadcast{
-		Origin:      o.self.ID,
-		Incarnation: o.self.Incarnation,
-		Seq:         o.sequence.Add(1),
-		Topic:       topic,
-		Payload:     payload,
-	}
-	o.filter.check(b)
-	o.flood(b, encode(message{Broadcast: b}), nil)
-}
-
-// flood sends a broadcast on all overlay links but the one it came from.
-func (o *Overlay) flood(b *broadcast, frame []byte, from *link) {
-	for _, l := range o.links.Load().links {
-		if l == from || l.peer.ID == b.Origin {
-			continue
-		}
-		if l.send(frame) {
-			o.counters.sent("broadcast/"+string(b.Topic), len(frame))
-		} else {
-			o.counters.drop("queue")
-		}
-	}
-}
-
-// receiveBroadcast handles and forwards a broadcast that is new.
-func (o *Overlay) receiveBroadcast(l *link, b *broadcast, frame []byte) {
-	switch o.filter.check(b) {
-	case duplicate:
-		o.counters.drop("duplicate")
-		return
-	case overRate:
-		o.counters.drop("rate")
-		return
-	}
-	o.flood(b, frame, l)
-	if h := o.broadcastHandlers[b.Topic]; h != nil {
-		h(b.Origin, b.Payload)
-	}
-}
-
 // readList polls the platform's list of live instances.
 func (o *Overlay) readList(ctx context.Context) {
 	if o.liveList == nil {
