Polls and load hints stay within the control budget in a large fleet

Worked out at 410 instances, 800 engines: 232 engines followed, 1,000 B/s of polls (TestPollTrafficStaysWithinItsBudget), no hints, since at the budget a hint would be minutes old. In use, an engine reports with its answers.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -62,8 +62,6 @@
 	Limiter   Limiter
 	Upstreams Upstreams
 	LiveList  platform.LiveList
-	// PollBytesPerSecond bounds the traffic of load reports.
-	PollBytesPerSecond int
 	// OnUpstreams, if set, is told of each new set of upstreams.
 	OnUpstreams func([]admit.Upstream)
 }
@@ -74,8 +72,12 @@
 	tickInterval = 50 * time.Millisecond
 	// hintInterval is the shortest interval of load hints to peers.
 	hintInterval = 250 * time.Millisecond
+	// maxHintInterval is the interval from which a hint would be too old to
+	// correct anything; fleets so large that the budget asks for more send
+	// none, since each instance's own share of the load is small there.
+	maxHintInterval = 3 * time.Second
 	// hintBytesPerSecond bounds the hints that each instance receives.
-	hintBytesPerSecond = 1000
+	hintBytesPerSecond = 4000
 	// listInterval is the shortest interval of reads of the live list; it
 	// grows with the fleet, so that the list's load does not.
 	listInterval = time.Second
@@ -250,8 +252,8 @@
 	payload := c.opts.Scheduler.PeerHint()
 	members := len(c.opts.Bus.Members())
 	perRound := time.Duration(len(payload)*members) * time.Second / hintBytesPerSecond
-	c.nextHint = now.Add(max(hintInterval, perRound))
-	if len(payload) > 0 && members > 1 {
+	c.nextHint = now.Add(max(hintInterval, min(perRound, maxHintInterval)))
+	if len(payload) > 0 && members > 1 && perRound <= maxHintInterval {
 		c.opts.Bus.Broadcast(topicHint, payload)
 	}
 }
--- a/internal/control/poll.go
+++ b/internal/control/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/admit"
@@ -12,16 +13,24 @@
 const (
 	// pollInterval is the shortest interval of polls of one upstream.
 	pollInterval = 250 * time.Millisecond
-	// maxPollInterval bounds the interval, however large the fleet.
-	maxPollInterval = 4 * time.Second
 	// pollBytes is the estimated traffic of one poll, headers included.
 	pollBytes = 700
 	// eventsEvery is the number of load polls per poll of cache events.
 	eventsEvery = 4
 	// maxPolls bounds the polls under way.
 	maxPolls = 1024
-	// defaultPollBytesPerSecond applies if the option is zero.
-	defaultPollBytesPerSecond = 64 << 10
+)
+
+// Traffic of polls. In a small fleet an instance polls often; in a large one
+// each upstream is polled by many instances, who tell the others what matters,
+// and an upstream that is in use reports with its answers.
+const (
+	// largeFleet is the number of instances from which the lower budget holds.
+	largeFleet = 64
+	// smallFleetBytesPerSecond and largeFleetBytesPerSecond bound the traffic
+	// of one instance's polls.
+	smallFleetBytesPerSecond = 64 << 10
+	largeFleetBytesPerSecond = 1000
 )
 
 // poll is the polling state of one upstream.
@@ -66,17 +75,22 @@
 		p.up = up
 		return p
 	}
-	return &poll{up: up}
+	return &poll{up: up, next: time.Now().Add(rand.N(c.firstPollWithin()))}
+}
+
+// firstPollWithin spreads the first polls of upstreams in a large fleet.
+func (c *Controller) firstPollWithin() time.Duration {
+	return max(1, c.interval()-pollInterval)
 }
 
 // interval spreads the polls within the traffic budget.
 func (c *Controller) interval() time.Duration {
-	budget := c.opts.PollBytesPerSecond
-	if budget == 0 {
-		budget = defaultPollBytesPerSecond
+	budget := smallFleetBytesPerSecond
+	if len(c.opts.Bus.Members()) >= largeFleet {
+		budget = largeFleetBytesPerSecond
 	}
 	perRound := time.Duration(len(c.polls)*pollBytes) * time.Second / time.Duration(budget)
-	return min(max(pollInterval, perRound), maxPollInterval)
+	return max(pollInterval, perRound)
 }
 
 // startPolls starts the polls that are due, each in its own goroutine.
--- a/internal/control/subset_test.go
+++ b/internal/control/subset_test.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"testing"
 
+	"github.com/banyanroute/banyanroute/internal/admit"
 	"github.com/banyanroute/banyanroute/internal/catalogue"
 	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/peer/peertest"
 )
 
 // fleetEntries returns engines of some models in five data centres.
@@ -69,3 +71,21 @@
 		t.Errorf("a small fleet is used by %d of 25", len(got))
 	}
 }
+
+// TestPollTrafficStaysWithinItsBudget checks the polls of one instance at the
+// target size against the control budget of 3 KB/s.
+func TestPollTrafficStaysWithinItsBudget(t *testing.T) {
+	net := peertest.NewNet(0)
+	for i := range 409 {
+		net.Join(peer.Member{ID: fmt.Sprintf("i%d", i)})
+	}
+	c := New(Options{
+		Bus: net.Join(peer.Member{ID: "self"}), Scheduler: admit.New(admit.Options{}), Limiter: &fakeWorld{},
+		Upstreams: &fakeWorld{}, LiveList: &fakeWorld{},
+	})
+	c.setUpstreams(fleetEntries(800, 29))
+	perSecond := float64(len(c.polls)) / c.interval().Seconds() * pollBytes
+	if perSecond > 1500 {
+		t.Fatalf("%d polls every %s are %.0f bytes a second", len(c.polls), c.interval(), perSecond)
+	}
+}
