Look the key up first and claim it right before the send

Ruled out: claiming late alone, because a repeat would then wait for an upstream before it got its stored answer, and be told not-run without one. Change: Lookup reads the key first; one read a call more. TestRepeatNeedsNoUpstream covers both.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -74,6 +74,11 @@
 		return nil, trace.Wrap(err)
 	}
 	d.buildServers()
+	for _, set := range []*metrics.Set{
+		d.overlay.Metrics(), d.limiter.Metrics(), d.ledger.Metrics(), d.sweeper.Metrics(), d.orders.Metrics(),
+	} {
+		metrics.RegisterSet(set)
+	}
 	return d, nil
 }
 
@@ -102,11 +107,10 @@
 	d.store = catalogue.NewStore(d.platform)
 	d.replica = catalogue.NewReplica(d.store, overlay, catalogue.Options{Seed: d.incarnation})
 	d.limiter = quota.New(overlay, quota.Options{Listed: func() int { return d.controller.ListedInstances() }})
-	metrics.RegisterSet(d.limiter.Metrics())
-	metrics.RegisterSet(overlay.Metrics())
 	d.ledger = ledger.New(d.platform, d.platform, ledger.Options{
 		Instance:    d.settings.Instance,
 		Incarnation: d.incarnation,
+		Bus:         overlay,
 		Gone:        d.isGone,
 		Sweeps:      d.isFirst,
 	})
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -37,6 +37,7 @@
 
 // Claims is the part of the ledger that dispatch needs.
 type Claims interface {
+	Lookup(ctx context.Context, r ledger.Request) (*ledger.Answer, *result.Error)
 	Begin(ctx context.Context, r ledger.Request) (*ledger.Claim, *ledger.Answer, *result.Error)
 }
 
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -48,7 +48,7 @@
 	defer cancel()
 	ran := result.NotRun
 	for {
-		answer, err := d.tryOnce(ctx, call, false, nil)
+		answer, err := d.tryOnce(ctx, call, nil)
 		if err == nil {
 			return answer, nil
 		}
@@ -62,71 +62,6 @@
 	}
 }
 
-// AtMostOnce calls a service under a claim of the ledger. Once the call was
-// sent, it runs to its end even if the caller leaves, so that a repeat gets the
-// stored answer.
-func (d *Dispatcher) AtMostOnce(ctx context.Context, call *ServiceCall) (*Answer, *result.Error) {
-	begin, cancel := context.WithDeadline(ctx, call.Route.Deadline)
-	defer cancel()
-	claim, stored, err := d.opts.Claims.Begin(begin, call.Claim)
-	if err != nil {
-		return nil, err
-	}
-	if stored != nil {
-		return &Answer{Status: stored.Status, Header: stored.Header, Body: stored.Body, Replayed: true}, nil
-	}
-	type outcome struct {
-		answer *Answer
-		err    *result.Error
-	}
-	done := make(chan outcome, 1)
-	d.background.Go(func() {
-		answer, err := d.runClaimed(context.WithoutCancel(ctx), call, claim)
-		done <- outcome{answer, err}
-	})
-	select {
-	case o := <-done:
-		return o.answer, o.err
-	case <-ctx.Done():
-		return nil, result.New(result.CallerGone, "the caller closed the connection")
-	}
-}
-
-// runClaimed sends a claimed call at most once. An upstream that proves that it
-// did not run the call lets another one have it.
-func (d *Dispatcher) runClaimed(ctx context.Context, call *ServiceCall, claim *ledger.Claim) (*Answer, *result.Error) {
-	ctx, cancel := context.WithDeadline(ctx, call.Route.Deadline)
-	defer cancel()
-	for {
-		answer, err := d.tryOnce(ctx, call, true, claim)
-		if err == nil {
-			d.settle(claim.Finish(context.WithoutCancel(ctx), stored(answer)))
-			return answer, nil
-		}
-		if err.Execution != result.NotRun {
-			d.settle(claim.Unknown(context.WithoutCancel(ctx)))
-			return nil, err
-		}
-		again := ctx.Err() == nil && isAttemptError(err) && d.opts.Scheduler.MayRetry(&call.Route, result.NotRun) == nil
-		if !again {
-			d.settle(claim.NotRun(context.WithoutCancel(ctx)))
-			return nil, err
-		}
-	}
-}
-
-// settle logs a claim that could not be settled at once; the ledger goes on
-// trying in the background.
-func (d *Dispatcher) settle(err error) {
-	if err != nil {
-		d.log.Warnf("claim not settled yet: %v", err)
-	}
-}
-
-func stored(a *Answer) ledger.Answer {
-	return ledger.Answer{Status: a.Status, Header: a.Header, Body: a.Body}
-}
-
 // isAttemptError states whether the error belongs to one attempt, so that
 // another upstream may do better.
 func isAttemptError(err *result.Error) bool {
@@ -150,23 +85,27 @@
 }
 
 // tryOnce makes one attempt on one upstream. The error's execution is NotRun
-// only with proof. A claim is checked once more right before the call is sent.
-func (d *Dispatcher) tryOnce(ctx context.Context, call *ServiceCall, fresh bool, claim *ledger.Claim) (*Answer, *result.Error) {
+// only with proof. claim, if set, is called right before the send; what it
+// returns ends the attempt.
+func (d *Dispatcher) tryOnce(ctx context.Context, call *ServiceCall, claim func() (*Answer, *result.Error)) (*Answer, *result.Error) {
 	call.Route.Attempt++
 	grant, rerr := d.opts.Scheduler.Acquire(ctx, &call.Route)
 	if rerr != nil {
 		return nil, rerr
 	}
 	up := grant.Upstream()
-	call.Route.Avoid = append(call.Route.Avoid, up.ID)
 	if claim != nil {
-		if rerr := claim.MarkSending(ctx); rerr != nil {
+		if answer, rerr := claim(); answer != nil || rerr != nil {
 			grant.Done(admit.Cancelled)
-			return nil, rerr
+			return answer, rerr
 		}
+		ctx = context.WithoutCancel(ctx)
 	}
+	call.Route.Avoid = append(call.Route.Avoid, up.ID)
 	grant.Sent()
-	answer, outcome, err := d.exchange(ctx, up, call, fresh)
+	ctx, cancel := context.WithDeadline(ctx, call.Route.Deadline)
+	defer cancel()
+	answer, outcome, err := d.exchange(ctx, up, call, claim != nil)
 	grant.Done(outcome)
 	return answer, err
 }
--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -191,3 +191,26 @@
 		}
 	})
 }
+
+// TestRepeatNeedsNoUpstream checks that a repeat gets its stored answer while
+// no upstream is in service, and that a call which waits in vain for one leaves
+// no claim behind.
+func TestRepeatNeedsNoUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newServiceFixture(t, always("ok"))
+		expect(t, f.first, booking("k"), result.OK)
+		idle, err := New(Options{
+			Instance: "i3", Incarnation: 1, Scheduler: admit.New(admit.Options{Instance: "i3", Incarnation: 1, Seed: 1}), Upstreams: f.service,
+			Claims: ledger.New(f.store, f.store, ledger.Options{Instance: "i3", Incarnation: 1}), SilenceTimeout: time.Second,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		expect(t, idle, booking("k"), result.OK)
+		expect(t, idle, booking("other"), result.NoUpstream)
+		expect(t, f.second, booking("other"), result.OK)
+		if f.service.runs["k"] != 1 || f.service.runs["other"] != 1 {
+			t.Fatalf("runs %v", f.service.runs)
+		}
+	})
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -109,7 +109,7 @@
 	{UpstreamFailed, "upstream-failed", http.StatusBadGateway, Ran, false, "The upstream answered with an error of its own."},
 	{OutcomeUnknown, "outcome-unknown", http.StatusConflict, MayHaveRun, false, "An earlier attempt with this key was sent and its outcome is unknown; it is never sent again."},
 	{StillRunning, "still-running", http.StatusConflict, MayHaveRun, true, "An earlier attempt with this key is still running."},
-	{KeyReused, "key-reused", http.StatusUnprocessableEntity, NotRun, false, "The idempotency key was used with another body, route or workspace."},
+	{KeyReused, "key-reused", http.StatusUnprocessableEntity, NotRun, false, "The idempotency key was used with another body or route."},
 	{StoreUnavailable, "store-unavailable", http.StatusServiceUnavailable, NotRun, true, "The table service is down; non-idempotent work is refused until it is back."},
 	{ClaimLost, "claim-lost", http.StatusConflict, NotRun, true, "Another instance claimed the key first; this call was not sent."},
 	{AnswerUnavailable, "answer-unavailable", http.StatusServiceUnavailable, Ran, true, "The request ran; its stored answer cannot be read now."},
