--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -89,9 +89,11 @@
 
 // Controller owns the instance's view of upstreams.
 type Controller struct {
-	opts     Options
-	log      logger
-	snapshot atomic.Pointer[catalogue.Snapshot]
+	opts Options
+	log  logger
+	// snapshot is the latest catalogue, installed the one in force.
+	snapshot  atomic.Pointer[catalogue.Snapshot]
+	installed atomic.Pointer[catalogue.Snapshot]
 	// changed wakes the goroutine for a new snapshot.
 	changed chan struct{}
 	reports chan pollResult
@@ -148,6 +150,10 @@
 	}
 }
 
+// Installed returns the catalogue in force, or nil: the scheduler and the limits
+// follow it.
+func (c *Controller) Installed() *catalogue.Snapshot { return c.installed.Load() }
+
 // BroadcastPoison spreads a payload of admit.Options.OnPoison.
 func (c *Controller) BroadcastPoison(payload []byte) { c.opts.Bus.Broadcast(topicPoison, payload) }
 
@@ -204,6 +210,7 @@
 	c.opts.Limiter.SetLimits(limits)
 	c.opts.Scheduler.SetPolicy(s.Policy())
 	c.setUpstreams(s.Entries(catalogue.KindUpstream))
+	c.installed.Store(s)
 	c.log.Infof("installed catalogue revision %d with %d entries", s.Revision(), s.Len())
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -237,6 +237,14 @@
 	d.drainOnce.Do(func() { close(d.drain) })
 }
 
+// ready returns why the instance is not ready, or nil.
+func (d *Daemon) ready() error {
+	if d.controller.Installed() == nil {
+		return trace.NotFound("no catalogue is in force yet")
+	}
+	return nil
+}
+
 // handler returns the operators' handler.
 func (d *Daemon) handler() http.Handler {
 	dumps := &admin.Dumps{}
@@ -253,6 +261,7 @@
 		Replica:              d.replica,
 		Bus:                  d.overlay,
 		Dumps:                dumps,
+		Ready:                d.ready,
 		Drain:                d.Drain,
 		Draining:             d.draining.Load,
 		BootstrapTokenSHA256: d.settings.Secrets.BootstrapTokenSHA256,
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -32,7 +32,7 @@
 	bounds := d.settings.Limits
 	callers := entry.NewHandler(entry.Options{
 		DataCentre:     d.settings.DataCentre,
-		Catalogue:      d.replica.Snapshot,
+		Catalogue:      d.controller.Installed,
 		Dispatcher:     d.dispatcher,
 		Limiter:        limits{d.limiter},
 		BodyBytes:      bounds.BodyBytes,
