Wait for engine memory instead of refusing large prompts

Ruled out: too little memory, since one alone always ran. Change: 409 becomes gang.ErrNoMemory; TestReserverTellsNoMemoryFromFailure failed before.

--- a/internal/daemon/endpoints.go
+++ b/internal/daemon/endpoints.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"sync/atomic"
 
 	"github.com/gravitational/trace"
 
 	"github.com/banyanroute/banyanroute/internal/admit"
+	"github.com/banyanroute/banyanroute/internal/gang"
 	"github.com/banyanroute/banyanroute/internal/reclaim"
 	"github.com/banyanroute/banyanroute/internal/upstream"
 )
@@ -66,7 +69,11 @@
 	if err != nil {
 		return err
 	}
-	return r.client.Reserve(ctx, url, req)
+	err = r.client.Reserve(ctx, url, req)
+	if errors.Is(err, upstream.ErrConflict) {
+		return fmt.Errorf("%w: %w", gang.ErrNoMemory, err)
+	}
+	return err
 }
 
 // Release implements gang.Reserver.
