loadfleet: a run's revision marks changes of Go files only

Cause: results written into the checkout marked the next run as changed. Change: the mark looks at Go files.

--- a/tools/loadfleet/main.go
+++ b/tools/loadfleet/main.go
@@ -174,13 +174,19 @@
 	return file, nil
 }
 
-// revision returns the checkout's revision, or "unknown".
+// revision returns the checkout's revision, marked if Go files have changes, or
+// "unknown". The programs must have been built from it.
 func revision(ctx context.Context) string {
-	out, err := exec.CommandContext(ctx, "git", "describe", "--always", "--dirty").Output()
+	head, err := exec.CommandContext(ctx, "git", "rev-parse", "--short", "HEAD").Output()
 	if err != nil {
 		return "unknown"
 	}
-	return strings.TrimSpace(string(out))
+	name := strings.TrimSpace(string(head))
+	changes, err := exec.CommandContext(ctx, "git", "status", "--porcelain", "--", "*.go", "go.mod").Output()
+	if err != nil || len(changes) > 0 {
+		name += "+changes"
+	}
+	return name
 }
 
 // load runs banyanload.
