--- a/internal/member/link.go
+++ b/internal/member/link.go
@@ -10,9 +10,11 @@
 )
 
 const (
-	// linkQueueMessages and linkQueueBytes bound what waits to be sent.
-	linkQueueMessages = 1024
-	linkQueueBytes    = 24 << 20
+	// overlayQueueMessages, directQueueMessages and linkQueueBytes bound what
+	// waits to be sent. Direct links are many, so their queue is shorter.
+	overlayQueueMessages = 1024
+	directQueueMessages  = 256
+	linkQueueBytes       = 24 << 20
 	// maxAnnounced bounds the announcements in one heartbeat.
 	maxAnnounced = 512
 )
@@ -48,12 +50,16 @@
 }
 
 func newLink(conn Conn, kind linkKind, dialled bool, m peer.Member) *link {
+	queue := directQueueMessages
+	if kind == linkOverlay {
+		queue = overlayQueueMessages
+	}
 	l := &link{
 		conn:    conn,
 		kind:    kind,
 		dialled: dialled,
 		peer:    m,
-		out:     make(chan []byte, linkQueueMessages),
+		out:     make(chan []byte, queue),
 		closed:  make(chan struct{}),
 		pending: map[uint64]chan callAnswer{},
 	}
