--- /dev/null
+++ b/internal/poison/main_test.go
@@ -0,0 +1,12 @@
+package poison
+
+import (
+	"flag"
+	"testing"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1") // the command line overrides it
+	_ = flag.Set("rapid.nofailfile", "true")
+	m.Run()
+}
--- a/internal/upstream/wire.go
+++ b/internal/upstream/wire.go
@@ -29,6 +29,14 @@
 	// header of server-sent events). An engine that still holds the stream
 	// repeats the chunks after the position; one that does not answers 409.
 	HeaderLastEventID = "Last-Event-ID"
+	// HeaderContinueFrom continues an answer whose first chunks another engine
+	// made: positions start after it, and the body carries the text so far in
+	// the field "continuation".
+	HeaderContinueFrom = "X-Continue-From"
+	// HeaderLoad carries a LoadReport as JSON, without requests, on the answer
+	// of a generation request. A router that uses an engine thus knows its
+	// load without asking.
+	HeaderLoad = "X-Load-Report"
 	// HeaderNotRun is "true" on an error answer of an upstream that refused
 	// the request before running it.
 	HeaderNotRun = "X-Not-Run"
@@ -40,6 +48,9 @@
 	BlockTokens = 512
 	// BytesPerToken is the estimate used to turn prompt bytes into tokens.
 	BytesPerToken = 4
+	// MaxOwnRequests bounds the request IDs in a report to one owner; older
+	// ones count as included.
+	MaxOwnRequests = 16
 	// MaxPrefixBlocks bounds the header of prefix blocks.
 	MaxPrefixBlocks = 64
 )
@@ -89,8 +100,9 @@
 	ReservedTokens int `json:"reserved_tokens"`
 	// Leaving says that the engine is about to stop.
 	Leaving bool `json:"leaving"`
-	// Requests lists the IDs that the report has counted, up to 256 of the
-	// latest, so that a router does not count its own sends twice.
+	// Requests lists the latest IDs that the report has counted, so that a
+	// router does not count its own sends twice. With ?owner=NAME only the
+	// IDs of that owner are listed, up to MaxOwnRequests.
 	Requests []string `json:"requests,omitempty"`
 }
 
@@ -203,3 +215,36 @@
 	Fence   uint64 `json:"fence"`
 	Leaving bool   `json:"leaving"`
 }
+
+// ExportRequest is the body of POST PathExport: it pins the cached blocks that
+// begin the prefix, so that another engine can import them. The engine answers
+// 404 if it has none of them.
+type ExportRequest struct {
+	Name           string   `json:"name"`
+	Blocks         []string `json:"blocks"`
+	DeadlineUnixMs int64    `json:"deadline_unix_ms"`
+}
+
+// ExportAnswer lists the blocks that are pinned, and their tokens.
+type ExportAnswer struct {
+	Blocks []string `json:"blocks"`
+	Tokens int      `json:"tokens"`
+}
+
+// ImportRequest is the body of POST PathImport: the engine allocates memory,
+// takes the time of the transfer, and answers 200 when the blocks are in its
+// prefix cache, or 409 if it has not enough free memory. The blocks stay pinned
+// until the hold is released.
+type ImportRequest struct {
+	Name           string   `json:"name"`
+	Blocks         []string `json:"blocks"`
+	DeadlineUnixMs int64    `json:"deadline_unix_ms"`
+}
+
+// Health is the answer of GET PathHealth of an engine or a plain service.
+type Health struct {
+	// Status is "ok".
+	Status string `json:"status"`
+	// Leaving says that the upstream is about to stop.
+	Leaving bool `json:"leaving"`
+}
