--- a/internal/member/centres_test.go
+++ b/internal/member/centres_test.go
@@ -16,7 +16,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	tab.merge(record{ID: "b1", Incarnation: 1, DataCentre: "b"}, now)
+	tab.merge(record{ID: "b1", Address: "y", Incarnation: 1, DataCentre: "b"}, now)
 	w := newCentreWatch(self, 15*time.Second)
 	w.merge(map[string]uint64{"b": 7}, now)
 	w.step(now.Add(14*time.Second), tab)
@@ -46,7 +46,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		tab.merge(record{ID: "a1", Incarnation: 1, DataCentre: "a"}, now)
+		tab.merge(record{ID: "a1", Address: "y", Incarnation: 1, DataCentre: "a"}, now)
 		w := newCentreWatch(peer.Member{ID: id, DataCentre: "a"}, 15*time.Second)
 		w.merge(map[string]uint64{"a": 1}, now)
 		w.step(now.Add(want-time.Millisecond), tab)
--- a/internal/member/control_test.go
+++ b/internal/member/control_test.go
@@ -79,8 +79,8 @@
 	c := newTestControl(t, now)
 	c.table.merge(record{ID: "other", Incarnation: 2, Seq: 1, Address: "z", DataCentre: "b"}, now)
 	for _, old := range []record{
-		{ID: "other", Incarnation: 1, Seq: 9, Status: statusDead},
-		{ID: "other", Incarnation: 2, Seq: 0, Status: statusSuspect},
+		{ID: "other", Address: "y", Incarnation: 1, Seq: 9, Status: statusDead},
+		{ID: "other", Address: "y", Incarnation: 2, Seq: 0, Status: statusSuspect},
 	} {
 		c.table.merge(old, now)
 	}
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -44,6 +44,11 @@
 	}
 }
 
+// valid states whether a record from another instance can be used.
+func (r record) valid() bool {
+	return r.ID != "" && r.Address != "" && r.Status <= statusDead
+}
+
 func (r record) member() peer.Member {
 	return peer.Member{
 		ID:          r.ID,
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -22,6 +22,9 @@
 	actionStampDeath     chart.Action = "stamp-death"
 )
 
+// maxEntries bounds the table, whatever other instances send.
+const maxEntries = 4096
+
 var stateOf = map[status]chart.State{
 	statusAlive:   "alive",
 	statusSuspect: "suspect",
@@ -84,13 +87,16 @@
 
 // merge takes a record from another instance.
 func (t *table) merge(r record, now time.Time) {
+	if !r.valid() {
+		return
+	}
 	if r.ID == t.self.ID {
 		t.mergeSelf(r, now)
 		return
 	}
 	e, ok := t.entries[r.ID]
 	if !ok {
-		if r.Status != statusDead {
+		if r.Status != statusDead && len(t.entries) < maxEntries {
 			t.insert(r, now)
 		}
 		return
