--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -74,6 +74,11 @@
 		return nil, trace.Wrap(err)
 	}
 	d.buildServers()
+	for _, set := range []*metrics.Set{
+		d.overlay.Metrics(), d.limiter.Metrics(), d.ledger.Metrics(), d.sweeper.Metrics(), d.orders.Metrics(),
+	} {
+		metrics.RegisterSet(set)
+	}
 	return d, nil
 }
 
@@ -102,11 +107,10 @@
 	d.store = catalogue.NewStore(d.platform)
 	d.replica = catalogue.NewReplica(d.store, overlay, catalogue.Options{Seed: d.incarnation})
 	d.limiter = quota.New(overlay, quota.Options{Listed: func() int { return d.controller.ListedInstances() }})
-	metrics.RegisterSet(d.limiter.Metrics())
-	metrics.RegisterSet(overlay.Metrics())
 	d.ledger = ledger.New(d.platform, d.platform, ledger.Options{
 		Instance:    d.settings.Instance,
 		Incarnation: d.incarnation,
+		Bus:         overlay,
 		Gone:        d.isGone,
 		Sweeps:      d.isFirst,
 	})
@@ -233,6 +237,14 @@
 	d.drainOnce.Do(func() { close(d.drain) })
 }
 
+// ready returns why the instance is not ready, or nil.
+func (d *Daemon) ready() error {
+	if d.controller.Installed() == nil {
+		return trace.NotFound("no catalogue is in force yet")
+	}
+	return nil
+}
+
 // handler returns the operators' handler.
 func (d *Daemon) handler() http.Handler {
 	dumps := &admin.Dumps{}
@@ -249,6 +261,7 @@
 		Replica:              d.replica,
 		Bus:                  d.overlay,
 		Dumps:                dumps,
+		Ready:                d.ready,
 		Drain:                d.Drain,
 		Draining:             d.draining.Load,
 		BootstrapTokenSHA256: d.settings.Secrets.BootstrapTokenSHA256,
