Ease an engine whose load reports stop

A frozen engine answers nothing, but counts as healthy until its probes time out twice. Reports that stop for four times their longest interval of late, at least 750 ms, now take nine tenths of its share; if all are silent, shares stay as they are to one another. Without it the test sends requests to the engine whose reports stopped 1.25 s ago.

--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -299,6 +299,28 @@
 	})
 }
 
+// TestSilentUpstreamIsEased stops the load reports of one engine while it still
+// counts as healthy.
+func TestSilentUpstreamIsEased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScheduler(2)
+		for i := range uint64(20) {
+			time.Sleep(250 * time.Millisecond)
+			s.ObserveLoad("e00", upstream.LoadReport{Sequence: i + 1, Boot: "b"})
+			if i < 15 {
+				s.ObserveLoad("e01", upstream.LoadReport{Sequence: i + 1, Boot: "b"})
+			}
+		}
+		for range 20 {
+			g := acquire(t, s, request(1000))
+			if g.Upstream().ID == "e01" {
+				t.Fatal("a request went to the engine whose reports stopped 1.25 s ago")
+			}
+			g.Done(Completed)
+		}
+	})
+}
+
 func TestLostUpstreamPauses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newScheduler(1)
--- a/internal/admit/observe.go
+++ b/internal/admit/observe.go
@@ -18,6 +18,7 @@
 // ObserveLoad takes an engine's load report.
 func (s *Scheduler) ObserveLoad(id string, r upstream.LoadReport) {
 	s.update(id, func(st *state, now time.Time) {
+		st.reported(now)
 		taken, restarted := st.load.Report(r, now)
 		if !taken {
 			return
--- a/internal/admit/pool.go
+++ b/internal/admit/pool.go
@@ -116,7 +116,7 @@
 func (p *pool) scaleShares(now time.Time) {
 	best := 0.0
 	for _, st := range p.states {
-		best = max(best, st.health.Share(now, p.panicking))
+		best = max(best, st.share(now, p.panicking))
 	}
 	p.shareScale = 1
 	if best > 0 {
--- a/internal/admit/state.go
+++ b/internal/admit/state.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/health"
@@ -31,6 +32,10 @@
 	// the upstream itself says; either is believed.
 	listedLeaving   bool
 	reportedLeaving bool
+	// reportedAt is when the last load report came, and reportInterval the
+	// longest time between two of late.
+	reportedAt     time.Time
+	reportInterval time.Duration
 	// owner is the request for which the upstream is kept free, or nil.
 	owner *waiter
 	// gang says that the upstream is kept free for a prompt of several parts.
@@ -40,6 +45,46 @@
 	probeFailedAt time.Time
 }
 
+const (
+	// silentReports is how many of the longest intervals without a load report make an
+	// upstream silent, and leastSilence the least such time.
+	silentReports = 4
+	leastSilence  = 750 * time.Millisecond
+	// silentShare is the part of its share that a silent upstream keeps. It
+	// may be frozen, which probes show only after their time-outs.
+	silentShare = 0.1
+	// intervalHalfLife is how fast a long interval between two reports is
+	// forgotten; reports come often while answers carry them.
+	intervalHalfLife = 30 * time.Second
+)
+
+// reported notes the time of a load report.
+func (st *state) reported(now time.Time) {
+	if !st.reportedAt.IsZero() {
+		elapsed := now.Sub(st.reportedAt)
+		decay := math.Exp2(-elapsed.Seconds() / intervalHalfLife.Seconds())
+		longest := time.Duration(decay * float64(st.reportInterval))
+		limit := silentReports * max(st.reportInterval, leastSilence)
+		st.reportInterval = max(longest, min(elapsed, limit))
+	}
+	st.reportedAt = now
+}
+
+// silent states whether load reports have stopped.
+func (st *state) silent(now time.Time) bool {
+	limit := max(silentReports*st.reportInterval, leastSilence)
+	return st.reportInterval > 0 && now.Sub(st.reportedAt) > limit
+}
+
+// share returns the part of normal traffic by health and reports.
+func (st *state) share(now time.Time, panicking bool) float64 {
+	share := st.health.Share(now, panicking)
+	if st.silent(now) {
+		share *= silentShare
+	}
+	return share
+}
+
 // setLeaving applies both sources of news on leaving.
 func (st *state) setLeaving(now time.Time) {
 	st.health.Leaving(st.listedLeaving || st.reportedLeaving, now)
@@ -59,7 +104,7 @@
 	}
 	c.FreeTokens = max(c.MemoryTokens-e.UsedTokens, 0)
 	c.Rate, _ = st.load.Rate()
-	c.Share = min(st.health.Share(now, p.panicking)*p.shareScale, 1)
+	c.Share = min(st.share(now, p.panicking)*p.shareScale, 1)
 	if now.Before(st.pausedUntil) || st.load.InFlight() >= maxRunning {
 		c.Share = 0
 	}
