--- a/internal/control/poll.go
+++ b/internal/control/poll.go
@@ -12,7 +12,7 @@
 // Limits of polling.
 const (
 	// pollInterval is the shortest interval of polls of one upstream.
-	pollInterval = 250 * time.Millisecond
+	pollInterval = 500 * time.Millisecond
 	// pollBytes is the estimated traffic of one poll, headers included.
 	pollBytes = 700
 	// eventsEvery is the number of load polls per poll of cache events.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -122,9 +122,9 @@
 
 // countRequest updates the metrics of finished requests.
 func countRequest(code result.Code, took time.Duration) {
-	label := `banyan_requests_total{result="` + code.String() + `"}`
+	label := `banyanroute_requests_total{result="` + code.String() + `"}`
 	metrics.GetOrCreateCounter(label).Inc()
-	metrics.GetOrCreateHistogram("banyan_request_seconds").Update(took.Seconds())
+	metrics.GetOrCreateHistogram("banyanroute_request_seconds").Update(took.Seconds())
 }
 
 // authenticate finds the workspace of the caller's key.
--- a/internal/ledger/dump.go
+++ b/internal/ledger/dump.go
@@ -18,7 +18,7 @@
 func newCounters() counters {
 	set := metrics.NewSet()
 	begin := func(outcome string) *metrics.Counter {
-		return set.NewCounter(`banyan_claims_total{outcome="` + outcome + `"}`)
+		return set.NewCounter(`banyanroute_claims_total{outcome="` + outcome + `"}`)
 	}
 	return counters{
 		set:            set,
@@ -28,7 +28,7 @@
 		unknown:        begin("outcome-unknown"),
 		keyReused:      begin("key-reused"),
 		storeDown:      begin("store-unavailable"),
-		answersDropped: set.NewCounter("banyan_claim_answers_dropped_total"),
+		answersDropped: set.NewCounter("banyanroute_claim_answers_dropped_total"),
 	}
 }
 
@@ -37,8 +37,8 @@
 
 // addGauges adds the metrics that are read from the ledger's parts.
 func (l *Ledger) addGauges() {
-	l.counts.set.NewGauge("banyan_claims_pending", func() float64 { return float64(l.settler.pending()) })
-	l.counts.set.NewGauge("banyan_claim_store_reachable", func() float64 {
+	l.counts.set.NewGauge("banyanroute_claims_pending", func() float64 { return float64(l.settler.pending()) })
+	l.counts.set.NewGauge("banyanroute_claim_store_reachable", func() float64 {
 		if l.gate.isOpen() {
 			return 1
 		}
--- a/internal/order/controller.go
+++ b/internal/order/controller.go
@@ -333,7 +333,7 @@
 // countOrder counts an order in the metrics.
 func (c *Controller) countOrder(outcome string) {
 	if c.options.Metrics != nil {
-		name := `banyan_orders_total{group="` + c.options.Group + `",outcome="` + outcome + `"}`
+		name := `banyanroute_orders_total{group="` + c.options.Group + `",outcome="` + outcome + `"}`
 		c.options.Metrics.GetOrCreateCounter(name).Inc()
 	}
 }
--- a/internal/reclaim/reclaim.go
+++ b/internal/reclaim/reclaim.go
@@ -224,7 +224,7 @@
 	}
 	delete(kept, key)
 	log.Infof("released %d tokens of %s on %s: %s", hold.Tokens, hold.Name, e.ID, reason)
-	s.set.GetOrCreateCounter(`banyan_holds_released_total{reason="` + string(reason) + `"}`).Inc()
+	s.set.GetOrCreateCounter(`banyanroute_holds_released_total{reason="` + string(reason) + `"}`).Inc()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state.Released[reason]++
@@ -263,7 +263,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state.Failed++
-	s.set.GetOrCreateCounter("banyan_hold_calls_failed_total").Inc()
+	s.set.GetOrCreateCounter("banyanroute_hold_calls_failed_total").Inc()
 }
 
 func (s *Sweeper) note(mine []Engine, watched int) {
--- /dev/null
+++ b/tools/controlcost/main.go
@@ -0,0 +1,77 @@
+// Command controlcost measures, on real processes without callers, what an
+// instance spends on control at several fleet sizes: processor time, memory, and
+// bytes on the links between instances.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/banyanroute/banyanroute/internal/localfleet"
+)
+
+func main() {
+	bin := flag.String("bin", "bin", "folder with the built programs")
+	sizes := flag.String("sizes", "3,7,15,30,60", "comma-separated fleet sizes")
+	engines := flag.Int("engines", 15, "number of engines")
+	settle := flag.Duration("settle", 15*time.Second, "time before measuring")
+	duration := flag.Duration("duration", 15*time.Second, "time measured per size")
+	flag.Parse()
+	fmt.Printf("%d engines, no callers, %s per size\n", *engines, *duration)
+	fmt.Println("| instances | cpu % of a core | resident MB | link bytes/s out | link bytes/s in |")
+	fmt.Println("| --------- | --------------- | ----------- | ---------------- | --------------- |")
+	for _, field := range strings.Split(*sizes, ",") {
+		n, err := strconv.Atoi(field)
+		if err == nil {
+			err = measure(*bin, n, *engines, *settle, *duration)
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "controlcost:", trace.UserMessage(err))
+			os.Exit(1)
+		}
+	}
+}
+
+// startLimit bounds the start of a deployment and its measurement.
+const startLimit = 5 * time.Minute
+
+// measure starts a fleet of n instances and prints the mean per instance.
+func measure(bin string, n, engines int, settle, duration time.Duration) error {
+	dir, err := os.MkdirTemp("", "banyanroute-cost-")
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer os.RemoveAll(dir)
+	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
+	defer cancel()
+	fleet, err := localfleet.Start(ctx, localfleet.Layout{
+		Bin: bin, Dir: dir, Instances: n, Engines: engines, Model: "tutor-llm", Service: "none",
+		DataCentres: []string{"dc1", "dc2", "dc3", "dc4", "dc5"}, Region: "r1", MemoryTokens: 400_000,
+		Algorithm: "banyan", ShortWeight: 0.5,
+	})
+	if err != nil {
+		return err
+	}
+	defer fleet.Stop()
+	time.Sleep(settle)
+	before, err := sampleAll(ctx, fleet)
+	if err != nil {
+		return err
+	}
+	time.Sleep(duration)
+	after, err := sampleAll(ctx, fleet)
+	if err != nil {
+		return err
+	}
+	perNode := float64(n) * duration.Seconds()
+	fmt.Printf("| %d | %.2f | %.1f | %.0f | %.0f |\n", n, 100*(after.cpu-before.cpu)/perNode, after.resident/float64(n)/(1<<20),
+		(after.sent-before.sent)/perNode, (after.received-before.received)/perNode)
+	return nil
+}
