--- a/cmd/banyanctl/edit.go
+++ b/cmd/banyanctl/edit.go
@@ -145,15 +145,7 @@
 
 // Execute implements flags.Commander.
 func (c *editCommand) Execute([]string) error {
-	key, err := parseKey(string(c.Args.Entry))
-	if err != nil {
-		return err
-	}
-	cl, err := c.app.client()
-	if err != nil {
-		return err
-	}
-	present, err := cl.entry(c.app.ctx, key)
+	cl, present, err := c.app.fetch(c.Args.Entry)
 	if err != nil {
 		return err
 	}
@@ -169,7 +161,7 @@
 	if err != nil {
 		return err
 	}
-	src, err := catalogue.Decode(key.String(), text)
+	src, err := catalogue.Decode(present.Entry.Key().String(), text)
 	if err != nil {
 		return err
 	}
--- a/cmd/banyanctl/read.go
+++ b/cmd/banyanctl/read.go
@@ -25,6 +25,20 @@
 	Entry entryName `positional-arg-name:"KIND/NAME" required:"yes"`
 }
 
+// fetch returns a client and the present entry of a name.
+func (a *app) fetch(name entryName) (*client, admin.EntryAnswer, error) {
+	key, err := parseKey(string(name))
+	if err != nil {
+		return nil, admin.EntryAnswer{}, err
+	}
+	cl, err := a.client()
+	if err != nil {
+		return nil, admin.EntryAnswer{}, err
+	}
+	answer, err := cl.entry(a.ctx, key)
+	return cl, answer, err
+}
+
 type getCommand struct {
 	app  *app
 	Args entryArg `positional-args:"yes"`
@@ -32,15 +46,7 @@
 
 // Execute implements flags.Commander.
 func (c *getCommand) Execute([]string) error {
-	key, err := parseKey(string(c.Args.Entry))
-	if err != nil {
-		return err
-	}
-	cl, err := c.app.client()
-	if err != nil {
-		return err
-	}
-	answer, err := cl.entry(c.app.ctx, key)
+	_, answer, err := c.app.fetch(c.Args.Entry)
 	if err != nil {
 		return err
 	}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -116,19 +116,25 @@
 
 // line returns the line of a dotted field, or zero if the file does not set it.
 func (c *checker) line(field string) int {
-	node := c.root
-	if node.Kind == yaml.DocumentNode && len(node.Content) > 0 {
-		node = node.Content[0]
+	if key, _ := c.find(field); key != nil {
+		return key.Line
+	}
+	return 0
+}
+
+// find returns the key and value nodes of a dotted field, or nils.
+func (c *checker) find(field string) (key, value *yaml.Node) {
+	value = c.root
+	if value.Kind == yaml.DocumentNode && len(value.Content) > 0 {
+		value = value.Content[0]
 	}
-	line := 0
 	for _, name := range strings.Split(field, ".") {
-		key, value := child(node, name)
+		key, value = child(value, name)
 		if key == nil {
-			return 0
+			return nil, nil
 		}
-		line, node = key.Line, value
 	}
-	return line
+	return key, value
 }
 
 // child returns the key and value nodes of a mapping's field.
@@ -231,7 +237,15 @@
 	c.number(field, value, low, high, " bytes")
 }
 
+// floatTag is the YAML tag of a number with a fraction, which the YAML library
+// cuts to a whole number without an error.
+const floatTag = "!!float"
+
 func (c *checker) number(field string, value, low, high int64, unit string) {
+	if _, node := c.find(field); node != nil && node.Tag == floatTag {
+		c.fail(field, "%s must be a whole number", node.Value)
+		return
+	}
 	if value < low || value > high {
 		c.fail(field, "%d is out of range; allowed is %d to %d%s", value, low, high, unit)
 	}
--- a/tools/inforce/main.go
+++ b/tools/inforce/main.go
@@ -62,6 +62,9 @@
 		return err
 	}
 	defer fleet.Stop()
+	if err := awaitMembers(ctx, fleet); err != nil {
+		return err
+	}
 	m := &measurement{fleet: fleet, edits: o.edits}
 	if err := m.run(ctx, "quiet", false); err != nil {
 		return err
@@ -75,6 +78,27 @@
 	return m.run(ctx, "store down after acceptance", true)
 }
 
+// awaitMembers waits until each instance knows all others, so that the figures
+// are those of a fleet at work and not of its start.
+func awaitMembers(ctx context.Context, fleet *localfleet.Fleet) error {
+	for i := range fleet.Instances {
+		for {
+			out, err := fleet.Ctl(ctx, i, "status", "-o", "json")
+			if err == nil && strings.Count(out, `"phase": "ready"`) >= len(fleet.Instances) {
+				break
+			}
+			if ctx.Err() != nil {
+				return trace.Wrap(ctx.Err(), "waiting for all members: %s", out)
+			}
+			time.Sleep(memberPause)
+		}
+	}
+	return nil
+}
+
+// memberPause is the wait between two looks at the members.
+const memberPause = 200 * time.Millisecond
+
 // measurement makes edits and watches all instances.
 type measurement struct {
 	fleet *localfleet.Fleet
