Weigh delays of streams, chunks and memory in tokens, not seconds

The constants were right for 20,000 tokens/s; on an engine four times as fast a short request would rather queue for 50 ms than share an engine whose chunk takes 13 ms.

--- a/internal/route/score.go
+++ b/internal/route/score.go
@@ -7,18 +7,19 @@
 	// longInterference is the part of queued longer work that delays a
 	// request although its priority is higher: chunks in progress end first.
 	longInterference = 0.05
-	// streamSeconds is the delay that each running stream adds.
-	streamSeconds = 0.002
-	// chunkSeconds is the delay of a short request on an upstream that
+	// streamTokens is the delay that each running stream adds, as the prompt
+	// tokens that could be computed in that time.
+	streamTokens = 40
+	// chunkTokens is the delay of a short request on an upstream that
 	// computes a longer prompt: about one chunk of that prompt.
-	chunkSeconds = 0.05
+	chunkTokens = 1000
 	// remoteSeconds is the cost of an upstream in another data centre.
 	remoteSeconds = 0.002
 	// cacheTrust is the part of a hinted prefix that is counted, since hints
 	// are late and can be wrong.
 	cacheTrust = 0.8
-	// memorySeconds is the cost of using up all of an upstream's memory.
-	memorySeconds = 0.2
+	// memoryTokens is the cost of using up all of an upstream's memory.
+	memoryTokens = 4000
 )
 
 // EstimatedWork returns the work of a request on c: prompt tokens that are
@@ -51,14 +52,15 @@
 // small terms for streams, memory and distance. A slow or warming upstream's
 // time is divided by its share.
 func LeastWork(c *Candidate, d *Demand) float64 {
-	seconds := (WorkAhead(c, d)+EstimatedWork(c, d))/c.Rate + streamSeconds*float64(c.Streams)
+	tokens := WorkAhead(c, d) + EstimatedWork(c, d) + streamTokens*float64(c.Streams)
 	if d.IsShort() && c.Queued > workUpTo(c, d.Size) {
-		seconds += chunkSeconds
+		tokens += chunkTokens
 	}
 	if c.MemoryTokens > 0 {
 		used := float64(c.MemoryTokens-c.FreeTokens) / float64(c.MemoryTokens)
-		seconds += memorySeconds * used * used
+		tokens += memoryTokens * used * used
 	}
+	seconds := tokens / c.Rate
 	if d.DataCentre != "" && c.DataCentre != d.DataCentre {
 		seconds += remoteSeconds
 	}
