Let a long prompt be silent while it is computed; pass on the engine's message

Cause: a stream without progress was given up after four resumptions, 69 s at the default timeout, although a prompt of a million tokens is computed for longer; it was cancelled and started again. Ruled out: more resumptions, since broken connections must stay bounded. Change: breaks are counted, silence has a limit in time that grows with the prompt. TestLongPromptMayBeSilent fails without the growth (started twice, want once, and refused as stalled). An engine's own error message reaches the caller in the detail.

--- a/internal/dispatch/connection.go
+++ b/internal/dispatch/connection.go
@@ -15,6 +15,9 @@
 // errNotHeld says that the engine does not hold the stream to resume.
 var errNotHeld = errors.New("engine does not hold the stream")
 
+// errGap says that a stream left out a chunk.
+var errGap = errors.New("stream left out a chunk")
+
 // refusal is an answer that proves that the upstream did not run the request.
 type refusal struct{ status int }
 
@@ -24,10 +27,25 @@
 // failure is an error answer of the upstream's own, to be passed on.
 type failure struct {
 	status int
-	header http.Header
 	body   []byte
 }
 
+// message returns the message of an error in the OpenAI form, or the body.
+func (e *failure) message() string {
+	var parsed struct {
+		Error struct {
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	if json.Unmarshal(e.body, &parsed) == nil && parsed.Error.Message != "" {
+		return parsed.Error.Message
+	}
+	return string(e.body[:min(len(e.body), maxMessageBytes)])
+}
+
+// maxMessageBytes bounds an upstream's message to the caller.
+const maxMessageBytes = 500
+
 // Error implements error.
 func (e *failure) Error() string { return fmt.Sprintf("upstream answered status %d", e.status) }
 
@@ -130,7 +148,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", upstream.ErrLost, err)
 	}
-	return &failure{status: res.StatusCode, header: res.Header, body: body}
+	return &failure{status: res.StatusCode, body: body}
 }
 
 // isRefusal states whether the answer proves that the upstream did not run the
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -43,6 +43,8 @@
 	refuse bool
 	// status, if set, answers this status without the proof.
 	status int
+	// delay is the time before the first token.
+	delay time.Duration
 	// total is the number of tokens of an answer.
 	total   int
 	streams map[string]time.Time
@@ -126,7 +128,7 @@
 		from, _ = strconv.Atoi(last)
 	} else {
 		e.starts[id]++
-		e.streams[id] = time.Now().Add(-time.Duration(from) * tokenTime)
+		e.streams[id] = time.Now().Add(e.delay - time.Duration(from)*tokenTime)
 	}
 	var fault faultyConnection
 	if len(e.connections) > 0 {
--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -13,11 +13,16 @@
 
 // Limits of looking after a silent or broken stream at one upstream.
 const (
-	// maxResumes bounds the reconnects without progress in between.
-	maxResumes = 4
+	// maxBreaks bounds the connections that break without progress between.
+	maxBreaks = 4
 	// maxSilenceFactor bounds how far the silence timeout grows while the
 	// upstream is alive and the answer makes no progress.
 	maxSilenceFactor = 8
+	// stallFactor times the silence timeout, and stallPerToken for each token
+	// of the prompt, is how long an answer of a living upstream may make no
+	// progress: a long prompt is computed for minutes before its first token.
+	stallFactor   = 20
+	stallPerToken = 500 * time.Microsecond
 )
 
 // follower relays the answer of one upstream, over as many connections as it
@@ -27,12 +32,12 @@
 	conn    *connection
 	silence time.Duration
 	timer   *time.Timer
-	// resumes counts reconnects since the last progress.
-	resumes int
+	// breaks counts broken connections since the last progress, which was at
+	// progressAt.
+	breaks     int
+	progressAt time.Time
 	// accepted says that the upstream has taken the request.
 	accepted bool
-	// progress counts chunks from this upstream.
-	progress int
 }
 
 // follow relays the answer of the granted upstream. It returns once when the
@@ -58,7 +63,7 @@
 // newFollower sends the request to the granted upstream.
 func (g *generation) newFollower(ctx context.Context) *follower {
 	silence := g.d.opts.SilenceTimeout
-	f := &follower{g: g, silence: silence, timer: time.NewTimer(silence)}
+	f := &follower{g: g, silence: silence, timer: time.NewTimer(silence), progressAt: time.Now()}
 	g.grant.Sent()
 	f.conn = connect(ctx, g.d.opts.Upstreams, g.call(false))
 	return f
@@ -106,7 +111,7 @@
 func (f *follower) stop(ctx context.Context) chart.Event {
 	f.g.ran = worse(f.g.ran, result.MayHaveRun)
 	f.g.grant.Done(admit.Cancelled)
-	f.g.err = f.g.deadlineError()
+	f.g.err = deadlineError()
 	return contextEvent(ctx, eventDeadline)
 }
 
@@ -125,7 +130,7 @@
 		return ""
 	}
 	if position > g.delivered+1 {
-		return f.reconnect(ctx)
+		return f.afterBreak(ctx, errGap)
 	}
 	if g.delivered == 0 {
 		g.grant.FirstToken()
@@ -137,8 +142,8 @@
 	g.delivered = position
 	g.addChunk(event.Data)
 	g.grant.Progress(1)
-	f.progress++
-	f.resumes = 0
+	f.breaks = 0
+	f.progressAt = time.Now()
 	f.silence = g.d.opts.SilenceTimeout
 	f.timer.Reset(f.silence)
 	return ""
@@ -167,7 +172,7 @@
 		f.g.release(admit.RefusedNotRun)
 		return f.afterRefusal()
 	case errors.As(err, &failed):
-		f.g.err = result.Wrap(err, result.UpstreamFailed, "the upstream answered status %d", failed.status)
+		f.g.err = result.Wrap(err, result.UpstreamFailed, "the upstream answered status %d: %s", failed.status, failed.message())
 		f.g.grant.Done(admit.Failed)
 		return eventAnswerFailed
 	case errors.Is(err, errNotHeld):
@@ -190,10 +195,15 @@
 
 // afterBreak resumes at the same upstream if it still answers.
 func (f *follower) afterBreak(ctx context.Context, err error) chart.Event {
+	f.breaks++
+	if f.breaks > maxBreaks {
+		return f.stalled()
+	}
 	if !f.alive(ctx) {
 		return f.lost(err, admit.Lost)
 	}
-	return f.reconnect(ctx)
+	f.reconnect(ctx)
+	return ""
 }
 
 // onSilence tells a dead connection from a dead upstream: an upstream that
@@ -204,8 +214,23 @@
 		f.g.cancelUpstream()
 		return f.lost(upstream.ErrLost, admit.Lost)
 	}
+	if time.Since(f.progressAt) > f.stallLimit() {
+		return f.stalled()
+	}
 	f.silence = min(2*f.silence, maxSilenceFactor*f.g.d.opts.SilenceTimeout)
-	return f.reconnect(ctx)
+	f.reconnect(ctx)
+	return ""
+}
+
+// stallLimit is how long the answer may make no progress at a living upstream.
+func (f *follower) stallLimit() time.Duration {
+	return stallFactor*f.g.d.opts.SilenceTimeout + time.Duration(f.g.req.Route.PromptTokens)*stallPerToken
+}
+
+// stalled gives up an upstream that lives and makes no progress.
+func (f *follower) stalled() chart.Event {
+	f.g.cancelUpstream()
+	return f.lost(upstream.ErrLost, admit.Stalled)
 }
 
 // alive probes the upstream over a new connection.
@@ -220,17 +245,11 @@
 
 // reconnect resumes the stream after the last delivered position over a new
 // connection; a higher attempt number fences the old one off.
-func (f *follower) reconnect(ctx context.Context) chart.Event {
-	f.resumes++
-	if f.resumes > maxResumes {
-		f.g.cancelUpstream()
-		return f.lost(upstream.ErrLost, admit.Stalled)
-	}
+func (f *follower) reconnect(ctx context.Context) {
 	f.conn.close()
 	f.g.attempt++
 	f.conn = connect(ctx, f.g.d.opts.Upstreams, f.g.call(true))
 	f.timer.Reset(f.silence)
-	return ""
 }
 
 // lost gives the upstream up. An answer of which only the end marker is
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/banyanroute/banyanroute/internal/admit"
 	"github.com/banyanroute/banyanroute/internal/chart"
@@ -169,7 +168,7 @@
 // decideRetry returns eventAdmitted if another attempt is allowed.
 func (g *generation) decideRetry(ctx context.Context) chart.Event {
 	if event := contextEvent(ctx, ""); event != "" {
-		g.err = result.New(result.DeadlineExceeded, "the request did not finish within its time")
+		g.err = deadlineError()
 		return event
 	}
 	if g.delivered > 0 && !g.req.Continuable {
@@ -242,7 +241,6 @@
 }
 
 // deadlineError is the result of a request whose time is over.
-func (g *generation) deadlineError() *result.Error {
-	return result.New(result.DeadlineExceeded, "the request did not finish within its time of %s",
-		time.Since(g.req.Route.Deadline).Round(time.Millisecond))
+func deadlineError() *result.Error {
+	return result.New(result.DeadlineExceeded, "the request did not finish within its time")
 }
--- a/internal/dispatch/generate_test.go
+++ b/internal/dispatch/generate_test.go
@@ -187,3 +187,27 @@
 		t.Error("an ended request still needs its memory")
 	}
 }
+
+// TestLongPromptMayBeSilent checks that a prompt which is computed for minutes
+// before its first token is neither given up nor started again, while a short
+// one that makes no progress is given up.
+func TestLongPromptMayBeSilent(t *testing.T) {
+	for tokens, want := range map[int]int{1_000_000: 1, 100: 2} {
+		synctest.Test(t, func(t *testing.T) {
+			a, b := newFakeEngine(testTokens), newFakeEngine(testTokens)
+			a.delay, b.delay = 4*time.Minute, 4*time.Minute
+			d := newTestDispatcher(t, fakeNet{"http://a": a, "http://b": b}, nil)
+			req := newTestGeneration(d, 20*time.Minute)
+			req.Route.PromptTokens = tokens
+			sink := &recorder{}
+			err := d.Generate(t.Context(), req, sink)
+			starts := a.starts[req.ID] + b.starts[req.ID]
+			if starts != want {
+				t.Errorf("%d tokens: started %d times, want %d", tokens, starts, want)
+			}
+			if tokens > 100 && (err != nil || sink.text != wholeText(testTokens)) {
+				t.Errorf("%d tokens: %v, text %q", tokens, err, sink.text)
+			}
+		})
+	}
+}
