--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -95,10 +95,15 @@
 
 // buildState builds what instances share: links, catalogue, limits, claims.
 func (d *Daemon) buildState() error {
+	dialer, err := linkDialer(d.settings.Listen.Links)
+	if err != nil {
+		return err
+	}
 	overlay, err := member.New(member.Options{
 		Self:     d.self(),
 		Secret:   []byte(d.settings.Secrets.Links),
 		LiveList: d.platform,
+		Dialer:   dialer,
 	})
 	if err != nil {
 		return err
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/oklog/run"
 
 	"github.com/banyanroute/banyanroute/internal/entry"
+	"github.com/banyanroute/banyanroute/internal/member"
 	"github.com/banyanroute/banyanroute/internal/settings"
 )
 
@@ -91,6 +93,23 @@
 	return nil
 }
 
+// linkDialer returns the dialer of links to other instances, with TLS if the
+// links' listener has it.
+func linkDialer(l settings.Listener) (member.Dialer, error) {
+	if l.TLSCA == "" {
+		return member.NewWebSocketDialer(nil), nil
+	}
+	pem, err := os.ReadFile(l.TLSCA)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, trace.BadParameter("%s holds no PEM certificate", l.TLSCA)
+	}
+	return member.NewWebSocketDialer(&tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}), nil
+}
+
 // certLoader reads a certificate again when its file changes.
 type certLoader struct {
 	cert, key string
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -166,7 +166,7 @@
 	c.name("data_centre", s.DataCentre)
 	c.listener("listen.callers", s.Listen.Callers)
 	c.listener("listen.operators", s.Listen.Operators)
-	c.listener("listen.links", s.Listen.Links)
+	c.listener(linksField, s.Listen.Links)
 	c.baseURL("platform.url", s.Platform.URL)
 	c.duration("platform.timeout", s.Platform.Timeout, 50*time.Millisecond, time.Minute)
 	c.number("platform.loads_per_minute", s.Platform.LoadsPerMinute, 1, 100_000, "")
@@ -201,6 +201,9 @@
 	}
 }
 
+// linksField is the listener that other instances dial.
+const linksField = "listen.links"
+
 func (c *checker) listener(field string, l Listener) {
 	host, _, err := net.SplitHostPort(l.Address)
 	if err != nil || (host != "" && net.ParseIP(host) == nil) {
@@ -209,6 +212,10 @@
 	if (l.TLSCert == "") != (l.TLSKey == "") {
 		c.fail(field, "tls_cert and tls_key must be set together")
 	}
+	needsCA := field == linksField && l.TLSCert != ""
+	if needsCA != (l.TLSCA != "") {
+		c.fail(field, "tls_ca must be set for links with TLS, and for nothing else")
+	}
 }
 
 func (c *checker) baseURL(field, value string) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,6 +44,9 @@
 	// TLSCert and TLSKey are PEM files, read again when they change.
 	TLSCert string `yaml:"tls_cert"`
 	TLSKey  string `yaml:"tls_key"`
+	// TLSCA is a PEM file with the authorities that sign the certificates of
+	// the other instances. It is for links only, and needed there with TLS.
+	TLSCA string `yaml:"tls_ca"`
 }
 
 // Platform says where the platform's services are.
