Blame no request for upstreams that were not reached; hints within the budget

Change: unreached upstreams are reported as such; the budget counts 300 B a broadcast and is 2 KB/s.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -76,8 +76,11 @@
 	// correct anything; fleets so large that the budget asks for more send
 	// none, since each instance's own share of the load is small there.
 	maxHintInterval = 3 * time.Second
-	// hintBytesPerSecond bounds the hints that each instance receives.
-	hintBytesPerSecond = 4000
+	// hintOverhead is what a broadcast costs an instance beside its payload, in
+	// bytes: headers and announcements; see docs/CAPACITY.md.
+	hintOverhead = 300
+	// hintBytesPerSecond bounds the traffic of hints that an instance receives.
+	hintBytesPerSecond = 2000
 	// listInterval is the shortest interval of reads of the live list; it
 	// grows with the fleet, so that the list's load does not.
 	listInterval = time.Second
@@ -258,7 +261,7 @@
 	}
 	payload := c.opts.Scheduler.PeerHint()
 	members := len(c.opts.Bus.Members())
-	perRound := time.Duration(len(payload)*members) * time.Second / hintBytesPerSecond
+	perRound := time.Duration((len(payload)+hintOverhead)*members) * time.Second / hintBytesPerSecond
 	c.nextHint = now.Add(max(hintInterval, min(perRound, maxHintInterval)))
 	if len(payload) > 0 && members > 1 && perRound <= maxHintInterval {
 		c.opts.Bus.Broadcast(topicHint, payload)
--- a/internal/dispatch/atmostonce.go
+++ b/internal/dispatch/atmostonce.go
@@ -24,6 +24,7 @@
 func (d *Dispatcher) AtMostOnce(ctx context.Context, call *ServiceCall) (*Answer, *result.Error) {
 	bounded, cancel := context.WithDeadline(ctx, call.Route.Deadline)
 	defer cancel()
+	call.Route.NonIdempotent = true
 	stored, err := d.opts.Claims.Lookup(bounded, call.Claim)
 	if err != nil {
 		return nil, err
--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -36,6 +36,8 @@
 	// progressAt.
 	breaks     int
 	progressAt time.Time
+	// reconnects counts the connections after the first.
+	reconnects int
 	// accepted says that the upstream has taken the request.
 	accepted bool
 }
@@ -177,6 +179,8 @@
 		return eventAnswerFailed
 	case errors.Is(err, errNotHeld):
 		return f.lost(err, admit.Lost)
+	case errors.Is(err, upstream.ErrNotSent) && f.reconnects == 0:
+		return f.lost(err, admit.Unreached)
 	case errors.Is(err, upstream.ErrNotSent) && !f.accepted:
 		return f.lost(err, admit.Lost)
 	}
@@ -247,6 +251,7 @@
 // connection; a higher attempt number fences the old one off.
 func (f *follower) reconnect(ctx context.Context) {
 	f.conn.close()
+	f.reconnects++
 	f.g.attempt++
 	f.conn = connect(ctx, f.g.d.opts.Upstreams, f.g.call(true))
 	f.timer.Reset(f.silence)
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -122,7 +122,7 @@
 	}
 	res, err := d.opts.Upstreams.Do(ctx, serviceCall(up, call, fresh))
 	if err != nil {
-		return nil, admit.Lost, sendError(err)
+		return nil, lossOf(err), sendError(err)
 	}
 	defer res.Body.Close()
 	if isRefusal(res) {
@@ -146,6 +146,14 @@
 // idempotent call may take.
 const serviceSilenceFactor = 2
 
+// lossOf tells an upstream that was not reached from one that was lost.
+func lossOf(err error) admit.Outcome {
+	if errors.Is(err, upstream.ErrNotSent) {
+		return admit.Unreached
+	}
+	return admit.Lost
+}
+
 // sendError tells a call that was not sent from one that may have run.
 func sendError(err error) *result.Error {
 	if errors.Is(err, upstream.ErrNotSent) {
