--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -116,19 +116,25 @@
 
 // line returns the line of a dotted field, or zero if the file does not set it.
 func (c *checker) line(field string) int {
-	node := c.root
-	if node.Kind == yaml.DocumentNode && len(node.Content) > 0 {
-		node = node.Content[0]
+	if key, _ := c.find(field); key != nil {
+		return key.Line
+	}
+	return 0
+}
+
+// find returns the key and value nodes of a dotted field, or nils.
+func (c *checker) find(field string) (key, value *yaml.Node) {
+	value = c.root
+	if value.Kind == yaml.DocumentNode && len(value.Content) > 0 {
+		value = value.Content[0]
 	}
-	line := 0
 	for _, name := range strings.Split(field, ".") {
-		key, value := child(node, name)
+		key, value = child(value, name)
 		if key == nil {
-			return 0
+			return nil, nil
 		}
-		line, node = key.Line, value
 	}
-	return line
+	return key, value
 }
 
 // child returns the key and value nodes of a mapping's field.
@@ -160,7 +166,7 @@
 	c.name("data_centre", s.DataCentre)
 	c.listener("listen.callers", s.Listen.Callers)
 	c.listener("listen.operators", s.Listen.Operators)
-	c.listener("listen.links", s.Listen.Links)
+	c.listener(linksField, s.Listen.Links)
 	c.baseURL("platform.url", s.Platform.URL)
 	c.duration("platform.timeout", s.Platform.Timeout, 50*time.Millisecond, time.Minute)
 	c.number("platform.loads_per_minute", s.Platform.LoadsPerMinute, 1, 100_000, "")
@@ -195,6 +201,9 @@
 	}
 }
 
+// linksField is the listener that other instances dial.
+const linksField = "listen.links"
+
 func (c *checker) listener(field string, l Listener) {
 	host, _, err := net.SplitHostPort(l.Address)
 	if err != nil || (host != "" && net.ParseIP(host) == nil) {
@@ -203,6 +212,10 @@
 	if (l.TLSCert == "") != (l.TLSKey == "") {
 		c.fail(field, "tls_cert and tls_key must be set together")
 	}
+	needsCA := field == linksField && l.TLSCert != ""
+	if needsCA != (l.TLSCA != "") {
+		c.fail(field, "tls_ca must be set for links with TLS, and for nothing else")
+	}
 }
 
 func (c *checker) baseURL(field, value string) {
@@ -231,7 +244,15 @@
 	c.number(field, value, low, high, " bytes")
 }
 
+// floatTag is the YAML tag of a number with a fraction, which the YAML library
+// cuts to a whole number without an error.
+const floatTag = "!!float"
+
 func (c *checker) number(field string, value, low, high int64, unit string) {
+	if _, node := c.find(field); node != nil && node.Tag == floatTag {
+		c.fail(field, "%s must be a whole number", node.Value)
+		return
+	}
 	if value < low || value > high {
 		c.fail(field, "%d is out of range; allowed is %d to %d%s", value, low, high, unit)
 	}
