--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -50,7 +50,7 @@
 
 // Upstreams is the part of the upstream client that control needs.
 type Upstreams interface {
-	Probe(ctx context.Context, baseURL string) (time.Duration, error)
+	Health(ctx context.Context, baseURL string) (upstream.Health, error)
 	Load(ctx context.Context, baseURL string) (upstream.LoadReport, error)
 	Events(ctx context.Context, baseURL string, after uint64) (upstream.CacheEvents, error)
 }
@@ -80,7 +80,7 @@
 	// bytes: headers and announcements; see docs/CAPACITY.md.
 	hintOverhead = 300
 	// hintBytesPerSecond bounds the traffic of hints that an instance receives.
-	hintBytesPerSecond = 2000
+	hintBytesPerSecond = 8000
 	// listInterval is the shortest interval of reads of the live list; it
 	// grows with the fleet, so that the list's load does not.
 	listInterval = time.Second
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -40,8 +40,12 @@
 	return slices.Clone(w.list), nil
 }
 
-// Probe implements Upstreams.
-func (w *fakeWorld) Probe(context.Context, string) (time.Duration, error) { return 0, nil }
+// Health implements Upstreams.
+func (w *fakeWorld) Health(_ context.Context, url string) (upstream.Health, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return upstream.Health{Leaving: w.leaving[url]}, nil
+}
 
 // Load implements Upstreams.
 func (w *fakeWorld) Load(_ context.Context, url string) (upstream.LoadReport, error) {
@@ -225,3 +229,40 @@
 	}
 	return snapshot
 }
+
+// TestLeavingServiceGetsNothingNew checks that a plain service's own word that
+// it leaves reaches all instances.
+func TestLeavingServiceGetsNothingNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		service := catalogue.Entry{Kind: catalogue.KindService, Name: "s", Owner: "o", Service: &catalogue.ServiceSpec{
+			Routes: []catalogue.ServiceRoute{{Method: "*", Prefix: "/", Idempotent: true}},
+		}}
+		process := catalogue.Entry{Kind: catalogue.KindUpstream, Name: "s1", Owner: "o", Upstream: &catalogue.UpstreamSpec{
+			URL: "http://s1", DataCentre: "dc", Service: "s",
+		}}
+		net := peertest.NewNet(time.Millisecond)
+		world := &fakeWorld{boot: "b1"}
+		first := startInstance(ctx, net, "i1", world, newSnapshot(t, service, process))
+		second := startInstance(ctx, net, "i2", &fakeWorld{boot: "b1"}, newSnapshot(t, service, process))
+		takes := func(in *instance) bool {
+			grant, err := in.scheduler.Acquire(ctx, &admit.Request{ID: "x", Workspace: "w", Target: "s", Service: true, Deadline: time.Now().Add(time.Second)})
+			if err == nil {
+				grant.Done(admit.Cancelled)
+			}
+			return err == nil
+		}
+		time.Sleep(2 * time.Second)
+		if !takes(first) || !takes(second) {
+			t.Fatal("a healthy service gets no work")
+		}
+		world.set(func(w *fakeWorld) { w.leaving = map[string]bool{"http://s1": true} })
+		time.Sleep(leaveTime)
+		if takes(first) || takes(second) {
+			t.Fatal("a leaving service gets new work")
+		}
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/control/poll.go
+++ b/internal/control/poll.go
@@ -52,9 +52,11 @@
 	id      string
 	url     string
 	latency time.Duration
-	load    *upstream.LoadReport
-	events  *upstream.CacheEvents
-	err     error
+	// health is set for a plain service, load for an engine.
+	health *upstream.Health
+	load   *upstream.LoadReport
+	events *upstream.CacheEvents
+	err    error
 }
 
 // UpstreamState is one upstream's part of a dump.
@@ -113,12 +115,15 @@
 	r := pollResult{id: up.ID, url: up.URL}
 	start := time.Now()
 	if up.Service != "" {
-		r.latency, r.err = c.opts.Upstreams.Probe(ctx, up.URL)
+		var health upstream.Health
+		health, r.err = c.opts.Upstreams.Health(ctx, up.URL)
+		r.health = &health
 	} else {
 		var load upstream.LoadReport
 		load, r.err = c.opts.Upstreams.Load(ctx, up.URL)
-		r.latency, r.load = time.Since(start), &load
+		r.load = &load
 	}
+	r.latency = time.Since(start)
 	if r.err == nil && withEvents {
 		if events, err := c.opts.Upstreams.Events(ctx, up.URL, after); err == nil {
 			r.events = &events
@@ -168,6 +173,9 @@
 		return
 	}
 	p.fails = 0
+	if r.health != nil {
+		c.takeLeaving(p, r.health.Leaving, false)
+	}
 	if r.load != nil {
 		c.takeLoad(p, *r.load)
 	}
@@ -176,20 +184,25 @@
 	}
 }
 
-// takeLoad passes a load report on. An upstream that says that it leaves is
-// believed, and one that was said to leave but has restarted is taken back.
+// takeLoad passes a load report on.
 func (c *Controller) takeLoad(p *poll, load upstream.LoadReport) {
 	restarted := p.load.Boot != "" && p.load.Boot != load.Boot
 	p.load = load
 	p.load.Requests = nil
+	c.takeLeaving(p, load.Leaving, restarted)
+	_, load.Leaving = c.leaving[p.up.ID]
+	c.opts.Scheduler.ObserveLoad(p.up.ID, load)
+}
+
+// takeLeaving hears from an upstream itself whether it leaves, which is
+// believed; one that was said to leave but has restarted is taken back.
+func (c *Controller) takeLeaving(p *poll, leaving, restarted bool) {
 	switch {
-	case load.Leaving:
+	case leaving:
 		c.markLeaving(p.up.ID, leavesByReport)
 	case restarted || c.unconfirmed(p.up.ID):
 		c.clearLeaving(p.up.ID)
 	}
-	_, load.Leaving = c.leaving[p.up.ID]
-	c.opts.Scheduler.ObserveLoad(p.up.ID, load)
 }
 
 // unconfirmed states whether an upstream that says that it stays is marked as
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -176,10 +176,17 @@
 // that the answer took.
 func (c *Client) Probe(ctx context.Context, baseURL string) (time.Duration, error) {
 	start := time.Now()
-	err := c.control(ctx, http.MethodGet, baseURL+PathHealth, nil, nil, true)
+	_, err := c.Health(ctx, baseURL)
 	return time.Since(start), err
 }
 
+// Health asks the upstream's health over a new connection.
+func (c *Client) Health(ctx context.Context, baseURL string) (Health, error) {
+	var h Health
+	err := c.control(ctx, http.MethodGet, baseURL+PathHealth, nil, &h, true)
+	return h, err
+}
+
 // Load returns the engine's latest load report.
 func (c *Client) Load(ctx context.Context, baseURL string) (LoadReport, error) {
 	var r LoadReport
