--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -109,15 +109,26 @@
 // startTimeout bounds the wait for a process to answer.
 const startTimeout = 20 * time.Second
 
+// startTries bounds the starts of a deployment: a port that was free when it was
+// chosen may be taken before its process listens.
+const startTries = 3
+
 // Start starts everything, fills the catalogue and waits until all instances
-// are ready. On error it stops what it has started.
+// are ready. On error it stops what it has started and tries again with other
+// ports.
 func Start(ctx context.Context, layout Layout) (*Fleet, error) {
-	f := &Fleet{Layout: layout}
-	if err := f.start(ctx); err != nil {
+	var err error
+	for range startTries {
+		f := &Fleet{Layout: layout}
+		if err = f.start(ctx); err == nil {
+			return f, nil
+		}
 		f.Stop()
-		return nil, trace.Wrap(err)
+		if ctx.Err() != nil {
+			break
+		}
 	}
-	return f, nil
+	return nil, trace.Wrap(err)
 }
 
 func (f *Fleet) start(ctx context.Context) error {
--- a/tools/loadfleet/main.go
+++ b/tools/loadfleet/main.go
@@ -110,10 +110,6 @@
 	return runScenario(ctx, o, fleet, algorithm)
 }
 
-// startAttempts bounds the attempts to start a fleet. Another process may take
-// a port between its choice and its use.
-const startAttempts = 3
-
 func startFleet(ctx context.Context, o options, dir, algorithm string) (*localfleet.Fleet, error) {
 	layout := localfleet.Layout{
 		Bin: o.bin, Dir: dir, Instances: o.instances, Engines: o.engines, Services: o.services,
@@ -121,13 +117,7 @@
 		MemoryTokens: o.memory, EngineFlags: strings.Fields(o.engineFlags),
 		Algorithm: algorithm, ShortWeight: o.shortWeight,
 	}
-	for attempt := 1; ; attempt++ {
-		fleet, err := localfleet.Start(ctx, layout)
-		if err == nil || attempt == startAttempts || ctx.Err() != nil {
-			return fleet, trace.Wrap(err)
-		}
-		fmt.Fprintf(os.Stderr, "loadfleet: start %d failed: %v\n", attempt, err)
-	}
+	return localfleet.Start(ctx, layout)
 }
 
 func measureOverhead(ctx context.Context, o options, fleet *localfleet.Fleet, algorithm string) error {
