Explore the catalogue's model with internal/modelcheck

Cause: the model test had a breadth-first explorer of its own beside the one in internal/modelcheck, and reported a broken state without the steps to it. Ruled out: losing states; the count of 284264 was only logged and is now asserted, and an exploration that stops at its bound fails the test. Change: named steps and invariants; phases named by what the editor got.

--- a/internal/catalogue/model_test.go
+++ b/internal/catalogue/model_test.go
@@ -3,19 +3,24 @@
 import (
 	"fmt"
 	"testing"
+
+	"github.com/banyanroute/banyanroute/internal/modelcheck"
 )
 
 // The model of the protocol: editors that commit edits on the head that they
-// have seen, two of them the same edit through two instances; answers that are
-// lost; and replicas that install what they hear
-// from pushes, peers and the store, in any order and any number of times.
-// All states of a small bound are visited.
-
+// have read, two of them the same edit through two instances; responses that
+// are lost; and replicas that install revisions from broadcasts, peers and the
+// store, in any order and any number of times. All states within these bounds
+// are visited.
 const (
 	modelEditors  = 3
 	modelReplicas = 2
 	modelMaxHead  = 3
 	modelTries    = 2
+	// modelStates is the number of reachable states of the whole protocol.
+	modelStates = 284_264
+	// modelMaxStates bounds an exploration, also of a broken protocol.
+	modelMaxStates = 4 * modelStates
 )
 
 // modelEdits are the edits of the editors, counted from 1.
@@ -27,18 +32,18 @@
 const (
 	editorIdle editorPhase = iota
 	editorLoaded
-	editorLooked
-	editorUnsure
+	editorNotFound
+	editorUnknown
 	editorAccepted
-	editorLost
+	editorConflict
 )
 
 type modelEditor struct {
 	phase editorPhase
 	seen  uint8
 	tries uint8
-	// told is the revision that the operator was told.
-	told uint8
+	// answered is the revision in the answer to the operator.
+	answered uint8
 }
 
 // modelState is comparable. history[r] is the edit of revision r.
@@ -48,10 +53,11 @@
 	editors  [modelEditors]modelEditor
 	replicas [modelReplicas]uint8
 	ready    [modelReplicas]bool
-	// pushed is the set of revisions that were broadcast.
-	pushed uint8
-	down   bool
-	// reverted records a replica that went back.
+	// broadcast is the bit set of the revisions that were broadcast.
+	broadcast uint8
+	// down states whether the store is unavailable.
+	down bool
+	// reverted records that a replica installed a lower revision.
 	reverted bool
 }
 
@@ -68,6 +74,9 @@
 
 var allMechanisms = mechanisms{true, true, true, true, true}
 
+// modelStep is one transition of the model.
+type modelStep = modelcheck.Step[modelState]
+
 // install lets a replica install a revision.
 func (s modelState) install(m mechanisms, replica int, rev uint8) modelState {
 	if s.ready[replica] && m.guard && rev <= s.replicas[replica] {
@@ -81,12 +90,11 @@
 	return s
 }
 
-// successors returns all next states.
-func (s modelState) successors(m mechanisms) []modelState {
-	var next []modelState
+// steps returns all transitions of a state.
+func (s modelState) steps(m mechanisms) []modelStep {
 	toggled := s
 	toggled.down = !s.down
-	next = append(next, toggled)
+	next := []modelStep{{Name: "the store fails or recovers", To: toggled}}
 	for e := range s.editors {
 		next = append(next, s.editorSteps(m, e)...)
 	}
@@ -97,7 +105,7 @@
 }
 
 // editorSteps are those of one editor; each needs the store.
-func (s modelState) editorSteps(m mechanisms, e int) []modelState {
+func (s modelState) editorSteps(m mechanisms, e int) []modelStep {
 	ed := s.editors[e]
 	if s.down || ed.tries > modelTries {
 		return nil
@@ -105,44 +113,49 @@
 	switch {
 	case ed.phase == editorAccepted:
 		return nil
-	case ed.phase == editorLooked && m.lookUpLast, ed.phase == editorLoaded && !m.lookUpLast:
+	case ed.phase == editorNotFound && m.lookUpLast, ed.phase == editorLoaded && !m.lookUpLast:
 		return s.commits(m, e)
-	case ed.phase == editorLoaded, ed.phase == editorLooked:
-		return []modelState{s.secondStep(m, e)}
+	case ed.phase == editorLoaded, ed.phase == editorNotFound:
+		return []modelStep{s.secondStep(m, e)}
 	}
 	s.editors[e].tries++
-	return []modelState{s.firstStep(m, e)}
+	return []modelStep{s.firstStep(m, e)}
+}
+
+// editorStep names a transition of an editor.
+func editorStep(e int, action string, to modelState) modelStep {
+	return modelStep{Name: fmt.Sprintf("editor %d %s", e, action), To: to}
 }
 
 // firstStep and secondStep are the load and the look-up, in the order of m.
-func (s modelState) firstStep(m mechanisms, e int) modelState {
+func (s modelState) firstStep(m mechanisms, e int) modelStep {
 	if m.lookUpLast {
 		return s.load(e)
 	}
-	return s.look(m, e)
+	return s.lookUp(m, e)
 }
 
-func (s modelState) secondStep(m mechanisms, e int) modelState {
+func (s modelState) secondStep(m mechanisms, e int) modelStep {
 	if m.lookUpLast {
-		return s.look(m, e)
+		return s.lookUp(m, e)
 	}
 	return s.load(e)
 }
 
 // load reads the head.
-func (s modelState) load(e int) modelState {
+func (s modelState) load(e int) modelStep {
 	s.editors[e].phase = editorLoaded
 	s.editors[e].seen = s.head
-	return s
+	return editorStep(e, "loads the head", s)
 }
 
-// look looks for an earlier acceptance.
-func (s modelState) look(m mechanisms, e int) modelState {
+// lookUp searches the history for the editor's edit.
+func (s modelState) lookUp(m mechanisms, e int) modelStep {
 	if rev := s.accepted(e); m.lookUp && rev != 0 {
-		return s.accept(e, rev)
+		return editorStep(e, "finds its edit", s.accept(e, rev))
 	}
-	s.editors[e].phase = editorLooked
-	return s
+	s.editors[e].phase = editorNotFound
+	return editorStep(e, "does not find its edit", s)
 }
 
 // accepted returns the revision of an editor's edit, or zero.
@@ -157,20 +170,21 @@
 
 func (s modelState) accept(e int, rev uint8) modelState {
 	s.editors[e].phase = editorAccepted
-	s.editors[e].told = rev
-	s.pushed |= 1 << rev
+	s.editors[e].answered = rev
+	s.broadcast |= 1 << rev
 	return s
 }
 
-// commits are the outcomes of a conditional write: refused, lost before or
-// after it took effect, or answered.
-func (s modelState) commits(m mechanisms, e int) []modelState {
-	unsure := s
-	unsure.editors[e].phase = editorUnsure
+// commits are the outcomes of a conditional write: refused, or committed; in
+// both cases the response may be lost, and the request may be lost as well.
+func (s modelState) commits(m mechanisms, e int) []modelStep {
+	unknown := s
+	unknown.editors[e].phase = editorUnknown
+	noResponse := editorStep(e, "gets no response, nothing is written", unknown)
 	if (m.condition && s.editors[e].seen != s.head) || (m.idCondition && s.accepted(e) != 0) {
-		lost := s
-		lost.editors[e].phase = editorLost
-		return []modelState{lost, unsure}
+		refused := s
+		refused.editors[e].phase = editorConflict
+		return []modelStep{editorStep(e, "is refused", refused), noResponse}
 	}
 	rev := s.editors[e].seen + 1
 	if rev > modelMaxHead {
@@ -178,87 +192,103 @@
 	}
 	s.history[rev] = modelEdits[e]
 	s.head = max(s.head, rev)
-	taken := s
-	taken.editors[e].phase = editorUnsure
-	return []modelState{unsure, taken, s.accept(e, rev)}
+	written := s
+	written.editors[e].phase = editorUnknown
+	return []modelStep{
+		noResponse,
+		editorStep(e, "commits and gets no response", written),
+		editorStep(e, "commits", s.accept(e, rev)),
+	}
 }
 
 // replicaSteps are those of one replica.
-func (s modelState) replicaSteps(m mechanisms, r int) []modelState {
-	var next []modelState
+func (s modelState) replicaSteps(m mechanisms, r int) []modelStep {
+	var next []modelStep
+	add := func(action string, to modelState) {
+		next = append(next, modelStep{Name: fmt.Sprintf("replica %d %s", r, action), To: to})
+	}
 	for rev := uint8(1); rev <= s.head; rev++ {
-		if s.pushed&(1<<rev) != 0 && s.ready[r] {
-			next = append(next, s.install(m, r, rev))
+		if s.broadcast&(1<<rev) != 0 && s.ready[r] {
+			add(fmt.Sprintf("receives the broadcast of revision %d", rev), s.install(m, r, rev))
 		}
 	}
 	for other := range s.replicas {
 		if other != r && s.ready[other] {
-			next = append(next, s.install(m, r, s.replicas[other]))
+			add(fmt.Sprintf("fetches from replica %d", other), s.install(m, r, s.replicas[other]))
 		}
 	}
 	if !s.down {
-		next = append(next, s.install(m, r, s.head))
+		add("loads the head", s.install(m, r, s.head))
 	}
 	restarted := s
 	restarted.ready[r], restarted.replicas[r] = false, 0
-	return append(next, restarted)
+	add("restarts", restarted)
+	return next
 }
 
-// broken returns the invariant that the state breaks, or "".
-func (s modelState) broken() string {
-	count := map[uint8]int{}
+// occurrences counts how often an edit is in the history.
+func (s modelState) occurrences(edit uint8) int {
+	count := 0
 	for rev := uint8(1); rev <= s.head; rev++ {
-		if s.history[rev] != 0 {
-			count[s.history[rev]]++
-		}
-	}
-	for e, ed := range s.editors {
-		switch {
-		case count[modelEdits[e]] > 1:
-			return "an edit is in the history once"
-		case ed.phase == editorAccepted && s.history[ed.told] != modelEdits[e]:
-			return "an accepted edit is in the history where its operator was told"
-		}
-	}
-	for r := range s.replicas {
-		if s.replicas[r] > s.head {
-			return "no replica is ahead of the head"
+		if s.history[rev] == edit {
+			count++
 		}
 	}
-	if s.reverted {
-		return "a replica never goes back"
-	}
-	return ""
+	return count
 }
 
-// explore visits all reachable states, and returns their number and a broken
-// invariant.
-func explore(m mechanisms) (states int, broken string) {
-	var initial modelState
-	seen := map[modelState]bool{initial: true}
-	work := []modelState{initial}
-	for len(work) > 0 {
-		s := work[0]
-		work = work[1:]
-		if b := s.broken(); b != "" {
-			return len(seen), fmt.Sprintf("%s: %+v", b, s)
+var modelInvariants = []modelcheck.Invariant[modelState]{
+	{Name: "an edit is in the history at most once", Holds: func(s modelState) bool {
+		for _, edit := range modelEdits {
+			if s.occurrences(edit) > 1 {
+				return false
+			}
 		}
-		for _, next := range s.successors(m) {
-			if !seen[next] {
-				seen[next] = true
-				work = append(work, next)
+		return true
+	}},
+	{Name: "an accepted edit is in the history at the answered revision", Holds: func(s modelState) bool {
+		for e, ed := range s.editors {
+			if ed.phase == editorAccepted && s.history[ed.answered] != modelEdits[e] {
+				return false
 			}
 		}
+		return true
+	}},
+	{Name: "no replica is ahead of the head", Holds: func(s modelState) bool {
+		for _, rev := range s.replicas {
+			if rev > s.head {
+				return false
+			}
+		}
+		return true
+	}},
+	{Name: "no replica installs a lower revision", Holds: func(s modelState) bool { return !s.reverted }},
+}
+
+// explore visits the reachable states until all are visited or an invariant is
+// violated.
+func explore(t *testing.T, m mechanisms) modelcheck.Report[modelState] {
+	t.Helper()
+	report := modelcheck.Explore(modelcheck.Model[modelState]{
+		Steps:      func(s modelState) []modelStep { return s.steps(m) },
+		Invariants: modelInvariants,
+		MaxStates:  modelMaxStates,
+	})
+	if report.Violation == nil && !report.Complete {
+		t.Fatalf("%+v: stopped after %d states", m, report.States)
 	}
-	return len(seen), ""
+	return report
 }
 
 func TestModel(t *testing.T) {
-	states, broken := explore(allMechanisms)
-	if broken != "" {
-		t.Fatal(broken)
+	report := explore(t, allMechanisms)
+	if report.Violation != nil {
+		t.Fatal(report.Violation)
+	}
+	if report.States != modelStates {
+		t.Fatalf("%d states, want %d", report.States, modelStates)
 	}
-	t.Logf("%d states", states)
+	t.Logf("%d states, %d steps", report.States, report.Steps)
 }
 
 func TestModelNeedsItsMechanisms(t *testing.T) {
@@ -269,11 +299,12 @@
 		"guard against lower revision": {true, true, true, true, false},
 	}
 	for name, m := range cases {
-		if _, broken := explore(m); broken == "" {
-			t.Errorf("no invariant breaks without the %s", name)
-		} else {
-			t.Logf("without the %s: %s", name, broken)
+		report := explore(t, m)
+		if report.Violation == nil {
+			t.Errorf("no invariant is violated without the %s", name)
+			continue
 		}
+		t.Logf("without the %s: %s", name, report.Violation)
 	}
 }
 
@@ -281,8 +312,8 @@
 // the order of load and look-up each suffice.
 func TestModelHasSpareMechanism(t *testing.T) {
 	for _, m := range []mechanisms{{true, false, true, true, true}, {true, true, true, false, true}} {
-		if _, broken := explore(m); broken != "" {
-			t.Errorf("%+v: %s", m, broken)
+		if report := explore(t, m); report.Violation != nil {
+			t.Errorf("%+v: %s", m, report.Violation)
 		}
 	}
 }
