Use standard terms in reclaim and ledger

Cause: names in metaphors (doubt, judge, flight, fly, hear, wire, word), a circuit breaker whose isOpen meant closed, and comments that paraphrased. Ruled out: renaming what is on the wire or in dumps, metrics and logs; the bus topic, the dump's fields and the reasons of a release stay. Change: suspicion, classify, ownerClient, worker, awaited, inTransit, simulation; doc comments with the unit or the effect.

--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -16,8 +16,8 @@
 const (
 	// maxBatchRows is the number of rows that one transaction writes.
 	maxBatchRows = 128
-	// maxFlights is the number of transactions under way at a time.
-	maxFlights = 4
+	// maxWorkers is the number of workers, and so of concurrent transactions.
+	maxWorkers = 4
 )
 
 // op is a conditional write of one row; an empty value deletes it.
@@ -36,21 +36,22 @@
 	err error
 }
 
-// batcher joins concurrent single-row writes into few transactions: one goes
-// out at once while fewer than maxFlights are under way, and the writes that
-// arrive meanwhile share the next one.
+// batcher joins concurrent single-row writes into few transactions: a write is
+// sent at once while fewer than maxWorkers workers run, and the writes that
+// arrive meanwhile share the next transaction.
 type batcher struct {
 	table   platform.Table
 	gate    *gate
 	timeout time.Duration
-	// limit paces the transactions.
+	// limit is the rate limiter of the transactions.
 	limit *rate.Limiter
-	// turn is held by the flight that takes the next batch.
+	// turn is a semaphore of one, held by the worker that waits for limit and
+	// takes the next batch.
 	turn chan struct{}
 
 	mu      sync.Mutex
 	queue   []*op
-	flights int
+	workers int
 	// commits and rows count what was sent to the table.
 	commits, rows int64
 }
@@ -66,40 +67,41 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.queue = append(b.queue, o)
-	if b.flights < maxFlights {
-		b.flights++
-		go b.fly()
+	if b.workers < maxWorkers {
+		b.workers++
+		go b.work()
 	}
 	return o.done
 }
 
-// fly sends batches until the queue is empty.
-func (b *batcher) fly() {
+// work sends batches until the queue is empty.
+func (b *batcher) work() {
 	for batch := b.next(); len(batch) > 0; batch = b.next() {
 		b.send(batch)
 	}
 }
 
-// next paces the transactions and returns the next batch; an empty one ends the
-// flight. One flight at a time waits here, so that writes gather meanwhile.
+// next waits for the rate limiter and returns the next batch; an empty one ends
+// the worker. One worker at a time waits here, so that writes gather meanwhile.
 func (b *batcher) next() []*op {
 	b.turn <- struct{}{}
 	defer func() { <-b.turn }()
-	if !b.waiting() {
+	if b.endIfIdle() {
 		return nil
 	}
 	_ = b.limit.Wait(context.Background())
 	return b.take()
 }
 
-// waiting states whether the queue has writes; if not, the flight ends.
-func (b *batcher) waiting() bool {
+// endIfIdle removes the calling worker if the queue is empty, and states
+// whether it did.
+func (b *batcher) endIfIdle() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.queue) == 0 {
-		b.flights--
+	if len(b.queue) > 0 {
 		return false
 	}
+	b.workers--
 	return true
 }
 
@@ -148,7 +150,7 @@
 	}
 }
 
-// errNoProgress says that the table refused a transaction without naming a
+// errNoProgress means that the table refused a transaction without naming a
 // failed condition.
 var errNoProgress = errors.New("transaction refused without a failed condition")
 
@@ -182,6 +184,7 @@
 	return rest
 }
 
+// fail delivers an error to all ops of a batch.
 func fail(batch []*op, err error) {
 	for _, o := range batch {
 		o.done <- opResult{err: err}
--- a/internal/ledger/decide.go
+++ b/internal/ledger/decide.go
@@ -32,19 +32,19 @@
 	actionDelete        chart.Action = "delete"
 )
 
-// decision is what Begin does after it has met a present row.
+// decision is what Begin does about an existing row.
 type decision int
 
 const (
-	// report gives the caller an answer or an error.
+	// report returns an answer or an error to the caller.
 	report decision = iota
-	// reclaim tries again on the row's present version.
+	// reclaim repeats the conditional write on the row's present version.
 	reclaim
-	// holds says that the row is this claim's own.
+	// holds means that the row is this claim's own.
 	holds
 )
 
-// decide says what a claim does on a row that it has not won.
+// decide returns what a claim does about a row that its write did not win.
 func (l *Ledger) decide(ctx context.Context, claim *Claim, row platform.Row) (decision, *Answer, *result.Error) {
 	rec, err := decodeRow(row)
 	if err != nil {
--- a/internal/ledger/dump.go
+++ b/internal/ledger/dump.go
@@ -7,7 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// counters count what Begin told callers and what was stored.
+// counters count the results of Begin and what was stored.
 type counters struct {
 	set *metrics.Set
 
@@ -39,7 +39,7 @@
 func (l *Ledger) addGauges() {
 	l.counts.set.NewGauge("banyanroute_claims_pending", func() float64 { return float64(l.settler.pending()) })
 	l.counts.set.NewGauge("banyanroute_claim_store_reachable", func() float64 {
-		if l.gate.isOpen() {
+		if l.gate.isClosed() {
 			return 1
 		}
 		return 0
@@ -68,7 +68,7 @@
 	commits, rows := l.batcher.commits, l.batcher.rows
 	l.batcher.mu.Unlock()
 	return State{
-		StoreReachable: l.gate.isOpen(),
+		StoreReachable: l.gate.isClosed(),
 		Pending:        l.settler.pending(),
 		Claimed:        int64(l.counts.claimed.Get()),
 		Replayed:       int64(l.counts.replayed.Get()),
--- a/internal/ledger/gate.go
+++ b/internal/ledger/gate.go
@@ -9,29 +9,32 @@
 // Pauses of the gate after failures of the table.
 const (
 	gateFirstPause = 100 * time.Millisecond
-	gateMaxPause   = 1 * time.Second // At least; see probeShare.
+	// gateMaxPause is the longest pause in a small fleet; setMaxPause
+	// lengthens it in a large one, see probeShare.
+	gateMaxPause = 1 * time.Second
 )
 
 // gate is a circuit breaker before the table: while the table fails, calls are
 // refused at once but for one probe per pause. It is safe for concurrent use.
 type gate struct {
-	mu       sync.Mutex
-	pause    time.Duration
-	maxPause time.Duration
-	shutTill time.Time
+	mu sync.Mutex
+	// pause is the present pause; zero while the breaker is closed.
+	pause     time.Duration
+	maxPause  time.Duration
+	openUntil time.Time
 }
 
-// enter states whether a call may go to the table now.
+// enter states whether a call may be sent to the table now.
 func (g *gate) enter(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.pause == 0 {
 		return true
 	}
-	if now.Before(g.shutTill) {
+	if now.Before(g.openUntil) {
 		return false
 	}
-	g.shutTill = now.Add(g.pause)
+	g.openUntil = now.Add(g.pause)
 	return true
 }
 
@@ -43,22 +46,22 @@
 		g.pause = 0
 		return
 	}
-	if g.pause > 0 && now.Before(g.shutTill) {
+	if g.pause > 0 && now.Before(g.openUntil) {
 		return
 	}
 	g.pause = min(max(2*g.pause, gateFirstPause), max(g.maxPause, gateMaxPause))
-	g.shutTill = now.Add(jitter(g.pause))
+	g.openUntil = now.Add(jitter(g.pause))
 }
 
-// setMaxPause lengthens the longest pause.
+// setMaxPause sets the longest pause, if it is longer than gateMaxPause.
 func (g *gate) setMaxPause(d time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.maxPause = d
 }
 
-// isOpen states whether calls pass freely.
-func (g *gate) isOpen() bool {
+// isClosed states whether the breaker is closed: no call is refused.
+func (g *gate) isClosed() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.pause == 0
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -37,7 +37,7 @@
 	defaultCommitRate   = 240
 )
 
-// Times that a caller is told to wait before a repeat.
+// Mean Retry-After times.
 const (
 	retryStoreDown    = 2 * time.Second
 	retryStillRunning = 1 * time.Second
@@ -45,7 +45,7 @@
 )
 
 // outcomeGrace is how long after a claim's deadline its holder may still store
-// the outcome before repeats are told that it is unknown.
+// the outcome before repeats get the result "outcome unknown".
 const outcomeGrace = 2 * time.Second
 
 // Options configures a Ledger. Zero values take the defaults.
@@ -75,8 +75,8 @@
 	// the whole fleet; the default is 240.
 	CommitRate float64
 	// Gone, if set, states whether an instance's incarnation has ended for
-	// certain; repeats of its claims are then told at once that the outcome
-	// is unknown.
+	// certain; repeats of its claims then get the result "outcome unknown"
+	// at once.
 	Gone func(instance string, incarnation uint64) bool
 	// Sweeps, if set, states whether this instance ages old rows now. Two
 	// instances that do so at once do no harm.
@@ -243,7 +243,7 @@
 	}
 }
 
-// fence gives up a claim whose write failed with err. A write that may still
+// fence abandons a claim whose write failed with err. A write that may still
 // take effect is fenced off in the background by a later one to the same row.
 func (l *Ledger) fence(claim *Claim, expect platform.Version, err error) {
 	if errors.Is(err, platform.ErrUnavailable) {
--- a/internal/ledger/model_test.go
+++ b/internal/ledger/model_test.go
@@ -23,28 +23,29 @@
 const (
 	idle phase = iota
 	claiming
-	unsure
+	unknown
 	holding
 	sending
 	ending
-	givenUp
+	abandoned
 	over
 )
 
-// modelWrite is a commit under way. From the zero event on, nothing listens.
+// modelWrite is a commit under way; the zero event is a free slot.
 type modelWrite struct {
 	event  chart.Event
 	expect uint8
-	heard  bool
+	// awaited states whether the instance still waits for the response.
+	awaited bool
 }
 
 // holder is one instance's call.
 type holder struct {
 	phase  phase
 	expect uint8
-	// wire says that the call is on its way to the upstream.
-	wire, executed, saidNotRun bool
-	writes                     [modelWrites]modelWrite
+	// inTransit states whether the call is on its way to the upstream.
+	inTransit, executed, reportedNotRun bool
+	writes                              [modelWrites]modelWrite
 }
 
 // claimState is a state of the model. The row's claim is the holder's index
@@ -64,11 +65,11 @@
 	takeOver bool
 	// blind drops the condition of writes.
 	blind bool
-	// sendUnsure sends although the claim's write was not answered.
-	sendUnsure bool
-	// forgets lets the row be forgotten at any time instead of after the
+	// sendUnknown sends although the outcome of the claim's write is unknown.
+	sendUnknown bool
+	// deletesEarly lets the row be deleted at any time instead of after the
 	// key time.
-	forgets bool
+	deletesEarly bool
 }
 
 type claimStep = modelcheck.Step[claimState]
@@ -91,7 +92,7 @@
 func (h *holder) issue(event chart.Event, expect uint8) bool {
 	for i := range h.writes {
 		if h.writes[i].event == "" {
-			h.writes[i] = modelWrite{event: event, expect: expect, heard: true}
+			h.writes[i] = modelWrite{event: event, expect: expect, awaited: true}
 			h.expect = expect
 			return true
 		}
@@ -121,22 +122,22 @@
 		to.row, to.version = aged.To, s.version+1
 		steps = append(steps, claimStep{Name: "sweeper ages the row", To: to})
 	}
-	if gone, err := m.chart.Next(s.row, eventForget); m.forgets && err == nil && gone.To == stateAbsent && s.row != stateAbsent {
+	if gone, err := m.chart.Next(s.row, eventForget); m.deletesEarly && err == nil && gone.To == stateAbsent && s.row != stateAbsent {
 		to := s
 		to.row, to.claim, to.version = stateAbsent, 0, 0
-		steps = append(steps, claimStep{Name: "sweeper forgets the row", To: to})
+		steps = append(steps, claimStep{Name: "sweeper deletes the row", To: to})
 	}
 	return steps
 }
 
 // holderSteps are the steps that an instance takes by itself.
 func (m claimModel) holderSteps(h holder, add func(string, func(*claimState, *holder) bool)) {
-	if h.wire {
-		add("upstream executes", func(_ *claimState, h *holder) bool { h.wire, h.executed = false, true; return true })
-		add("call is lost", func(_ *claimState, h *holder) bool { h.wire = false; return true })
+	if h.inTransit {
+		add("upstream executes", func(_ *claimState, h *holder) bool { h.inTransit, h.executed = false, true; return true })
+		add("call is lost", func(_ *claimState, h *holder) bool { h.inTransit = false; return true })
 	}
 	if h.phase != over && h.phase != idle {
-		add("dies", func(_ *claimState, h *holder) bool { h.phase = over; return true })
+		add("crashes", func(_ *claimState, h *holder) bool { h.phase = over; return true })
 	}
 	end := func(event chart.Event) func(*claimState, *holder) bool {
 		return func(_ *claimState, h *holder) bool { h.phase = ending; return h.issue(event, h.expect) }
@@ -144,18 +145,18 @@
 	switch h.phase {
 	case idle:
 		add("begins", func(_ *claimState, h *holder) bool { h.phase = claiming; return h.issue(eventBegin, 0) })
-	case unsure:
+	case unknown:
 		add("commits again", func(_ *claimState, h *holder) bool { h.phase = claiming; return h.issue(eventBegin, h.expect) })
-		add("gives up", func(_ *claimState, h *holder) bool {
-			h.phase, h.saidNotRun = givenUp, true
+		add("abandons the claim", func(_ *claimState, h *holder) bool {
+			h.phase, h.reportedNotRun = abandoned, true
 			return h.issue(eventRefuse, h.expect)
 		})
-		if m.sendUnsure {
-			add("sends unsure", func(_ *claimState, h *holder) bool { h.phase, h.wire = sending, true; return true })
+		if m.sendUnknown {
+			add("sends without a response to its claim", func(_ *claimState, h *holder) bool { h.phase, h.inTransit = sending, true; return true })
 		}
 	case holding:
-		add("sends", func(_ *claimState, h *holder) bool { h.phase, h.wire = sending, true; return true })
-		add("does not send", func(s *claimState, h *holder) bool { h.saidNotRun = true; return end(eventRefuse)(s, h) })
+		add("sends", func(_ *claimState, h *holder) bool { h.phase, h.inTransit = sending, true; return true })
+		add("does not send", func(s *claimState, h *holder) bool { h.reportedNotRun = true; return end(eventRefuse)(s, h) })
 	case sending:
 		if h.executed {
 			add("gets the answer", end(eventFinish))
@@ -168,30 +169,30 @@
 func (m claimModel) writeSteps(i, slot int, w modelWrite, add func(string, func(*claimState, *holder) bool)) {
 	name := string(w.event)
 	add(name+" is answered", func(s *claimState, h *holder) bool {
-		if !w.heard {
+		if !w.awaited {
 			return false
 		}
 		h.writes[slot] = modelWrite{}
 		won := m.commit(s, i, w)
-		return m.hear(s, i, w, won)
+		return m.receive(s, i, w, won)
 	})
 	add(name+" is not answered yet", func(_ *claimState, h *holder) bool {
-		h.writes[slot].heard = false
+		h.writes[slot].awaited = false
 		if h.phase == claiming && w.event == eventBegin {
-			h.phase = unsure
+			h.phase = unknown
 		}
-		return w.heard
+		return w.awaited
 	})
-	add(name+" takes effect unheard", func(s *claimState, h *holder) bool {
+	add(name+" takes effect after its timeout", func(s *claimState, h *holder) bool {
 		h.writes[slot] = modelWrite{}
 		m.commit(s, i, w)
-		return !w.heard
+		return !w.awaited
 	})
-	add(name+" is lost", func(_ *claimState, h *holder) bool { h.writes[slot] = modelWrite{}; return !w.heard })
+	add(name+" is lost", func(_ *claimState, h *holder) bool { h.writes[slot] = modelWrite{}; return !w.awaited })
 }
 
-// hear is what an instance does on the answer of its write.
-func (m claimModel) hear(s *claimState, i int, w modelWrite, won bool) bool {
+// receive is what an instance does on the response to its write.
+func (m claimModel) receive(s *claimState, i int, w modelWrite, won bool) bool {
 	h := &s.holders[i]
 	own := s.claim == uint8(i+1)
 	switch {
@@ -203,7 +204,7 @@
 			return h.issue(eventBegin, s.version)
 		}
 		h.phase = over
-	case !won && own && (h.phase == givenUp || h.phase == ending) && w.event != eventBegin && s.version != w.expect:
+	case !won && own && (h.phase == abandoned || h.phase == ending) && w.event != eventBegin && s.version != w.expect:
 		t, err := m.chart.Next(s.row, w.event)
 		if err == nil && t.To != s.row {
 			return h.issue(w.event, s.version)
@@ -216,7 +217,7 @@
 	executions := func(s claimState) int {
 		n := 0
 		for _, h := range s.holders {
-			if h.executed || h.wire {
+			if h.executed || h.inTransit {
 				n++
 			}
 		}
@@ -229,7 +230,7 @@
 			{Name: "at most one execution", Holds: func(s claimState) bool { return executions(s) <= 1 }},
 			{Name: "not run is true", Holds: func(s claimState) bool {
 				for _, h := range s.holders {
-					if h.saidNotRun && (h.executed || h.wire) {
+					if h.reportedNotRun && (h.executed || h.inTransit) {
 						return false
 					}
 				}
@@ -266,8 +267,8 @@
 	for name, m := range map[string]claimModel{
 		"claim taken over":      {chart: c, takeOver: true},
 		"write without version": {chart: c, blind: true},
-		"send before answer":    {chart: c, sendUnsure: true},
-		"row forgotten early":   {chart: c, forgets: true},
+		"send before answer":    {chart: c, sendUnknown: true},
+		"row forgotten early":   {chart: c, deletesEarly: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := m.explore()
--- a/internal/ledger/relay.go
+++ b/internal/ledger/relay.go
@@ -16,7 +16,7 @@
 	"github.com/banyanroute/banyanroute/internal/platform"
 )
 
-// topicWrite asks another instance to commit a claim row in its batches.
+// topicWrite requests that another instance commit a claim row in its batches.
 const topicWrite peer.Topic = "ledger.write"
 
 // Bounds of relayed writes.
@@ -78,7 +78,7 @@
 // batcherFor returns the instance that commits a row, or "" for this one.
 func (r *relay) batcherFor(key string) string {
 	members := r.bus.Members()
-	r.share(len(members))
+	r.setShare(len(members))
 	if len(members) <= r.batchers {
 		return ""
 	}
@@ -95,8 +95,8 @@
 	return highest(batchers, key, 1)[0].ID
 }
 
-// share gives this instance its share of the fleet's transactions.
-func (r *relay) share(members int) {
+// setShare limits this instance to its share of the fleet's transactions.
+func (r *relay) setShare(members int) {
 	r.direct.limit.SetLimit(rate.Limit(r.commitRate / float64(max(1, min(members, r.batchers)))))
 	r.direct.gate.setMaxPause(time.Duration(members) * probeShare)
 }
@@ -136,8 +136,8 @@
 	return done
 }
 
-// send asks a batching instance for a write, and states whether the write may
-// have taken effect although the result is an error.
+// send requests a write of a batching instance, and states whether the write
+// may have taken effect although the result is an error.
 func (r *relay) send(to string, w relayWrite) (res opResult, unknown bool) {
 	payload, err := cbor.Marshal(w)
 	if err != nil {
--- a/internal/ledger/schedule_test.go
+++ b/internal/ledger/schedule_test.go
@@ -49,32 +49,32 @@
 // its link to the table.
 type process struct {
 	platform.Table
-	*world
+	*simulation
 	ledger *Ledger
-	// stopAt counts down the steps until the process freezes or dies.
-	stopAt int
-	stop   fault
-	thawed time.Time
-	dead   bool
-	cancel context.CancelFunc
+	// stopAt counts down the steps until the process freezes or crashes.
+	stopAt  int
+	stop    fault
+	thawed  time.Time
+	crashed bool
+	cancel  context.CancelFunc
 }
 
 // step is called between any two actions of a process; it states whether the
-// process still lives.
+// process still runs.
 func (p *process) step() bool {
 	p.mu.Lock()
 	p.stopAt--
 	if p.stopAt == 0 && p.stop == faultKill {
-		p.dead = true
+		p.crashed = true
 		p.cancel()
 	}
 	if p.stopAt == 0 && p.stop == faultFreeze {
 		p.thawed = time.Now().Add(p.span(3 * requestTime))
 	}
-	wait, dead := time.Until(p.thawed), p.dead
+	wait, crashed := time.Until(p.thawed), p.crashed
 	p.mu.Unlock()
 	time.Sleep(wait)
-	return !dead
+	return !crashed
 }
 
 // Commit implements platform.Table with writes that arrive late.
@@ -98,31 +98,31 @@
 	return res, err
 }
 
-// world is one schedule: the store, the upstream and what callers were told.
-type world struct {
+// simulation is one schedule: the store, the upstream and the callers' results.
+type simulation struct {
 	mu         sync.Mutex
 	rng        *rand.Rand
 	store      *memstore.Store
 	processes  []*process
 	lateWrites int
 	// upstreamFaults are the coming calls' faults at the upstream.
-	upstreamFaults []fault
-	executions     int
-	violations     []string
-	unknownSaid    bool
+	upstreamFaults  []fault
+	executions      int
+	violations      []string
+	unknownReported bool
 }
 
 // span returns a random duration up to limit. The caller holds mu.
-func (w *world) span(limit time.Duration) time.Duration {
+func (w *simulation) span(limit time.Duration) time.Duration {
 	return 1 + time.Duration(w.rng.Int64N(int64(limit)))
 }
 
-func newWorld(ctx context.Context, seed uint64, faults []fault, relayed bool) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), store: memstore.New()}
+func newSimulation(ctx context.Context, seed uint64, faults []fault, relayed bool) *simulation {
+	w := &simulation{rng: rand.New(rand.NewPCG(seed, 7)), store: memstore.New()}
 	w.store.SetFaults(memstore.Faults{Delay: time.Millisecond})
 	net := peertest.NewNet(time.Millisecond)
 	for i := range scheduleInstances {
-		p := &process{Table: w.store, world: w}
+		p := &process{Table: w.store, simulation: w}
 		options := Options{Instance: fmt.Sprint("i", i), Incarnation: 1, Batchers: 1}
 		if relayed {
 			options.Bus = net.Join(peer.Member{ID: options.Instance, Incarnation: 1})
@@ -140,7 +140,7 @@
 }
 
 // inject schedules one fault.
-func (w *world) inject(f fault) {
+func (w *simulation) inject(f fault) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	start, length := w.span(20*time.Millisecond), w.span(requestTime)
@@ -183,7 +183,7 @@
 	}
 	if err != nil && err.Code == result.OutcomeUnknown {
 		p.mu.Lock()
-		p.unknownSaid = true
+		p.unknownReported = true
 		p.mu.Unlock()
 	}
 	if err != nil && err.Execution == result.NotRun && err.Code != result.StoreUnavailable && err.RetryAfter == 0 {
@@ -220,7 +220,7 @@
 }
 
 // execute is the upstream: it counts executions from outside.
-func (w *world) execute() fault {
+func (w *simulation) execute() fault {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var f fault
@@ -233,21 +233,21 @@
 	return f
 }
 
-func (w *world) executed() int {
+func (w *simulation) executed() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.executions
 }
 
-func (w *world) violate(format string, args ...any) {
+func (w *simulation) violate(format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.violations = append(w.violations, fmt.Sprintf(format, args...))
 }
 
-// finalWord is what a repeat is told at the end: "answer", "claimable",
+// finalResult is the result of a repeat at the end: "answer", "claimable",
 // "may have run" or "still running".
-func (w *world) finalWord(ctx context.Context) string {
+func (w *simulation) finalResult(ctx context.Context) string {
 	l := w.processes[scheduleInstances-1].ledger
 	claim, answer, err := l.Begin(ctx, booking("k"))
 	switch {
@@ -265,13 +265,13 @@
 type tally struct {
 	schedules, violations, executed, answers, claimable, unknown, falseUnknown int
 	// recovery is the longest time from the last fault until a repeat gets a
-	// final word.
+	// final result.
 	recovery time.Duration
 }
 
 func (c *tally) run(t *testing.T, seed uint64, faults []fault, relayed bool) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t.Context(), seed, faults, relayed)
+		w := newSimulation(t.Context(), seed, faults, relayed)
 		var wg sync.WaitGroup
 		for range scheduleRepeats {
 			w.mu.Lock()
@@ -293,13 +293,13 @@
 		wg.Wait()
 		c.recovery = max(c.recovery, w.recover(t.Context()))
 		time.Sleep(4 * requestTime)
-		c.judge(t, seed, faults, w, w.finalWord(t.Context()))
+		c.check(t, seed, faults, w, w.finalResult(t.Context()))
 	})
 }
 
-// recover waits until a repeat would get a final word, and returns how long
+// recover waits until a repeat would get a final result, and returns how long
 // that takes after the last call has ended.
-func (w *world) recover(ctx context.Context) time.Duration {
+func (w *simulation) recover(ctx context.Context) time.Duration {
 	start := time.Now()
 	for {
 		rows, err := w.store.Read(ctx, rowKey("school", "k"))
@@ -313,14 +313,14 @@
 	}
 }
 
-func (c *tally) judge(t *testing.T, seed uint64, faults []fault, w *world, word string) {
+func (c *tally) check(t *testing.T, seed uint64, faults []fault, w *simulation, final string) {
 	c.schedules++
 	n := w.executed()
 	c.executed += n
 	if n > 1 {
 		w.violate("executed %d times", n)
 	}
-	switch word {
+	switch final {
 	case "answer":
 		c.answers++
 	case "claimable":
@@ -334,7 +334,7 @@
 			c.falseUnknown++
 		}
 	default:
-		w.violate("no final word: %s", word)
+		w.violate("no final result: %s", final)
 	}
 	if len(w.violations) > 0 {
 		c.violations++
@@ -343,7 +343,7 @@
 }
 
 func (c *tally) String() string {
-	return fmt.Sprintf("%d schedules, %d violations, %d executed, %d answers, %d claimable, %d may-have-run (%d of them not run), final word within %v",
+	return fmt.Sprintf("%d schedules, %d violations, %d executed, %d answers, %d claimable, %d may-have-run (%d of them not run), final result within %v",
 		c.schedules, c.violations, c.executed, c.answers, c.claimable, c.unknown, c.falseUnknown, c.recovery)
 }
 
@@ -388,7 +388,7 @@
 
 // TestPlaceOfClaim kills an instance at a random moment of a call that waits
 // 50 ms for its upstream, claims in 5 ms, runs 30 ms and stores in 5 ms, and
-// counts how often callers are told "may have run" of a call that did not run.
+// counts how often callers get "may have run" for a call that did not run.
 func TestPlaceOfClaim(t *testing.T) {
 	t.Parallel()
 	const calls, wait, runTime = 400, 50 * time.Millisecond, 30 * time.Millisecond
@@ -397,12 +397,12 @@
 	for _, claimFirst := range []bool{true, false} {
 		for seed := range uint64(calls) {
 			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(t.Context(), seed, nil, false)
+				w := newSimulation(t.Context(), seed, nil, false)
 				w.store.SetFaults(memstore.Faults{Delay: 5 * time.Millisecond})
 				p := w.processes[0]
 				time.AfterFunc(w.span(life), func() {
 					w.mu.Lock()
-					p.dead = true
+					p.crashed = true
 					w.mu.Unlock()
 					p.cancel()
 				})
@@ -420,7 +420,7 @@
 					}
 				}
 				time.Sleep(4 * requestTime)
-				if w.finalWord(t.Context()) == "may have run" {
+				if w.finalResult(t.Context()) == "may have run" {
 					unknown[claimFirst]++
 					if w.executed() == 0 {
 						falseUnknown[claimFirst]++
@@ -429,7 +429,7 @@
 			})
 		}
 	}
-	t.Logf("of %d deaths, may have run: claim before the wait %d (%d of them not run), after it %d (%d not run)",
+	t.Logf("of %d crashes, may have run: claim before the wait %d (%d of them not run), after it %d (%d not run)",
 		calls, unknown[true], falseUnknown[true], unknown[false], falseUnknown[false])
 	if 5*falseUnknown[false] > falseUnknown[true] {
 		t.Error("a claim right before the send does not help")
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -45,7 +45,7 @@
 	bytes  int
 	// busy counts outcomes that are being written.
 	busy atomic.Int64
-	// wake tells run that the queue is not empty.
+	// wake signals run that the queue is not empty.
 	wake chan struct{}
 }
 
@@ -108,8 +108,8 @@
 	}
 }
 
-// pass waits a moment and tries queued outcomes once; all of a pass share few
-// transactions.
+// pass waits for settlePause and tries queued outcomes once; all of a pass share
+// few transactions.
 func (s *settler) pass(ctx context.Context) {
 	select {
 	case <-time.After(settlePause):
--- a/internal/ledger/sweep.go
+++ b/internal/ledger/sweep.go
@@ -15,7 +15,7 @@
 	sweepPause     = 10 * time.Minute
 )
 
-// runSweeps sweeps while Options.Sweeps says so, until ctx ends.
+// runSweeps sweeps while Options.Sweeps returns true, until ctx ends.
 func (l *Ledger) runSweeps(ctx context.Context) {
 	for {
 		select {
--- a/internal/reclaim/judge.go
+++ b/internal/reclaim/classify.go
@@ -7,7 +7,7 @@
 	"github.com/banyanroute/banyanroute/internal/upstream"
 )
 
-// Reason says why a hold was released.
+// Reason is why a hold was released.
 type Reason string
 
 // Reasons to release a hold.
@@ -19,35 +19,36 @@
 	ReasonUnnamed   Reason = "no owner named"
 )
 
-// doubt is why a hold might be released after a grace period.
-type doubt int
+// suspicion is why a hold may become releasable after a grace period.
+type suspicion int
 
 const (
-	noDoubt doubt = iota
+	notSuspected suspicion = iota
 	// ownerMissing: the owner is not among the members.
 	ownerMissing
-	// endless: the owner is a member and the hold has no deadline.
-	endless
-	// unnamed: the name gives no owner.
-	unnamed
+	// noDeadline: the owner is a member and the hold has no deadline.
+	noDeadline
+	// noOwner: the hold's name gives no owner.
+	noOwner
 )
 
-// grace returns how long a doubt must last.
-func (d doubt) grace() time.Duration {
-	if d == unnamed {
-		return unnamedGrace
+// grace returns how long a suspicion must last.
+func (s suspicion) grace() time.Duration {
+	if s == noOwner {
+		return noOwnerGrace
 	}
 	return ownerGrace
 }
 
-// judge returns a reason to release a hold at once, or the doubt about it.
-func judge(hold upstream.Hold, members []peer.Member, now time.Time) (Reason, doubt) {
+// classify returns a reason to release a hold at once, or the suspicion that
+// starts a grace period.
+func classify(hold upstream.Hold, members []peer.Member, now time.Time) (Reason, suspicion) {
 	if hold.DeadlineUnixMs != 0 && now.After(time.UnixMilli(hold.DeadlineUnixMs).Add(deadlineMargin)) {
-		return ReasonDeadline, noDoubt
+		return ReasonDeadline, notSuspected
 	}
 	name, ok := parseName(hold.Name)
 	if !ok {
-		return "", unnamed
+		return "", noOwner
 	}
 	for _, m := range members {
 		if m.ID != name.owner {
@@ -55,14 +56,14 @@
 		}
 		switch {
 		case m.Incarnation > name.incarnation:
-			return ReasonRestarted, noDoubt
+			return ReasonRestarted, notSuspected
 		case m.Incarnation < name.incarnation:
-			// Our view of the owner is from before its restart.
+			// The member list shows the owner's previous incarnation.
 			return "", ownerMissing
 		case hold.DeadlineUnixMs == 0:
-			return "", endless
+			return "", noDeadline
 		}
-		return "", noDoubt
+		return "", notSuspected
 	}
 	return "", ownerMissing
 }
--- a/internal/reclaim/name.go
+++ b/internal/reclaim/name.go
@@ -28,10 +28,10 @@
 	return holdName{owner: parts[0], incarnation: incarnation}, true
 }
 
-// chosen returns the member that sweeps an engine, by rendezvous hashing: the
+// sweeperOf returns the ID of the member that sweeps an engine, by rendezvous hashing: the
 // one with the highest hash of engine and member. A change of members moves
 // only the engines of the members that came or left.
-func chosen(engine string, members []peer.Member) string {
+func sweeperOf(engine string, members []peer.Member) string {
 	best, bestHash := "", uint64(0)
 	for _, m := range members {
 		if m.Leaving {
--- a/internal/reclaim/reclaim.go
+++ b/internal/reclaim/reclaim.go
@@ -1,8 +1,8 @@
-// Package reclaim frees engine memory that nobody will free otherwise: streams
-// kept for resumption, exports, imports and reservations whose deadline has
-// passed or whose owner has died.
+// Package reclaim releases orphaned holds of engine memory: streams kept for
+// resumption, exports, imports and reservations whose deadline has passed or
+// whose owner has crashed or restarted.
 //
-// Each engine has one sweeper, chosen among the members by rendezvous hashing.
+// Each engine has one sweeper, selected among the members by rendezvous hashing.
 // Sweepers need not agree: releasing a hold twice is harmless, and a hold is
 // released only on grounds that are true for every instance.
 package reclaim
@@ -27,10 +27,10 @@
 	// sweepInterval is the mean pause between two sweeps.
 	sweepInterval = 10 * time.Second
 	// ownerGrace is how long an owner must be missing, or a hold without a
-	// deadline be seen, before its owner is asked.
+	// deadline be listed, before the hold may be released.
 	ownerGrace = 30 * time.Second
-	// unnamedGrace is how long a hold whose name gives no owner is left.
-	unnamedGrace = 10 * time.Minute
+	// noOwnerGrace is how long a hold whose name gives no owner is kept.
+	noOwnerGrace = 10 * time.Minute
 	// deadlineMargin covers differences between clocks.
 	deadlineMargin = 5 * time.Second
 	// engineTimeout bounds one call to an engine.
@@ -81,10 +81,10 @@
 // Sweeper sweeps this instance's share of the engines.
 type Sweeper struct {
 	options Options
-	asker   *asker
-	// since is when a hold was first seen with its present doubt; only
-	// Run's goroutine uses it.
-	since map[watchKey]watch
+	owners  *ownerClient
+	// watches holds the grace periods under way; only Run's goroutine uses
+	// it.
+	watches map[watchKey]watch
 
 	set *metrics.Set
 
@@ -95,18 +95,18 @@
 // watchKey identifies a hold of an engine.
 type watchKey struct{ engine, name string }
 
-// watch is a grace period: the doubt about a hold, and since when.
+// watch is a grace period: the suspicion about a hold and its start.
 type watch struct {
-	doubt doubt
-	start time.Time
+	suspicion suspicion
+	start     time.Time
 }
 
 // New returns a sweeper and registers its handler on the bus, which must not
 // be started yet.
 func New(options Options) *Sweeper {
-	s := &Sweeper{options: options, since: map[watchKey]watch{}, set: metrics.NewSet()}
+	s := &Sweeper{options: options, watches: map[watchKey]watch{}, set: metrics.NewSet()}
 	s.state.Released = map[Reason]int{}
-	s.asker = newAsker(options.Bus, options.Needed)
+	s.owners = newOwnerClient(options.Bus, options.Needed)
 	return s
 }
 
@@ -137,26 +137,26 @@
 	return state
 }
 
-// listing is the answer of one engine.
+// listing holds one engine's holds, or the error of the call.
 type listing struct {
 	engine Engine
 	holds  []upstream.Hold
 	err    error
 }
 
-// Sweep looks once at this instance's share of the engines. It must not be
+// Sweep sweeps this instance's share of the engines once. It must not be
 // called concurrently with itself or Run.
 func (s *Sweeper) Sweep(ctx context.Context) {
 	members := s.options.Bus.Members()
 	self := s.options.Bus.Self().ID
 	var mine []Engine
 	for _, e := range s.options.Engines() {
-		if chosen(e.ID, members) == self {
+		if sweeperOf(e.ID, members) == self {
 			mine = append(mine, e)
 		}
 	}
 	listings := s.list(ctx, mine)
-	s.asker.forget()
+	s.owners.reset()
 	kept := map[watchKey]watch{}
 	for _, l := range listings {
 		if l.err != nil {
@@ -167,8 +167,8 @@
 			s.sweepHold(ctx, l.engine, hold, members, kept)
 		}
 	}
-	s.since = kept
-	s.note(mine, len(kept))
+	s.watches = kept
+	s.recordSweep(mine, len(kept))
 }
 
 // list asks the engines for their holds, a few at a time.
@@ -192,23 +192,23 @@
 
 // keepWatches keeps the grace periods of an engine that did not answer.
 func (s *Sweeper) keepWatches(e Engine, kept map[watchKey]watch) {
-	for key, w := range s.since {
+	for key, w := range s.watches {
 		if key.engine == e.ID {
 			kept[key] = w
 		}
 	}
-	s.failed()
+	s.countFailure()
 }
 
-// sweepHold judges one hold and releases it if there is a reason.
+// sweepHold classifies one hold and releases it if there is a reason.
 func (s *Sweeper) sweepHold(ctx context.Context, e Engine, hold upstream.Hold, members []peer.Member, kept map[watchKey]watch) {
 	now := time.Now()
-	reason, d := judge(hold, members, now)
+	reason, suspected := classify(hold, members, now)
 	key := watchKey{e.ID, hold.Name}
-	if d != noDoubt {
-		w, ok := s.since[key]
-		if !ok || w.doubt != d {
-			w = watch{doubt: d, start: now}
+	if suspected != notSuspected {
+		w, ok := s.watches[key]
+		if !ok || w.suspicion != suspected {
+			w = watch{suspicion: suspected, start: now}
 		}
 		reason = s.resolve(ctx, &w, hold.Name, now)
 		kept[key] = w
@@ -219,7 +219,7 @@
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
 	if err := s.options.Holds.Release(ctx, e.URL, hold.Name); err != nil {
-		s.failed()
+		s.countFailure()
 		return
 	}
 	delete(kept, key)
@@ -230,24 +230,24 @@
 	s.state.Released[reason]++
 }
 
-// resolve returns a reason to release a hold in doubt. A missing owner is asked
-// in each sweep: it counts as gone only after it was silent for the whole
-// grace.
+// resolve returns a reason to release a suspected hold. A missing owner is
+// queried in each sweep: it counts as gone only after it was unreachable for the
+// whole grace period.
 func (s *Sweeper) resolve(ctx context.Context, w *watch, name string, now time.Time) Reason {
-	over := now.Sub(w.start) >= w.doubt.grace()
+	over := now.Sub(w.start) >= w.suspicion.grace()
 	switch {
-	case w.doubt == unnamed && over:
+	case w.suspicion == noOwner && over:
 		return ReasonUnnamed
-	case w.doubt == unnamed, w.doubt == endless && !over:
+	case w.suspicion == noOwner, w.suspicion == noDeadline && !over:
 		return ""
 	}
-	got := s.asker.ask(ctx, name)
+	got := s.owners.isNeeded(ctx, name)
 	switch {
 	case got == answerNeeded:
 		w.start = now
 	case got == answerNotNeeded && over:
 		return ReasonNotNeeded
-	case got == answerNobody && over && w.doubt == ownerMissing && !s.listed(name):
+	case got == answerUnreachable && over && w.suspicion == ownerMissing && !s.listed(name):
 		return ReasonOwnerGone
 	}
 	return ""
@@ -259,14 +259,16 @@
 	return ok && s.options.Listed != nil && s.options.Listed(parsed.owner)
 }
 
-func (s *Sweeper) failed() {
+// countFailure counts a failed call to an engine.
+func (s *Sweeper) countFailure() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state.Failed++
 	s.set.GetOrCreateCounter("banyanroute_hold_calls_failed_total").Inc()
 }
 
-func (s *Sweeper) note(mine []Engine, watched int) {
+// recordSweep updates the state for a dump.
+func (s *Sweeper) recordSweep(mine []Engine, watched int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state.Engines = s.state.Engines[:0:0]
--- a/internal/reclaim/reclaim_test.go
+++ b/internal/reclaim/reclaim_test.go
@@ -24,7 +24,7 @@
 
 var schedules = flag.Int("schedules", 60, "seeds of the random schedules")
 
-// listLag is how long the fake live list shows a dead instance.
+// listLag is how long the fake live list shows a crashed instance.
 const listLag = 20 * time.Second
 
 // fleet is a set of fake engines and instances.
@@ -109,7 +109,7 @@
 	return time.Now().Before(f.listed[id])
 }
 
-// kill ends an instance without a word.
+// kill crashes an instance.
 func (f *fleet) kill(id string) {
 	f.net.Leave(id)
 	f.mu.Lock()
@@ -173,7 +173,7 @@
 				t.Errorf("%s is still held", name)
 			}
 		}
-		time.Sleep(unnamedGrace)
+		time.Sleep(noOwnerGrace)
 		if f.has("nonsense") {
 			t.Error("a hold without an owner is kept for good")
 		}
@@ -271,14 +271,14 @@
 	}
 }
 
-func FuzzQuestion(f *testing.F) {
-	seed, err := cbor.Marshal(question{Name: "a/1/x"})
+func FuzzQuery(f *testing.F) {
+	seed, err := cbor.Marshal(query{Name: "a/1/x"})
 	if err != nil {
 		f.Fatal(err)
 	}
 	f.Add(seed)
 	f.Fuzz(func(t *testing.T, payload []byte) {
-		a := newAsker(peertest.NewNet(0).Join(peer.Member{ID: "a", Incarnation: 1}), func(string) bool { return true })
+		a := newOwnerClient(peertest.NewNet(0).Join(peer.Member{ID: "a", Incarnation: 1}), func(string) bool { return true })
 		data, err := a.handle(t.Context(), "b", payload)
 		if err != nil {
 			return
