--- a/cmd/banyanctl/client.go
+++ b/cmd/banyanctl/client.go
@@ -20,6 +20,7 @@
 	"github.com/banyanroute/banyanroute/internal/admin"
 	"github.com/banyanroute/banyanroute/internal/catalogue"
 	"github.com/banyanroute/banyanroute/internal/result"
+	"github.com/banyanroute/banyanroute/internal/sleep"
 )
 
 // Bounds of sending an edit.
@@ -139,7 +140,7 @@
 		if !unsure || isSettled(err) {
 			return applied, err
 		}
-		if !pause(ctx, wait) {
+		if !sleep.For(ctx, wait) {
 			break
 		}
 		wait *= editPauseFactor
@@ -147,16 +148,6 @@
 	return applied, fmt.Errorf("%w; send it again with --id %s: %w", errOutcomeUnknown, edit.ID, err)
 }
 
-// pause waits for d and states whether ctx is still live.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // isUnsure states whether an edit may have been accepted although the call
 // failed.
 func isUnsure(err error) bool {
@@ -235,7 +226,7 @@
 		if err == nil && len(behind) == 0 {
 			return nil
 		}
-		if !pause(ctx, waitPause) {
+		if !sleep.For(ctx, waitPause) {
 			return fmt.Errorf("%w: revision %d is not yet on %s", errNotInForce, rev, orNone(behind))
 		}
 	}
--- a/internal/catalogue/apply.go
+++ b/internal/catalogue/apply.go
@@ -16,6 +16,7 @@
 
 	"github.com/banyanroute/banyanroute/internal/platform"
 	"github.com/banyanroute/banyanroute/internal/result"
+	"github.com/banyanroute/banyanroute/internal/sleep"
 )
 
 // Bounds of the attempts of one edit to become the next revision.
@@ -74,7 +75,7 @@
 		if err != nil || done {
 			return applied, err
 		}
-		if !pause(ctx, rand.N(attemptMaxPause)) {
+		if !sleep.For(ctx, rand.N(attemptMaxPause)) {
 			break
 		}
 	}
@@ -312,15 +313,3 @@
 	}
 	return storeError(err)
 }
-
-// pause waits for d and states whether ctx is still live.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/catalogue/exchange.go
+++ b/internal/catalogue/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/sleep"
 )
 
 const (
@@ -61,7 +62,7 @@
 		return
 	}
 	spread := time.Duration(len(r.bus.Members())) * fetchSpread
-	if !pause(ctx, r.below(spread)) {
+	if !sleep.For(ctx, r.below(spread)) {
 		return
 	}
 	for _, id := range r.someNeighbours(fetchNeighbours) {
--- a/internal/catalogue/poll.go
+++ b/internal/catalogue/poll.go
@@ -6,6 +6,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cenkalti/backoff/v5"
+
+	"github.com/banyanroute/banyanroute/internal/sleep"
 )
 
 // Backoff of the polls while the store is down.
@@ -76,7 +78,7 @@
 		MaxInterval:         r.opts.MinPoll,
 	}
 	for !r.startOnce(ctx) {
-		if !pause(ctx, failing.NextBackOff()) {
+		if !sleep.For(ctx, failing.NextBackOff()) {
 			return false
 		}
 	}
--- a/internal/ledger/decide.go
+++ b/internal/ledger/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -61,7 +62,7 @@
 	if err != nil {
 		return report, nil, result.From(err)
 	}
-	if contains(t.Do, actionClaim) {
+	if slices.Contains(t.Do, actionClaim) {
 		return reclaim, nil, nil
 	}
 	answer, rerr := l.report(ctx, t.Do, rec)
@@ -71,11 +72,11 @@
 // report answers a repeat from the present row.
 func (l *Ledger) report(ctx context.Context, actions []chart.Action, rec record) (*Answer, *result.Error) {
 	switch {
-	case contains(actions, actionReplay):
+	case slices.Contains(actions, actionReplay):
 		return l.replay(ctx, rec)
-	case contains(actions, actionReportClaimed):
+	case slices.Contains(actions, actionReportClaimed):
 		return nil, l.reportClaimed(rec, time.Now())
-	case contains(actions, actionReportSpent):
+	case slices.Contains(actions, actionReportSpent):
 		return nil, result.New(result.AnswerUnavailable, "the request ran; its answer is no longer kept")
 	default:
 		return nil, l.unknown()
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -139,7 +140,7 @@
 	}
 	for {
 		t, err := s.ledger.chart.Next(o.from, o.event)
-		if err != nil || !contains(t.Do, actionWrite) {
+		if err != nil || !slices.Contains(t.Do, actionWrite) {
 			return true
 		}
 		o.record.State = finalState(t.To, &o.record)
@@ -170,12 +171,3 @@
 	}
 	return to
 }
-
-func contains(actions []chart.Action, want chart.Action) bool {
-	for _, a := range actions {
-		if a == want {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/loadtest/runner/overhead.go
+++ b/internal/loadtest/runner/overhead.go
@@ -14,6 +14,7 @@
 	"github.com/banyanroute/banyanroute/internal/loadtest/client"
 	"github.com/banyanroute/banyanroute/internal/loadtest/report"
 	"github.com/banyanroute/banyanroute/internal/loadtest/workload"
+	"github.com/banyanroute/banyanroute/internal/sleep"
 	"github.com/banyanroute/banyanroute/internal/standin/httpjson"
 )
 
@@ -80,7 +81,7 @@
 	var waiting sync.WaitGroup
 	for i := 0; ctx.Err() == nil; i++ {
 		at := time.Duration(i) * 2 * half
-		if at >= o.Duration || !waitUntil(ctx, began.Add(at)) {
+		if at >= o.Duration || !sleep.For(ctx, time.Until(began.Add(at))) {
 			break
 		}
 		item := m.item(i, random.Uint64())
@@ -124,7 +125,7 @@
 	var waiting sync.WaitGroup
 	waiting.Go(func() { first = m.client.Do(ctx, bases[0], item) })
 	waiting.Go(func() {
-		if waitUntil(ctx, time.Now().Add(half)) {
+		if sleep.For(ctx, half) {
 			second = m.client.Do(ctx, bases[1], other)
 		}
 	})
--- a/internal/loadtest/runner/runner.go
+++ b/internal/loadtest/runner/runner.go
@@ -17,6 +17,7 @@
 	"github.com/banyanroute/banyanroute/internal/loadtest/report"
 	"github.com/banyanroute/banyanroute/internal/loadtest/scenario"
 	"github.com/banyanroute/banyanroute/internal/loadtest/workload"
+	"github.com/banyanroute/banyanroute/internal/sleep"
 )
 
 // progressInterval is the time between two lines of progress.
@@ -118,7 +119,7 @@
 		if !ok {
 			item.At = time.Duration(p.Duration)
 		}
-		if !waitUntil(ctx, began.Add(item.At)) || !ok {
+		if !sleep.For(ctx, time.Until(began.Add(item.At))) || !ok {
 			return
 		}
 		if r.inFlight.Load() >= int64(r.scenario.MaxInFlight) {
@@ -132,18 +133,6 @@
 	}
 }
 
-// waitUntil returns false if ctx ended before the time.
-func waitUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // send sends one request and notes its outcome.
 func (r *run) send(ctx context.Context, item workload.Item, c *report.PhaseCollector) {
 	defer r.requests.Done()
--- a/internal/order/declared.go
+++ b/internal/order/declared.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -77,7 +78,7 @@
 	able := map[string]int{}
 	for name, group := range groups {
 		for _, engine := range group.Engines {
-			if contains(engine.Models, e.Name) {
+			if slices.Contains(engine.Models, e.Name) {
 				able[name]++
 			}
 		}
@@ -158,12 +159,3 @@
 	}
 	return upstream.LoadedModel{}, false
 }
-
-func contains(list []string, want string) bool {
-	for _, s := range list {
-		if s == want {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/order/plan.go
+++ b/internal/order/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 
 	"github.com/banyanroute/banyanroute/internal/upstream"
@@ -79,7 +80,7 @@
 func (p *planner) present(e Engine, o upstream.Observed) string {
 	for _, l := range o.Models {
 		for _, m := range p.declared.Models {
-			if m.Name == l.Model && contains(e.Models, m.Name) {
+			if m.Name == l.Model && slices.Contains(e.Models, m.Name) {
 				return m.Name
 			}
 		}
@@ -107,7 +108,7 @@
 	most := 0
 	for _, m := range p.declared.Models {
 		lack := limit(m) - len(assigned[m.Name])
-		if lack > most && contains(e.Models, m.Name) {
+		if lack > most && slices.Contains(e.Models, m.Name) {
 			best, most = m, lack
 		}
 	}
@@ -164,7 +165,7 @@
 func (p *planner) tidy(m Model, e Engine, l upstream.LoadedModel, role upstream.Role) []Step {
 	var steps []Step
 	for _, adapter := range m.Adapters {
-		if !contains(l.Adapters, adapter) {
+		if !slices.Contains(l.Adapters, adapter) {
 			steps = append(steps, Step{e, upstream.Order{
 				Kind: upstream.OrderLoadAdapter, Model: m.Name, Version: m.Version, Adapter: adapter,
 			}})
--- a/internal/order/plan_test.go
+++ b/internal/order/plan_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -82,7 +83,7 @@
 		}
 		for _, e := range d.Engines {
 			for _, m := range d.Models {
-				if _, ok := loaded(observed[e.ID], m.Name, m.Version); ok && contains(e.Models, m.Name) && len(observed[e.ID].Models) > 1 {
+				if _, ok := loaded(observed[e.ID], m.Name, m.Version); ok && slices.Contains(e.Models, m.Name) && len(observed[e.ID].Models) > 1 {
 					t.Fatalf("engine %s ends with %v", e.ID, observed[e.ID].Models)
 				}
 			}
--- a/internal/platform/settle.go
+++ b/internal/platform/settle.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math/rand/v2"
 	"time"
+
+	"github.com/banyanroute/banyanroute/internal/sleep"
 )
 
 // Pauses between tries to settle a write whose outcome is unknown. Each is cut by
@@ -37,7 +39,7 @@
 			return TxnResult{}, ErrUnavailable
 		}
 		unknown = true
-		if !sleep(ctx, pause/2+rand.N(pause/2)) {
+		if !sleep.For(ctx, pause/2+rand.N(pause/2)) {
 			return TxnResult{}, ErrUnknownOutcome
 		}
 		pause = min(2*pause, settleMaxPause)
@@ -54,15 +56,3 @@
 	}
 	return res
 }
-
-// sleep waits for d and states whether ctx is still live.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/banyanroute/banyanroute/internal/sleep"
 	"github.com/banyanroute/banyanroute/internal/upstream"
 )
 
@@ -86,7 +87,7 @@
 			}
 			continue
 		}
-		if !sleep(ctx, time.Duration(float64(step.duration)*e.pace.SlowFactor())) {
+		if !sleep.For(ctx, time.Duration(float64(step.duration)*e.pace.SlowFactor())) {
 			return nil
 		}
 		if err := e.pace.WaitThawed(ctx); err != nil {
@@ -113,17 +114,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // chunk is the part of a prompt that one step computes.
 type chunk struct {
 	stream *stream
--- a/internal/standin/engine/holds.go
+++ b/internal/standin/engine/holds.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/banyanroute/banyanroute/internal/sleep"
 	"github.com/banyanroute/banyanroute/internal/upstream"
 )
 
@@ -127,7 +128,7 @@
 	}
 	set := e.settings
 	seconds := float64(len(req.Blocks)*upstream.BlockTokens) / float64(set.TransferTokensPerSecond)
-	if !sleep(ctx, set.scaled(time.Duration(seconds*float64(time.Second)))) {
+	if !sleep.For(ctx, set.scaled(time.Duration(seconds*float64(time.Second)))) {
 		e.Release(req.Name)
 		return ctx.Err()
 	}
--- a/tools/faults/main.go
+++ b/tools/faults/main.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/banyanroute/banyanroute/internal/localfleet"
+	"github.com/banyanroute/banyanroute/internal/sleep"
 )
 
 // options are the command line's.
@@ -96,10 +97,7 @@
 		newSchedule(fleet, o, r).run(ctx)
 	}
 	fmt.Printf("faults: schedule done, %s without faults\n", quietTime)
-	select {
-	case <-time.After(quietTime):
-	case <-ctx.Done():
-	}
+	sleep.For(ctx, quietTime)
 	stopLoad()
 	<-done
 }
--- a/tools/loadfleet/fault.go
+++ b/tools/loadfleet/fault.go
@@ -1,9 +1,7 @@
 package main
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -14,6 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/banyanroute/banyanroute/internal/localfleet"
+	"github.com/banyanroute/banyanroute/internal/sleep"
 	"github.com/banyanroute/banyanroute/internal/standin/fault"
 )
 
@@ -68,34 +67,24 @@
 }
 
 func (s schedule) run(ctx context.Context, engine *localfleet.Upstream) {
-	if !pause(ctx, s.start) {
+	if !sleep.For(ctx, s.start) {
 		return
 	}
-	report("begin "+s.kind, s.begin(engine))
-	pause(ctx, s.length)
-	report("end "+s.kind, s.end(engine))
+	report("begin "+s.kind, s.begin(ctx, engine))
+	sleep.For(ctx, s.length)
+	report("end "+s.kind, s.end(context.WithoutCancel(ctx), engine))
 }
 
-func report(what string, err error) {
+// report writes an event and its error, if any, to standard error.
+func report(event string, err error) {
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "loadfleet: %s failed: %v\n", what, err)
+		fmt.Fprintf(os.Stderr, "loadfleet: %s failed: %v\n", event, err)
 		return
 	}
-	fmt.Fprintf(os.Stderr, "loadfleet: %s\n", what)
+	fmt.Fprintf(os.Stderr, "loadfleet: %s\n", event)
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-func (s schedule) begin(engine *localfleet.Upstream) error {
+func (s schedule) begin(ctx context.Context, engine *localfleet.Upstream) error {
 	switch s.kind {
 	case faultKill:
 		engine.Kill()
@@ -104,14 +93,14 @@
 		engine.Freeze()
 		return nil
 	case faultGrey:
-		return set(engine, fault.Faults{SlowFactor: greyFactor})
+		return set(ctx, engine, fault.Faults{SlowFactor: greyFactor})
 	case faultSilent:
-		return set(engine, fault.Faults{StallOpen: true})
+		return set(ctx, engine, fault.Faults{StallOpen: true})
 	}
-	return set(engine, fault.Faults{Leaving: true})
+	return set(ctx, engine, fault.Faults{Leaving: true})
 }
 
-func (s schedule) end(engine *localfleet.Upstream) error {
+func (s schedule) end(ctx context.Context, engine *localfleet.Upstream) error {
 	switch s.kind {
 	case faultKill:
 		return trace.Wrap(engine.Start())
@@ -119,22 +108,10 @@
 		engine.Thaw()
 		return nil
 	}
-	return set(engine, fault.Faults{})
+	return set(ctx, engine, fault.Faults{})
 }
 
 // set replaces the engine's fault switches.
-func set(engine *localfleet.Upstream, f fault.Faults) error {
-	body, err := json.Marshal(f)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	req, err := http.NewRequest(http.MethodPut, "http://"+engine.Address+"/standin/faults", bytes.NewReader(body))
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	return trace.Wrap(resp.Body.Close())
+func set(ctx context.Context, engine *localfleet.Upstream, f fault.Faults) error {
+	return localfleet.Send(ctx, http.MethodPut, "http://"+engine.Address+"/standin/faults", f)
 }
