Split long files; say what fields and errors mean

Ruled out: any change of code; the declarations before and after the split are the same lines, and so are the tests.

--- a/cmd/banyanctl/client.go
+++ b/cmd/banyanctl/client.go
@@ -31,7 +31,7 @@
 	defaultURLScheme = "http://"
 )
 
-// errOutcomeUnknown says that an edit was sent and not answered.
+// errOutcomeUnknown means that an edit was sent and not answered.
 var errOutcomeUnknown = errors.New("the edit was sent and its outcome is unknown")
 
 // client calls the operators' API of the first instance that answers.
--- a/cmd/banyanctl/exit.go
+++ b/cmd/banyanctl/exit.go
@@ -24,16 +24,16 @@
 	exitNotInForce  = 9
 )
 
-// errDifferent says that a diff found differences; it prints nothing.
+// errDifferent means that a diff found differences; it prints nothing.
 var errDifferent = errors.New("differences found")
 
-// errNotInForce says that an accepted edit is not everywhere yet.
+// errNotInForce means that an accepted edit is not everywhere yet.
 var errNotInForce = errors.New("accepted, and not yet in force everywhere")
 
-// errUnreachable says that no instance could be connected to.
+// errUnreachable means that no instance could be connected to.
 var errUnreachable = errors.New("no instance is reachable")
 
-// errNoAnswer says that the call was sent to an instance that did not answer.
+// errNoAnswer means that the call was sent to an instance that did not answer.
 var errNoAnswer = errors.New("no instance answered")
 
 // serverError is an instance's refusal.
--- a/internal/catalogue/apply.go
+++ b/internal/catalogue/apply.go
@@ -37,12 +37,12 @@
 	// Updates is empty if the entries were so already; there is then no new
 	// revision.
 	Updates []Update `json:"updates"`
-	// Repeated says that an earlier sending of the edit was accepted.
+	// Repeated states whether an earlier sending of the edit was accepted.
 	Repeated bool `json:"repeated,omitempty"`
 	DryRun   bool `json:"dry_run,omitempty"`
 }
 
-// ConflictError says which changes of the edit's entries came first.
+// ConflictError holds the changes of the edit's entries that came first.
 type ConflictError struct {
 	Base    Revision `json:"base"`
 	Head    Revision `json:"head"`
--- a/internal/catalogue/entry.go
+++ b/internal/catalogue/entry.go
@@ -117,7 +117,7 @@
 	Routes []ServiceRoute `yaml:"routes" json:"routes"`
 }
 
-// ServiceRoute says how calls of one method and path prefix are treated.
+// ServiceRoute defines how calls of one method and path prefix are treated.
 type ServiceRoute struct {
 	// Method is an HTTP method, or "*".
 	Method string `yaml:"method" json:"method"`
@@ -140,9 +140,9 @@
 	Service string `yaml:"service,omitempty" json:"service,omitempty"`
 	// MemoryTokens is an engine's KV memory in tokens.
 	MemoryTokens int `yaml:"memory_tokens,omitempty" json:"memory_tokens,omitempty"`
-	// Fencing says that the engine refuses orders with an old fencing number.
+	// Fencing states whether the engine refuses orders with an old fencing number.
 	Fencing bool `yaml:"fencing,omitempty" json:"fencing,omitempty"`
-	// ChecksIssuer says that the engine checks the signature of an order.
+	// ChecksIssuer states whether the engine checks the signature of an order.
 	ChecksIssuer bool `yaml:"checks_issuer,omitempty" json:"checks_issuer,omitempty"`
 }
 
--- a/internal/catalogue/fielderror.go
+++ b/internal/catalogue/fielderror.go
@@ -14,7 +14,7 @@
 	Entry Key `json:"entry"`
 	// Field is a dotted path, for example "workspace.models[0]".
 	Field string `json:"field"`
-	// Problem says what is wrong and what is allowed.
+	// Problem is what is wrong and what is allowed.
 	Problem string `json:"problem"`
 }
 
--- /dev/null
+++ b/internal/catalogue/interleaving_test.go
@@ -0,0 +1,131 @@
+package catalogue
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/platform"
+	"github.com/banyanroute/banyanroute/internal/platform/memstore"
+	"github.com/banyanroute/banyanroute/internal/result"
+)
+
+// TestLoadDuringEdits reads the whole catalogue while edits are committed
+// between the pages of the scan.
+func TestLoadDuringEdits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := memstore.New()
+		s := NewStore(table)
+		rev := Revision(0)
+		for part := range 5 {
+			var puts []Entry
+			for i := range maxEditEntries {
+				puts = append(puts, workspace(fmt.Sprintf("w%d-%d", part, i), "a", 1))
+			}
+			rev = mustApply(t, s, Edit{ID: fmt.Sprint("part", part), Base: rev, Puts: puts}).Revision
+		}
+		table.SetFaults(memstore.Faults{Delay: 2 * time.Millisecond})
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			for i := range 10 {
+				base := s.latest.Load().Revision()
+				mustApply(t, s, Edit{ID: fmt.Sprint("during", i), Base: base, Puts: []Entry{workspace(fmt.Sprintf("w%d-7", i%5), "a", i+2)}})
+			}
+		})
+		fresh := NewStore(table)
+		h, _, err := readHead(t.Context(), table)
+		if err != nil {
+			t.Fatal(err)
+		}
+		snap, err := fresh.readAll(t.Context(), h)
+		wg.Wait()
+		if err != nil || snap.Revision() < 6 || digestOf(snap.records) != snap.digest {
+			t.Fatalf("got %v, %v", snap, err)
+		}
+	})
+}
+
+// interposed calls before ahead of the read of a key.
+type interposed struct {
+	platform.Table
+	key    string
+	before func()
+}
+
+func (p *interposed) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if keys[0] == p.key && p.before != nil {
+		before := p.before
+		p.before = nil
+		before()
+	}
+	return p.Table.Read(ctx, keys...)
+}
+
+// TestSameEditThroughTwoInstances lets the second sending be accepted while the
+// first is under way.
+func TestSameEditThroughTwoInstances(t *testing.T) {
+	for _, key := range []string{headRow, idRow("same")} {
+		synctest.Test(t, func(t *testing.T) {
+			table := memstore.New()
+			edit := Edit{ID: "same", Puts: []Entry{model("m", "v1")}}
+			other := func() { mustApply(t, NewStore(table), edit) }
+			applied := mustApply(t, NewStore(&interposed{Table: table, key: key, before: other}), edit)
+			if applied.Revision != 1 || !applied.Repeated {
+				t.Fatalf("accepted as %+v", applied)
+			}
+		})
+	}
+}
+
+// TestPushOvertakesLoad lets a peer's push arrive between the read of the head
+// and its use: the head is read again, and not the whole catalogue.
+func TestPushOvertakesLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := memstore.New()
+		other := NewStore(table)
+		mustApply(t, other, Edit{ID: "1", Puts: []Entry{model("m", "v1")}})
+		late := &overtaken{Table: table}
+		s := NewStore(late)
+		late.after = func() {
+			mustApply(t, other, Edit{ID: "2", Base: 1, Puts: []Entry{model("m", "v2")}})
+			s.Offer(other.latest.Load())
+		}
+		snap, err := s.Load(t.Context())
+		if err != nil || snap.Revision() != 2 || table.Counts().Scans != 0 {
+			t.Fatalf("got %v, %v, %d scans", snap, err, table.Counts().Scans)
+		}
+	})
+}
+
+// overtaken calls after once, behind the first read.
+type overtaken struct {
+	platform.Table
+	after func()
+}
+
+func (o *overtaken) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	rows, err := o.Table.Read(ctx, keys...)
+	if after := o.after; after != nil {
+		o.after = nil
+		after()
+	}
+	return rows, err
+}
+
+// TestStoreThatLostRevisionsTakesNoEdit offers a revision that the store, as
+// restored from an old copy, does not have: instances would ignore an edit that
+// it accepted.
+func TestStoreThatLostRevisionsTakesNoEdit(t *testing.T) {
+	full, old := memstore.New(), memstore.New()
+	ahead := NewStore(full)
+	mustApply(t, ahead, Edit{ID: "1", Puts: []Entry{model("m", "v1")}})
+	mustApply(t, ahead, Edit{ID: "2", Base: 1, Puts: []Entry{model("m", "v2")}})
+	mustApply(t, NewStore(old), Edit{ID: "1", Puts: []Entry{model("m", "v1")}})
+	s := NewStore(old)
+	s.Offer(ahead.latest.Load())
+	_, err := apply(t, s, Edit{ID: "3", Base: 1, Puts: []Entry{model("n", "v1")}})
+	wantCode(t, err, result.StoreUnavailable, "revision 1 is below 2")
+}
--- a/internal/catalogue/replica.go
+++ b/internal/catalogue/replica.go
@@ -17,7 +17,7 @@
 
 var log = logging.For("catalogue")
 
-// source says where an installed snapshot came from.
+// source is where an installed snapshot came from.
 type source string
 
 const (
--- a/internal/catalogue/serve.go
+++ b/internal/catalogue/serve.go
@@ -7,7 +7,7 @@
 	"strings"
 )
 
-// errNoCatalogue says that an instance has no catalogue to give yet.
+// errNoCatalogue means that an instance has no catalogue to give yet.
 var errNoCatalogue = errors.New("no catalogue yet")
 
 // handleOffer takes a broadcast of a new revision.
--- a/internal/catalogue/store.go
+++ b/internal/catalogue/store.go
@@ -15,7 +15,7 @@
 // it, all entries are read.
 const maxCatchUp = 2 * readLimit
 
-// errDigest says that the store's content does not have the head's digest.
+// errDigest means that the store's content does not have the head's digest.
 var errDigest = errors.New("content of the catalogue does not have the digest of its head")
 
 // Store reads and edits the catalogue in the platform's table. It is safe for
--- a/internal/loadtest/client/client.go
+++ b/internal/loadtest/client/client.go
@@ -55,11 +55,11 @@
 	Gaps []time.Duration
 	// Tokens is the number of tokens that were verified.
 	Tokens int
-	// Complete says that the answer is whole.
+	// Complete states whether the answer is whole.
 	Complete bool
-	// Violation says how the answer is wrong; empty if it isn't.
+	// Violation is how the answer is wrong; empty if it isn't.
 	Violation string
-	// Failure says why there is no complete answer.
+	// Failure is why there is no complete answer.
 	Failure string
 }
 
--- a/internal/loadtest/client/stream.go
+++ b/internal/loadtest/client/stream.go
@@ -27,7 +27,7 @@
 	checker *answer.Checker
 	began   time.Time
 	last    time.Time
-	// finished says that a finish reason came, and event is the name of the
+	// finished states whether a finish reason came, and event is the name of the
 	// event under way.
 	finished bool
 	event    string
--- a/internal/loadtest/report/result.go
+++ b/internal/loadtest/report/result.go
@@ -107,7 +107,7 @@
 	// ViolationCount counts all.
 	Violations     []string `json:"violations"`
 	ViolationCount int      `json:"violation_count"`
-	// Checked says which records of stand-ins were compared after the run.
+	// Checked lists the records of stand-ins that were compared after the run.
 	Checked []string `json:"checked"`
 }
 
--- a/internal/loadtest/runner/overhead.go
+++ b/internal/loadtest/runner/overhead.go
@@ -56,7 +56,7 @@
 	PairP99 float64 `json:"pair_p99_ms"`
 	// Failed counts requests without a whole answer.
 	Failed int `json:"failed"`
-	// FirstFailure says why the first of them failed.
+	// FirstFailure is why the first of them failed.
 	FirstFailure string `json:"first_failure,omitempty"`
 }
 
--- a/internal/order/controller_test.go
+++ b/internal/order/controller_test.go
@@ -32,22 +32,6 @@
 	longestWait = 2 * time.Minute
 )
 
-// fakeEngines are engines whose orders take time to arrive.
-type fakeEngines struct {
-	mu      sync.Mutex
-	rng     *rand.Rand
-	state   map[string]*upstream.Observed
-	fencing map[string]bool
-	key     []byte
-	// stale counts orders carried out after one with a newer token.
-	stale, orders, sent int
-	// unleased counts orders that were given without a valid lease.
-	unleased int
-	newest   map[string]uint64
-	// freezes states whether senders freeze right before sending.
-	freezes bool
-}
-
 // process is one instance: its link to the table and to the engines, which
 // stand still while it is frozen.
 type process struct {
@@ -91,89 +75,6 @@
 	return p.deliver(e, o, token)
 }
 
-func (f *fakeEngines) Observe(_ context.Context, e Engine) (upstream.Observed, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	o := *f.state[e.ID]
-	// The slice is copied, because orders change it.
-	o.Models = append([]upstream.LoadedModel(nil), o.Models...)
-	return o, nil
-}
-
-// deliver carries an order to the engine. Some are lost, and some arrive
-// although their answer is lost.
-func (f *fakeEngines) deliver(e Engine, o upstream.Order, token uint64) error {
-	f.mu.Lock()
-	wait := time.Duration(f.rng.Int64N(int64(orderTimeout)))
-	fate := f.rng.IntN(8)
-	f.sent++
-	f.mu.Unlock()
-	switch fate {
-	case 0:
-		return context.DeadlineExceeded
-	case 1, 2:
-		time.AfterFunc(wait, func() { _ = f.arrive(e, o, token) })
-		return context.DeadlineExceeded
-	}
-	time.Sleep(wait)
-	return f.arrive(e, o, token)
-}
-
-// arrive carries out an order that was given under a token.
-func (f *fakeEngines) arrive(e Engine, o upstream.Order, token uint64) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	state := f.state[e.ID]
-	if e.ChecksIssuer && !o.Verify(f.key) {
-		return ErrIssuer
-	}
-	if f.fencing[e.ID] {
-		if o.Fence < state.Fence {
-			return ErrFenced
-		}
-		state.Fence = o.Fence
-	}
-	if token < f.newest[e.ID] {
-		f.stale++
-	}
-	f.newest[e.ID] = max(f.newest[e.ID], token)
-	f.orders++
-	_, had := loaded(*state, o.Model, o.Version)
-	carryOut(state, o)
-	if o.Kind == upstream.OrderLoadModel && !had {
-		state.Models[len(state.Models)-1].Loading = true
-		boot := state.Boot
-		time.AfterFunc(loadTime, func() { f.loaded(e.ID, boot, o) })
-	}
-	return nil
-}
-
-func (f *fakeEngines) loaded(id, boot string, o upstream.Order) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for i, m := range f.state[id].Models {
-		if f.state[id].Boot == boot && m.Model == o.Model && m.Version == o.Version {
-			f.state[id].Models[i].Loading = false
-		}
-	}
-}
-
-// counts returns the orders sent, carried out, and carried out after one with
-// a newer token.
-func (f *fakeEngines) counts() (sent, orders, stale int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.sent, f.orders, f.stale
-}
-
-// restart empties an engine, which forgets the highest token too.
-func (f *fakeEngines) restart(id string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.state[id] = &upstream.Observed{Boot: f.state[id].Boot + "+", Role: upstream.RoleMixed}
-	f.newest[id] = 0
-}
-
 // bench is a group of engines and its controllers.
 type bench struct {
 	mu       sync.Mutex
--- a/internal/order/engines.go
+++ b/internal/order/engines.go
@@ -15,9 +15,9 @@
 
 // Errors of an engine's answer to an order.
 var (
-	// ErrFenced says that the engine has seen a higher fencing token.
+	// ErrFenced means that the engine has seen a higher fencing token.
 	ErrFenced = errors.New("engine has seen a higher fencing token")
-	// ErrIssuer says that the engine does not accept the issuer.
+	// ErrIssuer means that the engine does not accept the issuer.
 	ErrIssuer = errors.New("engine does not accept the order's issuer")
 )
 
--- a/internal/platform/memstore/memstore.go
+++ b/internal/platform/memstore/memstore.go
@@ -12,7 +12,7 @@
 	"github.com/banyanroute/banyanroute/internal/platform"
 )
 
-// Faults says how the store misbehaves. The zero value is a healthy store.
+// Faults describes how the store misbehaves. The zero value is a healthy store.
 type Faults struct {
 	// Down refuses every call with platform.ErrUnavailable.
 	Down bool `json:"down"`
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -14,15 +14,15 @@
 
 // Errors of the platform's services.
 var (
-	// ErrUnavailable says that the service did not take the call: nothing
+	// ErrUnavailable means that the service did not take the call: nothing
 	// was read or written.
 	ErrUnavailable = errors.New("platform service unavailable")
-	// ErrUnknownOutcome says that a write may or may not have taken effect.
+	// ErrUnknownOutcome means that a write may or may not have taken effect.
 	// The caller settles it by reading its own write ID back.
 	ErrUnknownOutcome = errors.New("outcome of the write is unknown")
-	// ErrNotFound says that an object does not exist.
+	// ErrNotFound means that an object does not exist.
 	ErrNotFound = errors.New("object not found")
-	// ErrRateLimited says that the weight store's rate is used up.
+	// ErrRateLimited means that the weight store's rate is used up.
 	ErrRateLimited = errors.New("rate limited")
 )
 
--- a/internal/standin/engine/reader.go
+++ b/internal/standin/engine/reader.go
@@ -15,7 +15,7 @@
 
 // View is what a reader sees of its stream.
 type View struct {
-	// Started says that the engine has begun to compute the request.
+	// Started states whether the engine has begun to compute the request.
 	Started bool
 	// Computed counts prompt tokens, cached ones included, and Prompt all.
 	Computed int
@@ -24,7 +24,7 @@
 	Cached int
 	// Position is the number of tokens generated.
 	Position int
-	// Complete says that no token will follow.
+	// Complete states whether no token will follow.
 	Complete bool
 }
 
@@ -149,7 +149,7 @@
 // Request returns the request that the stream runs.
 func (r *Reader) Request() Request { return r.stream.req }
 
-// Close says that the connection is gone. The stream is kept for a while, or
+// Close ends the reader when its connection is gone. The stream is kept for a while, or
 // ended at once if keep is false.
 func (r *Reader) Close(keep bool) {
 	e := r.engine
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -43,7 +43,7 @@
 type Refusal struct {
 	// Status is the HTTP status of the answer.
 	Status int
-	// NotRun says that nothing of the request was computed.
+	// NotRun states whether nothing of the request was computed.
 	NotRun bool
 	// RetryAfter is when to come back; zero if that doesn't help.
 	RetryAfter time.Duration
@@ -77,7 +77,7 @@
 	phase  phase
 	order  uint64
 	prompt int
-	// started says that the stream got memory.
+	// started states whether the stream got memory.
 	started bool
 	// computed counts prompt tokens that are cached or computed, and cached
 	// those that were found in the prefix cache.
--- a/internal/standin/enginehttp/generate.go
+++ b/internal/standin/enginehttp/generate.go
@@ -99,7 +99,7 @@
 	sent      int
 }
 
-// errDropped says that a fault switch cut the stream.
+// errDropped means that a fault switch cut the stream.
 var errDropped = errors.New("stream dropped by a fault switch")
 
 // stream writes the answer token by token.
--- a/internal/standin/enginehttp/request.go
+++ b/internal/standin/enginehttp/request.go
@@ -41,7 +41,7 @@
 	request engine.Request
 	chat    bool
 	stream  bool
-	// resume says that the client has the tokens up to position.
+	// resume states whether the client has the tokens up to position.
 	resume   bool
 	position int
 }
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -18,7 +18,7 @@
 // exitCrash is the exit status of a crash that a switch asked for.
 const exitCrash = 3
 
-// Faults says how a process misbehaves. The zero value is a healthy process.
+// Faults describes how a process misbehaves. The zero value is a healthy process.
 type Faults struct {
 	// Crash ends the process at once.
 	Crash bool `json:"crash,omitempty"`
--- a/tools/demo/calls.go
+++ b/tools/demo/calls.go
@@ -20,7 +20,7 @@
 type response struct {
 	firstToken time.Duration
 	tokens     int
-	// whole says that all tokens came, in order, with the end marker.
+	// whole states whether all tokens came, in order, with the end marker.
 	whole bool
 }
 
