Give the catalogue's metrics the prefix of all others

Cause: set one prefix, banyanroute_, and left the catalogue's six metrics without it; docs/operators/catalogue.md listed them bare. Ruled out: keeping both names; no release has them and no tool reads them.

--- a/internal/catalogue/poll.go
+++ b/internal/catalogue/poll.go
@@ -119,12 +119,12 @@
 
 // poll reads the head row and follows it if it is not the present revision.
 func (r *Replica) poll(ctx context.Context) error {
-	metrics.GetOrCreateCounter("catalogue_polls_total").Inc()
+	metrics.GetOrCreateCounter("banyanroute_catalogue_polls_total").Inc()
 	headCtx, cancel := context.WithTimeout(ctx, r.opts.CallTimeout)
 	rev, digest, err := r.store.Head(headCtx)
 	cancel()
 	if err != nil {
-		metrics.GetOrCreateCounter("catalogue_poll_failures_total").Inc()
+		metrics.GetOrCreateCounter("banyanroute_catalogue_poll_failures_total").Inc()
 		return err
 	}
 	snap := r.Snapshot()
--- a/internal/catalogue/replica.go
+++ b/internal/catalogue/replica.go
@@ -239,8 +239,8 @@
 func (r *Replica) replace(snap *Snapshot, from source) {
 	r.current.Store(snap)
 	r.store.Offer(snap)
-	metrics.GetOrCreateGauge("catalogue_revision", nil).Set(float64(snap.revision))
-	metrics.GetOrCreateCounter(fmt.Sprintf("catalogue_installs_total{source=%q}", from)).Inc()
+	metrics.GetOrCreateGauge("banyanroute_catalogue_revision", nil).Set(float64(snap.revision))
+	metrics.GetOrCreateCounter(fmt.Sprintf("banyanroute_catalogue_installs_total{source=%q}", from)).Inc()
 	log.Infof("installed revision %d with %d entries from %s", snap.revision, snap.Len(), from)
 	r.fire(eventFirstInstalled)
 	if r.noticed > snap.revision {
@@ -298,13 +298,13 @@
 // store decides.
 func (r *Replica) diverged(from string, rev Revision) {
 	log.Errorf("%s has other content of revision %d", from, rev)
-	metrics.GetOrCreateCounter("catalogue_diverged_total").Inc()
+	metrics.GetOrCreateCounter("banyanroute_catalogue_diverged_total").Inc()
 	wake(r.wakePoll)
 }
 
 // refused counts and logs content from a peer that is not trusted.
 func (r *Replica) refused(what, from string, err error) {
-	metrics.GetOrCreateCounter(fmt.Sprintf("catalogue_refused_total{what=%q}", what)).Inc()
+	metrics.GetOrCreateCounter(fmt.Sprintf("banyanroute_catalogue_refused_total{what=%q}", what)).Inc()
 	log.Warnf("refused %s from %s: %v", what, from, err)
 }
 
