Use standard terms in order, lease, catalogue, admin, stand-ins and tools

Cause: names and comments such as look, note, ask, give, forget, unsure, and "wishes for a state" for idempotent. Ruled out: fields of dumps, metrics, messages and charts, which stay. Change: Reconcile, orderKey, refresh, observe, statusOf, dropNotice, allocate and free, mayBeAccepted; doc comments with units and errors.

--- a/cmd/banyanctl/client.go
+++ b/cmd/banyanctl/client.go
@@ -23,11 +23,14 @@
 	"github.com/banyanroute/banyanroute/internal/sleep"
 )
 
-// Bounds of sending an edit.
 const (
-	maxAnswerBytes   = 64 << 20
-	editTries        = 5
-	editPauseFactor  = 2
+	// maxAnswerBytes bounds the body of an answer.
+	maxAnswerBytes = 64 << 20
+	// editTries is how often an edit with an unknown outcome is sent, and
+	// editPauseFactor the growth of the pause between two tries.
+	editTries       = 5
+	editPauseFactor = 2
+	// defaultURLScheme completes an address without a scheme.
 	defaultURLScheme = "http://"
 )
 
@@ -132,12 +135,12 @@
 	if err != nil {
 		return applied, err
 	}
-	unsure := false
+	unknown := false
 	wait := c.retryPause
 	for range editTries {
 		err = c.call(ctx, http.MethodPost, admin.PathEdits, body, &applied)
-		unsure = unsure || isUnsure(err)
-		if !unsure || isSettled(err) {
+		unknown = unknown || mayBeAccepted(err)
+		if !unknown || isSettled(err) {
 			return applied, err
 		}
 		if !sleep.For(ctx, wait) {
@@ -148,9 +151,9 @@
 	return applied, fmt.Errorf("%w; send it again with --id %s: %w", errOutcomeUnknown, edit.ID, err)
 }
 
-// isUnsure states whether an edit may have been accepted although the call
+// mayBeAccepted states whether an edit may have been accepted although the call
 // failed.
-func isUnsure(err error) bool {
+func mayBeAccepted(err error) bool {
 	var server *serverError
 	if errors.As(err, &server) {
 		return server.body.Execution != result.NotRun && server.body.Code.Info().Execution != result.NotRun
@@ -158,8 +161,8 @@
 	return errors.Is(err, errNoAnswer)
 }
 
-// isSettled states whether the answer tells what became of an edit that was
-// sent before: it was accepted, or it is refused for what it is.
+// isSettled states whether the answer decides the outcome of all tries of an
+// edit: it was accepted, or it is refused for its content.
 func isSettled(err error) bool {
 	var server *serverError
 	if errors.As(err, &server) {
@@ -212,7 +215,7 @@
 	return answer, err
 }
 
-// waitPause is the pause between two looks at the fleet.
+// waitPause is the pause between two polls of the fleet's status.
 const waitPause = 50 * time.Millisecond
 
 // waitInForce waits until all reachable instances have a revision.
--- a/cmd/banyanctl/main_test.go
+++ b/cmd/banyanctl/main_test.go
@@ -187,9 +187,9 @@
 	d.want(exitFailure, "allowed are bash", 0, "completion", "csh")
 }
 
-// TestUnsureEditStaysUnsure answers "unknown" first and then "store down": the
-// second refusal says nothing about the first sending.
-func TestUnsureEditStaysUnsure(t *testing.T) {
+// TestUnknownEditStaysUnknown answers "unknown" first and then "store down": the
+// second refusal does not decide the outcome of the first try.
+func TestUnknownEditStaysUnknown(t *testing.T) {
 	sent := 0
 	ids := map[string]bool{}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/cmd/banyanctl/print.go
+++ b/cmd/banyanctl/print.go
@@ -137,7 +137,7 @@
 			fmt.Fprintf(w, "%d\t%s\t%s\t%s %s\t%s\n", c.Revision, c.At.Format(time.RFC3339), c.Operator, verb(u), u.Key, c.Message)
 		}
 	}
-	w.Flush() //nolint:errcheck // a failing terminal cannot be told
+	w.Flush() //nolint:errcheck // nothing can be reported on a failing terminal
 }
 
 // verb names what an update did.
--- a/internal/admin/catalogue.go
+++ b/internal/admin/catalogue.go
@@ -14,7 +14,7 @@
 
 // Bounds of the catalogue calls.
 const (
-	// editTimeout is the time in which an edit must settle.
+	// editTimeout bounds the time until an edit's outcome is known.
 	editTimeout = 10 * time.Second
 	// defaultHistory and maxHistory bound one answer with changes.
 	defaultHistory = 50
@@ -79,7 +79,8 @@
 	return result.Wrap(err, result.EditInvalid, "decoding the edit: %v", err)
 }
 
-// editByID tells an operator whose answer was lost what became of an edit.
+// editByID answers with the change that an edit became, for an operator whose
+// answer was lost.
 func (a *api) editByID(w http.ResponseWriter, r *http.Request, _ catalogue.Operator) error {
 	change, found, err := a.Store.ChangeByEditID(r.Context(), r.PathValue("id"))
 	if err != nil {
--- a/internal/admin/handler.go
+++ b/internal/admin/handler.go
@@ -22,7 +22,7 @@
 
 var log = logging.For("admin")
 
-// maxBodyBytes bounds the body of one call.
+// maxBodyBytes bounds the body of one call, in bytes.
 const maxBodyBytes = 4 << 20
 
 // bootstrapName is the operator name of the bootstrap token.
@@ -89,7 +89,8 @@
 // operatorHandler serves one call of a known operator.
 type operatorHandler func(w http.ResponseWriter, r *http.Request, by catalogue.Operator) error
 
-// authenticated finds the operator of the bearer token.
+// authenticated passes a call with its bearer token's operator to next; without
+// a known token it answers with an error.
 func (a *api) authenticated(next operatorHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
@@ -123,7 +124,7 @@
 	return catalogue.Operator{}, result.New(result.Unauthenticated, "the token is unknown")
 }
 
-// notReadyRetry is when to come back to an instance without a catalogue.
+// notReadyRetry is the Retry-After of an instance without a catalogue.
 const notReadyRetry = 2 * time.Second
 
 func notReady() error {
@@ -184,7 +185,7 @@
 	if a.Drain == nil {
 		return result.New(result.UnknownRoute, "this process has no planned stop")
 	}
-	log.Infof("planned stop asked for by %s", by.Name)
+	log.Infof("planned stop requested by %s", by.Name)
 	a.Drain()
 	return writeJSON(w, DrainAnswer{Draining: true})
 }
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -12,17 +12,19 @@
 	"github.com/banyanroute/banyanroute/internal/peer"
 )
 
-// topicStatus asks an instance for its status.
+// topicStatus requests the status of an instance.
 const topicStatus peer.Topic = "admin/status"
 
-// Bounds of asking the fleet.
+// Bounds of the status calls to other instances.
 const (
-	statusTimeout  = time.Second
+	// statusTimeout bounds one call.
+	statusTimeout = time.Second
+	// statusParallel is the number of concurrent calls.
 	statusParallel = 16
 )
 
-// own returns the status of this instance.
-func (a *api) own() InstanceStatus {
+// ownStatus returns the status of this instance.
+func (a *api) ownStatus() InstanceStatus {
 	s := a.describe(a.Bus.Self())
 	s.Started = a.started
 	s.Phase = PhaseReady
@@ -39,7 +41,7 @@
 	return s
 }
 
-// describe returns what the bus knows of a member.
+// describe returns a member's status as far as the bus has it.
 func (a *api) describe(m peer.Member) InstanceStatus {
 	return InstanceStatus{
 		ID:          m.ID,
@@ -53,10 +55,11 @@
 
 // handleStatus answers another instance.
 func (a *api) handleStatus(context.Context, string, []byte) ([]byte, error) {
-	return cbor.Marshal(a.own())
+	return cbor.Marshal(a.ownStatus())
 }
 
-// status asks all members, a few at a time.
+// status collects the status of all members, with up to statusParallel calls
+// at a time.
 func (a *api) status(w http.ResponseWriter, r *http.Request, _ catalogue.Operator) error {
 	members := a.Bus.Members()
 	answer := Status{Instance: a.Bus.Self().ID, Instances: make([]InstanceStatus, len(members))}
@@ -66,17 +69,17 @@
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			answer.Instances[i] = a.ask(r.Context(), m)
+			answer.Instances[i] = a.statusOf(r.Context(), m)
 		})
 	}
 	wg.Wait()
 	return writeJSON(w, answer)
 }
 
-// ask returns the status of a member; one that does not answer is unreachable.
-func (a *api) ask(ctx context.Context, m peer.Member) InstanceStatus {
+// statusOf returns the status of a member; one that does not answer is unreachable.
+func (a *api) statusOf(ctx context.Context, m peer.Member) InstanceStatus {
 	if m.ID == a.Bus.Self().ID {
-		return a.own()
+		return a.ownStatus()
 	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
--- a/internal/admin/wire.go
+++ b/internal/admin/wire.go
@@ -52,7 +52,7 @@
 	Name      string           `json:"name"`
 	Message   string           `json:"message"`
 	Execution result.Execution `json:"execution"`
-	// RetryAfterSeconds is when to come back; zero if that does not help.
+	// RetryAfterSeconds is the time until a retry is useful; zero if it never is.
 	RetryAfterSeconds int `json:"retry_after_seconds,omitempty"`
 	// Fields lists the wrong fields of an edit.
 	Fields catalogue.FieldErrors `json:"fields,omitempty"`
@@ -60,7 +60,7 @@
 	Conflict *catalogue.ConflictError `json:"conflict,omitempty"`
 }
 
-// Phase is what an instance is doing.
+// Phase is a phase of an instance's life.
 type Phase string
 
 // Phases of an instance.
@@ -68,7 +68,7 @@
 	PhaseStarting Phase = "starting"
 	PhaseReady    Phase = "ready"
 	PhaseDraining Phase = "draining"
-	// PhaseUnreachable is set by the instance that asks.
+	// PhaseUnreachable is set for a member that does not answer.
 	PhaseUnreachable Phase = "unreachable"
 )
 
--- a/internal/catalogue/exchange.go
+++ b/internal/catalogue/exchange.go
@@ -16,18 +16,18 @@
 	// fetchSpread is the time per member over which the fetches of one
 	// announced revision are spread.
 	fetchSpread = 2 * time.Millisecond
-	// fetchNeighbours is the number of neighbours that are asked before the
+	// fetchNeighbours is the number of neighbours that are queried before the
 	// announcing instance, so that it does not serve the whole fleet.
 	fetchNeighbours = 2
-	// startNeighbours is the number of neighbours that a new instance asks;
+	// startNeighbours is the number of neighbours that a new instance queries;
 	// it takes the highest revision among them.
 	startNeighbours = 5
 	// maxPages bounds the pages of one transfer.
 	maxPages = 1024
 )
 
-// runExchange fetches what peers announce, and compares with one neighbour per
-// round.
+// runExchange fetches announced revisions, and exchanges revisions with one
+// neighbour per round (anti-entropy).
 func (r *Replica) runExchange(ctx context.Context) {
 	timer := time.NewTimer(r.jitter(r.opts.Exchange))
 	defer timer.Stop()
@@ -44,7 +44,8 @@
 	}
 }
 
-// exchangeRound compares with one random neighbour and takes what it has more.
+// exchangeRound fetches the changes that one random neighbour has and this
+// instance lacks.
 func (r *Replica) exchangeRound(ctx context.Context) {
 	if r.Snapshot() == nil {
 		return
@@ -58,7 +59,7 @@
 // by now and else from the instance that announced it.
 func (r *Replica) fetchNoticed(ctx context.Context) {
 	if r.Snapshot() == nil {
-		r.forgetNotice()
+		r.dropNotice()
 		return
 	}
 	spread := time.Duration(len(r.bus.Members())) * fetchSpread
@@ -73,12 +74,12 @@
 	}
 	if from, behind := r.behind(); behind {
 		r.fetchFrom(ctx, from)
-		r.forgetNotice()
+		r.dropNotice()
 	}
 }
 
-// fetchFrom asks a peer for the changes after the present revision until there
-// are no more.
+// fetchFrom fetches a peer's changes after the present revision until there are
+// no more.
 func (r *Replica) fetchFrom(ctx context.Context, id string) {
 	for {
 		before := r.Revision()
@@ -195,7 +196,7 @@
 
 // readFromPeers returns the highest catalogue of a few neighbours, or nil.
 func (r *Replica) readFromPeers(ctx context.Context) *Snapshot {
-	for _, offered := range r.askPeers(ctx) {
+	for _, offered := range r.queryPeers(ctx) {
 		snap, err := offered.snapshot()
 		if err != nil {
 			snap, err = r.readWhole(ctx, offered.id)
@@ -208,7 +209,7 @@
 	return nil
 }
 
-// peerAnswer is what a neighbour has, seen from an empty catalogue.
+// peerAnswer is a neighbour's answer to a fetch from an empty catalogue.
 type peerAnswer struct {
 	id string
 	fetchAnswer
@@ -223,9 +224,9 @@
 	return snap, err
 }
 
-// askPeers asks a few neighbours, and returns their answers by descending
+// queryPeers queries a few neighbours, and returns their answers by descending
 // revision.
-func (r *Replica) askPeers(ctx context.Context) []peerAnswer {
+func (r *Replica) queryPeers(ctx context.Context) []peerAnswer {
 	var answers []peerAnswer
 	for _, id := range r.someNeighbours(startNeighbours) {
 		if answer, err := r.callFetch(ctx, id, emptySnapshot()); err == nil {
--- a/internal/catalogue/message.go
+++ b/internal/catalogue/message.go
@@ -28,7 +28,7 @@
 	maxPageBytes  = 128 << 10
 )
 
-// offer tells the others about a new revision.
+// offer announces a new revision.
 type offer struct {
 	Revision Revision `cbor:"1,keyasint"`
 	Digest   Digest   `cbor:"2,keyasint"`
@@ -36,7 +36,7 @@
 	Change *Change `cbor:"3,keyasint,omitempty"`
 }
 
-// fetchRequest asks for the changes after the caller's revision.
+// fetchRequest requests the changes after the caller's revision.
 type fetchRequest struct {
 	Revision Revision `cbor:"1,keyasint"`
 	Digest   Digest   `cbor:"2,keyasint"`
@@ -50,7 +50,7 @@
 	Changes  []Change `cbor:"3,keyasint,omitempty"`
 }
 
-// pageRequest asks for the records after a key, in ascending order.
+// pageRequest requests the records after a key, in ascending order.
 type pageRequest struct {
 	After string `cbor:"1,keyasint"`
 }
--- a/internal/catalogue/replica.go
+++ b/internal/catalogue/replica.go
@@ -27,7 +27,7 @@
 	sourceFetch source = "fetch"
 )
 
-// Options tune a Replica; zero values are the defaults.
+// Options configure a Replica; zero values take the defaults.
 type Options struct {
 	// Exchange is the mean time between two exchanges with a neighbour; the
 	// default is 2 s.
@@ -72,9 +72,9 @@
 	return o
 }
 
-// Replica keeps this instance's copy of the catalogue current. It hears of new
-// revisions from peers, compares with a neighbour from time to time, and polls
-// the head row as a backstop. It is safe for concurrent use.
+// Replica keeps this instance's copy of the catalogue current. It receives
+// broadcasts of new revisions, exchanges revisions with a random neighbour, and
+// polls the head row as a fallback. It is safe for concurrent use.
 type Replica struct {
 	store *Store
 	bus   peer.Bus
@@ -85,7 +85,8 @@
 	// mu guards installation and the fields below it.
 	mu          sync.Mutex
 	subscribers []func(*Snapshot)
-	// noticed is the highest revision heard of, and who has it.
+	// noticed is the highest revision that a peer announced, and noticedFrom
+	// that peer.
 	noticed     Revision
 	noticedFrom string
 	machine     *chart.Machine
@@ -148,7 +149,8 @@
 	Entries  map[Kind]int `json:"entries"`
 	// KeptChanges is the number of changes kept for peers.
 	KeptChanges int `json:"kept_changes"`
-	// Noticed is the highest revision heard of, and NoticedFrom who has it.
+	// Noticed is the highest revision that a peer announced, and NoticedFrom
+	// that peer.
 	Noticed     Revision `json:"noticed"`
 	NoticedFrom string   `json:"noticed_from,omitempty"`
 	// PollInterval is the present mean time between two polls.
@@ -202,7 +204,7 @@
 }
 
 // Install installs a snapshot that was read from, or committed to, the store
-// and tells the other instances. It returns false, and changes nothing, unless
+// and broadcasts it. It returns false, and changes nothing, unless
 // the snapshot's revision is higher than the present one.
 func (r *Replica) Install(snap *Snapshot) bool {
 	if !r.install(snap, sourceEdit) {
@@ -265,7 +267,7 @@
 	r.bus.Broadcast(topicOffer, encode(o))
 }
 
-// notice remembers that a peer has a revision, and wakes the fetching.
+// notice records that a peer announced a revision, and wakes the fetching.
 func (r *Replica) notice(from string, rev Revision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -277,18 +279,18 @@
 	wake(r.wakeFetch)
 }
 
-// behind returns the highest revision heard of and who has it, if it is higher
-// than the present one.
+// behind states whether a peer announced a higher revision than the present
+// one, and returns that peer.
 func (r *Replica) behind() (from string, behind bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.noticedFrom, r.noticed > r.Revision()
 }
 
-// forgetNotice lets go of a revision that could not be fetched, so that an offer
-// of one that does not exist cannot hide later ones. The exchange with neighbours
-// finds it if it exists.
-func (r *Replica) forgetNotice() {
+// dropNotice discards an announced revision that could not be fetched, so that
+// an offer of one that does not exist cannot hide later ones. The exchange with
+// neighbours finds it if it exists.
+func (r *Replica) dropNotice() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.noticed = min(r.noticed, r.Revision())
@@ -302,10 +304,10 @@
 	wake(r.wakePoll)
 }
 
-// refused counts and logs content from a peer that is not trusted.
-func (r *Replica) refused(what, from string, err error) {
-	metrics.GetOrCreateCounter(fmt.Sprintf("banyanroute_catalogue_refused_total{what=%q}", what)).Inc()
-	log.Warnf("refused %s from %s: %v", what, from, err)
+// refused counts and logs invalid content from a peer.
+func (r *Replica) refused(content, from string, err error) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("banyanroute_catalogue_refused_total{what=%q}", content)).Inc()
+	log.Warnf("refused %s from %s: %v", content, from, err)
 }
 
 // jitter returns a random time from 3/4 to 5/4 of mean.
@@ -315,6 +317,7 @@
 	return mean*3/4 + time.Duration(r.random.Int64N(int64(mean)/2+1))
 }
 
+// wake requests a run of a loop; a request that is already waiting suffices.
 func wake(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/internal/catalogue/schedule_test.go
+++ b/internal/catalogue/schedule_test.go
@@ -75,7 +75,7 @@
 	return rapid.SliceOfN(one, 5, 40).Draw(rt, "steps")
 }
 
-// outcome is what an operator was told about one edit.
+// outcome is the result of one edit for its operator.
 type outcome struct {
 	edit    Edit
 	applied Applied
@@ -217,7 +217,7 @@
 	return errors.Join(r.checkOutcomes(found), r.checkUnseen(changes))
 }
 
-// checkOutcomes compares what operators were told with the history. An edit of
+// checkOutcomes compares the operators' results with the history. An edit of
 // which every sending was refused as "not run" must not be there, and neither
 // must one that was refused because another came first.
 func (r *scheduleRun) checkOutcomes(found map[string]Revision) error {
--- a/internal/catalogue/serve.go
+++ b/internal/catalogue/serve.go
@@ -37,8 +37,8 @@
 	return r.install(next, sourcePush)
 }
 
-// handleFetch answers a peer with the changes that it lacks. A peer with a
-// higher revision is asked in turn.
+// handleFetch answers a peer with the changes that it lacks. If the peer has a
+// higher revision, this instance fetches it in turn.
 func (r *Replica) handleFetch(_ context.Context, from string, payload []byte) ([]byte, error) {
 	var req fetchRequest
 	if err := decoder.Unmarshal(payload, &req); err != nil {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -5,8 +5,8 @@
 // request that won or renewed it. A contender takes a lease over only after it
 // has itself seen the row unchanged for that time and a margin, so the clocks
 // of two instances need the same rate, within the margin, but not the same
-// time. A holder that was paused finds its lease lapsed by Valid; what it sent
-// before it looked is the business of the fencing token.
+// time. A paused holder learns from Valid that its lease has lapsed; requests that
+// it sent before are rejected by their fencing token.
 package lease
 
 import (
@@ -31,8 +31,8 @@
 // Defaults of Options.
 const (
 	defaultDuration = 15 * time.Second
-	// driftShare is the part of the duration that covers different rates of
-	// two clocks.
+	// driftShare divides the duration; the quotient covers different rates
+	// of two clocks.
 	driftShare = 20
 )
 
@@ -72,7 +72,8 @@
 	seen   platform.Version
 	seenAt time.Time
 	row    row
-	// validUntil is the end of our validity; zero if we do not hold it.
+	// validUntil is the end of this contender's validity; zero if it does not
+	// hold the lease.
 	validUntil time.Time
 }
 
@@ -122,7 +123,7 @@
 // is free or has lapsed, and states whether it is held. It must not be called
 // concurrently with itself or Release.
 func (l *Lease) Acquire(ctx context.Context) (bool, error) {
-	if err := l.look(ctx); err != nil {
+	if err := l.refresh(ctx); err != nil {
 		return l.Valid(time.Now()), err
 	}
 	next, ok := l.claimable(time.Now())
@@ -132,18 +133,18 @@
 	return l.write(ctx, next)
 }
 
-// look reads the row.
-func (l *Lease) look(ctx context.Context) error {
+// refresh reads the row.
+func (l *Lease) refresh(ctx context.Context) error {
 	rows, err := l.table.Read(ctx, rowPrefix+l.options.Name)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	return l.note(rows[0])
+	return l.observe(rows[0])
 }
 
-// note takes in the row's present version. seenAt is taken after the read, so
-// that the row was written before.
-func (l *Lease) note(present platform.Row) error {
+// observe records the row's present version. seenAt is taken after the read, so
+// that it is never before the write.
+func (l *Lease) observe(present platform.Row) error {
 	var r row
 	if present.Version != 0 {
 		if err := cbor.Unmarshal(present.Value, &r); err != nil {
@@ -174,8 +175,8 @@
 	} else if l.row.ID != "" && now.Sub(l.seenAt) < l.options.Duration+l.margin() {
 		return row{}, false
 	}
-	// A lapsed lease of our own gets a new token too: what was sent under
-	// the old one must not be taken for new.
+	// A holder that takes its own lapsed lease again gets a new token, so that
+	// requests under the old one stay fenced off.
 	next.Fence++
 	return next, true
 }
@@ -204,7 +205,7 @@
 	if len(res.Rows) != 1 {
 		return false, trace.BadParameter("table answered a lease's write with %d rows", len(res.Rows))
 	}
-	if err := l.note(res.Rows[0]); err != nil || !res.Committed {
+	if err := l.observe(res.Rows[0]); err != nil || !res.Committed {
 		return false, err
 	}
 	l.mu.Lock()
@@ -213,7 +214,7 @@
 	return time.Now().Before(l.validUntil), nil
 }
 
-// Release gives the lease up, so that another contender need not wait.
+// Release releases the lease, so that another contender need not wait.
 func (l *Lease) Release(ctx context.Context) error {
 	l.mu.Lock()
 	held := l.row.ID == l.id
@@ -251,11 +252,12 @@
 	}
 }
 
+// releaseAtEnd releases the lease although ctx has ended.
 func (l *Lease) releaseAtEnd(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), l.options.Duration/renewalsPerDuration)
 	defer cancel()
 	if err := l.Release(ctx); err != nil {
-		log.Infof("lease %q lapses by itself: %v", l.options.Name, err)
+		log.Infof("lease %q was not released and will lapse: %v", l.options.Name, err)
 	}
 	return nil
 }
--- a/internal/loadtest/client/client.go
+++ b/internal/loadtest/client/client.go
@@ -42,8 +42,8 @@
 type Outcome struct {
 	// Status is the HTTP status; zero if there was no answer.
 	Status int
-	// ResultCode is the number that the instance gave, Execution what it
-	// says about execution, and RequestID the request's name there.
+	// ResultCode, Execution and RequestID are the instance's headers:
+	// X-Result-Code, X-Execution and X-Request-Id.
 	ResultCode int
 	Execution  string
 	RequestID  string
--- a/internal/loadtest/client/stream.go
+++ b/internal/loadtest/client/stream.go
@@ -106,7 +106,7 @@
 	}
 }
 
-// token notes the time of a token and checks it.
+// token records the time of a token and checks it.
 func (r *streamReader) token(text string) {
 	now := time.Now()
 	if r.last.IsZero() {
--- a/internal/loadtest/runner/check.go
+++ b/internal/loadtest/runner/check.go
@@ -68,7 +68,7 @@
 
 // checkEngines waits until the engines hold no memory. Then it looks for work
 // that reached an engine long after it began to leave, and for requests that ran
-// although callers were told that they did not.
+// although they were refused as not run.
 func (r *run) checkEngines(ctx context.Context, res *report.Result) error {
 	refused := map[string]bool{}
 	for _, id := range r.refused {
--- a/internal/loadtest/runner/runner.go
+++ b/internal/loadtest/runner/runner.go
@@ -133,7 +133,7 @@
 	}
 }
 
-// send sends one request and notes its outcome.
+// send sends one request and records its outcome.
 func (r *run) send(ctx context.Context, item workload.Item, c *report.PhaseCollector) {
 	defer r.requests.Done()
 	defer r.inFlight.Add(-1)
@@ -141,14 +141,14 @@
 	out := r.client.Do(context.WithoutCancel(ctx), r.scenario.Targets[item.Target], item)
 	c.Add(item, out)
 	r.timeline.Add(sent, item, out)
-	r.note(item, out)
+	r.record(item, out)
 }
 
-// executionNotRun is what an instance says of a request that did not run.
+// executionNotRun is the X-Execution of a request that did not run.
 const executionNotRun = "not-run"
 
-// note keeps what the checks after the run need.
-func (r *run) note(item workload.Item, out client.Outcome) {
+// record keeps the outcome for the checks after the run.
+func (r *run) record(item workload.Item, out client.Outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
--- a/internal/order/controller.go
+++ b/internal/order/controller.go
@@ -1,10 +1,10 @@
-// Package order brings engines to the state that the catalogue declares: it
-// observes them, plans orders, and gives these under the lease of the engines'
+// Package order reconciles engines with the state that the catalogue declares:
+// it observes them, plans orders, and sends these under the lease of the engines'
 // group with its fencing token.
 //
 // Some engines ignore fencing tokens, so each order is safe to arrive late: it
-// wishes for a state, and whatever a late one spoils is observed and repaired.
-// A new holder waits for the longest time that an order can be under way
+// is idempotent, and the effect of a late one is observed and repaired. A new
+// holder waits for the longest time that an order can be under way
 // before its first order to such an engine.
 package order
 
@@ -36,14 +36,14 @@
 	observeTimeout  = 3 * time.Second
 	// orderTimeout is the longest time that an order can be under way.
 	orderTimeout = 10 * time.Second
-	// repeatAfter is when an order without visible effect is given again.
+	// repeatAfter is when an order without visible effect is sent again.
 	repeatAfter = 30 * time.Second
 )
 
 // maxObservations bounds the observations that run at a time.
 const maxObservations = 16
 
-// Lease is the right to give orders to a group.
+// Lease is the exclusive right to send orders to a group.
 type Lease interface {
 	// Held returns the fencing token under which this instance holds the
 	// lease at now, and false if it does not.
@@ -76,7 +76,7 @@
 // State is a controller's state for a dump.
 type State struct {
 	Group string `json:"group"`
-	// Holding states whether this instance gives orders, and Fence under
+	// Holding states whether this instance holds the lease, and Fence under
 	// which token.
 	Holding bool   `json:"holding"`
 	Fence   uint64 `json:"fence"`
@@ -91,8 +91,9 @@
 	Targets map[string]Target `json:"targets"`
 }
 
-// given identifies an order for the purpose of not repeating it at once.
-type given struct {
+// orderKey identifies an order to one start of an engine, so that the same
+// order is not repeated before repeatAfter.
+type orderKey struct {
 	engine, boot            string
 	kind                    upstream.OrderKind
 	model, version, adapter string
@@ -107,7 +108,8 @@
 	// fence is the token of the present holding, held since heldSince.
 	fence     uint64
 	heldSince time.Time
-	given     map[given]time.Time
+	// sent holds when each order was last sent.
+	sent map[orderKey]time.Time
 
 	mu    sync.Mutex
 	state State
@@ -144,18 +146,18 @@
 	for _, action := range actions {
 		if action == actionStartAnew {
 			c.heldSince = time.Now()
-			c.given = map[given]time.Time{}
+			c.sent = map[orderKey]time.Time{}
 			c.follower = follower{}
 		}
 	}
 }
 
-// Run observes and repairs while the lease is held, until ctx ends.
+// Run reconciles the group while the lease is held, until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
 	for {
 		select {
 		case <-time.After(c.pause()):
-			c.Step(ctx)
+			c.Reconcile(ctx)
 		case <-ctx.Done():
 			return nil
 		}
@@ -175,30 +177,31 @@
 	return c.state
 }
 
-// Step observes the group once and gives the missing orders. It must not be
-// called concurrently with itself or Run.
-func (c *Controller) Step(ctx context.Context) {
+// Reconcile observes the group once and sends the missing orders. It must not
+// be called concurrently with itself or Run.
+func (c *Controller) Reconcile(ctx context.Context) {
 	now := time.Now()
 	if !c.holds(now) {
-		c.note(func(s *State) { s.Holding = false })
+		c.update(func(s *State) { s.Holding = false })
 		return
 	}
 	declared := c.options.Declared()
 	observed := c.observe(ctx, declared.Engines)
 	targets := c.follower.targets(c.options.Demand(), count(observed), now)
 	steps := Plan(declared, observed, targets)
-	c.note(func(s *State) {
+	c.update(func(s *State) {
 		s.Holding, s.Fence, s.Observed, s.Missing, s.Targets = true, c.fence, len(observed), len(steps), targets
 	})
 	for _, step := range steps {
 		if !c.holds(time.Now()) {
 			return
 		}
-		c.give(ctx, step, observed[step.Engine.ID].Boot)
+		c.sendOnce(ctx, step, observed[step.Engine.ID].Boot)
 	}
 }
 
-// holds states whether this instance may give orders, and follows the lease.
+// holds states whether this instance may send orders, and updates the chart's
+// state from the lease.
 func (c *Controller) holds(now time.Time) bool {
 	fence, ok := c.options.Lease.Held(now)
 	if !ok {
@@ -257,30 +260,30 @@
 	return have
 }
 
-// give sends one order, unless the same one was given a moment ago.
-func (c *Controller) give(ctx context.Context, step Step, boot string) {
+// sendOnce sends one order, unless the same one was sent within repeatAfter.
+func (c *Controller) sendOnce(ctx context.Context, step Step, boot string) {
 	now := time.Now()
 	if !step.Engine.Fencing && c.machine.State() != stateOrdering {
 		return
 	}
 	o := step.Order
-	key := given{step.Engine.ID, boot, o.Kind, o.Model, o.Version, o.Adapter, o.Role}
-	if last, ok := c.given[key]; ok && now.Sub(last) < repeatAfter {
+	key := orderKey{step.Engine.ID, boot, o.Kind, o.Model, o.Version, o.Adapter, o.Role}
+	if last, ok := c.sent[key]; ok && now.Sub(last) < repeatAfter {
 		return
 	}
 	if o.Kind == upstream.OrderLoadModel && !c.mayLoad(ctx) {
 		return
 	}
-	c.forget(now)
-	c.given[key] = now
+	c.dropExpired(now)
+	c.sent[key] = now
 	c.send(ctx, step)
 }
 
-// forget drops the memory of orders that may be repeated.
-func (c *Controller) forget(now time.Time) {
-	for key, last := range c.given {
+// dropExpired removes the keys of orders that may be repeated.
+func (c *Controller) dropExpired(now time.Time) {
+	for key, last := range c.sent {
 		if now.Sub(last) >= repeatAfter {
-			delete(c.given, key)
+			delete(c.sent, key)
 		}
 	}
 }
@@ -294,7 +297,7 @@
 	return err == nil && wait == 0
 }
 
-// send gives the order if the lease is still valid right before.
+// send signs and sends the order if the lease is still valid right before.
 func (c *Controller) send(ctx context.Context, step Step) {
 	o := step.Order
 	o.ID = uuid.NewString()
@@ -314,19 +317,19 @@
 		c.fire(eventFenced)
 		log.Warnf("engine %s has seen a newer token than %d", step.Engine.ID, c.fence)
 		c.countOrder("refused")
-		c.note(func(s *State) { s.Refused++ })
+		c.update(func(s *State) { s.Refused++ })
 	case errors.Is(err, ErrIssuer):
 		log.Errorf("engine %s does not accept orders of %s", step.Engine.ID, o.Issuer)
 		c.countOrder("refused")
-		c.note(func(s *State) { s.Refused++ })
+		c.update(func(s *State) { s.Refused++ })
 	case err != nil:
 		log.Infof("order %s to engine %s failed: %v", o.Kind, step.Engine.ID, err)
 		c.countOrder("failed")
-		c.note(func(s *State) { s.Failed++ })
+		c.update(func(s *State) { s.Failed++ })
 	default:
 		log.Infof("ordered %s %s %s%s%s at engine %s", o.Kind, o.Model, o.Version, o.Adapter, o.Role, step.Engine.ID)
 		c.countOrder("given")
-		c.note(func(s *State) { s.Given++ })
+		c.update(func(s *State) { s.Given++ })
 	}
 }
 
@@ -338,7 +341,8 @@
 	}
 }
 
-func (c *Controller) note(change func(*State)) {
+// update changes the state for a dump.
+func (c *Controller) update(change func(*State)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	change(&c.state)
--- a/internal/order/controller_test.go
+++ b/internal/order/controller_test.go
@@ -60,7 +60,7 @@
 	return p.Table.Commit(ctx, txn)
 }
 
-// Order may freeze the process after its last look at the lease.
+// Order may freeze the process after its last check of the lease.
 func (p *process) Order(_ context.Context, e Engine, o upstream.Order) error {
 	token, ok := p.lease.Held(time.Now())
 	p.mu.Lock()
--- a/internal/order/demand.go
+++ b/internal/order/demand.go
@@ -81,7 +81,8 @@
 	}
 }
 
-// lasted states whether a condition has held for a time, and starts anew then.
+// lasted states whether a condition has held for a time, and restarts the time
+// if it has.
 func lasted(since *time.Time, holds bool, long time.Duration, now time.Time) bool {
 	if !holds {
 		*since = time.Time{}
--- a/internal/order/engines_test.go
+++ b/internal/order/engines_test.go
@@ -69,7 +69,7 @@
 		Declared: func() Declared { return declared }, Demand: func() map[string]Demand { return nil }, Key: []byte("key")}
 	c := New(options)
 	for range 10_000 {
-		c.Step(t.Context())
+		c.Reconcile(t.Context())
 		if l, ok := loaded(observe(t, e), "a", "2"); ok && !l.Loading && len(l.Adapters) == 1 && c.Dump().(State).Missing == 0 {
 			break
 		}
@@ -80,8 +80,8 @@
 	options.Lease = heldLease(6)
 	declared.Models[0].Version = "3"
 	old := New(options)
-	old.Step(t.Context())
-	old.Step(t.Context())
+	old.Reconcile(t.Context())
+	old.Reconcile(t.Context())
 	if s := old.Dump().(State); s.Given != 0 || s.Refused != 1 || old.machine.State() != "fenced" {
 		t.Errorf("a holder with an older token: %+v in state %s", s, old.machine.State())
 	}
--- a/internal/order/model_test.go
+++ b/internal/order/model_test.go
@@ -11,7 +11,7 @@
 
 // Bounds of the model: two instances that hold the lease in turn, one engine,
 // one change of the declared version, and one order under way per instance.
-// The lease lapses at any moment, also between a holder's last look at it and
+// The lease lapses at any moment, also between a holder's last check of it and
 // its order, which may arrive arbitrarily late or never.
 const (
 	modelInstances = 2
@@ -26,9 +26,9 @@
 type issuer struct {
 	state chart.State
 	fence uint8
-	// looked is set between the last look at the lease and the order.
-	looked bool
-	wire   message
+	// checked is set between the last check of the lease and the order.
+	checked bool
+	wire    message
 }
 
 // orderState is a state of the model.
@@ -112,12 +112,12 @@
 	if m.once {
 		missing = s.highest < s.fence
 	}
-	if holds && is.fence == s.fence && may && missing && !is.looked && is.wire == (message{}) {
-		add("decides to order", func(_ *orderState, is *issuer) { is.looked = true })
+	if holds && is.fence == s.fence && may && missing && !is.checked && is.wire == (message{}) {
+		add("decides to order", func(_ *orderState, is *issuer) { is.checked = true })
 	}
-	if is.looked {
+	if is.checked {
 		add("sends", func(to *orderState, is *issuer) {
-			is.looked, is.wire = false, message{is.fence, to.declared}
+			is.checked, is.wire = false, message{is.fence, to.declared}
 		})
 	}
 	if is.wire != (message{}) {
--- a/internal/order/plan.go
+++ b/internal/order/plan.go
@@ -32,7 +32,7 @@
 
 // Plan returns the orders that bring the observed engines nearer to the wanted
 // state. It is a pure function; engines that were not observed or are leaving
-// get no orders. Orders wish for a state and may be repeated.
+// get no orders. Orders are idempotent.
 func Plan(d Declared, observed map[string]upstream.Observed, targets map[string]Target) []Step {
 	p := planner{declared: d, observed: observed, targets: targets}
 	assigned := p.assign()
--- a/internal/order/weights.go
+++ b/internal/order/weights.go
@@ -30,8 +30,9 @@
 	Burst int
 }
 
-// Take asks for one load. It returns zero if the load may start, or when to
-// come back. While the table cannot be reached no load may start.
+// Take takes one load from the rate. It returns zero if the load may start, or
+// the time after which to retry. If the table cannot be read or written, it
+// returns the table's error and the load must not start.
 func (w WeightRate) Take(ctx context.Context) (time.Duration, error) {
 	rows, err := w.Table.Read(ctx, rateKey)
 	if err != nil {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -117,7 +117,7 @@
 	if s.phase == finished {
 		return
 	}
-	e.memory.give(s.private)
+	e.memory.free(s.private)
 	e.memory.unref(s.shared)
 	s.private, s.shared = 0, nil
 	if s.reserved != nil {
@@ -136,7 +136,7 @@
 }
 
 // expire ends streams and releases holds that are past their deadline, and
-// forgets finished streams.
+// removes finished streams.
 func (e *Engine) expire(now time.Time) {
 	for _, s := range e.streams {
 		switch {
--- a/internal/standin/engine/holds.go
+++ b/internal/standin/engine/holds.go
@@ -55,7 +55,7 @@
 	if req.Name == "" || req.Tokens <= 0 {
 		return refuse(http.StatusBadRequest, "a reservation needs a name and tokens")
 	}
-	if !e.memory.take(req.Tokens) {
+	if !e.memory.allocate(req.Tokens) {
 		return refuse(http.StatusConflict, "%d tokens are not free", req.Tokens)
 	}
 	e.addHold(now, &hold{
@@ -142,7 +142,7 @@
 		return nil, refuse(http.StatusConflict, "the name %q is taken", req.Name)
 	}
 	tokens := len(req.Blocks) * upstream.BlockTokens
-	if tokens == 0 || !e.memory.take(tokens) {
+	if tokens == 0 || !e.memory.allocate(tokens) {
 		return nil, refuse(http.StatusConflict, "%d tokens are not free", tokens)
 	}
 	h := &hold{
@@ -201,7 +201,7 @@
 // release frees a hold's memory and fails the stream that used it.
 func (e *Engine) release(now time.Time, h *hold) {
 	delete(e.holds, h.name)
-	e.memory.give(h.private)
+	e.memory.free(h.private)
 	e.memory.unref(h.blocks)
 	if h.user != nil {
 		e.finish(now, h.user, errLostHold)
--- a/internal/standin/engine/load.go
+++ b/internal/standin/engine/load.go
@@ -23,7 +23,7 @@
 	recent []string
 }
 
-// count notes a request that the engine accepted.
+// count records a request that the engine accepted.
 func (l *loadHistory) count(id string) {
 	// A new slice leaves the ones in older snapshots as they are.
 	from := max(0, len(l.recent)-maxReportedRequests+1)
@@ -39,7 +39,7 @@
 	l.snapshots = append(l.snapshots, snapshot{at, report})
 }
 
-// read returns the load as it was at the horizon and forgets older loads.
+// read returns the load as it was at the horizon and drops older loads.
 func (l *loadHistory) read(now, horizon time.Time) upstream.LoadReport {
 	l.trim(horizon)
 	report := l.snapshots[0].report
@@ -47,7 +47,7 @@
 	return report
 }
 
-// trim forgets loads that no reader will see again.
+// trim drops loads that no reader will see again.
 func (l *loadHistory) trim(horizon time.Time) {
 	next := sort.Search(len(l.snapshots), func(i int) bool { return l.snapshots[i].at.After(horizon) })
 	if next > 1 {
@@ -63,7 +63,7 @@
 	return e.load.read(now, now.Add(-e.settings.ReportLag))
 }
 
-// changed notes the load after a change. The caller holds mu.
+// changed records the load after a change. The caller holds mu.
 func (e *Engine) changed(now time.Time) {
 	e.load.add(now, e.loadNow())
 	e.load.trim(now.Add(-e.settings.ReportLag))
--- a/internal/standin/engine/memory.go
+++ b/internal/standin/engine/memory.go
@@ -24,7 +24,7 @@
 	blocks  map[string]*block
 	// lru holds blocks without references, the longest unused first.
 	lru *list.List
-	// onChange hears of blocks that were added or evicted.
+	// onChange is called with blocks that were added or evicted.
 	onChange func(added, removed []string)
 }
 
@@ -38,9 +38,9 @@
 // pinned returns the tokens that eviction can't free.
 func (m *memory) pinned() int { return m.used() - m.lru.Len()*upstream.BlockTokens }
 
-// take allocates n private tokens and evicts blocks if needed. It changes
+// allocate takes n private tokens and evicts blocks if needed. It changes
 // nothing and returns false if that is not enough.
-func (m *memory) take(n int) bool {
+func (m *memory) allocate(n int) bool {
 	if m.pinned()+n > m.capacity {
 		return false
 	}
@@ -62,8 +62,8 @@
 	}
 }
 
-// give frees n private tokens.
-func (m *memory) give(n int) { m.private -= n }
+// free releases n private tokens.
+func (m *memory) free(n int) { m.private -= n }
 
 // match returns how many leading blocks of hashes are cached.
 func (m *memory) match(hashes []string) int {
--- a/internal/standin/engine/reader.go
+++ b/internal/standin/engine/reader.go
@@ -110,7 +110,7 @@
 // started if after is negative. An error is a *Refusal, or ctx's error.
 func (r *Reader) Wait(ctx context.Context, after int) (View, error) {
 	for {
-		view, changed, err := r.look()
+		view, changed, err := r.view()
 		if err != nil {
 			return view, err
 		}
@@ -125,7 +125,7 @@
 	}
 }
 
-func (r *Reader) look() (View, <-chan struct{}, error) {
+func (r *Reader) view() (View, <-chan struct{}, error) {
 	r.engine.mu.Lock()
 	defer r.engine.mu.Unlock()
 	s := r.stream
@@ -149,8 +149,8 @@
 // Request returns the request that the stream runs.
 func (r *Reader) Request() Request { return r.stream.req }
 
-// Close ends the reader when its connection is gone. The stream is kept for a while, or
-// ended at once if keep is false.
+// Close ends the reader when its connection is gone. The stream is kept for
+// Settings.KeepStream, or ended at once if keep is false.
 func (r *Reader) Close(keep bool) {
 	e := r.engine
 	e.mu.Lock()
--- a/internal/standin/engine/record.go
+++ b/internal/standin/engine/record.go
@@ -17,7 +17,7 @@
 	holdsMade     int
 }
 
-// accepted notes a request that the engine took.
+// accepted records a request that the engine accepted.
 func (r *record) accepted(s *stream, leaving time.Duration, concurrent int) {
 	rec := r.requests[s.req.ID]
 	if rec == nil {
--- a/internal/standin/engine/step.go
+++ b/internal/standin/engine/step.go
@@ -68,7 +68,7 @@
 }
 
 // admit gives memory to queued streams in order and stops at the first that
-// does not fit, so that a long prompt is not overtaken for ever.
+// does not fit, so that a long prompt is not starved.
 func (e *Engine) admit(ordered []*stream) {
 	inMemory := 0
 	for _, s := range ordered {
@@ -97,7 +97,7 @@
 		need = 0
 	}
 	e.memory.ref(cached)
-	if !e.memory.take(need) {
+	if !e.memory.allocate(need) {
 		e.memory.unref(cached)
 		return false
 	}
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -28,7 +28,7 @@
 	Freeze bool `json:"freeze"`
 	// SlowFactor multiplies the time that work takes; 0 means 1.
 	SlowFactor float64 `json:"slow_factor"`
-	// Refuse answers 503 to new requests and says that they did not run.
+	// Refuse answers 503 to new requests and marks them as not run.
 	Refuse bool `json:"refuse"`
 	// Leaving reports that the process is about to stop; it still works.
 	Leaving bool `json:"leaving"`
@@ -47,7 +47,7 @@
 // Switches holds the present Faults of a process. It is safe for concurrent use.
 type Switches struct {
 	exit func(code int)
-	// onChange hears of each change of the faults.
+	// onChange is called with each change of the faults.
 	onChange func(Faults)
 
 	mu     sync.Mutex
@@ -65,7 +65,7 @@
 	return s
 }
 
-// OnChange sets the function that hears of each change. It must be called
+// OnChange sets the function that is called with each change. It must be called
 // before the switches are in use.
 func (s *Switches) OnChange(f func(Faults)) { s.onChange = f }
 
--- a/tools/demo/main.go
+++ b/tools/demo/main.go
@@ -136,7 +136,7 @@
 }
 
 // repeatAfterKill repeats a booking through another instance after the first
-// instance has died.
+// instance has crashed.
 func (d *run) repeatAfterKill() error {
 	first, err := book(d.ctx, d.fleet.Instances[2].Callers, "flight-2", "slot=11")
 	if err != nil {
--- a/tools/faults/calls.go
+++ b/tools/faults/calls.go
@@ -75,7 +75,7 @@
 	}
 	start := time.Now()
 	kind, problem := l.readAnswer(req, spec.stream, answer.Text(answer.Of(prompt), spec.output))
-	l.judgeTime(start, fmt.Sprintf("generation of %d tokens", spec.prompt), ctx.Err())
+	l.checkTime(start, fmt.Sprintf("generation of %d tokens", spec.prompt), ctx.Err())
 	l.report.check(wholeAnswer, problem)
 	l.outcome("generation: "+kind, kind != "whole")
 }
--- a/tools/faults/load.go
+++ b/tools/faults/load.go
@@ -156,7 +156,7 @@
 func (l *load) bookOnce(ctx context.Context, in *localfleet.Instance, key string) bool {
 	start := time.Now()
 	answer := l.call(ctx, in, http.MethodPost, "/services/booking-api/bookings", key, "slot="+key)
-	l.judgeTime(start, "booking "+key, answer.err)
+	l.checkTime(start, "booking "+key, answer.err)
 	if answer.err != nil {
 		l.outcome("booking: connection failed", true)
 		return false
@@ -171,9 +171,9 @@
 	return answer.status == http.StatusOK || answer.code == outcomeUnknown
 }
 
-// judgeTime checks that the caller got its answer in time. A connection that
-// failed at once is an answer too: the instance has died.
-func (l *load) judgeTime(start time.Time, what string, err error) {
+// checkTime checks that the caller got its answer in time. A connection that
+// failed at once is an answer too: the instance has crashed.
+func (l *load) checkTime(start time.Time, what string, err error) {
 	problem := ""
 	if took := time.Since(start); took > requestTimeout+l.slack {
 		problem = fmt.Sprintf("%s took %s (%v)", what, took.Round(time.Millisecond), err)
--- a/tools/faults/poison.go
+++ b/tools/faults/poison.go
@@ -16,7 +16,7 @@
 const poisonTries = 6
 
 // poison sends a request that crashes each engine that runs it, again and
-// again, through different instances, and restarts the engines that died. The
+// again, through different instances, and restarts the engines that crashed. The
 // report counts the engines lost.
 func poison(ctx context.Context, s *schedule, r *rand.Rand, lasts time.Duration) {
 	for _, e := range s.fleet.Engines {
@@ -46,7 +46,7 @@
 	}
 }
 
-// reviveEngines restarts the engines that have died and returns their number.
+// reviveEngines restarts the engines that have crashed and returns their number.
 func (s *schedule) reviveEngines(ctx context.Context) int {
 	lost := 0
 	for _, e := range s.fleet.Engines {
--- a/tools/faults/report.go
+++ b/tools/faults/report.go
@@ -28,7 +28,7 @@
 // promises in the order of the report.
 var promises = []promise{inTime, wholeAnswer, notRunIsTrue, atMostOnce, noMemoryLost, inForce, noCut}
 
-// maxExamples bounds the violations that are kept word for word.
+// maxExamples bounds the violations whose text is kept.
 const maxExamples = 10
 
 // verdict is what was found about one promise.
@@ -110,7 +110,7 @@
 	return r.lastFailure
 }
 
-// fault notes a fault that was caused.
+// fault records a fault that was injected.
 func (r *report) fault(text string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -118,7 +118,7 @@
 	fmt.Println("faults:", text)
 }
 
-// recovered notes how long a fault's effects lasted after its end.
+// recovered records how long a fault's effects lasted after its end.
 func (r *report) recovered(fault string, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/tools/inforce/main.go
+++ b/tools/inforce/main.go
@@ -96,7 +96,7 @@
 	return nil
 }
 
-// memberPause is the wait between two looks at the members.
+// memberPause is the wait between two polls of the members.
 const memberPause = 200 * time.Millisecond
 
 // measurement makes edits and watches all instances.
