--- a/internal/catalogue/decode.go
+++ b/internal/catalogue/decode.go
@@ -84,7 +84,7 @@
 	for i := range s.Entries {
 		e := &s.Entries[i]
 		var found FieldErrors
-		if errors.As(Validate(e), &found) {
+		if errors.As(validateEntry(e), &found) {
 			errs = append(errs, found...)
 		}
 		if earlier, ok := first[e.Key()]; ok {
--- a/internal/catalogue/edit.go
+++ b/internal/catalogue/edit.go
@@ -98,7 +98,7 @@
 		fail("puts", "an entry is edited twice")
 	}
 	for i := range e.Puts {
-		if found, ok := Validate(&e.Puts[i]).(FieldErrors); ok {
+		if found, ok := validateEntry(&e.Puts[i]).(FieldErrors); ok {
 			errs = append(errs, found...)
 		}
 	}
--- a/internal/catalogue/replica.go
+++ b/internal/catalogue/replica.go
@@ -140,8 +140,8 @@
 	return 0
 }
 
-// ReplicaState is the replica's part of a state dump.
-type ReplicaState struct {
+// replicaState is the replica's part of a state dump.
+type replicaState struct {
 	// State is the state in charts/catalogue.yaml.
 	State    chart.State  `json:"state"`
 	Revision Revision     `json:"revision"`
@@ -157,9 +157,9 @@
 	PollInterval Duration `json:"poll_interval"`
 }
 
-// Dump returns the replica's state; its type is ReplicaState.
+// Dump returns the replica's state; its type is replicaState.
 func (r *Replica) Dump() any {
-	state := ReplicaState{PollInterval: Duration(r.pollInterval()), Entries: map[Kind]int{}}
+	state := replicaState{PollInterval: Duration(r.pollInterval()), Entries: map[Kind]int{}}
 	r.mu.Lock()
 	state.State = r.machine.State()
 	state.Noticed, state.NoticedFrom = r.noticed, r.noticedFrom
--- a/internal/catalogue/snapshot.go
+++ b/internal/catalogue/snapshot.go
@@ -20,7 +20,6 @@
 	workspaceByKeyHash  map[string]*Entry
 	operatorByTokenHash map[string]*Entry
 	upstreamsByModel    map[string][]*Entry
-	upstreamsByService  map[string][]*Entry
 	policy              PolicySpec
 }
 
@@ -28,7 +27,7 @@
 const keptChanges = 256
 
 // defaultPolicy applies while the catalogue has no policy entry.
-var defaultPolicy = PolicySpec{ShortWeight: 0.5, ShortTokens: 4096, Algorithm: AlgorithmBanyan}
+var defaultPolicy = PolicySpec{ShortWeight: 0.5, ShortTokens: 4096, Algorithm: algorithmBanyan}
 
 // withDefaults fills in the fields that a policy entry leaves out.
 func (p PolicySpec) withDefaults() PolicySpec {
@@ -55,7 +54,6 @@
 		workspaceByKeyHash:  map[string]*Entry{},
 		operatorByTokenHash: map[string]*Entry{},
 		upstreamsByModel:    map[string][]*Entry{},
-		upstreamsByService:  map[string][]*Entry{},
 		policy:              defaultPolicy,
 	}
 	for _, r := range records {
@@ -82,11 +80,8 @@
 		for _, model := range e.Upstream.Models {
 			s.upstreamsByModel[model] = append(s.upstreamsByModel[model], e)
 		}
-		if service := e.Upstream.Service; service != "" {
-			s.upstreamsByService[service] = append(s.upstreamsByService[service], e)
-		}
 	}
-	if e := s.Entry(Key{KindPolicy, PolicyName}); e != nil {
+	if e := s.Entry(Key{KindPolicy, policyName}); e != nil {
 		s.policy = e.Policy.withDefaults()
 	}
 }
@@ -144,10 +139,6 @@
 // order of names. The slice must not be modified.
 func (s *Snapshot) UpstreamsOfModel(model string) []*Entry { return s.upstreamsByModel[model] }
 
-// UpstreamsOfService returns the processes of a plain service, in ascending
-// order of names. The slice must not be modified.
-func (s *Snapshot) UpstreamsOfService(service string) []*Entry { return s.upstreamsByService[service] }
-
 // Policy returns the policy entry's specification, or the default.
 func (s *Snapshot) Policy() PolicySpec { return s.policy }
 
--- a/internal/catalogue/spread_test.go
+++ b/internal/catalogue/spread_test.go
@@ -80,7 +80,7 @@
 		settle(time.Minute)
 		f.net.Join(peer.Member{ID: "i9"}).Broadcast(topicOffer, encode(offer{Revision: rev}))
 		settle(time.Second)
-		if state := f.nodes["i4"].Dump().(ReplicaState).State; state != "behind" {
+		if state := f.nodes["i4"].Dump().(replicaState).State; state != "behind" {
 			t.Fatalf("the instance that is cut off and heard of revision %d is %q", rev, state)
 		}
 		if got := f.nodes["i4"].Revision(); got != 1 || !f.nodes["i4"].Ready() {
@@ -88,7 +88,7 @@
 		}
 		f.cut("i4", false)
 		f.wantAll(rev, inForce)
-		if state := f.nodes["i4"].Dump().(ReplicaState).State; state != "current" {
+		if state := f.nodes["i4"].Dump().(replicaState).State; state != "current" {
 			t.Fatalf("the instance that is back is %q", state)
 		}
 	})
--- a/internal/catalogue/validate.go
+++ b/internal/catalogue/validate.go
@@ -31,21 +31,21 @@
 // All is the name that stands for every owner, model or service in a list.
 const All = "*"
 
-// PolicyName is the name of the only policy entry.
-const PolicyName = "default"
+// policyName is the name of the only policy entry.
+const policyName = "default"
 
 // Algorithms that a policy may name.
 const (
-	AlgorithmBanyan        = "banyan"
-	AlgorithmRoundRobin    = "round-robin"
-	AlgorithmLeastRequests = "least-requests"
+	algorithmBanyan        = "banyan"
+	algorithmRoundRobin    = "round-robin"
+	algorithmLeastRequests = "least-requests"
 )
 
 var (
 	namePattern  = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]{0,126}[A-Za-z0-9])?$`)
 	hexSHA256    = regexp.MustCompile(`^[0-9a-f]{64}$`)
 	routeMethods = []string{All, "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
-	algorithms   = []string{"", AlgorithmBanyan, AlgorithmRoundRobin, AlgorithmLeastRequests}
+	algorithms   = []string{"", algorithmBanyan, algorithmRoundRobin, algorithmLeastRequests}
 	classes      = []Class{"", ClassInteractive, ClassStandard, ClassBatch}
 	kinds        = []Kind{KindOperator, KindWorkspace, KindModel, KindService, KindUpstream, KindPolicy}
 )
@@ -58,9 +58,9 @@
 // Kinds returns all kinds of entries.
 func Kinds() []Kind { return slices.Clone(kinds) }
 
-// Validate checks one entry by itself, without its references. The error is a
+// validateEntry checks one entry without its references. The error is a
 // FieldErrors.
-func Validate(e *Entry) error {
+func validateEntry(e *Entry) error {
 	v := validator{entry: e}
 	v.common()
 	if v.spec() {
@@ -213,8 +213,8 @@
 }
 
 func (v *validator) policy(s *PolicySpec) {
-	if v.entry.Name != PolicyName {
-		v.fail("name", "the only policy is named %q", PolicyName)
+	if v.entry.Name != policyName {
+		v.fail("name", "the only policy is named %q", policyName)
 	}
 	v.float("policy.short_weight", s.ShortWeight, 1)
 	v.int("policy.short_tokens", s.ShortTokens, maxPromptTokens)
--- a/internal/loadtest/report/report_test.go
+++ b/internal/loadtest/report/report_test.go
@@ -55,7 +55,7 @@
 }
 
 func TestDisturbed(t *testing.T) {
-	if got := Disturbed(sampleTimeline()); !slices.Equal(got, []int{4, 6}) {
+	if got := disturbedSeconds(sampleTimeline()); !slices.Equal(got, []int{4, 6}) {
 		t.Errorf("got %v, want [4 6]", got)
 	}
 }
--- a/internal/loadtest/report/result.go
+++ b/internal/loadtest/report/result.go
@@ -103,7 +103,7 @@
 	Phases   []Phase           `json:"phases"`
 	Slowdown []Slowdown        `json:"slowdown"`
 	Timeline []Second          `json:"timeline"`
-	// Violations lists broken promises, at most MaxViolations of them;
+	// Violations lists broken promises, at most maxViolations of them;
 	// ViolationCount counts all.
 	Violations     []string `json:"violations"`
 	ViolationCount int      `json:"violation_count"`
@@ -111,13 +111,13 @@
 	Checked []string `json:"checked"`
 }
 
-// MaxViolations bounds the violations that a result lists.
-const MaxViolations = 100
+// maxViolations bounds the violations that a result lists.
+const maxViolations = 100
 
 // Violate adds a violation.
 func (r *Result) Violate(text string) {
 	r.ViolationCount++
-	if len(r.Violations) < MaxViolations {
+	if len(r.Violations) < maxViolations {
 		r.Violations = append(r.Violations, text)
 	}
 }
--- a/internal/loadtest/report/timeline.go
+++ b/internal/loadtest/report/timeline.go
@@ -84,10 +84,10 @@
 	return list
 }
 
-// Disturbed returns the seconds in which a request was not finished in time, or
-// in which the time to first token of short requests was over disturbedFactor
-// times its median over all seconds.
-func Disturbed(timeline []Second) []int {
+// disturbedSeconds returns the seconds in which a request was not finished in
+// time, or in which the p95 of the time to first token of short requests was
+// over disturbedFactor times its median over all seconds.
+func disturbedSeconds(timeline []Second) []int {
 	var values []float64
 	for _, s := range timeline {
 		if s.ShortP95 > 0 {
@@ -109,7 +109,7 @@
 }
 
 func (r *Result) writeDisturbed(w io.Writer) {
-	list := Disturbed(r.Timeline)
+	list := disturbedSeconds(r.Timeline)
 	if len(list) > 0 {
 		fmt.Fprintf(w, "\ndisturbed seconds (by time of sending): %v\n", list)
 	}
--- a/internal/loadtest/scenario/scenario.go
+++ b/internal/loadtest/scenario/scenario.go
@@ -132,14 +132,14 @@
 
 // Defaults of fields that a file leaves out.
 const (
-	defaultMaxInFlight = 2000
-	defaultGrace       = time.Second
-	defaultSettle      = 15 * time.Second
-	defaultLeaving     = 5 * time.Second
-	defaultTimeout     = 60 * time.Second
-	defaultOutput      = 16
-	defaultLongTokens  = 32_000
-	defaultService     = 10 * time.Second
+	defaultMaxInFlight   = 2000
+	defaultGrace         = time.Second
+	defaultSettle        = 15 * time.Second
+	defaultLeavingGrace  = 5 * time.Second
+	defaultPromptTimeout = 60 * time.Second
+	defaultOutputTokens  = 16
+	defaultLongTokens    = 32_000
+	defaultCallTimeout   = 10 * time.Second
 )
 
 // Load reads and checks a file. Unknown fields are errors.
@@ -157,7 +157,7 @@
 	s := &Scenario{
 		Seed: 1, StreamShare: 1, MaxInFlight: defaultMaxInFlight, LongTokens: defaultLongTokens,
 		Grace: Duration(defaultGrace), Settle: Duration(defaultSettle),
-		LeavingGrace: Duration(defaultLeaving),
+		LeavingGrace: Duration(defaultLeavingGrace),
 	}
 	decoder := yaml.NewDecoder(bytes.NewReader(data))
 	decoder.KnownFields(true)
@@ -173,10 +173,10 @@
 	for i := range s.Prompts {
 		b := &s.Prompts[i]
 		if b.Timeout == 0 {
-			b.Timeout = Duration(defaultTimeout)
+			b.Timeout = Duration(defaultPromptTimeout)
 		}
 		if b.OutputTokens == 0 {
-			b.OutputTokens = defaultOutput
+			b.OutputTokens = defaultOutputTokens
 		}
 		if b.Name == "" {
 			b.Name = fmt.Sprintf("%d-%d", b.MinTokens, b.MaxTokens)
@@ -188,7 +188,7 @@
 		}
 	}
 	if s.Calls.Timeout == 0 {
-		s.Calls.Timeout = Duration(defaultService)
+		s.Calls.Timeout = Duration(defaultCallTimeout)
 	}
 }
 
--- a/internal/loadtest/scenario/scenario_test.go
+++ b/internal/loadtest/scenario/scenario_test.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Prompts[0].Name != "10-20" || s.Prompts[0].OutputTokens != defaultOutput || s.Phases[0].Load != 1 || s.StreamShare != 1 {
+	if s.Prompts[0].Name != "10-20" || s.Prompts[0].OutputTokens != defaultOutputTokens || s.Phases[0].Load != 1 || s.StreamShare != 1 {
 		t.Errorf("got %+v", s)
 	}
 }
--- a/internal/order/declared.go
+++ b/internal/order/declared.go
@@ -44,10 +44,10 @@
 // from the others but not from the table.
 func Group(e catalogue.Entry) string { return e.Upstream.DataCentre }
 
-// Declare returns what the entries want of each group. A model's bounds are
+// declare returns what the entries want of each group. A model's bounds are
 // shared among the groups by the number of engines that may serve it, so that
 // all holders compute the same shares from the same catalogue.
-func Declare(entries []catalogue.Entry) map[string]Declared {
+func declare(entries []catalogue.Entry) map[string]Declared {
 	groups := map[string]Declared{}
 	for _, e := range entries {
 		if e.Kind != catalogue.KindUpstream || e.Upstream == nil || len(e.Upstream.Models) == 0 {
@@ -124,10 +124,10 @@
 // contenders is the number of members that contend for a group's lease.
 const contenders = 2
 
-// Contends states whether a member contends for a group's lease: only a few
+// contends states whether a member contends for a group's lease: only a few
 // do, so that the reads of the lease do not grow with the fleet. Members of
 // the group's data centre come first.
-func Contends(group, self string, members []peer.Member) bool {
+func contends(group, self string, members []peer.Member) bool {
 	ranked := make([]peer.Member, 0, len(members))
 	for _, m := range members {
 		if !m.Leaving {
--- a/internal/order/manager.go
+++ b/internal/order/manager.go
@@ -76,18 +76,18 @@
 
 // regroup starts and stops this instance's parts.
 func (m *Manager) regroup(ctx context.Context) {
-	declared := Declare(m.options.Entries())
+	declared := declare(m.options.Entries())
 	self, members := m.options.Bus.Self().ID, m.options.Bus.Members()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.declared = declared
 	for group := range declared {
-		if m.members[group] == nil && Contends(group, self, members) {
+		if m.members[group] == nil && contends(group, self, members) {
 			m.members[group] = m.start(ctx, group)
 		}
 	}
 	for group, part := range m.members {
-		if _, ok := declared[group]; !ok || !Contends(group, self, members) {
+		if _, ok := declared[group]; !ok || !contends(group, self, members) {
 			part.cancel()
 			delete(m.members, group)
 		}
--- a/internal/order/plan_test.go
+++ b/internal/order/plan_test.go
@@ -99,7 +99,7 @@
 			Upstream: &catalogue.UpstreamSpec{DataCentre: dc, Models: []string{"tutor-llm"}}})
 	}
 	least, most := 0, 0
-	for name, d := range Declare(entries) {
+	for name, d := range declare(entries) {
 		if len(d.Engines) != 5 || len(d.Models) != 1 {
 			t.Fatalf("group %s: %+v", name, d)
 		}
@@ -118,7 +118,7 @@
 	}
 	n := 0
 	for _, m := range members {
-		if Contends("palermo", m.ID, members) {
+		if contends("palermo", m.ID, members) {
 			n++
 			if m.Leaving || m.DataCentre != "palermo" {
 				t.Errorf("%+v contends", m)
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -12,8 +12,8 @@
 	"github.com/banyanroute/banyanroute/internal/standin/httpjson"
 )
 
-// ControlPrefix starts the paths that work whatever the switches say.
-const ControlPrefix = "/standin/"
+// controlPrefix starts the paths that the switches do not affect.
+const controlPrefix = "/standin/"
 
 // exitCrash is the exit status of a crash that a switch asked for.
 const exitCrash = 3
@@ -166,11 +166,11 @@
 // freezes next while the process is frozen.
 func (s *Switches) Wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == ControlPrefix+"faults" {
+		if r.URL.Path == controlPrefix+"faults" {
 			s.serve(w, r)
 			return
 		}
-		if !strings.HasPrefix(r.URL.Path, ControlPrefix) && s.WaitThawed(r.Context()) != nil {
+		if !strings.HasPrefix(r.URL.Path, controlPrefix) && s.WaitThawed(r.Context()) != nil {
 			return
 		}
 		next.ServeHTTP(w, r)
--- a/internal/standin/httpjson/httpjson.go
+++ b/internal/standin/httpjson/httpjson.go
@@ -3,7 +3,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"net"
 	"net/http"
 	"net/url"
@@ -12,8 +11,8 @@
 	"github.com/gravitational/trace"
 )
 
-// MaxBodyBytes bounds the body of a control call.
-const MaxBodyBytes = 64 << 20
+// maxBodyBytes bounds the body of a control call.
+const maxBodyBytes = 64 << 20
 
 // readHeaderTimeout bounds the time to read a request's headers.
 const readHeaderTimeout = 10 * time.Second
@@ -44,7 +43,7 @@
 // Read decodes the request's body into v. If that fails it answers 400 and
 // returns false.
 func Read(w http.ResponseWriter, r *http.Request, v any) bool {
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxBodyBytes)).Decode(v)
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(v)
 	if err != nil {
 		Fail(w, http.StatusBadRequest, "bad_request", err.Error())
 		return false
@@ -103,6 +102,3 @@
 	}
 	return trace.Wrap(CheckLoopback(u.Host))
 }
-
-// IsClosed reports whether err only says that the server was closed.
-func IsClosed(err error) bool { return errors.Is(err, http.ErrServerClosed) }
