--- a/cmd/banyanctl/client.go
+++ b/cmd/banyanctl/client.go
@@ -20,17 +20,21 @@
 	"github.com/banyanroute/banyanroute/internal/admin"
 	"github.com/banyanroute/banyanroute/internal/catalogue"
 	"github.com/banyanroute/banyanroute/internal/result"
+	"github.com/banyanroute/banyanroute/internal/sleep"
 )
 
-// Bounds of sending an edit.
 const (
-	maxAnswerBytes   = 64 << 20
-	editTries        = 5
-	editPauseFactor  = 2
+	// maxAnswerBytes bounds the body of an answer.
+	maxAnswerBytes = 64 << 20
+	// editTries is how often an edit with an unknown outcome is sent, and
+	// editPauseFactor the growth of the pause between two tries.
+	editTries       = 5
+	editPauseFactor = 2
+	// defaultURLScheme completes an address without a scheme.
 	defaultURLScheme = "http://"
 )
 
-// errOutcomeUnknown says that an edit was sent and not answered.
+// errOutcomeUnknown means that an edit was sent and not answered.
 var errOutcomeUnknown = errors.New("the edit was sent and its outcome is unknown")
 
 // client calls the operators' API of the first instance that answers.
@@ -131,15 +135,15 @@
 	if err != nil {
 		return applied, err
 	}
-	unsure := false
+	unknown := false
 	wait := c.retryPause
 	for range editTries {
 		err = c.call(ctx, http.MethodPost, admin.PathEdits, body, &applied)
-		unsure = unsure || isUnsure(err)
-		if !unsure || isSettled(err) {
+		unknown = unknown || mayBeAccepted(err)
+		if !unknown || isSettled(err) {
 			return applied, err
 		}
-		if !pause(ctx, wait) {
+		if !sleep.For(ctx, wait) {
 			break
 		}
 		wait *= editPauseFactor
@@ -147,19 +151,9 @@
 	return applied, fmt.Errorf("%w; send it again with --id %s: %w", errOutcomeUnknown, edit.ID, err)
 }
 
-// pause waits for d and states whether ctx is still live.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// isUnsure states whether an edit may have been accepted although the call
+// mayBeAccepted states whether an edit may have been accepted although the call
 // failed.
-func isUnsure(err error) bool {
+func mayBeAccepted(err error) bool {
 	var server *serverError
 	if errors.As(err, &server) {
 		return server.body.Execution != result.NotRun && server.body.Code.Info().Execution != result.NotRun
@@ -167,8 +161,8 @@
 	return errors.Is(err, errNoAnswer)
 }
 
-// isSettled states whether the answer tells what became of an edit that was
-// sent before: it was accepted, or it is refused for what it is.
+// isSettled states whether the answer decides the outcome of all tries of an
+// edit: it was accepted, or it is refused for its content.
 func isSettled(err error) bool {
 	var server *serverError
 	if errors.As(err, &server) {
@@ -221,7 +215,7 @@
 	return answer, err
 }
 
-// waitPause is the pause between two looks at the fleet.
+// waitPause is the pause between two polls of the fleet's status.
 const waitPause = 50 * time.Millisecond
 
 // waitInForce waits until all reachable instances have a revision.
@@ -235,7 +229,7 @@
 		if err == nil && len(behind) == 0 {
 			return nil
 		}
-		if !pause(ctx, waitPause) {
+		if !sleep.For(ctx, waitPause) {
 			return fmt.Errorf("%w: revision %d is not yet on %s", errNotInForce, rev, orNone(behind))
 		}
 	}
--- a/internal/catalogue/apply.go
+++ b/internal/catalogue/apply.go
@@ -16,6 +16,7 @@
 
 	"github.com/banyanroute/banyanroute/internal/platform"
 	"github.com/banyanroute/banyanroute/internal/result"
+	"github.com/banyanroute/banyanroute/internal/sleep"
 )
 
 // Bounds of the attempts of one edit to become the next revision.
@@ -36,12 +37,12 @@
 	// Updates is empty if the entries were so already; there is then no new
 	// revision.
 	Updates []Update `json:"updates"`
-	// Repeated says that an earlier sending of the edit was accepted.
+	// Repeated states whether an earlier sending of the edit was accepted.
 	Repeated bool `json:"repeated,omitempty"`
 	DryRun   bool `json:"dry_run,omitempty"`
 }
 
-// ConflictError says which changes of the edit's entries came first.
+// ConflictError holds the changes of the edit's entries that came first.
 type ConflictError struct {
 	Base    Revision `json:"base"`
 	Head    Revision `json:"head"`
@@ -74,7 +75,7 @@
 		if err != nil || done {
 			return applied, err
 		}
-		if !pause(ctx, rand.N(attemptMaxPause)) {
+		if !sleep.For(ctx, rand.N(attemptMaxPause)) {
 			break
 		}
 	}
@@ -312,15 +313,3 @@
 	}
 	return storeError(err)
 }
-
-// pause waits for d and states whether ctx is still live.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/ledger/decide.go
+++ b/internal/ledger/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -32,19 +33,19 @@
 	actionDelete        chart.Action = "delete"
 )
 
-// decision is what Begin does after it has met a present row.
+// decision is what Begin does about an existing row.
 type decision int
 
 const (
-	// report gives the caller an answer or an error.
+	// report returns an answer or an error to the caller.
 	report decision = iota
-	// reclaim tries again on the row's present version.
+	// reclaim repeats the conditional write on the row's present version.
 	reclaim
-	// holds says that the row is this claim's own.
+	// holds means that the row is this claim's own.
 	holds
 )
 
-// decide says what a claim does on a row that it has not won.
+// decide returns what a claim does about a row that its write did not win.
 func (l *Ledger) decide(ctx context.Context, claim *Claim, row platform.Row) (decision, *Answer, *result.Error) {
 	rec, err := decodeRow(row)
 	if err != nil {
@@ -61,7 +62,7 @@
 	if err != nil {
 		return report, nil, result.From(err)
 	}
-	if contains(t.Do, actionClaim) {
+	if slices.Contains(t.Do, actionClaim) {
 		return reclaim, nil, nil
 	}
 	answer, rerr := l.report(ctx, t.Do, rec)
@@ -71,11 +72,11 @@
 // report answers a repeat from the present row.
 func (l *Ledger) report(ctx context.Context, actions []chart.Action, rec record) (*Answer, *result.Error) {
 	switch {
-	case contains(actions, actionReplay):
+	case slices.Contains(actions, actionReplay):
 		return l.replay(ctx, rec)
-	case contains(actions, actionReportClaimed):
+	case slices.Contains(actions, actionReportClaimed):
 		return nil, l.reportClaimed(rec, time.Now())
-	case contains(actions, actionReportSpent):
+	case slices.Contains(actions, actionReportSpent):
 		return nil, result.New(result.AnswerUnavailable, "the request ran; its answer is no longer kept")
 	default:
 		return nil, l.unknown()
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,7 +46,7 @@
 	bytes  int
 	// busy counts outcomes that are being written.
 	busy atomic.Int64
-	// wake tells run that the queue is not empty.
+	// wake signals run that the queue is not empty.
 	wake chan struct{}
 }
 
@@ -108,8 +109,8 @@
 	}
 }
 
-// pass waits a moment and tries queued outcomes once; all of a pass share few
-// transactions.
+// pass waits for settlePause and tries queued outcomes once; all of a pass share
+// few transactions.
 func (s *settler) pass(ctx context.Context) {
 	select {
 	case <-time.After(settlePause):
@@ -139,7 +140,7 @@
 	}
 	for {
 		t, err := s.ledger.chart.Next(o.from, o.event)
-		if err != nil || !contains(t.Do, actionWrite) {
+		if err != nil || !slices.Contains(t.Do, actionWrite) {
 			return true
 		}
 		o.record.State = finalState(t.To, &o.record)
@@ -170,12 +171,3 @@
 	}
 	return to
 }
-
-func contains(actions []chart.Action, want chart.Action) bool {
-	for _, a := range actions {
-		if a == want {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/loadtest/client/client.go
+++ b/internal/loadtest/client/client.go
@@ -42,8 +42,8 @@
 type Outcome struct {
 	// Status is the HTTP status; zero if there was no answer.
 	Status int
-	// ResultCode is the number that the instance gave, Execution what it
-	// says about execution, and RequestID the request's name there.
+	// ResultCode, Execution and RequestID are the instance's headers:
+	// X-Result-Code, X-Execution and X-Request-Id.
 	ResultCode int
 	Execution  string
 	RequestID  string
@@ -55,11 +55,11 @@
 	Gaps []time.Duration
 	// Tokens is the number of tokens that were verified.
 	Tokens int
-	// Complete says that the answer is whole.
+	// Complete states whether the answer is whole.
 	Complete bool
-	// Violation says how the answer is wrong; empty if it isn't.
+	// Violation is how the answer is wrong; empty if it isn't.
 	Violation string
-	// Failure says why there is no complete answer.
+	// Failure is why there is no complete answer.
 	Failure string
 }
 
--- a/internal/order/plan_test.go
+++ b/internal/order/plan_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -82,7 +83,7 @@
 		}
 		for _, e := range d.Engines {
 			for _, m := range d.Models {
-				if _, ok := loaded(observed[e.ID], m.Name, m.Version); ok && contains(e.Models, m.Name) && len(observed[e.ID].Models) > 1 {
+				if _, ok := loaded(observed[e.ID], m.Name, m.Version); ok && slices.Contains(e.Models, m.Name) && len(observed[e.ID].Models) > 1 {
 					t.Fatalf("engine %s ends with %v", e.ID, observed[e.ID].Models)
 				}
 			}
@@ -98,7 +99,7 @@
 			Upstream: &catalogue.UpstreamSpec{DataCentre: dc, Models: []string{"tutor-llm"}}})
 	}
 	least, most := 0, 0
-	for name, d := range Declare(entries) {
+	for name, d := range declare(entries) {
 		if len(d.Engines) != 5 || len(d.Models) != 1 {
 			t.Fatalf("group %s: %+v", name, d)
 		}
@@ -117,7 +118,7 @@
 	}
 	n := 0
 	for _, m := range members {
-		if Contends("palermo", m.ID, members) {
+		if contends("palermo", m.ID, members) {
 			n++
 			if m.Leaving || m.DataCentre != "palermo" {
 				t.Errorf("%+v contends", m)
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -12,13 +12,13 @@
 	"github.com/banyanroute/banyanroute/internal/standin/httpjson"
 )
 
-// ControlPrefix starts the paths that work whatever the switches say.
-const ControlPrefix = "/standin/"
+// controlPrefix starts the paths that the switches do not affect.
+const controlPrefix = "/standin/"
 
 // exitCrash is the exit status of a crash that a switch asked for.
 const exitCrash = 3
 
-// Faults says how a process misbehaves. The zero value is a healthy process.
+// Faults describes how a process misbehaves. The zero value is a healthy process.
 type Faults struct {
 	// Crash ends the process at once.
 	Crash bool `json:"crash,omitempty"`
@@ -28,7 +28,7 @@
 	Freeze bool `json:"freeze"`
 	// SlowFactor multiplies the time that work takes; 0 means 1.
 	SlowFactor float64 `json:"slow_factor"`
-	// Refuse answers 503 to new requests and says that they did not run.
+	// Refuse answers 503 to new requests and marks them as not run.
 	Refuse bool `json:"refuse"`
 	// Leaving reports that the process is about to stop; it still works.
 	Leaving bool `json:"leaving"`
@@ -47,7 +47,7 @@
 // Switches holds the present Faults of a process. It is safe for concurrent use.
 type Switches struct {
 	exit func(code int)
-	// onChange hears of each change of the faults.
+	// onChange is called with each change of the faults.
 	onChange func(Faults)
 
 	mu     sync.Mutex
@@ -65,7 +65,7 @@
 	return s
 }
 
-// OnChange sets the function that hears of each change. It must be called
+// OnChange sets the function that is called with each change. It must be called
 // before the switches are in use.
 func (s *Switches) OnChange(f func(Faults)) { s.onChange = f }
 
@@ -166,11 +166,11 @@
 // freezes next while the process is frozen.
 func (s *Switches) Wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == ControlPrefix+"faults" {
+		if r.URL.Path == controlPrefix+"faults" {
 			s.serve(w, r)
 			return
 		}
-		if !strings.HasPrefix(r.URL.Path, ControlPrefix) && s.WaitThawed(r.Context()) != nil {
+		if !strings.HasPrefix(r.URL.Path, controlPrefix) && s.WaitThawed(r.Context()) != nil {
 			return
 		}
 		next.ServeHTTP(w, r)
