Name crashes, queries and quantities plainly; units on more constants

Ruled out: shorter bounds or changed assertions; only names and texts differ. Change: as said; the benchmark of digests sums its pages in one place.

--- a/internal/catalogue/apply.go
+++ b/internal/catalogue/apply.go
@@ -21,7 +21,8 @@
 
 // Bounds of the attempts of one edit to become the next revision.
 const (
-	maxAttempts     = 20
+	maxAttempts = 20
+	// attemptMaxPause bounds the random pause between two attempts.
 	attemptMaxPause = 50 * time.Millisecond
 )
 
--- a/internal/catalogue/bench_test.go
+++ b/internal/catalogue/bench_test.go
@@ -142,6 +142,18 @@
 	}
 }
 
+// wholeBytes returns the encoded size of all pages of a snapshot in bytes.
+func wholeBytes(snap *Snapshot) int {
+	whole := 0
+	for at := ""; ; {
+		page := snap.page(at)
+		whole += len(encode(page))
+		if at = page.Next; at == "" {
+			return whole
+		}
+	}
+}
+
 // BenchmarkDigest compares ways to find out whether two instances have the same
 // content: the time to keep the digest after one change, and the payload of an
 // exchange between equals ("B/equal") and with a peer that is one change, or
@@ -154,17 +166,7 @@
 	change := mustChange(b, snap, Edit{ID: "x", Puts: []Entry{workspace(key.Name, "owner", 11)}})
 	before, after := change.Updates[0].Before, change.Updates[0].After
 	delta := len(encode(change.forPeers()))
-	whole := len(encode(snap.page("")))
-	if next := snap.page("").Next; next != "" {
-		whole = 0
-		for at := ""; ; {
-			page := snap.page(at)
-			whole += len(encode(page))
-			if at = page.Next; at == "" {
-				break
-			}
-		}
-	}
+	whole := wholeBytes(snap)
 	report := func(b *testing.B, equal, one, far int) {
 		b.ReportMetric(float64(equal), "B/equal")
 		b.ReportMetric(float64(one), "B/one-behind")
--- a/internal/catalogue/store.go
+++ b/internal/catalogue/store.go
@@ -217,5 +217,5 @@
 	}
 }
 
-// storeRetryAfter is when an operator should come back while the store is down.
+// storeRetryAfter is the Retry-After of edits while the store is down.
 const storeRetryAfter = 2 * time.Second
--- a/internal/catalogue/validate.go
+++ b/internal/catalogue/validate.go
@@ -9,7 +9,8 @@
 	"time"
 )
 
-// Ranges of the numeric fields.
+// Ranges of the numeric fields and lengths of the lists. Tokens are those of a
+// model; the weight is relative to other workspaces.
 const (
 	maxRequestsPerSecond = 1e6
 	maxTokensPerSecond   = 1e9
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -27,7 +27,7 @@
 
 var log = logging.For("ledger")
 
-// Defaults of Options.
+// Defaults of Options; sizes are in bytes, the rate in transactions per second.
 const (
 	defaultTableTimeout = 2 * time.Second
 	defaultAnswerTime   = 24 * time.Hour
--- a/internal/ledger/sweep.go
+++ b/internal/ledger/sweep.go
@@ -10,9 +10,12 @@
 
 // Sizes and pauses of a sweep: at most 2,560 rows a second.
 const (
+	// sweepPage is the number of rows of one scan, and sweepPagePause the
+	// pause between two scans.
 	sweepPage      = 256
 	sweepPagePause = 100 * time.Millisecond
-	sweepPause     = 10 * time.Minute
+	// sweepPause is the pause between two sweeps.
+	sweepPause = 10 * time.Minute
 )
 
 // runSweeps sweeps while Options.Sweeps returns true, until ctx ends.
--- a/internal/modelcheck/reservation_test.go
+++ b/internal/modelcheck/reservation_test.go
@@ -26,7 +26,7 @@
 	crashed
 )
 
-// promptState is one prompt: its phase, how many parts it has asked for, and
+// promptState is one prompt: its phase, how many parts it has requested, and
 // which engines hold a part for it.
 type promptState struct {
 	phase promptPhase
@@ -58,11 +58,11 @@
 type reserveModel struct {
 	// anyOrder lets the second prompt reserve in the opposite order.
 	anyOrder bool
-	// keepsParts never gives held parts up while it waits for another.
+	// keepsParts never releases held parts while it waits for another.
 	keepsParts bool
-	// dies lets owners die at any moment.
-	dies bool
-	// noDeadline keeps the parts of a dead owner for good.
+	// crashes lets owners crash at any moment.
+	crashes bool
+	// noDeadline never releases the parts of a crashed owner.
 	noDeadline bool
 }
 
@@ -114,25 +114,25 @@
 		e := m.engine(i, int(p.next))
 		if s.free(e) >= partUnits {
 			add(fmt.Sprint("reserves on ", e), func(p *promptState) { p.held[e] = true; p.next++ })
-			add(fmt.Sprint("reserves unheard on ", e), func(p *promptState) { p.held[e] = true; p.phase = releasing })
+			add(fmt.Sprint("reserves without a response on ", e), func(p *promptState) { p.held[e] = true; p.phase = releasing })
 		}
 		if p.next > 0 && !m.keepsParts {
-			add("gives up its parts", func(p *promptState) { p.phase = releasing })
+			add("releases its parts", func(p *promptState) { p.phase = releasing })
 		}
 	case running:
 		add("ends", func(p *promptState) { p.phase = finished })
 	case releasing, finished:
 		freeOne("releases on")
 		if p.held == [reserveEngines]bool{} && p.phase == releasing {
-			add("tries again", func(p *promptState) { *p = promptState{} })
+			add("retries", func(p *promptState) { *p = promptState{} })
 		}
 	case crashed:
 		if !m.noDeadline {
 			freeOne("meets its deadline on")
 		}
 	}
-	if m.dies && p.phase < finished {
-		add("dies", func(p *promptState) { p.phase = crashed })
+	if m.crashes && p.phase < finished {
+		add("crashes", func(p *promptState) { p.phase = crashed })
 	}
 }
 
@@ -169,12 +169,12 @@
 	})
 }
 
-// TestModelOfReservation checks the protocol with and without giving parts up:
-// one global order alone must exclude deadlock, without the death of an owner
+// TestModelOfReservation checks the protocol with and without the release of held parts:
+// one global order alone must exclude deadlock, without a crash of an owner
 // to end it.
 func TestModelOfReservation(t *testing.T) {
 	for name, m := range map[string]reserveModel{
-		"gives parts up": {}, "keeps parts": {keepsParts: true}, "owners die": {dies: true},
+		"gives parts up": {}, "keeps parts": {keepsParts: true}, "owners die": {crashes: true},
 	} {
 		r := m.explore()
 		t.Logf("%s: %d states, %d steps, depth %d", name, r.States, r.Steps, r.Depth)
@@ -187,7 +187,7 @@
 func TestModelOfReservationNeedsEachMechanism(t *testing.T) {
 	for name, m := range map[string]reserveModel{
 		"no common order": {anyOrder: true, keepsParts: true},
-		"no deadline":     {dies: true, noDeadline: true},
+		"no deadline":     {crashes: true, noDeadline: true},
 	} {
 		r := m.explore()
 		if r.Violation == nil {
--- a/internal/reclaim/reclaim_test.go
+++ b/internal/reclaim/reclaim_test.go
@@ -258,14 +258,14 @@
 			}
 			for name, since := range orphaned {
 				if f.has(name) {
-					t.Errorf("seed %d: hold %s of a dead owner is kept", seed, name)
+					t.Errorf("seed %d: hold %s of a crashed owner is kept", seed, name)
 					continue
 				}
 				longest = max(longest, f.released[name].Sub(since))
 			}
 		})
 	}
-	t.Logf("%d schedules, %d holds, 0 lost; longest from death to release %v", *schedules, holds, longest)
+	t.Logf("%d schedules, %d holds, 0 lost; longest from crash to release %v", *schedules, holds, longest)
 	if longest > recoveryBound+2*time.Minute {
 		t.Errorf("a release took %v", longest)
 	}
--- a/tools/capacity/sample.go
+++ b/tools/capacity/sample.go
@@ -130,8 +130,8 @@
 	return l
 }
 
-// measured is a quantity of a sample.
-type measured struct {
+// quantity is a named value of a sample.
+type quantity struct {
 	name  string
 	value func(sample) float64
 }
@@ -144,7 +144,7 @@
 	}
 	nodes := func(s sample) float64 { return float64(s.nodes) }
 	links := func(s sample) float64 { return s.links }
-	values := []measured{
+	values := []quantity{
 		{"cpu %", func(s sample) float64 { return s.cpu }},
 		{"KiB", func(s sample) float64 { return s.heap }},
 		{"messages/s", func(s sample) float64 { return s.messages }},
@@ -155,7 +155,7 @@
 	printFits("links", targetLinks, samples, links, values)
 }
 
-func printFits(over string, target float64, samples []sample, x func(sample) float64, values []measured) {
+func printFits(over string, target float64, samples []sample, x func(sample) float64, values []quantity) {
 	fmt.Printf("\nfit: value = base + slope * %s; worked out at %g %s\n", over, target, over)
 	for _, v := range values {
 		l := fit(samples, x, v.value)
--- a/tools/demo/calls.go
+++ b/tools/demo/calls.go
@@ -27,8 +27,8 @@
 // bytesPerToken is the router's estimate.
 const bytesPerToken = 4
 
-// ask sends a streamed chat request of about the given size.
-func ask(ctx context.Context, address string, promptTokens, outputTokens int) (response, error) {
+// generate sends a streamed chat request of about the given size.
+func generate(ctx context.Context, address string, promptTokens, outputTokens int) (response, error) {
 	prompt := strings.Repeat("logbook ", promptTokens*bytesPerToken/len("logbook "))
 	body := fmt.Sprintf(`{"model":"tutor-llm","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, outputTokens, prompt)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
@@ -150,7 +150,7 @@
 	return nil
 }
 
-// runsOf asks a service's stand-in how often it ran the call with a key.
+// runsOf returns how often a service's stand-in ran the call with a key.
 func runsOf(ctx context.Context, address, key string) (int, error) {
 	var record struct {
 		Calls []struct {
--- a/tools/demo/main.go
+++ b/tools/demo/main.go
@@ -72,7 +72,7 @@
 // short sends a short question through each instance.
 func (d *run) short() error {
 	for i, in := range d.fleet.Instances {
-		a, err := ask(d.ctx, in.Callers, 1000, 8)
+		a, err := generate(d.ctx, in.Callers, 1000, 8)
 		if err != nil {
 			return err
 		}
@@ -94,12 +94,12 @@
 	}
 	long := make(chan outcome, 1)
 	go func() {
-		a, err := ask(d.ctx, d.fleet.Instances[0].Callers, longTokens, 8)
+		a, err := generate(d.ctx, d.fleet.Instances[0].Callers, longTokens, 8)
 		long <- outcome{a, err}
 	}()
 	time.Sleep(200 * time.Millisecond)
 	for range 5 {
-		a, err := ask(d.ctx, d.fleet.Instances[1].Callers, 1000, 8)
+		a, err := generate(d.ctx, d.fleet.Instances[1].Callers, 1000, 8)
 		if err != nil {
 			return err
 		}
@@ -205,7 +205,7 @@
 	}
 	stream := make(chan outcome, 1)
 	go func() {
-		a, err := ask(d.ctx, d.fleet.Instances[1].Callers, 50_000, 2000)
+		a, err := generate(d.ctx, d.fleet.Instances[1].Callers, 50_000, 2000)
 		stream <- outcome{a, err}
 	}()
 	time.Sleep(300 * time.Millisecond)
--- a/tools/faults/calls.go
+++ b/tools/faults/calls.go
@@ -17,7 +17,7 @@
 	"github.com/banyanroute/banyanroute/internal/standin/answer"
 )
 
-// reply is what a caller got.
+// reply is the answer to one call.
 type reply struct {
 	status    int
 	code      string
@@ -62,7 +62,7 @@
 	}
 }
 
-// generate sends one generation request and judges its answer.
+// generate sends one generation request and checks its answer.
 func (l *load) generate(ctx context.Context, spec generationSpec) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout+2*l.slack)
 	defer cancel()
@@ -172,7 +172,7 @@
 	return "", errIncomplete
 }
 
-// checkNotRun compares refusals that say not-run with the services' journals,
+// checkNotRun compares refusals as not-run with the services' journals,
 // and counts the runs of each key.
 func (l *load) checkNotRun() {
 	runs := map[string]int{}
--- a/tools/faults/end.go
+++ b/tools/faults/end.go
@@ -9,7 +9,7 @@
 	"github.com/banyanroute/banyanroute/internal/upstream"
 )
 
-// memoryTime is the time in which engines must be free of everything.
+// memoryTime is the time in which engines must release all holds.
 const memoryTime = 30 * time.Second
 
 // checkEnd checks that no engine holds anything for a request that is over.
@@ -27,7 +27,7 @@
 	}
 }
 
-// heldBy returns what an engine still holds, or nothing.
+// heldBy describes the memory that an engine still holds; empty if none.
 func heldBy(ctx context.Context, e *localfleet.Upstream) string {
 	var holds upstream.Holds
 	if err := localfleet.Fetch(ctx, "http://"+e.Address+upstream.PathHolds, &holds); err != nil {
--- a/tools/faults/load.go
+++ b/tools/faults/load.go
@@ -36,7 +36,7 @@
 	// slack is how much later than its time limit an answer may come: the
 	// machine runs everything at once.
 	slack time.Duration
-	// rolling judges each broken connection as cut off by a planned stop.
+	// rolling counts each broken connection as cut off by a planned stop.
 	rolling bool
 	// removed holds the instances that the balancer does not use.
 	removed sync.Map
@@ -87,7 +87,7 @@
 	}
 }
 
-// pickInstance plays the balancer.
+// pickInstance selects an instance as the balancer does.
 func (l *load) pickInstance() int {
 	for {
 		i := l.random.IntN(len(l.fleet.Instances))
--- a/tools/faults/main.go
+++ b/tools/faults/main.go
@@ -1,5 +1,5 @@
 // Command faults runs a deployment on loopback under load, causes failures by a
-// seeded schedule, and judges from outside whether the promises held: what
+// seeded schedule, and checks from outside whether the promises held: what
 // callers got, what upstreams ran, and what engines hold at the end. The same
 // seed gives the same schedule. It ends with 0 if there was no violation.
 package main
@@ -57,7 +57,7 @@
 // recover.
 const quietTime = 15 * time.Second
 
-// faults runs the deployment and judges it.
+// faults runs the deployment under faults and checks the promises.
 func faults(o options) error {
 	dir := o.keep
 	if dir == "" {
--- a/tools/faults/report.go
+++ b/tools/faults/report.go
@@ -14,7 +14,7 @@
 // promise names one of the promises that the run checks.
 type promise string
 
-// Promises that are judged from outside.
+// Promises that are checked from outside.
 const (
 	inTime       promise = "each request finishes or fails within its time"
 	wholeAnswer  promise = "each caller gets its whole own answer, in order"
@@ -31,7 +31,7 @@
 // maxExamples bounds the violations whose text is kept.
 const maxExamples = 10
 
-// verdict is what was found about one promise.
+// verdict is the result of one promise's checks.
 type verdict struct {
 	Promise    promise  `json:"promise"`
 	Checked    int      `json:"checked"`
@@ -70,7 +70,7 @@
 	return r
 }
 
-// check counts one judgement; problem is empty if the promise held.
+// check counts one check; problem is empty if the promise held.
 func (r *report) check(p promise, problem string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/tools/faults/schedule.go
+++ b/tools/faults/schedule.go
@@ -124,15 +124,17 @@
 
 func pick[T any](r *rand.Rand, list []T) T { return list[r.IntN(len(list))] }
 
-// switched sets switches of a stand-in for a while.
-func switched(ctx context.Context, url string, lasts time.Duration, switches map[string]any) {
+// withSwitches sets switches of a stand-in for a time and then clears them.
+func withSwitches(ctx context.Context, url string, lasts time.Duration, switches map[string]any) {
 	put(ctx, url, switches)
 	time.Sleep(lasts)
 	put(ctx, url, map[string]any{})
 }
 
+// control returns the base URL of a stand-in's fault switches.
 func control(up *localfleet.Upstream) string { return "http://" + up.Address }
 
+// restart kills a process and starts it after a time.
 func restart(p *localfleet.Process, lasts time.Duration) {
 	p.Kill()
 	time.Sleep(lasts)
@@ -153,15 +155,15 @@
 }
 
 func slowEngine(ctx context.Context, s *schedule, r *rand.Rand, lasts time.Duration) {
-	switched(ctx, control(pick(r, s.fleet.Engines)), lasts, map[string]any{"slow_factor": 8})
+	withSwitches(ctx, control(pick(r, s.fleet.Engines)), lasts, map[string]any{"slow_factor": 8})
 }
 
 func refuseEngine(ctx context.Context, s *schedule, r *rand.Rand, lasts time.Duration) {
-	switched(ctx, control(pick(r, s.fleet.Engines)), lasts, map[string]any{"refuse": true})
+	withSwitches(ctx, control(pick(r, s.fleet.Engines)), lasts, map[string]any{"refuse": true})
 }
 
 func leaveEngine(ctx context.Context, s *schedule, r *rand.Rand, lasts time.Duration) {
-	switched(ctx, control(pick(r, s.fleet.Engines)), lasts, map[string]any{"leaving": true})
+	withSwitches(ctx, control(pick(r, s.fleet.Engines)), lasts, map[string]any{"leaving": true})
 }
 
 func silenceStreams(ctx context.Context, s *schedule, r *rand.Rand, _ time.Duration) {
@@ -169,7 +171,7 @@
 }
 
 func resetStreams(ctx context.Context, s *schedule, r *rand.Rand, lasts time.Duration) {
-	switched(ctx, control(pick(r, s.fleet.Engines)), lasts, map[string]any{"drop_streams": 20, "drop_after_tokens": 5})
+	withSwitches(ctx, control(pick(r, s.fleet.Engines)), lasts, map[string]any{"drop_streams": 20, "drop_after_tokens": 5})
 }
 
 func forgetConnections(ctx context.Context, s *schedule, r *rand.Rand, _ time.Duration) {
@@ -177,7 +179,7 @@
 }
 
 func cutEngine(ctx context.Context, s *schedule, r *rand.Rand, lasts time.Duration) {
-	switched(ctx, pick(r, s.fleet.Engines).Relay.Control, lasts, map[string]any{"cut": true})
+	withSwitches(ctx, pick(r, s.fleet.Engines).Relay.Control, lasts, map[string]any{"cut": true})
 }
 
 func killInstance(_ context.Context, s *schedule, r *rand.Rand, lasts time.Duration) {
@@ -191,8 +193,8 @@
 	in.Thaw()
 }
 
-// stopInstance asks for a planned stop; the balancer's part is played by the
-// load, which meets a closed listener afterwards.
+// stopInstance begins a planned stop. The load stands in for the balancer: it
+// meets a closed listener afterwards.
 func stopInstance(ctx context.Context, s *schedule, r *rand.Rand, lasts time.Duration) {
 	in := pick(r, s.fleet.Instances)
 	probe := newStopProbe(ctx, in)
@@ -226,18 +228,18 @@
 }
 
 func storeDown(ctx context.Context, s *schedule, _ *rand.Rand, lasts time.Duration) {
-	switched(ctx, s.fleet.PlatformURL, 2*lasts, map[string]any{"down": true})
+	withSwitches(ctx, s.fleet.PlatformURL, 2*lasts, map[string]any{"down": true})
 }
 
 func storeSlow(ctx context.Context, s *schedule, _ *rand.Rand, lasts time.Duration) {
-	switched(ctx, s.fleet.PlatformURL, lasts, map[string]any{"delay_ns": int64(800 * time.Millisecond)})
+	withSwitches(ctx, s.fleet.PlatformURL, lasts, map[string]any{"delay_ns": int64(800 * time.Millisecond)})
 }
 
 func loseStoreAnswers(ctx context.Context, s *schedule, r *rand.Rand, lasts time.Duration) {
 	kind := pick(r, []string{"lose_answers", "lose_writes"})
-	switched(ctx, s.fleet.PlatformURL, lasts, map[string]any{kind: 20})
+	withSwitches(ctx, s.fleet.PlatformURL, lasts, map[string]any{kind: 20})
 }
 
 func cutPlatform(ctx context.Context, s *schedule, _ *rand.Rand, lasts time.Duration) {
-	switched(ctx, s.fleet.PlatformRelay.Control, lasts, map[string]any{"silence_all": true})
+	withSwitches(ctx, s.fleet.PlatformRelay.Control, lasts, map[string]any{"silence_all": true})
 }
