--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/banyanroute/banyanroute/internal/sleep"
 )
 
 // Limits of the canceller.
@@ -75,20 +77,8 @@
 		if c.upstreams.Cancel(ctx, item.baseURL, item.requestID) == nil {
 			return
 		}
-		if time.Until(item.deadline) < cancelPause || !sleep(ctx, cancelPause) {
+		if time.Until(item.deadline) < cancelPause || !sleep.For(ctx, cancelPause) {
 			return
 		}
 	}
 }
-
-// sleep waits for d and states whether ctx is still live.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/admit"
+	"github.com/banyanroute/banyanroute/internal/sleep"
 	"github.com/banyanroute/banyanroute/internal/upstream"
 )
 
@@ -146,7 +147,7 @@
 	stop := context.AfterFunc(ctx, func() { w.CloseWithError(ctx.Err()) })
 	defer stop()
 	for position := from + 1; position <= e.total; position++ {
-		sleep(ctx, time.Until(started.Add(time.Duration(position)*tokenTime)))
+		sleep.For(ctx, time.Until(started.Add(time.Duration(position)*tokenTime)))
 		switch {
 		case ctx.Err() != nil:
 			return
--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -11,6 +11,7 @@
 	"github.com/banyanroute/banyanroute/internal/ledger"
 	"github.com/banyanroute/banyanroute/internal/platform/memstore"
 	"github.com/banyanroute/banyanroute/internal/result"
+	"github.com/banyanroute/banyanroute/internal/sleep"
 	"github.com/banyanroute/banyanroute/internal/upstream"
 )
 
@@ -34,7 +35,7 @@
 	case "refused":
 		return plain(http.StatusServiceUnavailable, http.Header{upstream.HeaderNotRun: {"true"}}, ""), nil
 	}
-	if !sleep(ctx, s.took) {
+	if !sleep.For(ctx, s.took) {
 		return nil, upstream.ErrLost
 	}
 	s.runs[call.Header.Get("Idempotency-Key")]++
