Let each instance use a small part of a limit without asking its keeper

Cause: most of the 451,000 pairs of workspace and instance see a request less than once a minute. It found no lease, so it cost an ask and later the return of the lease. Ruled out: leases of 10 min, since a new keeper does not know them and their sum must be small to keep the bound, so that they come to the same share with messages; reports of use in batches, since all must be told when a workspace comes near its limit. Change: 5% of each limit is never lent, and each instance may always use its part of that. The burst per instance is unchanged, since a second meter only decides what counts as demand; the sum of leases and allowances is at most the limit. tools/capacity can set limits by their headroom over the demand.

--- a/internal/quota/control.go
+++ b/internal/quota/control.go
@@ -115,7 +115,7 @@
 	if size := c.fleet.size(c.l.listed()); size != c.size {
 		c.size = size
 		for _, w := range *workspaces {
-			w.setFallback(1/float64(size), now)
+			w.setFleetSize(size, now)
 		}
 	}
 }
@@ -236,7 +236,7 @@
 // ask builds the ask for one workspace, or states that none is needed.
 func (c *control) ask(name string, w *workspace, r *renewal, now time.Time) (ask, bool) {
 	rep := w.takeReport(now)
-	if unused := rep.usage.requests == 0 && rep.inUse == 0; unused {
+	if unused := rep.usage.requests == 0 && rep.inLease == 0; unused {
 		return w.giveUp(name, rep, now)
 	}
 	measured := rep.demand(now.Sub(r.last))
@@ -250,7 +250,7 @@
 		Demand:     r.demand,
 		Held:       rep.held,
 		LeftMillis: rep.left.Milliseconds(),
-		InUse:      rep.inUse,
+		InUse:      rep.inLease,
 	}, true
 }
 
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -108,12 +108,11 @@
 		if !s.limited() {
 			continue
 		}
-		fallback := s.times(1 / float64(size))
 		w, ok := old[name]
 		if ok {
-			w.setLimit(s, fallback, now)
+			w.setLimit(s, size, now)
 		} else {
-			w = newWorkspace(name, s, fallback, now)
+			w = newWorkspace(name, s, size, now)
 		}
 		next[name] = w
 	}
@@ -158,7 +157,9 @@
 type Permit struct {
 	workspace *workspace
 	estimated int
-	once      sync.Once
+	// allowed states that the request drew on the allowance.
+	allowed bool
+	once    sync.Once
 }
 
 // Take admits a request with an estimated number of prompt and output tokens,
@@ -168,17 +169,17 @@
 	if w == nil {
 		return &Permit{}, nil
 	}
-	wait, unleased := w.take(tokens, time.Now())
-	if unleased || wait > 0 {
+	t := w.take(tokens, time.Now())
+	if t.starved {
 		l.starved.add(name)
 		l.wake()
 	}
-	if wait > 0 {
+	if t.wait > 0 {
 		l.refused.Inc()
-		return nil, w.refusal(wait)
+		return nil, w.refusal(t.wait)
 	}
 	l.admitted.Inc()
-	return &Permit{workspace: w, estimated: tokens}, nil
+	return &Permit{workspace: w, estimated: tokens, allowed: t.allowed}, nil
 }
 
 // Done ends the request and corrects the estimate. Repeated calls do nothing.
@@ -186,7 +187,7 @@
 	if p.workspace == nil {
 		return
 	}
-	p.once.Do(func() { p.workspace.done(p.estimated, actualTokens, time.Now()) })
+	p.once.Do(func() { p.workspace.done(p.estimated, actualTokens, p.allowed, time.Now()) })
 }
 
 // handleAsks answers another instance on the keeper's side.
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -40,6 +40,7 @@
 	*peertest.Node
 	mu      sync.Mutex
 	history []viewAt
+	calls   atomic.Int64
 }
 
 type viewAt struct {
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -95,5 +95,37 @@
 	return time.Duration(min(missing/b.rate, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
+// refund corrects an estimated cost that was taken.
+func (b *bucket) refund(cost float64) { b.balance = min(b.burst, b.balance+cost) }
+
+// meter counts requests and tokens against their rates.
+type meter struct{ requests, tokens bucket }
+
+func newMeter(rates share, now time.Time) meter {
+	m := meter{
+		requests: bucket{filled: now, balance: minRequestBurst},
+		tokens:   bucket{filled: now, balance: rates.Tokens},
+	}
+	m.setRates(rates, now)
+	return m
+}
+
+func (m *meter) setRates(rates share, now time.Time) {
+	m.requests.setRate(rates.Requests, max(minRequestBurst, rates.Requests*burstWindow.Seconds()), now)
+	m.tokens.setRate(rates.Tokens, max(1, rates.Tokens*burstWindow.Seconds()), now)
+}
+
+// take counts one request if all limited dimensions have room for it.
+func (m *meter) take(limit share, tokens float64, now time.Time) bool {
+	m.requests.fill(now)
+	m.tokens.fill(now)
+	if limit.Requests > 0 && m.requests.wait(1) > 0 || limit.Tokens > 0 && m.tokens.wait(tokens) > 0 {
+		return false
+	}
+	m.requests.balance--
+	m.tokens.balance -= tokens
+	return true
+}
+
 // balanceTolerance absorbs rounding of balances.
 const balanceTolerance = 1e-9
--- a/internal/quota/workspace.go
+++ b/internal/quota/workspace.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -26,6 +27,10 @@
 	urgentRefused  = time.Second
 	// slotRetryAfter is when to come back if all slots are in use.
 	slotRetryAfter = time.Second
+	// allowancePart of a limit is reserved for the instances' allowances. It
+	// does not depend on the size of the fleet, so that a change of size
+	// leaves no lease too large.
+	allowancePart = 0.05
 )
 
 // workspace is the local state of one workspace. Traffic and the control
@@ -35,10 +40,16 @@
 
 	mu    sync.Mutex
 	limit share
-	// fallback is used while there is no valid lease.
+	// fallback is used while there is no valid lease; the allowance is part
+	// of it.
 	fallback share
-	lease    share
-	until    time.Time
+	// reserved is the part of the limit that is never lent. The allowance is
+	// this instance's part of it, to use at any time without asking.
+	reserved, allowance share
+	// allowed meters the use of the allowance.
+	allowed meter
+	lease   share
+	until   time.Time
 	// leased states whether the buckets run at the lease.
 	leased   bool
 	requests bucket
@@ -47,21 +58,40 @@
 	usage    usage
 }
 
-// usage is the demand since the last renewal, refused requests included.
+// usage is the demand above the allowance since the last renewal, refused
+// requests included.
 type usage struct {
 	requests, tokens float64
 	peak             int
 	refused          int
 }
 
-func newWorkspace(name string, limit, fallback share, now time.Time) *workspace {
-	w := &workspace{name: name, limit: limit, fallback: fallback}
+// newWorkspace returns a workspace in a fleet of the given size.
+func newWorkspace(name string, limit share, size int, now time.Time) *workspace {
+	w := &workspace{name: name, limit: limit}
 	w.requests = bucket{filled: now, balance: minRequestBurst}
-	w.tokens = bucket{filled: now, balance: fallback.Tokens}
-	w.apply(fallback, now)
+	w.tokens = bucket{filled: now, balance: limit.Tokens / float64(size)}
+	w.divide(size, now)
+	w.allowed = newMeter(w.allowance, now)
 	return w
 }
 
+// divide computes what an instance may use without a lease. The caller holds
+// mu.
+func (w *workspace) divide(size int, now time.Time) {
+	w.fallback = w.limit.times(1 / float64(size))
+	w.reserved = w.limit.times(allowancePart)
+	w.reserved.Slots = math.Floor(w.reserved.Slots)
+	w.allowance = w.reserved.times(1 / float64(size))
+	w.allowance.Slots = math.Floor(w.allowance.Slots)
+	w.allowed.setRates(w.allowance, now)
+	if w.leased {
+		w.apply(w.lease.plus(w.allowance), now)
+	} else {
+		w.apply(w.fallback, now)
+	}
+}
+
 // apply sets the buckets' rates. The caller holds mu.
 func (w *workspace) apply(s share, now time.Time) {
 	w.requests.setRate(s.Requests, max(minRequestBurst, s.Requests*burstWindow.Seconds()), now)
@@ -81,28 +111,50 @@
 // slots is the number of requests that may be in flight. The caller holds mu.
 func (w *workspace) slots() int {
 	if w.leased {
-		return int(w.lease.Slots)
+		return int(w.lease.Slots + w.allowance.Slots)
 	}
 	return int(max(1, w.fallback.Slots))
 }
 
-// take admits one request or returns the time after which to come back. It
-// also states whether there is no valid lease.
-func (w *workspace) take(tokens int, now time.Time) (wait time.Duration, unleased bool) {
+// taken is the outcome of an attempt to admit a request.
+type taken struct {
+	// wait is the time after which to come back, or zero if admitted.
+	wait time.Duration
+	// allowed states that the request is within the allowance.
+	allowed bool
+	// starved states that the workspace wants a lease or a larger share.
+	starved bool
+}
+
+// take admits one request or returns the time after which to come back.
+func (w *workspace) take(tokens int, now time.Time) taken {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.refresh(now)
+	wait := w.waitLocked(float64(tokens))
+	if wait == 0 {
+		w.requests.balance--
+		w.tokens.balance -= float64(tokens)
+		w.inUse++
+		if w.withinAllowance(float64(tokens), now) {
+			return taken{allowed: true}
+		}
+		w.usage.peak = max(w.usage.peak, w.inUse)
+	} else {
+		w.usage.refused++
+	}
 	w.usage.requests++
 	w.usage.tokens += float64(tokens)
-	if wait = w.waitLocked(float64(tokens)); wait > 0 {
-		w.usage.refused++
-		return wait, !w.leased
+	return taken{wait: wait, starved: !w.leased || wait > 0}
+}
+
+// withinAllowance draws an admitted request on the allowance, if it has room.
+// The caller holds mu.
+func (w *workspace) withinAllowance(tokens float64, now time.Time) bool {
+	if w.limit.Slots > 0 && float64(w.inUse) > w.allowance.Slots {
+		return false
 	}
-	w.requests.balance--
-	w.tokens.balance -= float64(tokens)
-	w.inUse++
-	w.usage.peak = max(w.usage.peak, w.inUse)
-	return 0, !w.leased
+	return w.allowed.take(w.limit, tokens, now)
 }
 
 // waitLocked returns the longest wait of the limited dimensions.
@@ -121,42 +173,38 @@
 }
 
 // done ends a request and corrects the estimate of its tokens.
-func (w *workspace) done(estimated, actual int, now time.Time) {
+func (w *workspace) done(estimated, actual int, allowed bool, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.inUse--
 	w.refresh(now)
-	w.tokens.balance = min(w.tokens.burst, w.tokens.balance+float64(estimated-actual))
+	w.tokens.refund(float64(estimated - actual))
+	if allowed {
+		w.allowed.tokens.refund(float64(estimated - actual))
+	}
 }
 
-// setLimit changes the limits and the fallback.
-func (w *workspace) setLimit(limit, fallback share, now time.Time) {
+// setLimit changes the limits.
+func (w *workspace) setLimit(limit share, size int, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.limit, w.fallback = limit, fallback
+	w.limit = limit
 	w.lease = w.lease.atMost(limit)
-	if w.leased {
-		w.apply(w.lease, now)
-	} else {
-		w.apply(fallback, now)
-	}
+	w.divide(size, now)
 }
 
-// setFallback changes the fallback to a part of the limit.
-func (w *workspace) setFallback(part float64, now time.Time) {
+// setFleetSize changes the number of instances that share the limits.
+func (w *workspace) setFleetSize(size int, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.fallback = w.limit.times(part)
-	if !w.leased {
-		w.apply(w.fallback, now)
-	}
+	w.divide(size, now)
 }
 
 // capital is what the keeper may lend if it sees only a part of the fleet.
 func (w *workspace) capital(part float64) capital {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return capital{all: w.limit.times(part), fallback: w.fallback}
+	return capital{all: w.limit.less(w.reserved).times(part), fallback: w.fallback.less(w.allowance)}
 }
 
 // urgency returns the least time between two asks if a renewal should not wait
@@ -183,7 +231,7 @@
 		return
 	}
 	w.lease, w.until, w.leased = s.atMost(w.limit), until, true
-	w.apply(w.lease, now)
+	w.apply(w.lease.plus(w.allowance), now)
 }
 
 // release gives up the lease.
@@ -196,12 +244,14 @@
 
 // report is what a renewal needs to know of a workspace.
 type report struct {
-	usage  usage
-	held   share
-	left   time.Duration
-	inUse  int
-	debt   float64
-	leased bool
+	usage usage
+	held  share
+	left  time.Duration
+	inUse int
+	// inLease is the part of inUse that the allowance does not cover.
+	inLease int
+	debt    float64
+	leased  bool
 }
 
 // takeReport returns the present state and starts a new measurement.
@@ -223,6 +273,7 @@
 func (w *workspace) reportLocked(now time.Time) report {
 	w.refresh(now)
 	r := report{usage: w.usage, inUse: w.inUse, leased: w.leased}
+	r.inLease = max(0, w.inUse-int(w.allowance.Slots))
 	r.debt = max(0, -w.tokens.balance)
 	if w.leased {
 		r.held, r.left = w.lease, w.until.Sub(now)
--- a/tools/capacity/fleet.go
+++ b/tools/capacity/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -90,7 +91,7 @@
 	f.wait.Go(func() { _ = n.server.Serve(l) })
 	if s.takes > 0 {
 		n.limiter = quota.New(o, quota.Options{Listed: o.Listed})
-		n.limiter.SetLimits(limits(s.workspaces))
+		n.limiter.SetLimits(limits(s, len(f.list)))
 		f.wait.Go(func() { _ = n.limiter.Run(ctx) })
 		f.wait.Go(func() { take(ctx, n.limiter, s) })
 	}
@@ -98,22 +99,41 @@
 	return nil
 }
 
-// limits gives each workspace limits that its demand does not reach.
-func limits(workspaces int) map[string]catalogue.Limits {
-	all := make(map[string]catalogue.Limits, workspaces)
-	for i := range workspaces {
-		all[workspaceName(i)] = catalogue.Limits{RequestsPerSecond: 1e5, TokensPerSecond: 1e8, Concurrent: 1e5}
+// The workspaces of requests follow a Zipf distribution with these parameters;
+// each request takes tokensPerTake tokens.
+const (
+	zipfSkew      = 1.1
+	zipfOffset    = 5
+	tokensPerTake = 1000
+)
+
+// limits gives each workspace limits that its demand does not reach, or that
+// follow its demand in a fleet of n nodes if the scenario states a headroom.
+func limits(s scenario, n int) map[string]catalogue.Limits {
+	all := make(map[string]catalogue.Limits, s.workspaces)
+	weights := 0.0
+	for i := range s.workspaces {
+		weights += zipfWeight(i)
+	}
+	for i := range s.workspaces {
+		l := catalogue.Limits{RequestsPerSecond: 1e5, TokensPerSecond: 1e8, Concurrent: 1e5}
+		if s.headroom > 0 {
+			rate := s.headroom * s.takes * float64(n) * zipfWeight(i) / weights
+			l = catalogue.Limits{RequestsPerSecond: rate, TokensPerSecond: rate * tokensPerTake}
+		}
+		all[workspaceName(i)] = l
 	}
 	return all
 }
 
+func zipfWeight(i int) float64 { return math.Pow(zipfOffset+float64(i), -zipfSkew) }
+
 func workspaceName(i int) string { return fmt.Sprintf("workspace-%04d", i) }
 
 // take makes requests whose workspaces follow a Zipf distribution.
 func take(ctx context.Context, l *quota.Limiter, s scenario) {
-	const skew, offset = 1.1, 5
 	random := rand.New(rand.NewPCG(rand.Uint64(), 1))
-	zipf := rand.NewZipf(random, skew, offset, uint64(s.workspaces-1))
+	zipf := rand.NewZipf(random, zipfSkew, zipfOffset, uint64(s.workspaces-1))
 	ticker := time.NewTicker(time.Duration(float64(time.Second) / s.takes))
 	defer ticker.Stop()
 	for {
@@ -121,8 +141,8 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			if p, err := l.Take(workspaceName(int(zipf.Uint64())), 1000); err == nil {
-				p.Done(1000)
+			if p, err := l.Take(workspaceName(int(zipf.Uint64())), tokensPerTake); err == nil {
+				p.Done(tokensPerTake)
 			}
 		}
 	}
--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -30,6 +30,9 @@
 	// takes per second and node, over workspaces with a skewed popularity.
 	takes      float64
 	workspaces int
+	// headroom is each workspace's limit over its mean demand in the fleet;
+	// zero means limits far above any demand.
+	headroom float64
 }
 
 func main() {
@@ -41,6 +44,7 @@
 	flag.IntVar(&s.bytes, "bytes", 1000, "payload bytes per broadcast")
 	flag.Float64Var(&s.takes, "takes", 0, "limited requests per second and node")
 	flag.IntVar(&s.workspaces, "workspaces", 1100, "workspaces with a limit")
+	flag.Float64Var(&s.headroom, "headroom", 0, "limits of rates over the workspace's mean demand, zero for very high limits")
 	flag.Parse()
 	_ = logging.Setup(io.Discard, "error")
 	if err := run(*sizes, *settle, *duration, s); err != nil {
