Ignore demand in a dimension without a limit when a lease is lent

Cause: the keeper compared the demand in all dimensions with half of the limit, and a dimension without a limit counts as zero, so that a workspace with, say, a limit of requests only never got a long lease and was renewed every 2 s. Ruled out: a change to fits, which the fallback uses too. Change: demand in such a dimension is dropped.

--- a/internal/quota/allowance_test.go
+++ b/internal/quota/allowance_test.go
@@ -160,3 +160,25 @@
 		t.Errorf("got %+v, then %+v", third, fourth)
 	}
 }
+
+// Demand that moves and rises while another instance has a long lease finds
+// the rest of the limit at once and all of it when that lease is given back.
+func TestShareFollowsFromLongLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(rateLimits())
+		defer f.stopAll()
+		f.startAll(testSize, 0)
+		f.instances["i0"].rate = testLimit * 0.4
+		f.run(settle)
+		f.instances["i0"].rate, f.instances["i3"].rate = 0, 1.5*testLimit
+		f.run(3 * time.Second)
+		early := f.run(5 * time.Second)
+		f.run(longRenew - 8*time.Second + 2*shortRenew)
+		late := f.run(10 * time.Second)
+		over := f.overshoot(testLimit, 0, f.elapsed())
+		t.Logf("%.1f/s from 3 s on, %.1f/s from %v on, overshoot %.0f", early, late, longRenew+2*shortRenew, over)
+		if early < testLimit*0.4 || late < testLimit*0.85 || over > burstBound {
+			t.Errorf("%.1f/s, then %.1f/s, overshoot %.0f", early, late, over)
+		}
+	})
+}
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -101,7 +101,7 @@
 			h.share = q.Held.finite() // a lease of the keeper before
 		}
 	}
-	h.demand, h.inUse = q.Demand.finite(), float64(max(0, q.InUse))
+	h.demand, h.inUse = q.Demand.finite().limitedBy(c.all), float64(max(0, q.InUse))
 	total := a.demand()
 	available := a.available(from, h, c, now)
 	h.long = total.times(1+sparePart).fits(c.all.times(relaxedPart)) && now.Sub(a.since) > longTTL+viewMargin
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -45,6 +45,16 @@
 	return share{Requests: s.Requests * f, Tokens: s.Tokens * f, Slots: s.Slots * f}
 }
 
+// limitedBy drops the dimensions that the limit leaves open.
+func (s share) limitedBy(limit share) share {
+	return s.zip(limit, func(a, l float64) float64 {
+		if l == 0 {
+			return 0
+		}
+		return a
+	})
+}
+
 // fits states whether s is at most o in each dimension.
 func (s share) fits(o share) bool {
 	return s.Requests <= o.Requests && s.Tokens <= o.Tokens && s.Slots <= o.Slots
