--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -5,5 +5,6 @@
 // demand, as leases that are short where the limit is nearly used. Traffic
 // calls Take, which draws on the local share and does no I/O. An instance
 // without a valid lease falls back to the limit divided by the number of
-// instances. See docs/design for the weighed ways and the bound on overshoot.
+// instances. A small part of each limit is never lent: each instance may use its
+// allowance of it without asking. See docs/design for the weighed ways and the bound on overshoot.
 package quota
