--- a/internal/admit/scheduler.go
+++ b/internal/admit/scheduler.go
@@ -75,7 +75,7 @@
 		peers:   map[string]peerState{},
 	}
 	if options.Reserver != nil {
-		if s.acquirer, err = gang.NewAcquirer(options.Reserver); err != nil {
+		if s.acquirer, err = gang.NewAcquirer(options.Reserver, options.Seed); err != nil {
 			panic(err) // the embedded chart is broken
 		}
 	}
--- a/internal/gang/acquire.go
+++ b/internal/gang/acquire.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/banyanroute/banyanroute/charts"
@@ -28,16 +30,27 @@
 type Acquirer struct {
 	reserver Reserver
 	chart    *chart.Chart
+
+	// mu guards random.
+	mu     sync.Mutex
+	random *rand.Rand
 }
 
-// NewAcquirer returns an Acquirer that uses reserver. It fails only if the
-// embedded chart is broken.
-func NewAcquirer(reserver Reserver) (*Acquirer, error) {
+// NewAcquirer returns an Acquirer that uses reserver; seed makes its pauses
+// repeatable. It fails only if the embedded chart is broken.
+func NewAcquirer(reserver Reserver, seed uint64) (*Acquirer, error) {
 	c, err := chart.Load(charts.FS, "reservation")
 	if err != nil {
 		return nil, err
 	}
-	return &Acquirer{reserver: reserver, chart: c}, nil
+	return &Acquirer{reserver: reserver, chart: c, random: rand.New(rand.NewPCG(seed, seed))}, nil
+}
+
+// jitter returns a time between a half and the whole of d.
+func (a *Acquirer) jitter(d time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return d/2 + time.Duration(a.random.Int64N(int64(d/2)+1))
 }
 
 // Acquire reserves shares, which must be in Plan's order, under names that
--- a/internal/gang/acquisition.go
+++ b/internal/gang/acquisition.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/chart"
@@ -74,7 +73,7 @@
 		return q.startOver(ctx)
 	case actionReleaseAndPause:
 		q.release(ctx)
-		if q.err = sleep(ctx, jitter(longestPause)); q.err != nil {
+		if q.err = sleep(ctx, q.acquirer.jitter(longestPause)); q.err != nil {
 			return eventCancelled
 		}
 	case actionRelease:
@@ -126,7 +125,7 @@
 	if len(q.held) > 1 && time.Now().After(q.giveUp) {
 		return eventHoldOver
 	}
-	if q.err = sleep(ctx, jitter(q.pause)); q.err != nil {
+	if q.err = sleep(ctx, q.acquirer.jitter(q.pause)); q.err != nil {
 		return eventCancelled
 	}
 	q.pause = min(2*q.pause, longestPause)
@@ -150,6 +149,3 @@
 		return context.Cause(ctx)
 	}
 }
-
-// jitter returns a time between a half and the whole of d.
-func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
