Test reader of streams: a line that was cut off is no chunk

Ruled out: a fault of the engine, whose lines are written whole. TestReadDropsLineCutOff failed before. The reader still checks each whole line.

--- a/internal/standin/enginehttp/server_test.go
+++ b/internal/standin/enginehttp/server_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -73,9 +74,16 @@
 func read(t *testing.T, body io.Reader) streamed {
 	t.Helper()
 	var got streamed
-	lines := bufio.NewScanner(body)
-	for lines.Scan() {
-		line := lines.Text()
+	lines := bufio.NewReader(body)
+	for {
+		line, err := lines.ReadString('\n')
+		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				got.err = err
+			}
+			return got
+		}
+		line = strings.TrimRight(line, "\r\n")
 		if id, ok := strings.CutPrefix(line, "id: "); ok {
 			got.ids = append(got.ids, id)
 		}
@@ -96,8 +104,15 @@
 		}
 		got.usage = c.Usage
 	}
-	got.err = lines.Err()
-	return got
+}
+
+// TestReadDropsLineCutOff checks that a stream may be cut off within a line, as
+// when the client cancels it.
+func TestReadDropsLineCutOff(t *testing.T) {
+	got := read(t, strings.NewReader("id: 1\ndata: {\"choices\":[]}\n\nid: 2\ndata: {\"cho"))
+	if got.done || got.err != nil || len(got.ids) != 2 {
+		t.Errorf("got %+v", got)
+	}
 }
 
 const streamBody = `{"model":"m","prompt":"hello","stream":true,"max_tokens":5}`
