--- a/tools/faults/report.go
+++ b/tools/faults/report.go
@@ -58,8 +58,8 @@
 
 func newReport(o options) *report {
 	r := &report{
-		Command: fmt.Sprintf("go run ./tools/faults -seed %d -duration %s -instances %d -engines %d -pairs=%t",
-			o.seed, o.duration, o.instances, o.engines, o.pairs),
+		Command: fmt.Sprintf("go run ./tools/faults -seed %d -duration %s -instances %d -engines %d -pairs=%t -rolling=%t -slack %s",
+			o.seed, o.duration, o.instances, o.engines, o.pairs, o.rolling, o.slack),
 		Seed: o.seed, Duration: o.duration.String(),
 		Machine: fmt.Sprintf("%s/%s, %d cores", runtime.GOOS, runtime.GOARCH, runtime.NumCPU()),
 		Results: map[string]int{}, RecoverySeconds: map[string][]float64{},
