--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -52,7 +52,7 @@
 // Sink takes the answer of a generation request in order, without gaps or
 // duplicates. An error says that the caller has left.
 type Sink interface {
-	// Chunk takes the JSON of one chunk and the text that it adds.
+	// Chunk takes the JSON of one chunk.
 	Chunk(data []byte) error
 	// End takes the end of a complete answer.
 	End() error
--- a/internal/gang/acquisition.go
+++ b/internal/gang/acquisition.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/chart"
+	"github.com/banyanroute/banyanroute/internal/sleep"
 	"github.com/banyanroute/banyanroute/internal/upstream"
 )
 
@@ -73,7 +74,8 @@
 		return q.startOver(ctx)
 	case actionReleaseAndPause:
 		q.release(ctx)
-		if q.err = sleep(ctx, q.acquirer.jitter(longestPause)); q.err != nil {
+		if !sleep.For(ctx, q.acquirer.jitter(longestPause)) {
+			q.err = context.Cause(ctx)
 			return eventCancelled
 		}
 	case actionRelease:
@@ -125,7 +127,8 @@
 	if len(q.held) > 1 && time.Now().After(q.giveUp) {
 		return eventHoldOver
 	}
-	if q.err = sleep(ctx, q.acquirer.jitter(q.pause)); q.err != nil {
+	if !sleep.For(ctx, q.acquirer.jitter(q.pause)) {
+		q.err = context.Cause(ctx)
 		return eventCancelled
 	}
 	q.pause = min(2*q.pause, longestPause)
@@ -137,15 +140,3 @@
 	q.acquirer.Release(ctx, q.held)
 	q.held = nil
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
