--- a/cmd/banyanrouted/main.go
+++ b/cmd/banyanrouted/main.go
@@ -11,13 +11,16 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/banyanroute/banyanroute/internal/daemon"
+	"github.com/banyanroute/banyanroute/internal/hosted"
 	"github.com/banyanroute/banyanroute/internal/logging"
 	"github.com/banyanroute/banyanroute/internal/settings"
+	"github.com/banyanroute/banyanroute/platform"
 )
 
 // options are the command line's.
 type options struct {
-	Config      string `long:"config" value-name:"FILE" required:"true" description:"YAML settings; docs/operators/settings.md lists the fields"`
+	Config      string `long:"config" value-name:"FILE" description:"YAML settings; docs/operators/settings.md lists the fields"`
+	Platform    bool   `long:"platform" description:"run on the users' platform, with the settings that it provides, in place of --config"`
 	CheckConfig bool   `long:"check-config" description:"check the settings and exit without starting"`
 }
 
@@ -39,6 +42,13 @@
 		}
 		return exitBadUsage
 	}
+	if opts.Platform {
+		return runHosted(opts.CheckConfig)
+	}
+	if opts.Config == "" {
+		fmt.Fprintln(os.Stderr, "banyanrouted: one of --config and --platform is required")
+		return exitBadUsage
+	}
 	s, err := settings.Load(opts.Config)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -55,6 +65,33 @@
 	return exitOK
 }
 
+// hostedMemoryPart is the part of a process's memory that Go's heap may use; the
+// rest is for stacks and buffers of the kernel.
+const hostedMemoryPart = 0.6
+
+// runHosted runs an instance on the users' platform.
+func runHosted(checkOnly bool) int {
+	opts, err := platform.Options()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "banyanrouted:", err)
+		return exitBadUsage
+	}
+	if checkOnly {
+		fmt.Println("the platform's settings are valid")
+		return exitOK
+	}
+	if err := logging.SetupStructured(os.Stdout, "info"); err != nil {
+		fmt.Fprintln(os.Stderr, "banyanrouted:", err)
+		return exitFailed
+	}
+	debug.SetMemoryLimit(int64(hostedMemoryPart * float64(opts.Settings.MemoryBytes)))
+	if err := hosted.New(opts).Run(context.Background()); err != nil {
+		fmt.Fprintln(os.Stderr, "banyanrouted:", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
 // start runs the instance until it stops.
 func start(s settings.Settings) error {
 	if err := logging.Setup(os.Stderr, s.Log.Level); err != nil {
--- /dev/null
+++ b/internal/deployment/view.go
@@ -0,0 +1,161 @@
+package deployment
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// View is an immutable picture of the deployment.
+type View struct {
+	// Config is nil until the first configuration is known.
+	Config *Configuration
+	// ConfigAt is when Config was installed.
+	ConfigAt time.Time
+	// Revision is the store's version of the list of upstreams.
+	Revision int64
+	// ListedAt is when the list was last known to be complete.
+	ListedAt time.Time
+
+	hosts     map[string][]*Route
+	upstreams map[string]Upstream
+	services  map[string][]Upstream
+}
+
+// RouteOf returns the route of a host with the longest prefix of path, or nil.
+func (v *View) RouteOf(host, path string) *Route {
+	for _, r := range v.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Upstream returns an upstream by its ID.
+func (v *View) Upstream(id string) (Upstream, bool) {
+	u, ok := v.upstreams[id]
+	return u, ok
+}
+
+// Upstreams returns those of a service that are not leaving, by ID. The slice
+// must not be changed.
+func (v *View) Upstreams(service string) []Upstream { return v.services[service] }
+
+// Count returns the number of upstreams, leaving ones included.
+func (v *View) Count() int { return len(v.upstreams) }
+
+// State holds the present View. Writers are serialized; readers take no lock.
+type State struct {
+	view atomic.Pointer[View]
+	mu   sync.Mutex
+	// notify is called after each change.
+	notify []func(*View)
+}
+
+// NewState returns a State that knows nothing yet.
+func NewState() *State {
+	s := &State{}
+	s.view.Store(&View{})
+	return s
+}
+
+// View returns the present picture.
+func (s *State) View() *View { return s.view.Load() }
+
+// Subscribe registers f for each later change. It must be called before the
+// first one; f must not block.
+func (s *State) Subscribe(f func(*View)) { s.notify = append(s.notify, f) }
+
+// SetConfiguration installs c unless a version at least as new is in force. It
+// returns whether it did.
+func (s *State) SetConfiguration(c *Configuration, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.view.Load()
+	if old.Config != nil && c.Version <= old.Config.Version {
+		return false
+	}
+	next := *old
+	next.Config, next.ConfigAt = c, now
+	next.hosts = indexRoutes(c.Routes)
+	s.publish(&next)
+	return true
+}
+
+// indexRoutes orders the routes of each host by the length of their prefix,
+// longest first.
+func indexRoutes(routes []Route) map[string][]*Route {
+	hosts := map[string][]*Route{}
+	for i := range routes {
+		hosts[routes[i].Host] = append(hosts[routes[i].Host], &routes[i])
+	}
+	for _, list := range hosts {
+		slices.SortFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return hosts
+}
+
+// ReplaceUpstreams installs a whole list as of a revision. Older lists are
+// ignored. It returns whether the list was taken.
+func (s *State) ReplaceUpstreams(list []Upstream, revision int64, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.view.Load()
+	if revision < old.Revision {
+		return false
+	}
+	byID := make(map[string]Upstream, len(list))
+	for _, u := range list {
+		byID[u.ID] = u
+	}
+	s.setUpstreams(old, byID, revision, now)
+	return true
+}
+
+// UpdateUpstreams applies changes up to a revision: upstreams that are new or
+// changed, and IDs that are gone.
+func (s *State) UpdateUpstreams(changed []Upstream, gone []string, revision int64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.view.Load()
+	if revision < old.Revision {
+		return
+	}
+	byID := make(map[string]Upstream, len(old.upstreams)+len(changed))
+	for id, u := range old.upstreams {
+		byID[id] = u
+	}
+	for _, u := range changed {
+		byID[u.ID] = u
+	}
+	for _, id := range gone {
+		delete(byID, id)
+	}
+	s.setUpstreams(old, byID, revision, now)
+}
+
+func (s *State) setUpstreams(old *View, byID map[string]Upstream, revision int64, now time.Time) {
+	next := *old
+	next.Revision, next.ListedAt, next.upstreams = revision, now, byID
+	next.services = map[string][]Upstream{}
+	for _, u := range byID {
+		if !u.Leaving {
+			next.services[u.Service] = append(next.services[u.Service], u)
+		}
+	}
+	for _, list := range next.services {
+		slices.SortFunc(list, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	s.publish(&next)
+}
+
+func (s *State) publish(v *View) {
+	s.view.Store(v)
+	for _, f := range s.notify {
+		f(v)
+	}
+}
--- /dev/null
+++ b/internal/enginemodel/engine.go
@@ -0,0 +1,328 @@
+package enginemodel
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Work is what one request asks of one engine.
+type Work struct {
+	// ID names the request.
+	ID string
+	// Tokens is how many prompt tokens this engine computes; Offset how many
+	// come before them in the prompt.
+	Tokens int
+	// Pairs is this engine's share of the prompt's pairs.
+	Pairs float64
+	// Output is the expected number of output tokens; 0 for an engine that
+	// only computes a part of the prompt.
+	Output int
+	// Context is what each decoding step reads here, in tokens.
+	Context int
+	// Part says that another engine decodes: the work goes before whole
+	// prompts and needs no slot.
+	Part bool
+	// Memory is the KV memory of the request here, in tokens.
+	Memory int
+	// NotBefore is when the parts at other engines are ready.
+	NotBefore time.Time
+	// FirstBy and MaxPause are the objectives for the first token and for the
+	// pauses after it; zero is none.
+	FirstBy  time.Time
+	Start    time.Time
+	MaxPause time.Duration
+	// Value is what the request is worth in time, in any unit.
+	Value float64
+}
+
+// sequence is a Work under way.
+type sequence struct {
+	Work
+	left     float64 // prompt tokens still to compute
+	pairs    float64 // pairs still to compute
+	take     float64 // prompt tokens of the present pass
+	output   float64 // output tokens still expected
+	admitted bool
+	decoding bool
+	released bool
+	// worst is the worst pause so far over MaxPause.
+	worst float64
+	// first is when the first token came, as predicted.
+	first time.Time
+}
+
+// Engine predicts one engine from the work that is known to be there. It is not
+// safe for concurrent use.
+type Engine struct {
+	model     *Model
+	sequences []sequence
+	// now is the start of the present pass, end its end.
+	now, end time.Time
+	idle     bool
+	// pace is the observed time over the predicted time; over 1 is slow.
+	pace float64
+}
+
+// NewEngine returns an idle engine.
+func NewEngine(m *Model) *Engine { return &Engine{model: m, idle: true, pace: 1} }
+
+// SetModel replaces the cost model.
+func (e *Engine) SetModel(m *Model) { e.model = m }
+
+// Pace returns the observed time over the predicted time.
+func (e *Engine) Pace() float64 { return e.pace }
+
+// SetPace sets the observed time over the predicted time.
+func (e *Engine) SetPace(p float64) { e.pace = p }
+
+// UsedTokens returns the KV memory of all known work.
+func (e *Engine) UsedTokens() int {
+	used := 0
+	for i := range e.sequences {
+		used += e.sequences[i].Memory
+	}
+	return used
+}
+
+// Requests returns the number of requests that decode here or will.
+func (e *Engine) Requests() int {
+	n := 0
+	for i := range e.sequences {
+		if !e.sequences[i].Part {
+			n++
+		}
+	}
+	return n
+}
+
+// PendingPrefill returns the time that the prompts still to be computed take.
+func (e *Engine) PendingPrefill() time.Duration {
+	var sum time.Duration
+	for i := range e.sequences {
+		s := &e.sequences[i]
+		sum += e.model.PrefillTime(int(s.left), s.pairs)
+	}
+	return time.Duration(float64(sum) * e.pace)
+}
+
+// Parts returns the number of prompts of other engines that this one helps with.
+func (e *Engine) Parts() int {
+	n := 0
+	for i := range e.sequences {
+		if e.sequences[i].Part && e.sequences[i].left > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Add adds work that arrives at now.
+func (e *Engine) Add(w Work, now time.Time) {
+	e.Advance(now)
+	e.sequences = append(e.sequences, newSequence(w))
+	if e.idle {
+		e.startPass(now)
+	}
+}
+
+func newSequence(w Work) sequence {
+	return sequence{Work: w, left: float64(w.Tokens), pairs: w.Pairs, output: float64(w.Output)}
+}
+
+// Remove ends a request.
+func (e *Engine) Remove(id string, now time.Time) {
+	e.Advance(now)
+	e.sequences = slices.DeleteFunc(e.sequences, func(s sequence) bool { return s.ID == id })
+}
+
+// FirstToken corrects the prediction: the request's first token came at now. It
+// returns the predicted time of it, or zero if it was not predicted yet.
+func (e *Engine) FirstToken(id string, now time.Time) time.Time {
+	e.Advance(now)
+	for i := range e.sequences {
+		s := &e.sequences[i]
+		if s.ID != id {
+			continue
+		}
+		predicted := s.first
+		s.left, s.pairs = 0, 0
+		s.decoding = !s.Part
+		if s.first.IsZero() {
+			s.first = now
+		}
+		return predicted
+	}
+	return time.Time{}
+}
+
+// Advance moves the prediction to now.
+func (e *Engine) Advance(now time.Time) {
+	for !e.idle && !e.end.After(now) {
+		e.finishPass(nil)
+		e.startPass(e.end)
+	}
+}
+
+// startPass plans the pass that begins at t.
+func (e *Engine) startPass(t time.Time) {
+	e.now = t
+	e.admit()
+	decoding, context := e.decoders()
+	steps := 1
+	if decoding > 0 {
+		steps = e.model.Stride
+	}
+	budget := steps * e.model.Chunk
+	if decoding == 0 {
+		budget = stepsPerLook * e.model.Chunk
+	}
+	prefill := e.takePrefill(decoding > 0, budget)
+	if decoding == 0 && prefill == 0 {
+		e.waitOrIdle(t)
+		return
+	}
+	step := float64(e.model.Step) + float64(decoding)*float64(e.model.StepPerSequence) +
+		context/1000*float64(e.model.StepPerContext)
+	if decoding == 0 {
+		steps = int(math.Ceil(e.taken() / float64(max(e.model.Chunk, 1))))
+	}
+	length := time.Duration((float64(steps)*step + prefill) * e.pace)
+	e.idle = false
+	e.end = t.Add(max(length, minPass))
+}
+
+// minPass keeps a prediction from standing still where the model has no times.
+const minPass = 100 * time.Microsecond
+
+// waitOrIdle handles a pass without work: the engine is idle, or only waits for
+// parts at other engines.
+func (e *Engine) waitOrIdle(t time.Time) {
+	e.idle = true
+	for i := range e.sequences {
+		s := &e.sequences[i]
+		if s.admitted && s.left <= 0 && !s.decoding && !s.Part && s.NotBefore.After(t) {
+			if e.idle || s.NotBefore.Before(e.end) {
+				e.end = s.NotBefore
+			}
+			e.idle = false
+		}
+	}
+}
+
+// admit gives slots to requests in the order in which they came.
+func (e *Engine) admit() {
+	free := e.model.Slots
+	for i := range e.sequences {
+		if s := &e.sequences[i]; s.admitted && !s.Part {
+			free--
+		}
+	}
+	for i := range e.sequences {
+		s := &e.sequences[i]
+		if s.admitted || s.released {
+			continue
+		}
+		if s.Part {
+			s.admitted = true
+			continue
+		}
+		if free > 0 {
+			s.admitted = true
+			free--
+		}
+	}
+}
+
+// decoders returns how many sequences decode and their context together.
+func (e *Engine) decoders() (n int, context float64) {
+	for i := range e.sequences {
+		s := &e.sequences[i]
+		if s.decoding {
+			n++
+			context += float64(s.Context)
+		}
+	}
+	return n, context
+}
+
+// stepsPerLook is how many steps without decoders are predicted as one pass;
+// whole prompts of other engines' parts may go first after it.
+const stepsPerLook = 8
+
+// takePrefill deals up to budget tokens to the prompts, parts first, and returns
+// the time that they take in nanoseconds. Without decoders the pass ends with
+// the first prompt.
+func (e *Engine) takePrefill(decoding bool, budget int) float64 {
+	total := 0.0
+	left := float64(budget)
+	for _, parts := range [2]bool{true, false} {
+		for i := range e.sequences {
+			s := &e.sequences[i]
+			if s.Part != parts {
+				continue
+			}
+			s.take = 0
+			if !s.admitted || s.left <= 0 || left <= 0 || !decoding && total > 0 {
+				continue
+			}
+			s.take = min(s.left, left)
+			left -= s.take
+			total += e.prefill(s)
+		}
+	}
+	return total
+}
+
+// prefill returns the time in nanoseconds of what s takes in this pass.
+func (e *Engine) prefill(s *sequence) float64 {
+	read := s.take / e.model.PrefillRate * float64(time.Second)
+	return read + s.pairsTaken()/1e6*float64(e.model.PairTime)
+}
+
+// pairsTaken returns the pairs of what s takes. Later tokens have more pairs, so
+// the rest of a prompt loses them as the square.
+func (s *sequence) pairsTaken() float64 {
+	if s.take >= s.left || s.Tokens == 0 {
+		return s.pairs
+	}
+	done := float64(s.Tokens) - s.left
+	whole := float64(s.Tokens) * float64(s.Tokens)
+	share := ((done+s.take)*(done+s.take) - done*done) / whole
+	return min(s.pairs, share*s.Pairs)
+}
+
+func (e *Engine) taken() float64 {
+	sum := 0.0
+	for i := range e.sequences {
+		sum += e.sequences[i].take
+	}
+	return sum
+}
+
+// finishPass applies the present pass and adds its events to o, if given.
+func (e *Engine) finishPass(o *outlook) {
+	length := e.end.Sub(e.now)
+	for i := range e.sequences {
+		s := &e.sequences[i]
+		if s.decoding {
+			s.output -= float64(e.model.Stride)
+			if s.MaxPause > 0 {
+				s.worst = max(s.worst, float64(length)/float64(s.MaxPause))
+			}
+			continue
+		}
+		if s.take > 0 {
+			s.pairs -= s.pairsTaken()
+			s.left -= s.take
+			s.take = 0
+		}
+		if s.admitted && s.left <= 0 && s.first.IsZero() && !e.end.Before(s.NotBefore) {
+			s.first = e.end
+			s.decoding = !s.Part
+			if o != nil && s.ID == o.id {
+				o.first = s.first
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/hosted/hosted.go
@@ -0,0 +1,159 @@
+package hosted
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/oklog/run"
+
+	"github.com/banyanroute/banyanroute/internal/deployment"
+	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/passthrough"
+	"github.com/banyanroute/banyanroute/internal/placement"
+)
+
+var log = logging.For("hosted")
+
+// Prober asks an upstream whether it answers.
+type Prober interface {
+	Probe(ctx context.Context, up deployment.Upstream, service deployment.Service) error
+}
+
+// Options are the parts that the platform's adapter provides.
+type Options struct {
+	Settings Settings
+	// Reload reads the settings again.
+	Reload func() (Settings, error)
+	// Sources deliver configuration and upstreams.
+	Sources  []deployment.Source
+	Codec    passthrough.Codec
+	Reserver passthrough.Reserver
+	Prober   Prober
+	// ReadinessPath is where the platform asks whether the instance is ready.
+	ReadinessPath string
+}
+
+// Instance is one instance on a platform.
+type Instance struct {
+	opts     Options
+	settings Settings
+	state    *deployment.State
+	planner  *placement.Planner
+	handler  *passthrough.Handler
+	draining atomic.Bool
+
+	callers   *http.Server
+	readiness *http.Server
+	operators *http.Server
+}
+
+// New builds an instance. Nothing runs or listens yet.
+func New(o Options) *Instance {
+	s := o.Settings
+	n := &Instance{opts: o, settings: s, state: deployment.NewState(), planner: placement.NewPlanner(s.DataCentre)}
+	n.state.Subscribe(n.planner.SetView)
+	n.handler = passthrough.New(passthrough.Options{
+		Instance:  s.Instance,
+		State:     n.state,
+		Codec:     o.Codec,
+		Placer:    placement.NewLocal(n.planner),
+		Reserver:  o.Reserver,
+		Retries:   passthrough.RetryBudget{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
+		Instances: func() int { return assumedInstances },
+		Draining:  n.draining.Load,
+	})
+	n.buildServers()
+	return n
+}
+
+// assumedInstances is used until the number of live instances is known.
+const assumedInstances = 8
+
+// Run runs the instance until a signal has stopped it.
+func (n *Instance) Run(ctx context.Context) error {
+	var group run.Group
+	for _, source := range n.opts.Sources {
+		addActor(&group, deployment.NewFollower(n.state, source).Run)
+	}
+	addActor(&group, n.probe)
+	for _, s := range []struct {
+		name, address string
+		server        *http.Server
+	}{
+		{"operators", n.settings.Operators, n.operators},
+		{"readiness", n.settings.Readiness, n.readiness},
+		{"callers", n.settings.Callers, n.callers},
+	} {
+		if err := addServer(&group, s.name, s.address, s.server); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	n.addStop(ctx, &group)
+	log.WithField("instance", n.settings.Instance).WithField("data_centre", n.settings.DataCentre).
+		WithField("callers", n.settings.Callers).Info("The instance starts.")
+	err := group.Run()
+	log.WithField("instance", n.settings.Instance).Info("The instance has stopped.")
+	return err
+}
+
+// addActor adds an actor that ends with its context.
+func addActor(group *run.Group, f func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error {
+		err := f(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		return err
+	}, func(error) { cancel() })
+}
+
+// ready states whether the instance can serve callers.
+func (n *Instance) ready() bool {
+	v := n.state.View()
+	return !n.draining.Load() && v.Config != nil && !v.ListedAt.IsZero()
+}
+
+// Probes of upstreams that were lost.
+const (
+	// probeInterval is the time between two looks at lost upstreams.
+	probeInterval = 500 * time.Millisecond
+	// probeTimeout bounds one probe.
+	probeTimeout = 700 * time.Millisecond
+)
+
+// probe asks lost upstreams whether they are back.
+func (n *Instance) probe(ctx context.Context) error {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		for _, up := range n.planner.Suspects(time.Now()) {
+			go n.probeOne(ctx, up)
+		}
+	}
+}
+
+func (n *Instance) probeOne(ctx context.Context, up deployment.Upstream) {
+	config := n.state.View().Config
+	if config == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	err := n.opts.Prober.Probe(ctx, up, config.Services[up.Service])
+	n.planner.Probed(up.Service, up.ID, err == nil, time.Now())
+	entry := log.WithField("upstream", up.ID).WithField("service", up.Service)
+	if err != nil {
+		entry.WithError(err).Debug("A lost upstream does not answer probes yet.")
+		return
+	}
+	entry.Info("A lost upstream answers probes and gets work again.")
+}
--- /dev/null
+++ b/internal/hosted/settings.go
@@ -0,0 +1,38 @@
+package hosted
+
+import "time"
+
+// Settings are what an instance learns about its place from the platform.
+type Settings struct {
+	// Instance is unique in the deployment.
+	Instance   string
+	DataCentre string
+	Region     string
+	// Callers, Readiness and Links are host:port to listen on. Links serves the
+	// other instances.
+	Callers   string
+	Readiness string
+	Links     string
+	// Operators serves metrics and state dumps.
+	Operators string
+	// Store is host:port of the platform's metadata store.
+	Store string
+	// CPUShare is the part of a core that the process has.
+	CPUShare float64
+	// MemoryBytes is the limit above which the process is killed.
+	MemoryBytes int64
+	// StopGrace is the time between SIGTERM and SIGKILL.
+	StopGrace time.Duration
+	// LeaveAfter is how long a leaving upstream may still get new work.
+	LeaveAfter time.Duration
+	// RetryRatio, RetryWindow and RetryExtra bound retries of all instances
+	// together: in each window RetryRatio of the requests, plus RetryExtra.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetryExtra  float64
+	// EngineStall is after how long an engine gives up work that depends on
+	// an engine that is gone.
+	EngineStall time.Duration
+	// MaxHold is the longest lease of a reservation of engine memory.
+	MaxHold time.Duration
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -23,6 +23,18 @@
 	return nil
 }
 
+// SetupStructured makes all loggers write one JSON object a line.
+func SetupStructured(out io.Writer, level string) error {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return err
+	}
+	root.SetOutput(out)
+	root.SetLevel(parsed)
+	root.SetFormatter(&logrus.JSONFormatter{})
+	return nil
+}
+
 // partKey is the field that carries a logger's prefix to the formatter.
 const partKey = "part"
 
--- /dev/null
+++ b/internal/passthrough/events.go
@@ -0,0 +1,56 @@
+package passthrough
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// errLongEvent says that an event is over maxEventBytes.
+var errLongEvent = errors.New("an event of the stream is too long")
+
+// event is one whole event with the bytes as the engine sent them.
+type event struct {
+	raw []byte
+	// id is the event's ID; empty if it has none.
+	id string
+}
+
+// eventReader splits a stream into whole events.
+type eventReader struct{ in *bufio.Reader }
+
+func newEventReader(in io.Reader) *eventReader { return &eventReader{bufio.NewReader(in)} }
+
+// next returns the next event. It returns io.EOF at the end of the stream, and
+// io.ErrUnexpectedEOF if the stream ends within an event.
+func (r *eventReader) next() (event, error) {
+	var e event
+	for {
+		line, err := r.in.ReadSlice('\n')
+		e.raw = append(e.raw, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			if len(e.raw) > maxEventBytes {
+				return event{}, errLongEvent
+			}
+			continue
+		case errors.Is(err, io.EOF) && len(e.raw) > 0:
+			return event{}, io.ErrUnexpectedEOF
+		case err != nil:
+			return event{}, err
+		}
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			e.id = string(bytes.TrimSpace(id))
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return e, nil
+		}
+		if len(e.raw) > maxEventBytes {
+			return event{}, errLongEvent
+		}
+	}
+}
--- /dev/null
+++ b/internal/passthrough/handler.go
@@ -0,0 +1,335 @@
+package passthrough
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/banyanroute/banyanroute/internal/deployment"
+	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/placement"
+	"github.com/banyanroute/banyanroute/internal/result"
+)
+
+var log = logging.For("passthrough")
+
+// Placer chooses upstreams. Package placement implements it.
+type Placer interface {
+	Place(ctx context.Context, j placement.Job) placement.Decision
+	// FirstAnswer says that the first token or the answer arrived.
+	FirstAnswer(service, id string)
+	// Ended says how the attempt ended; every placed job must end once.
+	Ended(service, id string, o placement.Outcome)
+}
+
+// Options configures a Handler.
+type Options struct {
+	// Instance names this instance in jobs and logs.
+	Instance string
+	State    *deployment.State
+	Codec    Codec
+	Placer   Placer
+	// Reserver reserves engine memory for prompts of several engines.
+	Reserver Reserver
+	Retries  RetryBudget
+	// Instances returns the number of live instances.
+	Instances func() int
+	// Draining states whether a planned stop has begun.
+	Draining func() bool
+}
+
+// Handler serves callers.
+type Handler struct {
+	opts      Options
+	transport http.RoundTripper
+	budgets   *budgets
+	journal   *journal
+}
+
+// New returns a Handler.
+func New(o Options) *Handler {
+	return &Handler{
+		opts:      o,
+		transport: newTransport(),
+		budgets:   newBudgets(o.Retries, o.Instances),
+		journal:   newJournal(),
+	}
+}
+
+// request is one caller's request under way.
+type request struct {
+	w         http.ResponseWriter
+	r         *http.Request
+	arrived   time.Time
+	deadline  time.Time
+	view      *deployment.View
+	call      Call
+	route     *deployment.Route
+	service   string
+	workspace string
+	body      []byte
+	// tried lists the upstreams that were sent to; ran counts those that may
+	// have run the request.
+	tried []string
+	ran   int
+	// sends counts all sends.
+	sends int
+	story story
+}
+
+// Timeouts of requests that do not bring their own.
+const (
+	// defaultTimeout applies where neither caller nor route set one.
+	defaultTimeout = 30 * time.Second
+	// notReadyRetry is when callers may come back to an instance without a
+	// configuration.
+	notReadyRetry = time.Second
+)
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	rq := &request{w: w, r: r, arrived: time.Now(), view: h.opts.State.View(), call: h.opts.Codec.ReadCall(r.Header)}
+	if h.opts.Draining() {
+		w.Header().Set("Connection", "close")
+	}
+	err := h.admit(rq)
+	if err == nil {
+		h.budgets.request(rq.service, rq.arrived)
+		ctx, cancel := context.WithDeadline(r.Context(), rq.deadline)
+		if rq.route.Kind == deployment.Stream {
+			err = h.stream(ctx, rq)
+		} else {
+			err = h.whole(ctx, rq)
+		}
+		cancel()
+	}
+	h.journal.write(rq, err)
+	if err != nil {
+		h.refuse(rq, err)
+	}
+}
+
+// admit finds the route and the workspace and reads the body.
+func (h *Handler) admit(rq *request) *result.Error {
+	c := rq.view.Config
+	if c == nil {
+		return result.New(result.NotReady, "no configuration is known yet").After(notReadyRetry)
+	}
+	path, _, _ := strings.Cut(rq.r.RequestURI, "?")
+	rq.route = rq.view.RouteOf(hostOf(rq.r.Host), path)
+	if rq.route == nil {
+		return result.New(result.UnknownRoute, "no route has this host and path")
+	}
+	workspace, known := c.Keys[rq.call.Key]
+	if c.Keys != nil && !known && !rq.route.Public {
+		return result.New(result.Unauthenticated, "the API key is missing or unknown")
+	}
+	rq.workspace = workspace.Name
+	rq.service = pickTarget(rq.route, rq.call.ID)
+	rq.deadline = rq.arrived.Add(rq.timeout())
+	limit := c.Limits.BodyBytes
+	if limit <= 0 {
+		limit = maxBody
+	}
+	body, err := readBody(rq.w, rq.r, limit)
+	rq.body = body
+	return err
+}
+
+// maxBody bounds a body where the configuration does not.
+const maxBody = 8 << 20
+
+// timeout returns how long the caller's request may take.
+func (rq *request) timeout() time.Duration {
+	timeout := defaultTimeout
+	if rq.route.Timeout > 0 {
+		timeout = rq.route.Timeout
+	}
+	if rq.call.Remaining > 0 {
+		timeout = min(timeout, rq.call.Remaining)
+	}
+	return timeout
+}
+
+// hostOf returns the host without a port, in lower case.
+func hostOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// pickTarget chooses a service by the route's weights. The choice follows from
+// the call's ID, so that it can be explained afterwards.
+func pickTarget(route *deployment.Route, id string) string {
+	total := 0.0
+	for _, t := range route.Targets {
+		total += t.Weight
+	}
+	if total <= 0 || len(route.Targets) == 1 {
+		return route.Targets[0].Service
+	}
+	point := float64(xxhash.Sum64String(id)>>11) / (1 << 53) * total
+	for _, t := range route.Targets {
+		if point -= t.Weight; point < 0 {
+			return t.Service
+		}
+	}
+	return route.Targets[len(route.Targets)-1].Service
+}
+
+// attempt is one send of a request.
+type attempt struct {
+	// job is the ID of the placed job.
+	job      string
+	upstream deployment.Upstream
+	decision placement.Decision
+	header   http.Header
+	// release gives back reserved memory.
+	release func()
+}
+
+// place asks for an upstream. An error means that nothing was sent.
+func (h *Handler) place(ctx context.Context, rq *request, lastEvent string) (*attempt, *result.Error) {
+	job := placement.Job{
+		ID:          uuid.NewString(),
+		Owner:       h.opts.Instance,
+		Service:     rq.service,
+		Prompt:      rq.call.PromptTokens,
+		Output:      rq.outputTokens(),
+		FirstAnswer: rq.route.FirstAnswer,
+		MaxPause:    rq.route.MaxPause,
+		Waited:      time.Since(rq.arrived),
+		Remaining:   time.Until(rq.deadline),
+		Avoid:       rq.tried,
+	}
+	d := h.opts.Placer.Place(ctx, job)
+	if d.Upstream == "" {
+		return nil, refusalOf(d)
+	}
+	// The view may have changed since the request came; an upstream that has
+	// left meanwhile must not be used.
+	view := h.opts.State.View()
+	up, known := view.Upstream(d.Upstream)
+	if !known || up.Leaving || up.Service != rq.service {
+		h.opts.Placer.Ended(rq.service, job.ID, placement.Abandoned)
+		return nil, result.New(result.NoUpstream, "upstream %s has left", d.Upstream).After(retrySoon)
+	}
+	a := &attempt{job: job.ID, upstream: up, decision: d, release: func() {}}
+	out := Outgoing{
+		Remaining:   time.Until(rq.deadline),
+		Upstream:    up.ID,
+		Workspace:   rq.workspace,
+		Urgency:     urgency(rq.call.PromptTokens),
+		Generation:  rq.route.Generation,
+		LastEventID: lastEvent,
+	}
+	if err := h.recruit(ctx, rq, a, view, &out); err != nil {
+		h.opts.Placer.Ended(rq.service, job.ID, placement.Abandoned)
+		return nil, err
+	}
+	a.header = make(http.Header, len(rq.r.Header)+4)
+	h.opts.Codec.WriteCall(a.header, rq.r.Header, out)
+	rq.story.placed(a)
+	return a, nil
+}
+
+// retrySoon is when a request may come back that met a passing state.
+const retrySoon = 200 * time.Millisecond
+
+// outputTokens estimates the answer's length.
+func (rq *request) outputTokens() int {
+	c := rq.call
+	if c.LikelyOutputTokens > 0 && (c.MaxOutputTokens == 0 || c.LikelyOutputTokens < c.MaxOutputTokens) {
+		return c.LikelyOutputTokens
+	}
+	return c.MaxOutputTokens
+}
+
+// Urgencies by prompt size; engines admit lower ones first.
+const (
+	urgencyShort = 3
+	urgencyLong  = 5
+	urgencyHuge  = 6
+	shortPrompt  = 16_000
+	hugePrompt   = 100_000
+)
+
+// urgency lets short questions go before long prompts.
+func urgency(promptTokens int) int {
+	switch {
+	case promptTokens <= shortPrompt:
+		return urgencyShort
+	case promptTokens < hugePrompt:
+		return urgencyLong
+	}
+	return urgencyHuge
+}
+
+// send makes one attempt and returns the answer's header.
+func (h *Handler) send(ctx context.Context, rq *request, a *attempt) (*http.Response, Reply, error) {
+	rq.sends++
+	rq.tried = append(rq.tried, a.upstream.ID)
+	res, err := roundTrip(ctx, h.transport, outbound{
+		method:  rq.r.Method,
+		address: a.upstream.Address,
+		host:    rq.r.Host,
+		target:  rq.r.RequestURI,
+		header:  a.header,
+		body:    rq.body,
+	})
+	if err != nil {
+		return nil, Reply{}, err
+	}
+	reply := h.opts.Codec.ReadReply(res.StatusCode, res.Header)
+	if reply.CallID != "" && reply.CallID != rq.call.ID || reply.Encoded {
+		res.Body.Close()
+		return nil, Reply{}, errNotAnswer
+	}
+	return res, reply, nil
+}
+
+// refusalOf turns a placer's refusal into a result.
+func refusalOf(d placement.Decision) *result.Error {
+	var e *result.Error
+	switch d.Reason {
+	case placement.TooLate:
+		e = result.New(result.DeadlineUnmeetable, "the engines cannot answer in time")
+	case placement.TooLarge:
+		e = result.New(result.Overloaded, "the engines have no memory for the prompt now")
+	default:
+		e = result.New(result.NoUpstream, "no upstream can take the request now")
+	}
+	return e.After(d.RetryAfter)
+}
+
+// mayRetry states whether the request may be sent to another upstream, and
+// spends retry budget. ranHere says that the last attempt may have run.
+func (h *Handler) mayRetry(ctx context.Context, rq *request, ranHere bool) bool {
+	if ranHere {
+		rq.ran++
+	}
+	if ctx.Err() != nil || rq.ran >= rq.route.MaxAttempts || rq.sends >= maxSends {
+		return false
+	}
+	return h.budgets.spend(rq.service, time.Now())
+}
+
+// maxSends bounds the sends of one request, refused ones included.
+const maxSends = 4
+
+// triedAll states whether no upstream is left that was not tried.
+func (rq *request) triedAll(v *deployment.View) bool {
+	for _, up := range v.Upstreams(rq.service) {
+		if !slices.Contains(rq.tried, up.ID) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/passthrough/recruit.go
@@ -0,0 +1,46 @@
+package passthrough
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/deployment"
+	"github.com/banyanroute/banyanroute/internal/result"
+)
+
+// Reserver reserves KV memory of engines.
+type Reserver interface {
+	// Reserve reserves memory under a name, or renews it, for a lease that runs
+	// from its arrival.
+	Reserve(ctx context.Context, address, name string, tokens int, lease time.Duration) error
+	Release(ctx context.Context, address, name string) error
+}
+
+// recruit fills in the helpers of an attempt and reserves memory at them.
+func (h *Handler) recruit(ctx context.Context, rq *request, a *attempt, view *deployment.View, out *Outgoing) *result.Error {
+	var holds []hold
+	for i, part := range a.decision.Helpers {
+		up, known := view.Upstream(part.Upstream)
+		if !known || up.Leaving {
+			return result.New(result.NoUpstream, "engine %s has left", part.Upstream).After(retrySoon)
+		}
+		helper := Helper{Address: up.Address}
+		if part.ReservedTokens > 0 {
+			helper.Reservation = a.job + "-" + strconv.Itoa(i)
+			holds = append(holds, hold{address: up.Address, name: helper.Reservation, tokens: part.ReservedTokens})
+		}
+		out.Helpers = append(out.Helpers, helper)
+	}
+	// Reserved memory is filled in turn, so those with a reservation go first.
+	sortReservedFirst(out.Helpers)
+	if len(holds) == 0 {
+		return nil
+	}
+	lease, err := h.reserve(ctx, holds, time.Until(rq.deadline))
+	if err != nil {
+		return result.Wrap(err, result.Overloaded, "the engines have no memory for the prompt now").After(retrySoon)
+	}
+	a.release = lease.release
+	return nil
+}
--- /dev/null
+++ b/internal/passthrough/refuse.go
@@ -0,0 +1,43 @@
+package passthrough
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/result"
+)
+
+// refuse answers with a result of the system's own. Where an answer has begun,
+// the connection is broken off, so that it cannot look complete.
+func (h *Handler) refuse(rq *request, e *result.Error) {
+	if e.Code == result.CallerGone || rq.story.status != 0 {
+		panic(http.ErrAbortHandler)
+	}
+	status := statusOf(e)
+	header := rq.w.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("X-Result-Code", strconv.Itoa(int(e.Code)))
+	h.opts.Codec.WriteCallID(header, rq.call.ID)
+	if e.RetryAfter > 0 && e.Execution == result.NotRun {
+		header.Set("Retry-After", retryAfter(e.RetryAfter))
+	}
+	text := e.Error() + "\n"
+	header.Set("Content-Length", strconv.Itoa(len(text)))
+	rq.w.WriteHeader(status)
+	_, _ = rq.w.Write([]byte(text)) // the caller may have left
+}
+
+// statusOf keeps the statuses that promise "not run" to results that prove it.
+func statusOf(e *result.Error) int {
+	status := e.Code.Info().Status
+	promises := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests ||
+		status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
+	if promises && e.Execution != result.NotRun {
+		return http.StatusBadGateway
+	}
+	return status
+}
+
+// retryAfter writes seconds with a fraction.
+func retryAfter(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 2, 64) }
--- /dev/null
+++ b/internal/passthrough/stream.go
@@ -0,0 +1,174 @@
+package passthrough
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/placement"
+	"github.com/banyanroute/banyanroute/internal/result"
+)
+
+// Silence of a stream after which it is taken to be stuck and goes on elsewhere.
+const (
+	// minSilence is the least silence before the first event.
+	minSilence = 1200 * time.Millisecond
+	// silencePauses times the route's longest pause is the least between events.
+	silencePauses = 4
+	// expectFactor times the predicted time is the least before the first event.
+	expectFactor = 2
+)
+
+// streamState is what the caller of a stream has so far.
+type streamState struct {
+	begun bool
+	// last is the ID of the last event that was passed on.
+	last   string
+	events int
+}
+
+// stream relays events as they come. If an engine is lost, the stream goes on at
+// another after the last whole event, where the route allows it.
+func (h *Handler) stream(ctx context.Context, rq *request) *result.Error {
+	var s streamState
+	for {
+		a, refused := h.place(ctx, rq, s.last)
+		if refused != nil {
+			return h.outOfPlaces(ctx, rq, refused)
+		}
+		end := h.tryStream(ctx, rq, a, &s)
+		a.release()
+		h.opts.Placer.Ended(rq.service, a.job, end.outcome)
+		rq.story.ended(end.outcome, end.status)
+		switch {
+		case end.outcome == placement.Completed:
+			return end.result
+		case end.answer != nil && !end.notRun && end.answer.status < http.StatusInternalServerError:
+			return h.deliver(rq, end.answer)
+		case !end.notRun && !rq.route.Resumable,
+			!h.mayRetry(ctx, rq, !end.notRun):
+			if end.answer != nil && !end.notRun && !s.begun {
+				return h.deliver(rq, end.answer)
+			}
+			return h.ended(ctx, rq, end.err, end.notRun)
+		}
+	}
+}
+
+// streamEnd is how one attempt of a stream ended.
+type streamEnd struct {
+	outcome placement.Outcome
+	status  int
+	err     error
+	notRun  bool
+	// answer is a whole answer that is no stream, such as an engine's error.
+	answer *wholeAnswer
+	// result is set if the caller is to be told of an error after all.
+	result *result.Error
+}
+
+// tryStream makes one attempt and passes its events on.
+func (h *Handler) tryStream(ctx context.Context, rq *request, a *attempt, s *streamState) streamEnd {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := newWatchdog(max(minSilence, expectFactor*a.decision.Expect), func() { cancel(errSilent) })
+	defer watch.stop()
+	res, reply, err := h.send(ctx, rq, a)
+	if err != nil {
+		return streamEnd{outcome: h.lossOf(ctx, rq, err), err: err, notRun: errors.Is(err, errNotSent)}
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK || !reply.Signed {
+		return h.notStream(ctx, rq, res, reply, s)
+	}
+	events := newEventReader(res.Body)
+	pause := max(minSilence, silencePauses*rq.route.MaxPause)
+	for {
+		e, err := events.next()
+		if errors.Is(err, io.EOF) && s.begun {
+			return streamEnd{outcome: placement.Completed, status: res.StatusCode}
+		}
+		if err != nil {
+			return streamEnd{outcome: h.lossOf(ctx, rq, err), status: res.StatusCode, err: err}
+		}
+		watch.reset(pause)
+		if s.events == 0 || !s.begun {
+			h.opts.Placer.FirstAnswer(rq.service, a.job)
+		}
+		if err := h.pass(rq, res, e, s); err != nil {
+			return streamEnd{outcome: placement.Abandoned, status: res.StatusCode, err: err}
+		}
+	}
+}
+
+// errSilent says that an engine sent nothing for too long.
+var errSilent = errors.New("the engine sent nothing for too long")
+
+// lossOf tells the placer how a broken attempt ended.
+func (h *Handler) lossOf(ctx context.Context, rq *request, err error) placement.Outcome {
+	switch {
+	case errors.Is(context.Cause(ctx), errSilent):
+		return placement.Stalled
+	case rq.r.Context().Err() != nil || ctx.Err() != nil:
+		return placement.Abandoned
+	case errors.Is(err, errNotSent):
+		return placement.Unreached
+	case errors.Is(err, errNotAnswer):
+		return placement.Failed
+	}
+	return placement.Lost
+}
+
+// notStream handles an answer that is not a stream of events.
+func (h *Handler) notStream(ctx context.Context, rq *request, res *http.Response, reply Reply, s *streamState) streamEnd {
+	end := streamEnd{outcome: placement.Failed, status: res.StatusCode, notRun: reply.NotRun, err: errNotAnswer}
+	if reply.NotRun {
+		end.outcome, end.err = placement.Refused, errRefused
+		return end
+	}
+	body, err := readAnswer(res)
+	if err != nil {
+		end.outcome, end.err = h.lossOf(ctx, rq, err), err
+		return end
+	}
+	if reply.Signed && !s.begun {
+		end.answer = &wholeAnswer{status: res.StatusCode, header: res.Header, reply: reply, body: body}
+	}
+	return end
+}
+
+// pass writes one event to the caller, after the header of the first engine.
+func (h *Handler) pass(rq *request, res *http.Response, e event, s *streamState) error {
+	if !s.begun {
+		header := rq.w.Header()
+		closing := header.Get("Connection")
+		h.opts.Codec.WriteReply(header, res.Header)
+		if closing != "" {
+			header.Set("Connection", closing)
+		}
+		header.Del("Content-Length")
+		rq.story.status = res.StatusCode
+		rq.story.first = time.Since(rq.arrived)
+		rq.w.WriteHeader(res.StatusCode)
+		s.begun = true
+	}
+	if _, err := rq.w.Write(e.raw); err != nil {
+		return err
+	}
+	s.events++
+	if e.id != "" {
+		s.last = e.id
+	}
+	return http.NewResponseController(rq.w).Flush()
+}
+
+// watchdog calls a function if it is not reset in time.
+type watchdog struct{ timer *time.Timer }
+
+func newWatchdog(d time.Duration, f func()) *watchdog { return &watchdog{time.AfterFunc(d, f)} }
+
+func (w *watchdog) reset(d time.Duration) { w.timer.Reset(d) }
+
+func (w *watchdog) stop() { w.timer.Stop() }
--- /dev/null
+++ b/internal/placement/generation.go
@@ -0,0 +1,248 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/enginemodel"
+)
+
+// Limits of a decision about a generation.
+const (
+	// sharedFrom is the prompt size from which on several engines are considered.
+	sharedFrom = 12_000
+	// maxHelpers is the most helpers that an engine takes.
+	maxHelpers = 15
+	// minHorizon is how far a look ahead goes at least.
+	minHorizon = 400 * time.Millisecond
+	// errorLoss is the part of a job's value that an error rate of 1 costs;
+	// most failed attempts succeed elsewhere, late.
+	errorLoss = 0.8
+	// remoteLoss is the cost of an engine in another data centre per unit of
+	// value.
+	remoteLoss = 0.002
+	// reserveSlack is the part of a reservation added for blocks that are not
+	// full.
+	reserveSlack = 64
+)
+
+// teamSizes are the numbers of engines considered for one prompt.
+var teamSizes = []int{2, 3, 4, 6, 8, 11, 14, 16}
+
+// option is one engine's part of a job and what it costs.
+type option struct {
+	member *member
+	// cost is the loss of value that the work causes there.
+	cost  float64
+	ready time.Time
+	free  int
+}
+
+// placeGeneration chooses the engine, or the engines, on which the job and those
+// under way lose the least value by lateness.
+func (p *Planner) placeGeneration(pl *pool, candidates []*member, j *Job, now time.Time) Decision {
+	model := pl.service.Engine
+	best, found := p.solo(model, candidates, j, now)
+	if model.Joint && j.Prompt >= sharedFrom {
+		if team, ok := p.team(model, candidates, j, now); ok && (!found || team.cost < best.cost) {
+			best, found = team, true
+		}
+	}
+	if !found {
+		return Decision{Reason: TooLarge, RetryAfter: refusalPause}
+	}
+	expect := best.ready.Sub(now)
+	if expect > j.Remaining {
+		return Decision{Reason: TooLate, RetryAfter: min(expect-j.Remaining, maxPause)}
+	}
+	best.decision.Expect = expect
+	return best.decision
+}
+
+// proposal is a decision with its cost.
+type proposal struct {
+	decision Decision
+	cost     float64
+	ready    time.Time
+}
+
+// horizon is how far ahead the effects of the job are looked at.
+func horizon(j *Job, now time.Time) time.Time {
+	return now.Add(max(min(j.FirstAnswer, time.Second), minHorizon))
+}
+
+// solo finds the best single engine.
+func (p *Planner) solo(model *enginemodel.Model, candidates []*member, j *Job, now time.Time) (proposal, bool) {
+	w := j.work(j.Prompt, now)
+	options := p.options(model, candidates, j, w, now)
+	var best proposal
+	found := false
+	for _, o := range options {
+		if o.free < w.Memory {
+			continue
+		}
+		if !found || o.cost < best.cost {
+			best = proposal{decision: Decision{Upstream: o.member.upstream.ID}, cost: o.cost, ready: o.ready}
+			found = true
+		}
+	}
+	return best, found
+}
+
+// work returns the job's work on the engine that decodes, of which it computes
+// tokens; the rest is computed by helpers.
+func (j *Job) work(tokens int, now time.Time) enginemodel.Work {
+	start := now.Add(-j.Waited)
+	share := 1.0
+	if j.Prompt > 0 {
+		share = float64(tokens) / float64(j.Prompt)
+	}
+	return enginemodel.Work{
+		ID:       j.ID,
+		Tokens:   tokens,
+		Pairs:    share * enginemodel.Pairs(j.Prompt),
+		Output:   max(j.Output, 1),
+		Context:  j.Prompt,
+		Memory:   j.Prompt + j.Output,
+		Start:    start,
+		FirstBy:  start.Add(j.FirstAnswer),
+		MaxPause: j.MaxPause,
+		Value:    j.value(),
+	}
+}
+
+// part returns the work of a helper.
+func (j *Job) part(tokens int) enginemodel.Work {
+	return enginemodel.Work{
+		ID:     j.ID,
+		Tokens: tokens,
+		Pairs:  float64(tokens) / float64(j.Prompt) * enginemodel.Pairs(j.Prompt),
+		Part:   true,
+	}
+}
+
+// options returns what w costs on each candidate.
+func (p *Planner) options(model *enginemodel.Model, candidates []*member, j *Job, w enginemodel.Work, now time.Time) []option {
+	until := horizon(j, now)
+	value := j.value()
+	list := make([]option, 0, len(candidates))
+	for _, m := range candidates {
+		with, ready := m.engine.Outlook(&w, now, until)
+		without, _ := m.engine.Outlook(nil, now, until)
+		o := option{
+			member: m,
+			cost:   with - without + errorLoss*value*m.condition.errorRate(now),
+			ready:  ready,
+			free:   model.MemoryTokens - m.engine.UsedTokens(),
+		}
+		if m.upstream.DataCentre != p.dataCentre {
+			o.cost += remoteLoss * value
+		}
+		list = append(list, o)
+	}
+	return list
+}
+
+// team finds the best set of engines that compute the prompt together.
+func (p *Planner) team(model *enginemodel.Model, candidates []*member, j *Job, now time.Time) (proposal, bool) {
+	var best proposal
+	found := false
+	for _, size := range teamSizes {
+		if size > len(candidates) || size-1 > maxHelpers {
+			break
+		}
+		if t, ok := p.teamOf(size, model, candidates, j, now); ok && (!found || t.cost < best.cost) {
+			best, found = t, true
+		}
+	}
+	return best, found
+}
+
+// teamOf finds the best set of a size.
+func (p *Planner) teamOf(size int, model *enginemodel.Model, candidates []*member, j *Job, now time.Time) (proposal, bool) {
+	part := (j.Prompt + size - 1) / size
+	options := p.options(model, candidates, j, j.part(part), now)
+	value := j.value()
+	start := now.Add(-j.Waited)
+	lateness := func(ready time.Time) float64 {
+		return value * enginemodel.Lateness(float64(ready.Sub(start))/float64(max(j.FirstAnswer, time.Millisecond)))
+	}
+	slices.SortStableFunc(options, func(a, b option) int {
+		return cmp.Compare(a.cost+lateness(a.ready), b.cost+lateness(b.ready))
+	})
+	options = options[:size]
+	var t proposal
+	for _, o := range options {
+		t.cost += o.cost
+		t.ready = maxTime(t.ready, o.ready)
+	}
+	t.cost += lateness(t.ready)
+	d, ok := assign(options, j)
+	t.decision = d
+	return t, ok
+}
+
+// assign makes the engine with the most free memory the first, and reserves
+// memory at helpers for what does not fit there.
+func assign(options []option, j *Job) (Decision, bool) {
+	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(b.free, a.free) })
+	d := Decision{Upstream: options[0].member.upstream.ID}
+	rest := j.Prompt + j.Output - options[0].free
+	for _, o := range options[1:] {
+		part := Part{Upstream: o.member.upstream.ID}
+		if rest > 0 && o.free > reserveSlack {
+			part.ReservedTokens = min(o.free, rest+reserveSlack)
+			rest -= part.ReservedTokens - reserveSlack
+		}
+		d.Helpers = append(d.Helpers, part)
+	}
+	return d, rest <= 0
+}
+
+// placedWork is a job's work on one engine.
+type placedWork struct {
+	upstream string
+	work     enginemodel.Work
+}
+
+// works returns the work that a decision makes on each of its engines.
+func (pl *pool) works(j *Job, d Decision, now time.Time) []placedWork {
+	size := 1 + len(d.Helpers)
+	tokens := (j.Prompt + size - 1) / size
+	first := j.work(tokens, now)
+	first.NotBefore = now.Add(d.Expect)
+	if len(d.Helpers) == 0 {
+		first.NotBefore = time.Time{}
+	}
+	list := []placedWork{{d.Upstream, first}}
+	for _, h := range d.Helpers {
+		w := j.part(tokens)
+		w.Memory = h.ReservedTokens
+		list[0].work.Memory -= h.ReservedTokens
+		list = append(list, placedWork{h.Upstream, w})
+	}
+	return list
+}
+
+// Learning of an engine's pace.
+const (
+	// paceGain is the weight of one first token.
+	paceGain = 0.3
+	// minPaceSample is the shortest prediction that says something about pace.
+	minPaceSample = 30 * time.Millisecond
+	// minPace and maxPace bound what is believed.
+	minPace = 1.0
+	maxPace = 12.0
+)
+
+// learnPace compares when the first token came with when it was predicted.
+func (m *member) learnPace(pj *placed, now time.Time) {
+	expected := pj.decision.Expect
+	if len(pj.decision.Helpers) > 0 || expected < minPaceSample {
+		return
+	}
+	ratio := m.engine.Pace() * float64(now.Sub(pj.at)) / float64(expected)
+	pace := m.engine.Pace() + paceGain*(ratio-m.engine.Pace())
+	m.engine.SetPace(min(max(pace, minPace), maxPace))
+}
