Homes plan for all instances: one view of each service's load

Change: rendezvous hashing over live members picks a home for each service; it grants places over the existing links; news of first tokens and ends travel with the next question or after 15 ms. A home that does not answer in 60 ms is passed over. The rendezvous ranking of ledger, order and reclaim moved to peer.

--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -12,6 +12,7 @@
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/logging"
 	"github.com/banyanroute/banyanroute/internal/passthrough"
+	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/placement"
 )
 
@@ -32,6 +33,8 @@
 	Codec    passthrough.Codec
 	Reserver passthrough.Reserver
 	Prober   Prober
+	// Directory lists the instances.
+	Directory Directory
 	// ReadinessPath is where the platform asks whether the instance is ready.
 	ReadinessPath string
 }
@@ -42,12 +45,15 @@
 	settings Settings
 	state    *deployment.State
 	planner  *placement.Planner
+	fleet    *placement.Fleet
+	links    *links
 	handler  *passthrough.Handler
 	draining atomic.Bool
 
-	callers   *http.Server
-	readiness *http.Server
-	operators *http.Server
+	callers    *http.Server
+	readiness  *http.Server
+	operators  *http.Server
+	linkServer *http.Server
 }
 
 // New builds an instance. Nothing runs or listens yet.
@@ -55,14 +61,23 @@
 	s := o.Settings
 	n := &Instance{opts: o, settings: s, state: deployment.NewState(), planner: placement.NewPlanner(s.DataCentre)}
 	n.state.Subscribe(n.planner.SetView)
+	self := peer.Member{
+		ID:          s.Instance,
+		Incarnation: uint64(time.Now().UnixNano()),
+		Address:     s.Links,
+		DataCentre:  s.DataCentre,
+		Region:      s.Region,
+	}
+	n.fleet = placement.NewFleet(n.planner, placement.OwnerName(self))
+	n.links = &links{directory: o.Directory, self: self, fleet: n.fleet}
 	n.handler = passthrough.New(passthrough.Options{
 		Instance:  s.Instance,
 		State:     n.state,
 		Codec:     o.Codec,
-		Placer:    placement.NewLocal(n.planner),
+		Placer:    n.fleet,
 		Reserver:  o.Reserver,
 		Retries:   passthrough.RetryBudget{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
-		Instances: func() int { return assumedInstances },
+		Instances: n.links.instances,
 		Draining:  n.draining.Load,
 	})
 	n.buildServers()
@@ -79,12 +94,15 @@
 		addActor(&group, deployment.NewFollower(n.state, source).Run)
 	}
 	addActor(&group, n.probe)
+	addActor(&group, n.fleet.Run)
+	addActor(&group, n.links.run)
 	for _, s := range []struct {
 		name, address string
 		server        *http.Server
 	}{
 		{"operators", n.settings.Operators, n.operators},
 		{"readiness", n.settings.Readiness, n.readiness},
+		{"links", n.settings.Links, n.linkServer},
 		{"callers", n.settings.Callers, n.callers},
 	} {
 		if err := addServer(&group, s.name, s.address, s.server); err != nil {
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -38,6 +38,7 @@
 		metrics.WritePrometheus(w, true)
 	})
 	n.operators = newServer(operators)
+	n.linkServer = newServer(n.links)
 }
 
 func newServer(h http.Handler) *http.Server {
--- a/internal/hosted/stop.go
+++ b/internal/hosted/stop.go
@@ -57,6 +57,7 @@
 		grace = defaultGrace
 	}
 	log.WithField("grace", grace).Info("A planned stop begins; the instance is no longer ready.")
+	go n.links.leave(context.WithoutCancel(ctx))
 	sleep.For(ctx, min(stopNotice, grace/2))
 	n.shutdown(grace - stopReserve - time.Since(began))
 }
--- a/internal/ledger/relay.go
+++ b/internal/ledger/relay.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"errors"
-	"sort"
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 	"golang.org/x/time/rate"
@@ -103,14 +101,7 @@
 
 // highest returns the n members with the highest hashes, without leaving ones.
 func highest(members []peer.Member, key string, n int) []peer.Member {
-	ranked := make([]peer.Member, 0, len(members))
-	for _, m := range members {
-		if !m.Leaving {
-			ranked = append(ranked, m)
-		}
-	}
-	hash := func(m peer.Member) uint64 { return xxhash.Sum64String(key + "\x00" + m.ID) }
-	sort.Slice(ranked, func(i, j int) bool { return hash(ranked[i]) > hash(ranked[j]) })
+	ranked := peer.Ranked(members, key)
 	return ranked[:min(n, len(ranked))]
 }
 
--- a/internal/order/declared.go
+++ b/internal/order/declared.go
@@ -4,8 +4,6 @@
 	"slices"
 	"sort"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/banyanroute/banyanroute/internal/catalogue"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/upstream"
@@ -128,19 +126,9 @@
 // do, so that the reads of the lease do not grow with the fleet. Members of
 // the group's data centre come first.
 func contends(group, self string, members []peer.Member) bool {
-	ranked := make([]peer.Member, 0, len(members))
-	for _, m := range members {
-		if !m.Leaving {
-			ranked = append(ranked, m)
-		}
-	}
-	hash := func(m peer.Member) uint64 { return xxhash.Sum64String(group + "\x00" + m.ID) }
-	sort.Slice(ranked, func(i, j int) bool {
-		near, far := ranked[i].DataCentre == group, ranked[j].DataCentre == group
-		if near != far {
-			return near
-		}
-		return hash(ranked[i]) > hash(ranked[j])
+	ranked := peer.Ranked(members, group)
+	sort.SliceStable(ranked, func(i, j int) bool {
+		return ranked[i].DataCentre == group && ranked[j].DataCentre != group
 	})
 	for i := range min(contenders, len(ranked)) {
 		if ranked[i].ID == self {
--- /dev/null
+++ b/internal/peer/rendezvous.go
@@ -0,0 +1,50 @@
+package peer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Ranked returns the members that are not leaving in the order of rendezvous
+// hashing for key, the highest hash first. A change of members moves only the
+// keys of those that came or left.
+func Ranked(members []Member, key string) []Member {
+	type ranked struct {
+		member Member
+		hash   uint64
+	}
+	list := make([]ranked, 0, len(members))
+	for _, m := range members {
+		if !m.Leaving {
+			list = append(list, ranked{m, rendezvous(key, m.ID)})
+		}
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.member.ID, b.member.ID))
+	})
+	out := make([]Member, len(list))
+	for i, r := range list {
+		out[i] = r.member
+	}
+	return out
+}
+
+// Owner returns the ID of the member that is first in the order of Ranked and
+// passes accept, or an empty ID. A nil accept passes all.
+func Owner(members []Member, key string, accept func(Member) bool) string {
+	best, bestHash := "", uint64(0)
+	for _, m := range members {
+		if m.Leaving || accept != nil && !accept(m) {
+			continue
+		}
+		hash := rendezvous(key, m.ID)
+		if best == "" || hash > bestHash || hash == bestHash && m.ID < best {
+			best, bestHash = m.ID, hash
+		}
+	}
+	return best
+}
+
+func rendezvous(key, id string) uint64 { return xxhash.Sum64String(key + "\x00" + id) }
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -35,6 +36,8 @@
 	decision Decision
 	at       time.Time
 	deadline time.Time
+	// answered says that the first token has arrived.
+	answered bool
 }
 
 // pool is the upstreams of one service.
@@ -151,12 +154,17 @@
 	return usable
 }
 
-// Adopt notes a job that was placed by another instance.
-func (p *Planner) Adopt(j Job, d Decision, now time.Time) {
+// Adopt notes a job that was placed elsewhere.
+func (p *Planner) Adopt(a Adoption, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if pl := p.pools[j.Service]; pl != nil {
-		p.adopt(pl, j, d, now)
+	pl := p.pools[a.Job.Service]
+	if pl == nil || a.Decision.Upstream == "" {
+		return
+	}
+	p.adopt(pl, a.Job, a.Decision, now)
+	if a.Answered {
+		p.firstAnswer(a.Job.ID, now)
 	}
 }
 
@@ -185,10 +193,15 @@
 func (p *Planner) FirstAnswer(id string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.firstAnswer(id, now)
+}
+
+func (p *Planner) firstAnswer(id string, now time.Time) {
 	pj := p.jobs[id]
 	if pj == nil {
 		return
 	}
+	pj.answered = true
 	pl := p.pools[pj.job.Service]
 	if pl == nil {
 		return
@@ -263,31 +276,53 @@
 	}
 }
 
-// DropOwner forgets the jobs of an instance that is gone.
-func (p *Planner) DropOwner(owner string, now time.Time) {
+// take applies news of a job.
+func (p *Planner) take(e event, now time.Time) {
+	switch e.Kind {
+	case eventAdopt:
+		if e.Adopted != nil {
+			p.Adopt(*e.Adopted, now)
+		}
+	case eventFirst:
+		p.FirstAnswer(e.ID, now)
+	case eventEnd:
+		p.Ended(e.ID, e.Outcome, now)
+	}
+}
+
+// dropOwners forgets the jobs of all owners that are not live.
+func (p *Planner) dropOwners(live map[string]bool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, pj := range p.jobs {
-		if pj.job.Owner == owner {
+		if !live[pj.job.Owner] {
 			p.drop(pj, now)
 		}
 	}
 }
 
-// Own returns the jobs of an instance with their places and how long ago they
-// were placed.
-func (p *Planner) Own(owner string) []Adoption {
+// own returns the jobs of an owner as news for a new home of their service.
+func (p *Planner) own(service, owner string, now time.Time) []event {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var list []Adoption
+	var list []event
 	for _, pj := range p.jobs {
-		if pj.job.Owner == owner {
-			list = append(list, Adoption{Job: pj.job, Decision: pj.decision})
+		if pj.job.Owner != owner || pj.job.Service != service {
+			continue
 		}
+		a := &Adoption{Job: pj.job, Decision: pj.decision, Since: now.Sub(pj.at), Answered: pj.answered}
+		a.Job.Waited += a.Since
+		a.Job.Remaining -= a.Since
+		list = append(list, event{Kind: eventAdopt, ID: pj.job.ID, Adopted: a})
 	}
 	return list
 }
 
+// ownerName names an incarnation of an instance.
+func ownerName(id string, incarnation uint64) string {
+	return id + "/" + strconv.FormatUint(incarnation, 10)
+}
+
 // Suspects returns the upstreams that a probe should look at now.
 func (p *Planner) Suspects(now time.Time) []deployment.Upstream {
 	p.mu.Lock()
--- a/internal/reclaim/name.go
+++ b/internal/reclaim/name.go
@@ -4,8 +4,6 @@
 	"strconv"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/banyanroute/banyanroute/internal/peer"
 )
 
@@ -32,15 +30,5 @@
 // one with the highest hash of engine and member. A change of members moves
 // only the engines of the members that came or left.
 func sweeperOf(engine string, members []peer.Member) string {
-	best, bestHash := "", uint64(0)
-	for _, m := range members {
-		if m.Leaving {
-			continue
-		}
-		hash := xxhash.Sum64String(engine + "\x00" + m.ID)
-		if best == "" || hash > bestHash || hash == bestHash && m.ID < best {
-			best, bestHash = m.ID, hash
-		}
-	}
-	return best
+	return peer.Owner(members, engine, nil)
 }
