--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -25,6 +25,8 @@
 	Part bool
 	// Memory is the KV memory of the request here, in tokens.
 	Memory int
+	// Urgency orders the wait for a slot; lower goes first.
+	Urgency int
 	// NotBefore is when the parts at other engines are ready.
 	NotBefore time.Time
 	// FirstBy and MaxPause are the objectives for the first token and for the
@@ -60,6 +62,8 @@
 	// now is the start of the present pass, end its end.
 	now, end time.Time
 	idle     bool
+	// waiting says that the present pass only waits for parts elsewhere.
+	waiting bool
 	// pace is the observed time over the predicted time; over 1 is slow.
 	pace float64
 }
@@ -121,7 +125,7 @@
 func (e *Engine) Add(w Work, now time.Time) {
 	e.Advance(now)
 	e.sequences = append(e.sequences, newSequence(w))
-	if e.idle {
+	if e.idle || e.waiting {
 		e.startPass(now)
 	}
 }
@@ -164,9 +168,44 @@
 	}
 }
 
+// PassEnd returns when the present pass ends; ok is false for an idle engine.
+func (e *Engine) PassEnd() (end time.Time, ok bool) { return e.end, !e.idle }
+
+// Progress is how far a request has come in the prediction.
+type Progress struct {
+	ID string
+	// First is when the first token came, or a part was computed; zero before.
+	First time.Time
+	// WorstPause is the longest pause so far over the request's MaxPause.
+	WorstPause float64
+	// OutputLeft is the output tokens still expected.
+	OutputLeft float64
+	Part       bool
+}
+
+// Each calls f for each request that is known here.
+func (e *Engine) Each(f func(Progress)) {
+	for i := range e.sequences {
+		s := &e.sequences[i]
+		f(Progress{ID: s.ID, First: s.first, WorstPause: s.worst, OutputLeft: s.output, Part: s.Part})
+	}
+}
+
+// PartsReady says that the parts of a request at other engines are computed.
+func (e *Engine) PartsReady(id string, now time.Time) {
+	for i := range e.sequences {
+		if s := &e.sequences[i]; s.ID == id {
+			s.NotBefore = now
+		}
+	}
+	if e.waiting {
+		e.startPass(now)
+	}
+}
+
 // startPass plans the pass that begins at t.
 func (e *Engine) startPass(t time.Time) {
-	e.now = t
+	e.now, e.waiting = t, false
 	e.admit()
 	decoding, context := e.decoders()
 	steps := 1
@@ -178,7 +217,7 @@
 		budget = stepsPerLook * e.model.Chunk
 	}
 	prefill := e.takePrefill(decoding > 0, budget)
-	if decoding == 0 && prefill == 0 {
+	if decoding == 0 && prefill == 0 && !e.anyReady(t) {
 		e.waitOrIdle(t)
 		return
 	}
@@ -192,6 +231,18 @@
 	e.end = t.Add(max(length, minPass))
 }
 
+// anyReady states whether a request's parts have just become ready, so that its
+// first token needs only a step.
+func (e *Engine) anyReady(t time.Time) bool {
+	for i := range e.sequences {
+		s := &e.sequences[i]
+		if s.admitted && s.left <= 0 && s.first.IsZero() && !s.Part && !s.NotBefore.After(t) {
+			return true
+		}
+	}
+	return false
+}
+
 // minPass keeps a prediction from standing still where the model has no times.
 const minPass = 100 * time.Microsecond
 
@@ -201,36 +252,44 @@
 	e.idle = true
 	for i := range e.sequences {
 		s := &e.sequences[i]
-		if s.admitted && s.left <= 0 && !s.decoding && !s.Part && s.NotBefore.After(t) {
+		if s.admitted && s.left <= 0 && s.first.IsZero() && !s.Part && s.NotBefore.After(t) {
 			if e.idle || s.NotBefore.Before(e.end) {
 				e.end = s.NotBefore
 			}
-			e.idle = false
+			e.idle, e.waiting = false, true
 		}
 	}
 }
 
-// admit gives slots to requests in the order in which they came.
+// admit gives slots to the most urgent requests, equals in the order in which
+// they came.
 func (e *Engine) admit() {
 	free := e.model.Slots
+	waiting := false
 	for i := range e.sequences {
-		if s := &e.sequences[i]; s.admitted && !s.Part {
+		s := &e.sequences[i]
+		switch {
+		case s.Part:
+			s.admitted = true
+		case s.admitted:
 			free--
+		case !s.released:
+			waiting = true
 		}
 	}
-	for i := range e.sequences {
-		s := &e.sequences[i]
-		if s.admitted || s.released {
-			continue
-		}
-		if s.Part {
-			s.admitted = true
-			continue
+	for waiting && free > 0 {
+		best := -1
+		for i := range e.sequences {
+			s := &e.sequences[i]
+			if !s.admitted && !s.released && (best < 0 || s.Urgency < e.sequences[best].Urgency) {
+				best = i
+			}
 		}
-		if free > 0 {
-			s.admitted = true
-			free--
+		if best < 0 {
+			return
 		}
+		e.sequences[best].admitted = true
+		free--
 	}
 }
 
--- a/internal/enginemodel/outlook.go
+++ b/internal/enginemodel/outlook.go
@@ -17,6 +17,11 @@
 	minPasses = 3
 )
 
+// overrun is the part of the expected output that is taken to be still to come
+// from a request that has sent about as much as was expected: the callers'
+// estimates are often far off.
+const overrun = 0.8
+
 // Weights of lateness.
 const (
 	// LateLoss is the part of a request's value that is lost if it is late: the
@@ -50,14 +55,18 @@
 // when extra is ready: its first token, or the end of its part.
 func (e *Engine) Outlook(extra *Work, now, horizon time.Time) (loss float64, ready time.Time) {
 	e.Advance(now)
-	c := Engine{model: e.model, now: e.now, end: e.end, idle: e.idle, pace: e.pace}
+	c := Engine{model: e.model, now: e.now, end: e.end, idle: e.idle, waiting: e.waiting, pace: e.pace}
 	c.sequences = make([]sequence, len(e.sequences), len(e.sequences)+1)
 	copy(c.sequences, e.sequences)
+	for i := range c.sequences {
+		s := &c.sequences[i]
+		s.output = max(s.output, overrun*float64(s.Output))
+	}
 	var o outlook
 	if extra != nil {
 		o.id = extra.ID
 		c.sequences = append(c.sequences, newSequence(*extra))
-		if c.idle {
+		if c.idle || c.waiting {
 			c.startPass(now)
 		}
 	}
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -226,7 +226,7 @@
 		Remaining:   time.Until(rq.deadline),
 		Upstream:    up.ID,
 		Workspace:   rq.workspace,
-		Urgency:     urgency(rq.call.PromptTokens),
+		Urgency:     d.Urgency,
 		Generation:  rq.route.Generation,
 		LastEventID: lastEvent,
 	}
@@ -252,26 +252,6 @@
 	return c.MaxOutputTokens
 }
 
-// Urgencies by prompt size; engines admit lower ones first.
-const (
-	urgencyShort = 3
-	urgencyLong  = 5
-	urgencyHuge  = 6
-	shortPrompt  = 16_000
-	hugePrompt   = 100_000
-)
-
-// urgency lets short questions go before long prompts.
-func urgency(promptTokens int) int {
-	switch {
-	case promptTokens <= shortPrompt:
-		return urgencyShort
-	case promptTokens < hugePrompt:
-		return urgencyLong
-	}
-	return urgencyHuge
-}
-
 // send makes one attempt and returns the answer's header.
 func (h *Handler) send(ctx context.Context, rq *request, a *attempt) (*http.Response, Reply, error) {
 	rq.sends++
--- a/internal/passthrough/journal.go
+++ b/internal/passthrough/journal.go
@@ -14,7 +14,11 @@
 	// status is the status that was sent on; zero before that.
 	status int
 	// first is the time to a stream's first event.
-	first    time.Duration
+	first time.Duration
+	// last is when the last event came; pause is the longest time between two.
+	last     time.Time
+	pause    time.Duration
+	events   int
 	attempts []told
 }
 
@@ -31,6 +35,15 @@
 	s.attempts = append(s.attempts, told{upstream: a.upstream.ID, helpers: len(a.decision.Helpers), expect: a.decision.Expect})
 }
 
+// event notes an event of a stream.
+func (s *story) event(now time.Time) {
+	if !s.last.IsZero() {
+		s.pause = max(s.pause, now.Sub(s.last))
+	}
+	s.last = now
+	s.events++
+}
+
 func (s *story) ended(o placement.Outcome, status int) {
 	last := &s.attempts[len(s.attempts)-1]
 	last.outcome, last.status = o, status
@@ -55,6 +68,7 @@
 	}
 	if rq.call.PromptTokens > 0 {
 		fields["prompt"], fields["first_ms"] = rq.call.PromptTokens, rq.story.first.Milliseconds()
+		fields["pause_ms"], fields["events"], fields["output"] = rq.story.pause.Milliseconds(), rq.story.events, rq.outputTokens()
 	}
 	for _, t := range rq.story.attempts {
 		fields["upstream"], fields["outcome"] = t.upstream, t.outcome.String()
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -94,6 +94,7 @@
 			return streamEnd{outcome: h.lossOf(ctx, rq, err), status: res.StatusCode, err: err}
 		}
 		watch.reset(pause)
+		rq.story.event(time.Now())
 		if s.events == 0 || !s.begun {
 			h.opts.Placer.FirstAnswer(rq.service, a.job)
 		}
--- a/internal/placement/generation.go
+++ b/internal/placement/generation.go
@@ -22,6 +22,12 @@
 	// remoteLoss is the cost of an engine in another data centre per unit of
 	// value.
 	remoteLoss = 0.002
+	// shortLean and longLean are the parts of a job's value that the wrong end of
+	// the engines' order costs. Short questions fill engines from the front and
+	// long prompts from the back, so that long prefill meets few streams whose
+	// pauses must be short, whatever the mix is at the moment.
+	shortLean = 0.1
+	longLean  = 0.03
 	// reserveSlack is the part of a reservation added for blocks that are not
 	// full.
 	reserveSlack = 64
@@ -43,7 +49,13 @@
 // under way lose the least value by lateness.
 func (p *Planner) placeGeneration(pl *pool, candidates []*member, j *Job, now time.Time) Decision {
 	model := pl.service.Engine
-	best, found := p.solo(model, candidates, j, now)
+	best, found := p.solo(model, candidates, j, urgencyOf(j), now)
+	if found && best.ready.After(now.Add(j.FirstAnswer-j.Waited)) {
+		// It will be late anyway: let it wait for those that need not be.
+		if deferred, ok := p.solo(model, candidates, j, urgencyLate, now); ok && deferred.cost <= best.cost {
+			best = deferred
+		}
+	}
 	if model.Joint && j.Prompt >= sharedFrom {
 		if team, ok := p.team(model, candidates, j, now); ok && (!found || team.cost < best.cost) {
 			best, found = team, true
@@ -60,6 +72,21 @@
 	return best.decision
 }
 
+// Urgencies; engines give slots to lower ones first.
+const (
+	urgencyShort = 3
+	urgencyLong  = 5
+	urgencyLate  = 8
+)
+
+// urgencyOf lets short questions go before long prompts.
+func urgencyOf(j *Job) int {
+	if j.Prompt < sharedFrom {
+		return urgencyShort
+	}
+	return urgencyLong
+}
+
 // proposal is a decision with its cost.
 type proposal struct {
 	decision Decision
@@ -73,8 +100,9 @@
 }
 
 // solo finds the best single engine.
-func (p *Planner) solo(model *enginemodel.Model, candidates []*member, j *Job, now time.Time) (proposal, bool) {
+func (p *Planner) solo(model *enginemodel.Model, candidates []*member, j *Job, urgency int, now time.Time) (proposal, bool) {
 	w := j.work(j.Prompt, now)
+	w.Urgency = urgency
 	options := p.options(model, candidates, j, w, now)
 	var best proposal
 	found := false
@@ -83,7 +111,7 @@
 			continue
 		}
 		if !found || o.cost < best.cost {
-			best = proposal{decision: Decision{Upstream: o.member.upstream.ID}, cost: o.cost, ready: o.ready}
+			best = proposal{decision: Decision{Upstream: o.member.upstream.ID, Urgency: urgency}, cost: o.cost, ready: o.ready}
 			found = true
 		}
 	}
@@ -126,6 +154,7 @@
 func (p *Planner) options(model *enginemodel.Model, candidates []*member, j *Job, w enginemodel.Work, now time.Time) []option {
 	until := horizon(j, now)
 	value := j.value()
+	short := j.Prompt < sharedFrom
 	list := make([]option, 0, len(candidates))
 	for _, m := range candidates {
 		with, ready := m.engine.Outlook(&w, now, until)
@@ -139,6 +168,11 @@
 		if m.upstream.DataCentre != p.dataCentre {
 			o.cost += remoteLoss * value
 		}
+		if short {
+			o.cost += shortLean * value * m.position
+		} else {
+			o.cost += longLean * value * (1 - m.position)
+		}
 		list = append(list, o)
 	}
 	return list
@@ -187,7 +221,7 @@
 // memory at helpers for what does not fit there.
 func assign(options []option, j *Job) (Decision, bool) {
 	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(b.free, a.free) })
-	d := Decision{Upstream: options[0].member.upstream.ID}
+	d := Decision{Upstream: options[0].member.upstream.ID, Urgency: urgencyOf(j)}
 	rest := j.Prompt + j.Output - options[0].free
 	for _, o := range options[1:] {
 		part := Part{Upstream: o.member.upstream.ID}
@@ -211,6 +245,7 @@
 	size := 1 + len(d.Helpers)
 	tokens := (j.Prompt + size - 1) / size
 	first := j.work(tokens, now)
+	first.Urgency = d.Urgency
 	first.NotBefore = now.Add(d.Expect)
 	if len(d.Helpers) == 0 {
 		first.NotBefore = time.Time{}
@@ -231,18 +266,27 @@
 	paceGain = 0.3
 	// minPaceSample is the shortest prediction that says something about pace.
 	minPaceSample = 30 * time.Millisecond
+	// earlyRatio is taken for a first token that comes before it is predicted.
+	earlyRatio = 0.8
 	// minPace and maxPace bound what is believed.
 	minPace = 1.0
 	maxPace = 12.0
 )
 
-// learnPace compares when the first token came with when it was predicted.
-func (m *member) learnPace(pj *placed, now time.Time) {
-	expected := pj.decision.Expect
-	if len(pj.decision.Helpers) > 0 || expected < minPaceSample {
+// learnPace compares when the first token came with when it was predicted, work
+// that came later included.
+func (m *member) learnPace(pj *placed, predicted, now time.Time) {
+	if len(pj.decision.Helpers) > 0 {
 		return
 	}
-	ratio := m.engine.Pace() * float64(now.Sub(pj.at)) / float64(expected)
-	pace := m.engine.Pace() + paceGain*(ratio-m.engine.Pace())
+	ratio := earlyRatio
+	if !predicted.IsZero() {
+		span := predicted.Sub(pj.at)
+		if span < minPaceSample {
+			return
+		}
+		ratio = float64(now.Sub(pj.at)) / float64(span)
+	}
+	pace := m.engine.Pace() * (1 + paceGain*(ratio-1))
 	m.engine.SetPace(min(max(pace, minPace), maxPace))
 }
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -57,6 +57,8 @@
 	engine *enginemodel.Engine
 	// jobs counts the jobs placed here.
 	jobs int
+	// position is the place in the pool's order, from 0 to 1.
+	position float64
 }
 
 // NewPlanner returns a Planner that knows no upstreams.
@@ -108,6 +110,9 @@
 	}
 	pl.members = next
 	slices.SortFunc(pl.order, func(a, b *member) int { return cmp.Compare(a.upstream.ID, b.upstream.ID) })
+	for i, m := range pl.order {
+		m.position = float64(i) / float64(len(pl.order))
+	}
 }
 
 // Place chooses a place for the job and notes it there.
@@ -208,9 +213,9 @@
 	}
 	for _, up := range pj.decision.upstreams() {
 		if m := pl.members[up]; m != nil && m.engine != nil {
-			m.engine.FirstToken(id, now)
+			predicted := m.engine.FirstToken(id, now)
 			if up == pj.decision.Upstream {
-				m.learnPace(pj, now)
+				m.learnPace(pj, predicted, now)
 			}
 		}
 	}
--- /dev/null
+++ b/internal/placement/policy_test.go
@@ -0,0 +1,315 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/deployment"
+	"github.com/banyanroute/banyanroute/internal/enginemodel"
+)
+
+// class is a kind of request of a simulated day.
+type class struct {
+	name             string
+	perSecond        float64
+	prompt, promptSD float64
+	promptMax        float64
+	output, outputSD float64
+	first, pause     time.Duration
+	deadline         time.Duration
+	worth, late      float64
+}
+
+// burst multiplies a class's rate for a time.
+type burst struct {
+	from, until time.Duration
+	factors     []float64
+}
+
+// day is a simulated day of one service.
+type day struct {
+	engines int
+	model   enginemodel.Model
+	classes []class
+	bursts  []burst
+	length  time.Duration
+	rate    float64
+}
+
+func usersModel() enginemodel.Model {
+	return enginemodel.Model{
+		Slots: 16, MemoryTokens: 232_000,
+		Step: 1020 * time.Microsecond, StepPerSequence: 2260 * time.Nanosecond, StepPerContext: 4310 * time.Nanosecond,
+		PrefillRate: 206_000, PairTime: 138 * time.Microsecond, Chunk: 2048, Stride: 43,
+		HopTime: 75 * time.Microsecond, Joint: true,
+	}
+}
+
+// usersClasses are the generations on both users' sheets.
+func usersClasses(short, mid, long float64) []class {
+	return []class{
+		{"short", short, 4960, 0.9, 23_800, 31.6 * 43, 0.7, 300 * time.Millisecond, 250 * time.Millisecond, 10 * time.Second, 1.3, 0.33},
+		{"medium", mid, 45_000, 0.5, 110_000, 19 * 43, 0.6, 1500 * time.Millisecond, 600 * time.Millisecond, 10 * time.Second, 3.9, 0.98},
+		{"long", long, 133_000, 0.55, 600_000, 15.8 * 43, 0.5, 2700 * time.Millisecond, time.Second, 15 * time.Second, 15, 3.7},
+	}
+}
+
+// swings are mixes that jump tenfold, as on the users' days.
+func swings() []burst {
+	s := time.Second
+	return []burst{
+		{0, 10 * s, []float64{0.33, 1.3, 2.7}},
+		{10 * s, 20 * s, []float64{2.4, 0.5, 0.05}},
+		{20 * s, 30 * s, []float64{0.31, 1.3, 2.6}},
+	}
+}
+
+func trinacriaDay(rate float64) day {
+	return day{14, usersModel(), usersClasses(29.8, 1.62, 1.37), swings(), 30 * time.Second, rate}
+}
+
+func pinakidaDay(rate float64) day {
+	return day{23, usersModel(), usersClasses(48.9, 2.67, 2.24), swings(), 30 * time.Second, rate}
+}
+
+// simJob is a request of the simulation.
+type simJob struct {
+	job    Job
+	class  int
+	at     time.Time
+	output int
+	parts  int
+	first  time.Time
+	worst  float64
+	ended  bool
+	worth  float64
+}
+
+// lognormal draws a value with a mean and a relative spread.
+func lognormal(r *rand.Rand, mean, spread, most float64) float64 {
+	sigma := math.Sqrt(math.Log(1 + spread*spread))
+	return min(mean*math.Exp(sigma*r.NormFloat64()-sigma*sigma/2), most)
+}
+
+// arrivals draws the requests of a day.
+func (d day) arrivals(seed uint64, start time.Time) []*simJob {
+	r := rand.New(rand.NewPCG(seed, 7))
+	var jobs []*simJob
+	for c, k := range d.classes {
+		t := time.Duration(0)
+		for {
+			rate := k.perSecond * d.rate
+			for _, b := range d.bursts {
+				if t >= b.from && t < b.until {
+					rate *= b.factors[c]
+				}
+			}
+			t += time.Duration(r.ExpFloat64() / max(rate, 0.01) * float64(time.Second))
+			if t > d.length {
+				break
+			}
+			prompt := int(max(lognormal(r, k.prompt, k.promptSD, k.promptMax), 100))
+			output := int(max(lognormal(r, k.output, k.outputSD, 2.5*k.output), 43))
+			hint := int(lognormal(r, float64(output), 0.5, 4*k.output))
+			jobs = append(jobs, &simJob{
+				job: Job{
+					ID: fmt.Sprintf("%s-%d", k.name, len(jobs)), Service: "llm", Prompt: prompt, Output: max(hint, 43),
+					FirstAnswer: k.first, MaxPause: k.pause, Remaining: k.deadline,
+				},
+				class: c, at: start.Add(t), output: output,
+				worth: k.worth * min(4, 0.3+0.7*(float64(prompt)+10*float64(output))/(k.prompt+10*k.output)),
+			})
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *simJob) int { return a.at.Compare(b.at) })
+	return jobs
+}
+
+// outcomeOfDay is what a simulated day earned.
+type outcomeOfDay struct {
+	earned, owed float64
+	onTime, all  []int
+	refused      int
+	// pauseLate, firstLate and bothLate count late answers by cause.
+	pauseLate, firstLate, bothLate [3]int
+	decisions                      time.Duration
+	placed                         int
+}
+
+// worth is earned over owed.
+func (o outcomeOfDay) worth() float64 { return o.earned / o.owed }
+
+func (o outcomeOfDay) String() string {
+	text := fmt.Sprintf("worth %.3f, refused %d, %.0f µs a decision, in time:", o.worth(), o.refused, float64(o.decisions.Microseconds())/float64(max(o.placed, 1)))
+	for c := range o.all {
+		text += fmt.Sprintf(" %d/%d", o.onTime[c], o.all[c])
+	}
+	return text
+}
+
+// simulation plays a day on engines that follow the model exactly; only the
+// lengths of answers are unknown to the planner.
+type simulation struct {
+	day     day
+	planner *Planner
+	engines map[string]*enginemodel.Engine
+	jobs    map[string]*simJob
+}
+
+func newSimulation(d day, now time.Time) *simulation {
+	s := &simulation{day: d, planner: NewPlanner(""), engines: map[string]*enginemodel.Engine{}, jobs: map[string]*simJob{}}
+	state := deployment.NewState()
+	state.Subscribe(s.planner.SetView)
+	state.SetConfiguration(&deployment.Configuration{Version: 1, Services: map[string]deployment.Service{"llm": {Name: "llm", Engine: &s.day.model}}}, now)
+	var ups []deployment.Upstream
+	for i := range d.engines {
+		id := fmt.Sprintf("e%02d", i)
+		ups = append(ups, deployment.Upstream{ID: id, Service: "llm", Address: id, Slots: d.model.Slots})
+		s.engines[id] = enginemodel.NewEngine(&s.day.model)
+	}
+	state.ReplaceUpstreams(ups, 1, now)
+	return s
+}
+
+// never is when parts are ready that are not computed yet.
+var never = time.Date(2200, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func (s *simulation) start(j *simJob, now time.Time) bool {
+	d := s.planner.Place(j.job, now)
+	if d.Upstream == "" {
+		return false
+	}
+	s.jobs[j.job.ID] = j
+	pl := s.planner.pools["llm"]
+	actual := j.job
+	actual.Output = j.output
+	for _, w := range pl.works(&actual, d, now) {
+		if w.work.Part {
+			j.parts++
+		} else if len(d.Helpers) > 0 {
+			w.work.NotBefore = never
+		}
+		s.engines[w.upstream].Add(w.work, now)
+	}
+	return true
+}
+
+// next returns the engine whose pass ends first, and when.
+func (s *simulation) next() (*enginemodel.Engine, time.Time) {
+	var best *enginemodel.Engine
+	var at time.Time
+	for i := range s.day.engines {
+		e := s.engines[fmt.Sprintf("e%02d", i)]
+		if end, ok := e.PassEnd(); ok && (best == nil || end.Before(at)) {
+			best, at = e, end
+		}
+	}
+	return best, at
+}
+
+// pass ends a pass of an engine and tells the planner what callers would see.
+func (s *simulation) pass(e *enginemodel.Engine, now time.Time) {
+	e.Advance(now)
+	var done []string
+	e.Each(func(p enginemodel.Progress) {
+		j := s.jobs[p.ID]
+		switch {
+		case j == nil:
+		case p.Part && !p.First.IsZero() && j.parts > 0:
+			done = append(done, p.ID)
+		case !p.Part && !p.First.IsZero():
+			if j.first.IsZero() {
+				j.first = p.First
+				s.planner.FirstAnswer(p.ID, now)
+			}
+			j.worst = max(j.worst, p.WorstPause)
+			if p.OutputLeft <= 0 {
+				j.ended = true
+				done = append(done, p.ID)
+			}
+		}
+	})
+	for _, id := range done {
+		s.finish(e, id, now)
+	}
+}
+
+func (s *simulation) finish(e *enginemodel.Engine, id string, now time.Time) {
+	j := s.jobs[id]
+	if j.ended {
+		for _, other := range s.engines {
+			other.Remove(id, now)
+		}
+		s.planner.Ended(id, Completed, now)
+		delete(s.jobs, id)
+		return
+	}
+	e.Remove(id, now)
+	if j.parts--; j.parts == 0 {
+		for _, other := range s.engines {
+			other.PartsReady(id, now)
+		}
+	}
+}
+
+// play runs the day and returns what it earned.
+func (d day) play(seed uint64) outcomeOfDay {
+	now := time.Unix(1_000_000, 0)
+	s := newSimulation(d, now)
+	jobs := d.arrivals(seed, now)
+	o := outcomeOfDay{onTime: make([]int, len(d.classes)), all: make([]int, len(d.classes))}
+	for i := 0; ; {
+		e, at := s.next()
+		if i < len(jobs) && (e == nil || !jobs[i].at.After(at)) {
+			began := time.Now()
+			if !s.start(jobs[i], jobs[i].at) {
+				o.refused++
+			}
+			o.decisions += time.Since(began)
+			o.placed++
+			i++
+			continue
+		}
+		if e == nil {
+			break
+		}
+		s.pass(e, at)
+	}
+	for _, j := range jobs {
+		k := d.classes[j.class]
+		o.owed += j.worth
+		o.all[j.class]++
+		took := j.first.Sub(j.at)
+		switch {
+		case !j.ended:
+		case took <= k.first && j.worst <= 1:
+			o.onTime[j.class]++
+			o.earned += j.worth
+		default:
+			switch {
+			case took > k.first && j.worst > 1:
+				o.bothLate[j.class]++
+			case took > k.first:
+				o.firstLate[j.class]++
+			default:
+				o.pauseLate[j.class]++
+			}
+			o.earned += j.worth * k.late / k.worth
+		}
+	}
+	return o
+}
+
+func TestDayTable(t *testing.T) {
+	for _, rate := range []float64{0.85, 1, 1.4} {
+		for name, make := range map[string]func(float64) day{"trinacria": trinacriaDay, "pinakida": pinakidaDay} {
+			for seed := range uint64(3) {
+				t.Logf("%s at %.2f seed %d: %s", name, rate, seed, make(rate).play(seed))
+			}
+		}
+	}
+}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -55,6 +55,8 @@
 	Upstream string
 	// Helpers compute parts of the prompt.
 	Helpers []Part
+	// Urgency orders the job in the engine's queue, from 0 (first) to 9.
+	Urgency int
 	// Expect is the predicted time to the first answer.
 	Expect time.Duration
 	// RetryAfter is when a refused job may come back.
