--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -80,11 +80,14 @@
 // SetPace sets the observed time over the predicted time.
 func (e *Engine) SetPace(p float64) { e.pace = p }
 
-// UsedTokens returns the KV memory of all known work.
+// UsedTokens returns the KV memory of the work that has it: requests that wait
+// for a slot hold none.
 func (e *Engine) UsedTokens() int {
 	used := 0
 	for i := range e.sequences {
-		used += e.sequences[i].Memory
+		if s := &e.sequences[i]; s.admitted || s.Part {
+			used += s.Memory
+		}
 	}
 	return used
 }
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -15,6 +15,7 @@
 	"github.com/banyanroute/banyanroute/internal/logging"
 	"github.com/banyanroute/banyanroute/internal/placement"
 	"github.com/banyanroute/banyanroute/internal/result"
+	"github.com/banyanroute/banyanroute/internal/sleep"
 )
 
 var log = logging.For("passthrough")
@@ -209,7 +210,7 @@
 		Remaining:   time.Until(rq.deadline),
 		Avoid:       rq.tried,
 	}
-	d := h.opts.Placer.Place(ctx, job)
+	d := h.placeSoon(ctx, rq, job)
 	if d.Upstream == "" {
 		return nil, refusalOf(d)
 	}
@@ -240,6 +241,28 @@
 	return a, nil
 }
 
+// Waiting for a place, where there is none for the moment.
+const (
+	// placeRetry is the pause before a place is asked for again.
+	placeRetry = 120 * time.Millisecond
+	// waitPart is the part of the objective that a request waits for a place at
+	// most; a caller who comes back with the same request has lost more.
+	waitPart = 0.6
+)
+
+// placeSoon asks for a place, again for a while if there is none now.
+func (h *Handler) placeSoon(ctx context.Context, rq *request, job placement.Job) placement.Decision {
+	patience := time.Duration(waitPart * float64(rq.route.FirstAnswer))
+	for {
+		d := h.opts.Placer.Place(ctx, job)
+		wait := d.Upstream == "" && d.Reason != placement.TooLate && job.Waited+placeRetry < patience
+		if !wait || !sleep.For(ctx, placeRetry) {
+			return d
+		}
+		job.Waited, job.Remaining = time.Since(rq.arrived), time.Until(rq.deadline)
+	}
+}
+
 // retrySoon is when a request may come back that met a passing state.
 const retrySoon = 200 * time.Millisecond
 
--- a/internal/placement/generation.go
+++ b/internal/placement/generation.go
@@ -66,7 +66,7 @@
 	}
 	expect := best.ready.Sub(now)
 	if expect > j.Remaining {
-		return Decision{Reason: TooLate, RetryAfter: min(expect-j.Remaining, maxPause)}
+		return Decision{Reason: TooLate, RetryAfter: min(expect-j.Remaining+firstPause, j.Remaining/3)}
 	}
 	best.decision.Expect = expect
 	return best.decision
