The order of engines counts less as slots fill

Cause: packed engines run longer passes, so streams hold slots longer and bursts of short questions tip over.

--- a/internal/placement/generation.go
+++ b/internal/placement/generation.go
@@ -28,6 +28,8 @@
 	// pauses must be short, whatever the mix is at the moment.
 	shortLean = 0.1
 	longLean  = 0.03
+	// leanUntil is the part of all slots in use from which on there is no lean.
+	leanUntil = 0.4
 	// reserveSlack is the part of a reservation added for blocks that are not
 	// full.
 	reserveSlack = 64
@@ -155,6 +157,7 @@
 	until := horizon(j, now)
 	value := j.value()
 	short := j.Prompt < sharedFrom
+	lean := leanOf(model, candidates)
 	list := make([]option, 0, len(candidates))
 	for _, m := range candidates {
 		with, ready := m.engine.Outlook(&w, now, until)
@@ -169,9 +172,9 @@
 			o.cost += remoteLoss * value
 		}
 		if short {
-			o.cost += shortLean * value * m.position
+			o.cost += shortLean * lean * value * m.position
 		} else {
-			o.cost += longLean * value * (1 - m.position)
+			o.cost += longLean * lean * value * (1 - m.position)
 		}
 		list = append(list, o)
 	}
@@ -295,3 +298,14 @@
 	}
 	m.engine.SetPace(min(max(pace+paceGain*(target-pace), 1), maxPace))
 }
+
+// leanOf returns how much the order of engines counts: less as slots fill, since
+// streams last longer on engines that are packed, and not at all from leanUntil.
+func leanOf(model *enginemodel.Model, candidates []*member) float64 {
+	jobs := 0
+	for _, m := range candidates {
+		jobs += m.jobs
+	}
+	used := float64(jobs) / float64(max(len(candidates)*model.Slots, 1))
+	return max(0, 1-used/leanUntil)
+}
