--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -64,6 +64,10 @@
 	idle     bool
 	// waiting says that the present pass only waits for parts elsewhere.
 	waiting bool
+	// version changes with each change of the work.
+	version uint64
+	// scratch is reused by predictions.
+	scratch []sequence
 	// pace is the observed time over the predicted time; over 1 is slow.
 	pace float64
 }
@@ -80,6 +84,9 @@
 // SetPace sets the observed time over the predicted time.
 func (e *Engine) SetPace(p float64) { e.pace = p }
 
+// Version changes with each change of the work that is known here.
+func (e *Engine) Version() uint64 { return e.version }
+
 // UsedTokens returns the KV memory of the work that has it: requests that wait
 // for a slot hold none.
 func (e *Engine) UsedTokens() int {
@@ -127,6 +134,7 @@
 // Add adds work that arrives at now.
 func (e *Engine) Add(w Work, now time.Time) {
 	e.Advance(now)
+	e.version++
 	e.sequences = append(e.sequences, newSequence(w))
 	if e.idle || e.waiting {
 		e.startPass(now)
@@ -140,6 +148,7 @@
 // Remove ends a request.
 func (e *Engine) Remove(id string, now time.Time) {
 	e.Advance(now)
+	e.version++
 	e.sequences = slices.DeleteFunc(e.sequences, func(s sequence) bool { return s.ID == id })
 }
 
@@ -147,6 +156,7 @@
 // returns the predicted time of it, or zero if it was not predicted yet.
 func (e *Engine) FirstToken(id string, now time.Time) time.Time {
 	e.Advance(now)
+	e.version++
 	for i := range e.sequences {
 		s := &e.sequences[i]
 		if s.ID != id {
--- a/internal/enginemodel/outlook.go
+++ b/internal/enginemodel/outlook.go
@@ -11,7 +11,7 @@
 // Bounds of a look ahead.
 const (
 	// maxPasses bounds the work of one look ahead.
-	maxPasses = 48
+	maxPasses = 32
 	// minPasses are looked at even if the first token comes sooner, so that
 	// pauses right after it count.
 	minPasses = 3
@@ -56,8 +56,8 @@
 func (e *Engine) Outlook(extra *Work, now, horizon time.Time) (loss float64, ready time.Time) {
 	e.Advance(now)
 	c := Engine{model: e.model, now: e.now, end: e.end, idle: e.idle, waiting: e.waiting, pace: e.pace}
-	c.sequences = make([]sequence, len(e.sequences), len(e.sequences)+1)
-	copy(c.sequences, e.sequences)
+	c.sequences = append(e.scratch[:0], e.sequences...)
+	defer func() { e.scratch = c.sequences[:0] }()
 	for i := range c.sequences {
 		s := &c.sequences[i]
 		s.output = max(s.output, overrun*float64(s.Output))
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -14,7 +14,8 @@
 // Silence of a stream after which it is taken to be stuck and goes on elsewhere.
 const (
 	// minSilence is the least silence before the first event.
-	minSilence = 1200 * time.Millisecond
+	// Callers give up after two seconds at the soonest.
+	minSilence = 1700 * time.Millisecond
 	// silencePauses times the route's longest pause is the least between events.
 	silencePauses = 4
 	// expectFactor times the predicted time is the least before the first event.
@@ -73,7 +74,12 @@
 func (h *Handler) tryStream(ctx context.Context, rq *request, a *attempt, s *streamState) streamEnd {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := newWatchdog(max(minSilence, expectFactor*a.decision.Expect), func() { cancel(errSilent) })
+	// Without another attempt left, a silent engine is still the best chance.
+	watch := newWatchdog(max(minSilence, expectFactor*a.decision.Expect), func() {
+		if h.resumable(rq) {
+			cancel(errSilent)
+		}
+	})
 	defer watch.stop()
 	res, reply, err := h.send(ctx, rq, a)
 	if err != nil {
@@ -104,6 +110,11 @@
 	}
 }
 
+// resumable states whether the stream could go on at another engine.
+func (h *Handler) resumable(rq *request) bool {
+	return rq.route.Resumable && rq.ran+1 < rq.route.MaxAttempts
+}
+
 // errSilent says that an engine sent nothing for too long.
 var errSilent = errors.New("the engine sent nothing for too long")
 
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -13,7 +13,7 @@
 const (
 	// callTimeout bounds the question for a place: many times a round trip
 	// between data centres, and little beside the tightest objective.
-	callTimeout = 60 * time.Millisecond
+	callTimeout = 80 * time.Millisecond
 	// avoidHome is how long a home that did not answer is passed over.
 	avoidHome = 1500 * time.Millisecond
 	// flushDelay is how long news waits for a question that can carry it.
@@ -81,13 +81,10 @@
 		return d
 	}
 	if ctx.Err() != nil {
-		// The home may have placed the job.
-		f.tell(home, event{Kind: eventEnd, ID: j.ID, Outcome: Abandoned})
 		return Decision{Reason: NoUpstream}
 	}
 	f.avoid(home, j, err)
 	d = f.planner.Place(j, time.Now())
-	f.tell(home, event{Kind: eventEnd, ID: j.ID, Outcome: Abandoned})
 	if next := f.home(j.Service); next != "" && d.Upstream != "" {
 		f.tell(next, event{Kind: eventAdopt, ID: j.ID, Adopted: &Adoption{Job: j, Decision: d}})
 	}
@@ -134,6 +131,7 @@
 		log.WithField("service", service).WithField("home", home).WithField("before", old).
 			WithField("members", len(f.bus.Members())).Info("A service has another home; empty is this instance.")
 		if home != "" {
+			delete(f.pending, home)
 			f.tellLocked(home, f.planner.own(service, f.owner, now)...)
 		}
 	}
@@ -165,12 +163,23 @@
 		err = decode(answer, &d)
 	}
 	if err != nil {
-		// The news may not have arrived; telling it twice does no harm.
-		f.tell(home, events...)
+		f.outOfStep(home)
 	}
 	return d, err
 }
 
+// outOfStep notes that a home has missed news: it is told anew of all jobs before
+// it is used again.
+func (f *Fleet) outOfStep(home string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for service, used := range f.homes {
+		if used == home {
+			delete(f.homes, service)
+		}
+	}
+}
+
 // tell queues news for a home.
 func (f *Fleet) tell(home string, events ...event) {
 	f.mu.Lock()
@@ -211,6 +220,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
 	defer cancel()
 	if _, err := bus.Call(ctx, home, topicPlace, encode(placeRequest{Events: events})); err != nil {
+		f.outOfStep(home)
 		log.WithField("home", home).WithField("events", len(events)).WithError(err).
 			Debug("News of jobs did not reach a service's home.")
 	}
--- a/internal/placement/generation.go
+++ b/internal/placement/generation.go
@@ -14,8 +14,17 @@
 	sharedFrom = 12_000
 	// maxHelpers is the most helpers that an engine takes.
 	maxHelpers = 15
-	// minHorizon is how far a look ahead goes at least.
-	minHorizon = 400 * time.Millisecond
+	// lookAhead is how far the effects of a job are looked at, at least: some
+	// passes beyond the objective of a short question.
+	lookAhead = 500 * time.Millisecond
+	// lossAge is how long a prediction of an unchanged engine holds; a pass takes
+	// longer.
+	lossAge = 20 * time.Millisecond
+	// maxShortlist bounds the engines that are predicted for one job.
+	maxShortlist = 10
+	// shortlistLean turns the lean, a part of a job's value, into a part of an
+	// engine's slots.
+	shortlistLean = 4
 	// errorLoss is the part of a job's value that an error rate of 1 costs;
 	// most failed attempts succeed elsewhere, late.
 	errorLoss = 0.8
@@ -36,7 +45,7 @@
 )
 
 // teamSizes are the numbers of engines considered for one prompt.
-var teamSizes = []int{2, 3, 4, 6, 8, 11, 14, 16}
+var teamSizes = []int{2, 3, 5, 8, 12, 16}
 
 // option is one engine's part of a job and what it costs.
 type option struct {
@@ -96,16 +105,11 @@
 	ready    time.Time
 }
 
-// horizon is how far ahead the effects of the job are looked at.
-func horizon(j *Job, now time.Time) time.Time {
-	return now.Add(max(min(j.FirstAnswer, time.Second), minHorizon))
-}
-
 // solo finds the best single engine.
 func (p *Planner) solo(model *enginemodel.Model, candidates []*member, j *Job, urgency int, now time.Time) (proposal, bool) {
 	w := j.work(j.Prompt, now)
 	w.Urgency = urgency
-	options := p.options(model, candidates, j, w, now)
+	options := p.options(model, shortlist(model, candidates, j, now), j, w, now)
 	var best proposal
 	found := false
 	for _, o := range options {
@@ -154,17 +158,15 @@
 
 // options returns what w costs on each candidate.
 func (p *Planner) options(model *enginemodel.Model, candidates []*member, j *Job, w enginemodel.Work, now time.Time) []option {
-	until := horizon(j, now)
 	value := j.value()
 	short := j.Prompt < sharedFrom
 	lean := leanOf(model, candidates)
 	list := make([]option, 0, len(candidates))
 	for _, m := range candidates {
-		with, ready := m.engine.Outlook(&w, now, until)
-		without, _ := m.engine.Outlook(nil, now, until)
+		with, ready := m.engine.Outlook(&w, now, now.Add(lookAhead))
 		o := option{
 			member: m,
-			cost:   with - without + errorLoss*value*m.condition.errorRate(now),
+			cost:   with - m.loss(now) + errorLoss*value*m.condition.errorRate(now),
 			ready:  ready,
 			free:   model.MemoryTokens - m.engine.UsedTokens(),
 		}
@@ -181,6 +183,46 @@
 	return list
 }
 
+// loss returns what the engine's present requests are expected to lose. It is
+// predicted again only if the engine's work has changed or time has passed.
+func (m *member) loss(now time.Time) float64 {
+	version := m.engine.Version()
+	if m.lossVersion != version || now.Sub(m.lossAt) > lossAge {
+		m.lossNow, _ = m.engine.Outlook(nil, now, now.Add(lookAhead))
+		m.lossVersion, m.lossAt = version, now
+	}
+	return m.lossNow
+}
+
+// shortlist returns the candidates that look best for a job on one engine, so
+// that a decision costs about the same in a large pool: those with the least
+// work before it.
+func shortlist(model *enginemodel.Model, candidates []*member, j *Job, now time.Time) []*member {
+	if len(candidates) <= maxShortlist {
+		return candidates
+	}
+	lean := leanOf(model, candidates) * shortLean
+	if j.Prompt >= sharedFrom {
+		lean *= -longLean / shortLean
+	}
+	type rated struct {
+		member *member
+		rating float64
+	}
+	list := make([]rated, len(candidates))
+	for i, m := range candidates {
+		m.engine.Advance(now)
+		rating := float64(m.engine.Requests())/float64(max(model.Slots, 1)) + m.engine.PendingPrefill().Seconds()
+		list[i] = rated{m, rating + lean*m.position*shortlistLean + m.condition.errorRate(now)}
+	}
+	slices.SortFunc(list, func(a, b rated) int { return cmp.Compare(a.rating, b.rating) })
+	out := make([]*member, maxShortlist)
+	for i := range out {
+		out[i] = list[i].member
+	}
+	return out
+}
+
 // team finds the best set of engines that compute the prompt together.
 func (p *Planner) team(model *enginemodel.Model, candidates []*member, j *Job, now time.Time) (proposal, bool) {
 	var best proposal
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -20,6 +20,9 @@
 	eventFirst
 	// eventEnd tells how an attempt ended.
 	eventEnd
+	// eventReset tells that the owner's jobs of a service are those that
+	// follow, and no others.
+	eventReset
 )
 
 // event is news of a job for its service's home.
@@ -30,6 +33,9 @@
 	Outcome Outcome
 	// Adopted is set for eventAdopt.
 	Adopted *Adoption
+	// Owner and Service are set for eventReset.
+	Owner   string
+	Service string
 }
 
 // Adoption is a job with its place.
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -59,6 +59,11 @@
 	jobs int
 	// position is the place in the pool's order, from 0 to 1.
 	position float64
+	// lossNow is what the engine's requests are expected to lose, as of lossAt
+	// and lossVersion.
+	lossNow     float64
+	lossAt      time.Time
+	lossVersion uint64
 }
 
 // NewPlanner returns a Planner that knows no upstreams.
@@ -292,6 +297,19 @@
 		p.FirstAnswer(e.ID, now)
 	case eventEnd:
 		p.Ended(e.ID, e.Outcome, now)
+	case eventReset:
+		p.reset(e.Owner, e.Service, now)
+	}
+}
+
+// reset forgets an owner's jobs of a service.
+func (p *Planner) reset(owner, service string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pj := range p.jobs {
+		if pj.job.Owner == owner && pj.job.Service == service {
+			p.drop(pj, now)
+		}
 	}
 }
 
@@ -310,7 +328,7 @@
 func (p *Planner) own(service, owner string, now time.Time) []event {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var list []event
+	list := []event{{Kind: eventReset, Owner: owner, Service: service}}
 	for _, pj := range p.jobs {
 		if pj.job.Owner != owner || pj.job.Service != service {
 			continue
