Streams are moved to another engine only when clearly stuck

Change: the budget is looked at before a stream is given up; thresholds follow from when callers leave.

--- a/internal/passthrough/budget.go
+++ b/internal/passthrough/budget.go
@@ -73,6 +73,13 @@
 	k.tokens = min(k.tokens+budgetUse*b.limit.Ratio, b.most())
 }
 
+// has states whether a retry could be made now.
+func (b *budgets) has(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.of(service, now).tokens >= 1
+}
+
 // spend takes one retry if there is one.
 func (b *budgets) spend(service string, now time.Time) bool {
 	b.mu.Lock()
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -12,14 +12,19 @@
 )
 
 // Silence of a stream after which it is taken to be stuck and goes on elsewhere.
+// A stream that is moved is computed again, so moving one that is merely slow
+// makes an overload worse.
 const (
-	// minSilence is the least silence before the first event.
-	// Callers give up after two seconds at the soonest.
+	// minSilence is the least silence; callers give up after two seconds at the
+	// soonest.
 	minSilence = 1700 * time.Millisecond
-	// silencePauses times the route's longest pause is the least between events.
-	silencePauses = 4
-	// expectFactor times the predicted time is the least before the first event.
-	expectFactor = 2
+	// firstFactor times the objective, and expectFactor times the predicted
+	// time, are the least before the first event; callers wait four objectives.
+	firstFactor  = 2
+	expectFactor = 3
+	// pauseFactor times the longest pause of the objective is the least between
+	// events; callers wait eight.
+	pauseFactor = 5
 )
 
 // streamState is what the caller of a stream has so far.
@@ -75,7 +80,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	// Without another attempt left, a silent engine is still the best chance.
-	watch := newWatchdog(max(minSilence, expectFactor*a.decision.Expect), func() {
+	firstSilence := max(minSilence, firstFactor*rq.route.FirstAnswer, expectFactor*a.decision.Expect)
+	watch := newWatchdog(firstSilence, func() {
 		if h.resumable(rq) {
 			cancel(errSilent)
 		}
@@ -90,7 +96,7 @@
 		return h.notStream(ctx, rq, res, reply, s)
 	}
 	events := newEventReader(res.Body)
-	pause := max(minSilence, silencePauses*rq.route.MaxPause)
+	pause := max(minSilence, pauseFactor*rq.route.MaxPause)
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) && s.begun {
@@ -112,7 +118,7 @@
 
 // resumable states whether the stream could go on at another engine.
 func (h *Handler) resumable(rq *request) bool {
-	return rq.route.Resumable && rq.ran+1 < rq.route.MaxAttempts
+	return rq.route.Resumable && rq.ran+1 < rq.route.MaxAttempts && h.budgets.has(rq.service, time.Now())
 }
 
 // errSilent says that an engine sent nothing for too long.
