--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -207,7 +207,8 @@
 		FirstAnswer: rq.route.FirstAnswer,
 		MaxPause:    rq.route.MaxPause,
 		Waited:      time.Since(rq.arrived),
-		Remaining:   time.Until(rq.deadline),
+		Remaining:   rq.patience(),
+		Lifetime:    time.Until(rq.deadline),
 		Avoid:       rq.tried,
 	}
 	d := h.placeSoon(ctx, rq, job)
@@ -259,13 +260,35 @@
 		if !wait || !sleep.For(ctx, placeRetry) {
 			return d
 		}
-		job.Waited, job.Remaining = time.Since(rq.arrived), time.Until(rq.deadline)
+		job.Waited, job.Remaining = time.Since(rq.arrived), rq.patience()
 	}
 }
 
 // retrySoon is when a request may come back that met a passing state.
 const retrySoon = 200 * time.Millisecond
 
+// Callers of streams leave after a gap of the longest of these, also before the
+// first event.
+const (
+	gapAtLeast    = 2 * time.Second
+	gapObjectives = 4
+	gapPauses     = 8
+)
+
+// patience returns how long the caller still waits for the next byte.
+func (rq *request) patience() time.Duration {
+	left := time.Until(rq.deadline)
+	if rq.route.Kind != deployment.Stream {
+		return left
+	}
+	last := rq.arrived
+	if !rq.story.last.IsZero() {
+		last = rq.story.last
+	}
+	gap := max(gapAtLeast, gapObjectives*rq.route.FirstAnswer, gapPauses*rq.route.MaxPause)
+	return min(left, gap-time.Since(last))
+}
+
 // outputTokens estimates the answer's length.
 func (rq *request) outputTokens() int {
 	c := rq.call
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -182,7 +182,7 @@
 	if _, known := p.jobs[j.ID]; known {
 		return
 	}
-	p.jobs[j.ID] = &placed{job: j, decision: d, at: now, deadline: now.Add(j.Remaining)}
+	p.jobs[j.ID] = &placed{job: j, decision: d, at: now, deadline: now.Add(j.Lifetime)}
 	first := pl.members[d.Upstream]
 	if first == nil {
 		return
@@ -335,7 +335,7 @@
 		}
 		a := &Adoption{Job: pj.job, Decision: pj.decision, Since: now.Sub(pj.at), Answered: pj.answered}
 		a.Job.Waited += a.Since
-		a.Job.Remaining -= a.Since
+		a.Job.Lifetime -= a.Since
 		list = append(list, event{Kind: eventAdopt, ID: pj.job.ID, Adopted: a})
 	}
 	return list
--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -118,7 +118,7 @@
 			jobs = append(jobs, &simJob{
 				job: Job{
 					ID: fmt.Sprintf("%s-%d", k.name, len(jobs)), Service: "llm", Prompt: prompt, Output: max(hint, 43),
-					FirstAnswer: k.first, MaxPause: k.pause, Remaining: k.deadline,
+					FirstAnswer: k.first, MaxPause: k.pause, Remaining: k.deadline, Lifetime: k.deadline,
 				},
 				class: c, at: start.Add(t), output: output,
 				worth: k.worth * min(4, 0.3+0.7*(float64(prompt)+10*float64(output))/(k.prompt+10*k.output)),
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -19,8 +19,10 @@
 	MaxPause    time.Duration
 	// Waited is how long ago the caller's request arrived.
 	Waited time.Duration
-	// Remaining is how long the caller still waits.
+	// Remaining is how long the caller still waits for the first answer.
 	Remaining time.Duration
+	// Lifetime is how long the job may last at all.
+	Lifetime time.Duration
 	// Avoid lists upstreams that were tried already.
 	Avoid []string
 }
