Streams go on elsewhere only once a place is granted; lapsed upstreams end by a timer

Ruled out: a late feed; the entry's removal was read 9 ms after it was made. Change: the watchdog asks for a place first and gives up the engine only with one; entries that are missing after an outage are gone after 1.8 s, by a timer.

--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -58,8 +59,9 @@
 	firstRetry = 50 * time.Millisecond
 	maxRetry   = 400 * time.Millisecond
 	// entriesReturn is how long after the store is back entries that lapsed
-	// meanwhile may be missing. The users promise about two seconds.
-	entriesReturn = 2200 * time.Millisecond
+	// meanwhile may be missing. The users promise about two seconds; an upstream
+	// that left meanwhile must get no work after two seconds either.
+	entriesReturn = 1800 * time.Millisecond
 )
 
 // Follower keeps a State up to date from one source.
@@ -69,6 +71,8 @@
 
 	revision int64
 	lost     bool
+	// mu guards lapsed.
+	mu sync.Mutex
 	// lapsed holds upstreams that were removed while the store was away or
 	// shortly after, with the time at which they are taken as gone.
 	lapsed map[string]time.Time
@@ -123,13 +127,9 @@
 		defer cancel()
 		return f.source.Read(ctx)
 	}
-	wait := watchWait
-	if at, waiting := f.nextLapse(); waiting {
-		wait = max(time.Until(at), 10*time.Millisecond)
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
-	return f.source.Changes(ctx, f.revision, wait)
+	return f.source.Changes(ctx, f.revision, watchWait)
 }
 
 // failed notes that the store could not be followed.
@@ -165,16 +165,11 @@
 		f.replace(u, now)
 		return
 	}
-	gone := f.expired(now)
-	for _, up := range u.Upstreams {
-		delete(f.lapsed, up.ID)
-	}
-	for _, id := range u.Gone {
-		if now.Before(f.trustAt) {
-			f.lapsed[id] = f.trustAt
-			continue
-		}
-		gone = append(gone, id)
+	f.returned(u.Upstreams)
+	gone := u.Gone
+	if now.Before(f.trustAt) {
+		f.lapse(gone)
+		gone = nil
 	}
 	if len(u.Upstreams)+len(gone) > 0 {
 		f.logUpstreams(u.Upstreams, gone, u.Revision)
@@ -188,19 +183,16 @@
 	if u.Config != nil {
 		return // the table of configurations holds no upstreams
 	}
-	listed := map[string]bool{}
-	for _, up := range u.Upstreams {
-		listed[up.ID] = true
-		delete(f.lapsed, up.ID)
-	}
+	f.returned(u.Upstreams)
 	list := u.Upstreams
 	if now.Before(f.trustAt) {
-		for id, up := range f.state.View().upstreams {
-			if !listed[id] {
-				f.lapsed[id] = f.trustAt
-				list = append(list, up)
-			}
+		missing := f.missing(u.Upstreams)
+		list = append(list, missing...)
+		ids := make([]string, len(missing))
+		for i, up := range missing {
+			ids[i] = up.ID
 		}
+		f.lapse(ids)
 	}
 	f.logUpstreams(u.Upstreams, nil, u.Revision)
 	f.state.ReplaceUpstreams(list, u.Revision, now)
@@ -220,18 +212,50 @@
 	}
 }
 
-// nextLapse returns when the next lapsed upstream is to be taken as gone.
-func (f *Follower) nextLapse() (at time.Time, waiting bool) {
-	for _, t := range f.lapsed {
-		if !waiting || t.Before(at) {
-			at, waiting = t, true
+// missing returns the upstreams that are known and not in list.
+func (f *Follower) missing(list []Upstream) []Upstream {
+	listed := make(map[string]bool, len(list))
+	for _, up := range list {
+		listed[up.ID] = true
+	}
+	var out []Upstream
+	for id, up := range f.state.View().upstreams {
+		if !listed[id] {
+			out = append(out, up)
+		}
+	}
+	return out
+}
+
+// returned notes that entries are listed.
+func (f *Follower) returned(list []Upstream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, up := range list {
+		delete(f.lapsed, up.ID)
+	}
+}
+
+// lapse gives upstreams until trustAt to be listed again. Their end does not
+// depend on another answer of the store.
+func (f *Follower) lapse(ids []string) {
+	if len(ids) == 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range ids {
+		if _, lapsing := f.lapsed[id]; !lapsing {
+			f.lapsed[id] = f.trustAt
 		}
 	}
-	return at, waiting
+	time.AfterFunc(time.Until(f.trustAt), f.expire)
 }
 
-// expired removes and returns the upstreams that did not return in time.
-func (f *Follower) expired(now time.Time) []string {
+// expire removes the upstreams that did not return in time.
+func (f *Follower) expire() {
+	now := time.Now()
+	f.mu.Lock()
 	var gone []string
 	for id, at := range f.lapsed {
 		if !now.Before(at) {
@@ -239,5 +263,9 @@
 			gone = append(gone, id)
 		}
 	}
-	return gone
+	f.mu.Unlock()
+	if len(gone) > 0 {
+		f.logUpstreams(nil, gone, f.state.View().Revision)
+		f.state.RemoveUpstreams(gone, now)
+	}
 }
--- a/internal/deployment/view.go
+++ b/internal/deployment/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -125,9 +126,9 @@
 	if revision < old.Revision {
 		return
 	}
-	byID := make(map[string]Upstream, len(old.upstreams)+len(changed))
-	for id, u := range old.upstreams {
-		byID[id] = u
+	byID := maps.Clone(old.upstreams)
+	if byID == nil {
+		byID = map[string]Upstream{}
 	}
 	for _, u := range changed {
 		byID[u.ID] = u
@@ -138,6 +139,18 @@
 	s.setUpstreams(old, byID, revision, now)
 }
 
+// RemoveUpstreams removes upstreams that are gone, whatever the revision.
+func (s *State) RemoveUpstreams(gone []string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.view.Load()
+	byID := maps.Clone(old.upstreams)
+	for _, id := range gone {
+		delete(byID, id)
+	}
+	s.setUpstreams(old, byID, old.Revision, now)
+}
+
 func (s *State) setUpstreams(old *View, byID map[string]Upstream, revision int64, now time.Time) {
 	next := *old
 	next.Revision, next.ListedAt, next.upstreams = revision, now, byID
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -196,9 +196,15 @@
 	release func()
 }
 
-// place asks for an upstream. An error means that nothing was sent.
-func (h *Handler) place(ctx context.Context, rq *request, lastEvent string) (*attempt, *result.Error) {
-	job := placement.Job{
+// chosen is a place that was granted and not used yet.
+type chosen struct {
+	job      placement.Job
+	decision placement.Decision
+}
+
+// job describes the next attempt to the placer.
+func (h *Handler) job(rq *request) placement.Job {
+	return placement.Job{
 		ID:          uuid.NewString(),
 		Owner:       h.opts.Instance,
 		Service:     rq.service,
@@ -211,10 +217,21 @@
 		Lifetime:    time.Until(rq.deadline),
 		Avoid:       rq.tried,
 	}
+}
+
+// place asks for an upstream. An error means that nothing was sent.
+func (h *Handler) place(ctx context.Context, rq *request, lastEvent string) (*attempt, *result.Error) {
+	job := h.job(rq)
 	d := h.placeSoon(ctx, rq, job)
 	if d.Upstream == "" {
 		return nil, refusalOf(d)
 	}
+	return h.prepare(ctx, rq, chosen{job, d}, lastEvent)
+}
+
+// prepare makes a granted place into an attempt.
+func (h *Handler) prepare(ctx context.Context, rq *request, c chosen, lastEvent string) (*attempt, *result.Error) {
+	job, d := c.job, c.decision
 	// The view may have changed since the request came; an upstream that has
 	// left meanwhile must not be used.
 	view := h.opts.State.View()
@@ -239,6 +256,7 @@
 	a.header = make(http.Header, len(rq.r.Header)+4)
 	h.opts.Codec.WriteCall(a.header, rq.r.Header, out)
 	rq.story.placed(a)
+	rq.tried = append(rq.tried, a.upstream.ID)
 	return a, nil
 }
 
@@ -301,7 +319,6 @@
 // send makes one attempt and returns the answer's header.
 func (h *Handler) send(ctx context.Context, rq *request, a *attempt) (*http.Response, Reply, error) {
 	rq.sends++
-	rq.tried = append(rq.tried, a.upstream.ID)
 	res, err := roundTrip(ctx, h.transport, outbound{
 		method:  rq.r.Method,
 		address: a.upstream.Address,
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -33,14 +33,18 @@
 	// last is the ID of the last event that was passed on.
 	last   string
 	events int
+	// next is the place to go on at, if one was granted before the present
+	// engine was given up.
+	next *chosen
 }
 
 // stream relays events as they come. If an engine is lost, the stream goes on at
 // another after the last whole event, where the route allows it.
 func (h *Handler) stream(ctx context.Context, rq *request) *result.Error {
 	var s streamState
+	defer h.giveBack(&s)
 	for {
-		a, refused := h.place(ctx, rq, s.last)
+		a, refused := h.nextAttempt(ctx, rq, &s)
 		if refused != nil {
 			return h.outOfPlaces(ctx, rq, refused)
 		}
@@ -51,8 +55,12 @@
 		switch {
 		case end.outcome == placement.Completed:
 			return end.result
+		case ctx.Err() != nil:
+			return h.ended(ctx, rq, end.err, end.notRun)
 		case end.answer != nil && !end.notRun && end.answer.status < http.StatusInternalServerError:
 			return h.deliver(rq, end.answer)
+		case s.next != nil:
+			rq.ran++ // the budget was spent with the place
 		case !end.notRun && !rq.route.Resumable,
 			!h.mayRetry(ctx, rq, !end.notRun):
 			if end.answer != nil && !end.notRun && !s.begun {
@@ -63,6 +71,25 @@
 	}
 }
 
+// giveBack returns a place that is not needed.
+func (h *Handler) giveBack(s *streamState) {
+	if s.next != nil {
+		h.opts.Placer.Ended(s.next.job.Service, s.next.job.ID, placement.Abandoned)
+		s.next = nil
+	}
+}
+
+// nextAttempt prepares the place that was granted already, or a new one.
+func (h *Handler) nextAttempt(ctx context.Context, rq *request, s *streamState) (*attempt, *result.Error) {
+	if c := s.next; c != nil {
+		s.next = nil
+		if a, err := h.prepare(ctx, rq, *c, s.last); err == nil {
+			return a, nil
+		}
+	}
+	return h.place(ctx, rq, s.last)
+}
+
 // streamEnd is how one attempt of a stream ended.
 type streamEnd struct {
 	outcome placement.Outcome
@@ -79,14 +106,9 @@
 func (h *Handler) tryStream(ctx context.Context, rq *request, a *attempt, s *streamState) streamEnd {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	// Without another attempt left, a silent engine is still the best chance.
 	firstSilence := max(minSilence, firstFactor*rq.route.FirstAnswer, expectFactor*a.decision.Expect)
-	watch := newWatchdog(firstSilence, func() {
-		if h.resumable(rq) {
-			cancel(errSilent)
-		}
-	})
-	defer watch.stop()
+	watch := h.newWatchdog(ctx, rq, firstSilence, cancel)
+	defer func() { s.next = watch.stop() }()
 	res, reply, err := h.send(ctx, rq, a)
 	if err != nil {
 		return streamEnd{outcome: h.lossOf(ctx, rq, err), err: err, notRun: errors.Is(err, errNotSent)}
@@ -116,11 +138,6 @@
 	}
 }
 
-// resumable states whether the stream could go on at another engine.
-func (h *Handler) resumable(rq *request) bool {
-	return rq.route.Resumable && rq.ran+1 < rq.route.MaxAttempts && h.budgets.has(rq.service, time.Now())
-}
-
 // errSilent says that an engine sent nothing for too long.
 var errSilent = errors.New("the engine sent nothing for too long")
 
@@ -181,12 +198,3 @@
 	}
 	return http.NewResponseController(rq.w).Flush()
 }
-
-// watchdog calls a function if it is not reset in time.
-type watchdog struct{ timer *time.Timer }
-
-func newWatchdog(d time.Duration, f func()) *watchdog { return &watchdog{time.AfterFunc(d, f)} }
-
-func (w *watchdog) reset(d time.Duration) { w.timer.Reset(d) }
-
-func (w *watchdog) stop() { w.timer.Stop() }
