--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -64,10 +64,20 @@
 	entriesReturn = 1800 * time.Millisecond
 )
 
+// gatherPerInstance is how long an instance waits for further changes after one,
+// for each instance of the deployment: calls are priced, and each change would
+// wake all of them. maxGather keeps it well within what a change may take.
+const (
+	gatherPerInstance = 5 * time.Millisecond
+	maxGather         = 400 * time.Millisecond
+)
+
 // Follower keeps a State up to date from one source.
 type Follower struct {
 	state  *State
 	source Source
+	// instances returns the number of live instances.
+	instances func() int
 
 	revision int64
 	lost     bool
@@ -81,8 +91,8 @@
 }
 
 // NewFollower returns a Follower; Run starts it.
-func NewFollower(state *State, source Source) *Follower {
-	return &Follower{state: state, source: source, lapsed: map[string]time.Time{}}
+func NewFollower(state *State, source Source, instances func() int) *Follower {
+	return &Follower{state: state, source: source, instances: instances, lapsed: map[string]time.Time{}}
 }
 
 // Run follows the source until ctx ends.
@@ -105,6 +115,7 @@
 		f.regained(now)
 		f.apply(update, now)
 		whole = false
+		sleep.For(ctx, min(time.Duration(f.instances())*gatherPerInstance, maxGather))
 	}
 	return ctx.Err()
 }
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -91,7 +91,7 @@
 func (n *Instance) Run(ctx context.Context) error {
 	var group run.Group
 	for _, source := range n.opts.Sources {
-		addActor(&group, deployment.NewFollower(n.state, source).Run)
+		addActor(&group, deployment.NewFollower(n.state, source, n.links.instances).Run)
 	}
 	addActor(&group, n.probe)
 	addActor(&group, n.fleet.Run)
--- a/internal/placement/generation.go
+++ b/internal/placement/generation.go
@@ -109,13 +109,10 @@
 func (p *Planner) solo(model *enginemodel.Model, candidates []*member, j *Job, urgency int, now time.Time) (proposal, bool) {
 	w := j.work(j.Prompt, now)
 	w.Urgency = urgency
-	options := p.options(model, shortlist(model, candidates, j, now), j, w, now)
+	options := p.options(model, shortlist(model, candidates, j, w.Memory, now), j, w, now)
 	var best proposal
 	found := false
 	for _, o := range options {
-		if o.free < w.Memory {
-			continue
-		}
 		if !found || o.cost < best.cost {
 			best = proposal{decision: Decision{Upstream: o.member.upstream.ID, Urgency: urgency}, cost: o.cost, ready: o.ready}
 			found = true
@@ -194,10 +191,22 @@
 	return m.lossNow
 }
 
+// withMemory returns the candidates whose free memory holds tokens.
+func withMemory(model *enginemodel.Model, candidates []*member, tokens int) []*member {
+	out := make([]*member, 0, len(candidates))
+	for _, m := range candidates {
+		if model.MemoryTokens-m.engine.UsedTokens() >= tokens {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // shortlist returns the candidates that look best for a job on one engine, so
-// that a decision costs about the same in a large pool: those with the least
-// work before it.
-func shortlist(model *enginemodel.Model, candidates []*member, j *Job, now time.Time) []*member {
+// that a decision costs about the same in a large pool: those with memory for it
+// and the least work before it.
+func shortlist(model *enginemodel.Model, candidates []*member, j *Job, memory int, now time.Time) []*member {
+	candidates = withMemory(model, candidates, memory)
 	if len(candidates) <= maxShortlist {
 		return candidates
 	}
