--- /dev/null
+++ b/internal/deployment/follower_test.go
@@ -0,0 +1,167 @@
+package deployment
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// script is a source whose answers a test sets.
+type script struct {
+	changes chan Update
+
+	mu    sync.Mutex
+	whole Update
+	err   error
+}
+
+// set replaces the answers.
+func (s *script) set(whole Update, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.whole, s.err = whole, err
+}
+
+func (s *script) get() (Update, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.whole, s.err
+}
+
+func (s *script) Name() string { return "script" }
+
+func (s *script) Read(context.Context) (Update, error) { return s.get() }
+
+func (s *script) Changes(ctx context.Context, _ int64, wait time.Duration) (Update, error) {
+	whole, err := s.get()
+	if err != nil {
+		return Update{}, err
+	}
+	select {
+	case u := <-s.changes:
+		_, err = s.get()
+		return u, err
+	case <-time.After(wait):
+		return Update{Revision: whole.Revision}, nil
+	case <-ctx.Done():
+		return Update{}, ctx.Err()
+	}
+}
+
+func upstreams(ids ...string) []Upstream {
+	var list []Upstream
+	for _, id := range ids {
+		list = append(list, Upstream{ID: id, Service: "s", Address: id})
+	}
+	return list
+}
+
+func one() int { return 1 }
+
+// follow runs f with a source in a bubble of virtual time.
+func follow(t *testing.T, s *script, f func(state *State)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s.changes = make(chan Update)
+		state := NewState()
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = NewFollower(state, s, one).Run(ctx)
+		}()
+		time.Sleep(time.Second) // the first read is done, and changes are awaited
+		synctest.Wait()
+		f(state)
+		cancel()
+		<-done
+	})
+}
+
+func TestOlderConfigurationsNeverReturn(t *testing.T) {
+	s := NewState()
+	now := time.Now()
+	if !s.SetConfiguration(&Configuration{Version: 5}, now) || s.SetConfiguration(&Configuration{Version: 4}, now) || s.SetConfiguration(&Configuration{Version: 5}, now) {
+		t.Error("a version that is not newer was installed")
+	}
+	if s.View().Config.Version != 5 {
+		t.Errorf("version %d is in force", s.View().Config.Version)
+	}
+}
+
+// TestStaleReadsAreIgnored: after lost history a read may answer with an older
+// revision than is known.
+func TestStaleReadsAreIgnored(t *testing.T) {
+	s := &script{whole: Update{Whole: true, Revision: 10, Upstreams: upstreams("a")}}
+	follow(t, s, func(state *State) {
+		stale := Update{Whole: true, Revision: 4, Upstreams: upstreams("old")}
+		s.set(stale, ErrHistoryLost)
+		s.changes <- Update{Revision: 11, Upstreams: upstreams("b")}
+		time.Sleep(time.Second)
+		s.set(stale, nil)
+		time.Sleep(time.Second)
+		if _, known := state.View().Upstream("old"); known {
+			t.Error("a stale list was installed")
+		}
+		s.set(Update{Whole: true, Revision: 12, Upstreams: upstreams("c")}, nil)
+		time.Sleep(time.Second)
+		if _, known := state.View().Upstream("c"); !known {
+			t.Error("the current list was not installed")
+		}
+	})
+}
+
+// TestLapsedEntriesMayReturn: what is missing after an outage stays for the time
+// in which entries return, and no longer.
+func TestLapsedEntriesMayReturn(t *testing.T) {
+	s := &script{whole: Update{Whole: true, Revision: 1, Upstreams: upstreams("a", "b")}}
+	follow(t, s, func(state *State) {
+		s.set(s.whole, errors.New("down"))
+		s.changes <- Update{Revision: 1}
+		time.Sleep(3 * time.Second)
+		if len(state.View().Upstreams("s")) != 2 {
+			t.Fatal("an outage removed upstreams")
+		}
+		s.set(Update{Whole: true, Revision: 5, Upstreams: upstreams("a")}, nil)
+		s.changes <- Update{Revision: 5, Gone: []string{"b"}}
+		synctest.Wait()
+		if _, known := state.View().Upstream("b"); !known {
+			t.Error("an entry that lapsed in the outage was dropped at once")
+		}
+		time.Sleep(entriesReturn + 50*time.Millisecond)
+		if _, known := state.View().Upstream("b"); known {
+			t.Error("an entry that did not return is still used")
+		}
+	})
+}
+
+// TestRemovalsCountAtOnce while the store is well.
+func TestRemovalsCountAtOnce(t *testing.T) {
+	s := &script{whole: Update{Whole: true, Revision: 1, Upstreams: upstreams("a", "b")}}
+	follow(t, s, func(state *State) {
+		s.changes <- Update{Revision: 2, Gone: []string{"b"}}
+		synctest.Wait()
+		if len(state.View().Upstreams("s")) != 1 {
+			t.Error("a removed upstream is still used")
+		}
+	})
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	s := NewState()
+	s.SetConfiguration(&Configuration{Version: 1, Routes: []Route{
+		{Name: "short", Host: "h", Prefix: "/a/"}, {Name: "long", Host: "h", Prefix: "/a/b/"}, {Name: "other", Host: "g", Prefix: "/"},
+	}}, time.Now())
+	for path, want := range map[string]string{"/a/x": "short", "/a/b/x": "long", "/a/b": "short", "/b/": ""} {
+		got := ""
+		if r := s.View().RouteOf("h", path); r != nil {
+			got = r.Name
+		}
+		if got != want {
+			t.Errorf("%s goes to %q, want %q", path, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/fleet_test.go
@@ -0,0 +1,269 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/deployment"
+	"github.com/banyanroute/banyanroute/internal/enginemodel"
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/peer/peertest"
+)
+
+// node is one instance's placer on an in-memory network.
+type node struct {
+	fleet   *Fleet
+	planner *Planner
+	member  peer.Member
+}
+
+// known returns the number of jobs that the node's planner knows.
+func (n *node) known() int {
+	n.planner.mu.Lock()
+	defer n.planner.mu.Unlock()
+	return len(n.planner.jobs)
+}
+
+// deploymentOf tells planners of engines.
+func deploymentOf(planners []*Planner, engines int) {
+	state := deployment.NewState()
+	for _, p := range planners {
+		state.Subscribe(p.SetView)
+	}
+	model := usersModel()
+	now := time.Now()
+	state.SetConfiguration(&deployment.Configuration{Version: 1, Services: map[string]deployment.Service{
+		"llm": {Name: "llm", Engine: &model}, "plain": {Name: "plain"},
+	}}, now)
+	var ups []deployment.Upstream
+	for i := range engines {
+		ups = append(ups,
+			deployment.Upstream{ID: fmt.Sprint("e", i), Service: "llm", Address: fmt.Sprint("e", i), Slots: 16},
+			deployment.Upstream{ID: fmt.Sprint("p", i), Service: "plain", Address: fmt.Sprint("p", i), Slots: 6})
+	}
+	state.ReplaceUpstreams(ups, 1, now)
+}
+
+func newNodes(net *peertest.Net, n int) []*node {
+	var nodes []*node
+	var planners []*Planner
+	for i := range n {
+		m := peer.Member{ID: fmt.Sprint("i", i), Incarnation: 1}
+		p := NewPlanner("")
+		f := NewFleet(p, OwnerName(m))
+		f.SetBus(net.Join(m))
+		nodes = append(nodes, &node{f, p, m})
+		planners = append(planners, p)
+	}
+	deploymentOf(planners, 4)
+	return nodes
+}
+
+func shortJob(id string) Job {
+	return Job{ID: id, Service: "llm", Prompt: 5000, Output: 400, FirstAnswer: 300 * time.Millisecond, MaxPause: 250 * time.Millisecond,
+		Remaining: 10 * time.Second, Lifetime: 10 * time.Second}
+}
+
+// homeOf returns the node that plans the service.
+func homeOf(nodes []*node, service string) *node {
+	var members []peer.Member
+	for _, n := range nodes {
+		members = append(members, n.member)
+	}
+	id := peer.Owner(members, service, nil)
+	for _, n := range nodes {
+		if n.member.ID == id {
+			return n
+		}
+	}
+	return nil
+}
+
+// TestOneViewOfLoad: jobs from all instances spread as if one had placed them.
+func TestOneViewOfLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newNodes(peertest.NewNet(time.Millisecond), 4)
+		used := map[string]int{}
+		for i := range 8 {
+			d := nodes[i%4].fleet.Place(t.Context(), shortJob(fmt.Sprint("j", i)))
+			used[d.Upstream]++
+		}
+		home := homeOf(nodes, "llm")
+		if n := home.known(); n != 8 {
+			t.Errorf("the home knows %d jobs, want 8", n)
+		}
+		for i := range 8 {
+			nodes[i%4].fleet.Ended("llm", fmt.Sprint("j", i), Completed)
+		}
+		time.Sleep(time.Second)
+		if n := home.known(); n != 0 {
+			t.Errorf("the home still knows %d jobs that ended", n)
+		}
+	})
+}
+
+// TestHomeOutOfReach: an instance that is cut off plans by itself at once, and
+// the home is told anew when it is back, with no job that has ended meanwhile.
+func TestHomeOutOfReach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := peertest.NewNet(time.Millisecond)
+		nodes := newNodes(net, 3)
+		home := homeOf(nodes, "llm")
+		var n *node
+		for _, other := range nodes {
+			if other != home {
+				n = other
+			}
+		}
+		n.fleet.Place(t.Context(), shortJob("before"))
+		for _, other := range nodes {
+			if other != n {
+				net.Cut(n.member.ID, other.member.ID, true)
+			}
+		}
+		began := time.Now()
+		if d := n.fleet.Place(t.Context(), shortJob("during")); d.Upstream == "" {
+			t.Error("no place while the home is out of reach")
+		}
+		if took := time.Since(began); took > 2*callTimeout+10*time.Millisecond {
+			t.Errorf("the decision took %s", took)
+		}
+		n.fleet.Ended("llm", "before", Completed)
+		time.Sleep(100 * time.Millisecond)
+		for _, other := range nodes {
+			if other != n {
+				net.Cut(n.member.ID, other.member.ID, false)
+			}
+		}
+		time.Sleep(2 * avoidHome)
+		n.fleet.Place(t.Context(), shortJob("after"))
+		time.Sleep(100 * time.Millisecond)
+		home.planner.mu.Lock()
+		defer home.planner.mu.Unlock()
+		if home.planner.jobs["before"] != nil {
+			t.Error("the home keeps a job that ended while it was out of reach")
+		}
+		if home.planner.jobs["during"] == nil || home.planner.jobs["after"] == nil {
+			t.Error("the home does not know the jobs under way")
+		}
+	})
+}
+
+// TestJobsOfTheDeadAreForgotten, and overdue ones too.
+func TestJobsOfTheDeadAreForgotten(t *testing.T) {
+	p := NewPlanner("")
+	deploymentOf([]*Planner{p}, 2)
+	now := time.Now()
+	a, b := shortJob("a"), shortJob("b")
+	a.Owner, b.Owner = "dead/1", "live/1"
+	p.Place(a, now)
+	p.Place(b, now)
+	p.dropOwners(map[string]bool{"live/1": true}, now)
+	if p.jobs["a"] != nil || p.jobs["b"] == nil {
+		t.Error("the wrong jobs were forgotten")
+	}
+	p.Place(shortJob("c"), now.Add(b.Lifetime+jobLinger+2*sweepInterval))
+	if p.jobs["b"] != nil {
+		t.Error("an overdue job is still counted")
+	}
+}
+
+// TestLostUpstreamsGetNoWork until a probe succeeds, and failing ones get less.
+func TestLostUpstreamsGetNoWork(t *testing.T) {
+	p := NewPlanner("")
+	deploymentOf([]*Planner{p}, 4)
+	now := time.Now()
+	d := p.Place(shortJob("a"), now)
+	p.Ended("a", Unreached, now)
+	for i := range 12 {
+		if got := p.Place(shortJob(fmt.Sprint("b", i)), now); got.Upstream == d.Upstream {
+			t.Errorf("job %d went to the lost upstream", i)
+		}
+	}
+	if s := p.Suspects(now); len(s) != 1 || s[0].ID != d.Upstream {
+		t.Fatalf("suspects %v", s)
+	}
+	p.Probed("llm", d.Upstream, true, now)
+	if p.pools["llm"].members[d.Upstream].condition.down {
+		t.Error("a successful probe did not end the pause")
+	}
+}
+
+// TestPromptsLargerThanAnEngine get engines whose memory together holds them.
+func TestPromptsLargerThanAnEngine(t *testing.T) {
+	p := NewPlanner("")
+	deploymentOf([]*Planner{p}, 4)
+	j := shortJob("huge")
+	j.Prompt, j.FirstAnswer, j.MaxPause, j.Remaining = 600_000, 30*time.Second, time.Second, 60*time.Second
+	d := p.Place(j, time.Now())
+	reserved := 0
+	for _, h := range d.Helpers {
+		reserved += h.ReservedTokens
+	}
+	if d.Upstream == "" || j.Prompt+j.Output-reserved > usersModel().MemoryTokens {
+		t.Errorf("decision %+v reserves %d tokens", d, reserved)
+	}
+	j.ID, j.Prompt = "never", 4*usersModel().MemoryTokens
+	if d := p.Place(j, time.Now()); d.Upstream != "" || d.Reason != TooLarge {
+		t.Errorf("a prompt that cannot fit got %+v", d)
+	}
+}
+
+// TestPlanningBeatsLeastRequests on the users' calm mix: the policy must earn
+// what the users' own mark for a calm day asks for.
+func TestPlanningBeatsLeastRequests(t *testing.T) {
+	const calmMark = 0.864 // the users' upper mark of a calm day, prices included
+	for name, d := range map[string]day{"trinacria": trinacriaDay(0.85), "pinakida": pinakidaDay(0.85)} {
+		for seed := range uint64(2) {
+			if o := d.play(seed); o.worth() < calmMark {
+				t.Errorf("%s seed %d: %s; want at least %.3f", name, seed, o, calmMark)
+			}
+		}
+	}
+}
+
+func BenchmarkPlaceShort(b *testing.B) {
+	for _, engines := range []int{14, 78, 800} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) { benchmarkPlace(b, engines, shortJob("x")) })
+	}
+}
+
+func BenchmarkPlaceLong(b *testing.B) {
+	long := shortJob("x")
+	long.Prompt, long.FirstAnswer, long.MaxPause = 133_000, 3*time.Second, time.Second
+	for _, engines := range []int{14, 78, 800} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) { benchmarkPlace(b, engines, long) })
+	}
+}
+
+func benchmarkPlace(b *testing.B, engines int, j Job) {
+	p := NewPlanner("")
+	deploymentOf([]*Planner{p}, engines)
+	now := time.Now()
+	for i := range engines * 4 {
+		p.Place(shortJob(fmt.Sprint("load", i)), now)
+	}
+	i := 0
+	for b.Loop() {
+		i++
+		j.ID = fmt.Sprint("j", i)
+		now = now.Add(time.Millisecond)
+		p.Place(j, now)
+		p.Ended(j.ID, Completed, now)
+	}
+}
+
+// TestPassesFollowTheModel checks the prediction against times worked out by hand.
+func TestPassesFollowTheModel(t *testing.T) {
+	model := usersModel()
+	e := enginemodel.NewEngine(&model)
+	now := time.Unix(1000, 0)
+	w := enginemodel.Work{ID: "a", Tokens: 2060, Pairs: enginemodel.Pairs(2060), Output: 430, Context: 2060, Start: now}
+	_, ready := e.Outlook(&w, now, now.Add(time.Second))
+	// 2 steps of 1.02 ms, 10 ms of reading and 0.29 ms of pairs.
+	if took := ready.Sub(now); took < 12*time.Millisecond || took > 13*time.Millisecond {
+		t.Errorf("the first token is predicted after %s, want 12.3 ms", took)
+	}
+}
--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -304,12 +304,17 @@
 	return o
 }
 
-func TestDayTable(t *testing.T) {
+// BenchmarkDay reports what the policy earns on simulated days.
+func BenchmarkDay(b *testing.B) {
 	for _, rate := range []float64{0.85, 1, 1.4} {
-		for name, make := range map[string]func(float64) day{"trinacria": trinacriaDay, "pinakida": pinakidaDay} {
-			for seed := range uint64(3) {
-				t.Logf("%s at %.2f seed %d: %s", name, rate, seed, make(rate).play(seed))
-			}
+		for name, build := range map[string]func(float64) day{"trinacria": trinacriaDay, "pinakida": pinakidaDay} {
+			b.Run(fmt.Sprintf("%s/%.2f", name, rate), func(b *testing.B) {
+				sum := 0.0
+				for i := range b.N {
+					sum += build(rate).play(uint64(i)).worth()
+				}
+				b.ReportMetric(sum/float64(b.N), "worth")
+			})
 		}
 	}
 }
