--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT = $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BIN = bin
 
-.PHONY: all build test lint check-format bench demo run faults faults-short clean
+.PHONY: all build test lint check-format bench demo run faults faults-short soak soak-short soak-fresh clean
 
 all: build
 
@@ -37,5 +37,17 @@
 faults-short: build
 	$(GO) run ./tools/faults -bin $(BIN) -seed 1 -duration 20s -slack 30s
 
+# The soak on stand-ins of the users' platform: overlapping series of faults. Seeds
+# that once failed are in tools/faults/seeds.txt and run first in the short form.
+soak: build
+	$(GO) run ./tools/faults -bin $(BIN) -platform -seed $(or $(SEED),1) -duration 60s
+
+soak-short: build
+	for seed in 1 $$(grep -o '^[0-9]*' tools/faults/seeds.txt); do \
+		$(GO) run ./tools/faults -bin $(BIN) -platform -seed $$seed -duration 10s -slack 10s || exit 1; done
+
+soak-fresh: build
+	$(GO) run ./tools/faults -bin $(BIN) -platform -seed $$(date +%s) -duration 180s
+
 clean:
 	rm -rf $(BIN)
--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -55,9 +55,12 @@
 	readTimeout = 3 * time.Second
 	// firstRetry and maxRetry bound the pauses after failed calls: a store that
 	// comes back must be noticed well within the seconds that a configuration
-	// may take.
-	firstRetry = 50 * time.Millisecond
-	maxRetry   = 400 * time.Millisecond
+	// may take. Refused calls are priced too, so large fleets pause longer, by
+	// retryPerInstance for each instance.
+	firstRetry       = 50 * time.Millisecond
+	maxRetry         = 400 * time.Millisecond
+	retryPerInstance = 10 * time.Millisecond
+	maxFleetRetry    = 1200 * time.Millisecond
 	// entriesReturn is how long after the store is back entries that lapsed
 	// meanwhile may be missing. The users promise about two seconds; an upstream
 	// that left meanwhile must get no work after two seconds either.
@@ -97,7 +100,7 @@
 
 // Run follows the source until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	pause := newBackoff()
+	pause := f.newBackoff()
 	whole := true
 	for ctx.Err() == nil {
 		update, err := f.next(ctx, whole)
@@ -106,12 +109,14 @@
 		}
 		now := time.Now()
 		if err != nil {
+			if !f.lost {
+				pause = f.newBackoff()
+			}
 			whole = whole || errors.Is(err, ErrHistoryLost)
 			f.failed(ctx, err, now)
 			sleep.For(ctx, pause.NextBackOff())
 			continue
 		}
-		pause.Reset()
 		f.regained(now)
 		f.apply(update, now)
 		whole = false
@@ -125,9 +130,11 @@
 
 // newBackoff returns pauses with jitter, so that instances do not all return to
 // the store at once.
-func newBackoff() *backoff.ExponentialBackOff {
+func (f *Follower) newBackoff() *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
-	b.InitialInterval, b.MaxInterval = firstRetry, maxRetry
+	b.InitialInterval = firstRetry
+	b.MaxInterval = min(maxRetry+time.Duration(f.instances())*retryPerInstance, maxFleetRetry)
+	b.Reset()
 	return b
 }
 
--- a/tools/faults/main.go
+++ b/tools/faults/main.go
@@ -29,9 +29,11 @@
 	// rolling replaces all instances one after another instead of causing
 	// faults.
 	rolling bool
-	slack   time.Duration
-	out     string
-	keep    string
+	// platform runs the instances on stand-ins of the users' platform.
+	platform bool
+	slack    time.Duration
+	out      string
+	keep     string
 }
 
 func main() {
@@ -43,6 +45,7 @@
 	flag.IntVar(&o.engines, "engines", 4, "number of engines")
 	flag.BoolVar(&o.pairs, "pairs", true, "let every second fault be two at once")
 	flag.BoolVar(&o.rolling, "rolling", false, "replace all instances one after another by planned stops, instead of faults")
+	flag.BoolVar(&o.platform, "platform", false, "run the instances on stand-ins of the users' platform, with overlapping series of faults")
 	flag.DurationVar(&o.slack, "slack", 2*time.Second, "how much later than its time limit an answer may come")
 	flag.StringVar(&o.out, "out", "", "file for the report as JSON")
 	flag.StringVar(&o.keep, "keep", "", "folder that keeps settings and logs")
@@ -70,6 +73,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), o.duration+quietTime+2*time.Minute)
 	defer cancel()
+	if o.platform {
+		return soak(ctx, o, dir)
+	}
 	fleet, err := localfleet.Start(ctx, layout(o, dir))
 	if err != nil {
 		return err
--- a/tools/faults/report.go
+++ b/tools/faults/report.go
@@ -23,10 +23,12 @@
 	noMemoryLost promise = "no engine loses memory for good"
 	inForce      promise = "an accepted edit is in force everywhere and never reverts"
 	noCut        promise = "a planned stop cuts off no request"
+	noNewWork    promise = "an upstream that leaves gets no new work"
+	servesAgain  promise = "requests are served again after the faults"
 )
 
 // promises in the order of the report.
-var promises = []promise{inTime, wholeAnswer, notRunIsTrue, atMostOnce, noMemoryLost, inForce, noCut}
+var promises = []promise{inTime, wholeAnswer, notRunIsTrue, atMostOnce, noMemoryLost, inForce, noCut, noNewWork, servesAgain}
 
 // maxExamples bounds the violations whose text is kept.
 const maxExamples = 10
@@ -58,8 +60,8 @@
 
 func newReport(o options) *report {
 	r := &report{
-		Command: fmt.Sprintf("go run ./tools/faults -seed %d -duration %s -instances %d -engines %d -pairs=%t -rolling=%t -slack %s",
-			o.seed, o.duration, o.instances, o.engines, o.pairs, o.rolling, o.slack),
+		Command: fmt.Sprintf("go run ./tools/faults -seed %d -duration %s -instances %d -engines %d -pairs=%t -rolling=%t -platform=%t -slack %s",
+			o.seed, o.duration, o.instances, o.engines, o.pairs, o.rolling, o.platform, o.slack),
 		Seed: o.seed, Duration: o.duration.String(),
 		Machine: fmt.Sprintf("%s/%s, %d cores", runtime.GOOS, runtime.GOARCH, runtime.NumCPU()),
 		Results: map[string]int{}, RecoverySeconds: map[string][]float64{},
