Structured logs bounded and never blocking; counters, histograms and a state dump

Change: lines about requests carry route, versions and ages, each attempt with its prediction and outcome; ordinary ones are sampled at 20/s with the count left out, failed and slow ones are whole. The writer drops and counts lines for a slow reader. Jobs are named after the caller's request.

--- a/cmd/banyanrouted/main.go
+++ b/cmd/banyanrouted/main.go
@@ -80,10 +80,12 @@
 		fmt.Println("the platform's settings are valid")
 		return exitOK
 	}
-	if err := logging.SetupStructured(os.Stdout, "info"); err != nil {
+	out, err := logging.SetupStructured(os.Stdout, "info")
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "banyanrouted:", err)
 		return exitFailed
 	}
+	defer out.Close()
 	debug.SetMemoryLimit(int64(hostedMemoryPart * float64(opts.Settings.MemoryBytes)))
 	if err := hosted.New(opts).Run(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "banyanrouted:", err)
--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/banyanroute/banyanroute/internal/logging"
@@ -157,6 +159,7 @@
 		return
 	}
 	f.lost = true
+	metrics.GetOrCreateCounter(fmt.Sprintf(`banyanroute_store_lost_total{table=%q}`, f.source.Name())).Inc()
 	log.WithField("table", f.source.Name()).WithField("revision", f.revision).WithError(err).
 		Warn("The platform's store cannot be followed; what is known stays in force.")
 }
@@ -176,6 +179,7 @@
 func (f *Follower) apply(u Update, now time.Time) {
 	f.revision = u.Revision
 	if u.Config != nil && f.state.SetConfiguration(u.Config, now) {
+		metrics.GetOrCreateCounter(`banyanroute_configurations_total`).Inc()
 		log.WithField("version", u.Config.Version).WithField("revision", u.Revision).
 			WithField("routes", len(u.Config.Routes)).Info("A configuration is in force.")
 	}
--- /dev/null
+++ b/internal/hosted/dump.go
@@ -0,0 +1,39 @@
+package hosted
+
+import (
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/placement"
+)
+
+// state is what an instance believes, with the age of each belief.
+type state struct {
+	Instance string `json:"instance"`
+	Draining bool   `json:"draining"`
+	// ConfigVersion is 0 before the first configuration.
+	ConfigVersion int64   `json:"config_version"`
+	ConfigAge     float64 `json:"config_age_seconds"`
+	ListRevision  int64   `json:"list_revision"`
+	ListAge       float64 `json:"list_age_seconds"`
+	// Members are the live instances that this one knows.
+	Members   []string                  `json:"members"`
+	Upstreams []placement.UpstreamState `json:"upstreams"`
+}
+
+// dump returns the present state.
+func (n *Instance) dump() state {
+	v := n.state.View()
+	s := state{Instance: n.settings.Instance, Draining: n.draining.Load(), ListRevision: v.Revision, Upstreams: n.planner.Dump(time.Now())}
+	if !v.ListedAt.IsZero() {
+		s.ListAge = time.Since(v.ListedAt).Seconds()
+	}
+	if v.Config != nil {
+		s.ConfigVersion, s.ConfigAge = v.Config.Version, time.Since(v.ConfigAt).Seconds()
+	}
+	if overlay := n.links.overlay.Load(); overlay != nil {
+		for _, m := range overlay.Members() {
+			s.Members = append(s.Members, m.ID)
+		}
+	}
+	return s
+}
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
@@ -37,6 +38,12 @@
 	operators.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		metrics.WritePrometheus(w, true)
 	})
+	operators.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(n.dump()); err != nil {
+			log.WithError(err).Debug("A state dump could not be written.")
+		}
+	})
 	n.operators = newServer(operators)
 	n.linkServer = newServer(n.links)
 }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -3,6 +3,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -23,16 +24,18 @@
 	return nil
 }
 
-// SetupStructured makes all loggers write one JSON object a line.
-func SetupStructured(out io.Writer, level string) error {
+// SetupStructured makes all loggers write one JSON object a line, without ever
+// waiting for out. The writer that it returns is to be closed at the end.
+func SetupStructured(out io.Writer, level string) (*Bounded, error) {
 	parsed, err := logrus.ParseLevel(level)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	root.SetOutput(out)
+	bounded := NewBounded(out)
+	root.SetOutput(bounded)
 	root.SetLevel(parsed)
-	root.SetFormatter(&logrus.JSONFormatter{})
-	return nil
+	root.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	return bounded, nil
 }
 
 // partKey is the field that carries a logger's prefix to the formatter.
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -5,8 +5,10 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
@@ -81,6 +83,8 @@
 	ran   int
 	// sends counts all sends.
 	sends int
+	// jobs counts the places that were asked for.
+	jobs  int
 	story story
 }
 
@@ -202,10 +206,20 @@
 	decision placement.Decision
 }
 
+// jobID names the next attempt after the caller's request, so that logs of all
+// instances can be joined.
+func (rq *request) jobID() string {
+	rq.jobs++
+	if rq.call.ID == "" || strings.ContainsFunc(rq.call.ID, func(c rune) bool { return !unicode.IsLetter(c) && !unicode.IsDigit(c) && c != '-' }) {
+		return uuid.NewString()
+	}
+	return rq.call.ID + "-" + strconv.Itoa(rq.jobs)
+}
+
 // job describes the next attempt to the placer.
 func (h *Handler) job(rq *request) placement.Job {
 	return placement.Job{
-		ID:          uuid.NewString(),
+		ID:          rq.jobID(),
 		Owner:       h.opts.Instance,
 		Service:     rq.service,
 		Prompt:      rq.call.PromptTokens,
--- a/internal/passthrough/journal.go
+++ b/internal/passthrough/journal.go
@@ -1,10 +1,14 @@
 package passthrough
 
 import (
+	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
+	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/placement"
 	"github.com/banyanroute/banyanroute/internal/result"
 )
@@ -29,10 +33,11 @@
 	expect   time.Duration
 	outcome  placement.Outcome
 	status   int
+	began    time.Time
 }
 
 func (s *story) placed(a *attempt) {
-	s.attempts = append(s.attempts, told{upstream: a.upstream.ID, helpers: len(a.decision.Helpers), expect: a.decision.Expect})
+	s.attempts = append(s.attempts, told{upstream: a.upstream.ID, helpers: len(a.decision.Helpers), expect: a.decision.Expect, began: time.Now()})
 }
 
 // event notes an event of a stream.
@@ -44,45 +49,93 @@
 	s.events++
 }
 
-func (s *story) ended(o placement.Outcome, status int) {
+func (s *story) ended(service string, o placement.Outcome, status int) {
 	last := &s.attempts[len(s.attempts)-1]
 	last.outcome, last.status = o, status
+	countAttempt(service, o, last.began)
 }
 
-// journal writes one line for each request.
-type journal struct{}
+// Bounds of the lines about requests. Failed and slow requests always have one.
+const (
+	// ordinaryPerSecond and ordinaryBurst bound the lines about requests that were
+	// answered in time: a tenth of a MB a minute.
+	ordinaryPerSecond = 20
+	ordinaryBurst     = 60
+)
+
+// journal writes one line for each request, and counts all.
+type journal struct {
+	ordinary *rate.Limiter
+	leftOut  atomic.Int64
+}
 
-func newJournal() *journal { return &journal{} }
+func newJournal() *journal {
+	return &journal{ordinary: rate.NewLimiter(ordinaryPerSecond, ordinaryBurst)}
+}
 
 // write tells the request's story.
 func (j *journal) write(rq *request, err *result.Error) {
-	fields := logrus.Fields{
-		"request": rq.call.ID,
-		"ms":      time.Since(rq.arrived).Milliseconds(),
-	}
-	if rq.view.Config != nil {
-		fields["config"] = rq.view.Config.Version
-	}
-	if rq.route != nil {
-		fields["route"], fields["service"], fields["workspace"] = rq.route.Name, rq.service, rq.workspace
-	}
-	if rq.call.PromptTokens > 0 {
-		fields["prompt"], fields["first_ms"] = rq.call.PromptTokens, rq.story.first.Milliseconds()
-		fields["pause_ms"], fields["events"], fields["output"] = rq.story.pause.Milliseconds(), rq.story.events, rq.outputTokens()
+	count(rq, err)
+	slow := rq.isSlow()
+	if err == nil && !slow && !j.ordinary.Allow() {
+		j.leftOut.Add(1)
+		return
 	}
-	for _, t := range rq.story.attempts {
-		fields["upstream"], fields["outcome"] = t.upstream, t.outcome.String()
-		fields["expect_ms"], fields["helpers"] = t.expect.Milliseconds(), t.helpers
+	entry := log.WithFields(j.fields(rq))
+	if n := j.leftOut.Swap(0); n > 0 {
+		entry = entry.WithField("left_out", n)
 	}
-	fields["attempts"] = len(rq.story.attempts)
-	entry := log.WithFields(fields)
 	if err == nil {
-		entry.WithField("status", rq.story.status).Info("A request was answered.")
+		entry.WithField("status", rq.story.status).WithField("slow", slow).Info("A request was answered.")
 		return
 	}
-	entry = entry.WithField("code", int(err.Code)).WithField("execution", string(err.Execution))
+	entry = entry.WithField("code", int(err.Code)).WithField("execution", string(err.Execution)).
+		WithField("retry_after_ms", err.RetryAfter.Milliseconds())
 	if err.Cause != nil {
 		entry = entry.WithField("cause", err.Cause.Error())
 	}
 	entry.Warn("A request was not answered: " + err.Detail + ".")
 }
+
+// isSlow states whether the request missed an objective.
+func (rq *request) isSlow() bool {
+	if rq.route == nil {
+		return false
+	}
+	first := time.Since(rq.arrived)
+	if rq.route.Kind == deployment.Stream {
+		first = rq.story.first
+	}
+	return first > rq.route.FirstAnswer || rq.route.MaxPause > 0 && rq.story.pause > rq.route.MaxPause
+}
+
+// fields lists what decided about the request, with its age or version.
+func (j *journal) fields(rq *request) logrus.Fields {
+	f := logrus.Fields{
+		"request":       rq.call.ID,
+		"ms":            time.Since(rq.arrived).Milliseconds(),
+		"list_revision": rq.view.Revision,
+		"list_age_ms":   rq.arrived.Sub(rq.view.ListedAt).Milliseconds(),
+	}
+	if rq.view.Config != nil {
+		f["config"], f["config_age_ms"] = rq.view.Config.Version, rq.arrived.Sub(rq.view.ConfigAt).Milliseconds()
+	}
+	if rq.route != nil {
+		f["route"], f["service"], f["workspace"] = rq.route.Name, rq.service, rq.workspace
+	}
+	if rq.call.PromptTokens > 0 {
+		f["prompt"], f["output"] = rq.call.PromptTokens, rq.outputTokens()
+		f["first_ms"], f["pause_ms"], f["events"] = rq.story.first.Milliseconds(), rq.story.pause.Milliseconds(), rq.story.events
+	}
+	attempts := make([]string, len(rq.story.attempts))
+	for i, t := range rq.story.attempts {
+		attempts[i] = t.String()
+	}
+	f["attempts"] = attempts
+	return f
+}
+
+// String tells of an attempt: upstream, outcome, prediction, helpers, and status.
+func (t told) String() string {
+	return fmt.Sprintf("%s %s expect_ms=%d helpers=%d status=%d", t.upstream, t.outcome, t.expect.Milliseconds(), t.helpers, t.status)
+}
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -51,7 +51,7 @@
 		end := h.tryStream(ctx, rq, a, &s)
 		a.release()
 		h.opts.Placer.Ended(rq.service, a.job, end.outcome)
-		rq.story.ended(end.outcome, end.status)
+		rq.story.ended(rq.service, end.outcome, end.status)
 		switch {
 		case end.outcome == placement.Completed:
 			return end.result
--- a/internal/passthrough/whole.go
+++ b/internal/passthrough/whole.go
@@ -83,7 +83,7 @@
 	}
 	outcome := outcomeOf(ctx, answer)
 	h.opts.Placer.Ended(rq.service, a.job, outcome)
-	rq.story.ended(outcome, answer.status)
+	rq.story.ended(rq.service, outcome, answer.status)
 	return answer
 }
 
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/banyanroute/banyanroute/internal/peer"
 )
 
@@ -140,6 +142,7 @@
 
 // avoid passes over a home that did not answer.
 func (f *Fleet) avoid(home string, j Job, err error) {
+	metrics.GetOrCreateCounter(`banyanroute_home_timeouts_total`).Inc()
 	f.mu.Lock()
 	f.avoided[home] = time.Now().Add(avoidHome)
 	f.mu.Unlock()
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -2,11 +2,14 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/enginemodel"
 	"github.com/banyanroute/banyanroute/internal/logging"
@@ -142,6 +145,8 @@
 	if d.Upstream != "" {
 		p.adopt(pl, j, d, now)
 	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`banyanroute_placements_total{service=%q,result=%q}`, j.Service, d.Reason)).Inc()
+	metrics.GetOrCreateHistogram(`banyanroute_placement_seconds`).UpdateDuration(now)
 	return d
 }
 
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -81,6 +81,15 @@
 	TooLarge
 )
 
+// String returns the reason's name in metrics.
+func (r Reason) String() string {
+	names := [...]string{"placed", "no-upstream", "too-late", "too-large"}
+	if int(r) < len(names) {
+		return names[r]
+	}
+	return "unknown"
+}
+
 // Outcome is how an attempt ended.
 type Outcome uint8
 
