Instances notice that they are behind the store, and tell one another what they know

Ruled out: keep-alive probes alone; something between the two ends answers them. Change: calls about placement carry up to which change each side knows the store; one that is behind for 0.5 s reads anew and asks the other, which also serves an instance that the store turns away. Feeds wait 8 s as a backstop. A place on an upstream that has left is asked for again.

--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -24,8 +25,10 @@
 type Update struct {
 	// Whole says that Upstreams is the complete list.
 	Whole bool
-	// Revision is the store's version of all that the update says.
+	// Revision is the store's version up to which the update is complete.
 	Revision int64
+	// Changed is the version of the newest change in the update; 0 if none.
+	Changed int64
 	// Config is set if the update holds a configuration.
 	Config *Configuration
 	// Upstreams are those that are new or changed, or all of them.
@@ -34,11 +37,21 @@
 	Gone []string
 }
 
+// Content says what a source holds.
+type Content uint8
+
+// Contents of sources.
+const (
+	Configurations Content = iota + 1
+	Upstreams
+)
+
 // Source is a table of the platform's store that holds configurations or
 // upstreams.
 type Source interface {
 	// Name names the source in logs.
 	Name() string
+	Holds() Content
 	// Read returns everything.
 	Read(ctx context.Context) (Update, error)
 	// Changes waits up to wait for changes after a revision. It returns
@@ -48,11 +61,12 @@
 
 // Timing of a Follower.
 const (
-	// watchWait is how long one call for changes waits. Calls are priced, and a
-	// dead connection shows by keep-alive probes, so it may be long.
-	watchWait = 25 * time.Second
+	// watchWait is how long one call for changes waits. Calls are priced; that a
+	// connection fell silent shows sooner by keep-alive probes or by what other
+	// instances have seen.
+	watchWait = 8 * time.Second
 	// watchSlack is how much longer than asked an answer may take.
-	watchSlack = 3 * time.Second
+	watchSlack = time.Second
 	// readTimeout bounds a read of everything.
 	readTimeout = 3 * time.Second
 	// firstRetry and maxRetry bound the pauses after failed calls: a store that
@@ -84,10 +98,19 @@
 	// instances returns the number of live instances.
 	instances func() int
 
-	revision int64
-	lost     bool
-	// mu guards lapsed.
+	// complete is the store's version up to which everything is known, changed
+	// that of the newest change.
+	complete atomic.Int64
+	changed  atomic.Int64
+	// chasing says that a newer change that another instance knows is asked for.
+	chasing atomic.Bool
+	// handed takes updates from other instances.
+	handed chan Update
+	lost   bool
+	// mu guards lapsed and interrupt.
 	mu sync.Mutex
+	// interrupt ends the call for changes under way.
+	interrupt context.CancelFunc
 	// lapsed holds upstreams that were removed while the store was away or
 	// shortly after, with the time at which they are taken as gone.
 	lapsed map[string]time.Time
@@ -97,7 +120,7 @@
 
 // NewFollower returns a Follower; Run starts it.
 func NewFollower(state *State, source Source, instances func() int) *Follower {
-	return &Follower{state: state, source: source, instances: instances, lapsed: map[string]time.Time{}}
+	return &Follower{state: state, source: source, instances: instances, handed: make(chan Update, 1), lapsed: map[string]time.Time{}}
 }
 
 // Run follows the source until ctx ends.
@@ -105,8 +128,9 @@
 	pause := f.newBackoff()
 	whole := true
 	for ctx.Err() == nil {
+		f.takeHanded()
 		update, err := f.next(ctx, whole)
-		if err == nil && update.Revision < f.revision {
+		if err == nil && update.Revision < f.complete.Load() {
 			err = errStale
 		}
 		now := time.Now()
@@ -114,7 +138,7 @@
 			if !f.lost {
 				pause = f.newBackoff()
 			}
-			whole = whole || errors.Is(err, ErrHistoryLost)
+			whole = whole || errors.Is(err, ErrHistoryLost) || errors.Is(err, context.Canceled)
 			f.failed(ctx, err, now)
 			sleep.For(ctx, pause.NextBackOff())
 			continue
@@ -149,7 +173,55 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
-	return f.source.Changes(ctx, f.revision, watchWait)
+	f.mu.Lock()
+	f.interrupt = cancel
+	f.mu.Unlock()
+	return f.source.Changes(ctx, f.complete.Load(), watchWait)
+}
+
+// refresh ends the call for changes under way, so that everything is read anew
+// over another connection.
+func (f *Follower) refresh() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.interrupt != nil {
+		f.interrupt()
+	}
+}
+
+// hand gives the follower what another instance knows.
+func (f *Follower) hand(u Update) {
+	select {
+	case f.handed <- u:
+	default: // one that is not taken yet is about as new
+	}
+}
+
+// takeHanded applies what another instance knows, if it is newer.
+func (f *Follower) takeHanded() {
+	select {
+	case u := <-f.handed:
+		if u.Revision > f.complete.Load() {
+			log.WithField("table", f.source.Name()).WithField("revision", u.Revision).
+				Info("What another instance knows is taken over.")
+			f.apply(u, time.Now())
+		}
+	default:
+	}
+}
+
+// known returns all that is known of the source.
+func (f *Follower) known() Update {
+	v := f.state.View()
+	u := Update{Whole: true, Revision: f.complete.Load(), Changed: f.changed.Load()}
+	if f.source.Holds() == Configurations {
+		u.Config = v.Config
+		return u
+	}
+	for _, up := range v.upstreams {
+		u.Upstreams = append(u.Upstreams, up)
+	}
+	return u
 }
 
 // failed notes that the store could not be followed.
@@ -160,7 +232,7 @@
 	}
 	f.lost = true
 	metrics.GetOrCreateCounter(fmt.Sprintf(`banyanroute_store_lost_total{table=%q}`, f.source.Name())).Inc()
-	log.WithField("table", f.source.Name()).WithField("revision", f.revision).WithError(err).
+	log.WithField("table", f.source.Name()).WithField("revision", f.complete.Load()).WithError(err).
 		Warn("The platform's store cannot be followed; what is known stays in force.")
 }
 
@@ -171,18 +243,22 @@
 	}
 	f.lost = false
 	f.trustAt = now.Add(entriesReturn)
-	log.WithField("table", f.source.Name()).WithField("revision", f.revision).
+	log.WithField("table", f.source.Name()).WithField("revision", f.complete.Load()).
 		Info("The platform's store is followed again.")
 }
 
 // apply hands an update to the state.
 func (f *Follower) apply(u Update, now time.Time) {
-	f.revision = u.Revision
+	f.complete.Store(u.Revision)
+	f.changed.Store(max(f.changed.Load(), u.Changed))
 	if u.Config != nil && f.state.SetConfiguration(u.Config, now) {
 		metrics.GetOrCreateCounter(`banyanroute_configurations_total`).Inc()
 		log.WithField("version", u.Config.Version).WithField("revision", u.Revision).
 			WithField("routes", len(u.Config.Routes)).Info("A configuration is in force.")
 	}
+	if f.source.Holds() == Configurations {
+		return
+	}
 	if u.Whole {
 		f.replace(u, now)
 		return
@@ -202,9 +278,6 @@
 // replace installs a whole list. Entries that lapsed while the store was away
 // stay until they had time to return.
 func (f *Follower) replace(u Update, now time.Time) {
-	if u.Config != nil {
-		return // the table of configurations holds no upstreams
-	}
 	f.returned(u.Upstreams)
 	list := u.Upstreams
 	if now.Before(f.trustAt) {
--- a/internal/deployment/follower_test.go
+++ b/internal/deployment/follower_test.go
@@ -33,6 +33,8 @@
 
 func (s *script) Name() string { return "script" }
 
+func (s *script) Holds() Content { return Upstreams }
+
 func (s *script) Read(context.Context) (Update, error) { return s.get() }
 
 func (s *script) Changes(ctx context.Context, _ int64, wait time.Duration) (Update, error) {
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -41,14 +41,15 @@
 
 // Instance is one instance on a platform.
 type Instance struct {
-	opts     Options
-	settings Settings
-	state    *deployment.State
-	planner  *placement.Planner
-	fleet    *placement.Fleet
-	links    *links
-	handler  *passthrough.Handler
-	draining atomic.Bool
+	opts      Options
+	settings  Settings
+	state     *deployment.State
+	planner   *placement.Planner
+	fleet     *placement.Fleet
+	links     *links
+	followers []*deployment.Follower
+	handler   *passthrough.Handler
+	draining  atomic.Bool
 
 	callers    *http.Server
 	readiness  *http.Server
@@ -68,8 +69,13 @@
 		DataCentre:  s.DataCentre,
 		Region:      s.Region,
 	}
-	n.fleet = placement.NewFleet(n.planner, placement.OwnerName(self))
-	n.links = &links{directory: o.Directory, self: self, fleet: n.fleet}
+	n.links = &links{directory: o.Directory, self: self}
+	for _, source := range o.Sources {
+		n.followers = append(n.followers, deployment.NewFollower(n.state, source, n.links.instances))
+	}
+	n.links.exchange = deployment.NewExchange(n.followers...)
+	n.fleet = placement.NewFleet(n.planner, placement.OwnerName(self), n.links.exchange)
+	n.links.fleet = n.fleet
 	n.handler = passthrough.New(passthrough.Options{
 		Instance:  s.Instance,
 		State:     n.state,
@@ -90,8 +96,8 @@
 // Run runs the instance until a signal has stopped it.
 func (n *Instance) Run(ctx context.Context) error {
 	var group run.Group
-	for _, source := range n.opts.Sources {
-		addActor(&group, deployment.NewFollower(n.state, source, n.links.instances).Run)
+	for _, f := range n.followers {
+		addActor(&group, f.Run)
 	}
 	addActor(&group, n.probe)
 	addActor(&group, n.fleet.Run)
--- a/internal/hosted/links.go
+++ b/internal/hosted/links.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/member"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/placement"
@@ -40,6 +41,7 @@
 	directory Directory
 	self      peer.Member
 	fleet     *placement.Fleet
+	exchange  *deployment.Exchange
 	overlay   atomic.Pointer[member.Overlay]
 }
 
@@ -69,6 +71,7 @@
 		return err
 	}
 	l.fleet.SetBus(overlay)
+	l.exchange.SetBus(overlay)
 	l.overlay.Store(overlay)
 	metrics.RegisterSet(overlay.Metrics())
 	_, err = untilDone(ctx, "registering the instance", func(ctx context.Context) (struct{}, error) {
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -235,14 +235,27 @@
 
 // place asks for an upstream. An error means that nothing was sent.
 func (h *Handler) place(ctx context.Context, rq *request, lastEvent string) (*attempt, *result.Error) {
-	job := h.job(rq)
-	d := h.placeSoon(ctx, rq, job)
-	if d.Upstream == "" {
-		return nil, refusalOf(d)
+	var left []string
+	for {
+		job := h.job(rq)
+		job.Avoid = append(slices.Clone(rq.tried), left...)
+		d := h.placeSoon(ctx, rq, job)
+		if d.Upstream == "" {
+			return nil, refusalOf(d)
+		}
+		a, err := h.prepare(ctx, rq, chosen{job, d}, lastEvent)
+		if err == nil || err.Code != result.NoUpstream || len(left) >= maxLeft {
+			return a, err
+		}
+		// The home does not know yet that the upstream has left.
+		left = append(left, d.Upstream)
 	}
-	return h.prepare(ctx, rq, chosen{job, d}, lastEvent)
 }
 
+// maxLeft bounds how often a place is asked for again because the one that was
+// granted has left.
+const maxLeft = 3
+
 // prepare makes a granted place into an attempt.
 func (h *Handler) prepare(ctx context.Context, rq *request, c chosen, lastEvent string) (*attempt, *result.Error) {
 	job, d := c.job, c.decision
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
 
 	"github.com/banyanroute/banyanroute/internal/peer"
 )
@@ -32,11 +33,19 @@
 // errNoBus says that this instance is not linked to the others yet.
 var errNoBus = errors.New("not linked to other instances")
 
+// News is what instances tell one another beside placement: up to which change
+// each knows the store. Package deployment implements it.
+type News interface {
+	Seen() []int64
+	Hear(from string, seen []int64)
+}
+
 // Fleet places jobs through the homes of their services. It is safe for
 // concurrent use.
 type Fleet struct {
 	planner *Planner
 	owner   string
+	news    News
 
 	mu  sync.Mutex
 	bus peer.Bus
@@ -50,10 +59,11 @@
 
 // NewFleet returns a placer that plans alone until it has a bus. owner names this
 // incarnation of the instance in jobs.
-func NewFleet(p *Planner, owner string) *Fleet {
+func NewFleet(p *Planner, owner string, news News) *Fleet {
 	return &Fleet{
 		planner: p,
 		owner:   owner,
+		news:    news,
 		homes:   map[string]string{},
 		avoided: map[string]time.Time{},
 		pending: map[string][]event{},
@@ -96,17 +106,17 @@
 // FirstAnswer implements passthrough.Placer.
 func (f *Fleet) FirstAnswer(service, id string) {
 	f.planner.FirstAnswer(id, time.Now())
-	f.news(service, event{Kind: eventFirst, ID: id})
+	f.report(service, event{Kind: eventFirst, ID: id})
 }
 
 // Ended implements passthrough.Placer.
 func (f *Fleet) Ended(service, id string, o Outcome) {
 	f.planner.Ended(id, o, time.Now())
-	f.news(service, event{Kind: eventEnd, ID: id, Outcome: o})
+	f.report(service, event{Kind: eventEnd, ID: id, Outcome: o})
 }
 
-// news tells the home of a service, unless it is this instance.
-func (f *Fleet) news(service string, e event) {
+// report tells the home of a service, unless it is this instance.
+func (f *Fleet) report(service string, e event) {
 	if home := f.home(service); home != "" {
 		f.tell(home, e)
 	}
@@ -160,15 +170,29 @@
 	if bus == nil {
 		return Decision{}, errNoBus
 	}
-	var d Decision
-	answer, err := bus.Call(ctx, home, topicPlace, encode(placeRequest{Events: events, Job: &j}))
-	if err == nil {
-		err = decode(answer, &d)
+	a, err := f.call(ctx, bus, home, placeRequest{Events: events, Job: &j})
+	if err == nil && a.Decision == nil {
+		err = trace.BadParameter("the home's answer holds no decision")
 	}
 	if err != nil {
 		f.outOfStep(home)
+		return Decision{}, err
+	}
+	return *a.Decision, nil
+}
+
+// call sends a request to a home, with what this instance knows of the store.
+func (f *Fleet) call(ctx context.Context, bus peer.Bus, home string, r placeRequest) (placeAnswer, error) {
+	r.Seen = f.news.Seen()
+	var a placeAnswer
+	answer, err := bus.Call(ctx, home, topicPlace, encode(r))
+	if err == nil {
+		err = decode(answer, &a)
+	}
+	if err == nil {
+		f.news.Hear(home, a.Seen)
 	}
-	return d, err
+	return a, err
 }
 
 // outOfStep notes that a home has missed news: it is told anew of all jobs before
@@ -222,7 +246,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
 	defer cancel()
-	if _, err := bus.Call(ctx, home, topicPlace, encode(placeRequest{Events: events})); err != nil {
+	if _, err := f.call(ctx, bus, home, placeRequest{Events: events}); err != nil {
 		f.outOfStep(home)
 		log.WithField("home", home).WithField("events", len(events)).WithError(err).
 			Debug("News of jobs did not reach a service's home.")
@@ -230,19 +254,22 @@
 }
 
 // answer handles a call of another instance to this one as a home.
-func (f *Fleet) answer(_ context.Context, _ string, payload []byte) ([]byte, error) {
+func (f *Fleet) answer(_ context.Context, from string, payload []byte) ([]byte, error) {
 	var request placeRequest
 	if err := decode(payload, &request); err != nil {
 		return nil, err
 	}
+	f.news.Hear(from, request.Seen)
 	now := time.Now()
 	for _, e := range request.Events {
 		f.planner.take(e, now)
 	}
-	if request.Job == nil {
-		return nil, nil
+	a := placeAnswer{Seen: f.news.Seen()}
+	if request.Job != nil {
+		d := f.planner.Place(*request.Job, now)
+		a.Decision = &d
 	}
-	return encode(f.planner.Place(*request.Job, now)), nil
+	return encode(a), nil
 }
 
 // Run forgets the jobs of instances that are gone until ctx ends.
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -12,6 +12,12 @@
 	"github.com/banyanroute/banyanroute/internal/peer/peertest"
 )
 
+// noNews knows nothing of a store.
+type noNews struct{}
+
+func (noNews) Seen() []int64        { return nil }
+func (noNews) Hear(string, []int64) {}
+
 // node is one instance's placer on an in-memory network.
 type node struct {
 	fleet   *Fleet
@@ -52,7 +58,7 @@
 	for i := range n {
 		m := peer.Member{ID: fmt.Sprint("i", i), Incarnation: 1}
 		p := NewPlanner("")
-		f := NewFleet(p, OwnerName(m))
+		f := NewFleet(p, OwnerName(m), noNews{})
 		f.SetBus(net.Join(m))
 		nodes = append(nodes, &node{f, p, m})
 		planners = append(planners, p)
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -54,6 +54,16 @@
 	_      struct{} `cbor:",toarray"`
 	Events []event
 	Job    *Job
+	// Seen is what the sender knows of the store, for deployment.Exchange.
+	Seen []int64
+}
+
+// placeAnswer is a home's answer.
+type placeAnswer struct {
+	_ struct{} `cbor:",toarray"`
+	// Decision is set if a job was to be placed.
+	Decision *Decision
+	Seen     []int64
 }
 
 func encode(v any) []byte {
--- a/tools/faults/soak.go
+++ b/tools/faults/soak.go
@@ -154,25 +154,28 @@
 		return nil, trace.Wrap(err)
 	}
 	go r.Run() //nolint:errcheck // ends with Close
+	p := &process{name: name, settings: filepath.Join(s.dir, name+".yaml"), relay: r}
+	return p, p.assignPorts()
+}
+
+// assignPorts writes settings with ports that were free a moment ago.
+func (p *process) assignPorts() error {
 	var addresses [4]string
 	for i := range addresses {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
-			return nil, trace.Wrap(err)
+			return trace.Wrap(err)
 		}
 		addresses[i] = l.Addr().String()
 		defer l.Close()
 	}
 	_, port, err := net.SplitHostPort(addresses[3])
 	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	path := filepath.Join(s.dir, name+".yaml")
-	text := platformtest.SettingsText(name, addresses[0], addresses[1], addresses[2], port, r.Addr())
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		return nil, trace.ConvertSystemError(err)
+		return trace.Wrap(err)
 	}
-	return &process{name: name, settings: path, front: addresses[0], ready: addresses[1], relay: r}, nil
+	p.front, p.ready = addresses[0], addresses[1]
+	text := platformtest.SettingsText(p.name, addresses[0], addresses[1], addresses[2], port, p.relay.Addr())
+	return trace.ConvertSystemError(os.WriteFile(p.settings, text, 0o600))
 }
 
 // start runs the process; its log goes to a file.
@@ -210,6 +213,18 @@
 	}
 }
 
+// hasEnded states whether the process has ended.
+func (p *process) hasEnded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.gone:
+		return true
+	default:
+		return false
+	}
+}
+
 // isReady asks the process as the platform does.
 func (p *process) isReady() bool {
 	client := http.Client{Timeout: time.Second}
@@ -228,6 +243,13 @@
 	deadline := time.Now().Add(startTimeout)
 	for _, p := range s.instances {
 		for !p.isReady() {
+			if p.hasEnded() {
+				// Another program took a port meanwhile.
+				if err := p.assignPorts(); err != nil {
+					return err
+				}
+				s.restart(p)
+			}
 			if time.Now().After(deadline) || !sleep.For(ctx, 20*time.Millisecond) {
 				return trace.LimitExceeded("%s is not ready after %s; its log is in %s", p.name, startTimeout, s.dir)
 			}
