--- a/internal/passthrough/journal.go
+++ b/internal/passthrough/journal.go
@@ -121,7 +121,7 @@
 		f["config"], f["config_age_ms"] = rq.view.Config.Version, rq.arrived.Sub(rq.view.ConfigAt).Milliseconds()
 	}
 	if rq.route != nil {
-		f["route"], f["service"], f["workspace"] = rq.route.Name, rq.service, rq.workspace
+		f["route"], f["kind"], f["service"], f["workspace"] = rq.route.Name, rq.route.Kind.String(), rq.service, rq.workspace
 	}
 	if rq.call.PromptTokens > 0 {
 		f["prompt"], f["output"] = rq.call.PromptTokens, rq.outputTokens()
