Short questions wait for a slot anywhere before they are bound to an engine

Cause: with all slots taken, a short question was bound to the engine predicted to have one free first; lengths of answers are not known, so it often waited there while another engine had a slot. Change: the planner says that all slots are taken; the instance asks again each 40 ms for half the objective.

--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -289,23 +289,33 @@
 
 // Waiting for a place, where there is none for the moment.
 const (
-	// placeRetry is the pause before a place is asked for again.
-	placeRetry = 120 * time.Millisecond
-	// waitPart is the part of the objective that a request waits for a place at
-	// most; a caller who comes back with the same request has lost more.
+	// placeRetry is the pause before a place is asked for again; a slot of one of
+	// many engines is free sooner than that on average.
+	placeRetry = 40 * time.Millisecond
+	// memoryRetry is the same for memory, which is free less often.
+	memoryRetry = 120 * time.Millisecond
+	// slotPart and waitPart are the parts of the objective that a request waits at
+	// most for a slot and for memory; a caller who comes back with the same
+	// request has lost more.
+	slotPart = 0.5
 	waitPart = 0.6
 )
 
 // placeSoon asks for a place, again for a while if there is none now.
 func (h *Handler) placeSoon(ctx context.Context, rq *request, job placement.Job) placement.Decision {
-	patience := time.Duration(waitPart * float64(rq.route.FirstAnswer))
+	objective := float64(rq.route.FirstAnswer)
 	for {
+		job.MayWait = float64(job.Waited+placeRetry) < slotPart*objective
 		d := h.opts.Placer.Place(ctx, job)
-		wait := d.Upstream == "" && d.Reason != placement.TooLate && job.Waited+placeRetry < patience
-		if !wait || !sleep.For(ctx, placeRetry) {
+		pause := memoryRetry
+		if d.Reason == placement.Full {
+			pause = placeRetry
+		}
+		wait := d.Upstream == "" && d.Reason != placement.TooLate && float64(job.Waited+pause) < waitPart*objective
+		if !wait || !sleep.For(ctx, pause) {
 			return d
 		}
-		job.Waited, job.Remaining = time.Since(rq.arrived), rq.patience()
+		job.Waited, job.Remaining, job.Lifetime = time.Since(rq.arrived), rq.patience(), time.Until(rq.deadline)
 	}
 }
 
--- a/internal/placement/generation.go
+++ b/internal/placement/generation.go
@@ -58,6 +58,12 @@
 // under way lose the least value by lateness.
 func (p *Planner) placeGeneration(pl *pool, candidates []*member, j *Job, now time.Time) Decision {
 	model := pl.service.Engine
+	if j.MayWait {
+		candidates = withSlot(model, candidates)
+		if len(candidates) == 0 {
+			return Decision{Reason: Full, RetryAfter: refusalPause}
+		}
+	}
 	best, found := p.solo(model, candidates, j, urgencyOf(j), now)
 	if found && best.ready.After(now.Add(j.FirstAnswer-j.Waited)) {
 		// It will be late anyway: let it wait for those that need not be.
@@ -96,6 +102,17 @@
 	return urgencyLong
 }
 
+// withSlot returns the candidates that have a slot free.
+func withSlot(model *enginemodel.Model, candidates []*member) []*member {
+	out := make([]*member, 0, len(candidates))
+	for _, m := range candidates {
+		if m.engine.Requests() < model.Slots {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // proposal is a decision with its cost.
 type proposal struct {
 	decision Decision
--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -78,9 +78,11 @@
 
 // simJob is a request of the simulation.
 type simJob struct {
-	job    Job
-	class  int
-	at     time.Time
+	job   Job
+	class int
+	at    time.Time
+	// due is when the job is placed next.
+	due    time.Time
 	output int
 	parts  int
 	first  time.Time
@@ -120,7 +122,7 @@
 					ID: fmt.Sprintf("%s-%d", k.name, len(jobs)), Service: "llm", Prompt: prompt, Output: max(hint, 43),
 					FirstAnswer: k.first, MaxPause: k.pause, Remaining: k.deadline, Lifetime: k.deadline,
 				},
-				class: c, at: start.Add(t), output: output,
+				class: c, at: start.Add(t), due: start.Add(t), output: output,
 				worth: k.worth * min(4, 0.3+0.7*(float64(prompt)+10*float64(output))/(k.prompt+10*k.output)),
 			})
 		}
@@ -178,10 +180,13 @@
 // never is when parts are ready that are not computed yet.
 var never = time.Date(2200, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func (s *simulation) start(j *simJob, now time.Time) bool {
+// start places a job. again says that it waits for a slot and comes back soon.
+func (s *simulation) start(j *simJob, now time.Time) (placed, again bool) {
+	j.job.Waited = now.Sub(j.at)
+	j.job.MayWait = j.job.Waited+40*time.Millisecond < j.job.FirstAnswer/2
 	d := s.planner.Place(j.job, now)
 	if d.Upstream == "" {
-		return false
+		return false, d.Reason == Full
 	}
 	s.jobs[j.job.ID] = j
 	pl := s.planner.pools["llm"]
@@ -195,7 +200,7 @@
 		}
 		s.engines[w.upstream].Add(w.work, now)
 	}
-	return true
+	return true, false
 }
 
 // next returns the engine whose pass ends first, and when.
@@ -262,16 +267,33 @@
 	s := newSimulation(d, now)
 	jobs := d.arrivals(seed, now)
 	o := outcomeOfDay{onTime: make([]int, len(d.classes)), all: make([]int, len(d.classes))}
+	var waiting []*simJob // in the order in which they come back
 	for i := 0; ; {
 		e, at := s.next()
-		if i < len(jobs) && (e == nil || !jobs[i].at.After(at)) {
-			began := time.Now()
-			if !s.start(jobs[i], jobs[i].at) {
-				o.refused++
+		var j *simJob
+		if i < len(jobs) {
+			j = jobs[i]
+		}
+		if len(waiting) > 0 && (j == nil || waiting[0].due.Before(j.due)) {
+			j = waiting[0]
+		}
+		if j != nil && (e == nil || !j.due.After(at)) {
+			if len(waiting) > 0 && j == waiting[0] {
+				waiting = waiting[1:]
+			} else {
+				i++
 			}
+			began := time.Now()
+			placed, again := s.start(j, j.due)
 			o.decisions += time.Since(began)
 			o.placed++
-			i++
+			switch {
+			case again:
+				j.due = j.due.Add(40 * time.Millisecond)
+				waiting = append(waiting, j)
+			case !placed:
+				o.refused++
+			}
 			continue
 		}
 		if e == nil {
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -25,6 +25,10 @@
 	Lifetime time.Duration
 	// Avoid lists upstreams that were tried already.
 	Avoid []string
+	// MayWait says that the job can be asked for again soon. It is then not bound
+	// to an engine whose slots are all taken, since nobody knows which engine has
+	// one free first.
+	MayWait bool
 }
 
 // value is what the job is worth in time, in the users' unit: tokens in and ten
@@ -79,11 +83,13 @@
 	TooLate
 	// TooLarge: the engines' memory cannot hold the job now.
 	TooLarge
+	// Full: the slots of all engines are taken.
+	Full
 )
 
 // String returns the reason's name in metrics.
 func (r Reason) String() string {
-	names := [...]string{"placed", "no-upstream", "too-late", "too-large"}
+	names := [...]string{"placed", "no-upstream", "too-late", "too-large", "full"}
 	if int(r) < len(names) {
 		return names[r]
 	}
