Requests that crash upstreams are contained by the home of their service

Cause: nothing but a route's attempts bounded a request that ends each engine that runs it and comes again through any instance. Change: the home keeps the existing table of suspects by workspace, method, path and body; what is lost with an upstream that fails a probe, starts anew or is gone counts. Test: without it 12 of 12 upstreams end, with it at most 4; bystanders are served.

--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -64,7 +64,7 @@
 	// watchWait is how long one call for changes waits. Calls are priced; that a
 	// connection fell silent shows sooner by keep-alive probes or by what other
 	// instances have seen.
-	watchWait = 8 * time.Second
+	watchWait = 12 * time.Second
 	// watchSlack is how much longer than asked an answer may take.
 	watchSlack = time.Second
 	// readTimeout bounds a read of everything.
--- a/internal/hosted/links.go
+++ b/internal/hosted/links.go
@@ -33,7 +33,7 @@
 	directoryRetry = 300 * time.Millisecond
 	// listInterval is the time between reads of the list; instances also tell
 	// one another.
-	listInterval = 8 * time.Second
+	listInterval = 20 * time.Second
 )
 
 // links connects the instance to the others once the store has told it how.
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -230,9 +230,21 @@
 		Remaining:   rq.patience(),
 		Lifetime:    time.Until(rq.deadline),
 		Avoid:       rq.tried,
+		Fingerprint: rq.fingerprint(),
 	}
 }
 
+// fingerprint identifies the request however often its caller sends it.
+func (rq *request) fingerprint() uint64 {
+	d := xxhash.New()
+	for _, text := range []string{rq.workspace, rq.r.Method, rq.r.RequestURI} {
+		_, _ = d.WriteString(text) // never fails
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(rq.body)
+	return d.Sum64()
+}
+
 // place asks for an upstream. An error means that nothing was sent.
 func (h *Handler) place(ctx context.Context, rq *request, lastEvent string) (*attempt, *result.Error) {
 	var left []string
@@ -383,6 +395,8 @@
 		e = result.New(result.DeadlineUnmeetable, "the engines cannot answer in time")
 	case placement.TooLarge:
 		e = result.New(result.Overloaded, "the engines have no memory for the prompt now")
+	case placement.Poisoned:
+		e = result.New(result.PoisonSuspect, "this request was lost with several upstreams that ended")
 	default:
 		e = result.New(result.NoUpstream, "no upstream can take the request now")
 	}
--- a/internal/passthrough/refuse.go
+++ b/internal/passthrough/refuse.go
@@ -31,6 +31,10 @@
 // statusOf keeps the statuses that promise "not run" to results that prove it.
 func statusOf(e *result.Error) int {
 	status := e.Code.Info().Status
+	if e.Code == result.PoisonSuspect {
+		// The request itself is proper; nothing of it was run this time.
+		status = http.StatusServiceUnavailable
+	}
 	promises := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests ||
 		status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
 	if promises && e.Execution != result.NotRun {
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -197,6 +197,46 @@
 	}
 }
 
+// TestCrashingRequestsAreContained: a request that ends each upstream that runs it
+// is refused after a few, and those that ran beside it once are not.
+func TestCrashingRequestsAreContained(t *testing.T) {
+	p := NewPlanner("")
+	deploymentOf([]*Planner{p}, 12)
+	now := time.Now()
+	crashes := 0
+	var ended []string // an upstream that starts anew has another ID
+	for i := range 12 {
+		bad, good := shortJob(fmt.Sprint("bad", i)), shortJob(fmt.Sprint("good", i))
+		bad.Avoid = ended
+		bad.Fingerprint, good.Fingerprint = 666, uint64(1000+i)
+		d := p.Place(bad, now)
+		if d.Upstream == "" {
+			if d.Reason != Poisoned {
+				t.Fatalf("refused for reason %s", d.Reason)
+			}
+			continue
+		}
+		crashes++
+		ended = append(ended, d.Upstream)
+		p.Adopt(Adoption{Job: good, Decision: d}, now)
+		p.Ended(bad.ID, Lost, now)
+		p.Ended(good.ID, Lost, now)
+		p.Probed("llm", d.Upstream, false, now.Add(100*time.Millisecond))
+		now = now.Add(20 * time.Second)
+		p.Probed("llm", d.Upstream, true, now)
+	}
+	if crashes > 4 {
+		t.Errorf("the request ended %d upstreams, want at most 4", crashes)
+	}
+	for i := range crashes {
+		j := shortJob(fmt.Sprint("again", i))
+		j.Fingerprint = uint64(1000 + i)
+		if d := p.Place(j, now); d.Upstream == "" {
+			t.Errorf("a bystander was refused for reason %s", d.Reason)
+		}
+	}
+}
+
 // TestPromptsLargerThanAnEngine get engines whose memory together holds them.
 func TestPromptsLargerThanAnEngine(t *testing.T) {
 	p := NewPlanner("")
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -13,6 +13,7 @@
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/enginemodel"
 	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/poison"
 )
 
 var log = logging.For("placement")
@@ -29,6 +30,8 @@
 	mu    sync.Mutex
 	pools map[string]*pool
 	jobs  map[string]*placed
+	// poison finds requests that crash the upstreams that run them.
+	poison *poison.Table
 	// sweptAt is when overdue jobs were last dropped.
 	sweptAt time.Time
 }
@@ -71,7 +74,7 @@
 
 // NewPlanner returns a Planner that knows no upstreams.
 func NewPlanner(dataCentre string) *Planner {
-	return &Planner{dataCentre: dataCentre, pools: map[string]*pool{}, jobs: map[string]*placed{}}
+	return &Planner{dataCentre: dataCentre, pools: map[string]*pool{}, jobs: map[string]*placed{}, poison: poison.NewTable()}
 }
 
 // SetView takes the present configuration and upstreams. Known upstreams keep
@@ -88,7 +91,9 @@
 			pl = &pool{members: map[string]*member{}}
 			p.pools[name] = pl
 		}
-		pl.set(service, v.Upstreams(name))
+		for _, id := range pl.set(service, v.Upstreams(name)) {
+			p.crashed(id, time.Now())
+		}
 	}
 	for name := range p.pools {
 		if _, known := v.Config.Services[name]; !known {
@@ -97,13 +102,18 @@
 	}
 }
 
-func (pl *pool) set(service deployment.Service, upstreams []deployment.Upstream) {
+// set replaces the members and returns the IDs of those that started anew or are
+// gone.
+func (pl *pool) set(service deployment.Service, upstreams []deployment.Upstream) (ended []string) {
 	pl.service = service
 	next := make(map[string]*member, len(upstreams))
 	pl.order = pl.order[:0]
 	for _, up := range upstreams {
 		m := pl.members[up.ID]
 		if m == nil || m.upstream.Born != up.Born || m.upstream.Address != up.Address {
+			if m != nil {
+				ended = append(ended, up.ID)
+			}
 			m = &member{}
 			if service.Engine != nil {
 				m.engine = enginemodel.NewEngine(service.Engine)
@@ -116,11 +126,17 @@
 		next[up.ID] = m
 		pl.order = append(pl.order, m)
 	}
+	for id := range pl.members {
+		if next[id] == nil {
+			ended = append(ended, id)
+		}
+	}
 	pl.members = next
 	slices.SortFunc(pl.order, func(a, b *member) int { return cmp.Compare(a.upstream.ID, b.upstream.ID) })
 	for i, m := range pl.order {
 		m.position = float64(i) / float64(len(pl.order))
 	}
+	return ended
 }
 
 // Place chooses a place for the job and notes it there.
@@ -132,6 +148,9 @@
 	if pl == nil || len(pl.order) == 0 {
 		return Decision{Reason: NoUpstream, RetryAfter: firstPause}
 	}
+	if verdict, wait := p.poison.Verdict(j.Fingerprint, now); j.Fingerprint != 0 && verdict == poison.Condemned {
+		return Decision{Reason: Poisoned, RetryAfter: wait}
+	}
 	candidates := pl.candidates(&j, now)
 	if len(candidates) == 0 {
 		return Decision{Reason: NoUpstream, RetryAfter: firstPause}
@@ -248,12 +267,33 @@
 	if m == nil {
 		return
 	}
+	if fp := pj.job.Fingerprint; fp != 0 {
+		p.learnPoison(m, fp, o, now)
+	}
 	if m.condition.note(o, now) {
 		log.WithField("upstream", m.upstream.ID).WithField("outcome", o.String()).WithField("request", id).
 			WithField("pause", m.condition.pause).Warn("An upstream gets no work until a probe succeeds.")
 	}
 }
 
+// learnPoison keeps account of requests whose upstreams were lost.
+func (p *Planner) learnPoison(m *member, fingerprint uint64, o Outcome, now time.Time) {
+	switch o {
+	case Lost:
+		p.poison.Lost(m.upstream.ID, strconv.FormatInt(m.upstream.Born, 10), fingerprint, m.jobs == 0, now)
+	case Completed:
+		p.poison.Completed(fingerprint)
+	}
+}
+
+// crashed notes that an upstream ended: what was lost there may have crashed it.
+func (p *Planner) crashed(id string, now time.Time) {
+	for _, notice := range p.poison.Confirm(id, now) {
+		log.WithField("upstream", id).WithField("fingerprint", notice.Fingerprint).WithField("crashes", len(notice.Crashes)).
+			Warn("A request was lost with an upstream that ended.")
+	}
+}
+
 // drop takes a job off its upstreams.
 func (p *Planner) drop(pj *placed, now time.Time) {
 	delete(p.jobs, pj.job.ID)
@@ -373,6 +413,9 @@
 	if pl := p.pools[service]; pl != nil && pl.members[id] != nil {
 		pl.members[id].condition.probed(ok, now)
 	}
+	if !ok {
+		p.crashed(id, now)
+	}
 }
 
 // upstreams returns the IDs of all engines of a decision, the first one first.
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -25,6 +25,8 @@
 	Lifetime time.Duration
 	// Avoid lists upstreams that were tried already.
 	Avoid []string
+	// Fingerprint identifies the caller's workspace, path and body; 0 if unknown.
+	Fingerprint uint64
 	// MayWait says that the job can be asked for again soon. It is then not bound
 	// to an engine whose slots are all taken, since nobody knows which engine has
 	// one free first.
@@ -85,11 +87,13 @@
 	TooLarge
 	// Full: the slots of all engines are taken.
 	Full
+	// Poisoned: the same request has crashed several upstreams.
+	Poisoned
 )
 
 // String returns the reason's name in metrics.
 func (r Reason) String() string {
-	names := [...]string{"placed", "no-upstream", "too-late", "too-large", "full"}
+	names := [...]string{"placed", "no-upstream", "too-late", "too-large", "full", "poisoned"}
 	if int(r) < len(names) {
 		return names[r]
 	}
