--- /dev/null
+++ b/internal/passthrough/passthrough_test.go
@@ -0,0 +1,147 @@
+package passthrough
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/banyanroute/banyanroute/internal/deployment"
+	"github.com/banyanroute/banyanroute/internal/result"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1") // the command line overrides it
+	_ = flag.Set("rapid.nofailfile", "true")
+	m.Run()
+}
+
+// TestEventsAreWhole: however a stream is cut and delivered, only whole events come
+// out, in order and with their bytes, and a cut within one is an error.
+func TestEventsAreWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var text strings.Builder
+		var ends []int
+		for n := range rapid.IntRange(1, 12).Draw(t, "events") {
+			fmt.Fprintf(&text, "id: %d\n", n+1)
+			for range rapid.IntRange(1, 3).Draw(t, "lines") {
+				fmt.Fprintf(&text, "data: %s\n", rapid.StringMatching(`[a-z ]{0,20}`).Draw(t, "data"))
+			}
+			text.WriteString("\n")
+			ends = append(ends, text.Len())
+		}
+		cut := rapid.IntRange(0, text.Len()).Draw(t, "cut")
+		reader := newEventReader(iotest.HalfReader(strings.NewReader(text.String()[:cut])))
+		got, count := "", 0
+		for {
+			e, err := reader.next()
+			if err != nil {
+				atBoundary := cut == 0 || count > 0 && ends[count-1] == cut
+				if (err == io.EOF) != atBoundary {
+					t.Fatalf("cut at %d after %d events: error %v", cut, count, err)
+				}
+				break
+			}
+			count++
+			if e.id != fmt.Sprint(count) {
+				t.Fatalf("event %d has ID %q", count, e.id)
+			}
+			got += string(e.raw)
+		}
+		if !strings.HasPrefix(text.String(), got) || count > 0 && len(got) != ends[count-1] {
+			t.Fatalf("%d events give %q", count, got)
+		}
+	})
+}
+
+// TestRetriesOfAllInstancesStayInBudget: however requests and retries fall, the
+// instances together spend at most the ratio of the requests and the fixed number
+// in each window. Requests are counted with the window before, as the users do.
+func TestRetriesOfAllInstancesStayInBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := RetryBudget{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}
+		n := rapid.IntRange(1, 80).Draw(t, "instances")
+		var all []*budgets
+		for range n {
+			all = append(all, newBudgets(limit, func() int { return n }))
+		}
+		type moment struct{ at, requests, retries int }
+		var days []moment
+		now := time.Unix(1000, 0)
+		for step := range 40 {
+			at := now.Add(time.Duration(step) * time.Second)
+			m := moment{at: step}
+			for range rapid.IntRange(0, 40).Draw(t, "requests") {
+				all[rapid.IntRange(0, n-1).Draw(t, "instance")].request("s", at)
+				m.requests++
+			}
+			for range rapid.IntRange(0, 60).Draw(t, "wanted") {
+				if all[rapid.IntRange(0, n-1).Draw(t, "retrying")].spend("s", at) {
+					m.retries++
+				}
+			}
+			days = append(days, m)
+		}
+		for from := range days {
+			requests, before, retries := 0, 0, 0
+			for _, m := range days {
+				switch {
+				case m.at >= from && m.at < from+10:
+					requests += m.requests
+					retries += m.retries
+				case m.at >= from-10 && m.at < from:
+					before += m.requests
+				}
+			}
+			if allowed := limit.Ratio*float64(max(requests, before)) + limit.Extra; float64(retries) > allowed {
+				t.Fatalf("%d retries from second %d on, allowed %.0f", retries, from, allowed)
+			}
+		}
+	})
+}
+
+// TestPromisesNeedProof: a status that promises "not run" is never given to a
+// request that may have run.
+func TestPromisesNeedProof(t *testing.T) {
+	for _, info := range result.Table() {
+		for _, x := range []result.Execution{result.NotRun, result.MayHaveRun, result.Ran} {
+			status := statusOf(result.New(info.Code, "test").WithExecution(x))
+			switch status {
+			case 408, 421, 429, 503:
+				if x != result.NotRun {
+					t.Errorf("%s with execution %s is answered %d", info.Name, x, status)
+				}
+			}
+		}
+	}
+}
+
+// TestTrafficSplit follows the weights, and a call always goes the same way.
+func TestTrafficSplit(t *testing.T) {
+	route := &deployment.Route{Targets: []deployment.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	count := map[string]int{}
+	for i := range 10_000 {
+		id := fmt.Sprint("call-", i)
+		service := pickTarget(route, id)
+		count[service]++
+		if pickTarget(route, id) != service {
+			t.Fatal("the same call went two ways")
+		}
+	}
+	if share := float64(count["b"]) / 10_000; share < 0.08 || share > 0.12 {
+		t.Errorf("a weight of 10%% gets %.3f", share)
+	}
+}
+
+func TestHostsAreCompared(t *testing.T) {
+	for host, want := range map[string]string{"A.example": "a.example", "a.example:80": "a.example", "a.example": "a.example", "[::1]:5": "::1"} {
+		if got := hostOf(host); got != want {
+			t.Errorf("%q gives %q, want %q", host, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/passthrough/route.go
@@ -0,0 +1,81 @@
+package passthrough
+
+import (
+	"net"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/banyanroute/banyanroute/internal/deployment"
+	"github.com/banyanroute/banyanroute/internal/result"
+)
+
+// admit finds the route and the workspace and reads the body.
+func (h *Handler) admit(rq *request) *result.Error {
+	c := rq.view.Config
+	if c == nil {
+		return result.New(result.NotReady, "no configuration is known yet").After(notReadyRetry)
+	}
+	path, _, _ := strings.Cut(rq.r.RequestURI, "?")
+	rq.route = rq.view.RouteOf(hostOf(rq.r.Host), path)
+	if rq.route == nil {
+		return result.New(result.UnknownRoute, "no route has this host and path")
+	}
+	workspace, known := c.Keys[rq.call.Key]
+	if c.Keys != nil && !known && !rq.route.Public {
+		return result.New(result.Unauthenticated, "the API key is missing or unknown")
+	}
+	rq.workspace = workspace.Name
+	rq.service = pickTarget(rq.route, rq.call.ID)
+	rq.deadline = rq.arrived.Add(rq.timeout())
+	limit := c.Limits.BodyBytes
+	if limit <= 0 {
+		limit = maxBody
+	}
+	body, err := readBody(rq.w, rq.r, limit)
+	rq.body = body
+	return err
+}
+
+// maxBody bounds a body where the configuration does not.
+const maxBody = 8 << 20
+
+// timeout returns how long the caller's request may take.
+func (rq *request) timeout() time.Duration {
+	timeout := defaultTimeout
+	if rq.route.Timeout > 0 {
+		timeout = rq.route.Timeout
+	}
+	if rq.call.Remaining > 0 {
+		timeout = min(timeout, rq.call.Remaining)
+	}
+	return timeout
+}
+
+// hostOf returns the host without a port, in lower case.
+func hostOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// pickTarget chooses a service by the route's weights. The choice follows from
+// the call's ID, so that it can be explained afterwards.
+func pickTarget(route *deployment.Route, id string) string {
+	total := 0.0
+	for _, t := range route.Targets {
+		total += t.Weight
+	}
+	if total <= 0 || len(route.Targets) == 1 {
+		return route.Targets[0].Service
+	}
+	point := float64(xxhash.Sum64String(id)>>11) / (1 << 53) * total
+	for _, t := range route.Targets {
+		if point -= t.Weight; point < 0 {
+			return t.Service
+		}
+	}
+	return route.Targets[len(route.Targets)-1].Service
+}
--- /dev/null
+++ b/internal/placement/jobs.go
@@ -0,0 +1,175 @@
+package placement
+
+import (
+	"strconv"
+	"time"
+)
+
+// Adopt notes a job that was placed elsewhere.
+func (p *Planner) Adopt(a Adoption, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pl := p.pools[a.Job.Service]
+	if pl == nil || a.Decision.Upstream == "" {
+		return
+	}
+	p.adopt(pl, a.Job, a.Decision, now)
+	if a.Answered {
+		p.firstAnswer(a.Job.ID, now)
+	}
+}
+
+func (p *Planner) adopt(pl *pool, j Job, d Decision, now time.Time) {
+	if _, known := p.jobs[j.ID]; known {
+		return
+	}
+	p.jobs[j.ID] = &placed{job: j, decision: d, at: now, deadline: now.Add(j.Lifetime)}
+	first := pl.members[d.Upstream]
+	if first == nil {
+		return
+	}
+	first.jobs++
+	if first.engine == nil {
+		return
+	}
+	for _, w := range pl.works(&j, d, now) {
+		if m := pl.members[w.upstream]; m != nil {
+			m.engine.Add(w.work, now)
+		}
+	}
+}
+
+// FirstAnswer notes that the job's first token or answer arrived at its caller's
+// instance.
+func (p *Planner) FirstAnswer(id string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.firstAnswer(id, now)
+}
+
+func (p *Planner) firstAnswer(id string, now time.Time) {
+	pj := p.jobs[id]
+	if pj == nil {
+		return
+	}
+	pj.answered = true
+	pl := p.pools[pj.job.Service]
+	if pl == nil {
+		return
+	}
+	for _, up := range pj.decision.upstreams() {
+		if m := pl.members[up]; m != nil && m.engine != nil {
+			predicted := m.engine.FirstToken(id, now)
+			if up == pj.decision.Upstream {
+				m.learnPace(pj, predicted, now)
+			}
+		}
+	}
+}
+
+// Ended notes the end of a job.
+func (p *Planner) Ended(id string, o Outcome, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pj := p.jobs[id]
+	if pj == nil {
+		return
+	}
+	p.drop(pj, now)
+	pl := p.pools[pj.job.Service]
+	if pl == nil {
+		return
+	}
+	m := pl.members[pj.decision.Upstream]
+	if m == nil {
+		return
+	}
+	if fp := pj.job.Fingerprint; fp != 0 {
+		p.learnPoison(m, fp, o, now)
+	}
+	if m.condition.note(o, now) {
+		log.WithField("upstream", m.upstream.ID).WithField("outcome", o.String()).WithField("request", id).
+			WithField("pause", m.condition.pause).Warn("An upstream gets no work until a probe succeeds.")
+	}
+}
+
+// drop takes a job off its upstreams.
+func (p *Planner) drop(pj *placed, now time.Time) {
+	delete(p.jobs, pj.job.ID)
+	pl := p.pools[pj.job.Service]
+	if pl == nil {
+		return
+	}
+	for i, up := range pj.decision.upstreams() {
+		m := pl.members[up]
+		if m == nil {
+			continue
+		}
+		if i == 0 {
+			m.jobs = max(m.jobs-1, 0)
+		}
+		if m.engine != nil {
+			m.engine.Remove(pj.job.ID, now)
+		}
+	}
+}
+
+// take applies news of a job.
+func (p *Planner) take(e event, now time.Time) {
+	switch e.Kind {
+	case eventAdopt:
+		if e.Adopted != nil {
+			p.Adopt(*e.Adopted, now)
+		}
+	case eventFirst:
+		p.FirstAnswer(e.ID, now)
+	case eventEnd:
+		p.Ended(e.ID, e.Outcome, now)
+	case eventReset:
+		p.reset(e.Owner, e.Service, now)
+	}
+}
+
+// reset forgets an owner's jobs of a service.
+func (p *Planner) reset(owner, service string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pj := range p.jobs {
+		if pj.job.Owner == owner && pj.job.Service == service {
+			p.drop(pj, now)
+		}
+	}
+}
+
+// dropOwners forgets the jobs of all owners that are not live.
+func (p *Planner) dropOwners(live map[string]bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pj := range p.jobs {
+		if !live[pj.job.Owner] {
+			p.drop(pj, now)
+		}
+	}
+}
+
+// own returns the jobs of an owner as news for a new home of their service.
+func (p *Planner) own(service, owner string, now time.Time) []event {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := []event{{Kind: eventReset, Owner: owner, Service: service}}
+	for _, pj := range p.jobs {
+		if pj.job.Owner != owner || pj.job.Service != service {
+			continue
+		}
+		a := &Adoption{Job: pj.job, Decision: pj.decision, Since: now.Sub(pj.at), Answered: pj.answered}
+		a.Job.Waited += a.Since
+		a.Job.Lifetime -= a.Since
+		list = append(list, event{Kind: eventAdopt, ID: pj.job.ID, Adopted: a})
+	}
+	return list
+}
+
+// ownerName names an incarnation of an instance.
+func ownerName(id string, incarnation uint64) string {
+	return id + "/" + strconv.FormatUint(incarnation, 10)
+}
--- /dev/null
+++ b/internal/placement/team.go
@@ -0,0 +1,65 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/enginemodel"
+)
+
+// team finds the best set of engines that compute the prompt together.
+func (p *Planner) team(model *enginemodel.Model, candidates []*member, j *Job, now time.Time) (proposal, bool) {
+	var best proposal
+	found := false
+	for _, size := range teamSizes {
+		if size > len(candidates) || size-1 > maxHelpers {
+			break
+		}
+		if t, ok := p.teamOf(size, model, candidates, j, now); ok && (!found || t.cost < best.cost) {
+			best, found = t, true
+		}
+	}
+	return best, found
+}
+
+// teamOf finds the best set of a size.
+func (p *Planner) teamOf(size int, model *enginemodel.Model, candidates []*member, j *Job, now time.Time) (proposal, bool) {
+	part := (j.Prompt + size - 1) / size
+	options := p.options(model, candidates, j, j.part(part), now)
+	value := j.value()
+	start := now.Add(-j.Waited)
+	lateness := func(ready time.Time) float64 {
+		return value * enginemodel.Lateness(float64(ready.Sub(start))/float64(max(j.FirstAnswer, time.Millisecond)))
+	}
+	slices.SortStableFunc(options, func(a, b option) int {
+		return cmp.Compare(a.cost+lateness(a.ready), b.cost+lateness(b.ready))
+	})
+	options = options[:size]
+	var t proposal
+	for _, o := range options {
+		t.cost += o.cost
+		t.ready = maxTime(t.ready, o.ready)
+	}
+	t.cost += lateness(t.ready)
+	d, ok := assign(options, j)
+	t.decision = d
+	return t, ok
+}
+
+// assign makes the engine with the most free memory the first, and reserves
+// memory at helpers for what does not fit there.
+func assign(options []option, j *Job) (Decision, bool) {
+	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(b.free, a.free) })
+	d := Decision{Upstream: options[0].member.upstream.ID, Urgency: urgencyOf(j)}
+	rest := j.Prompt + j.Output - options[0].free
+	for _, o := range options[1:] {
+		part := Part{Upstream: o.member.upstream.ID}
+		if rest > 0 && o.free > reserveSlack {
+			part.ReservedTokens = min(o.free, rest+reserveSlack)
+			rest -= part.ReservedTokens - reserveSlack
+		}
+		d.Helpers = append(d.Helpers, part)
+	}
+	return d, rest <= 0
+}
--- /dev/null
+++ b/internal/placement/work.go
@@ -0,0 +1,65 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/enginemodel"
+)
+
+// work returns the job's work on the engine that decodes, of which it computes
+// tokens; the rest is computed by helpers.
+func (j *Job) work(tokens int, now time.Time) enginemodel.Work {
+	start := now.Add(-j.Waited)
+	share := 1.0
+	if j.Prompt > 0 {
+		share = float64(tokens) / float64(j.Prompt)
+	}
+	return enginemodel.Work{
+		ID:       j.ID,
+		Tokens:   tokens,
+		Pairs:    share * enginemodel.Pairs(j.Prompt),
+		Output:   max(j.Output, 1),
+		Context:  j.Prompt,
+		Memory:   j.Prompt + j.Output,
+		Start:    start,
+		FirstBy:  start.Add(j.FirstAnswer),
+		MaxPause: j.MaxPause,
+		Value:    j.value(),
+	}
+}
+
+// part returns the work of a helper.
+func (j *Job) part(tokens int) enginemodel.Work {
+	return enginemodel.Work{
+		ID:     j.ID,
+		Tokens: tokens,
+		Pairs:  float64(tokens) / float64(j.Prompt) * enginemodel.Pairs(j.Prompt),
+		Part:   true,
+	}
+}
+
+// placedWork is a job's work on one engine.
+type placedWork struct {
+	upstream string
+	work     enginemodel.Work
+}
+
+// works returns the work that a decision makes on each of its engines.
+func (pl *pool) works(j *Job, d Decision, now time.Time) []placedWork {
+	size := 1 + len(d.Helpers)
+	tokens := (j.Prompt + size - 1) / size
+	first := j.work(tokens, now)
+	first.Urgency = d.Urgency
+	first.NotBefore = now.Add(d.Expect)
+	if len(d.Helpers) == 0 {
+		first.NotBefore = time.Time{}
+	}
+	list := []placedWork{{d.Upstream, first}}
+	for _, h := range d.Helpers {
+		w := j.part(tokens)
+		w.Memory = h.ReservedTokens
+		list[0].work.Memory -= h.ReservedTokens
+		list = append(list, placedWork{h.Upstream, w})
+	}
+	return list
+}
