--- a/internal/deployment/exchange_test.go
+++ b/internal/deployment/exchange_test.go
@@ -50,7 +50,7 @@
 				f := NewFollower(state, source, one)
 				e := NewExchange(f)
 				e.SetBus(net.Join(peer.Member{ID: []string{"good", "bad"}[i]}))
-				go f.Run(ctx) //nolint:errcheck // ends with the context
+				go f.Run(ctx)
 				exchanges, states = append(exchanges, e), append(states, state)
 			}
 			time.Sleep(time.Second)
--- a/tools/faults/soak.go
+++ b/tools/faults/soak.go
@@ -100,12 +100,12 @@
 func (s *soakRun) build() error {
 	s.store.Put("op", "config", platformtest.Configuration(s.version))
 	for range s.options.engines {
-		if _, err := s.addUpstream(platformtest.EngineService); err != nil {
+		if err := s.addUpstream(platformtest.EngineService); err != nil {
 			return err
 		}
 	}
 	for range plainUpstreams {
-		if _, err := s.addUpstream(platformtest.PlainService); err != nil {
+		if err := s.addUpstream(platformtest.PlainService); err != nil {
 			return err
 		}
 	}
@@ -123,19 +123,19 @@
 }
 
 // addUpstream starts an upstream behind a relay and lists it.
-func (s *soakRun) addUpstream(service string) (*soakUpstream, error) {
+func (s *soakRun) addUpstream(service string) error {
 	s.mu.Lock()
 	s.nextID++
 	id := fmt.Sprintf("%s-%d", service, s.nextID)
 	s.mu.Unlock()
 	up, err := platformtest.NewUpstream(id, service)
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return trace.Wrap(err)
 	}
 	up.Events, up.Pause, up.Work = 12, 20*time.Millisecond, 10*time.Millisecond
 	r, err := relay.New("127.0.0.1:0", up.Address())
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return trace.Wrap(err)
 	}
 	go r.Run() //nolint:errcheck // ends with Close
 	up.Advertised = r.Addr()
@@ -144,7 +144,7 @@
 	s.upstreams = append(s.upstreams, u)
 	s.mu.Unlock()
 	s.store.Put("servers", id, up.Entry(false))
-	return u, nil
+	return nil
 }
 
 // newProcess prepares an instance's settings and its relay to the store.
--- a/tools/faults/soakfaults.go
+++ b/tools/faults/soakfaults.go
@@ -227,7 +227,7 @@
 	if busy {
 		return
 	}
-	if _, err := s.addUpstream(old.Service); err != nil {
+	if err := s.addUpstream(old.Service); err != nil {
 		s.report.fault("an upstream could not be started: " + err.Error())
 		return
 	}
