Changes of the store are gathered for up to a third of the time that they may take

Change: 15 ms for each instance, bounded by the settings' bounds. Settings that nothing uses are gone.

--- a/internal/deployment/exchange.go
+++ b/internal/deployment/exchange.go
@@ -17,10 +17,10 @@
 
 // Timing of the exchange between instances.
 const (
-	// behindAfter is how long an instance may be behind another before it reads
-	// the store again: news from the store itself takes a few milliseconds, and
-	// gathered changes up to maxGather.
-	behindAfter = 500 * time.Millisecond
+	// behindAfter is how long an instance may be behind another, beside the time in
+	// which changes are gathered, before it reads the store again: news from the
+	// store itself takes a few milliseconds.
+	behindAfter = 400 * time.Millisecond
 	// askTimeout bounds a call to another instance.
 	askTimeout = 500 * time.Millisecond
 )
@@ -70,7 +70,7 @@
 // again if not, and asks the other instance if the store does not answer.
 func (e *Exchange) chase(f *Follower, index int, from string, change int64) {
 	defer f.chasing.Store(false)
-	time.Sleep(behindAfter)
+	time.Sleep(behindAfter + f.options.gather())
 	if f.complete.Load() >= change {
 		return
 	}
--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -83,20 +83,35 @@
 	entriesReturn = 1800 * time.Millisecond
 )
 
-// gatherPerInstance is how long an instance waits for further changes after one,
-// for each instance of the deployment: calls are priced, and each change would
-// wake all of them. maxGather keeps it well within what a change may take.
+// Gathering of changes: calls are priced, and each change would wake all instances.
 const (
-	gatherPerInstance = 5 * time.Millisecond
-	maxGather         = 400 * time.Millisecond
+	// gatherPerInstance is how long an instance waits for further changes after
+	// one, for each instance of the deployment.
+	gatherPerInstance = 15 * time.Millisecond
+	// gatherPart is the part of the time that a change may take in which changes
+	// are gathered at most.
+	gatherPart = 0.33
 )
 
+// FollowerOptions are what a Follower knows of its deployment.
+type FollowerOptions struct {
+	// Instances returns the number of live instances.
+	Instances func() int
+	// ApplyWithin is the time in which a change must be in force.
+	ApplyWithin time.Duration
+}
+
+// gather returns how long further changes are waited for.
+func (o FollowerOptions) gather() time.Duration {
+	most := time.Duration(gatherPart * float64(o.ApplyWithin))
+	return min(time.Duration(o.Instances())*gatherPerInstance, most)
+}
+
 // Follower keeps a State up to date from one source.
 type Follower struct {
-	state  *State
-	source Source
-	// instances returns the number of live instances.
-	instances func() int
+	state   *State
+	source  Source
+	options FollowerOptions
 
 	// complete is the store's version up to which everything is known, changed
 	// that of the newest change.
@@ -119,8 +134,8 @@
 }
 
 // NewFollower returns a Follower; Run starts it.
-func NewFollower(state *State, source Source, instances func() int) *Follower {
-	return &Follower{state: state, source: source, instances: instances, handed: make(chan Update, 1), lapsed: map[string]time.Time{}}
+func NewFollower(state *State, source Source, options FollowerOptions) *Follower {
+	return &Follower{state: state, source: source, options: options, handed: make(chan Update, 1), lapsed: map[string]time.Time{}}
 }
 
 // Run follows the source until ctx ends.
@@ -146,7 +161,7 @@
 		f.regained(now)
 		f.apply(update, now)
 		whole = false
-		sleep.For(ctx, min(time.Duration(f.instances())*gatherPerInstance, maxGather))
+		sleep.For(ctx, f.options.gather())
 	}
 	return ctx.Err()
 }
@@ -159,7 +174,7 @@
 func (f *Follower) newBackoff() *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = firstRetry
-	b.MaxInterval = min(maxRetry+time.Duration(f.instances())*retryPerInstance, maxFleetRetry)
+	b.MaxInterval = min(maxRetry+time.Duration(f.options.Instances())*retryPerInstance, maxFleetRetry)
 	b.Reset()
 	return b
 }
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -71,7 +71,8 @@
 	}
 	n.links = &links{directory: o.Directory, self: self}
 	for _, source := range o.Sources {
-		n.followers = append(n.followers, deployment.NewFollower(n.state, source, n.links.instances))
+		options := deployment.FollowerOptions{Instances: n.links.instances, ApplyWithin: s.ApplyWithin}
+		n.followers = append(n.followers, deployment.NewFollower(n.state, source, options))
 	}
 	n.links.exchange = deployment.NewExchange(n.followers...)
 	n.fleet = placement.NewFleet(n.planner, placement.OwnerName(self), n.links.exchange)
--- a/internal/hosted/settings.go
+++ b/internal/hosted/settings.go
@@ -17,22 +17,16 @@
 	Operators string
 	// Store is host:port of the platform's metadata store.
 	Store string
-	// CPUShare is the part of a core that the process has.
-	CPUShare float64
 	// MemoryBytes is the limit above which the process is killed.
 	MemoryBytes int64
 	// StopGrace is the time between SIGTERM and SIGKILL.
 	StopGrace time.Duration
-	// LeaveAfter is how long a leaving upstream may still get new work.
-	LeaveAfter time.Duration
+	// ApplyWithin is the time in which a change of the configuration or of the list
+	// of upstreams must be in force.
+	ApplyWithin time.Duration
 	// RetryRatio, RetryWindow and RetryExtra bound retries of all instances
 	// together: in each window RetryRatio of the requests, plus RetryExtra.
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetryExtra  float64
-	// EngineStall is after how long an engine gives up work that depends on
-	// an engine that is gone.
-	EngineStall time.Duration
-	// MaxHold is the longest lease of a reservation of engine memory.
-	MaxHold time.Duration
 }
