--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -54,7 +54,7 @@
 		rq.story.ended(rq.service, end.outcome, end.status)
 		switch {
 		case end.outcome == placement.Completed:
-			return end.result
+			return nil
 		case ctx.Err() != nil:
 			return h.ended(ctx, rq, end.err, end.notRun)
 		case end.answer != nil && !end.notRun && end.answer.status < http.StatusInternalServerError:
@@ -98,8 +98,6 @@
 	notRun  bool
 	// answer is a whole answer that is no stream, such as an engine's error.
 	answer *wholeAnswer
-	// result is set if the caller is to be told of an error after all.
-	result *result.Error
 }
 
 // tryStream makes one attempt and passes its events on.
