--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -78,14 +78,15 @@
 	n.fleet = placement.NewFleet(n.planner, placement.OwnerName(self), n.links.exchange)
 	n.links.fleet = n.fleet
 	n.handler = passthrough.New(passthrough.Options{
-		Instance:  s.Instance,
-		State:     n.state,
-		Codec:     o.Codec,
-		Placer:    n.fleet,
-		Reserver:  o.Reserver,
-		Retries:   passthrough.RetryBudget{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
-		Instances: n.links.instances,
-		Draining:  n.draining.Load,
+		Instance:    s.Instance,
+		State:       n.state,
+		Codec:       o.Codec,
+		Placer:      n.fleet,
+		Reserver:    o.Reserver,
+		Retries:     passthrough.RetryBudget{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
+		Instances:   n.links.instances,
+		MaxIdleHold: s.MaxIdleHold,
+		Draining:    n.draining.Load,
 	})
 	n.buildServers()
 	return n
--- a/internal/hosted/settings.go
+++ b/internal/hosted/settings.go
@@ -24,6 +24,8 @@
 	// ApplyWithin is the time in which a change of the configuration or of the list
 	// of upstreams must be in force.
 	ApplyWithin time.Duration
+	// MaxIdleHold is how long reserved engine memory may stay unused.
+	MaxIdleHold time.Duration
 	// RetryRatio, RetryWindow and RetryExtra bound retries of all instances
 	// together: in each window RetryRatio of the requests, plus RetryExtra.
 	RetryRatio  float64
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -25,7 +25,8 @@
 	upstream deployment.Upstream
 	decision placement.Decision
 	header   http.Header
-	// release gives back reserved memory.
+	// holds says that engine memory is reserved; release gives it back.
+	holds   bool
 	release func()
 }
 
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -33,6 +33,9 @@
 	Retries  RetryBudget
 	// Instances returns the number of live instances.
 	Instances func() int
+	// MaxIdleHold is how long reserved engine memory may wait for its request to
+	// begin; zero takes a default.
+	MaxIdleHold time.Duration
 	// Draining states whether a planned stop has begun.
 	Draining func() bool
 }
--- a/internal/passthrough/recruit.go
+++ b/internal/passthrough/recruit.go
@@ -41,6 +41,6 @@
 	if err != nil {
 		return result.Wrap(err, result.Overloaded, "the engines have no memory for the prompt now").After(retrySoon)
 	}
-	a.release = lease.release
+	a.holds, a.release = true, lease.release
 	return nil
 }
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -107,6 +107,11 @@
 	firstSilence := max(minSilence, firstFactor*rq.route.FirstAnswer, expectFactor*a.decision.Expect)
 	watch := h.newWatchdog(ctx, rq, firstSilence, cancel)
 	defer func() { s.next = watch.stop() }()
+	if a.holds {
+		idle := time.AfterFunc(h.idleLimit(), func() { cancel(errIdleHold) })
+		watch.onFirst = func() { idle.Stop() }
+		defer idle.Stop()
+	}
 	res, reply, err := h.send(ctx, rq, a)
 	if err != nil {
 		return streamEnd{outcome: h.lossOf(ctx, rq, err), err: err, notRun: errors.Is(err, errNotSent)}
@@ -126,6 +131,7 @@
 			return streamEnd{outcome: h.lossOf(ctx, rq, err), status: res.StatusCode, err: err}
 		}
 		watch.reset(pause)
+		watch.first()
 		rq.story.event(time.Now())
 		if s.events == 0 || !s.begun {
 			h.opts.Placer.FirstAnswer(rq.service, a.job)
@@ -136,13 +142,34 @@
 	}
 }
 
+// errIdleHold says that reserved memory was unused for too long.
+var errIdleHold = errors.New("reserved engine memory was not used in time")
+
+// Limits of memory that waits for its request.
+const (
+	// idlePart is the part of the allowed time after which the memory is given
+	// back, so that the release arrives in time.
+	idlePart = 0.7
+	// defaultIdleHold is the allowed time if the settings do not say.
+	defaultIdleHold = 9 * time.Second
+)
+
+// idleLimit returns how long reserved memory may wait for the first event.
+func (h *Handler) idleLimit() time.Duration {
+	limit := h.opts.MaxIdleHold
+	if limit <= 0 {
+		limit = defaultIdleHold
+	}
+	return time.Duration(idlePart * float64(limit))
+}
+
 // errSilent says that an engine sent nothing for too long.
 var errSilent = errors.New("the engine sent nothing for too long")
 
 // lossOf tells the placer how a broken attempt ended.
 func (h *Handler) lossOf(ctx context.Context, rq *request, err error) placement.Outcome {
 	switch {
-	case errors.Is(context.Cause(ctx), errSilent):
+	case errors.Is(context.Cause(ctx), errSilent), errors.Is(context.Cause(ctx), errIdleHold):
 		return placement.Stalled
 	case rq.r.Context().Err() != nil || ctx.Err() != nil:
 		return placement.Abandoned
--- a/internal/passthrough/watchdog.go
+++ b/internal/passthrough/watchdog.go
@@ -21,6 +21,8 @@
 	// job is what the other engine is asked for.
 	job   placement.Job
 	timer *time.Timer
+	// onFirst is called at the first event, if set.
+	onFirst func()
 
 	mu      sync.Mutex
 	next    *chosen
@@ -43,6 +45,14 @@
 	}
 }
 
+// first says that an event has come.
+func (w *watchdog) first() {
+	if w.onFirst != nil {
+		w.onFirst()
+		w.onFirst = nil
+	}
+}
+
 // bark looks for another engine and gives up the present one if there is one.
 func (w *watchdog) bark() {
 	now := time.Now()
