--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -120,17 +120,6 @@
 	return time.Duration(float64(sum) * e.pace)
 }
 
-// Parts returns the number of prompts of other engines that this one helps with.
-func (e *Engine) Parts() int {
-	n := 0
-	for i := range e.sequences {
-		if e.sequences[i].Part && e.sequences[i].left > 0 {
-			n++
-		}
-	}
-	return n
-}
-
 // Add adds work that arrives at now.
 func (e *Engine) Add(w Work, now time.Time) {
 	e.Advance(now)
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -78,7 +78,6 @@
 	n.fleet = placement.NewFleet(n.planner, placement.OwnerName(self), n.links.exchange)
 	n.links.fleet = n.fleet
 	n.handler = passthrough.New(passthrough.Options{
-		Instance:    s.Instance,
 		State:       n.state,
 		Codec:       o.Codec,
 		Placer:      n.fleet,
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -50,7 +50,6 @@
 func (h *Handler) job(rq *request) placement.Job {
 	return placement.Job{
 		ID:          rq.jobID(),
-		Owner:       h.opts.Instance,
 		Service:     rq.service,
 		Prompt:      rq.call.PromptTokens,
 		Output:      rq.outputTokens(),
@@ -60,12 +59,12 @@
 		Remaining:   rq.patience(),
 		Lifetime:    time.Until(rq.deadline),
 		Avoid:       rq.tried,
-		Fingerprint: rq.fingerprint(),
+		Fingerprint: rq.fingerprint,
 	}
 }
 
-// fingerprint identifies the request however often its caller sends it.
-func (rq *request) fingerprint() uint64 {
+// fingerprintOf identifies the request however often its caller sends it.
+func fingerprintOf(rq *request) uint64 {
 	d := xxhash.New()
 	for _, text := range []string{rq.workspace, rq.r.Method, rq.r.RequestURI} {
 		_, _ = d.WriteString(text) // never fails
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -23,11 +23,9 @@
 
 // Options configures a Handler.
 type Options struct {
-	// Instance names this instance in jobs and logs.
-	Instance string
-	State    *deployment.State
-	Codec    Codec
-	Placer   Placer
+	State  *deployment.State
+	Codec  Codec
+	Placer Placer
 	// Reserver reserves engine memory for prompts of several engines.
 	Reserver Reserver
 	Retries  RetryBudget
@@ -70,6 +68,8 @@
 	service   string
 	workspace string
 	body      []byte
+	// fingerprint identifies workspace, method, path and body.
+	fingerprint uint64
 	// tried lists the upstreams that were sent to; ran counts those that may
 	// have run the request.
 	tried []string
--- a/internal/passthrough/route.go
+++ b/internal/passthrough/route.go
@@ -35,6 +35,7 @@
 	}
 	body, err := readBody(rq.w, rq.r, limit)
 	rq.body = body
+	rq.fingerprint = fingerprintOf(rq)
 	return err
 }
 
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -202,13 +202,7 @@
 // pass writes one event to the caller, after the header of the first engine.
 func (h *Handler) pass(rq *request, res *http.Response, e event, s *streamState) error {
 	if !s.begun {
-		header := rq.w.Header()
-		closing := header.Get("Connection")
-		h.opts.Codec.WriteReply(header, res.Header)
-		if closing != "" {
-			header.Set("Connection", closing)
-		}
-		header.Del("Content-Length")
+		h.writeHeader(rq, res.Header).Del("Content-Length")
 		rq.story.status = res.StatusCode
 		rq.story.first = time.Since(rq.arrived)
 		rq.w.WriteHeader(res.StatusCode)
--- a/internal/passthrough/whole.go
+++ b/internal/passthrough/whole.go
@@ -122,14 +122,21 @@
 	return placement.Failed
 }
 
-// deliver passes the upstream's answer on unchanged.
-func (h *Handler) deliver(rq *request, a *wholeAnswer) *result.Error {
+// writeHeader sets the caller's header to the upstream's, but for what concerns the
+// caller's connection, and returns it.
+func (h *Handler) writeHeader(rq *request, upstream http.Header) http.Header {
 	header := rq.w.Header()
 	closing := header.Get("Connection")
-	h.opts.Codec.WriteReply(header, a.header)
+	h.opts.Codec.WriteReply(header, upstream)
 	if closing != "" {
 		header.Set("Connection", closing)
 	}
+	return header
+}
+
+// deliver passes the upstream's answer on unchanged.
+func (h *Handler) deliver(rq *request, a *wholeAnswer) *result.Error {
+	header := h.writeHeader(rq, a.header)
 	if rq.r.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync"
 	"time"
 
@@ -302,4 +303,6 @@
 }
 
 // OwnerName names an incarnation of an instance in jobs.
-func OwnerName(m peer.Member) string { return ownerName(m.ID, m.Incarnation) }
+func OwnerName(m peer.Member) string {
+	return m.ID + "/" + strconv.FormatUint(m.Incarnation, 10)
+}
--- a/internal/placement/generation.go
+++ b/internal/placement/generation.go
@@ -12,8 +12,6 @@
 const (
 	// sharedFrom is the prompt size from which on several engines are considered.
 	sharedFrom = 12_000
-	// maxHelpers is the most helpers that an engine takes.
-	maxHelpers = 15
 	// lookAhead is how far the effects of a job are looked at, at least: some
 	// passes beyond the objective of a short question.
 	lookAhead = 500 * time.Millisecond
@@ -42,7 +40,8 @@
 	reserveSlack = 64
 )
 
-// teamSizes are the numbers of engines considered for one prompt.
+// teamSizes are the numbers of engines considered for one prompt; an engine takes
+// at most 16 helpers.
 var teamSizes = []int{2, 3, 5, 8, 12, 16}
 
 // option is one engine's part of a job and what it costs.
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -1,9 +1,6 @@
 package placement
 
-import (
-	"strconv"
-	"time"
-)
+import "time"
 
 // Adopt notes a job that was placed elsewhere.
 func (p *Planner) Adopt(a Adoption, now time.Time) {
@@ -168,8 +165,3 @@
 	}
 	return list
 }
-
-// ownerName names an incarnation of an instance.
-func ownerName(id string, incarnation uint64) string {
-	return id + "/" + strconv.FormatUint(incarnation, 10)
-}
--- a/internal/placement/team.go
+++ b/internal/placement/team.go
@@ -13,7 +13,7 @@
 	var best proposal
 	found := false
 	for _, size := range teamSizes {
-		if size > len(candidates) || size-1 > maxHelpers {
+		if size > len(candidates) {
 			break
 		}
 		if t, ok := p.teamOf(size, model, candidates, j, now); ok && (!found || t.cost < best.cost) {
