Prompts over one engine are reserved for their longest answer; a fleet that starts anew spreads and agrees at once

Cause: (1) engines refuse a prompt over their memory if it does not fit together with the most output tokens that its caller takes; memory was reserved for the likely answer. (2) After all 79 instances were killed, each planned by itself and filled the same engines from the front: 104 refusals by engines with full queues. (3) The instances learned of one another by gossip over seconds, so services had several homes.

Change: the job carries its longest answer, memory is reserved for it; an instance that plans alone begins at its own place in the order of engines; for 5 s after its start an instance takes those on the list for members.

--- a/internal/hosted/links.go
+++ b/internal/hosted/links.go
@@ -34,6 +34,8 @@
 	// listInterval is the time between reads of the list; instances also tell
 	// one another.
 	listInterval = 20 * time.Second
+	// trustList covers the first read of the list, with its retries, after a start.
+	trustList = 5 * time.Second
 )
 
 // links connects the instance to the others once the store has told it how.
@@ -65,7 +67,7 @@
 		Self:     l.self,
 		Secret:   secret,
 		LiveList: l.directory,
-		Timing:   member.Timing{ListInterval: listInterval},
+		Timing:   member.Timing{ListInterval: listInterval, TrustList: trustList},
 	})
 	if err != nil {
 		return err
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -283,6 +283,10 @@
 		}
 		c.listed = append(c.listed, item)
 		e, ok := c.table.entries[item.ID]
+		if !ok && now.Sub(c.table.started) < c.timing.TrustList {
+			// Incarnation 0 gives way to whatever the instance says of itself.
+			c.table.merge(recordOf(listedMember(item)), now)
+		}
 		if ok && item.Phase == platform.Leaving && !e.Leaving && now.Sub(e.learned) > c.timing.ListLag {
 			c.table.setLeaving(e)
 		}
--- a/internal/member/control_test.go
+++ b/internal/member/control_test.go
@@ -57,6 +57,29 @@
 	}
 }
 
+// A fleet that starts anew agrees on its members from the list, and what an
+// instance says of itself replaces its entry. Later, the list alone makes no
+// members.
+func TestListMakesMembersOnlyAfterStart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	list := []platform.Listed{{ID: "listed", Role: "instance", Address: "z", DataCentre: "a", Phase: platform.Live}}
+	for _, test := range []struct {
+		trust, age time.Duration
+		want       int
+	}{{5 * time.Second, time.Second, 3}, {5 * time.Second, 6 * time.Second, 2}, {0, 0, 2}} {
+		c := newTestControl(t, now)
+		c.timing.TrustList = test.trust
+		c.handle(listRead{list}, now.Add(test.age))
+		if got := len(c.o.Members()); got != test.want {
+			t.Errorf("trust %v, age %v: %d members, want %d", test.trust, test.age, got, test.want)
+		}
+		c.table.merge(record{ID: "listed", Incarnation: 7, Address: "z", DataCentre: "a"}, now)
+		if got := c.table.entries["listed"].Incarnation; got != 7 {
+			t.Errorf("the instance's own record was not taken: incarnation %d", got)
+		}
+	}
+}
+
 func TestOwnLeavingIsRefutedOnlyAfterStart(t *testing.T) {
 	now := time.Unix(1000, 0)
 	for age, want := range map[time.Duration]bool{5 * time.Second: false, time.Minute: true} {
--- a/internal/member/timing.go
+++ b/internal/member/timing.go
@@ -24,6 +24,10 @@
 	// ListInterval is the least time between two reads of the platform's
 	// list; default 2 s. It grows with the number of members.
 	ListInterval time.Duration
+	// TrustList is how long after its start an instance takes those on the
+	// platform's list for members, so that a whole fleet that starts anew agrees
+	// on its members at once; none by default.
+	TrustList time.Duration
 	// ProbeInterval is the least time between two attempts to reach members
 	// that are listed or remembered but not alive; default 3 s.
 	ProbeInterval time.Duration
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -53,6 +53,7 @@
 		Service:     rq.service,
 		Prompt:      rq.call.PromptTokens,
 		Output:      rq.outputTokens(),
+		MaxOutput:   rq.call.MaxOutputTokens,
 		FirstAnswer: rq.route.FirstAnswer,
 		MaxPause:    rq.route.MaxPause,
 		Waited:      time.Since(rq.arrived),
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -84,7 +84,10 @@
 // Place implements passthrough.Placer.
 func (f *Fleet) Place(ctx context.Context, j Job) Decision {
 	j.Owner = f.owner
-	home := f.home(j.Service)
+	home, linked := f.home(j.Service)
+	if !linked {
+		return f.planner.PlaceAlone(j, time.Now())
+	}
 	if home == "" {
 		return f.planner.Place(j, time.Now())
 	}
@@ -97,8 +100,8 @@
 		return Decision{Reason: NoUpstream}
 	}
 	f.avoid(home, j, err)
-	d = f.planner.Place(j, time.Now())
-	if next := f.home(j.Service); next != "" && d.Upstream != "" {
+	d = f.planner.PlaceAlone(j, time.Now())
+	if next, _ := f.home(j.Service); next != "" && d.Upstream != "" {
 		f.tell(next, event{Kind: eventAdopt, ID: j.ID, Adopted: &Adoption{Job: j, Decision: d}})
 	}
 	return d
@@ -118,21 +121,21 @@
 
 // report tells the home of a service, unless it is this instance.
 func (f *Fleet) report(service string, e event) {
-	if home := f.home(service); home != "" {
+	if home, _ := f.home(service); home != "" {
 		f.tell(home, e)
 	}
 }
 
 // home returns the instance that plans the service; empty if it is this one. A
-// new home is told of this instance's jobs.
-func (f *Fleet) home(service string) string {
+// new home is told of this instance's jobs. Without links there is none.
+func (f *Fleet) home(service string) (home string, linked bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.bus == nil {
-		return ""
+		return "", false
 	}
 	now := time.Now()
-	home := peer.Owner(f.bus.Members(), service, func(m peer.Member) bool {
+	home = peer.Owner(f.bus.Members(), service, func(m peer.Member) bool {
 		until, avoided := f.avoided[m.ID]
 		return !avoided || now.After(until)
 	})
@@ -148,7 +151,7 @@
 			f.tellLocked(home, f.planner.own(service, f.owner, now)...)
 		}
 	}
-	return home
+	return home, true
 }
 
 // avoid passes over a home that did not answer.
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -257,6 +257,50 @@
 	}
 }
 
+// TestReservedMemoryCoversLongestAnswer: engines refuse a prompt that does not fit
+// together with the longest answer that its caller takes, however short the
+// answer is expected to be.
+func TestReservedMemoryCoversLongestAnswer(t *testing.T) {
+	p := NewPlanner("")
+	deploymentOf([]*Planner{p}, 4)
+	j := shortJob("huge")
+	j.Prompt, j.Output, j.MaxOutput = usersModel().MemoryTokens-300, 200, 2500
+	j.FirstAnswer, j.MaxPause, j.Remaining = 3*time.Second, time.Second, 15*time.Second
+	d := p.Place(j, time.Now())
+	reserved := 0
+	for _, h := range d.Helpers {
+		reserved += h.ReservedTokens
+	}
+	if d.Upstream == "" || j.Prompt+j.MaxOutput-reserved > usersModel().MemoryTokens {
+		t.Errorf("decision %+v reserves %d tokens", d, reserved)
+	}
+}
+
+// TestLoneInstancesSpread: instances that start together and are not linked yet
+// must not all begin at the same engine.
+func TestLoneInstancesSpread(t *testing.T) {
+	const instances, engines = 40, 20
+	var planners []*Planner
+	for range instances {
+		planners = append(planners, NewPlanner(""))
+	}
+	deploymentOf(planners, engines)
+	at := map[string]int{}
+	for i, p := range planners {
+		f := NewFleet(p, fmt.Sprint("i", i, "/1"), noNews{})
+		at[f.Place(t.Context(), shortJob(fmt.Sprint("j", i))).Upstream]++
+	}
+	for up, n := range at {
+		// An engine starts 16 requests at once; chance gives 2 on each.
+		if n > 8 {
+			t.Errorf("%d of %d requests went to %s", n, instances, up)
+		}
+	}
+	if len(at) < engines/2 {
+		t.Errorf("%d of %d engines were used", len(at), engines)
+	}
+}
+
 // TestPlanningBeatsLeastRequests on the users' calm mix: the policy must earn
 // what the users' own mark for a calm day asks for.
 func TestPlanningBeatsLeastRequests(t *testing.T) {
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/enginemodel"
@@ -54,6 +55,17 @@
 	turn  int
 }
 
+// scope says for whom a planner decides.
+type scope uint8
+
+const (
+	// fleetwide plans for all instances: the work of all is known.
+	fleetwide scope = iota
+	// alone plans for this instance only. Others may do the same, so each begins
+	// elsewhere in the order of upstreams.
+	alone
+)
+
 // member is one upstream.
 type member struct {
 	upstream  deployment.Upstream
@@ -62,7 +74,7 @@
 	engine *enginemodel.Engine
 	// jobs counts the jobs placed here.
 	jobs int
-	// position is the place in the pool's order, from 0 to 1.
+	// position is the place in the order of the present decision, from 0 to 1.
 	position float64
 	// lossNow is what the engine's requests are expected to lose, as of lossAt
 	// and lossVersion.
@@ -132,14 +144,17 @@
 	}
 	pl.members = next
 	slices.SortFunc(pl.order, func(a, b *member) int { return cmp.Compare(a.upstream.ID, b.upstream.ID) })
-	for i, m := range pl.order {
-		m.position = float64(i) / float64(len(pl.order))
-	}
 	return ended
 }
 
 // Place chooses a place for the job and notes it there.
-func (p *Planner) Place(j Job, now time.Time) Decision {
+func (p *Planner) Place(j Job, now time.Time) Decision { return p.place(j, fleetwide, now) }
+
+// PlaceAlone chooses a place for a job of this instance without a home that
+// knows the work of the others.
+func (p *Planner) PlaceAlone(j Job, now time.Time) Decision { return p.place(j, alone, now) }
+
+func (p *Planner) place(j Job, s scope, now time.Time) Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweep(now)
@@ -150,7 +165,7 @@
 	if verdict, wait := p.poison.Verdict(j.Fingerprint, now); j.Fingerprint != 0 && verdict == poison.Condemned {
 		return Decision{Reason: Poisoned, RetryAfter: wait}
 	}
-	candidates := pl.candidates(&j, now)
+	candidates := pl.candidates(&j, s, now)
 	if len(candidates) == 0 {
 		return Decision{Reason: NoUpstream, RetryAfter: firstPause}
 	}
@@ -168,11 +183,19 @@
 	return d
 }
 
-// candidates returns the members that may take the job. If more than half of
-// them are unusable, the judgement itself is doubted and all are returned.
-func (pl *pool) candidates(j *Job, now time.Time) []*member {
-	var usable, untried []*member
-	for _, m := range pl.order {
+// candidates returns the members that may take the job, in the order of the
+// decision. If more than half of them are unusable, the judgement itself is
+// doubted and all are returned.
+func (pl *pool) candidates(j *Job, s scope, now time.Time) []*member {
+	n := len(pl.order)
+	first := 0
+	if s == alone {
+		first = int(xxhash.Sum64String(j.Owner) % uint64(n))
+	}
+	usable, untried := make([]*member, 0, n), make([]*member, 0, n)
+	for i := range n {
+		m := pl.order[(first+i)%n]
+		m.position = float64(i) / float64(n)
 		if slices.Contains(j.Avoid, m.upstream.ID) {
 			continue
 		}
--- a/internal/placement/team.go
+++ b/internal/placement/team.go
@@ -52,7 +52,7 @@
 func assign(options []option, j *Job) (Decision, bool) {
 	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(b.free, a.free) })
 	d := Decision{Upstream: options[0].member.upstream.ID, Urgency: urgencyOf(j)}
-	rest := j.Prompt + j.Output - options[0].free
+	rest := j.Prompt + max(j.Output, j.MaxOutput) - options[0].free
 	for _, o := range options[1:] {
 		part := Part{Upstream: o.member.upstream.ID}
 		if rest > 0 && o.free > reserveSlack {
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -14,6 +14,9 @@
 	// Prompt and Output are token counts; zero for a plain service.
 	Prompt int
 	Output int
+	// MaxOutput is the most output tokens that the caller takes. Engines refuse a
+	// prompt that does not fit with it.
+	MaxOutput int
 	// FirstAnswer and MaxPause are the objectives.
 	FirstAnswer time.Duration
 	MaxPause    time.Duration
