Long jobs are put off while they would cost others more than they gain

Cause: a long prompt was placed as soon as it came, also where its passes made many streams late; once streams were late, further prompts were placed there at no cost that the planner saw. Prompts that were late already took engines from those that were not.

Change: if a long job would cost others more than 0.3 of what it gains, or it is late anyway and costs anything, the planner answers 'deferred' and the instance asks again every 100 ms, for 0.4 of the caller's patience at most. Requests tell how long they waited for a place (at_ms). Simulated callers leave as the users' do.

Test seen failing without the change.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -124,7 +124,7 @@
 	}
 	a.header = make(http.Header, len(rq.r.Header)+4)
 	h.opts.Codec.WriteCall(a.header, rq.r.Header, out)
-	rq.story.placed(a)
+	rq.story.placed(a, rq.arrived)
 	rq.tried = append(rq.tried, a.upstream.ID)
 	return a, nil
 }
@@ -141,6 +141,12 @@
 	// request has lost more.
 	slotPart = 0.5
 	waitPart = 0.6
+	// deferRetry is the pause before a job that was put off is asked for again;
+	// up to 150 ms earn about the same on the simulated day, and each costs a call.
+	deferRetry = 100 * time.Millisecond
+	// deferPart is the part of the caller's patience in which a job may be put off;
+	// the rest must do for its prompt.
+	deferPart = 0.4
 )
 
 // placeSoon asks for a place, again for a while if there is none now.
@@ -148,12 +154,20 @@
 	objective := float64(rq.route.FirstAnswer)
 	for {
 		job.MayWait = float64(job.Waited+placeRetry) < slotPart*objective
+		job.MayDefer = float64(job.Waited+deferRetry) < deferPart*float64(job.Waited+job.Remaining)
 		d := h.opts.Placer.Place(ctx, job)
-		pause := memoryRetry
-		if d.Reason == placement.Full {
+		if d.Upstream != "" {
+			return d
+		}
+		pause, wait := memoryRetry, float64(job.Waited+memoryRetry) < waitPart*objective
+		switch d.Reason {
+		case placement.TooLate:
+			wait = false
+		case placement.Full:
 			pause = placeRetry
+		case placement.Deferred:
+			pause, wait = deferRetry, true
 		}
-		wait := d.Upstream == "" && d.Reason != placement.TooLate && float64(job.Waited+pause) < waitPart*objective
 		if !wait || !sleep.For(ctx, pause) {
 			return d
 		}
--- a/internal/passthrough/journal.go
+++ b/internal/passthrough/journal.go
@@ -34,10 +34,15 @@
 	outcome  placement.Outcome
 	status   int
 	began    time.Time
+	// waited is how long the request had waited for the place.
+	waited time.Duration
 }
 
-func (s *story) placed(a *attempt) {
-	s.attempts = append(s.attempts, told{upstream: a.upstream.ID, helpers: len(a.decision.Helpers), expect: a.decision.Expect, began: time.Now()})
+func (s *story) placed(a *attempt, arrived time.Time) {
+	now := time.Now()
+	s.attempts = append(s.attempts, told{
+		upstream: a.upstream.ID, helpers: len(a.decision.Helpers), expect: a.decision.Expect, began: now, waited: now.Sub(arrived),
+	})
 }
 
 // event notes an event of a stream.
@@ -135,7 +140,9 @@
 	return f
 }
 
-// String tells of an attempt: upstream, outcome, prediction, helpers, and status.
+// String tells of an attempt: upstream, outcome, when it was placed, prediction,
+// helpers, and status.
 func (t told) String() string {
-	return fmt.Sprintf("%s %s expect_ms=%d helpers=%d status=%d", t.upstream, t.outcome, t.expect.Milliseconds(), t.helpers, t.status)
+	return fmt.Sprintf("%s %s at_ms=%d expect_ms=%d helpers=%d status=%d",
+		t.upstream, t.outcome, t.waited.Milliseconds(), t.expect.Milliseconds(), t.helpers, t.status)
 }
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -276,6 +276,41 @@
 	}
 }
 
+// TestCostlyLongJobIsPutOff while all engines write short answers that its prompt
+// would make late, as long as its caller has time; it is placed once they are done.
+func TestCostlyLongJobIsPutOff(t *testing.T) {
+	p := NewPlanner("")
+	deploymentOf([]*Planner{p}, 4)
+	now := time.Now()
+	short := func(i, k int) string { return fmt.Sprint("short", i, "-", k) }
+	for i := range 4 {
+		for k := range 12 {
+			p.Adopt(Adoption{Job: shortJob(short(i, k)), Decision: Decision{Upstream: fmt.Sprint("e", i)}}, now)
+			p.FirstAnswer(short(i, k), now)
+		}
+	}
+	long := shortJob("long")
+	long.Prompt, long.FirstAnswer, long.MaxPause = 150_000, 2500*time.Millisecond, time.Second
+	long.MayDefer = true
+	if d := p.Place(long, now); d.Reason != Deferred {
+		t.Errorf("the prompt was %s beside 48 short streams, want it put off", d.Reason)
+	}
+	hurried := long
+	hurried.ID, hurried.MayDefer = "hurried", false
+	if d := p.Place(hurried, now); d.Upstream == "" {
+		t.Errorf("a prompt that can wait no longer was refused: %s", d.Reason)
+	}
+	p.Ended(hurried.ID, Abandoned, now)
+	for i := range 4 {
+		for k := range 12 {
+			p.Ended(short(i, k), Completed, now)
+		}
+	}
+	if d := p.Place(long, now); d.Upstream == "" {
+		t.Errorf("the prompt was refused on idle engines: %s", d.Reason)
+	}
+}
+
 // TestLoneInstancesSpread: instances that start together and are not linked yet
 // must not all begin at the same engine.
 func TestLoneInstancesSpread(t *testing.T) {
--- a/internal/placement/generation.go
+++ b/internal/placement/generation.go
@@ -78,6 +78,9 @@
 	if !found {
 		return Decision{Reason: TooLarge, RetryAfter: refusalPause}
 	}
+	if j.MayDefer && j.Prompt >= sharedFrom && best.isPremature(j, now) {
+		return Decision{Reason: Deferred, RetryAfter: refusalPause}
+	}
 	expect := best.ready.Sub(now)
 	if expect > j.Remaining {
 		return Decision{Reason: TooLate, RetryAfter: min(expect-j.Remaining+firstPause, j.Remaining/3)}
@@ -119,6 +122,29 @@
 	ready    time.Time
 }
 
+// Weights of putting a long job off. On the simulated day all between 0.15 and
+// 0.5 for deferWeight earn about the same.
+const (
+	// deferWeight is the part of what a job gains by being placed now that others
+	// may lose for it.
+	deferWeight = 0.3
+	// deferSlack is the part of a job's value that others may lose for it even if
+	// it gains nothing, so that jobs that are late already are still placed.
+	deferSlack = 0.05
+)
+
+// isPremature states whether the job would cost others more, placed now, than it
+// gains. One that is late anyway gains nothing by being placed now.
+func (b *proposal) isPremature(j *Job, now time.Time) bool {
+	ratio := float64(b.ready.Sub(now)+j.Waited) / float64(max(j.FirstAnswer, time.Millisecond))
+	own := j.value() * enginemodel.Lateness(ratio)
+	gain := 0.0
+	if ratio <= 1 {
+		gain = j.value() - own
+	}
+	return b.cost-own > deferWeight*gain+deferSlack*j.value()
+}
+
 // solo finds the best single engine.
 func (p *Planner) solo(model *enginemodel.Model, candidates []*member, j *Job, urgency int, now time.Time) (proposal, bool) {
 	w := j.work(j.Prompt, now)
--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -88,7 +88,14 @@
 	first  time.Time
 	worst  float64
 	ended  bool
-	worth  float64
+	// left says that the caller gave up.
+	left  bool
+	worth float64
+}
+
+// gap is the silence after which the caller leaves.
+func (j *simJob) gap() time.Duration {
+	return max(2*time.Second, 4*j.job.FirstAnswer, 8*j.job.MaxPause)
 }
 
 // lognormal draws a value with a mean and a relative spread.
@@ -184,9 +191,10 @@
 func (s *simulation) start(j *simJob, now time.Time) (placed, again bool) {
 	j.job.Waited = now.Sub(j.at)
 	j.job.MayWait = j.job.Waited+40*time.Millisecond < j.job.FirstAnswer/2
+	j.job.MayDefer = float64(j.job.Waited) < 0.4*float64(j.gap())
 	d := s.planner.Place(j.job, now)
 	if d.Upstream == "" {
-		return false, d.Reason == Full
+		return false, d.Reason == Full || d.Reason == Deferred
 	}
 	s.jobs[j.job.ID] = j
 	pl := s.planner.pools["llm"]
@@ -232,7 +240,8 @@
 				s.planner.FirstAnswer(p.ID, now)
 			}
 			j.worst = max(j.worst, p.WorstPause)
-			if p.OutputLeft <= 0 {
+			j.left = j.worst*float64(j.job.MaxPause) > float64(j.gap()) || j.first.Sub(j.at) > j.gap()
+			if p.OutputLeft <= 0 || j.left {
 				j.ended = true
 				done = append(done, p.ID)
 			}
@@ -267,7 +276,7 @@
 	s := newSimulation(d, now)
 	jobs := d.arrivals(seed, now)
 	o := outcomeOfDay{onTime: make([]int, len(d.classes)), all: make([]int, len(d.classes))}
-	var waiting []*simJob // in the order in which they come back
+	var waiting []*simJob // by the time at which they come back
 	for i := 0; ; {
 		e, at := s.next()
 		var j *simJob
@@ -289,8 +298,13 @@
 			o.placed++
 			switch {
 			case again:
-				j.due = j.due.Add(40 * time.Millisecond)
+				pause := 40 * time.Millisecond
+				if j.job.Prompt >= sharedFrom {
+					pause = 100 * time.Millisecond
+				}
+				j.due = j.due.Add(pause)
 				waiting = append(waiting, j)
+				slices.SortStableFunc(waiting, func(a, b *simJob) int { return a.due.Compare(b.due) })
 			case !placed:
 				o.refused++
 			}
@@ -307,7 +321,7 @@
 		o.all[j.class]++
 		took := j.first.Sub(j.at)
 		switch {
-		case !j.ended:
+		case !j.ended || j.left:
 		case took <= k.first && j.worst <= 1:
 			o.onTime[j.class]++
 			o.earned += j.worth
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -34,6 +34,10 @@
 	// to an engine whose slots are all taken, since nobody knows which engine has
 	// one free first.
 	MayWait bool
+	// MayDefer says that a long job can be asked for again soon and still be
+	// answered, perhaps late. It is then put off while it would cost others more
+	// than it gains.
+	MayDefer bool
 }
 
 // value is what the job is worth in time, in the users' unit: tokens in and ten
@@ -92,11 +96,13 @@
 	Full
 	// Poisoned: the same request has crashed several upstreams.
 	Poisoned
+	// Deferred: placed now, the job would cost others more than it gains.
+	Deferred
 )
 
 // String returns the reason's name in metrics.
 func (r Reason) String() string {
-	names := [...]string{"placed", "no-upstream", "too-late", "too-large", "full", "poisoned"}
+	names := [...]string{"placed", "no-upstream", "too-late", "too-large", "full", "poisoned", "deferred"}
 	if int(r) < len(names) {
 		return names[r]
 	}
