--- a/internal/placement/generation.go
+++ b/internal/placement/generation.go
@@ -63,18 +63,7 @@
 			return Decision{Reason: Full, RetryAfter: refusalPause}
 		}
 	}
-	best, found := p.solo(model, candidates, j, urgencyOf(j), now)
-	if found && best.ready.After(now.Add(j.FirstAnswer-j.Waited)) {
-		// It will be late anyway: let it wait for those that need not be.
-		if deferred, ok := p.solo(model, candidates, j, urgencyLate, now); ok && deferred.cost <= best.cost {
-			best = deferred
-		}
-	}
-	if model.Joint && j.Prompt >= sharedFrom {
-		if team, ok := p.team(model, candidates, j, now); ok && (!found || team.cost < best.cost) {
-			best, found = team, true
-		}
-	}
+	best, found := p.propose(model, candidates, j, now)
 	if !found {
 		return Decision{Reason: TooLarge, RetryAfter: refusalPause}
 	}
@@ -89,6 +78,23 @@
 	return best.decision
 }
 
+// propose finds the best engine, or the best engines together.
+func (p *Planner) propose(model *enginemodel.Model, candidates []*member, j *Job, now time.Time) (best proposal, found bool) {
+	best, found = p.solo(model, candidates, j, urgencyOf(j), now)
+	if found && best.ready.After(now.Add(j.FirstAnswer-j.Waited)) {
+		// It will be late anyway: let it wait for those that need not be.
+		if deferred, ok := p.solo(model, candidates, j, urgencyLate, now); ok && deferred.cost <= best.cost {
+			best = deferred
+		}
+	}
+	if model.Joint && j.Prompt >= sharedFrom {
+		if team, ok := p.team(model, candidates, j, now); ok && (!found || team.cost < best.cost) {
+			best, found = team, true
+		}
+	}
+	return best, found
+}
+
 // Urgencies; engines give slots to lower ones first.
 const (
 	urgencyShort = 3
