Engine model: joint prompts are read newest first, step by step; a part that is late counts

Cause: the prediction had engines read parts of joint prompts in the order in which they came. Engines read each new part before all other reads, also before older parts.

Change: parts newest first, cut at steps; steps are predicted as one run that is cut where something changes; each part carries its prompt's objective and value.

The four tests of the model are new.

--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -20,9 +20,11 @@
 	Output int
 	// Context is what each decoding step reads here, in tokens.
 	Context int
-	// Part says that another engine decodes: the work goes before whole
-	// prompts and needs no slot.
+	// Part says that another engine decodes: the work needs no slot.
 	Part bool
+	// Joint says that several engines compute the prompt. Such work goes before
+	// whole prompts, the newest first, also before what has begun.
+	Joint bool
 	// Memory is the KV memory of the request here, in tokens.
 	Memory int
 	// Urgency orders the wait for a slot; lower goes first.
@@ -36,6 +38,9 @@
 	MaxPause time.Duration
 	// Value is what the request is worth in time, in any unit.
 	Value float64
+	// ReadyBy is when the whole prompt was expected to be computed: a part that is
+	// ready sooner gains nothing.
+	ReadyBy time.Time
 }
 
 // sequence is a Work under way.
@@ -64,6 +69,8 @@
 	idle     bool
 	// waiting says that the present pass only waits for parts elsewhere.
 	waiting bool
+	// run says that the present pass is steps without decoders.
+	run bool
 	// version changes with each change of the work.
 	version uint64
 	// scratch is reused by predictions.
@@ -124,9 +131,16 @@
 func (e *Engine) Add(w Work, now time.Time) {
 	e.Advance(now)
 	e.version++
+	e.insert(w, now)
+}
+
+// insert adds work at now, which the prediction has reached.
+func (e *Engine) insert(w Work, now time.Time) {
 	e.sequences = append(e.sequences, newSequence(w))
 	if e.idle || e.waiting {
 		e.startPass(now)
+	} else {
+		e.cut(now)
 	}
 }
 
@@ -138,6 +152,7 @@
 func (e *Engine) Remove(id string, now time.Time) {
 	e.Advance(now)
 	e.version++
+	e.cut(now)
 	e.sequences = slices.DeleteFunc(e.sequences, func(s sequence) bool { return s.ID == id })
 }
 
@@ -146,13 +161,14 @@
 func (e *Engine) FirstToken(id string, now time.Time) time.Time {
 	e.Advance(now)
 	e.version++
+	e.cut(now)
 	for i := range e.sequences {
 		s := &e.sequences[i]
 		if s.ID != id {
 			continue
 		}
 		predicted := s.first
-		s.left, s.pairs = 0, 0
+		s.left, s.pairs, s.take = 0, 0, 0
 		s.decoding = !s.Part
 		if s.first.IsZero() {
 			s.first = now
@@ -202,35 +218,78 @@
 	}
 	if e.waiting {
 		e.startPass(now)
+	} else {
+		e.cut(now)
 	}
 }
 
-// startPass plans the pass that begins at t.
+// startPass plans the pass that begins at t. Without decoders a pass is a run of
+// steps that read one prompt; it is cut where something changes.
 func (e *Engine) startPass(t time.Time) {
-	e.now, e.waiting = t, false
+	e.now, e.waiting, e.run = t, false, false
 	e.admit()
 	decoding, context := e.decoders()
-	steps := 1
+	budget := math.MaxInt
 	if decoding > 0 {
-		steps = e.model.Stride
-	}
-	budget := steps * e.model.Chunk
-	if decoding == 0 {
-		budget = stepsPerLook * e.model.Chunk
+		budget = e.model.Stride * e.model.Chunk
 	}
 	prefill := e.takePrefill(decoding > 0, budget)
 	if decoding == 0 && prefill == 0 && !e.anyReady(t) {
 		e.waitOrIdle(t)
 		return
 	}
-	step := float64(e.model.Step) + float64(decoding)*float64(e.model.StepPerSequence) +
-		context/1000*float64(e.model.StepPerContext)
+	steps := float64(e.model.Stride)
 	if decoding == 0 {
-		steps = int(math.Ceil(e.taken() / float64(max(e.model.Chunk, 1))))
+		steps = e.stepsFor(e.taken())
 	}
-	length := time.Duration((float64(steps)*step + prefill) * e.pace)
+	step := float64(e.model.Step) + float64(decoding)*float64(e.model.StepPerSequence) +
+		context/1000*float64(e.model.StepPerContext)
 	e.idle = false
-	e.end = t.Add(max(length, minPass))
+	e.end = t.Add(e.span(steps*step + prefill))
+	e.run = decoding == 0 && prefill > 0
+	for i := range e.sequences {
+		if s := &e.sequences[i]; s.waitsForParts() && s.NotBefore.After(t) {
+			e.cut(s.NotBefore)
+		}
+	}
+}
+
+// stepsFor returns the number of steps without decoders that read tokens.
+func (e *Engine) stepsFor(tokens float64) float64 {
+	return math.Ceil(tokens / float64(max(e.model.Chunk, 1)))
+}
+
+// span turns predicted nanoseconds into a time at the engine's pace.
+func (e *Engine) span(predicted float64) time.Duration {
+	return max(time.Duration(predicted*e.pace), minPass)
+}
+
+// cut ends a run of steps after the one that is under way at t: the next step
+// deals with what has changed.
+func (e *Engine) cut(t time.Time) {
+	if !e.run || !t.Before(e.end) {
+		return
+	}
+	reader := slices.IndexFunc(e.sequences, func(s sequence) bool { return s.take > 0 })
+	if reader < 0 {
+		return
+	}
+	s := &e.sequences[reader]
+	whole, end := s.take, e.end
+	steps := e.stepsFor(whole)
+	for n := max(1, math.Floor(steps*float64(t.Sub(e.now))/float64(end.Sub(e.now)))); n < steps; n++ {
+		s.take = n * float64(e.model.Chunk)
+		e.end = e.now.Add(e.span(n*float64(e.model.Step) + e.prefill(s)))
+		if e.end.After(t) {
+			return
+		}
+	}
+	s.take, e.end = whole, end
+}
+
+// waitsForParts states whether only parts at other engines are missing.
+func (s *sequence) waitsForParts() bool {
+	return s.admitted && s.left <= 0 && s.first.IsZero() && !s.Part
 }
 
 // anyReady states whether a request's parts have just become ready, so that its
@@ -238,7 +297,7 @@
 func (e *Engine) anyReady(t time.Time) bool {
 	for i := range e.sequences {
 		s := &e.sequences[i]
-		if s.admitted && s.left <= 0 && s.first.IsZero() && !s.Part && !s.NotBefore.After(t) {
+		if s.waitsForParts() && !s.NotBefore.After(t) {
 			return true
 		}
 	}
@@ -254,7 +313,7 @@
 	e.idle = true
 	for i := range e.sequences {
 		s := &e.sequences[i]
-		if s.admitted && s.left <= 0 && s.first.IsZero() && !s.Part && s.NotBefore.After(t) {
+		if s.waitsForParts() && s.NotBefore.After(t) {
 			if e.idle || s.NotBefore.Before(e.end) {
 				e.end = s.NotBefore
 			}
@@ -307,20 +366,20 @@
 	return n, context
 }
 
-// stepsPerLook is how many steps without decoders are predicted as one pass;
-// whole prompts of other engines' parts may go first after it.
-const stepsPerLook = 8
-
-// takePrefill deals up to budget tokens to the prompts, parts first, and returns
-// the time that they take in nanoseconds. Without decoders the pass ends with
-// the first prompt.
+// takePrefill deals up to budget tokens to the prompts, joint ones first, and
+// returns the time that they take in nanoseconds. Without decoders the pass ends
+// with the first prompt.
 func (e *Engine) takePrefill(decoding bool, budget int) float64 {
 	total := 0.0
 	left := float64(budget)
-	for _, parts := range [2]bool{true, false} {
-		for i := range e.sequences {
+	for _, joint := range [2]bool{true, false} {
+		for n := range e.sequences {
+			i := n
+			if joint {
+				i = len(e.sequences) - 1 - n // the newest first
+			}
 			s := &e.sequences[i]
-			if s.Part != parts {
+			if s.Joint != joint {
 				continue
 			}
 			s.take = 0
--- /dev/null
+++ b/internal/enginemodel/engine_test.go
@@ -0,0 +1,86 @@
+package enginemodel
+
+import (
+	"testing"
+	"time"
+)
+
+func testModel() *Model {
+	return &Model{
+		Slots: 12, MemoryTokens: 197_200, Step: time.Millisecond, PrefillRate: 200_000, Chunk: 2000, Stride: 48, Joint: true,
+	}
+}
+
+// readyAt returns when the engine has computed id's prompt, or zero.
+func readyAt(e *Engine, id string, until time.Time) time.Time {
+	e.Advance(until)
+	var at time.Time
+	e.Each(func(p Progress) {
+		if p.ID == id {
+			at = p.First
+		}
+	})
+	return at
+}
+
+func joint(id string, tokens int) Work { return Work{ID: id, Tokens: tokens, Part: true, Joint: true} }
+
+// TestNewestJointPromptGoesFirst: engines read a part that arrives before those that
+// they have begun, from the next step on.
+func TestNewestJointPromptGoesFirst(t *testing.T) {
+	start := time.Unix(1000, 0)
+	e := NewEngine(testModel())
+	e.Add(joint("old", 40_000), start) // 20 steps of 11 ms
+	e.Add(joint("new", 10_000), start.Add(50*time.Millisecond))
+	end := start.Add(time.Second)
+	// The step under way ends at 55 ms, then 5 steps.
+	if got, want := readyAt(e, "new", end), start.Add(110*time.Millisecond); !got.Equal(want) {
+		t.Errorf("the newer part is ready after %v, want %v", got.Sub(start), want.Sub(start))
+	}
+	if got, want := readyAt(e, "old", end), start.Add(275*time.Millisecond); !got.Equal(want) {
+		t.Errorf("the older part is ready after %v, want %v", got.Sub(start), want.Sub(start))
+	}
+}
+
+// TestJointPromptsGoBeforeWholeOnes, also before one that has begun.
+func TestJointPromptsGoBeforeWholeOnes(t *testing.T) {
+	start := time.Unix(1000, 0)
+	e := NewEngine(testModel())
+	e.Add(Work{ID: "whole", Tokens: 20_000, Output: 48}, start)
+	e.Add(joint("part", 10_000), start.Add(time.Millisecond))
+	end := start.Add(200 * time.Millisecond)
+	if got, want := readyAt(e, "part", end), start.Add(66*time.Millisecond); !got.Equal(want) {
+		t.Errorf("the part is ready after %v, want %v", got.Sub(start), want.Sub(start))
+	}
+	if got, want := readyAt(e, "whole", end), start.Add(165*time.Millisecond); !got.Equal(want) {
+		t.Errorf("the whole prompt is ready after %v, want %v", got.Sub(start), want.Sub(start))
+	}
+}
+
+// TestRemovedPromptFreesTheEngine at the end of the step under way.
+func TestRemovedPromptFreesTheEngine(t *testing.T) {
+	start := time.Unix(1000, 0)
+	e := NewEngine(testModel())
+	e.Add(Work{ID: "gone", Tokens: 100_000, Output: 48}, start)
+	e.Remove("gone", start.Add(100*time.Millisecond))
+	e.Add(Work{ID: "next", Tokens: 2000, Output: 48}, start.Add(101*time.Millisecond))
+	if got, want := readyAt(e, "next", start.Add(150*time.Millisecond)), start.Add(121*time.Millisecond); !got.Equal(want) {
+		t.Errorf("the next prompt is ready after %v, want %v", got.Sub(start), want.Sub(start))
+	}
+}
+
+// TestLatePartIsALoss: the look ahead counts what a new part does to the prompt of
+// which an older part is computed here.
+func TestLatePartIsALoss(t *testing.T) {
+	start := time.Unix(1000, 0)
+	e := NewEngine(testModel())
+	old := joint("old", 40_000)
+	old.Start, old.FirstBy, old.ReadyBy, old.Value = start, start.Add(400*time.Millisecond), start.Add(220*time.Millisecond), 10
+	e.Add(old, start)
+	before, _ := e.Outlook(nil, start, start.Add(time.Second))
+	w := joint("new", 60_000)
+	after, _ := e.Outlook(&w, start, start.Add(time.Second))
+	if after-before < LateLoss*old.Value*0.9 {
+		t.Errorf("a part that makes an older prompt late costs %.2f, want about %.2f", after-before, LateLoss*old.Value)
+	}
+}
--- a/internal/enginemodel/outlook.go
+++ b/internal/enginemodel/outlook.go
@@ -55,7 +55,7 @@
 // when extra is ready: its first token, or the end of its part.
 func (e *Engine) Outlook(extra *Work, now, horizon time.Time) (loss float64, ready time.Time) {
 	e.Advance(now)
-	c := Engine{model: e.model, now: e.now, end: e.end, idle: e.idle, waiting: e.waiting, pace: e.pace}
+	c := Engine{model: e.model, now: e.now, end: e.end, idle: e.idle, waiting: e.waiting, run: e.run, pace: e.pace}
 	c.sequences = append(e.scratch[:0], e.sequences...)
 	defer func() { e.scratch = c.sequences[:0] }()
 	for i := range c.sequences {
@@ -65,10 +65,7 @@
 	var o outlook
 	if extra != nil {
 		o.id = extra.ID
-		c.sequences = append(c.sequences, newSequence(*extra))
-		if c.idle || c.waiting {
-			c.startPass(now)
-		}
+		c.insert(*extra, now)
 	}
 	for pass := 0; pass < maxPasses && !c.idle; pass++ {
 		if pass >= minPasses && c.now.After(horizon) && (extra == nil || !o.first.IsZero()) {
@@ -112,6 +109,9 @@
 			if first.IsZero() {
 				first = e.now.Add(e.PendingPrefill())
 			}
+			if first.Before(s.ReadyBy) {
+				first = s.ReadyBy
+			}
 			ratio = max(ratio, float64(first.Sub(s.Start))/float64(aim))
 		}
 		sum += s.Value * Lateness(ratio)
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -35,6 +35,7 @@
 		Tokens: tokens,
 		Pairs:  float64(tokens) / float64(j.Prompt) * enginemodel.Pairs(j.Prompt),
 		Part:   true,
+		Joint:  true,
 	}
 }
 
@@ -51,12 +52,15 @@
 	first := j.work(tokens, now)
 	first.Urgency = d.Urgency
 	first.NotBefore = now.Add(d.Expect)
-	if len(d.Helpers) == 0 {
+	first.Joint = size > 1
+	if size == 1 {
 		first.NotBefore = time.Time{}
 	}
 	list := []placedWork{{d.Upstream, first}}
 	for _, h := range d.Helpers {
 		w := j.part(tokens)
+		// A part that is late makes the whole prompt late.
+		w.Start, w.FirstBy, w.ReadyBy, w.Value = first.Start, first.FirstBy, first.NotBefore, first.Value
 		w.Memory = h.ReservedTokens
 		list[0].work.Memory -= h.ReservedTokens
 		list = append(list, placedWork{h.Upstream, w})
