Large prompts are also tried on the engines with the most free memory

Cause: a team was the cheapest engines; if their memory together was too small, the prompt was refused although others had it.

--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -311,6 +311,30 @@
 	}
 }
 
+// TestLargePromptFindsFreeMemory on engines that are not the cheapest: most have no
+// memory but a patient stream, the others have memory and a stream that it disturbs.
+func TestLargePromptFindsFreeMemory(t *testing.T) {
+	const engines = 24
+	p := NewPlanner("")
+	deploymentOf([]*Planner{p}, engines)
+	now := time.Now()
+	memory := usersModel().MemoryTokens
+	for i := range engines {
+		j := shortJob(fmt.Sprint("holder", i))
+		j.Prompt, j.MaxPause = memory-5000, 10*time.Second
+		if i >= engines-4 {
+			j.Prompt, j.MaxPause = memory/10, 250*time.Millisecond
+		}
+		p.Adopt(Adoption{Job: j, Decision: Decision{Upstream: fmt.Sprint("e", i)}}, now)
+		p.FirstAnswer(j.ID, now)
+	}
+	huge := shortJob("huge")
+	huge.Prompt, huge.FirstAnswer, huge.MaxPause, huge.Remaining = 3*memory, 3*time.Second, time.Second, 15*time.Second
+	if d := p.Place(huge, now); d.Upstream == "" {
+		t.Errorf("four engines have memory for the prompt, but it was refused: %s", d.Reason)
+	}
+}
+
 // TestLoneInstancesSpread: instances that start together and are not linked yet
 // must not all begin at the same engine.
 func TestLoneInstancesSpread(t *testing.T) {
--- a/internal/placement/team.go
+++ b/internal/placement/team.go
@@ -8,7 +8,8 @@
 	"github.com/banyanroute/banyanroute/internal/enginemodel"
 )
 
-// team finds the best set of engines that compute the prompt together.
+// team finds the best set of engines that compute the prompt together. Where the
+// cheapest engines have no memory for it, those with the most free memory are tried.
 func (p *Planner) team(model *enginemodel.Model, candidates []*member, j *Job, now time.Time) (proposal, bool) {
 	var best proposal
 	found := false
@@ -20,9 +21,19 @@
 			best, found = t, true
 		}
 	}
+	if largest := teamSizes[len(teamSizes)-1]; !found && len(candidates) > largest {
+		return p.teamOf(largest, model, withMostMemory(candidates, largest), j, now)
+	}
 	return best, found
 }
 
+// withMostMemory returns the n candidates with the most free memory.
+func withMostMemory(candidates []*member, n int) []*member {
+	list := slices.Clone(candidates)
+	slices.SortStableFunc(list, func(a, b *member) int { return cmp.Compare(a.engine.UsedTokens(), b.engine.UsedTokens()) })
+	return list[:n]
+}
+
 // teamOf finds the best set of a size.
 func (p *Planner) teamOf(size int, model *enginemodel.Model, candidates []*member, j *Job, now time.Time) (proposal, bool) {
 	part := (j.Prompt + size - 1) / size
