--- a/internal/placement/generation.go
+++ b/internal/placement/generation.go
@@ -136,7 +136,7 @@
 	deferWeight = 0.3
 	// deferSlack is the part of a job's value that others may lose for it even if
 	// it gains nothing, so that jobs that are late already are still placed.
-	deferSlack = 0.01
+	deferSlack = 0.05
 )
 
 // isPremature states whether the job would cost others more, placed now, than it
