Teams are chosen among the engines with the least work; put-off jobs ask half as often

Cause: a long prompt was predicted on all engines for each of six team sizes: 1.0 ms with 78 engines, 7.5 ms with 800, and jobs that were put off ask ten times a second.

Change: teams come from the 24 engines with the least work, parts have 2,500 tokens or more, put-off jobs ask every 200 ms.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -141,9 +141,9 @@
 	// request has lost more.
 	slotPart = 0.5
 	waitPart = 0.6
-	// deferRetry is the pause before a job that was put off is asked for again;
-	// up to 150 ms earn about the same on the simulated day, and each costs a call.
-	deferRetry = 100 * time.Millisecond
+	// deferRetry is the pause before a job that was put off is asked for again; up to
+	// 250 ms earn about the same on the simulated day, and each costs a call.
+	deferRetry = 200 * time.Millisecond
 	// deferPart is the part of the caller's patience in which a job may be put off;
 	// the rest must do for its prompt.
 	deferPart = 0.4
--- a/internal/placement/generation.go
+++ b/internal/placement/generation.go
@@ -18,8 +18,13 @@
 	// lossAge is how long a prediction of an unchanged engine holds; a pass takes
 	// longer.
 	lossAge = 20 * time.Millisecond
-	// maxShortlist bounds the engines that are predicted for one job.
-	maxShortlist = 10
+	// maxShortlist bounds the engines that are predicted for one job, teamShortlist
+	// those for a team; a decision costs the home processor time.
+	maxShortlist  = 10
+	teamShortlist = 24
+	// minPart is the fewest tokens of a prompt's part; smaller ones save less time
+	// than an engine's pass takes.
+	minPart = 2500
 	// shortlistLean turns the lean, a part of a job's value, into a part of an
 	// engine's slots.
 	shortlistLean = 4
@@ -219,13 +224,21 @@
 // and the least work before it.
 func shortlist(model *enginemodel.Model, candidates []*member, j *Job, memory int, now time.Time) []*member {
 	candidates = withMemory(model, candidates, memory)
-	if len(candidates) <= maxShortlist {
-		return candidates
-	}
 	lean := 0.0
 	if j.Prompt < sharedFrom {
 		lean = leanOf(model, candidates) * shortLean
 	}
+	return leastWork(model, candidates, maxShortlist, now, func(m *member) float64 {
+		return lean*m.position*shortlistLean + m.condition.errorRate(now)
+	})
+}
+
+// leastWork returns the n candidates with the fewest requests and the least
+// pending prefill, with extra added to a second of prefill or an engine's slots.
+func leastWork(model *enginemodel.Model, candidates []*member, n int, now time.Time, extra func(*member) float64) []*member {
+	if len(candidates) <= n {
+		return candidates
+	}
 	type rated struct {
 		member *member
 		rating float64
@@ -234,10 +247,10 @@
 	for i, m := range candidates {
 		m.engine.Advance(now)
 		rating := float64(m.engine.Requests())/float64(max(model.Slots, 1)) + m.engine.PendingPrefill().Seconds()
-		list[i] = rated{m, rating + lean*m.position*shortlistLean + m.condition.errorRate(now)}
+		list[i] = rated{m, rating + extra(m)}
 	}
-	slices.SortFunc(list, func(a, b rated) int { return cmp.Compare(a.rating, b.rating) })
-	out := make([]*member, maxShortlist)
+	slices.SortStableFunc(list, func(a, b rated) int { return cmp.Compare(a.rating, b.rating) })
+	out := make([]*member, n)
 	for i := range out {
 		out[i] = list[i].member
 	}
--- a/internal/placement/team.go
+++ b/internal/placement/team.go
@@ -13,11 +13,12 @@
 func (p *Planner) team(model *enginemodel.Model, candidates []*member, j *Job, now time.Time) (proposal, bool) {
 	var best proposal
 	found := false
-	for _, size := range teamSizes {
-		if size > len(candidates) {
+	idle := leastWork(model, candidates, teamShortlist, now, func(m *member) float64 { return m.condition.errorRate(now) })
+	for i, size := range teamSizes {
+		if size > len(idle) || i > 0 && j.Prompt/size < minPart {
 			break
 		}
-		if t, ok := p.teamOf(size, model, candidates, j, now); ok && (!found || t.cost < best.cost) {
+		if t, ok := p.teamOf(size, model, idle, j, now); ok && (!found || t.cost < best.cost) {
 			best, found = t, true
 		}
 	}
