--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -311,6 +311,45 @@
 	}
 }
 
+// TestLargestPromptGetsItsTurn: smaller prompts must not take each engine that
+// becomes free before there are enough for one over an engine's memory.
+func TestLargestPromptGetsItsTurn(t *testing.T) {
+	p := NewPlanner("")
+	deploymentOf([]*Planner{p}, 3)
+	now := time.Now()
+	memory := usersModel().MemoryTokens
+	long := func(id string, tokens int) Job {
+		j := shortJob(id)
+		j.Prompt, j.FirstAnswer, j.MaxPause, j.Remaining = tokens, 3*time.Second, 10*time.Second, 15*time.Second
+		j.MayDefer = true
+		return j
+	}
+	for i := range 3 {
+		p.Adopt(Adoption{Job: long(fmt.Sprint("old", i), memory-1000), Decision: Decision{Upstream: fmt.Sprint("e", i)}}, now)
+		p.FirstAnswer(fmt.Sprint("old", i), now)
+	}
+	huge := long("huge", 2*memory-3000)
+	if d := p.Place(huge, now); d.Reason != Deferred {
+		t.Fatalf("the prompt was %s with all memory taken, want it put off", d.Reason)
+	}
+	p.Ended("old0", Completed, now)
+	if d := p.Place(long("next", 150_000), now); d.Reason != Deferred {
+		t.Errorf("a smaller prompt was %s in the larger one's turn", d.Reason)
+	}
+	if d := p.Place(shortJob("short"), now); d.Upstream == "" {
+		t.Errorf("a short question was %s in a large prompt's turn", d.Reason)
+	}
+	p.Ended("short", Completed, now)
+	p.Ended("old1", Completed, now.Add(200*time.Millisecond))
+	if d := p.Place(huge, now.Add(200*time.Millisecond)); d.Upstream == "" {
+		t.Errorf("the prompt was %s with two engines free", d.Reason)
+	}
+	p.Ended("huge", Completed, now)
+	if d := p.Place(long("last", 150_000), now.Add(210*time.Millisecond)); d.Upstream == "" {
+		t.Errorf("a prompt was %s after the larger one's turn", d.Reason)
+	}
+}
+
 // TestLargePromptFindsFreeMemory on engines that are not the cheapest: most have no
 // memory but a patient stream, the others have memory and a stream that it disturbs.
 func TestLargePromptFindsFreeMemory(t *testing.T) {
--- a/internal/placement/generation.go
+++ b/internal/placement/generation.go
@@ -68,8 +68,15 @@
 			return Decision{Reason: Full, RetryAfter: refusalPause}
 		}
 	}
+	if j.MayDefer && pl.claim.holds(j, now) {
+		return Decision{Reason: Deferred, RetryAfter: refusalPause}
+	}
 	best, found := p.propose(model, candidates, j, now)
 	if !found {
+		if j.MayDefer && j.tokens() > model.MemoryTokens {
+			pl.claim.renew(j.ID, now)
+			return Decision{Reason: Deferred, RetryAfter: refusalPause}
+		}
 		return Decision{Reason: TooLarge, RetryAfter: refusalPause}
 	}
 	if j.MayDefer && j.Prompt >= sharedFrom && best.isPremature(j, now) {
--- a/internal/placement/work.go
+++ b/internal/placement/work.go
@@ -28,6 +28,9 @@
 	}
 }
 
+// tokens returns the memory that engines want to have for the job.
+func (j *Job) tokens() int { return j.Prompt + max(j.Output, j.MaxOutput) }
+
 // part returns the work of a helper.
 func (j *Job) part(tokens int) enginemodel.Work {
 	return enginemodel.Work{
