--- a/internal/placement/generation.go
+++ b/internal/placement/generation.go
@@ -40,6 +40,8 @@
 	shortLean = 0.3
 	// leanUntil is the part of all slots in use from which on there is no lean.
 	leanUntil = 0.6
+	// lastChance outweighs the streams of all engines of a team.
+	lastChance = 1000
 	// reserveSlack is the part of a reservation added for blocks that are not
 	// full.
 	reserveSlack = 64
@@ -193,6 +195,9 @@
 			ready:  ready,
 			free:   model.MemoryTokens - m.engine.UsedTokens(),
 		}
+		if !w.Part {
+			o.cost += j.lossByLeaving(ready, now)
+		}
 		if m.upstream.DataCentre != p.dataCentre {
 			o.cost += remoteLoss * value
 		}
@@ -204,6 +209,20 @@
 	return list
 }
 
+// lossByLeaving returns what is lost if a long job is ready at a time: all of it if
+// the caller will have left, and more than any harm to others if the job cannot be
+// put off again, so that the largest prompts are served too. Short ones are rather
+// refused soon than served at the cost of others.
+func (j *Job) lossByLeaving(ready, now time.Time) float64 {
+	switch {
+	case j.Prompt < sharedFrom || !ready.After(now.Add(j.Remaining)):
+		return 0
+	case j.MayDefer:
+		return j.value()
+	}
+	return lastChance * j.value()
+}
+
 // loss returns what the engine's present requests are expected to lose. It is
 // predicted again only if the engine's work has changed or time has passed.
 func (m *member) loss(now time.Time) float64 {
