--- a/internal/placement/generation.go
+++ b/internal/placement/generation.go
@@ -40,8 +40,9 @@
 	shortLean = 0.3
 	// leanUntil is the part of all slots in use from which on there is no lean.
 	leanUntil = 0.6
-	// lastChance outweighs the streams of all engines of a team.
-	lastChance = 1000
+	// lastChance is the harm to others, over its value, that a long job may do when it
+	// cannot be put off again; without a bound short questions lost more than that.
+	lastChance = 2
 	// reserveSlack is the part of a reservation added for blocks that are not
 	// full.
 	reserveSlack = 64
@@ -210,9 +211,9 @@
 }
 
 // lossByLeaving returns what is lost if a long job is ready at a time: all of it if
-// the caller will have left, and more than any harm to others if the job cannot be
-// put off again, so that the largest prompts are served too. Short ones are rather
-// refused soon than served at the cost of others.
+// the caller will have left, and more if the job cannot be put off again, so that the
+// largest prompts are served too. Short ones are rather refused soon than served at
+// the cost of others.
 func (j *Job) lossByLeaving(ready, now time.Time) float64 {
 	switch {
 	case j.Prompt < sharedFrom || !ready.After(now.Add(j.Remaining)):
