--- a/internal/passthrough/hold.go
+++ b/internal/passthrough/hold.go
@@ -23,20 +23,11 @@
 
 // hold is reserved memory at one engine.
 type hold struct {
-	upstream string
-	address  string
-	name     string
-	tokens   int
+	address string
+	name    string
+	tokens  int
 }
 
-// noMemory says which engines did not reserve memory.
-type noMemory struct {
-	upstreams []string
-	cause     error
-}
-
-func (e *noMemory) Error() string { return e.cause.Error() }
-
 // memoryLease keeps holds alive until it is released.
 type memoryLease struct {
 	reserver Reserver
@@ -68,16 +59,7 @@
 		wait.Go(func() { errs[i] = l.reserver.Reserve(ctx, one.address, one.name, one.tokens, holdLease) })
 	}
 	wait.Wait()
-	refused := &noMemory{cause: errors.Join(errs...)}
-	for i, err := range errs {
-		if err != nil {
-			refused.upstreams = append(refused.upstreams, l.holds[i].upstream)
-		}
-	}
-	if refused.cause == nil {
-		return nil
-	}
-	return refused
+	return errors.Join(errs...)
 }
 
 // renew keeps the holds until ctx ends.
--- a/internal/placement/generation.go
+++ b/internal/placement/generation.go
@@ -40,9 +40,6 @@
 	shortLean = 0.3
 	// leanUntil is the part of all slots in use from which on there is no lean.
 	leanUntil = 0.6
-	// lastChance is the harm to others, over its value, that a long job may do when it
-	// cannot be put off again; without a bound short questions lost more than that.
-	lastChance = 2
 	// reserveSlack is the part of a reservation added for blocks that are not
 	// full.
 	reserveSlack = 64
@@ -211,17 +208,13 @@
 }
 
 // lossByLeaving returns what is lost if a long job is ready at a time: all of it if
-// the caller will have left, and more if the job cannot be put off again, so that the
-// largest prompts are served too. Short ones are rather refused soon than served at
-// the cost of others.
+// the caller will have left. Short ones are rather refused soon than served at the
+// cost of others.
 func (j *Job) lossByLeaving(ready, now time.Time) float64 {
-	switch {
-	case j.Prompt < sharedFrom || !ready.After(now.Add(j.Remaining)):
+	if j.Prompt < sharedFrom || !ready.After(now.Add(j.Remaining)) {
 		return 0
-	case j.MayDefer:
-		return j.value()
 	}
-	return lastChance * j.value()
+	return j.value()
 }
 
 // loss returns what the engine's present requests are expected to lose. It is
