The largest prompts wait for memory, and may do more harm at their last chance

Cause: prompts over one engine's memory were refused after 0.6 of their objective, or when a reservation failed because the home did not know of memory in use; team sizes were chosen that finish after the caller has left.

Change: they are put off while memory is missing; if they cannot be put off again they may cost others twice their value; where engines do not reserve, a place is asked for again without these.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -86,16 +87,25 @@
 			return nil, refusalOf(d)
 		}
 		a, err := h.prepare(ctx, rq, chosen{job, d}, lastEvent)
-		if err == nil || err.Code != result.NoUpstream || len(left) >= maxLeft {
+		if err == nil || len(left) >= maxLeft {
+			return a, err
+		}
+		// The home does not know yet that the upstream has left, or that engines
+		// have no memory.
+		var full *noMemory
+		switch {
+		case err.Code == result.NoUpstream:
+			left = append(left, d.Upstream)
+		case errors.As(err, &full):
+			left = append(left, full.upstreams...)
+		default:
 			return a, err
 		}
-		// The home does not know yet that the upstream has left.
-		left = append(left, d.Upstream)
 	}
 }
 
-// maxLeft bounds how often a place is asked for again because the one that was
-// granted has left.
+// maxLeft bounds how many upstreams are passed over because they have left or have
+// no memory.
 const maxLeft = 3
 
 // prepare makes a granted place into an attempt.
--- a/internal/passthrough/hold.go
+++ b/internal/passthrough/hold.go
@@ -23,11 +23,20 @@
 
 // hold is reserved memory at one engine.
 type hold struct {
-	address string
-	name    string
-	tokens  int
+	upstream string
+	address  string
+	name     string
+	tokens   int
 }
 
+// noMemory says which engines did not reserve memory.
+type noMemory struct {
+	upstreams []string
+	cause     error
+}
+
+func (e *noMemory) Error() string { return e.cause.Error() }
+
 // memoryLease keeps holds alive until it is released.
 type memoryLease struct {
 	reserver Reserver
@@ -59,7 +68,16 @@
 		wait.Go(func() { errs[i] = l.reserver.Reserve(ctx, one.address, one.name, one.tokens, holdLease) })
 	}
 	wait.Wait()
-	return errors.Join(errs...)
+	refused := &noMemory{cause: errors.Join(errs...)}
+	for i, err := range errs {
+		if err != nil {
+			refused.upstreams = append(refused.upstreams, l.holds[i].upstream)
+		}
+	}
+	if refused.cause == nil {
+		return nil
+	}
+	return refused
 }
 
 // renew keeps the holds until ctx ends.
--- a/internal/passthrough/recruit.go
+++ b/internal/passthrough/recruit.go
@@ -28,7 +28,7 @@
 		helper := Helper{Address: up.Address}
 		if part.ReservedTokens > 0 {
 			helper.Reservation = a.job + "-" + strconv.Itoa(i)
-			holds = append(holds, hold{address: up.Address, name: helper.Reservation, tokens: part.ReservedTokens})
+			holds = append(holds, hold{upstream: up.ID, address: up.Address, name: helper.Reservation, tokens: part.ReservedTokens})
 		}
 		out.Helpers = append(out.Helpers, helper)
 	}
--- a/internal/placement/generation.go
+++ b/internal/placement/generation.go
@@ -40,6 +40,10 @@
 	shortLean = 0.3
 	// leanUntil is the part of all slots in use from which on there is no lean.
 	leanUntil = 0.6
+	// lastChance is the harm to others, over its value, that the largest prompts may
+	// do when they cannot be put off again; without a bound short questions lost more
+	// than that.
+	lastChance = 2
 	// reserveSlack is the part of a reservation added for blocks that are not
 	// full.
 	reserveSlack = 64
@@ -68,13 +72,9 @@
 			return Decision{Reason: Full, RetryAfter: refusalPause}
 		}
 	}
-	if j.MayDefer && pl.claim.holds(j, now) {
-		return Decision{Reason: Deferred, RetryAfter: refusalPause}
-	}
 	best, found := p.propose(model, candidates, j, now)
 	if !found {
 		if j.MayDefer && j.tokens() > model.MemoryTokens {
-			pl.claim.renew(j.ID, now)
 			return Decision{Reason: Deferred, RetryAfter: refusalPause}
 		}
 		return Decision{Reason: TooLarge, RetryAfter: refusalPause}
@@ -194,7 +194,7 @@
 			free:   model.MemoryTokens - m.engine.UsedTokens(),
 		}
 		if !w.Part {
-			o.cost += j.lossByLeaving(ready, now)
+			o.cost += j.lossByLeaving(model, ready, now)
 		}
 		if m.upstream.DataCentre != p.dataCentre {
 			o.cost += remoteLoss * value
@@ -207,14 +207,18 @@
 	return list
 }
 
-// lossByLeaving returns what is lost if a long job is ready at a time: all of it if
-// the caller will have left. Short ones are rather refused soon than served at the
-// cost of others.
-func (j *Job) lossByLeaving(ready, now time.Time) float64 {
-	if j.Prompt < sharedFrom || !ready.After(now.Add(j.Remaining)) {
+// lossByLeaving returns what is lost if a job that is larger than an engine's memory
+// is ready at a time: all of it if the caller will have left, and more if the job
+// cannot be put off again, so that the largest prompts are served too. Others are
+// rather refused soon than served at the cost of many.
+func (j *Job) lossByLeaving(model *enginemodel.Model, ready, now time.Time) float64 {
+	switch {
+	case j.tokens() <= model.MemoryTokens || !ready.After(now.Add(j.Remaining)):
 		return 0
+	case j.MayDefer:
+		return j.value()
 	}
-	return j.value()
+	return lastChance * j.value()
 }
 
 // loss returns what the engine's present requests are expected to lose. It is
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -53,7 +53,6 @@
 	// order lists the members by ID, so that decisions can be repeated.
 	order []*member
 	turn  int
-	claim claim
 }
 
 // scope says for whom a planner decides.
@@ -177,7 +176,6 @@
 		d = p.placeCall(pl, candidates, now)
 	}
 	if d.Upstream != "" {
-		pl.claim.end(j.ID)
 		p.adopt(pl, j, d, now)
 	}
 	metrics.GetOrCreateCounter(fmt.Sprintf(`banyanroute_placements_total{service=%q,result=%q}`, j.Service, d.Reason)).Inc()
--- a/internal/placement/team.go
+++ b/internal/placement/team.go
@@ -53,7 +53,7 @@
 		t.cost += o.cost
 		t.ready = maxTime(t.ready, o.ready)
 	}
-	t.cost += lateness(t.ready) + j.lossByLeaving(t.ready, now)
+	t.cost += lateness(t.ready) + j.lossByLeaving(model, t.ready, now)
 	d, ok := assign(options, j)
 	t.decision = d
 	return t, ok
