One ticker loop, one transport for single-use connections, one change of the list of upstreams

A stream that cannot move to another engine no longer builds the job for it; names of later attempts of such a request have no gap. No other change of behaviour.

--- a/internal/deployment/view.go
+++ b/internal/deployment/view.go
@@ -126,17 +126,7 @@
 	if revision < old.Revision {
 		return
 	}
-	byID := maps.Clone(old.upstreams)
-	if byID == nil {
-		byID = map[string]Upstream{}
-	}
-	for _, u := range changed {
-		byID[u.ID] = u
-	}
-	for _, id := range gone {
-		delete(byID, id)
-	}
-	s.setUpstreams(old, byID, revision, now)
+	s.changeUpstreams(old, changed, gone, revision, now)
 }
 
 // RemoveUpstreams removes upstreams that are gone, whatever the revision.
@@ -144,11 +134,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.view.Load()
+	s.changeUpstreams(old, nil, gone, old.Revision, now)
+}
+
+func (s *State) changeUpstreams(old *View, changed []Upstream, gone []string, revision int64, now time.Time) {
 	byID := maps.Clone(old.upstreams)
+	if byID == nil {
+		byID = map[string]Upstream{}
+	}
+	for _, u := range changed {
+		byID[u.ID] = u
+	}
 	for _, id := range gone {
 		delete(byID, id)
 	}
-	s.setUpstreams(old, byID, old.Revision, now)
+	s.setUpstreams(old, byID, revision, now)
 }
 
 func (s *State) setUpstreams(old *View, byID map[string]Upstream, revision int64, now time.Time) {
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -14,6 +14,7 @@
 	"github.com/banyanroute/banyanroute/internal/passthrough"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/placement"
+	"github.com/banyanroute/banyanroute/internal/sleep"
 )
 
 var log = logging.For("hosted")
@@ -152,18 +153,11 @@
 
 // probe asks lost upstreams whether they are back.
 func (n *Instance) probe(ctx context.Context) error {
-	ticker := time.NewTicker(probeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
+	return sleep.Every(ctx, probeInterval, func() {
 		for _, up := range n.planner.Suspects(time.Now()) {
 			go n.probeOne(ctx, up)
 		}
-	}
+	})
 }
 
 func (n *Instance) probeOne(ctx context.Context, up deployment.Upstream) {
--- a/internal/passthrough/hold.go
+++ b/internal/passthrough/hold.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/banyanroute/banyanroute/internal/sleep"
 )
 
 // Leases of engine memory.
@@ -82,18 +84,11 @@
 
 // renew keeps the holds until ctx ends.
 func (l *memoryLease) renew(ctx context.Context) {
-	ticker := time.NewTicker(holdRenewal)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if err := l.takeAll(ctx); err != nil && ctx.Err() == nil {
-				log.WithError(err).Warn("Reserved engine memory could not be renewed.")
-			}
+	_ = sleep.Every(ctx, holdRenewal, func() { // ends with ctx only
+		if err := l.takeAll(ctx); err != nil && ctx.Err() == nil {
+			log.WithError(err).Warn("Reserved engine memory could not be renewed.")
 		}
-	}
+	})
 }
 
 // release gives the holds back without blocking the caller.
--- a/internal/passthrough/transport.go
+++ b/internal/passthrough/transport.go
@@ -32,17 +32,10 @@
 	maxUpstreamHeader = 64 << 10
 )
 
-// newTransport returns a transport that opens a connection for each request. A
-// connection that is used once cannot bring an answer to an earlier request, and
-// is not closed by the upstream while a request is on its way.
 func newTransport() *http.Transport {
-	dialer := sockets.NewDialer(sockets.Options{DialTimeout: upstreamDialTimeout, UserTimeout: upstreamUserTimeout})
-	return &http.Transport{
-		DialContext:            dialer.DialContext,
-		DisableKeepAlives:      true,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxUpstreamHeader,
-	}
+	t := sockets.NewTransport(sockets.Options{DialTimeout: upstreamDialTimeout, UserTimeout: upstreamUserTimeout})
+	t.MaxResponseHeaderBytes = maxUpstreamHeader
+	return t
 }
 
 // outbound is a request as it is sent.
--- a/internal/passthrough/watchdog.go
+++ b/internal/passthrough/watchdog.go
@@ -18,7 +18,7 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	rq     *request
-	// job is what the other engine is asked for.
+	// job is what the other engine is asked for, if the watch is armed.
 	job   placement.Job
 	timer *time.Timer
 	// onFirst is called at the first event, if set.
@@ -31,8 +31,9 @@
 
 // newWatchdog watches an attempt that is about to be sent.
 func (h *Handler) newWatchdog(ctx context.Context, rq *request, silence time.Duration, cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{h: h, ctx: ctx, cancel: cancel, rq: rq, job: h.job(rq)}
+	w := &watchdog{h: h, ctx: ctx, cancel: cancel, rq: rq}
 	if rq.route.Resumable && rq.ran+1 < rq.route.MaxAttempts {
+		w.job = h.job(rq)
 		w.timer = time.AfterFunc(silence, w.bark)
 	}
 	return w
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/sleep"
 )
 
 // Timing of calls to homes.
@@ -278,16 +279,7 @@
 
 // Run forgets the jobs of instances that are gone until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
-	ticker := time.NewTicker(upkeepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			f.dropOwners(time.Now())
-		}
-	}
+	return sleep.Every(ctx, upkeepInterval, func() { f.dropOwners(time.Now()) })
 }
 
 // dropOwners forgets the jobs of incarnations that are not members.
--- a/internal/sleep/sleep_test.go
+++ b/internal/sleep/sleep_test.go
@@ -20,3 +20,14 @@
 		}
 	})
 }
+
+func TestEvery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 3500*time.Millisecond)
+		defer cancel()
+		calls := 0
+		if err := Every(ctx, time.Second, func() { calls++ }); err == nil || calls != 3 {
+			t.Errorf("%d calls in 3.5 s and error %v, want 3 and the context's error", calls, err)
+		}
+	})
+}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -3,6 +3,7 @@
 
 import (
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -17,6 +18,17 @@
 	UserTimeout time.Duration
 }
 
+// NewTransport returns a transport that opens a connection for each request. A
+// connection that is used once cannot bring an answer to an earlier request, and
+// is not closed by the peer while a request is on its way.
+func NewTransport(o Options) *http.Transport {
+	return &http.Transport{
+		DialContext:        NewDialer(o).DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	}
+}
+
 // Keep-alive probes of idle connections. Whole seconds are the finest that the
 // kernel takes.
 const (
