Placement: one place for lateness, memory, lean and filters; engines are ranked once a job

No change of behaviour. The shortlist of a job that will be late was made twice; the memory that a job asks for, its lateness, the lean and two filters were written out more than once.

--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -106,6 +106,9 @@
 	return used
 }
 
+// FreeTokens returns the KV memory that is left.
+func (e *Engine) FreeTokens() int { return e.model.MemoryTokens - e.UsedTokens() }
+
 // Requests returns the number of requests that decode here or will.
 func (e *Engine) Requests() int {
 	n := 0
--- a/internal/placement/generation.go
+++ b/internal/placement/generation.go
@@ -67,7 +67,7 @@
 func (p *Planner) placeGeneration(pl *pool, candidates []*member, j *Job, now time.Time) Decision {
 	model := pl.service.Engine
 	if j.MayWait {
-		candidates = withSlot(model, candidates)
+		candidates = only(candidates, func(m *member) bool { return m.engine.Requests() < model.Slots })
 		if len(candidates) == 0 {
 			return Decision{Reason: Full, RetryAfter: refusalPause}
 		}
@@ -92,10 +92,12 @@
 
 // propose finds the best engine, or the best engines together.
 func (p *Planner) propose(model *enginemodel.Model, candidates []*member, j *Job, now time.Time) (best proposal, found bool) {
-	best, found = p.solo(model, candidates, j, urgencyOf(j), now)
+	w := j.work(j.Prompt, now)
+	list := shortlist(model, candidates, j, w.Memory, now)
+	best, found = p.solo(model, list, j, w, urgencyOf(j), now)
 	if found && best.ready.After(now.Add(j.FirstAnswer-j.Waited)) {
 		// It will be late anyway: let it wait for those that need not be.
-		if deferred, ok := p.solo(model, candidates, j, urgencyLate, now); ok && deferred.cost <= best.cost {
+		if deferred, ok := p.solo(model, list, j, w, urgencyLate, now); ok && deferred.cost <= best.cost {
 			best = deferred
 		}
 	}
@@ -122,11 +124,11 @@
 	return urgencyLong
 }
 
-// withSlot returns the candidates that have a slot free.
-func withSlot(model *enginemodel.Model, candidates []*member) []*member {
+// only returns the candidates that pass a test.
+func only(candidates []*member, passes func(*member) bool) []*member {
 	out := make([]*member, 0, len(candidates))
 	for _, m := range candidates {
-		if m.engine.Requests() < model.Slots {
+		if passes(m) {
 			out = append(out, m)
 		}
 	}
@@ -154,20 +156,18 @@
 // isPremature states whether the job would cost others more, placed now, than it
 // gains. One that is late anyway gains nothing by being placed now.
 func (b *proposal) isPremature(j *Job, now time.Time) bool {
-	ratio := float64(b.ready.Sub(now)+j.Waited) / float64(max(j.FirstAnswer, time.Millisecond))
-	own := j.value() * enginemodel.Lateness(ratio)
+	own := j.lossByLateness(b.ready, now)
 	gain := 0.0
-	if ratio <= 1 {
+	if j.lateness(b.ready, now) <= 1 {
 		gain = j.value() - own
 	}
 	return b.cost-own > deferWeight*gain+deferSlack*j.value()
 }
 
-// solo finds the best single engine.
-func (p *Planner) solo(model *enginemodel.Model, candidates []*member, j *Job, urgency int, now time.Time) (proposal, bool) {
-	w := j.work(j.Prompt, now)
+// solo finds the best single engine for w, the whole job.
+func (p *Planner) solo(model *enginemodel.Model, candidates []*member, j *Job, w enginemodel.Work, urgency int, now time.Time) (proposal, bool) {
 	w.Urgency = urgency
-	options := p.options(model, shortlist(model, candidates, j, w.Memory, now), j, w, now)
+	options := p.options(model, candidates, j, w, now)
 	var best proposal
 	found := false
 	for _, o := range options {
@@ -182,8 +182,7 @@
 // options returns what w costs on each candidate.
 func (p *Planner) options(model *enginemodel.Model, candidates []*member, j *Job, w enginemodel.Work, now time.Time) []option {
 	value := j.value()
-	short := j.Prompt < sharedFrom
-	lean := leanOf(model, candidates)
+	lean := leanOf(model, candidates, j)
 	list := make([]option, 0, len(candidates))
 	for _, m := range candidates {
 		with, ready := m.engine.Outlook(&w, now, now.Add(lookAhead))
@@ -191,7 +190,7 @@
 			member: m,
 			cost:   with - m.loss(now) + errorLoss*value*m.condition.errorRate(now),
 			ready:  ready,
-			free:   model.MemoryTokens - m.engine.UsedTokens(),
+			free:   m.engine.FreeTokens(),
 		}
 		if !w.Part {
 			o.cost += j.lossByLeaving(model, ready, now)
@@ -199,14 +198,23 @@
 		if m.upstream.DataCentre != p.dataCentre {
 			o.cost += remoteLoss * value
 		}
-		if short {
-			o.cost += shortLean * lean * value * m.position
-		}
+		o.cost += lean * value * m.position
 		list = append(list, o)
 	}
 	return list
 }
 
+// lateness returns the time to the first answer over the objective, if the job is
+// ready at a time.
+func (j *Job) lateness(ready, now time.Time) float64 {
+	return float64(ready.Sub(now)+j.Waited) / float64(max(j.FirstAnswer, time.Millisecond))
+}
+
+// lossByLateness returns what the job is expected to lose by it.
+func (j *Job) lossByLateness(ready, now time.Time) float64 {
+	return j.value() * enginemodel.Lateness(j.lateness(ready, now))
+}
+
 // lossByLeaving returns what is lost if a job that is larger than an engine's memory
 // is ready at a time: all of it if the caller will have left, and more if the job
 // cannot be put off again, so that the largest prompts are served too. Others are
@@ -232,34 +240,17 @@
 	return m.lossNow
 }
 
-// withMemory returns the candidates whose free memory holds tokens.
-func withMemory(model *enginemodel.Model, candidates []*member, tokens int) []*member {
-	out := make([]*member, 0, len(candidates))
-	for _, m := range candidates {
-		if model.MemoryTokens-m.engine.UsedTokens() >= tokens {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
 // shortlist returns the candidates that look best for a job on one engine, so
 // that a decision costs about the same in a large pool: those with memory for it
 // and the least work before it.
 func shortlist(model *enginemodel.Model, candidates []*member, j *Job, memory int, now time.Time) []*member {
-	candidates = withMemory(model, candidates, memory)
-	lean := 0.0
-	if j.Prompt < sharedFrom {
-		lean = leanOf(model, candidates) * shortLean
-	}
-	return leastWork(model, candidates, maxShortlist, now, func(m *member) float64 {
-		return lean*m.position*shortlistLean + m.condition.errorRate(now)
-	})
+	candidates = only(candidates, func(m *member) bool { return m.engine.FreeTokens() >= memory })
+	return leastWork(model, candidates, maxShortlist, leanOf(model, candidates, j), now)
 }
 
-// leastWork returns the n candidates with the fewest requests and the least
-// pending prefill, with extra added to a second of prefill or an engine's slots.
-func leastWork(model *enginemodel.Model, candidates []*member, n int, now time.Time, extra func(*member) float64) []*member {
+// leastWork returns the n candidates with the fewest requests, the least pending
+// prefill and the fewest errors. The lean lets the order of engines count.
+func leastWork(model *enginemodel.Model, candidates []*member, n int, lean float64, now time.Time) []*member {
 	if len(candidates) <= n {
 		return candidates
 	}
@@ -271,7 +262,7 @@
 	for i, m := range candidates {
 		m.engine.Advance(now)
 		rating := float64(m.engine.Requests())/float64(max(model.Slots, 1)) + m.engine.PendingPrefill().Seconds()
-		list[i] = rated{m, rating + extra(m)}
+		list[i] = rated{m, rating + (lean*m.position*shortlistLean + m.condition.errorRate(now))}
 	}
 	slices.SortStableFunc(list, func(a, b rated) int { return cmp.Compare(a.rating, b.rating) })
 	out := make([]*member, n)
@@ -281,13 +272,17 @@
 	return out
 }
 
-// leanOf returns how much the order of engines counts: less as slots fill, since
-// streams last longer on engines that are packed, and not at all from leanUntil.
-func leanOf(model *enginemodel.Model, candidates []*member) float64 {
+// leanOf returns the part of the job's value that the far end of the engines' order
+// costs: less as slots fill, since streams last longer on engines that are packed,
+// nothing from leanUntil on, and nothing for long prompts.
+func leanOf(model *enginemodel.Model, candidates []*member, j *Job) float64 {
+	if j.Prompt >= sharedFrom {
+		return 0
+	}
 	jobs := 0
 	for _, m := range candidates {
 		jobs += m.jobs
 	}
 	used := float64(jobs) / float64(max(len(candidates)*model.Slots, 1))
-	return max(0, 1-used/leanUntil)
+	return max(0, 1-used/leanUntil) * shortLean
 }
--- a/internal/placement/team.go
+++ b/internal/placement/team.go
@@ -13,7 +13,7 @@
 func (p *Planner) team(model *enginemodel.Model, candidates []*member, j *Job, now time.Time) (proposal, bool) {
 	var best proposal
 	found := false
-	idle := leastWork(model, candidates, teamShortlist, now, func(m *member) float64 { return m.condition.errorRate(now) })
+	idle := leastWork(model, candidates, teamShortlist, 0, now)
 	for i, size := range teamSizes {
 		if size > len(idle) || i > 0 && j.Prompt/size < minPart {
 			break
@@ -31,7 +31,7 @@
 // withMostMemory returns the n candidates with the most free memory.
 func withMostMemory(candidates []*member, n int) []*member {
 	list := slices.Clone(candidates)
-	slices.SortStableFunc(list, func(a, b *member) int { return cmp.Compare(a.engine.UsedTokens(), b.engine.UsedTokens()) })
+	slices.SortStableFunc(list, func(a, b *member) int { return cmp.Compare(b.engine.FreeTokens(), a.engine.FreeTokens()) })
 	return list[:n]
 }
 
@@ -39,13 +39,8 @@
 func (p *Planner) teamOf(size int, model *enginemodel.Model, candidates []*member, j *Job, now time.Time) (proposal, bool) {
 	part := (j.Prompt + size - 1) / size
 	options := p.options(model, candidates, j, j.part(part), now)
-	value := j.value()
-	start := now.Add(-j.Waited)
-	lateness := func(ready time.Time) float64 {
-		return value * enginemodel.Lateness(float64(ready.Sub(start))/float64(max(j.FirstAnswer, time.Millisecond)))
-	}
 	slices.SortStableFunc(options, func(a, b option) int {
-		return cmp.Compare(a.cost+lateness(a.ready), b.cost+lateness(b.ready))
+		return cmp.Compare(a.cost+j.lossByLateness(a.ready, now), b.cost+j.lossByLateness(b.ready, now))
 	})
 	options = options[:size]
 	var t proposal
@@ -53,7 +48,7 @@
 		t.cost += o.cost
 		t.ready = maxTime(t.ready, o.ready)
 	}
-	t.cost += lateness(t.ready) + j.lossByLeaving(model, t.ready, now)
+	t.cost += j.lossByLateness(t.ready, now) + j.lossByLeaving(model, t.ready, now)
 	d, ok := assign(options, j)
 	t.decision = d
 	return t, ok
@@ -64,7 +59,7 @@
 func assign(options []option, j *Job) (Decision, bool) {
 	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(b.free, a.free) })
 	d := Decision{Upstream: options[0].member.upstream.ID, Urgency: urgencyOf(j)}
-	rest := j.Prompt + max(j.Output, j.MaxOutput) - options[0].free
+	rest := j.tokens() - options[0].free
 	for _, o := range options[1:] {
 		part := Part{Upstream: o.member.upstream.ID}
 		if rest > 0 && o.free > reserveSlack {
