--- a/internal/enginemodel/model.go
+++ b/internal/enginemodel/model.go
@@ -27,16 +27,8 @@
 	Chunk int
 	// Stride is the number of steps in a pass that decodes; 1 if unset.
 	Stride int
-	// HopTime is added to a step of an engine that decodes with parts of its
-	// context at other engines.
-	HopTime time.Duration
 	// Joint engines can share the prefill of one prompt.
 	Joint bool
-	// UsualPrompt and UsualOutput are mean token counts.
-	UsualPrompt int
-	UsualOutput int
-	// ReportLag is how old load reports are.
-	ReportLag time.Duration
 }
 
 // PrefillTime returns the time to compute tokens of a prompt on an otherwise
--- a/internal/passthrough/wire.go
+++ b/internal/passthrough/wire.go
@@ -20,8 +20,6 @@
 	// LikelyOutputTokens is the caller's estimate, often far off; zero if
 	// unknown.
 	LikelyOutputTokens int
-	// LastEventID is the last event that the caller of a resumed stream has.
-	LastEventID string
 }
 
 // Helper is an engine that computes a part of a prompt.
@@ -58,10 +56,6 @@
 	Signed bool
 	// NotRun says that the upstream did not run the request and never will.
 	NotRun bool
-	// Upstream is the ID of the one that answered; empty if not said.
-	Upstream string
-	// FaultAt is the address of another engine that is to blame; empty if none.
-	FaultAt string
 	// Encoded bodies are not the upstream's own bytes.
 	Encoded bool
 }
