placement: log and count lost attempts, crashes and refusals by fingerprint

Whether a loss was recorded, for which request and incarnation, and which instance refused a repeat wasn't logged; decisions that refuse a crashing request weren't counted. Change: a line for each lost attempt, each refusal and each attempt that ends after its upstream left the list; the fingerprint in the request's line; two counters, and placements_total counts refusals of crashing requests too. No change of a decision.

--- a/internal/passthrough/requestlog.go
+++ b/internal/passthrough/requestlog.go
@@ -130,6 +130,9 @@
 	if rq.view.Config != nil {
 		f["config"], f["config_age_ms"] = rq.view.Config.Version, rq.arrived.Sub(rq.view.ConfigAt).Milliseconds()
 	}
+	if rq.fingerprint != 0 {
+		f["fingerprint"] = rq.fingerprint
+	}
 	if rq.route != nil {
 		f["route"], f["kind"], f["service"], f["workspace"] = rq.route.Name, rq.route.Kind.String(), rq.service, rq.workspace
 	}
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -79,10 +79,12 @@
 	}
 	m := pl.members[pj.decision.Upstream]
 	if m == nil {
+		log.WithField("request", id).WithField("upstream", pj.decision.Upstream).WithField("outcome", o.String()).
+			Info("attempt ended after its upstream had left the list; its outcome is not recorded")
 		return
 	}
-	if fp := pj.job.Fingerprint; fp != 0 {
-		p.recordPoison(m, fp, o, now)
+	if pj.job.Fingerprint != 0 {
+		p.recordPoison(m, pj, o, now)
 	}
 	if m.health.record(o, now) {
 		log.WithField("upstream", m.upstream.ID).WithField("outcome", o.String()).WithField("request", id).
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -164,8 +164,9 @@
 	if pl == nil || len(pl.order) == 0 {
 		return Decision{Reason: NoUpstream, RetryAfter: firstPause}
 	}
-	if verdict, wait := p.poison.Verdict(j.Fingerprint, now); j.Fingerprint != 0 && verdict == poison.Quarantined {
-		return Decision{Reason: Poisoned, RetryAfter: wait}
+	if d, refused := p.refusePoisoned(&j, now); refused {
+		countPlacement(j.Service, d)
+		return d
 	}
 	candidates := pl.candidates(&j, s, now)
 	if len(candidates) == 0 {
@@ -180,11 +181,15 @@
 	if d.Upstream != "" {
 		p.adopt(pl, j, d, now)
 	}
-	metrics.GetOrCreateCounter(fmt.Sprintf(`banyanroute_placements_total{service=%q,result=%q}`, j.Service, d.Reason)).Inc()
+	countPlacement(j.Service, d)
 	metrics.GetOrCreateHistogram(`banyanroute_placement_seconds`).UpdateDuration(now)
 	return d
 }
 
+func countPlacement(service string, d Decision) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`banyanroute_placements_total{service=%q,result=%q}`, service, d.Reason)).Inc()
+}
+
 // candidates returns the members that may get the job, in the order of the
 // decision. If more than half of the untried ones are unusable, the health state
 // itself is taken to be wrong, and all untried ones are returned.
