placement: losses belong to the incarnation on which a job was placed

Cause: crashes were derived from differences of the list, charged to whatever was listed when the attempt ended. A loss reported after its upstream was removed was dropped; one reported after the new incarnation was listed waited for a crash of that one; an upstream that left as planned counted as crashed, so after two of them a healthy request was refused. Class: a fact about one incarnation stored under the name of another. Change: a job keeps the incarnation on which it was placed. A loss is a crash if a later incarnation is listed or a probe of that one fails, wherever the upstream stands in the list; it is dismissed if a probe that began 0.5 s later is answered; none is recorded for an upstream that left. Upstreams with unexplained losses are probed until one of these, for 5 s. Health isn't charged to another incarnation either. Evidence: TestCrashIsCountedWhateverComesFirst failed in two of four orders (6 crashes, no refusal), TestLossOnLeavingUpstreamIsNotACrash in one of two (refused after two upstreams had left); both pass now. Why it works: evidence is compared with the incarnation that ran the request, so the order of events no longer decides.

--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -173,8 +173,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	began := time.Now()
 	err := n.opts.Prober.Probe(ctx, up, config.Services[up.Service])
-	n.planner.Probed(up.Service, up.ID, err == nil, time.Now())
+	n.planner.Probed(up, err == nil, began, time.Now())
 	entry := log.WithField("upstream", up.ID).WithField("service", up.Service)
 	if err != nil {
 		entry.WithError(err).Debug("probe of lost upstream failed")
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -20,11 +20,13 @@
 	if _, known := p.jobs[j.ID]; known {
 		return
 	}
-	p.jobs[j.ID] = &placed{job: j, decision: d, at: now, deadline: now.Add(j.Lifetime)}
+	pj := &placed{job: j, decision: d, at: now, deadline: now.Add(j.Lifetime)}
+	p.jobs[j.ID] = pj
 	first := pl.members[d.Upstream]
 	if first == nil {
 		return
 	}
+	pj.upstream = first.upstream
 	first.jobs++
 	if first.engine == nil {
 		return
@@ -73,19 +75,11 @@
 		return
 	}
 	p.drop(pj, now)
-	pl := p.pools[pj.job.Service]
-	if pl == nil {
-		return
-	}
-	m := pl.members[pj.decision.Upstream]
+	m := p.current(pj.upstream)
+	p.recordPoison(pj, m, o, now)
 	if m == nil {
-		log.WithField("request", id).WithField("upstream", pj.decision.Upstream).WithField("outcome", o.String()).
-			Info("attempt ended after its upstream had left the list; its outcome is not recorded")
 		return
 	}
-	if pj.job.Fingerprint != 0 {
-		p.recordPoison(m, pj, o, now)
-	}
 	if m.health.record(o, now) {
 		log.WithField("upstream", m.upstream.ID).WithField("outcome", o.String()).WithField("request", id).
 			WithField("pause", m.health.pause).Warn("upstream marked as down and paused; a successful probe ends the pause early")
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -30,8 +30,12 @@
 	mu    sync.Mutex
 	pools map[string]*pool
 	jobs  map[string]*placed
-	// poison detects requests that crash the upstreams that run them.
+	// poison detects requests that crash the upstreams that run them. It knows an
+	// upstream by its incarnation.
 	poison *poison.Table
+	// unexplained holds the upstreams, by incarnation, on which an attempt was lost and
+	// that are neither known to have crashed nor to be alive.
+	unexplained map[string]unexplainedLoss
 	// sweptAt is when overdue jobs were last dropped.
 	sweptAt time.Time
 }
@@ -40,6 +44,11 @@
 type placed struct {
 	job      Job
 	decision Decision
+	// upstream is the incarnation on which the job was placed; its ID is empty if it was
+	// not listed.
+	upstream deployment.Upstream
+	// leaving reports whether that incarnation has left as planned.
+	leaving  bool
 	at       time.Time
 	deadline time.Time
 	// answered reports whether the first token has arrived.
@@ -87,7 +96,10 @@
 
 // NewPlanner returns a Planner without upstreams.
 func NewPlanner(dataCentre string) *Planner {
-	return &Planner{dataCentre: dataCentre, pools: map[string]*pool{}, jobs: map[string]*placed{}, poison: poison.NewTable()}
+	return &Planner{
+		dataCentre: dataCentre, pools: map[string]*pool{}, jobs: map[string]*placed{},
+		poison: poison.NewTable(), unexplained: map[string]unexplainedLoss{},
+	}
 }
 
 // SetView installs the current configuration and upstreams. Upstreams that remain
@@ -104,8 +116,14 @@
 			pl = &pool{members: map[string]*member{}}
 			p.pools[name] = pl
 		}
-		for _, id := range pl.set(service, v.Upstreams(name)) {
-			p.crashed(id, time.Now())
+		restarted, removed := pl.set(service, v.Upstreams(name))
+		for _, up := range restarted {
+			p.crashed(up, time.Now())
+		}
+		for _, up := range removed {
+			if listed, known := v.Upstream(up.ID); known && listed.Leaving {
+				p.markLeaving(up)
+			}
 		}
 	}
 	for name := range p.pools {
@@ -115,17 +133,17 @@
 	}
 }
 
-// set replaces the members and returns the IDs of those that restarted, are leaving
-// or are gone.
-func (pl *pool) set(service deployment.Service, upstreams []deployment.Upstream) (ended []string) {
+// set replaces the members. It returns the old incarnations of those that restarted,
+// and those that are leaving or no longer listed.
+func (pl *pool) set(service deployment.Service, upstreams []deployment.Upstream) (restarted, removed []deployment.Upstream) {
 	pl.service = service
 	next := make(map[string]*member, len(upstreams))
 	pl.order = pl.order[:0]
 	for _, up := range upstreams {
 		m := pl.members[up.ID]
-		if m == nil || m.upstream.Born != up.Born || m.upstream.Address != up.Address {
+		if m == nil || incarnationOf(m.upstream) != incarnationOf(up) {
 			if m != nil {
-				ended = append(ended, up.ID)
+				restarted = append(restarted, m.upstream)
 			}
 			m = &member{}
 			if service.Engine != nil {
@@ -139,14 +157,14 @@
 		next[up.ID] = m
 		pl.order = append(pl.order, m)
 	}
-	for id := range pl.members {
+	for id, m := range pl.members {
 		if next[id] == nil {
-			ended = append(ended, id)
+			removed = append(removed, m.upstream)
 		}
 	}
 	pl.members = next
 	slices.SortFunc(pl.order, func(a, b *member) int { return cmp.Compare(a.upstream.ID, b.upstream.ID) })
-	return ended
+	return restarted, removed
 }
 
 // Place chooses an upstream for the job and records the job there.
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -5,20 +5,72 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
 
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/poison"
 )
 
+// unexplainedLoss is an upstream on which an attempt was lost, with the time of the
+// last loss.
+type unexplainedLoss struct {
+	upstream deployment.Upstream
+	at       time.Time
+}
+
+// maxUnexplainedTime is how long an upstream is probed after a loss.
+const maxUnexplainedTime = 5 * time.Second
+
+// minRestartTime is the minimum time that an upstream needs to restart; one that
+// answers a probe sooner after a loss did not crash.
+const minRestartTime = 500 * time.Millisecond
+
+// incarnationOf names one start of an upstream, which may keep its ID when it restarts.
+func incarnationOf(up deployment.Upstream) string {
+	return up.ID + "/" + strconv.FormatInt(up.Born, 10) + "/" + up.Address
+}
+
+// current returns the member that is the same incarnation, or nil.
+func (p *Planner) current(up deployment.Upstream) *member {
+	pl := p.pools[up.Service]
+	if pl == nil {
+		return nil
+	}
+	m := pl.members[up.ID]
+	if m == nil || incarnationOf(m.upstream) != incarnationOf(up) {
+		return nil
+	}
+	return m
+}
+
+// isReplaced reports whether a later incarnation of the upstream is listed.
+func (p *Planner) isReplaced(up deployment.Upstream) bool {
+	pl := p.pools[up.Service]
+	if pl == nil || p.current(up) != nil {
+		return false
+	}
+	m := pl.members[up.ID]
+	return m != nil && m.upstream.Born >= up.Born
+}
+
 // Suspects returns the upstreams that are due for a probe: those that are down and
-// whose pause ends soon.
+// whose pause ends soon, and those on which a loss is unexplained.
 func (p *Planner) Suspects(now time.Time) []deployment.Upstream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var list []deployment.Upstream
+	for incarnation, l := range p.unexplained {
+		if now.Sub(l.at) > maxUnexplainedTime {
+			delete(p.unexplained, incarnation)
+			lossLog(l.upstream).Info("lost attempts unexplained; it is not known whether the upstream crashed")
+			continue
+		}
+		list = append(list, l.upstream)
+	}
 	for _, pl := range p.pools {
 		for _, m := range pl.order {
-			if m.health.down && m.health.usable(now.Add(firstPause)) {
+			_, listed := p.unexplained[incarnationOf(m.upstream)]
+			if !listed && m.health.down && m.health.usable(now.Add(firstPause)) {
 				list = append(list, m.upstream)
 			}
 		}
@@ -26,43 +78,77 @@
 	return list
 }
 
-// Probed records the result of a probe of a suspect.
-func (p *Planner) Probed(service, id string, ok bool, now time.Time) {
+// Probed records the result of a probe of a suspect that began at the given time.
+func (p *Planner) Probed(up deployment.Upstream, ok bool, began, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if pl := p.pools[service]; pl != nil && pl.members[id] != nil {
-		pl.members[id].health.probed(ok, now)
+	if m := p.current(up); m != nil {
+		m.health.probed(ok, now)
 	}
 	if !ok {
-		p.crashed(id, now)
+		p.crashed(up, now)
+		return
+	}
+	l, unexplained := p.unexplained[incarnationOf(up)]
+	if seen := began.Add(-minRestartTime); unexplained && seen.After(l.at) {
+		p.poison.Dismiss(incarnationOf(up), seen)
+		delete(p.unexplained, incarnationOf(up))
+		lossLog(up).Info("lost attempts explained: the upstream did not crash")
+	}
+}
+
+// recordPoison updates the poison table with the outcome of an attempt. m is the member
+// on which it ran, or nil if that incarnation is no longer listed.
+func (p *Planner) recordPoison(pj *placed, m *member, o Outcome, now time.Time) {
+	switch {
+	case pj.job.Fingerprint == 0:
+	case o == Completed:
+		p.poison.Completed(pj.job.Fingerprint)
+	case o == Lost && pj.upstream.ID != "" && !pj.leaving:
+		p.recordLoss(pj, m, now)
 	}
 }
 
-// recordPoison updates the poison table with the outcome of an attempt.
-func (p *Planner) recordPoison(m *member, pj *placed, o Outcome, now time.Time) {
-	fingerprint := pj.job.Fingerprint
-	switch o {
-	case Lost:
-		born := strconv.FormatInt(m.upstream.Born, 10)
-		p.poison.Lost(m.upstream.ID, born, fingerprint, m.jobs == 0, now)
-		metrics.GetOrCreateCounter(`banyanroute_poison_losses_total`).Inc()
-		log.WithField("request", pj.job.ID).WithField("fingerprint", fingerprint).WithField("upstream", m.upstream.ID).
-			WithField("incarnation", born).Info("attempt lost; its request is a suspect if the upstream crashed")
-	case Completed:
-		p.poison.Completed(fingerprint)
+// recordLoss records an attempt that was lost with its upstream.
+func (p *Planner) recordLoss(pj *placed, m *member, now time.Time) {
+	up, fingerprint := pj.upstream, pj.job.Fingerprint
+	metrics.GetOrCreateCounter(`banyanroute_poison_losses_total`).Inc()
+	lossLog(up).WithField("request", pj.job.ID).WithField("fingerprint", fingerprint).
+		Info("attempt lost; its request is a suspect if the upstream crashed")
+	alone := m != nil && m.jobs == 0
+	p.poison.Lost(incarnationOf(up), "", fingerprint, alone, now)
+	p.unexplained[incarnationOf(up)] = unexplainedLoss{upstream: up, at: now}
+	if p.isReplaced(up) {
+		p.crashed(up, now)
 	}
 }
 
-// crashed records that an upstream ended: the requests lost there may have crashed
-// it.
-func (p *Planner) crashed(id string, now time.Time) {
-	for _, notice := range p.poison.Confirm(id, now) {
+// markLeaving records that an upstream leaves as planned: jobs that are lost there from
+// now on did not crash it.
+func (p *Planner) markLeaving(up deployment.Upstream) {
+	for _, pj := range p.jobs {
+		if incarnationOf(pj.upstream) == incarnationOf(up) {
+			pj.leaving = true
+		}
+	}
+}
+
+// crashed records that an incarnation of an upstream crashed: the requests lost there
+// may have crashed it.
+func (p *Planner) crashed(up deployment.Upstream, now time.Time) {
+	delete(p.unexplained, incarnationOf(up))
+	for _, notice := range p.poison.Confirm(incarnationOf(up), now) {
 		metrics.GetOrCreateCounter(`banyanroute_poison_crashes_total`).Inc()
-		log.WithField("upstream", id).WithField("fingerprint", notice.Fingerprint).WithField("crashes", len(notice.Crashes)).
-			Warn("upstream ended with a request in flight that may have crashed it")
+		lossLog(up).WithField("fingerprint", notice.Fingerprint).WithField("crashes", len(notice.Crashes)).
+			Warn("upstream crashed with a request in flight that may be the cause")
 	}
 }
 
+// lossLog returns a log entry about an incarnation of an upstream.
+func lossLog(up deployment.Upstream) *logrus.Entry {
+	return log.WithField("upstream", up.ID).WithField("incarnation", up.Born)
+}
+
 // refusePoisoned refuses a job whose request is quarantined.
 func (p *Planner) refusePoisoned(j *Job, now time.Time) (Decision, bool) {
 	if j.Fingerprint == 0 {
