platform: a probe tells an upstream that crashed from one that is busy

After losses on upstreams that were merely full or draining a healthy request could be refused. Cause: a probe returned only an error or none. An answer 503, which a full or draining process gives, counted as a crash, and an answer of another incarnation at the same address as life. Class: two facts (runs; takes work) in one bool.

--- a/internal/deployment/types.go
+++ b/internal/deployment/types.go
@@ -119,3 +119,27 @@
 	// that restarts with the same ID has a later one.
 	Born int64
 }
+
+// ProbeResult is what a probe shows of one incarnation of an upstream.
+type ProbeResult uint8
+
+// Results of probes.
+const (
+	// Unreachable: there was no answer, or another incarnation answered.
+	Unreachable ProbeResult = iota
+	// Alive: the incarnation runs, but takes no work now.
+	Alive
+	// Healthy: the incarnation takes work.
+	Healthy
+)
+
+// String returns the result's name in logs.
+func (r ProbeResult) String() string {
+	switch r {
+	case Alive:
+		return "alive"
+	case Healthy:
+		return "healthy"
+	}
+	return "unreachable"
+}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -21,8 +21,9 @@
 
 // Prober checks the health of upstreams.
 type Prober interface {
-	// Probe returns nil if the upstream answers.
-	Probe(ctx context.Context, up deployment.Upstream, service deployment.Service) error
+	// Probe returns what the upstream's answer shows, with the reason if it is not
+	// healthy.
+	Probe(ctx context.Context, up deployment.Upstream, service deployment.Service) (deployment.ProbeResult, error)
 }
 
 // Options configures an Instance; it holds what the platform's adapter provides.
@@ -174,12 +175,12 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	began := time.Now()
-	err := n.opts.Prober.Probe(ctx, up, config.Services[up.Service])
-	n.planner.Probed(up, err == nil, began, time.Now())
-	entry := log.WithField("upstream", up.ID).WithField("service", up.Service)
+	result, err := n.opts.Prober.Probe(ctx, up, config.Services[up.Service])
+	n.planner.Probed(up, result, began, time.Now())
+	entry := log.WithField("upstream", up.ID).WithField("service", up.Service).WithField("result", result.String())
 	if err != nil {
-		entry.WithError(err).Debug("probe of lost upstream failed")
+		entry.WithError(err).Debug("probe of upstream failed")
 		return
 	}
-	entry.Info("lost upstream answered probe and gets work again")
+	entry.Info("upstream answered probe and gets work")
 }
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -195,7 +195,7 @@
 	if s := p.Suspects(now); len(s) != 1 || s[0].ID != d.Upstream {
 		t.Fatalf("the suspects are %v, want only the lost upstream", s)
 	}
-	p.Probed(p.pools["llm"].members[d.Upstream].upstream, true, now, now)
+	p.Probed(p.pools["llm"].members[d.Upstream].upstream, deployment.Healthy, now, now)
 	if p.pools["llm"].members[d.Upstream].health.down {
 		t.Error("a successful probe did not end the pause")
 	}
@@ -227,9 +227,9 @@
 		p.Ended(bad.ID, Lost, now)
 		p.Ended(good.ID, Lost, now)
 		up := p.pools["llm"].members[d.Upstream].upstream
-		p.Probed(up, false, now, now.Add(100*time.Millisecond))
+		p.Probed(up, deployment.Unreachable, now, now.Add(100*time.Millisecond))
 		now = now.Add(20 * time.Second)
-		p.Probed(up, true, now, now)
+		p.Probed(up, deployment.Healthy, now, now)
 	}
 	if crashes > 4 {
 		t.Errorf("the request crashed %d upstreams, want at most 4", crashes)
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -79,13 +79,13 @@
 }
 
 // Probed records the result of a probe of a suspect that began at the given time.
-func (p *Planner) Probed(up deployment.Upstream, ok bool, began, now time.Time) {
+func (p *Planner) Probed(up deployment.Upstream, result deployment.ProbeResult, began, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if m := p.current(up); m != nil {
-		m.health.probed(ok, now)
+		m.health.probed(result == deployment.Healthy, now)
 	}
-	if !ok {
+	if result == deployment.Unreachable {
 		p.crashed(up, now)
 		return
 	}
--- a/internal/placement/suspects_test.go
+++ b/internal/placement/suspects_test.go
@@ -117,7 +117,11 @@
 					}
 					now = now.Add(time.Second)
 					for _, probed := range f.planner.Suspects(now) {
-						f.planner.Probed(probed, probed.ID != up.ID, now, now)
+						result := deployment.Healthy
+						if probed.ID == up.ID {
+							result = deployment.Unreachable
+						}
+						f.planner.Probed(probed, result, now, now)
 					}
 					now = now.Add(10 * time.Second)
 				}
@@ -126,3 +130,26 @@
 		}
 	}
 }
+
+// TestBusyUpstreamDidNotCrash checks that a request is not refused because the upstreams
+// on which it was lost answer probes, but take no work at the time.
+func TestBusyUpstreamDidNotCrash(t *testing.T) {
+	f := newFixture(10)
+	now := time.Now()
+	var lost []string
+	for i := range 6 {
+		j := crashingJob(i)
+		j.Avoid = lost
+		d := f.planner.Place(j, now)
+		if d.Upstream == "" {
+			t.Fatalf("refused for reason %s after %d losses on upstreams that run", d.Reason, i)
+		}
+		lost = append(lost, d.Upstream)
+		f.planner.Ended(j.ID, Lost, now)
+		now = now.Add(time.Second)
+		for _, up := range f.planner.Suspects(now) {
+			f.planner.Probed(up, deployment.Alive, now, now)
+		}
+		now = now.Add(10 * time.Second)
+	}
+}
