placement: all instances know of crashes under a request

An instance that took over as home, or planned alone because its home didn't answer, sent on a request that others had seen crash several upstreams. Cause: only the home and the instance that held the request recorded the crash; the notices that the table gives for the others were logged and dropped. Class: state that a safety rule needs, kept by whoever plans at the moment. Change: notices of crashes and of completions go to all instances as broadcasts; an instance refuses a quarantined request itself, before it asks the home. The splitting of notices into messages, which admit had, is now the table's. Evidence: TestAllInstancesLearnOfCrashes (an instance without links placed it) and TestCompletedRequestIsClearedEverywhere (two of three instances knew nothing) failed before and pass.

--- a/internal/admit/observe.go
+++ b/internal/admit/observe.go
@@ -222,15 +222,13 @@
 	if s.options.OnPoison == nil {
 		return
 	}
-	for len(notices) > 0 {
-		n := min(len(notices), poison.MaxNotices)
-		payload, err := poison.Encode(notices[:n])
-		if err != nil {
-			log.WithError(err).Error("poison notices dropped: encoding failed")
-			return
-		}
+	messages, err := poison.Messages(notices)
+	if err != nil {
+		log.WithError(err).Error("poison notices dropped: encoding failed")
+		return
+	}
+	for _, payload := range messages {
 		s.options.OnPoison(payload)
-		notices = notices[n:]
 	}
 }
 
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/poison"
 	"github.com/banyanroute/banyanroute/internal/sleep"
 )
 
@@ -82,14 +83,41 @@
 // bus is started.
 func (f *Fleet) SetBus(bus peer.Bus) {
 	bus.HandleCall(topicPlace, f.handleCall)
+	bus.HandleBroadcast(topicPoison, f.handleNotices)
+	f.planner.setNoticeHandler(func(notices []poison.Notice) { broadcastNotices(bus, notices) })
 	f.mu.Lock()
 	f.bus = bus
 	f.mu.Unlock()
 }
 
+// broadcastNotices sends poison notices to all other instances.
+func broadcastNotices(bus peer.Bus, notices []poison.Notice) {
+	messages, err := poison.Messages(notices)
+	if err != nil {
+		log.WithError(err).Error("poison notices dropped: encoding failed")
+		return
+	}
+	for _, payload := range messages {
+		bus.Broadcast(topicPoison, payload)
+	}
+}
+
+// handleNotices applies the poison notices of another instance.
+func (f *Fleet) handleNotices(from string, payload []byte) {
+	notices, err := poison.Decode(payload)
+	if err != nil {
+		log.WithError(err).WithField("instance", from).Warn("poison notices rejected: payload cannot be decoded")
+		return
+	}
+	f.planner.observeNotices(from, notices, time.Now())
+}
+
 // Place implements passthrough.Placer.
 func (f *Fleet) Place(ctx context.Context, j Job) Decision {
 	j.Owner = f.owner
+	if d, refused := f.planner.Refuse(j, time.Now()); refused {
+		return d
+	}
 	home, linked := f.home(j.Service)
 	if !linked {
 		return f.planner.PlaceAlone(j, time.Now())
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -7,8 +7,12 @@
 	"github.com/gravitational/trace"
 )
 
-// topicPlace is the topic of calls to a service's home.
-const topicPlace = "placement"
+const (
+	// topicPlace is the topic of calls to a service's home.
+	topicPlace = "placement"
+	// topicPoison is the topic of broadcasts of poison notices.
+	topicPoison = "poison"
+)
 
 // eventKind is the kind of an event.
 type eventKind uint8
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -36,6 +36,8 @@
 	// unexplained holds the upstreams, by incarnation, on which an attempt was lost and
 	// that are neither known to have crashed nor to be alive.
 	unexplained map[string]unexplainedLoss
+	// onNotices, if set, passes poison notices to the other instances. It must not block.
+	onNotices func([]poison.Notice)
 	// sweptAt is when overdue jobs were last dropped.
 	sweptAt time.Time
 }
@@ -183,7 +185,6 @@
 		return Decision{Reason: NoUpstream, RetryAfter: firstPause}
 	}
 	if d, refused := p.refusePoisoned(&j, now); refused {
-		countPlacement(j.Service, d)
 		return d
 	}
 	candidates := pl.candidates(&j, s, now)
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -103,7 +103,10 @@
 	switch {
 	case pj.job.Fingerprint == 0:
 	case o == Completed:
-		p.poison.Completed(pj.job.Fingerprint)
+		if notice, suspected := p.poison.Completed(pj.job.Fingerprint); suspected {
+			log.WithField("request", pj.job.ID).WithField("fingerprint", pj.job.Fingerprint).Info("request completed and is no suspect any more")
+			p.notify([]poison.Notice{notice})
+		}
 	case o == Lost && pj.upstream.ID != "" && !pj.leaving:
 		p.recordLoss(pj, m, now)
 	}
@@ -137,18 +140,51 @@
 // may have crashed it.
 func (p *Planner) crashed(up deployment.Upstream, now time.Time) {
 	delete(p.unexplained, incarnationOf(up))
-	for _, notice := range p.poison.Confirm(incarnationOf(up), now) {
+	notices := p.poison.Confirm(incarnationOf(up), now)
+	p.notify(notices)
+	for _, notice := range notices {
 		metrics.GetOrCreateCounter(`banyanroute_poison_crashes_total`).Inc()
 		lossLog(up).WithField("fingerprint", notice.Fingerprint).WithField("crashes", len(notice.Crashes)).
 			Warn("upstream crashed with a request in flight that may be the cause")
 	}
 }
 
+// setNoticeHandler sets the function that passes poison notices to the other instances.
+func (p *Planner) setNoticeHandler(f func([]poison.Notice)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.onNotices = f
+}
+
+func (p *Planner) notify(notices []poison.Notice) {
+	if p.onNotices != nil && len(notices) > 0 {
+		p.onNotices(notices)
+	}
+}
+
+// observeNotices applies poison notices of another instance.
+func (p *Planner) observeNotices(from string, notices []poison.Notice, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, n := range notices {
+		p.poison.Observe(n, now)
+		log.WithField("instance", from).WithField("fingerprint", n.Fingerprint).WithField("crashes", len(n.Crashes)).
+			WithField("cleared", n.Cleared).Debug("notice of another instance about a suspect applied")
+	}
+}
+
 // lossLog returns a log entry about an incarnation of an upstream.
 func lossLog(up deployment.Upstream) *logrus.Entry {
 	return log.WithField("upstream", up.ID).WithField("incarnation", up.Born)
 }
 
+// Refuse refuses a job whose request is quarantined, without placing it.
+func (p *Planner) Refuse(j Job, now time.Time) (Decision, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refusePoisoned(&j, now)
+}
+
 // refusePoisoned refuses a job whose request is quarantined.
 func (p *Planner) refusePoisoned(j *Job, now time.Time) (Decision, bool) {
 	if j.Fingerprint == 0 {
@@ -160,5 +196,7 @@
 	}
 	log.WithField("request", j.ID).WithField("fingerprint", j.Fingerprint).
 		Info("request refused: it was in flight on several upstreams that crashed")
-	return Decision{Reason: Poisoned, RetryAfter: wait}, true
+	d := Decision{Reason: Poisoned, RetryAfter: wait}
+	countPlacement(j.Service, d)
+	return d, true
 }
--- a/internal/placement/suspects_test.go
+++ b/internal/placement/suspects_test.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/deployment"
+	"github.com/banyanroute/banyanroute/internal/peer/peertest"
+	"github.com/banyanroute/banyanroute/internal/poison"
 )
 
 // fixture is a planner of one service whose list of upstreams a test changes.
@@ -153,3 +156,93 @@
 		now = now.Add(10 * time.Second)
 	}
 }
+
+// crashEngines has node n lose the crashing request on engines until it is refused. All
+// nodes probe the upstreams that they suspect, which are down.
+func crashEngines(t *testing.T, nodes []*node, n *node) {
+	t.Helper()
+	var crashed []string
+	for i := range 8 {
+		j := crashingJob(i)
+		j.Avoid = crashed
+		d := n.fleet.Place(t.Context(), j)
+		if d.Reason == Poisoned {
+			return
+		}
+		if d.Upstream == "" {
+			t.Fatalf("refused for reason %s", d.Reason)
+		}
+		crashed = append(crashed, d.Upstream)
+		n.fleet.Ended("llm", j.ID, Lost)
+		time.Sleep(time.Second)
+		for _, other := range nodes {
+			for _, up := range other.planner.Suspects(time.Now()) {
+				other.planner.Probed(up, deployment.Unreachable, time.Now(), time.Now())
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	t.Fatal("the request was not refused after 8 crashes")
+}
+
+// TestAllInstancesLearnOfCrashes checks that an instance that saw no crash refuses the
+// request that caused them, with all links and without any, and that it serves the
+// request again once it has completed elsewhere.
+func TestAllInstancesLearnOfCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := peertest.NewNet(time.Millisecond)
+		nodes := newNodes(net, 4)
+		var others []*node
+		for _, n := range nodes {
+			if n != homeOf(nodes, "llm") {
+				others = append(others, n)
+			}
+		}
+		crashEngines(t, nodes, others[0])
+		if d := others[1].fleet.Place(t.Context(), crashingJob(100)); d.Reason != Poisoned {
+			t.Errorf("an instance that saw no crash: placed on %q for reason %s, want a refusal", d.Upstream, d.Reason)
+		}
+		for _, other := range nodes {
+			net.SetLinkBroken(others[1].member.ID, other.member.ID, true)
+		}
+		if d := others[1].fleet.Place(t.Context(), crashingJob(101)); d.Reason != Poisoned {
+			t.Errorf("an instance that plans alone: placed on %q for reason %s, want a refusal", d.Upstream, d.Reason)
+		}
+	})
+}
+
+// TestCompletedRequestIsClearedEverywhere checks that a request that completes after a
+// crash in which it was in flight is no suspect for any instance.
+func TestCompletedRequestIsClearedEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newNodes(peertest.NewNet(time.Millisecond), 3)
+		for i, outcome := range []Outcome{Lost, Completed} {
+			j := crashingJob(i)
+			d := nodes[0].fleet.Place(t.Context(), j)
+			if d.Upstream == "" {
+				t.Fatalf("refused for reason %s", d.Reason)
+			}
+			nodes[0].fleet.Ended("llm", j.ID, outcome)
+			time.Sleep(time.Second)
+			for _, n := range nodes {
+				for _, up := range n.planner.Suspects(time.Now()) {
+					n.planner.Probed(up, deployment.Unreachable, time.Now(), time.Now())
+				}
+			}
+			time.Sleep(time.Second)
+			for _, n := range nodes {
+				if got, want := n.planner.suspected(666, time.Now()), outcome == Lost; got != want {
+					t.Errorf("after outcome %s: %s suspects the request: %v, want %v", outcome, n.member.ID, got, want)
+				}
+			}
+		}
+	})
+}
+
+// suspected reports whether the planner suspects a request.
+func (p *Planner) suspected(fingerprint uint64, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	verdict, _ := p.poison.Verdict(fingerprint, now)
+	return verdict != poison.Clear
+}
--- a/internal/poison/notice.go
+++ b/internal/poison/notice.go
@@ -1,6 +1,8 @@
 package poison
 
 import (
+	"slices"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 )
@@ -22,6 +24,19 @@
 	Cleared bool
 }
 
+// Messages returns the CBOR form of the notices, in messages of at most MaxNotices.
+func Messages(notices []Notice) ([][]byte, error) {
+	var messages [][]byte
+	for chunk := range slices.Chunk(notices, MaxNotices) {
+		data, err := Encode(chunk)
+		if err != nil {
+			return nil, err
+		}
+		messages = append(messages, data)
+	}
+	return messages, nil
+}
+
 // Encode returns the CBOR form of the first MaxNotices notices.
 func Encode(notices []Notice) ([]byte, error) {
 	data, err := cbor.Marshal(notices[:min(len(notices), MaxNotices)])
