passthrough: a quarantined request is refused at once

What callers saw: a request that had crashed several upstreams was refused after 120 ms, in which it was placed again and again, with several calls to the home. Cause: reasons of refusals wait unless listed; Poisoned wasn't listed. Change: it is final, like TooLate. Other reasons: Full, TooLarge and Deferred may pass; NoUpstream too, since an upstream may be listed at any moment. Evidence: TestFinalRefusalIsNotHeld/poisoned failed with 120 ms and 2 calls; passes now.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -176,7 +176,7 @@
 		}
 		pause, wait := memoryRetryInterval, float64(job.Waited+memoryRetryInterval) < maxMemoryWaitShare*objective
 		switch d.Reason {
-		case placement.TooLate:
+		case placement.TooLate, placement.Poisoned:
 			wait = false
 		case placement.Full:
 			pause = slotRetryInterval
--- /dev/null
+++ b/internal/passthrough/attempt_test.go
@@ -0,0 +1,47 @@
+package passthrough
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/deployment"
+	"github.com/banyanroute/banyanroute/internal/placement"
+)
+
+// refusingPlacer refuses all jobs for one reason and counts them.
+type refusingPlacer struct {
+	reason placement.Reason
+	calls  int
+}
+
+func (p *refusingPlacer) Place(context.Context, placement.Job) placement.Decision {
+	p.calls++
+	return placement.Decision{Reason: p.reason}
+}
+
+func (*refusingPlacer) FirstAnswer(string, string) {}
+
+func (*refusingPlacer) Ended(string, string, placement.Outcome) {}
+
+// TestFinalRefusalIsNotHeld checks that a request that waiting cannot help is refused at
+// once, and that one that may be placed soon is not.
+func TestFinalRefusalIsNotHeld(t *testing.T) {
+	for reason, final := range map[placement.Reason]bool{
+		placement.Poisoned: true, placement.TooLate: true, placement.Full: false, placement.TooLarge: false,
+	} {
+		t.Run(reason.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				placer := &refusingPlacer{reason: reason}
+				h := &Handler{opts: Options{Placer: placer}}
+				rq := &request{arrived: time.Now(), deadline: time.Now().Add(10 * time.Second), route: &deployment.Route{FirstAnswer: 300 * time.Millisecond}}
+				began := time.Now()
+				h.placeWithRetry(t.Context(), rq, placement.Job{Remaining: 10 * time.Second})
+				if held := time.Since(began); (held == 0) != final || (placer.calls == 1) != final {
+					t.Errorf("refused after %s and %d calls, want at once: %v", held, placer.calls, final)
+				}
+			})
+		})
+	}
+}
