placement: suspects run apart, and wait while a loss is unexplained

A request crashed four to six engines before it was refused, and requests that ran beside it could be refused for its crashes. Cause: the platform's path knew only 'refused' and 'not refused'. A suspect was placed like any other, often beside the others of the same crash, so the rule of two crashes, one of them alone, didn't apply; the last of several losses on one upstream counted as alone. While losses weren't explained yet, copies went on being sent. Class: a rule of a table whose verdicts the caller ignores. Change: a suspect goes to an upstream without another suspect (Decision.Apart), and a second crash there quarantines it; the home alone may say 'apart'. A request lost on two upstreams that may have crashed is refused, with 1 s to come back, until probes have answered. A completion drops pending losses too, so popular requests aren't held back by broken connections. Three crashes of any kind quarantine, not four: the property tests of poison, admit and naive hold with it. Pending losses are counted by fingerprint, so that a decision doesn't scan them. Ruled out: an engine kept free for each suspect, as admission does; it costs the slots of sixteen requests. Evidence: TestSuspectsRunApart failed (suspects together; a bystander refused, the cause not), TestUnexplainedLossesHoldRequestBack failed (placed); both pass.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -176,7 +176,7 @@
 		}
 		pause, wait := memoryRetryInterval, float64(job.Waited+memoryRetryInterval) < maxMemoryWaitShare*objective
 		switch d.Reason {
-		case placement.TooLate, placement.Poisoned:
+		case placement.TooLate, placement.Poisoned, placement.Suspected:
 			wait = false
 		case placement.Full:
 			pause = slotRetryInterval
@@ -257,6 +257,8 @@
 		e = result.New(result.Overloaded, "the engines have no memory for the prompt now")
 	case placement.Poisoned:
 		e = result.New(result.PoisonSuspect, "this request was lost with several upstreams that ended")
+	case placement.Suspected:
+		e = result.New(result.PoisonSuspect, "this request was lost with several upstreams that may have crashed")
 	default:
 		e = result.New(result.NoUpstream, "no upstream can take the request now")
 	}
--- a/internal/passthrough/attempt_test.go
+++ b/internal/passthrough/attempt_test.go
@@ -29,7 +29,8 @@
 // once, and that one that may be placed soon is not.
 func TestFinalRefusalIsNotHeld(t *testing.T) {
 	for reason, final := range map[placement.Reason]bool{
-		placement.Poisoned: true, placement.TooLate: true, placement.Full: false, placement.TooLarge: false,
+		placement.Poisoned: true, placement.Suspected: true, placement.TooLate: true,
+		placement.Full: false, placement.TooLarge: false,
 	} {
 		t.Run(reason.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -28,6 +28,9 @@
 	}
 	pj.upstream = first.upstream
 	first.jobs++
+	if d.Suspect {
+		first.suspects++
+	}
 	if first.engine == nil {
 		return
 	}
@@ -75,8 +78,8 @@
 		return
 	}
 	p.drop(pj, now)
+	p.recordPoison(pj, o, now)
 	m := p.current(pj.upstream)
-	p.recordPoison(pj, m, o, now)
 	if m == nil {
 		return
 	}
@@ -100,6 +103,9 @@
 		}
 		if i == 0 {
 			m.jobs = max(m.jobs-1, 0)
+			if pj.decision.Suspect {
+				m.suspects = max(m.suspects-1, 0)
+			}
 		}
 		if m.engine != nil {
 			m.engine.Remove(pj.job.ID, now)
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -84,8 +84,10 @@
 	health   health
 	// engine predicts a model engine; nil for a plain service.
 	engine *enginemodel.Engine
-	// jobs is the number of jobs placed here that have not ended.
-	jobs int
+	// jobs is the number of jobs placed here that have not ended, suspects the number of
+	// those whose request is a suspect.
+	jobs     int
+	suspects int
 	// position is the relative position in the order of the current decision, from
 	// 0 to 1.
 	position float64
@@ -184,13 +186,18 @@
 	if pl == nil || len(pl.order) == 0 {
 		return Decision{Reason: NoUpstream, RetryAfter: firstPause}
 	}
-	if d, refused := p.refusePoisoned(&j, now); refused {
+	verdict := p.verdict(&j, now)
+	if d, refused := p.refuseSuspect(&j, verdict, now); refused {
 		return d
 	}
 	candidates := pl.candidates(&j, s, now)
 	if len(candidates) == 0 {
 		return Decision{Reason: NoUpstream, RetryAfter: firstPause}
 	}
+	suspect, apart := verdict == poison.Suspect, false
+	if suspect {
+		candidates, apart = withoutSuspects(candidates)
+	}
 	var d Decision
 	if pl.service.Engine != nil {
 		d = p.placeGeneration(pl, candidates, &j, now)
@@ -198,6 +205,8 @@
 		d = p.placePlain(pl, candidates, now)
 	}
 	if d.Upstream != "" {
+		// An instance that plans alone does not know the suspects of the others.
+		d.Suspect, d.Apart = suspect, apart && s == fleetwide
 		p.adopt(pl, j, d, now)
 	}
 	countPlacement(j.Service, d)
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -97,9 +97,8 @@
 	}
 }
 
-// recordPoison updates the poison table with the outcome of an attempt. m is the member
-// on which it ran, or nil if that incarnation is no longer listed.
-func (p *Planner) recordPoison(pj *placed, m *member, o Outcome, now time.Time) {
+// recordPoison updates the poison table with the outcome of an attempt.
+func (p *Planner) recordPoison(pj *placed, o Outcome, now time.Time) {
 	switch {
 	case pj.job.Fingerprint == 0:
 	case o == Completed:
@@ -108,18 +107,17 @@
 			p.notify([]poison.Notice{notice})
 		}
 	case o == Lost && pj.upstream.ID != "" && !pj.leaving:
-		p.recordLoss(pj, m, now)
+		p.recordLoss(pj, now)
 	}
 }
 
 // recordLoss records an attempt that was lost with its upstream.
-func (p *Planner) recordLoss(pj *placed, m *member, now time.Time) {
+func (p *Planner) recordLoss(pj *placed, now time.Time) {
 	up, fingerprint := pj.upstream, pj.job.Fingerprint
 	metrics.GetOrCreateCounter(`banyanroute_poison_losses_total`).Inc()
 	lossLog(up).WithField("request", pj.job.ID).WithField("fingerprint", fingerprint).
 		Info("attempt lost; its request is a suspect if the upstream crashed")
-	alone := m != nil && m.jobs == 0
-	p.poison.Lost(incarnationOf(up), "", fingerprint, alone, now)
+	p.poison.Lost(incarnationOf(up), "", fingerprint, pj.decision.Apart, now)
 	p.unexplained[incarnationOf(up)] = unexplainedLoss{upstream: up, at: now}
 	if p.isReplaced(up) {
 		p.crashed(up, now)
@@ -182,21 +180,50 @@
 func (p *Planner) Refuse(j Job, now time.Time) (Decision, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.refusePoisoned(&j, now)
+	if verdict := p.verdict(&j, now); verdict == poison.Quarantined {
+		return p.refuseSuspect(&j, verdict, now)
+	}
+	return Decision{}, false
 }
 
-// refusePoisoned refuses a job whose request is quarantined.
-func (p *Planner) refusePoisoned(j *Job, now time.Time) (Decision, bool) {
+// verdict returns how the job's request must be treated.
+func (p *Planner) verdict(j *Job, now time.Time) poison.Verdict {
 	if j.Fingerprint == 0 {
+		return poison.Clear
+	}
+	verdict, _ := p.poison.Verdict(j.Fingerprint, now)
+	return verdict
+}
+
+// suspectRetryAfter is the time after which it is known whether an upstream crashed.
+const suspectRetryAfter = time.Second
+
+// refuseSuspect refuses a job whose request must not be sent now.
+func (p *Planner) refuseSuspect(j *Job, verdict poison.Verdict, now time.Time) (Decision, bool) {
+	entry := log.WithField("request", j.ID).WithField("fingerprint", j.Fingerprint)
+	var d Decision
+	switch verdict {
+	case poison.Quarantined:
+		_, left := p.poison.Verdict(j.Fingerprint, now)
+		d = Decision{Reason: Poisoned, RetryAfter: left}
+		entry.Info("request refused: it was in flight on several upstreams that crashed")
+	case poison.Pending:
+		d = Decision{Reason: Suspected, RetryAfter: suspectRetryAfter}
+		entry.Info("request refused: it was lost on several upstreams that may have crashed")
+	default:
 		return Decision{}, false
 	}
-	verdict, wait := p.poison.Verdict(j.Fingerprint, now)
-	if verdict != poison.Quarantined {
-		return Decision{}, false
-	}
-	log.WithField("request", j.ID).WithField("fingerprint", j.Fingerprint).
-		Info("request refused: it was in flight on several upstreams that crashed")
-	d := Decision{Reason: Poisoned, RetryAfter: wait}
 	countPlacement(j.Service, d)
 	return d, true
 }
+
+// withoutSuspects returns the candidates on which no suspect runs, so that a second crash
+// shows which of the requests in flight in the first one is the cause. If there are none,
+// it returns all candidates and false.
+func withoutSuspects(candidates []*member) (list []*member, apart bool) {
+	list = filter(candidates, func(m *member) bool { return m.suspects == 0 })
+	if len(list) == 0 {
+		return candidates, false
+	}
+	return list, true
+}
--- a/internal/placement/suspects_test.go
+++ b/internal/placement/suspects_test.go
@@ -246,3 +246,115 @@
 	verdict, _ := p.poison.Verdict(fingerprint, now)
 	return verdict != poison.Clear
 }
+
+// TestSuspectsRunApart checks that of the requests that were in flight in one crash, the
+// one that caused it is refused after the second crash, and no other.
+func TestSuspectsRunApart(t *testing.T) {
+	f := newFixture(12)
+	now := time.Now()
+	const requests, poisonous = 8, 3
+	jobOf := func(request, attempt int) Job {
+		j := shortJob(fmt.Sprintf("r%d-%d", request, attempt))
+		j.Fingerprint = uint64(1000 + request)
+		return j
+	}
+	// All requests run on one engine, which crashes.
+	var first Decision
+	for r := range requests {
+		j := jobOf(r, 0)
+		if r == 0 {
+			first = f.planner.Place(j, now)
+			continue
+		}
+		f.planner.Adopt(Adoption{Job: j, Decision: first}, now)
+	}
+	for r := range requests {
+		f.planner.Ended(fmt.Sprintf("r%d-0", r), Lost, now)
+	}
+	f.planner.Probed(f.upstreams[first.Upstream], deployment.Unreachable, now, now)
+
+	now = now.Add(time.Second)
+	on := map[string][]int{}
+	for r := range requests {
+		j := jobOf(r, 1)
+		j.Avoid = []string{first.Upstream}
+		d := f.planner.Place(j, now)
+		if d.Upstream == "" {
+			t.Fatalf("request %d was refused after one crash for reason %s", r, d.Reason)
+		}
+		on[d.Upstream] = append(on[d.Upstream], r)
+	}
+	for id, list := range on {
+		if len(list) > 1 {
+			t.Errorf("suspects %v run together on %s", list, id)
+		}
+		outcome := Completed
+		for _, r := range list {
+			if r == poisonous {
+				outcome = Lost
+			}
+		}
+		for _, r := range list {
+			f.planner.Ended(fmt.Sprintf("r%d-1", r), outcome, now)
+		}
+		if outcome == Lost {
+			f.planner.Probed(f.upstreams[id], deployment.Unreachable, now, now)
+		}
+	}
+	now = now.Add(time.Second)
+	for r := range requests {
+		d := f.planner.Place(jobOf(r, 2), now)
+		if want := r == poisonous; (d.Reason == Poisoned) != want {
+			t.Errorf("request %d: reason %s; want a refusal: %v", r, d.Reason, want)
+		}
+	}
+}
+
+// TestUnexplainedLossesHoldRequestBack checks that a request that was lost on two
+// upstreams waits until it is known whether they crashed, and is then placed if not.
+func TestUnexplainedLossesHoldRequestBack(t *testing.T) {
+	f := newFixture(6)
+	now := time.Now()
+	var lost []string
+	for i := range 2 {
+		j := crashingJob(i)
+		j.Avoid = lost
+		d := f.planner.Place(j, now)
+		lost = append(lost, d.Upstream)
+		f.planner.Ended(j.ID, Lost, now)
+	}
+	if d := f.planner.Place(crashingJob(2), now); d.Reason != Suspected || d.RetryAfter <= 0 {
+		t.Errorf("while the losses are unexplained: reason %s with retry after %s, want suspected and a time", d.Reason, d.RetryAfter)
+	}
+	now = now.Add(time.Second)
+	for _, up := range f.planner.Suspects(now) {
+		f.planner.Probed(up, deployment.Healthy, now, now)
+	}
+	if d := f.planner.Place(crashingJob(3), now); d.Upstream == "" {
+		t.Errorf("after the upstreams answered probes: refused for reason %s", d.Reason)
+	}
+}
+
+// TestPopularRequestIsServedDespiteLosses checks that a request that many callers send is
+// not held back because some of its attempts are lost on upstreams that run.
+func TestPopularRequestIsServedDespiteLosses(t *testing.T) {
+	f := newFixture(6)
+	now := time.Now()
+	refused := 0
+	for i := range 200 {
+		j := crashingJob(i)
+		d := f.planner.Place(j, now)
+		if d.Upstream == "" {
+			refused++
+		}
+		outcome := Completed
+		if i%3 == 0 {
+			outcome = Lost
+		}
+		f.planner.Ended(j.ID, outcome, now)
+		now = now.Add(20 * time.Millisecond)
+	}
+	if refused > 0 {
+		t.Errorf("%d of 200 were refused", refused)
+	}
+}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -80,6 +80,10 @@
 	RetryAfter time.Duration
 	// Reason is why the job is refused; NoReason if it is not.
 	Reason Reason
+	// Suspect reports whether the request was in flight in a crash, or may have been.
+	Suspect bool
+	// Apart reports whether no other suspect runs on the upstream.
+	Apart bool
 }
 
 // Reason is the reason why a job is refused.
@@ -101,11 +105,14 @@
 	// Deferred: placed now, the job would cost other jobs too much, or there is no
 	// memory for it yet.
 	Deferred
+	// Suspected: the request was lost on several upstreams, and it is not known yet
+	// whether they crashed.
+	Suspected
 )
 
 // String returns the reason's name in metrics.
 func (r Reason) String() string {
-	names := [...]string{"placed", "no-upstream", "too-late", "too-large", "full", "poisoned", "deferred"}
+	names := [...]string{"placed", "no-upstream", "too-late", "too-large", "full", "poisoned", "deferred", "suspected"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -12,6 +12,7 @@
 package poison
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,7 +26,7 @@
 	quarantineCrashes = 2
 	// maxCrashes is the number of crashes after which a fingerprint is
 	// quarantined even if it was never alone.
-	maxCrashes = 4
+	maxCrashes = 3
 	// suspectTime is how long a suspect is recorded after its last crash.
 	suspectTime = 10 * time.Minute
 	// quarantineTime is how long after its last crash a quarantined fingerprint
@@ -64,7 +65,8 @@
 	_ struct{} `cbor:",toarray"`
 	// ID is the same on all instances that saw the crash.
 	ID uint64
-	// Alone reports whether the fingerprint was the only request on the upstream.
+	// Alone reports whether the fingerprint was the only request, or the only suspect,
+	// on the upstream.
 	Alone bool
 }
 
@@ -99,7 +101,9 @@
 type Table struct {
 	suspects *simplelru.LRU[uint64, *suspect]
 	pending  map[string]*pendingLosses
-	outage   outage
+	// pendingCounts holds the number of pending losses of each fingerprint that has any.
+	pendingCounts map[uint64]int
+	outage        outage
 }
 
 // NewTable returns an empty table.
@@ -108,7 +112,7 @@
 	if err != nil {
 		panic(err) // only for a size of zero or less
 	}
-	return &Table{suspects: suspects, pending: map[string]*pendingLosses{}, outage: newOutage()}
+	return &Table{suspects: suspects, pending: map[string]*pendingLosses{}, pendingCounts: map[uint64]int{}, outage: newOutage()}
 }
 
 // Lost records an attempt whose connection to an upstream was lost. boot identifies
@@ -126,6 +130,7 @@
 	p.lastAt = now
 	if len(p.losses) < maxPendingLosses {
 		p.losses = append(p.losses, loss{fingerprint: fingerprint, alone: alone})
+		t.pendingCounts[fingerprint]++
 	}
 }
 
@@ -139,7 +144,7 @@
 	if p == nil {
 		return nil
 	}
-	delete(t.pending, upstreamID)
+	t.dropPending(upstreamID)
 	id := CrashID(upstreamID, p.boot)
 	isOutage := t.outage.crashed(upstreamID, now)
 	notices := make([]Notice, 0, len(p.losses))
@@ -161,16 +166,18 @@
 // Losses before that time were broken connections and are dropped.
 func (t *Table) Dismiss(upstreamID string, seen time.Time) {
 	if p := t.pending[upstreamID]; p != nil && seen.After(p.lastAt) {
-		delete(t.pending, upstreamID)
+		t.dropPending(upstreamID)
 	}
 }
 
 // HasPending reports whether the upstream has pending losses.
 func (t *Table) HasPending(upstreamID string) bool { return t.pending[upstreamID] != nil }
 
-// Completed clears a fingerprint whose request completed. It returns the notice for
-// the other instances, and false if the fingerprint was no suspect.
+// Completed clears a fingerprint whose request completed, pending losses included. It
+// returns the notice for the other instances, and false if the fingerprint was no
+// suspect.
 func (t *Table) Completed(fingerprint uint64) (Notice, bool) {
+	t.dropPendingLosses(fingerprint)
 	if _, known := t.suspects.Peek(fingerprint); !known {
 		return Notice{}, false
 	}
@@ -255,6 +262,9 @@
 // pending.
 func (t *Table) pendingCount(fingerprint uint64, now time.Time) int {
 	n := 0
+	if t.pendingCounts[fingerprint] == 0 {
+		return n
+	}
 	for _, p := range t.pending {
 		if now.Sub(p.lastAt) <= pendingTimeout && p.has(fingerprint) {
 			n++
@@ -273,11 +283,37 @@
 	return false
 }
 
+// dropPending drops the pending losses on an upstream.
+func (t *Table) dropPending(upstreamID string) {
+	for _, l := range t.pending[upstreamID].losses {
+		t.uncountPending(l.fingerprint)
+	}
+	delete(t.pending, upstreamID)
+}
+
+// dropPendingLosses drops the pending losses of a fingerprint.
+func (t *Table) dropPendingLosses(fingerprint uint64) {
+	if t.pendingCounts[fingerprint] == 0 {
+		return
+	}
+	for _, p := range t.pending {
+		p.losses = slices.DeleteFunc(p.losses, func(l loss) bool { return l.fingerprint == fingerprint })
+	}
+	delete(t.pendingCounts, fingerprint)
+}
+
+// uncountPending counts one pending loss of a fingerprint less.
+func (t *Table) uncountPending(fingerprint uint64) {
+	if t.pendingCounts[fingerprint]--; t.pendingCounts[fingerprint] <= 0 {
+		delete(t.pendingCounts, fingerprint)
+	}
+}
+
 // expire drops the losses that were pending for longer than pendingTimeout.
 func (t *Table) expire(now time.Time) {
 	for id, p := range t.pending {
 		if now.Sub(p.lastAt) > pendingTimeout {
-			delete(t.pending, id)
+			t.dropPending(id)
 		}
 	}
 }
