placement: a stalled attempt may have crashed its upstream

A stream that silences each engine that runs it was sent to four before it was refused; without the later reset of their connections, to any number. Cause: only broken connections were recorded as losses. An attempt that a watchdog moved ended as stalled and left no trace, and its next engine was chosen before that end. A probe without an answer counted as a crash, so recording stalls would have blamed requests for the network: an instance that is cut off from upstreams loses requests on several of them. Change: stalled attempts are recorded as losses; a job that moves a stalled stream says so and runs apart. A refused connection or another incarnation proves a crash; silence does so only once the upstream has left the list, and until then losses stay unexplained, for 15 s instead of 5.

--- a/internal/deployment/types.go
+++ b/internal/deployment/types.go
@@ -125,8 +125,10 @@
 
 // Results of probes.
 const (
-	// Unreachable: there was no answer, or another incarnation answered.
+	// Unreachable: there was no answer. The upstream may run behind a broken network.
 	Unreachable ProbeResult = iota
+	// Ended: the connection was refused or reset, or another incarnation answered.
+	Ended
 	// Alive: the incarnation runs, but takes no work now.
 	Alive
 	// Healthy: the incarnation takes work.
@@ -136,6 +138,8 @@
 // String returns the result's name in logs.
 func (r ProbeResult) String() string {
 	switch r {
+	case Ended:
+		return "ended"
 	case Alive:
 		return "alive"
 	case Healthy:
--- a/internal/passthrough/watchdog.go
+++ b/internal/passthrough/watchdog.go
@@ -73,6 +73,7 @@
 	job := w.job
 	job.Waited, job.Lifetime = now.Sub(w.rq.arrived), w.rq.deadline.Sub(now)
 	job.Remaining = job.Lifetime
+	job.Stalled = true
 	d := w.h.opts.Placer.Place(w.ctx, job)
 	if d.Upstream == "" {
 		w.timer.Reset(watchdogRetryInterval)
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -83,7 +83,7 @@
 		return
 	}
 	h.pause = min(max(2*h.pause, firstPause), maxPause)
-	h.pausedUntil = now.Add(h.pause)
+	h.pausedUntil, h.down = now.Add(h.pause), true
 }
 
 // latest returns the later of two times.
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -18,8 +18,9 @@
 	at       time.Time
 }
 
-// maxUnexplainedTime is how long an upstream is probed after a loss.
-const maxUnexplainedTime = 5 * time.Second
+// maxUnexplainedTime is how long an upstream is probed after a loss: some seconds longer
+// than one that crashed silently takes to restart or to leave the list.
+const maxUnexplainedTime = 15 * time.Second
 
 // minRestartTime is the minimum time that an upstream needs to restart; one that
 // answers a probe sooner after a loss did not crash.
@@ -82,13 +83,19 @@
 func (p *Planner) Probed(up deployment.Upstream, result deployment.ProbeResult, began, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if m := p.current(up); m != nil {
+	m := p.current(up)
+	if m != nil && (m.health.down || result != deployment.Alive) {
 		m.health.probed(result == deployment.Healthy, now)
 	}
-	if result == deployment.Unreachable {
+	// An instance that is cut off from an upstream gets no answer either. Only if the
+	// upstream is not listed any more does that show that it ended.
+	if result == deployment.Ended || result == deployment.Unreachable && m == nil {
 		p.crashed(up, now)
 		return
 	}
+	if result == deployment.Unreachable {
+		return
+	}
 	l, unexplained := p.unexplained[incarnationOf(up)]
 	if seen := began.Add(-minRestartTime); unexplained && seen.After(l.at) {
 		p.poison.Dismiss(incarnationOf(up), seen)
@@ -106,12 +113,13 @@
 			log.WithField("request", pj.job.ID).WithField("fingerprint", pj.job.Fingerprint).Info("request completed and is no suspect any more")
 			p.notify([]poison.Notice{notice})
 		}
-	case o == Lost && pj.upstream.ID != "" && !pj.leaving:
+	case (o == Lost || o == Stalled) && pj.upstream.ID != "" && !pj.leaving:
 		p.recordLoss(pj, now)
 	}
 }
 
-// recordLoss records an attempt that was lost with its upstream.
+// recordLoss records an attempt that was lost or got no answer, perhaps because its
+// upstream crashed.
 func (p *Planner) recordLoss(pj *placed, now time.Time) {
 	up, fingerprint := pj.upstream, pj.job.Fingerprint
 	metrics.GetOrCreateCounter(`banyanroute_poison_losses_total`).Inc()
@@ -192,6 +200,16 @@
 		return poison.Clear
 	}
 	verdict, _ := p.poison.Verdict(j.Fingerprint, now)
+	if !j.Stalled {
+		return verdict
+	}
+	// The stalled attempt will be recorded as a loss only when it ends.
+	switch verdict {
+	case poison.Clear:
+		return poison.Suspect
+	case poison.Suspect:
+		return poison.Pending
+	}
 	return verdict
 }
 
@@ -206,10 +224,10 @@
 	case poison.Quarantined:
 		_, left := p.poison.Verdict(j.Fingerprint, now)
 		d = Decision{Reason: Poisoned, RetryAfter: left}
-		entry.Info("request refused: it was in flight on several upstreams that crashed")
+		entry.Debug("request refused: it was in flight on several upstreams that crashed")
 	case poison.Pending:
 		d = Decision{Reason: Suspected, RetryAfter: suspectRetryAfter}
-		entry.Info("request refused: it was lost on several upstreams that may have crashed")
+		entry.Debug("request refused: it was lost on several upstreams that may have crashed")
 	default:
 		return Decision{}, false
 	}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -32,6 +32,9 @@
 	Avoid []string
 	// Fingerprint identifies the caller's workspace, path and body; 0 if unknown.
 	Fingerprint uint64
+	// Stalled reports whether another attempt of the request is in flight that gets no
+	// answer; its upstream may have crashed.
+	Stalled bool
 	// MayWait reports whether the caller of Place will retry soon. The job is then not
 	// bound to an engine whose slots are all taken, because it is unknown which
 	// engine frees a slot first.
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -34,7 +34,7 @@
 	quarantineTime = 10 * time.Minute
 	// pendingTimeout is how long a loss stays pending, that is, neither confirmed
 	// as a crash nor dismissed as a broken connection.
-	pendingTimeout = 5 * time.Second
+	pendingTimeout = 15 * time.Second
 	// maxSuspects bounds the suspects; the least recently used are evicted.
 	maxSuspects = 8192
 	// maxPendingUpstreams bounds the upstreams with pending losses, and
