hosted: quarantined requests outlive the instances

After all instances had started anew, a request that had crashed three upstreams crashed up to six more. Class: state that a safety rule needs and that no process keeps beyond its life; what must last belongs in the platform's store. Change: an instance that confirms the last crash writes the quarantine to the product's table in the store, in the background and with retries; each instance reads all of them when it starts, before it is ready, and removes expired ones. A request that completes is released there too. Cost: one read a start, one write a quarantine. Ruled out: readiness is not held up longer, since an instance that cannot read the store at its start has no configuration either.

--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -38,21 +38,25 @@
 	Prober   Prober
 	// Directory lists the instances.
 	Directory Directory
+	// Quarantines keeps the quarantined requests.
+	Quarantines QuarantineStore
 	// ReadinessPath is the path of the platform's readiness check.
 	ReadinessPath string
 }
 
 // Instance is one instance on a platform.
 type Instance struct {
-	opts      Options
-	settings  Settings
-	state     *deployment.State
-	planner   *placement.Planner
-	fleet     *placement.Fleet
-	links     *links
-	followers []*deployment.Follower
-	handler   *passthrough.Handler
-	draining  atomic.Bool
+	opts     Options
+	settings Settings
+	state    *deployment.State
+	planner  *placement.Planner
+	fleet    *placement.Fleet
+	links    *links
+	// quarantines is read before the instance is ready.
+	quarantines *quarantines
+	followers   []*deployment.Follower
+	handler     *passthrough.Handler
+	draining    atomic.Bool
 
 	callers    *http.Server
 	readiness  *http.Server
@@ -72,6 +76,7 @@
 		DataCentre:  s.DataCentre,
 		Region:      s.Region,
 	}
+	n.quarantines = newQuarantines(o.Quarantines, n.planner)
 	n.links = &links{directory: o.Directory, self: self}
 	for _, source := range o.Sources {
 		options := deployment.FollowerOptions{Instances: n.links.instances, ApplyTimeout: s.ApplyTimeout}
@@ -108,6 +113,7 @@
 	addActor(&group, n.probeLost)
 	addActor(&group, n.fleet.Run)
 	addActor(&group, n.links.run)
+	addActor(&group, n.quarantines.run)
 	for _, s := range []struct {
 		name, address string
 		server        *http.Server
@@ -142,11 +148,11 @@
 	}, func(error) { cancel() })
 }
 
-// ready reports whether the instance can serve callers: it has a configuration and
-// a list of upstreams, and is not draining.
+// ready reports whether the instance can serve callers: it has a configuration, a list
+// of upstreams and the quarantined requests, and is not draining.
 func (n *Instance) ready() bool {
 	v := n.state.View()
-	return !n.draining.Load() && v.Config != nil && !v.ListedAt.IsZero()
+	return !n.draining.Load() && v.Config != nil && !v.ListedAt.IsZero() && n.quarantines.loaded.Load()
 }
 
 // Probes of lost upstreams.
--- /dev/null
+++ b/internal/hosted/quarantine.go
@@ -0,0 +1,96 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/placement"
+	"github.com/banyanroute/banyanroute/internal/poison"
+)
+
+// QuarantineStore keeps the quarantined requests in the platform's store, so that
+// instances know them that all start anew.
+type QuarantineStore interface {
+	// Quarantines returns all records, expired ones included.
+	Quarantines(ctx context.Context) ([]poison.Quarantine, error)
+	// SaveQuarantine adds or replaces a record.
+	SaveQuarantine(ctx context.Context, q poison.Quarantine) error
+	// RemoveQuarantines removes records; those that do not exist are ignored.
+	RemoveQuarantines(ctx context.Context, fingerprints ...uint64) error
+}
+
+// maxQueuedChanges bounds the changes that wait while the store is unavailable.
+const maxQueuedChanges = 256
+
+// quarantines reads the quarantined requests when the instance starts, and writes the
+// changes that its planner makes.
+type quarantines struct {
+	store   QuarantineStore
+	planner *placement.Planner
+	changes chan placement.QuarantineChange
+	// loaded reports whether the records have been read.
+	loaded atomic.Bool
+}
+
+func newQuarantines(store QuarantineStore, planner *placement.Planner) *quarantines {
+	q := &quarantines{store: store, planner: planner, changes: make(chan placement.QuarantineChange, maxQueuedChanges)}
+	planner.OnQuarantine(q.enqueue)
+	return q
+}
+
+// enqueue queues a change to be written. It does not block.
+func (q *quarantines) enqueue(c placement.QuarantineChange) {
+	select {
+	case q.changes <- c:
+	default:
+		log.WithField("fingerprint", c.Fingerprint).Warn("quarantine not stored: too many changes wait for the store; running instances know it")
+	}
+}
+
+// run reads the records and writes changes until ctx ends.
+func (q *quarantines) run(ctx context.Context) error {
+	list, err := retryUntilDone(ctx, "reading quarantined requests", q.store.Quarantines)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	var current []poison.Quarantine
+	var expired []uint64
+	for _, one := range list {
+		if one.Expired(now) {
+			expired = append(expired, one.Fingerprint)
+		} else {
+			current = append(current, one)
+		}
+	}
+	q.planner.RestoreQuarantines(current, now)
+	q.loaded.Store(true)
+	if len(list) > 0 {
+		log.WithField("current", len(current)).WithField("expired", len(expired)).Info("quarantined requests read from the store")
+	}
+	if len(expired) > 0 {
+		q.write(ctx, "removing expired quarantines", func(ctx context.Context) error { return q.store.RemoveQuarantines(ctx, expired...) })
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case c := <-q.changes:
+			q.write(ctx, fmt.Sprintf("writing the quarantine of request %d", c.Fingerprint), func(ctx context.Context) error {
+				if c.Released {
+					return q.store.RemoveQuarantines(ctx, c.Fingerprint)
+				}
+				return q.store.SaveQuarantine(ctx, c.Quarantine)
+			})
+		}
+	}
+}
+
+// write retries a write until it succeeds or ctx ends.
+func (q *quarantines) write(ctx context.Context, operation string, call func(context.Context) error) {
+	_, _ = retryUntilDone(ctx, operation, func(ctx context.Context) (struct{}, error) { // fails only when ctx ends
+		return struct{}{}, call(ctx)
+	})
+}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -38,6 +38,9 @@
 	unexplained map[string]unexplainedLoss
 	// onNotices, if set, passes poison notices to the other instances. It must not block.
 	onNotices func([]poison.Notice)
+	// onQuarantine, if set, is called for each change of a quarantine that this instance
+	// must store. It must not block.
+	onQuarantine func(QuarantineChange)
 	// sweptAt is when overdue jobs were last dropped.
 	sweptAt time.Time
 }
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -109,6 +109,10 @@
 	switch {
 	case pj.job.Fingerprint == 0:
 	case o == Completed:
+		q, quarantined := p.poison.Quarantine(pj.job.Fingerprint)
+		if quarantined && p.onQuarantine != nil {
+			p.onQuarantine(QuarantineChange{Quarantine: q, Released: true})
+		}
 		if notice, suspected := p.poison.Completed(pj.job.Fingerprint); suspected {
 			log.WithField("request", pj.job.ID).WithField("fingerprint", pj.job.Fingerprint).Info("request completed and is no suspect any more")
 			p.notify([]poison.Notice{notice})
@@ -152,6 +156,43 @@
 		metrics.GetOrCreateCounter(`banyanroute_poison_crashes_total`).Inc()
 		lossLog(up).WithField("fingerprint", notice.Fingerprint).WithField("crashes", len(notice.Crashes)).
 			Warn("upstream crashed with a request in flight that may be the cause")
+		p.storeQuarantine(notice.Fingerprint)
+	}
+}
+
+// QuarantineChange is a change of a quarantine.
+type QuarantineChange struct {
+	poison.Quarantine
+	// Released reports whether the quarantine has ended, because the request completed.
+	Released bool
+}
+
+// OnQuarantine sets the function that stores quarantines. It must not block.
+func (p *Planner) OnQuarantine(f func(QuarantineChange)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.onQuarantine = f
+}
+
+// RestoreQuarantines adds quarantines that were stored before.
+func (p *Planner) RestoreQuarantines(list []poison.Quarantine, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, q := range list {
+		p.poison.Restore(q, now)
+	}
+}
+
+// storeQuarantine has the quarantine of a request stored, if there is one.
+func (p *Planner) storeQuarantine(fingerprint uint64) {
+	q, quarantined := p.poison.Quarantine(fingerprint)
+	if !quarantined {
+		return
+	}
+	log.WithField("fingerprint", fingerprint).WithField("crashes", len(q.Crashes)).
+		Warn("request quarantined: it is refused everywhere")
+	if p.onQuarantine != nil {
+		p.onQuarantine(QuarantineChange{Quarantine: q})
 	}
 }
 
@@ -173,7 +214,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, n := range notices {
-		p.poison.Observe(n, now)
+		if p.poison.Observe(n, now) {
+			p.storeQuarantine(n.Fingerprint)
+		}
 		log.WithField("instance", from).WithField("fingerprint", n.Fingerprint).WithField("crashes", len(n.Crashes)).
 			WithField("cleared", n.Cleared).Debug("notice of another instance about a suspect applied")
 	}
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -79,6 +79,8 @@
 type suspect struct {
 	crashes   []Crash
 	lastCrash time.Time
+	// own reports whether this table confirmed one of the crashes.
+	own bool
 }
 
 // loss is a lost attempt that a crash may have caused.
@@ -157,6 +159,7 @@
 			t.addCrash(l.fingerprint, Crash{ID: earlier}, now)
 		}
 		s := t.addCrash(l.fingerprint, Crash{ID: id, Alone: l.alone}, now)
+		s.own = true
 		notices = append(notices, Notice{Fingerprint: l.fingerprint, Crashes: s.crashes})
 	}
 	return notices
@@ -206,17 +209,22 @@
 }
 
 // Observe applies the notice of another instance. A notice that clears a
-// fingerprint does not end a quarantine.
-func (t *Table) Observe(n Notice, now time.Time) {
+// fingerprint does not end a quarantine. Observe reports whether the notice has
+// quarantined a fingerprint of which this table confirmed a crash; the table of the
+// sender may then not know that it is quarantined.
+func (t *Table) Observe(n Notice, now time.Time) (quarantined bool) {
+	s, known := t.suspects.Peek(n.Fingerprint)
+	before := known && s.quarantined()
 	if n.Cleared {
-		if s, known := t.suspects.Peek(n.Fingerprint); known && !s.quarantined() {
+		if known && !before {
 			t.suspects.Remove(n.Fingerprint)
 		}
-		return
+		return false
 	}
 	for _, c := range n.Crashes {
-		t.addCrash(n.Fingerprint, c, now)
+		s = t.addCrash(n.Fingerprint, c, now)
 	}
+	return s != nil && s.own && !before && s.quarantined()
 }
 
 // Size returns the numbers of suspects and of upstreams with pending losses.
