soak: requests that crash upstreams

Change: all through the faults, one such request after another is sent 40 times through random instances; upstreams crash at once, after the first event or silently, and start again. A check counts sends later than 3 s after the third crash; the users allow three.

--- a/tools/faults/report.go
+++ b/tools/faults/report.go
@@ -25,13 +25,14 @@
 	editApplied      guarantee = "an accepted edit is in force everywhere and never reverts"
 	gracefulShutdown guarantee = "a planned stop cuts off no request"
 	noNewWork        guarantee = "an upstream that leaves gets no new work"
+	crashesContained guarantee = "a request that crashes upstreams is not sent for ever"
 	recovered        guarantee = "requests are served again after the faults"
 )
 
 // guarantees lists the guarantees in the order of the report.
 var guarantees = []guarantee{
 	endsInTime, correctAnswer, notRunCorrect, atMostOnce, memoryReleased,
-	editApplied, gracefulShutdown, noNewWork, recovered,
+	editApplied, gracefulShutdown, noNewWork, crashesContained, recovered,
 }
 
 // maxExamples bounds the violations that a verdict describes.
--- a/tools/faults/soak.go
+++ b/tools/faults/soak.go
@@ -92,7 +92,10 @@
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	var load sync.WaitGroup
 	load.Go(func() { s.load(loadCtx) })
+	crashCtx, stopCrashes := context.WithCancel(ctx)
+	load.Go(func() { s.crashUpstreams(crashCtx, rand.New(rand.NewPCG(o.seed, 4))) })
 	s.runFaults(ctx, rand.New(rand.NewPCG(o.seed, 1)))
+	stopCrashes()
 	sleep.For(ctx, soakRecoveryTime)
 	s.checkRecovered(ctx)
 	stopLoad()
@@ -146,12 +149,23 @@
 	up.Advertised = r.Addr()
 	u := &soakUpstream{Upstream: up, relay: r}
 	s.mu.Lock()
+	up.CrashOnRequest(crashOf(rand.New(rand.NewPCG(s.options.seed, uint64(1000+s.nextID)))))
 	s.upstreams = append(s.upstreams, u)
 	s.mu.Unlock()
-	s.store.Put("servers", id, up.Entry(false))
+	up.OnRestart = func() { s.list(u) }
+	s.list(u)
 	return nil
 }
 
+// list writes the entry of an upstream that is not leaving.
+func (s *soakRun) list(u *soakUpstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !u.leaving {
+		s.store.Put("servers", u.ID, u.Entry(false))
+	}
+}
+
 // newProcess writes the settings of an instance and starts its relay to the store.
 func (s *soakRun) newProcess(name string) (*process, error) {
 	r, err := relay.New("127.0.0.1:0", s.store.Address())
--- a/tools/faults/soakload.go
+++ b/tools/faults/soakload.go
@@ -70,7 +70,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout+s.options.slack)
 	defer cancel()
 	out := &outcome{kind: kind.name, sentAt: time.Now()}
-	out.status, out.body, out.err = exchange(ctx, client, p.frontAddress, kind.method, kind.path, id)
+	out.status, out.body, out.err = exchange(ctx, client, p.frontAddress, call{kind.method, kind.path, id, "body " + id})
 	out.took = time.Since(out.sentAt)
 	s.mu.Lock()
 	s.outcomes[id] = out
@@ -95,16 +95,19 @@
 	return problem
 }
 
+// call is one request of a caller.
+type call struct{ method, path, id, body string }
+
 // exchange sends one request and returns the status and the part of the body that
 // arrived.
-func exchange(ctx context.Context, client *http.Client, address, method, path, id string) (int, string, error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader("body "+id))
+func exchange(ctx context.Context, client *http.Client, address string, c call) (int, string, error) {
+	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+address+c.path, strings.NewReader(c.body))
 	if err != nil {
 		return 0, "", err
 	}
 	req.Host = platformtest.Host
 	req.GetBody = nil // net/http must not retry the request
-	platformtest.SetCallHeaders(req.Header, id, callerTimeout)
+	platformtest.SetCallHeaders(req.Header, c.id, callerTimeout)
 	res, err := client.Do(req)
 	if err != nil {
 		return 0, "", err
@@ -161,7 +164,7 @@
 			for attempt := range 3 {
 				id := fmt.Sprintf("end-%d-%d-%d", i, k, attempt)
 				callCtx, cancel := context.WithTimeout(ctx, callerTimeout)
-				status, _, err := exchange(callCtx, client, p.frontAddress, requestKinds[k].method, requestKinds[k].path, id)
+				status, _, err := exchange(callCtx, client, p.frontAddress, call{requestKinds[k].method, requestKinds[k].path, id, "body " + id})
 				cancel()
 				problem = ""
 				if status != http.StatusOK {
