passthrough: a stream that has begun isn't cut because an engine refuses to go on with it

Cause: two ways led to the cut. A placement that was refused was repeated only within a share of the objective for the first event, which a begun stream has long used up; and engines that had refused the request without running it were never asked again. A used-up retry budget cut at once, too. Change: for a stream that has begun, placement and retry budget are asked again as long as the caller waits, and only engines that may have run the request are avoided. The bounds of attempts stay. Requests that have received nothing are still refused at once.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -183,6 +183,12 @@
 		case placement.Deferred:
 			pause, wait = deferRetryInterval, true
 		}
+		if rq.begun() && d.Reason != placement.Poisoned {
+			// The caller waits for the rest of its stream, which can only be cut. An upstream
+			// that refused to go on with it may do so now.
+			wait = rq.remainingPatience() > pause
+			job.Avoid = rq.mayHaveRun
+		}
 		if !wait || !sleep.For(ctx, pause) {
 			return d
 		}
@@ -266,17 +272,34 @@
 }
 
 // mayRetry reports whether the request may be sent to another upstream, and spends
-// retry budget if so. mayHaveRun is whether the last attempt may have run.
+// retry budget if so. For a stream that has begun it waits for retry budget as long as the
+// caller does. mayHaveRun is whether the last attempt may have run.
 func (h *Handler) mayRetry(ctx context.Context, rq *request, mayHaveRun bool) bool {
 	if mayHaveRun {
-		rq.mayHaveRun++
+		rq.lastMayHaveRun()
 	}
-	if ctx.Err() != nil || rq.mayHaveRun >= rq.route.MaxAttempts || rq.sends >= maxSends {
+	if ctx.Err() != nil || len(rq.mayHaveRun) >= rq.route.MaxAttempts || rq.sends >= maxSends {
 		return false
 	}
-	return h.budgets.spend(rq.service, time.Now())
+	for !h.budgets.spend(rq.service, time.Now()) {
+		if !rq.begun() || rq.remainingPatience() <= budgetRetryInterval || !sleep.For(ctx, budgetRetryInterval) {
+			return false
+		}
+	}
+	return true
 }
 
+// budgetRetryInterval is the pause before retry budget is asked for again.
+const budgetRetryInterval = 100 * time.Millisecond
+
+// lastMayHaveRun records that the last attempt may have run.
+func (rq *request) lastMayHaveRun() {
+	rq.mayHaveRun = append(rq.mayHaveRun, rq.tried[len(rq.tried)-1])
+}
+
+// begun reports whether the caller has received a part of its answer.
+func (rq *request) begun() bool { return rq.record.status != 0 }
+
 // maxSends bounds the sends of one request, refused ones included.
 const maxSends = 4
 
--- a/internal/passthrough/buffered.go
+++ b/internal/passthrough/buffered.go
@@ -91,7 +91,7 @@
 // attemptTimeout returns the timeout of an attempt that may be retried, so that an
 // upstream that hangs leaves time for another; 0 is none.
 func (rq *request) attemptTimeout() time.Duration {
-	if rq.route.Kind != deployment.Idempotent || rq.mayHaveRun+1 >= rq.route.MaxAttempts {
+	if rq.route.Kind != deployment.Idempotent || len(rq.mayHaveRun)+1 >= rq.route.MaxAttempts {
 		return 0
 	}
 	return time.Until(rq.deadline) / 2
@@ -149,7 +149,7 @@
 // placementFailure returns the result of a request that could not be placed, or not
 // placed again.
 func (h *Handler) placementFailure(ctx context.Context, rq *request, refused *result.Error) *result.Error {
-	if rq.mayHaveRun > 0 {
+	if len(rq.mayHaveRun) > 0 {
 		return h.failure(ctx, rq, refused, false)
 	}
 	if ctx.Err() != nil {
@@ -161,7 +161,7 @@
 // failure returns the result of a request that got no answer. notRun is whether the
 // last attempt provably did not run; earlier attempts are taken into account too.
 func (h *Handler) failure(ctx context.Context, rq *request, cause error, notRun bool) *result.Error {
-	notRun = notRun && rq.mayHaveRun == 0
+	notRun = notRun && len(rq.mayHaveRun) == 0
 	switch {
 	case errors.Is(rq.r.Context().Err(), context.Canceled):
 		return result.Wrap(cause, result.CallerGone, "the caller left")
--- a/internal/passthrough/failure.go
+++ b/internal/passthrough/failure.go
@@ -11,7 +11,7 @@
 // writeFailure answers a failed request. If an answer has begun, the connection is
 // aborted instead, so that the answer cannot look complete.
 func (h *Handler) writeFailure(rq *request, e *result.Error) {
-	if e.Code == result.CallerGone || rq.record.status != 0 {
+	if e.Code == result.CallerGone || rq.begun() {
 		panic(http.ErrAbortHandler)
 	}
 	status := statusOf(e)
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -70,10 +70,10 @@
 	body      []byte
 	// fingerprint identifies workspace, method, path and body.
 	fingerprint uint64
-	// tried lists the upstreams of all attempts; mayHaveRun counts those that may have
-	// run the request.
+	// tried lists the upstreams of all attempts, mayHaveRun those that may have run the
+	// request.
 	tried      []string
-	mayHaveRun int
+	mayHaveRun []string
 	// sends counts all sends.
 	sends int
 	// jobs counts the job IDs that were assigned.
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -63,7 +63,7 @@
 		case end.answer != nil && !end.notRun && end.answer.status < http.StatusInternalServerError:
 			return h.deliver(rq, end.answer)
 		case s.next != nil:
-			rq.mayHaveRun++ // the watchdog has spent the retry budget
+			rq.lastMayHaveRun() // the watchdog has spent the retry budget
 		case !end.notRun && !rq.route.Resumable,
 			!h.mayRetry(ctx, rq, !end.notRun):
 			if end.answer != nil && !end.notRun && !s.begun {
--- a/internal/passthrough/watchdog.go
+++ b/internal/passthrough/watchdog.go
@@ -34,7 +34,7 @@
 // newWatchdog starts a watchdog for an attempt that is about to be sent.
 func (h *Handler) newWatchdog(ctx context.Context, rq *request, timeout time.Duration, cancel context.CancelCauseFunc) *watchdog {
 	w := &watchdog{h: h, ctx: ctx, cancel: cancel, rq: rq}
-	if rq.route.Resumable && rq.mayHaveRun+1 < rq.route.MaxAttempts {
+	if rq.route.Resumable && len(rq.mayHaveRun)+1 < rq.route.MaxAttempts {
 		w.job = h.job(rq)
 		w.timer = time.AfterFunc(timeout, w.fire)
 	}
