deployment: watchers notice connections to the store that went silent on all instances

Cause: instances notice that they are behind by comparing with others. If all are behind there is nothing to compare with. And an instance that read the store again because of another's word took that interruption for an outage, and kept upstreams that had left for 1.8 s more. Change: two instances, picked by rendezvous hashing, wait for changes 1 s a call instead of 12, so a silent connection ends after 2 s there; the others learn from them. An interrupted call is no outage. Cost: two more calls a second and table, whatever the size of the fleet. Evidence: TestChangeIsKnownAlthoughAllConnectionsWentSilent: no instance knew the change before; with watchers alone two of three still used the upstream that left; passes now.

--- a/internal/deployment/exchange_test.go
+++ b/internal/deployment/exchange_test.go
@@ -68,3 +68,70 @@
 		})
 	}
 }
+
+// silencedSource is a source whose open connection goes silent for good; later ones work.
+type silencedSource struct {
+	fakeSource
+	called bool
+}
+
+func (s *silencedSource) Changes(ctx context.Context, after int64, wait time.Duration) (Update, error) {
+	if !s.called {
+		s.called = true
+		<-ctx.Done()
+		return Update{}, ctx.Err()
+	}
+	if snapshot, _ := s.get(); snapshot.Revision > after {
+		return snapshot, nil
+	}
+	return s.fakeSource.Changes(ctx, after, wait)
+}
+
+// TestChangeIsKnownAlthoughAllConnectionsWentSilent checks that all instances know a
+// change within the users' 2 s although the open connections of all of them to the store
+// had gone silent 3 s before it.
+func TestChangeIsKnownAlthoughAllConnectionsWentSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := peertest.NewNet(time.Millisecond)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var sources []*silencedSource
+		var exchanges []*Exchange
+		var states []*State
+		for i, id := range []string{"a", "b", "c"} {
+			source := &silencedSource{fakeSource: fakeSource{
+				changes: make(chan Update), snapshot: Update{Complete: true, Revision: 1, Changed: 1, Upstreams: upstreams("old")},
+			}}
+			options := oneInstance
+			options.IsWatcher = func() bool { return i == 0 }
+			state := NewState()
+			f := NewFollower(state, source, options)
+			e := NewExchange(f)
+			e.SetBus(net.Join(peer.Member{ID: id}))
+			go f.Run(ctx)
+			sources, exchanges, states = append(sources, source), append(exchanges, e), append(states, state)
+		}
+		time.Sleep(3 * time.Second)
+		for _, s := range sources {
+			s.set(Update{Complete: true, Revision: 2, Changed: 2, Upstreams: upstreams("new")}, nil)
+		}
+		for range 20 { // instances exchange messages all the time
+			time.Sleep(100 * time.Millisecond)
+			for _, e := range exchanges {
+				for j, other := range exchanges {
+					e.Receive([]string{"a", "b", "c"}[j], other.Seen())
+				}
+			}
+		}
+		for i, s := range states {
+			if _, known := s.View().Upstream("new"); !known {
+				t.Errorf("instance %d does not know the new upstream", i)
+			}
+			if _, known := s.View().Upstream("old"); known {
+				t.Errorf("instance %d still uses the upstream that left", i)
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -65,6 +65,10 @@
 	// connection that no longer delivers data is noticed sooner by keep-alive probes or
 	// by the revisions that other instances have seen.
 	longPollWait = 12 * time.Second
+	// watcherPollWait is how long a call of a watcher waits. Watchers notice within it
+	// that their connection delivers no data; the other instances learn of changes from
+	// them, also if their own connections are silent all at once.
+	watcherPollWait = time.Second
 	// longPollSlack is how much longer than requested an answer may take.
 	longPollSlack = time.Second
 	// readTimeout bounds the read of a snapshot.
@@ -98,6 +102,9 @@
 	Instances func() int
 	// ApplyTimeout is the time within which a change must be applied.
 	ApplyTimeout time.Duration
+	// IsWatcher reports whether this instance is one of the few that check often that the
+	// store's answers still arrive.
+	IsWatcher func() bool
 }
 
 // batchDelay returns how long to wait for further changes after a change.
@@ -150,11 +157,16 @@
 			err = errStale
 		}
 		now := time.Now()
+		if errors.Is(err, context.Canceled) {
+			// Interrupted to read the store again, which says nothing about an outage.
+			snapshot = true
+			continue
+		}
 		if err != nil {
 			if !f.storeLost {
 				pause = f.newBackoff()
 			}
-			snapshot = snapshot || errors.Is(err, ErrHistoryLost) || errors.Is(err, context.Canceled)
+			snapshot = snapshot || errors.Is(err, ErrHistoryLost)
 			f.recordFailure(ctx, err, now)
 			sleep.For(ctx, pause.NextBackOff())
 			continue
@@ -187,12 +199,16 @@
 		defer cancel()
 		return f.source.Read(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, longPollWait+longPollSlack)
+	wait := longPollWait
+	if f.options.IsWatcher() {
+		wait = watcherPollWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+longPollSlack)
 	defer cancel()
 	f.mu.Lock()
 	f.interrupt = cancel
 	f.mu.Unlock()
-	return f.source.Changes(ctx, f.complete.Load(), longPollWait)
+	return f.source.Changes(ctx, f.complete.Load(), wait)
 }
 
 // refresh cancels the current call for changes, so that a snapshot is read over another
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -79,7 +79,7 @@
 	n.quarantines = newQuarantines(o.Quarantines, n.planner)
 	n.links = &links{directory: o.Directory, self: self}
 	for _, source := range o.Sources {
-		options := deployment.FollowerOptions{Instances: n.links.instances, ApplyTimeout: s.ApplyTimeout}
+		options := deployment.FollowerOptions{Instances: n.links.instances, ApplyTimeout: s.ApplyTimeout, IsWatcher: n.links.isWatcher}
 		n.followers = append(n.followers, deployment.NewFollower(n.state, source, options))
 	}
 	n.links.exchange = deployment.NewExchange(n.followers...)
--- a/internal/hosted/links.go
+++ b/internal/hosted/links.go
@@ -114,6 +114,25 @@
 	return max(len(overlay.Members()), overlay.Listed())
 }
 
+// storeWatchers is the number of instances that check often that the store's answers
+// still arrive; with two, one can fail.
+const storeWatchers = 2
+
+// isWatcher reports whether this instance is one of the storeWatchers, or is not linked.
+func (l *links) isWatcher() bool {
+	overlay := l.overlay.Load()
+	if overlay == nil {
+		return true
+	}
+	ranked := peer.Ranked(overlay.Members(), "store watchers")
+	for _, m := range ranked[:min(len(ranked), storeWatchers)] {
+		if m.ID == l.self.ID {
+			return true
+		}
+	}
+	return false
+}
+
 // retryUntilDone retries a call to the store until it succeeds or ctx ends.
 // Only the first failure is logged as a warning.
 func retryUntilDone[T any](ctx context.Context, operation string, call func(context.Context) (T, error)) (T, error) {
