passthrough: a begun stream is held until its caller leaves

Cause: the time that callers are expected to wait was used as a deadline; a begun stream was also cut after four sends, refused ones included. Change: a begun stream ends with its caller, its deadline or its attempts that may have run; further sends come every 200 ms and cost retry budget. A request that crashes upstreams is still cut at once.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -184,9 +184,9 @@
 			pause, wait = deferRetryInterval, true
 		}
 		if rq.begun() && d.Reason != placement.Poisoned {
-			// The caller waits for the rest of its stream, which can only be cut. An upstream
+			// The stream can only be cut, so it is held until the caller leaves. An upstream
 			// that refused to go on with it may do so now.
-			wait = rq.remainingPatience() > pause
+			wait = true
 			job.Avoid = rq.mayHaveRun
 		}
 		if !wait || !sleep.For(ctx, pause) {
@@ -278,19 +278,23 @@
 	if mayHaveRun {
 		rq.lastMayHaveRun()
 	}
-	if ctx.Err() != nil || len(rq.mayHaveRun) >= rq.route.MaxAttempts || rq.sends >= maxSends {
+	if ctx.Err() != nil || len(rq.mayHaveRun) >= rq.route.MaxAttempts {
+		return false
+	}
+	if rq.sends >= maxSends && (!rq.begun() || !sleep.For(ctx, resumeInterval)) {
 		return false
 	}
 	for !h.budgets.spend(rq.service, time.Now()) {
-		if !rq.begun() || rq.remainingPatience() <= budgetRetryInterval || !sleep.For(ctx, budgetRetryInterval) {
+		if !rq.begun() || !sleep.For(ctx, resumeInterval) {
 			return false
 		}
 	}
 	return true
 }
 
-// budgetRetryInterval is the pause before retry budget is asked for again.
-const budgetRetryInterval = 100 * time.Millisecond
+// resumeInterval is the pause before retry budget is asked for again, and between further
+// sends of a stream that was refused maxSends times.
+const resumeInterval = 200 * time.Millisecond
 
 // lastMayHaveRun records that the last attempt may have run.
 func (rq *request) lastMayHaveRun() {
@@ -300,7 +304,8 @@
 // begun reports whether the caller has received a part of its answer.
 func (rq *request) begun() bool { return rq.record.status != 0 }
 
-// maxSends bounds the sends of one request, refused ones included.
+// maxSends bounds the sends of one request, refused ones included. Those of a stream that
+// has begun are bounded by the retry budget alone.
 const maxSends = 4
 
 // triedAll reports whether all upstreams of the service were tried.
--- a/internal/passthrough/attempt_test.go
+++ b/internal/passthrough/attempt_test.go
@@ -46,3 +46,27 @@
 		})
 	}
 }
+
+// TestBegunStreamIsHeldUntilItsCallerLeaves checks that a stream that has begun is not cut
+// while no upstream can go on with it, and that one that crashes upstreams is.
+func TestBegunStreamIsHeldUntilItsCallerLeaves(t *testing.T) {
+	for reason, held := range map[placement.Reason]bool{
+		placement.TooLate: true, placement.Full: true, placement.NoUpstream: true, placement.Suspected: true, placement.Poisoned: false,
+	} {
+		t.Run(reason.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := &Handler{opts: Options{Placer: &refusingPlacer{reason: reason}}}
+				rq := &request{arrived: time.Now(), deadline: time.Now().Add(10 * time.Second), route: &deployment.Route{Kind: deployment.Stream, FirstAnswer: 300 * time.Millisecond}}
+				rq.record.status = 200
+				const leavesAfter = 4 * time.Second
+				ctx, cancel := context.WithTimeout(t.Context(), leavesAfter)
+				defer cancel()
+				began := time.Now()
+				h.placeWithRetry(ctx, rq, placement.Job{Remaining: 10 * time.Second})
+				if got := time.Since(began) == leavesAfter; got != held {
+					t.Errorf("held for %s, want until the caller leaves: %v", time.Since(began), held)
+				}
+			})
+		})
+	}
+}
