soak: instances of a run never share a port

Cause: in the soak. Its log says 'listening for readiness: address already in use'; the settings of front-0 have the same port, 33649, freed between the choices. The check of readiness was answered by front-0, so the run began without front-1. Ruled out: the daemon; it ended before it served, as it should. Change: a port that an instance of the run has is not given to another.

--- a/tools/faults/soak.go
+++ b/tools/faults/soak.go
@@ -38,6 +38,8 @@
 	version int64
 	// affectedUntil is the time up to which a fault may have effects.
 	affectedUntil time.Time
+	// assigned holds the addresses of all instances.
+	assigned map[string]bool
 	// outcomes holds the outcome of each request by its ID.
 	outcomes map[string]*outcome
 }
@@ -81,7 +83,7 @@
 		return trace.Wrap(err)
 	}
 	defer store.Close()
-	s := &soakRun{options: o, dir: dir, report: newReport(o), store: store, version: 1, outcomes: map[string]*outcome{}}
+	s := &soakRun{options: o, dir: dir, report: newReport(o), store: store, version: 1, assigned: map[string]bool{}, outcomes: map[string]*outcome{}}
 	defer s.stopAll()
 	if err := s.start(); err != nil {
 		return err
@@ -174,20 +176,24 @@
 	}
 	go r.Run() //nolint:errcheck // ends with Close
 	p := &process{name: name, settingsFile: filepath.Join(s.dir, name+".yaml"), relay: r}
-	return p, p.assignPorts()
+	return p, s.assignPorts(p)
 }
 
-// assignPorts writes settings with ports that were free when it chose them; another
-// program may take one before the process starts.
-func (p *process) assignPorts() error {
+// assignPorts writes settings with ports that were free when it chose them and that no
+// other instance of the run has; another program may take one before the process starts.
+func (s *soakRun) assignPorts(p *process) error {
 	var addresses [4]string
-	for i := range addresses {
+	for i := 0; i < len(addresses); {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		addresses[i] = l.Addr().String()
 		defer l.Close()
+		if address := l.Addr().String(); !s.assigned[address] {
+			s.assigned[address] = true
+			addresses[i] = address
+			i++
+		}
 	}
 	_, port, err := net.SplitHostPort(addresses[3])
 	if err != nil {
@@ -265,7 +271,7 @@
 		for !p.isReady() {
 			if p.hasExited() {
 				// Another program may have taken a port meanwhile.
-				if err := p.assignPorts(); err != nil {
+				if err := s.assignPorts(p); err != nil {
 					return err
 				}
 				s.restart(p)
