passthrough: report the first event of a resumed stream

The home went on predicting that the engine of a resumption still reads its prompt, so it took the engine for busier than it was and learned nothing of its pace. Change: each attempt reports its first event. Evidence: TestFirstAnswerOfResumedStreamIsReported failed, placed [call-1 call-3], reported [call-1]; passes now.

--- /dev/null
+++ b/internal/passthrough/serve_test.go
@@ -0,0 +1,126 @@
+package passthrough
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/deployment"
+	"github.com/banyanroute/banyanroute/internal/placement"
+)
+
+// plainCodec treats each answer as the upstream's own.
+type plainCodec struct{}
+
+func (plainCodec) ReadCall(http.Header) CallerInfo                  { return CallerInfo{ID: "call"} }
+func (plainCodec) WriteCall(http.Header, http.Header, UpstreamCall) {}
+func (plainCodec) ReadReply(int, http.Header) UpstreamReply         { return UpstreamReply{Signed: true} }
+func (plainCodec) WriteReply(http.Header, http.Header)              {}
+func (plainCodec) WriteCallID(http.Header, string)                  {}
+
+// scriptedPlacer places jobs on upstreams in turn, each with the given helpers, and
+// records whose first answer is reported.
+type scriptedPlacer struct {
+	helpers []placement.Part
+
+	mu       sync.Mutex
+	placed   []string
+	answered []string
+}
+
+func (p *scriptedPlacer) Place(_ context.Context, j placement.Job) placement.Decision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.placed = append(p.placed, j.ID)
+	return placement.Decision{Upstream: fmt.Sprint("u", len(p.placed)-1), Helpers: p.helpers}
+}
+
+func (p *scriptedPlacer) FirstAnswer(_, id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answered = append(p.answered, id)
+}
+
+func (*scriptedPlacer) Ended(string, string, placement.Outcome) {}
+
+// countingReserver counts the reservations that are held.
+type countingReserver struct {
+	mu   sync.Mutex
+	held map[string]bool
+}
+
+func (r *countingReserver) Reserve(_ context.Context, _, name string, _ int, _ time.Duration) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held[name] = true
+	return nil
+}
+
+func (r *countingReserver) Release(_ context.Context, _, name string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.held, name)
+	return nil
+}
+
+// serve sends one request of the kind through a Handler whose upstreams u0 and u1 answer
+// as given.
+func serve(kind deployment.Kind, placer *scriptedPlacer, reserver Reserver, answers ...http.HandlerFunc) *httptest.ResponseRecorder {
+	state := deployment.NewState()
+	now := time.Now()
+	var ups []deployment.Upstream
+	for i, answer := range answers {
+		server := httptest.NewServer(answer)
+		defer server.Close()
+		ups = append(ups, deployment.Upstream{ID: fmt.Sprint("u", i), Service: "s", Address: strings.TrimPrefix(server.URL, "http://")})
+	}
+	state.SetConfiguration(&deployment.Configuration{
+		Version:  1,
+		Services: map[string]deployment.Service{"s": {Name: "s"}},
+		Routes: []deployment.Route{{
+			Host: "app.example", Prefix: "/", Kind: kind, Public: true, Targets: []deployment.Target{{Service: "s", Weight: 1}},
+			Timeout: 5 * time.Second, FirstAnswer: time.Second, MaxPause: time.Second, MaxAttempts: 2, Resumable: true,
+		}},
+	}, now)
+	state.ReplaceUpstreams(ups, deployment.Revision{Number: 1}, now)
+	h := New(Options{
+		State: state, Codec: plainCodec{}, Placer: placer, Reserver: reserver,
+		Retries:   RetryBudget{Ratio: 1, Extra: 100, Window: time.Second},
+		Instances: func() int { return 1 }, Draining: func() bool { return false },
+	})
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodPost, "/x", strings.NewReader("body"))
+	r.Host = "app.example"
+	h.ServeHTTP(w, r)
+	return w
+}
+
+// TestFirstAnswerOfResumedStreamIsReported checks that the placer learns of the first
+// event of each attempt of a stream.
+func TestFirstAnswerOfResumedStreamIsReported(t *testing.T) {
+	events := func(from, to int, cut bool) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			for i := from; i <= to; i++ {
+				_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
+				_ = http.NewResponseController(w).Flush()
+			}
+			if cut {
+				panic(http.ErrAbortHandler)
+			}
+		}
+	}
+	placer := &scriptedPlacer{}
+	w := serve(deployment.Stream, placer, nil, events(1, 2, true), events(3, 4, false))
+	if strings.Count(w.Body.String(), "id: ") != 4 {
+		t.Fatalf("got %q, want four events", w.Body.String())
+	}
+	if !slices.Equal(placer.answered, placer.placed) || len(placer.placed) < 2 {
+		t.Errorf("placed %v, first answers reported %v; want all", placer.placed, placer.answered)
+	}
+}
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -124,6 +124,7 @@
 		return h.notStream(ctx, rq, res, reply, s)
 	}
 	events := newEventReader(res.Body)
+	answered := false
 	pauseTimeout := max(minStallTimeout, pauseObjectiveFactor*rq.route.MaxPause)
 	for {
 		e, err := events.next()
@@ -136,7 +137,8 @@
 		wd.reset(pauseTimeout)
 		wd.first()
 		rq.record.event(time.Now())
-		if s.events == 0 || !s.begun {
+		if !answered {
+			answered = true
 			h.opts.Placer.FirstAnswer(rq.service, a.job)
 		}
 		if err := h.relay(rq, res, e, s); err != nil {
