passthrough: a buffered call releases its engine memory when it ends

Memory that nobody used was kept from other prompts. Change: the attempt's hold is released after the attempt. Evidence: TestHoldOfBufferedCallIsReleased failed, 1 reservation held 1 s after the end of the call; passes now.

--- a/internal/passthrough/buffered.go
+++ b/internal/passthrough/buffered.go
@@ -25,6 +25,7 @@
 			return h.placementFailure(ctx, rq, refused)
 		}
 		answer := h.attemptBuffered(ctx, rq, a)
+		a.release()
 		if answer.err == nil && !answer.retryable(rq) {
 			return h.deliver(rq, answer)
 		}
--- a/internal/passthrough/serve_test.go
+++ b/internal/passthrough/serve_test.go
@@ -124,3 +124,27 @@
 		t.Errorf("placed %v, first answers reported %v; want all", placer.placed, placer.answered)
 	}
 }
+
+// TestHoldOfBufferedCallIsReleased checks that the engine memory reserved for a call whose
+// answer is buffered is released when the call ends.
+func TestHoldOfBufferedCallIsReleased(t *testing.T) {
+	placer := &scriptedPlacer{helpers: []placement.Part{{Upstream: "u1", ReservedTokens: 1000}}}
+	reserver := &countingReserver{held: map[string]bool{}}
+	ok := func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("answer")) }
+	if w := serve(deployment.Idempotent, placer, reserver, ok, ok); w.Code != http.StatusOK {
+		t.Fatalf("status %d", w.Code)
+	}
+	deadline := time.Now().Add(time.Second)
+	for {
+		reserver.mu.Lock()
+		held := len(reserver.held)
+		reserver.mu.Unlock()
+		if held == 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d reservations are held 1 s after the end of the call", held)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
