--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -113,14 +113,14 @@
 	return member.NewWebSocketDialer(&tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}), nil
 }
 
-// certLoader serves a TLS certificate and reloads it when its key file changes.
+// certLoader serves a TLS certificate and reloads it when one of its files changes.
 type certLoader struct {
 	cert, key string
 	mu        sync.Mutex
 	loaded    *tls.Certificate
-	// modified is the modification time of the loaded key file; checked is the
-	// time of the last check for a new one.
-	modified time.Time
+	// modified holds the modification times of the loaded certificate and key files;
+	// checked is the time of the last check for new ones.
+	modified [2]time.Time
 	checked  time.Time
 }
 
@@ -143,8 +143,8 @@
 		return l.loaded, nil
 	}
 	l.checked = now
-	info, err := os.Stat(l.key)
-	if err == nil && l.loaded != nil && info.ModTime().Equal(l.modified) {
+	modified, err := l.modificationTimes()
+	if err == nil && l.loaded != nil && modified == l.modified {
 		return l.loaded, nil
 	}
 	pair, loadErr := tls.LoadX509KeyPair(l.cert, l.key)
@@ -155,6 +155,18 @@
 		}
 		return nil, errors.Join(err, loadErr)
 	}
-	l.loaded, l.modified = &pair, info.ModTime()
+	l.loaded, l.modified = &pair, modified
 	return l.loaded, nil
 }
+
+// modificationTimes returns the modification times of the certificate and key files.
+func (l *certLoader) modificationTimes() (modified [2]time.Time, err error) {
+	for i, file := range []string{l.cert, l.key} {
+		info, err := os.Stat(file)
+		if err != nil {
+			return modified, err
+		}
+		modified[i] = info.ModTime()
+	}
+	return modified, nil
+}
