member: a call that arrives as the overlay stops keeps no slot

Change: receiveCall releases it itself then. Evidence: TestCallDuringShutdownKeepsNoSlot failed (1 slot and 1 active call kept); passes now.

--- a/internal/member/calls.go
+++ b/internal/member/calls.go
@@ -111,14 +111,20 @@
 		return
 	}
 	l.activeCalls.Add(1)
-	o.spawn(func(ctx context.Context) {
-		defer l.activeCalls.Add(-1)
-		defer func() { <-o.callSlots }()
+	done := func() {
+		l.activeCalls.Add(-1)
+		<-o.callSlots
+	}
+	started := o.spawn(func(ctx context.Context) {
+		defer done()
 		ctx, cancel := context.WithTimeout(ctx, request.timeout())
 		defer cancel()
 		payload, err := h(ctx, l.peer.ID, request.Payload)
 		o.sendAnswer(l, request.ID, payload, err)
 	})
+	if !started { // the overlay has stopped
+		done()
+	}
 }
 
 func (r callRequest) timeout() time.Duration {
--- a/internal/member/overlay_test.go
+++ b/internal/member/overlay_test.go
@@ -397,3 +397,18 @@
 		}
 	})
 }
+
+// TestCallDuringShutdownKeepsNoSlot checks that a call that arrives while the overlay does
+// not run takes no slot for calls.
+func TestCallDuringShutdownKeepsNoSlot(t *testing.T) {
+	o, err := New(Options{Self: peer.Member{ID: "a", Incarnation: 1, Address: "x", DataCentre: "a"}, Secret: []byte("s")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.HandleCall("t", func(context.Context, string, []byte) ([]byte, error) { return nil, nil })
+	l := newLink(noConn{}, linkOverlay, true, peer.Member{ID: "b", Incarnation: 1})
+	o.receiveCall(l, callRequest{ID: 1, Topic: "t"})
+	if n, active := len(o.callSlots), l.activeCalls.Load(); n != 0 || active != 0 {
+		t.Errorf("%d slots and %d active calls are kept", n, active)
+	}
+}
