--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -338,3 +338,20 @@
 		wantCode(t, l, booking(id.String()), result.OutcomeUnknown, result.MayHaveRun)
 	})
 }
+
+// TestSweepEndsWithItsContext checks that a sweep does not hold up a planned stop.
+func TestSweepEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New()
+		l := New(store, store, Options{Instance: "a"})
+		running := newLedger(t, store, "b")
+		mustClaim(t, running, booking("k"))
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(sweepPageInterval/10, cancel)
+		began := time.Now()
+		l.Sweep(ctx)
+		if took := time.Since(began); took >= sweepPageInterval {
+			t.Errorf("the sweep ended %s after its start, want it to end with its context", took)
+		}
+	})
+}
--- a/internal/ledger/sweep.go
+++ b/internal/ledger/sweep.go
@@ -6,6 +6,7 @@
 
 	"github.com/banyanroute/banyanroute/internal/chart"
 	"github.com/banyanroute/banyanroute/internal/platform"
+	"github.com/banyanroute/banyanroute/internal/sleep"
 )
 
 // Bounds of a sweep: at most 2,560 rows per second.
@@ -47,7 +48,7 @@
 		}
 		l.sweepAfter = rows[len(rows)-1].Key
 		l.sweepRows(ctx, rows)
-		time.Sleep(sweepPageInterval)
+		sleep.For(ctx, sweepPageInterval)
 	}
 }
 
