--- a/internal/admit/types.go
+++ b/internal/admit/types.go
@@ -59,10 +59,6 @@
 	DataCentre string
 	// Avoid lists upstreams that were tried already.
 	Avoid []string
-	// Suspect reports whether the caller of Acquire lost the upstream of an
-	// earlier attempt. Whether the request is a suspect depends only on the
-	// losses that the scheduler itself recorded.
-	Suspect bool
 	// Attempt counts from 1.
 	Attempt int
 	// NonIdempotent requests must run at most once.
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -173,9 +173,6 @@
 	}
 }
 
-// HasPending reports whether the upstream has pending losses.
-func (t *Table) HasPending(upstreamID string) bool { return t.pending[upstreamID] != nil }
-
 // Completed clears a fingerprint whose request completed, pending losses included. It
 // returns the notice for the other instances, and false if the fingerprint was no
 // suspect.
