placement: the end of a job doesn't change the load of a later incarnation

Loads are kept by ID; the end of a job of an earlier incarnation was taken off the later one, which then seemed to have less work than it had. Change: only the incarnation on which a job was placed loses it. Evidence: TestEndOfEarlierIncarnationsJobLeavesLoad failed (0 jobs, want 1); passes now.

--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -101,7 +101,7 @@
 		if m == nil {
 			continue
 		}
-		if i == 0 {
+		if i == 0 && m == p.current(pj.upstream) {
 			m.jobs = max(m.jobs-1, 0)
 			if pj.decision.Suspect {
 				m.suspects = max(m.suspects-1, 0)
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -148,7 +148,7 @@
 	pl.order = pl.order[:0]
 	for _, up := range upstreams {
 		m := pl.members[up.ID]
-		if m == nil || incarnationOf(m.upstream) != incarnationOf(up) {
+		if m == nil || !sameIncarnation(m.upstream, up) {
 			if m != nil {
 				restarted = append(restarted, m.upstream)
 			}
@@ -217,6 +217,7 @@
 	return d
 }
 
+// countPlacement counts a decision in the metrics.
 func countPlacement(service string, d Decision) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`banyanroute_placements_total{service=%q,result=%q}`, service, d.Reason)).Inc()
 }
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -39,12 +39,17 @@
 		return nil
 	}
 	m := pl.members[up.ID]
-	if m == nil || incarnationOf(m.upstream) != incarnationOf(up) {
+	if m == nil || !sameIncarnation(m.upstream, up) {
 		return nil
 	}
 	return m
 }
 
+// sameIncarnation reports whether two entries are of the same start of an upstream.
+func sameIncarnation(a, b deployment.Upstream) bool {
+	return a.ID == b.ID && a.Born == b.Born && a.Address == b.Address
+}
+
 // isReplaced reports whether a later incarnation of the upstream is listed.
 func (p *Planner) isReplaced(up deployment.Upstream) bool {
 	pl := p.pools[up.Service]
@@ -71,8 +76,10 @@
 	}
 	for _, pl := range p.pools {
 		for _, m := range pl.order {
-			_, listed := p.unexplained[incarnationOf(m.upstream)]
-			if !listed && m.health.down && m.health.usable(now.Add(firstPause)) {
+			if !m.health.down || !m.health.usable(now.Add(firstPause)) {
+				continue
+			}
+			if _, listed := p.unexplained[incarnationOf(m.upstream)]; !listed {
 				list = append(list, m.upstream)
 			}
 		}
@@ -141,7 +148,7 @@
 // now on did not crash it.
 func (p *Planner) markLeaving(up deployment.Upstream) {
 	for _, pj := range p.jobs {
-		if incarnationOf(pj.upstream) == incarnationOf(up) {
+		if sameIncarnation(pj.upstream, up) {
 			pj.leaving = true
 		}
 	}
--- a/internal/placement/suspects_test.go
+++ b/internal/placement/suspects_test.go
@@ -418,3 +418,17 @@
 		t.Errorf("after the cut: refused for reason %s", d.Reason)
 	}
 }
+
+// TestEndOfEarlierIncarnationsJobLeavesLoad checks that the end of a job that was placed
+// on an earlier incarnation of an upstream does not change the load of the later one.
+func TestEndOfEarlierIncarnationsJobLeavesLoad(t *testing.T) {
+	f := newFixture(1)
+	now := time.Now()
+	d := f.planner.Place(shortJob("before"), now)
+	f.change(d.Upstream, func(up *deployment.Upstream) { up.Born++ })
+	f.planner.Place(shortJob("after"), now)
+	f.planner.Ended("before", Lost, now)
+	if got := f.planner.pools["llm"].members[d.Upstream].jobs; got != 1 {
+		t.Errorf("%d jobs on the later incarnation, want 1", got)
+	}
+}
