poison: suspects one crash short of the quarantine are stored, too

Traced from the logs of the three instances: one that planned alone, not linked yet, saw two crashes and couldn't say that the second was apart; within 3 s all three had started anew (two planned stops, a kill), and the request began at zero. By the users' terms none of the late sends was by an instance in touch; the weakness is real all the same. Cause: only quarantines were stored. Change: a request with two crashes has a record, whether or not it is quarantined yet, so the next crash anywhere is the last. Table.Record, was Quarantine. Evidence: TestSuspectsOneCrashShortAreStored failed with records of quarantines only (4 crashes, want 3); passes now.

--- a/internal/hosted/quarantine.go
+++ b/internal/hosted/quarantine.go
@@ -10,13 +10,13 @@
 	"github.com/banyanroute/banyanroute/internal/poison"
 )
 
-// QuarantineStore keeps the quarantined requests in the platform's store, so that
-// instances know them that all start anew.
+// QuarantineStore keeps the records of quarantined requests, and of those that will be with
+// their next crash, in the platform's store: all instances may start anew at once.
 type QuarantineStore interface {
 	// Quarantines returns all records, expired ones included.
-	Quarantines(ctx context.Context) ([]poison.Quarantine, error)
+	Quarantines(ctx context.Context) ([]poison.Record, error)
 	// SaveQuarantine adds or replaces a record.
-	SaveQuarantine(ctx context.Context, q poison.Quarantine) error
+	SaveQuarantine(ctx context.Context, q poison.Record) error
 	// RemoveQuarantines removes records; those that do not exist are ignored.
 	RemoveQuarantines(ctx context.Context, fingerprints ...uint64) error
 }
@@ -56,7 +56,7 @@
 		return err
 	}
 	now := time.Now()
-	var current []poison.Quarantine
+	var current []poison.Record
 	var expired []uint64
 	for _, one := range list {
 		if one.Expired(now) {
@@ -82,7 +82,7 @@
 				if c.Released {
 					return q.store.RemoveQuarantines(ctx, c.Fingerprint)
 				}
-				return q.store.SaveQuarantine(ctx, c.Quarantine)
+				return q.store.SaveQuarantine(ctx, c.Record)
 			})
 		}
 	}
@@ -101,7 +101,7 @@
 	}
 	for _, known := range q.planner.Quarantines(time.Now()) {
 		if !stored[known.Fingerprint] {
-			q.enqueue(placement.QuarantineChange{Quarantine: known})
+			q.enqueue(placement.QuarantineChange{Record: known})
 		}
 	}
 	return nil
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -117,9 +117,9 @@
 	switch {
 	case pj.job.Fingerprint == 0:
 	case o == Completed:
-		q, quarantined := p.poison.Quarantine(pj.job.Fingerprint)
+		q, quarantined := p.poison.Record(pj.job.Fingerprint)
 		if quarantined && p.onQuarantine != nil {
-			p.onQuarantine(QuarantineChange{Quarantine: q, Released: true})
+			p.onQuarantine(QuarantineChange{Record: q, Released: true})
 		}
 		if notice, suspected := p.poison.Completed(pj.job.Fingerprint); suspected {
 			log.WithField("request", pj.job.ID).WithField("fingerprint", pj.job.Fingerprint).Info("request completed and is no suspect any more")
@@ -164,14 +164,14 @@
 		metrics.GetOrCreateCounter(`banyanroute_poison_crashes_total`).Inc()
 		lossLog(up).WithField("fingerprint", notice.Fingerprint).WithField("crashes", len(notice.Crashes)).
 			Warn("upstream crashed with a request in flight that may be the cause")
-		p.storeQuarantine(notice.Fingerprint)
+		p.storeQuarantine(notice.Fingerprint, now)
 	}
 }
 
-// QuarantineChange is a change of a quarantine.
+// QuarantineChange is a change of the record of a request.
 type QuarantineChange struct {
-	poison.Quarantine
-	// Released reports whether the quarantine has ended, because the request completed.
+	poison.Record
+	// Released reports whether the request completed, so that the record is void.
 	Released bool
 }
 
@@ -182,15 +182,15 @@
 	p.onQuarantine = f
 }
 
-// Quarantines returns all known quarantines, except those that have expired.
-func (p *Planner) Quarantines(now time.Time) []poison.Quarantine {
+// Quarantines returns all records, except those that have expired.
+func (p *Planner) Quarantines(now time.Time) []poison.Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.DeleteFunc(p.poison.Quarantines(), func(q poison.Quarantine) bool { return q.Expired(now) })
+	return slices.DeleteFunc(p.poison.Records(), func(q poison.Record) bool { return q.Expired(now) })
 }
 
-// RestoreQuarantines adds quarantines that were stored before.
-func (p *Planner) RestoreQuarantines(list []poison.Quarantine, now time.Time) {
+// RestoreQuarantines adds records that were stored before.
+func (p *Planner) RestoreQuarantines(list []poison.Record, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, q := range list {
@@ -198,16 +198,18 @@
 	}
 }
 
-// storeQuarantine has the quarantine of a request stored, if there is one.
-func (p *Planner) storeQuarantine(fingerprint uint64) {
-	q, quarantined := p.poison.Quarantine(fingerprint)
-	if !quarantined {
+// storeQuarantine has the record of a request stored, if there is one.
+func (p *Planner) storeQuarantine(fingerprint uint64, now time.Time) {
+	q, recorded := p.poison.Record(fingerprint)
+	if !recorded {
 		return
 	}
-	log.WithField("fingerprint", fingerprint).WithField("crashes", len(q.Crashes)).
-		Warn("request quarantined: it is refused everywhere")
+	if verdict, _ := p.poison.Verdict(fingerprint, now); verdict == poison.Quarantined {
+		log.WithField("fingerprint", fingerprint).WithField("crashes", len(q.Crashes)).
+			Warn("request quarantined: it is refused everywhere")
+	}
 	if p.onQuarantine != nil {
-		p.onQuarantine(QuarantineChange{Quarantine: q})
+		p.onQuarantine(QuarantineChange{Record: q})
 	}
 }
 
@@ -230,7 +232,7 @@
 	defer p.mu.Unlock()
 	for _, n := range notices {
 		if p.poison.Observe(n, now) {
-			p.storeQuarantine(n.Fingerprint)
+			p.storeQuarantine(n.Fingerprint, now)
 		}
 		log.WithField("instance", from).WithField("fingerprint", n.Fingerprint).WithField("crashes", len(n.Crashes)).
 			WithField("cleared", n.Cleared).Debug("notice of another instance about a suspect applied")
--- a/internal/placement/suspects_test.go
+++ b/internal/placement/suspects_test.go
@@ -432,3 +432,36 @@
 		t.Errorf("%d jobs on the later incarnation, want 1", got)
 	}
 }
+
+// TestSuspectsOneCrashShortAreStored checks that a request with two crashes that does not
+// count as their cause yet is refused after the next one by an instance that started since.
+func TestSuspectsOneCrashShortAreStored(t *testing.T) {
+	stored := map[uint64]poison.Record{}
+	now := time.Now()
+	crashes := 0
+	for life := range 2 {
+		f := newFixture(8)
+		for id := range f.upstreams {
+			f.change(id, func(up *deployment.Upstream) { up.Born = int64(100 * (life + 1)) })
+		}
+		f.planner.OnQuarantine(func(c QuarantineChange) { stored[c.Fingerprint] = c.Record })
+		for _, r := range stored {
+			f.planner.RestoreQuarantines([]poison.Record{r}, now)
+		}
+		for i := range 2 {
+			// An instance that plans alone cannot tell whether a suspect runs apart.
+			d := f.planner.PlaceAlone(crashingJob(10*life+i), now)
+			if d.Reason == Poisoned {
+				break
+			}
+			crashes++
+			f.planner.Ended(crashingJob(10*life+i).ID, Lost, now)
+			f.planner.Probed(f.upstreams[d.Upstream], deployment.Ended, now, now)
+			f.change(d.Upstream, func(up *deployment.Upstream) { up.Born++ })
+			now = now.Add(10 * time.Second)
+		}
+	}
+	if crashes != 3 {
+		t.Errorf("the request crashed %d upstreams, want 3", crashes)
+	}
+}
--- a/internal/poison/quarantine.go
+++ b/internal/poison/quarantine.go
@@ -5,32 +5,35 @@
 	"time"
 )
 
-// Quarantine is the record of a quarantined fingerprint, as kept beyond the life of an
-// instance.
-type Quarantine struct {
+// Record is what is kept of a fingerprint beyond the life of an instance, if it is
+// quarantined or will be with its next crash.
+type Record struct {
 	Fingerprint uint64
 	Crashes     []Crash
 	// Since is the time of the last crash.
 	Since time.Time
 }
 
-// Expired reports whether the quarantine has ended.
-func (q Quarantine) Expired(now time.Time) bool { return now.Sub(q.Since) > quarantineTime }
+// Expired reports whether the record no longer applies.
+func (q Record) Expired(now time.Time) bool { return now.Sub(q.Since) > quarantineTime }
 
-// Quarantine returns the record of a fingerprint, and false if it is not quarantined.
-func (t *Table) Quarantine(fingerprint uint64) (Quarantine, bool) {
+// Record returns the record of a fingerprint, and false if it has too few crashes.
+func (t *Table) Record(fingerprint uint64) (Record, bool) {
 	s, known := t.suspects.Peek(fingerprint)
-	if !known || !s.quarantined() {
-		return Quarantine{}, false
+	if !known || !s.recorded() {
+		return Record{}, false
 	}
-	return Quarantine{Fingerprint: fingerprint, Crashes: slices.Clone(s.crashes), Since: s.lastCrash}, true
+	return Record{Fingerprint: fingerprint, Crashes: slices.Clone(s.crashes), Since: s.lastCrash}, true
 }
 
-// Quarantines returns the records of all quarantined fingerprints.
-func (t *Table) Quarantines() []Quarantine {
-	var list []Quarantine
+// recorded reports whether the suspect is quarantined or will be with its next crash.
+func (s *suspect) recorded() bool { return len(s.crashes) >= maxCrashes-1 }
+
+// Records returns the records of all fingerprints that have one.
+func (t *Table) Records() []Record {
+	var list []Record
 	for _, fingerprint := range t.suspects.Keys() {
-		if q, quarantined := t.Quarantine(fingerprint); quarantined {
+		if q, recorded := t.Record(fingerprint); recorded {
 			list = append(list, q)
 		}
 	}
@@ -39,7 +42,7 @@
 
 // Restore adds a record that an instance has kept. A time in the future, by the clock of
 // that instance, counts as now.
-func (t *Table) Restore(q Quarantine, now time.Time) {
+func (t *Table) Restore(q Record, now time.Time) {
 	since := q.Since
 	if since.After(now) {
 		since = now
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -206,14 +206,14 @@
 }
 
 // Observe applies the notice of another instance. A notice that clears a
-// fingerprint does not end a quarantine. Observe reports whether the notice has
-// quarantined a fingerprint of which this table confirmed a crash; the table of the
-// sender may then not know that it is quarantined.
-func (t *Table) Observe(n Notice, now time.Time) (quarantined bool) {
+// fingerprint does not end a quarantine. Observe reports whether the notice gave a record
+// to a fingerprint of which this table confirmed a crash, or quarantined it; the table of
+// the sender may then not know it.
+func (t *Table) Observe(n Notice, now time.Time) (recorded bool) {
 	s, known := t.suspects.Peek(n.Fingerprint)
-	before := known && s.quarantined()
+	had, was := known && s.recorded(), known && s.quarantined()
 	if n.Cleared {
-		if known && !before {
+		if known && !was {
 			t.suspects.Remove(n.Fingerprint)
 		}
 		return false
@@ -221,7 +221,7 @@
 	for _, c := range n.Crashes {
 		s = t.addCrash(n.Fingerprint, c, now)
 	}
-	return s != nil && s.own && !before && s.quarantined()
+	return s != nil && s.own && (!had && s.recorded() || !was && s.quarantined())
 }
 
 // Size returns the numbers of suspects and of upstreams with pending losses.
