--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -174,7 +174,7 @@
 // probeLost probes lost upstreams until ctx ends.
 func (n *Instance) probeLost(ctx context.Context) error {
 	return sleep.Every(ctx, probeInterval, func() {
-		for _, up := range n.planner.Suspects(time.Now()) {
+		for _, up := range n.planner.DueForProbe(time.Now()) {
 			go n.probeOne(ctx, up)
 		}
 	})
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -192,8 +192,8 @@
 			t.Errorf("job %d went to the lost upstream", i)
 		}
 	}
-	if s := p.Suspects(now); len(s) != 1 || s[0].ID != d.Upstream {
-		t.Fatalf("the suspects are %v, want only the lost upstream", s)
+	if s := p.DueForProbe(now); len(s) != 1 || s[0].ID != d.Upstream {
+		t.Fatalf("due for a probe are %v, want only the lost upstream", s)
 	}
 	p.Probed(p.pools["llm"].members[d.Upstream].upstream, deployment.Healthy, now, now)
 	if p.pools["llm"].members[d.Upstream].health.down {
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -60,9 +60,9 @@
 	return m != nil && m.upstream.Born >= up.Born
 }
 
-// Suspects returns the upstreams that are due for a probe: those that are down and
+// DueForProbe returns the upstreams that are due for a probe: those that are down and
 // whose pause ends soon, and those on which a loss is unexplained.
-func (p *Planner) Suspects(now time.Time) []deployment.Upstream {
+func (p *Planner) DueForProbe(now time.Time) []deployment.Upstream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var list []deployment.Upstream
@@ -87,7 +87,7 @@
 	return list
 }
 
-// Probed records the result of a probe of a suspect that began at the given time.
+// Probed records the result of a probe that began at the given time.
 func (p *Planner) Probed(up deployment.Upstream, result deployment.ProbeResult, began, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/placement/suspects_test.go
+++ b/internal/placement/suspects_test.go
@@ -119,7 +119,7 @@
 						f.planner.Ended(fmt.Sprint("bad", i), Lost, now)
 					}
 					now = now.Add(time.Second)
-					for _, probed := range f.planner.Suspects(now) {
+					for _, probed := range f.planner.DueForProbe(now) {
 						result := deployment.Healthy
 						if probed.ID == up.ID {
 							result = deployment.Ended
@@ -150,7 +150,7 @@
 		lost = append(lost, d.Upstream)
 		f.planner.Ended(j.ID, Lost, now)
 		now = now.Add(time.Second)
-		for _, up := range f.planner.Suspects(now) {
+		for _, up := range f.planner.DueForProbe(now) {
 			f.planner.Probed(up, deployment.Alive, now, now)
 		}
 		now = now.Add(10 * time.Second)
@@ -158,7 +158,7 @@
 }
 
 // crashEngines has node n lose the crashing request on engines until it is refused. All
-// nodes probe the upstreams that they suspect, which are down.
+// nodes probe the upstreams that are due for it, which are down.
 func crashEngines(t *testing.T, nodes []*node, n *node) {
 	t.Helper()
 	var crashed []string
@@ -176,7 +176,7 @@
 		n.fleet.Ended("llm", j.ID, Lost)
 		time.Sleep(time.Second)
 		for _, other := range nodes {
-			for _, up := range other.planner.Suspects(time.Now()) {
+			for _, up := range other.planner.DueForProbe(time.Now()) {
 				other.planner.Probed(up, deployment.Ended, time.Now(), time.Now())
 			}
 		}
@@ -225,7 +225,7 @@
 			nodes[0].fleet.Ended("llm", j.ID, outcome)
 			time.Sleep(time.Second)
 			for _, n := range nodes {
-				for _, up := range n.planner.Suspects(time.Now()) {
+				for _, up := range n.planner.DueForProbe(time.Now()) {
 					n.planner.Probed(up, deployment.Ended, time.Now(), time.Now())
 				}
 			}
@@ -327,7 +327,7 @@
 		t.Errorf("while the losses are unexplained: reason %s with retry after %s, want suspected and a time", d.Reason, d.RetryAfter)
 	}
 	now = now.Add(time.Second)
-	for _, up := range f.planner.Suspects(now) {
+	for _, up := range f.planner.DueForProbe(now) {
 		f.planner.Probed(up, deployment.Healthy, now, now)
 	}
 	if d := f.planner.Place(crashingJob(3), now); d.Upstream == "" {
@@ -380,7 +380,7 @@
 				f.planner.Ended(crashingJob(i).ID, Stalled, now)
 				now = now.Add(4 * time.Second)
 				ends(f, d.Upstream)
-				for _, up := range f.planner.Suspects(now) {
+				for _, up := range f.planner.DueForProbe(now) {
 					f.planner.Probed(up, deployment.Unreachable, now, now)
 				}
 				now = now.Add(4 * time.Second)
@@ -405,13 +405,13 @@
 		}
 		for range 4 {
 			now = now.Add(500 * time.Millisecond)
-			for _, up := range f.planner.Suspects(now) {
+			for _, up := range f.planner.DueForProbe(now) {
 				f.planner.Probed(up, deployment.Unreachable, now, now)
 			}
 		}
 	}
 	now = now.Add(time.Second)
-	for _, up := range f.planner.Suspects(now) {
+	for _, up := range f.planner.DueForProbe(now) {
 		f.planner.Probed(up, deployment.Healthy, now, now)
 	}
 	if d := f.planner.Place(crashingJob(10), now); d.Upstream == "" {
