deployment, placement, poison: one comparison of incarnations, one bound of pending losses

Read once more: the follower and the planner each compared the incarnations of two entries; the planner's time for probes repeated the table's time for pending losses, and the two had to agree; replacing a list looked for the missing entries three times. Change: Upstream.SameIncarnation and poison.PendingTimeout serve both; replace looks once. No change of behaviour.

--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -334,11 +334,16 @@
 func (f *Follower) replace(u Update, now time.Time) {
 	f.cancelRemovals(u.Upstreams)
 	list := u.Upstreams
+	missing := f.missing(list)
+	ids := make([]string, len(missing))
+	for i, up := range missing {
+		ids[i] = up.ID
+	}
 	if now.Before(f.deferRemovalsUntil) {
-		f.deferRemovals(f.unlisted(list))
-		list = append(list, f.missing(list)...)
+		f.deferRemovals(ids)
+		list, ids = append(list, missing...), nil
 	}
-	f.forget(nil, f.unlisted(list), now)
+	f.forget(nil, ids, now)
 	f.logUpstreams(u.Upstreams, nil, u.Revision)
 	f.state.ReplaceUpstreams(list, u.Revision, now)
 }
@@ -346,7 +351,7 @@
 func (f *Follower) logUpstreams(changed []Upstream, removed []string, revision Revision) {
 	view := f.state.View()
 	for _, up := range changed {
-		if old, known := view.Upstream(up.ID); known && old.Leaving == up.Leaving && old.Address == up.Address && old.Born == up.Born {
+		if old, known := view.Upstream(up.ID); known && old.Leaving == up.Leaving && old.SameIncarnation(up) {
 			continue
 		}
 		log.WithField("upstream", up.ID).WithField("service", up.Service).WithField("address", up.Address).
@@ -372,15 +377,6 @@
 	return out
 }
 
-// unlisted returns the IDs of the known upstreams that are not in list.
-func (f *Follower) unlisted(list []Upstream) []string {
-	var ids []string
-	for _, up := range f.missing(list) {
-		ids = append(ids, up.ID)
-	}
-	return ids
-}
-
 // cancelRemovals cancels the pending removals of upstreams that are listed again.
 func (f *Follower) cancelRemovals(list []Upstream) {
 	f.mu.Lock()
--- a/internal/deployment/types.go
+++ b/internal/deployment/types.go
@@ -120,6 +120,11 @@
 	Born int64
 }
 
+// SameIncarnation reports whether two entries are of the same start of an upstream.
+func (u Upstream) SameIncarnation(other Upstream) bool {
+	return u.ID == other.ID && u.Born == other.Born && u.Address == other.Address
+}
+
 // ProbeResult is what a probe shows of one incarnation of an upstream.
 type ProbeResult uint8
 
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -148,7 +148,7 @@
 	pl.order = pl.order[:0]
 	for _, up := range upstreams {
 		m := pl.members[up.ID]
-		if m == nil || !sameIncarnation(m.upstream, up) {
+		if m == nil || !m.upstream.SameIncarnation(up) {
 			if m != nil {
 				restarted = append(restarted, m.upstream)
 			}
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -19,10 +19,6 @@
 	at       time.Time
 }
 
-// maxUnexplainedTime is how long an upstream is probed after a loss: some seconds longer
-// than one that crashed silently takes to restart or to leave the list.
-const maxUnexplainedTime = 15 * time.Second
-
 // minRestartTime is the minimum time that an upstream needs to restart; one that
 // answers a probe sooner after a loss did not crash.
 const minRestartTime = 500 * time.Millisecond
@@ -39,17 +35,12 @@
 		return nil
 	}
 	m := pl.members[up.ID]
-	if m == nil || !sameIncarnation(m.upstream, up) {
+	if m == nil || !m.upstream.SameIncarnation(up) {
 		return nil
 	}
 	return m
 }
 
-// sameIncarnation reports whether two entries are of the same start of an upstream.
-func sameIncarnation(a, b deployment.Upstream) bool {
-	return a.ID == b.ID && a.Born == b.Born && a.Address == b.Address
-}
-
 // isReplaced reports whether a later incarnation of the upstream is listed.
 func (p *Planner) isReplaced(up deployment.Upstream) bool {
 	pl := p.pools[up.Service]
@@ -67,7 +58,7 @@
 	defer p.mu.Unlock()
 	var list []deployment.Upstream
 	for incarnation, l := range p.unexplained {
-		if now.Sub(l.at) > maxUnexplainedTime {
+		if now.Sub(l.at) > poison.PendingTimeout {
 			delete(p.unexplained, incarnation)
 			lossLog(l.upstream).Info("lost attempts unexplained; it is not known whether the upstream crashed")
 			continue
@@ -148,7 +139,7 @@
 // now on did not crash it.
 func (p *Planner) markLeaving(up deployment.Upstream) {
 	for _, pj := range p.jobs {
-		if sameIncarnation(pj.upstream, up) {
+		if pj.upstream.SameIncarnation(up) {
 			pj.leaving = true
 		}
 	}
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -32,9 +32,10 @@
 	// quarantineTime is how long after its last crash a quarantined fingerprint
 	// is refused.
 	quarantineTime = 10 * time.Minute
-	// pendingTimeout is how long a loss stays pending, that is, neither confirmed
-	// as a crash nor dismissed as a broken connection.
-	pendingTimeout = 15 * time.Second
+	// PendingTimeout is how long a loss stays pending, that is, neither confirmed as a
+	// crash nor dismissed as a broken connection: some seconds longer than an upstream
+	// that crashed silently takes to restart or to leave the list.
+	PendingTimeout = 15 * time.Second
 	// maxSuspects bounds the suspects; the least recently used are evicted.
 	maxSuspects = 8192
 	// maxPendingUpstreams bounds the upstreams with pending losses, and
@@ -271,7 +272,7 @@
 		return n
 	}
 	for _, p := range t.pending {
-		if now.Sub(p.lastAt) <= pendingTimeout && p.has(fingerprint) {
+		if now.Sub(p.lastAt) <= PendingTimeout && p.has(fingerprint) {
 			n++
 		}
 	}
@@ -314,10 +315,10 @@
 	}
 }
 
-// expire drops the losses that were pending for longer than pendingTimeout.
+// expire drops the losses that were pending for longer than PendingTimeout.
 func (t *Table) expire(now time.Time) {
 	for id, p := range t.pending {
-		if now.Sub(p.lastAt) > pendingTimeout {
+		if now.Sub(p.lastAt) > PendingTimeout {
 			t.dropPending(id)
 		}
 	}
