passthrough, placement: the logs name the prompt parts of requests and of lost attempts

Cause: the lines about requests, losses and crashes name a hash of the whole request only, so the logs of the incident can't show whether the requests that crashed engines share a part of their prompts, nor which sound requests share it. Ruled out: logging the caller's header as it is; instances exchange keys, and one form must join all lines. No decision uses them yet.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -63,6 +63,7 @@
 		Lifetime:    time.Until(rq.deadline),
 		Avoid:       rq.tried,
 		Fingerprint: rq.fingerprint,
+		Parts:       rq.parts,
 	}
 }
 
@@ -78,6 +79,24 @@
 	return d.Sum64()
 }
 
+// maxParts bounds the prompt parts of a request that are tracked; messages between
+// instances carry all of them.
+const maxParts = 64
+
+// sharedParts returns the keys of the prompt's parts that other requests may share: all
+// but the last, which is the request's own.
+func sharedParts(service string, ids []string) []uint64 {
+	if len(ids) < 2 {
+		return nil
+	}
+	ids = ids[:min(len(ids)-1, maxParts)]
+	keys := make([]uint64, len(ids))
+	for i, id := range ids {
+		keys[i] = xxhash.Sum64String(service + "\x00" + id)
+	}
+	return keys
+}
+
 // place requests an upstream from the placer and prepares the attempt. An error means
 // that nothing was sent.
 func (h *Handler) place(ctx context.Context, rq *request, lastEvent string) (*attempt, *result.Error) {
--- a/internal/passthrough/codec.go
+++ b/internal/passthrough/codec.go
@@ -20,6 +20,9 @@
 	// LikelyOutputTokens is the caller's estimate of the output, often far off; zero if
 	// unknown.
 	LikelyOutputTokens int
+	// PromptParts lists the IDs of the prompt's parts in order. Requests share parts; the
+	// last one belongs to the request or its session.
+	PromptParts []string
 }
 
 // Helper is an engine that prefills a part of a prompt.
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -70,6 +70,8 @@
 	body      []byte
 	// fingerprint identifies workspace, method, path and body.
 	fingerprint uint64
+	// parts are the keys of the prompt's shared parts.
+	parts []uint64
 	// tried lists the upstreams of all attempts, mayHaveRun those that may have run the
 	// request.
 	tried      []string
--- a/internal/passthrough/requestlog.go
+++ b/internal/passthrough/requestlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -133,6 +134,13 @@
 	if rq.fingerprint != 0 {
 		f["fingerprint"] = rq.fingerprint
 	}
+	if len(rq.parts) > 0 {
+		parts := make([]string, len(rq.parts))
+		for i, key := range rq.parts {
+			parts[i] = rq.call.PromptParts[i] + "/" + strconv.FormatUint(key, 10)
+		}
+		f["parts"] = parts
+	}
 	if rq.route != nil {
 		f["route"], f["kind"], f["service"], f["workspace"] = rq.route.Name, rq.route.Kind.String(), rq.service, rq.workspace
 	}
--- a/internal/passthrough/route.go
+++ b/internal/passthrough/route.go
@@ -36,6 +36,7 @@
 	body, err := readBody(rq.w, rq.r, limit)
 	rq.body = body
 	rq.fingerprint = fingerprintOf(rq)
+	rq.parts = sharedParts(rq.service, rq.call.PromptParts)
 	return err
 }
 
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -126,8 +126,8 @@
 func (p *Planner) recordLoss(pj *placed, now time.Time) {
 	up, fingerprint := pj.upstream, pj.job.Fingerprint
 	metrics.GetOrCreateCounter(`banyanroute_poison_losses_total`).Inc()
-	lossLog(up).WithField("request", pj.job.ID).WithField("fingerprint", fingerprint).
-		Info("attempt lost; its request is a suspect if the upstream crashed")
+	lossLog(up).WithField("request", pj.job.ID).WithField("fingerprint", fingerprint).WithField("parts", pj.job.Parts).
+		WithField("answered", pj.answered).Info("attempt lost; its request is a suspect if the upstream crashed")
 	p.poison.Lost(incarnationOf(up), "", fingerprint, pj.decision.Apart, now)
 	p.unexplained[incarnationOf(up)] = unexplainedLoss{upstream: up, at: now}
 	if p.isReplaced(up) {
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -32,6 +32,9 @@
 	Avoid []string
 	// Fingerprint identifies the caller's workspace, path and body; 0 if unknown.
 	Fingerprint uint64
+	// Parts are the keys of the prompt's parts that other requests may share, each a hash
+	// of the service and the part's ID.
+	Parts []uint64
 	// Stalled reports whether another attempt of the request is in flight that gets no
 	// answer; its upstream may have crashed.
 	Stalled bool
