poison, placement: prompt parts that crash engines are contained

What callers saw: engines ended one after the other for 20 s, short questions were late or failed; requests with one part in their prompts were sent on 46 to 58 times. Cause (H1): containment knew a request by a hash of workspace, path and body. Requests that share the cause but not the body were all new to it; each crashed one or two engines before its own quarantine. Class: the key of a safety rule is narrower than the cause that it guards against, so evidence about one cause is spread over many keys and none reaches the limit. Ruled out: H2, H3 as root causes (23 of 25 losses of an engine confirmed within 0.41 s; crashes went on 9 s after the first notices). Blaming each part that is in several crashes: sound parts are in them as well. Blaming the workspace or first part: sound requests share them. Change: a table of parts. A part in two crashes is a suspect; its requests run one at a time, on different upstreams. An answered request clears its parts. A trial that crashes its upstream proves that one of its suspect parts is the cause: requests with all of these are refused, with those that remain once others are cleared. Crashes that a single part explains are not held against requests and other parts. Proofs are broadcast, and stored. Conclusion: it works since a cause is found by what requests have in common, and since nothing is refused for good without a trial that a sound request could have passed.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -15,6 +15,7 @@
 
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/placement"
+	"github.com/banyanroute/banyanroute/internal/poison"
 	"github.com/banyanroute/banyanroute/internal/result"
 	"github.com/banyanroute/banyanroute/internal/sleep"
 )
@@ -79,17 +80,13 @@
 	return d.Sum64()
 }
 
-// maxParts bounds the prompt parts of a request that are tracked; messages between
-// instances carry all of them.
-const maxParts = 64
-
 // sharedParts returns the keys of the prompt's parts that other requests may share: all
 // but the last, which is the request's own.
 func sharedParts(service string, ids []string) []uint64 {
 	if len(ids) < 2 {
 		return nil
 	}
-	ids = ids[:min(len(ids)-1, maxParts)]
+	ids = ids[:min(len(ids)-1, poison.MaxParts)]
 	keys := make([]uint64, len(ids))
 	for i, id := range ids {
 		keys[i] = xxhash.Sum64String(service + "\x00" + id)
@@ -195,14 +192,14 @@
 		}
 		pause, wait := memoryRetryInterval, float64(job.Waited+memoryRetryInterval) < maxMemoryWaitShare*objective
 		switch d.Reason {
-		case placement.TooLate, placement.Poisoned, placement.Suspected:
+		case placement.TooLate, placement.Poisoned, placement.Suspected, placement.PartPoisoned, placement.PartSuspected:
 			wait = false
 		case placement.Full:
 			pause = slotRetryInterval
 		case placement.Deferred:
 			pause, wait = deferRetryInterval, true
 		}
-		if rq.begun() && d.Reason != placement.Poisoned {
+		if rq.begun() && d.Reason != placement.Poisoned && d.Reason != placement.PartPoisoned {
 			// The stream can only be cut, so it is held until the caller leaves. An upstream
 			// that refused to go on with it may do so now.
 			wait = true
@@ -284,6 +281,10 @@
 		e = result.New(result.PoisonSuspect, "this request was lost with several upstreams that ended")
 	case placement.Suspected:
 		e = result.New(result.PoisonSuspect, "this request was lost with several upstreams that may have crashed")
+	case placement.PartPoisoned:
+		e = result.New(result.PoisonSuspect, "a part of this prompt crashes upstreams")
+	case placement.PartSuspected:
+		e = result.New(result.PoisonSuspect, "a part of this prompt may crash upstreams; another request with it is on trial")
 	default:
 		e = result.New(result.NoUpstream, "no upstream can take the request now")
 	}
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -125,6 +125,8 @@
 	}
 	events := newEventReader(res.Body)
 	answered := false
+	var answeredAt time.Time
+	onTrial := len(a.decision.Trial) > 0
 	pauseTimeout := max(minStallTimeout, pauseObjectiveFactor*rq.route.MaxPause)
 	for {
 		e, err := events.next()
@@ -140,6 +142,11 @@
 		if !answered {
 			answered = true
 			h.opts.Placer.FirstAnswer(rq.service, a.job)
+			answeredAt = time.Now()
+		}
+		if onTrial && time.Since(answeredAt) > placement.SoundTime {
+			onTrial = false
+			h.opts.Placer.Runs(rq.service, a.job)
 		}
 		if err := h.relay(rq, res, e, s); err != nil {
 			return streamEnd{outcome: placement.Abandoned, status: res.StatusCode, err: err}
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -148,6 +148,12 @@
 	f.report(service, event{Kind: eventFirst, ID: id})
 }
 
+// Runs implements passthrough.Placer.
+func (f *Fleet) Runs(service, id string) {
+	f.planner.Runs(id)
+	f.report(service, event{Kind: eventRuns, ID: id})
+}
+
 // Ended implements passthrough.Placer.
 func (f *Fleet) Ended(service, id string, o Outcome) {
 	f.planner.Ended(id, o, time.Now())
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -22,6 +22,7 @@
 	}
 	pj := &placed{job: j, decision: d, at: now, deadline: now.Add(j.Lifetime)}
 	p.jobs[j.ID] = pj
+	p.countTrial(pj, 1)
 	first := pl.members[d.Upstream]
 	if first == nil {
 		return
@@ -31,6 +32,9 @@
 	if d.Suspect {
 		first.suspects++
 	}
+	if len(d.Trial) > 0 {
+		first.trials++
+	}
 	if first.engine == nil {
 		return
 	}
@@ -54,7 +58,10 @@
 	if pj == nil {
 		return
 	}
-	pj.answered = true
+	if !pj.answered {
+		pj.answered, pj.answeredAt = true, now
+		p.parts.Answered(pj.job.Parts)
+	}
 	pl := p.pools[pj.job.Service]
 	if pl == nil {
 		return
@@ -92,6 +99,7 @@
 // drop removes a job from its upstreams.
 func (p *Planner) drop(pj *placed, now time.Time) {
 	delete(p.jobs, pj.job.ID)
+	p.countTrial(pj, -1)
 	pl := p.pools[pj.job.Service]
 	if pl == nil {
 		return
@@ -106,6 +114,9 @@
 			if pj.decision.Suspect {
 				m.suspects = max(m.suspects-1, 0)
 			}
+			if len(pj.decision.Trial) > 0 {
+				m.trials = max(m.trials-1, 0)
+			}
 		}
 		if m.engine != nil {
 			m.engine.Remove(pj.job.ID, now)
@@ -124,6 +135,8 @@
 		p.FirstAnswer(e.ID, now)
 	case eventEnd:
 		p.Ended(e.ID, e.Outcome, now)
+	case eventRuns:
+		p.Runs(e.ID)
 	case eventReset:
 		p.reset(e.Owner, e.Service, now)
 	}
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -29,6 +29,8 @@
 	// eventReset reports that the owner's jobs of a service are those in the events
 	// that follow, and no others.
 	eventReset
+	// eventRuns reports that a trial has been answered for SoundTime.
+	eventRuns
 )
 
 // event reports a change of a job to the home of its service.
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -33,6 +33,10 @@
 	// poison detects requests that crash the upstreams that run them. It knows an
 	// upstream by its incarnation.
 	poison *poison.Table
+	// parts does the same for parts of prompts, and trials counts the jobs in flight
+	// that are trials, by part.
+	parts  *poison.PartTable
+	trials map[uint64]int
 	// unexplained holds the upstreams, by incarnation, on which an attempt was lost and
 	// that are neither known to have crashed nor to be alive.
 	unexplained map[string]unexplainedLoss
@@ -56,8 +60,9 @@
 	leaving  bool
 	at       time.Time
 	deadline time.Time
-	// answered reports whether the first token has arrived.
-	answered bool
+	// answered reports whether the first token has arrived, answeredAt when.
+	answered   bool
+	answeredAt time.Time
 }
 
 // pool holds the upstreams of one service.
@@ -91,6 +96,8 @@
 	// those whose request is a suspect.
 	jobs     int
 	suspects int
+	// trials is the number of those that are trials of a prompt part.
+	trials int
 	// position is the relative position in the order of the current decision, from
 	// 0 to 1.
 	position float64
@@ -105,7 +112,7 @@
 func NewPlanner(dataCentre string) *Planner {
 	return &Planner{
 		dataCentre: dataCentre, pools: map[string]*pool{}, jobs: map[string]*placed{},
-		poison: poison.NewTable(), unexplained: map[string]unexplainedLoss{},
+		poison: poison.NewTable(), parts: poison.NewPartTable(), trials: map[uint64]int{}, unexplained: map[string]unexplainedLoss{},
 	}
 }
 
@@ -193,15 +200,24 @@
 	if d, refused := p.refuseSuspect(&j, verdict, now); refused {
 		return d
 	}
+	trial, d, refused := p.trialOf(&j, now)
+	if refused {
+		return d
+	}
 	candidates := pl.candidates(&j, s, now)
+	if len(trial) > 0 {
+		candidates = filter(candidates, func(m *member) bool { return m.trials == 0 })
+		if len(candidates) == 0 {
+			return p.refuseParts(&j, poison.Assessment{Verdict: poison.Pending, Suspects: trial})
+		}
+	}
 	if len(candidates) == 0 {
 		return Decision{Reason: NoUpstream, RetryAfter: firstPause}
 	}
-	suspect, apart := verdict == poison.Suspect, false
+	suspect, apart := verdict == poison.Suspect || len(trial) > 0, false
 	if suspect {
 		candidates, apart = withoutSuspects(candidates)
 	}
-	var d Decision
 	if pl.service.Engine != nil {
 		d = p.placeGeneration(pl, candidates, &j, now)
 	} else {
@@ -209,7 +225,7 @@
 	}
 	if d.Upstream != "" {
 		// An instance that plans alone does not know the suspects of the others.
-		d.Suspect, d.Apart = suspect, apart && s == fleetwide
+		d.Suspect, d.Apart, d.Trial = suspect, apart && s == fleetwide, trial
 		p.adopt(pl, j, d, now)
 	}
 	countPlacement(j.Service, d)
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -98,6 +98,7 @@
 	l, unexplained := p.unexplained[incarnationOf(up)]
 	if seen := began.Add(-minRestartTime); unexplained && seen.After(l.at) {
 		p.poison.Dismiss(incarnationOf(up), seen)
+		p.parts.Dismiss(incarnationOf(up), seen)
 		delete(p.unexplained, incarnationOf(up))
 		lossLog(up).Info("lost attempts explained: the upstream did not crash")
 	}
@@ -105,30 +106,36 @@
 
 // recordPoison updates the poison table with the outcome of an attempt.
 func (p *Planner) recordPoison(pj *placed, o Outcome, now time.Time) {
+	if o == Completed {
+		p.clearParts(pj)
+	}
 	switch {
 	case pj.job.Fingerprint == 0:
 	case o == Completed:
 		q, quarantined := p.poison.Record(pj.job.Fingerprint)
-		if quarantined && p.onQuarantine != nil {
-			p.onQuarantine(QuarantineChange{Record: q, Released: true})
+		if quarantined {
+			p.changeQuarantine(QuarantineChange{Record: q, Released: true})
 		}
 		if notice, suspected := p.poison.Completed(pj.job.Fingerprint); suspected {
 			log.WithField("request", pj.job.ID).WithField("fingerprint", pj.job.Fingerprint).Info("request completed and is no suspect any more")
 			p.notify([]poison.Notice{notice})
 		}
 	case (o == Lost || o == Stalled) && pj.upstream.ID != "" && !pj.leaving:
-		p.recordLoss(pj, now)
+		p.recordLoss(pj, o, now)
 	}
 }
 
 // recordLoss records an attempt that was lost or got no answer, perhaps because its
 // upstream crashed.
-func (p *Planner) recordLoss(pj *placed, now time.Time) {
+func (p *Planner) recordLoss(pj *placed, o Outcome, now time.Time) {
 	up, fingerprint := pj.upstream, pj.job.Fingerprint
 	metrics.GetOrCreateCounter(`banyanroute_poison_losses_total`).Inc()
 	lossLog(up).WithField("request", pj.job.ID).WithField("fingerprint", fingerprint).WithField("parts", pj.job.Parts).
 		WithField("answered", pj.answered).Info("attempt lost; its request is a suspect if the upstream crashed")
 	p.poison.Lost(incarnationOf(up), "", fingerprint, pj.decision.Apart, now)
+	if o == Stalled || !pj.answered || now.Sub(pj.answeredAt) < SoundTime {
+		p.parts.Lost(incarnationOf(up), pj.job.Parts, len(pj.decision.Trial) > 0, now)
+	}
 	p.unexplained[incarnationOf(up)] = unexplainedLoss{upstream: up, at: now}
 	if p.isReplaced(up) {
 		p.crashed(up, now)
@@ -149,6 +156,13 @@
 // may have crashed it.
 func (p *Planner) crashed(up deployment.Upstream, now time.Time) {
 	delete(p.unexplained, incarnationOf(up))
+	effects, explained := p.parts.Confirm(incarnationOf(up), now)
+	p.apply(effects)
+	if explained {
+		p.poison.DropLosses(incarnationOf(up))
+		lossLog(up).Warn("upstream crashed with a quarantined prompt part in flight")
+		return
+	}
 	notices := p.poison.Confirm(incarnationOf(up), now)
 	p.notify(notices)
 	for _, notice := range notices {
@@ -177,7 +191,8 @@
 func (p *Planner) Quarantines(now time.Time) []poison.Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.DeleteFunc(p.poison.Records(), func(q poison.Record) bool { return q.Expired(now) })
+	all := slices.Concat(p.poison.Records(), p.parts.Records())
+	return slices.DeleteFunc(all, func(q poison.Record) bool { return q.Expired(now) })
 }
 
 // RestoreQuarantines adds records that were stored before.
@@ -185,7 +200,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, q := range list {
-		p.poison.Restore(q, now)
+		if len(q.Parts) > 0 {
+			p.parts.Restore(q, now)
+		} else {
+			p.poison.Restore(q, now)
+		}
 	}
 }
 
@@ -199,9 +218,7 @@
 		log.WithField("fingerprint", fingerprint).WithField("crashes", len(q.Crashes)).
 			Warn("request quarantined: it is refused everywhere")
 	}
-	if p.onQuarantine != nil {
-		p.onQuarantine(QuarantineChange{Record: q})
-	}
+	p.changeQuarantine(QuarantineChange{Record: q})
 }
 
 // setNoticeHandler sets the function that passes poison notices to the other instances.
@@ -222,6 +239,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, n := range notices {
+		if n.AboutParts() {
+			p.apply(p.parts.Observe(n, now))
+			continue
+		}
 		if p.poison.Observe(n, now) {
 			p.storeQuarantine(n.Fingerprint, now)
 		}
@@ -242,6 +263,9 @@
 	if verdict := p.verdict(&j, now); verdict == poison.Quarantined {
 		return p.refuseSuspect(&j, verdict, now)
 	}
+	if a := p.assess(&j, now); a.Verdict == poison.Quarantined {
+		return p.refuseParts(&j, a), true
+	}
 	return Decision{}, false
 }
 
--- /dev/null
+++ b/internal/placement/trials.go
@@ -0,0 +1,112 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/banyanroute/banyanroute/internal/poison"
+)
+
+// SoundTime is how long a request must have been answered to show that its prompt's parts
+// do not crash upstreams. A part that does crashes them as their answer begins.
+const SoundTime = time.Second
+
+// trialRetryAfter is the time after which a trial's result is known.
+const trialRetryAfter = time.Second
+
+// assess returns how a job must be treated, given the parts of its prompt.
+func (p *Planner) assess(j *Job, now time.Time) poison.Assessment {
+	unrecorded := 0
+	if j.Stalled {
+		unrecorded = 1 // the stalled attempt will be recorded as a loss only when it ends
+	}
+	return p.parts.Assess(j.Parts, unrecorded, now)
+}
+
+// trialOf returns the suspect parts of which the job must be a trial; none if it can be
+// placed like any other. It refuses the job if a part crashes upstreams, or if another
+// trial of a suspect part is in flight or lost with an unknown cause.
+func (p *Planner) trialOf(j *Job, now time.Time) (trial []uint64, d Decision, refused bool) {
+	a := p.assess(j, now)
+	for _, part := range a.Suspects {
+		if p.trials[part] > 0 {
+			a.Verdict = poison.Pending
+		}
+	}
+	if a.Verdict >= poison.Pending {
+		return nil, p.refuseParts(j, a), true
+	}
+	return a.Suspects, Decision{}, false
+}
+
+// refuseParts refuses a job because of its prompt's parts.
+func (p *Planner) refuseParts(j *Job, a poison.Assessment) Decision {
+	d := Decision{Reason: PartSuspected, RetryAfter: trialRetryAfter}
+	if a.Verdict == poison.Quarantined {
+		d = Decision{Reason: PartPoisoned, RetryAfter: a.Remaining}
+	}
+	log.WithField("request", j.ID).WithField("parts", j.Parts).WithField("suspects", a.Suspects).
+		WithField("reason", d.Reason.String()).Debug("request refused because of a part of its prompt")
+	countPlacement(j.Service, d)
+	return d
+}
+
+// countTrial counts a job that is a trial, or one less.
+func (p *Planner) countTrial(pj *placed, change int) {
+	for _, part := range pj.decision.Trial {
+		if p.trials[part] += change; p.trials[part] <= 0 {
+			delete(p.trials, part)
+		}
+	}
+}
+
+// Runs records that a trial has been answered for SoundTime.
+func (p *Planner) Runs(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pj := p.jobs[id]; pj != nil {
+		p.clearParts(pj)
+	}
+}
+
+// clearParts clears the parts of a job that was answered without a crash.
+func (p *Planner) clearParts(pj *placed) {
+	if len(pj.job.Parts) == 0 || !pj.answered {
+		return
+	}
+	e := p.parts.Served(pj.job.Parts, pj.answeredAt)
+	for _, n := range e.Notices {
+		if n.Cleared {
+			log.WithField("request", pj.job.ID).WithField("prompt_part", n.Fingerprint).
+				Info("prompt part is no suspect any more: a request with it is answered")
+		}
+	}
+	p.apply(e)
+}
+
+// apply passes the effects of a change of the table of parts to the other instances, the
+// store and the table of requests.
+func (p *Planner) apply(e poison.Effects) {
+	p.notify(e.Notices)
+	for _, r := range e.Saved {
+		metrics.GetOrCreateCounter(`banyanroute_poison_parts_total`).Inc()
+		log.WithField("parts", r.Parts).WithField("crashes", len(r.Crashes)).
+			Warn("prompt parts quarantined: requests with all of them are refused everywhere")
+		p.changeQuarantine(QuarantineChange{Record: r})
+	}
+	for _, r := range e.Released {
+		log.WithField("parts", r.Parts).Info("quarantine of prompt parts replaced: one of them is no suspect any more")
+		p.changeQuarantine(QuarantineChange{Record: r, Released: true})
+	}
+	for _, r := range p.poison.Explain(e.Explained) {
+		p.changeQuarantine(QuarantineChange{Record: r, Released: true})
+	}
+}
+
+// changeQuarantine has a change of a quarantine stored.
+func (p *Planner) changeQuarantine(c QuarantineChange) {
+	if p.onQuarantine != nil {
+		p.onQuarantine(c)
+	}
+}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -90,6 +90,8 @@
 	Suspect bool
 	// Apart reports whether no other suspect runs on the upstream.
 	Apart bool
+	// Trial lists the suspect prompt parts of which the job is a trial.
+	Trial []uint64
 }
 
 // Reason is the reason why a job is refused.
@@ -114,11 +116,16 @@
 	// Suspected: the request was lost on several upstreams, and it is not known yet
 	// whether they crashed.
 	Suspected
+	// PartPoisoned: a part of the prompt crashes upstreams.
+	PartPoisoned
+	// PartSuspected: a part of the prompt may crash upstreams, and another request with
+	// it is on trial.
+	PartSuspected
 )
 
 // String returns the reason's name in metrics.
 func (r Reason) String() string {
-	names := [...]string{"placed", "no-upstream", "too-late", "too-large", "full", "poisoned", "deferred", "suspected"}
+	names := [...]string{"placed", "no-upstream", "too-late", "too-large", "full", "poisoned", "deferred", "suspected", "part-poisoned", "part-suspected"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/internal/poison/notice.go
+++ b/internal/poison/notice.go
@@ -13,17 +13,27 @@
 // maxMessageBytes bounds the size of a message that is accepted.
 const maxMessageBytes = 64 << 10
 
-// Notice is what one instance reports to the others about a fingerprint.
+// Notice is what one instance reports to the others about a request, a prompt part or a
+// proof of a PartTable.
 type Notice struct {
-	_           struct{} `cbor:",toarray"`
+	_ struct{} `cbor:",toarray"`
+	// Fingerprint is that of the request, or the part.
 	Fingerprint uint64
-	// Crashes lists the crashes in which the request was in flight, at most
-	// maxCrashes.
+	// Crashes lists the crashes in which the request or part was in flight, at most
+	// maxPartCrashes.
 	Crashes []Crash
-	// Cleared reports whether the request completed without a crash.
+	// Cleared reports whether a request completed without a crash.
 	Cleared bool
+	// IsPart reports whether the notice is about a part.
+	IsPart bool
+	// Parts, if not empty, are parts one of which crashes upstreams. The crashes are then
+	// those of the part, if it is a single one.
+	Parts []uint64
 }
 
+// AboutParts reports whether the notice is for a PartTable.
+func (n *Notice) AboutParts() bool { return n.IsPart || len(n.Parts) > 0 }
+
 // Messages returns the CBOR form of the notices, in messages of at most MaxNotices.
 func Messages(notices []Notice) ([][]byte, error) {
 	var messages [][]byte
@@ -56,9 +66,12 @@
 		return nil, trace.LimitExceeded("message of %d notices exceeds the limit", len(notices))
 	}
 	for _, n := range notices {
-		if len(n.Crashes) > maxCrashes {
+		if len(n.Crashes) > maxPartCrashes || len(n.Crashes) > maxCrashes && !n.AboutParts() {
 			return nil, trace.LimitExceeded("notice of %d crashes exceeds the limit", len(n.Crashes))
 		}
+		if len(n.Parts) > MaxParts {
+			return nil, trace.LimitExceeded("notice of %d parts exceeds the limit", len(n.Parts))
+		}
 	}
 	return notices, nil
 }
--- /dev/null
+++ b/internal/poison/parts.go
@@ -0,0 +1,538 @@
+package poison
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// Limits of a PartTable.
+const (
+	// suspectPartCrashes is the number of crashes after which a part is a suspect.
+	suspectPartCrashes = 2
+	// excessAnswers is by how many the requests with a part that were answered since
+	// its first crash must exceed its crashes for it to be no suspect. A part that
+	// crashes each upstream has no more answers than crashes and requests in flight.
+	excessAnswers = 3
+	// partSuspectTime is how long a part remains a suspect after its last crash. It is
+	// longer than a quarantine, so that one request at a time is sent after that.
+	partSuspectTime = 2 * quarantineTime
+	// maxPartCrashes bounds the crashes that are recorded of one part.
+	maxPartCrashes = 16
+	// maxProofs bounds the proofs; the oldest are dropped first.
+	maxProofs = 1024
+	// MaxParts bounds the parts of one request.
+	MaxParts = 64
+)
+
+// PartTable finds prompt parts that crash the upstreams on which a request with them
+// begins to be answered. Many sound requests share their other parts with such requests
+// or run beside them, so being in flight in crashes makes a part only a suspect. Requests
+// with a suspect part run one at a time, as trials, on different upstreams. A request that
+// is answered clears its parts. A trial that crashes its upstream proves that one of its
+// suspect parts is a cause, and requests that contain all of these are refused; as soon as
+// another request clears some of them, those that contain the remaining ones.
+//
+// A PartTable is not safe for concurrent use.
+type PartTable struct {
+	records *simplelru.LRU[uint64, *partRecord]
+	// pending holds the losses that are neither confirmed as a crash nor dismissed, by
+	// incarnation of the upstream.
+	pending map[string]*partLosses
+	proofs  []*proof
+}
+
+// partRecord holds the crashes of a part since it was last cleared, the earliest first.
+type partRecord struct {
+	crashes []partCrash
+	// answered counts the requests with the part whose first answer arrived since the
+	// first crash.
+	answered int
+	// shared reports whether the other instances know of the crashes.
+	shared bool
+}
+
+// partCrash is one crash in which a request with the part was in flight, or a loss that
+// may be one.
+type partCrash struct {
+	id        uint64
+	at        time.Time
+	confirmed bool
+}
+
+// partLosses are the parts of the requests that were lost on one incarnation of an
+// upstream.
+type partLosses struct {
+	lastAt time.Time
+	parts  map[uint64]bool
+	// trials lists the parts of each trial among the requests.
+	trials [][]uint64
+}
+
+// proof is a set of parts one of which crashes upstreams.
+type proof struct {
+	parts []uint64
+	since time.Time
+	// own reports whether this table found the proof, and so has it stored.
+	own bool
+}
+
+// Effects are the consequences of a change of a PartTable.
+type Effects struct {
+	// Notices are for the other instances.
+	Notices []Notice
+	// Saved and Released are the records that must be stored and removed.
+	Saved, Released []Record
+	// Explained lists crashes of which a single part is known to be the cause.
+	Explained []uint64
+}
+
+// add appends the effects of another change.
+func (e *Effects) add(more Effects) {
+	e.Notices = append(e.Notices, more.Notices...)
+	e.Saved = append(e.Saved, more.Saved...)
+	e.Released = append(e.Released, more.Released...)
+	e.Explained = append(e.Explained, more.Explained...)
+}
+
+// NewPartTable returns an empty table.
+func NewPartTable() *PartTable {
+	records, err := simplelru.NewLRU[uint64, *partRecord](maxSuspects, nil)
+	if err != nil {
+		panic(err) // only for a size of zero or less
+	}
+	return &PartTable{records: records, pending: map[string]*partLosses{}}
+}
+
+// Assessment is how a request must be treated, given its parts.
+type Assessment struct {
+	// Verdict is Clear, Suspect, Pending or Quarantined. A Suspect must be sent as a
+	// trial; a Pending one waits for the result of another trial.
+	Verdict Verdict
+	// Suspects are the suspect parts, if the verdict is Suspect or Pending.
+	Suspects []uint64
+	// Remaining is the remaining time of the quarantine.
+	Remaining time.Duration
+}
+
+// Assess returns how a request with the parts must be treated. unrecorded is the number
+// of losses of the request that are not recorded yet.
+func (t *PartTable) Assess(parts []uint64, unrecorded int, now time.Time) Assessment {
+	if t.records.Len() == 0 && len(t.proofs) == 0 {
+		return Assessment{}
+	}
+	t.expire(now)
+	var a Assessment
+	for _, p := range t.proofs {
+		if containsAll(parts, p.parts) {
+			a.Verdict, a.Remaining = Quarantined, max(a.Remaining, p.since.Add(quarantineTime).Sub(now))
+		}
+	}
+	if a.Verdict == Quarantined {
+		return a
+	}
+	for _, part := range parts {
+		if !t.isSuspect(part, unrecorded, now) || slices.Contains(a.Suspects, part) {
+			continue
+		}
+		a.Suspects = append(a.Suspects, part)
+		a.Verdict = max(a.Verdict, Suspect)
+		if t.trialPending(part) {
+			a.Verdict = Pending
+		}
+	}
+	return a
+}
+
+// isSuspect reports whether a part was in flight in enough crashes or losses.
+func (t *PartTable) isSuspect(part uint64, unrecorded int, now time.Time) bool {
+	r, known := t.records.Peek(part)
+	if !known {
+		return false
+	}
+	if now.Sub(r.crashes[len(r.crashes)-1].at) > partSuspectTime {
+		t.records.Remove(part)
+		return false
+	}
+	n := len(r.crashes)
+	return n+unrecorded >= suspectPartCrashes && r.answered < n+excessAnswers
+}
+
+// trialPending reports whether a trial of the part was lost and it is not known yet
+// whether its upstream crashed.
+func (t *PartTable) trialPending(part uint64) bool {
+	for _, l := range t.pending {
+		for _, trial := range l.trials {
+			if slices.Contains(trial, part) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Lost records the parts of a request that was lost on an incarnation of an upstream, and
+// whether it was a trial.
+func (t *PartTable) Lost(incarnation string, parts []uint64, trial bool, now time.Time) {
+	t.expire(now)
+	l := t.pending[incarnation]
+	if l == nil {
+		if len(t.pending) >= maxPendingUpstreams {
+			return
+		}
+		l = &partLosses{parts: map[uint64]bool{}}
+		t.pending[incarnation] = l
+	}
+	l.lastAt = now
+	if len(l.parts) >= maxPendingLosses {
+		return
+	}
+	for _, part := range parts {
+		l.parts[part] = true
+		t.addCrash(part, partCrash{id: CrashID(incarnation, ""), at: now})
+	}
+	if trial {
+		l.trials = append(l.trials, parts)
+	}
+}
+
+// addCrash adds a crash to the record of a part; each crash counts once.
+func (t *PartTable) addCrash(part uint64, c partCrash) *partRecord {
+	r, known := t.records.Get(part)
+	if !known {
+		r = &partRecord{}
+		t.records.Add(part, r)
+	}
+	for i := range r.crashes {
+		if r.crashes[i].id == c.id {
+			r.crashes[i].confirmed = r.crashes[i].confirmed || c.confirmed
+			return r
+		}
+	}
+	if len(r.crashes) < maxPartCrashes {
+		r.crashes = append(r.crashes, c)
+	}
+	return r
+}
+
+// removeCrash removes a crash from the record of a part.
+func (t *PartTable) removeCrash(part, id uint64) {
+	r, known := t.records.Peek(part)
+	if !known {
+		return
+	}
+	r.crashes = slices.DeleteFunc(r.crashes, func(c partCrash) bool { return c.id == id })
+	if len(r.crashes) == 0 {
+		t.records.Remove(part)
+	}
+}
+
+// Confirm records that an incarnation of an upstream crashed. It reports whether a part
+// that is known to crash upstreams was in flight and so explains the crash.
+func (t *PartTable) Confirm(incarnation string, now time.Time) (e Effects, explained bool) {
+	l := t.pending[incarnation]
+	if l == nil {
+		return Effects{}, false
+	}
+	delete(t.pending, incarnation)
+	id := CrashID(incarnation, "")
+	for part := range l.parts {
+		if t.isProved(part) {
+			explained = true
+		}
+	}
+	if explained {
+		for part := range l.parts {
+			if !t.isProved(part) {
+				t.removeCrash(part, id)
+			}
+		}
+		return Effects{Explained: []uint64{id}}, true
+	}
+	for part := range l.parts {
+		if r, known := t.records.Peek(part); known {
+			for i := range r.crashes {
+				r.crashes[i].confirmed = r.crashes[i].confirmed || r.crashes[i].id == id
+			}
+			if len(r.crashes) >= suspectPartCrashes {
+				r.shared = true
+				e.Notices = append(e.Notices, Notice{Fingerprint: part, Crashes: r.confirmedCrashes(), IsPart: true})
+			}
+		}
+	}
+	for _, trial := range l.trials {
+		if suspects := t.provedBy(trial, l, id); len(suspects) > 0 {
+			e.add(t.prove(suspects, now, true))
+		}
+	}
+	return e, false
+}
+
+// provedBy returns the suspect parts of a trial, one of which is proved to be the cause of a
+// crash. There are none if a part of another request on the upstream may be the cause as
+// well.
+func (t *PartTable) provedBy(trial []uint64, l *partLosses, crash uint64) []uint64 {
+	// Parts that were cleared since the trial began are not the cause.
+	suspects := slices.DeleteFunc(slices.Clone(trial), func(part uint64) bool {
+		r, known := t.records.Peek(part)
+		return !known || len(r.crashes) < suspectPartCrashes || !r.wasIn(crash)
+	})
+	for part := range l.parts {
+		r, known := t.records.Peek(part)
+		if known && len(r.crashes) >= suspectPartCrashes && !slices.Contains(trial, part) && !t.explainedBy(part, suspects) {
+			return nil
+		}
+	}
+	return suspects
+}
+
+// explainedBy reports whether one of the suspects was in all crashes of the part, and in
+// others.
+func (t *PartTable) explainedBy(part uint64, suspects []uint64) bool {
+	r, known := t.records.Peek(part)
+	if !known {
+		return true
+	}
+	return slices.ContainsFunc(suspects, func(one uint64) bool {
+		s, known := t.records.Peek(one)
+		return known && len(s.crashes) > len(r.crashes) &&
+			!slices.ContainsFunc(r.crashes, func(c partCrash) bool { return !s.wasIn(c.id) })
+	})
+}
+
+// wasIn reports whether the part was in flight in a crash.
+func (r *partRecord) wasIn(id uint64) bool {
+	return slices.ContainsFunc(r.crashes, func(c partCrash) bool { return c.id == id })
+}
+
+// confirmedCrashes returns the crashes of the part in the form of notices and records.
+func (r *partRecord) confirmedCrashes() []Crash {
+	var list []Crash
+	for _, c := range r.crashes {
+		if c.confirmed {
+			list = append(list, Crash{ID: c.id})
+		}
+	}
+	return list
+}
+
+// isProved reports whether the part alone is known to crash upstreams.
+func (t *PartTable) isProved(part uint64) bool {
+	return slices.ContainsFunc(t.proofs, func(p *proof) bool { return len(p.parts) == 1 && p.parts[0] == part })
+}
+
+// prove records that one of the parts crashes upstreams.
+func (t *PartTable) prove(parts []uint64, now time.Time, own bool) Effects {
+	parts = slices.Compact(slices.Sorted(slices.Values(parts)))
+	for _, known := range t.proofs {
+		if slices.Equal(known.parts, parts) {
+			known.own = known.own || own
+			return Effects{}
+		}
+	}
+	if len(t.proofs) >= maxProofs {
+		t.proofs = slices.Delete(t.proofs, 0, 1)
+	}
+	p := &proof{parts: parts, since: now, own: own}
+	t.proofs = append(t.proofs, p)
+	var e Effects
+	if own {
+		record := t.recordOf(p)
+		e.Saved = []Record{record}
+		e.Notices = []Notice{{Fingerprint: record.Fingerprint, Crashes: record.Crashes, Parts: parts}}
+	}
+	e.Explained = t.explain(p)
+	return e
+}
+
+// explain removes the crashes of a part that is known to crash upstreams from the records
+// of all others, and returns them.
+func (t *PartTable) explain(p *proof) []uint64 {
+	if len(p.parts) != 1 {
+		return nil
+	}
+	cause, known := t.records.Peek(p.parts[0])
+	if !known {
+		return nil
+	}
+	var ids []uint64
+	for _, c := range cause.crashes {
+		ids = append(ids, c.id)
+	}
+	for _, part := range t.records.Keys() {
+		if part == p.parts[0] || t.isProved(part) {
+			continue
+		}
+		for _, id := range ids {
+			t.removeCrash(part, id)
+		}
+	}
+	return ids
+}
+
+// Dismiss records that an incarnation of an upstream was alive at the time seen. Losses
+// before that time were broken connections and are dropped.
+func (t *PartTable) Dismiss(incarnation string, seen time.Time) {
+	l := t.pending[incarnation]
+	if l == nil || !seen.After(l.lastAt) {
+		return
+	}
+	t.drop(incarnation, l)
+}
+
+// drop drops the losses on an incarnation of an upstream.
+func (t *PartTable) drop(incarnation string, l *partLosses) {
+	delete(t.pending, incarnation)
+	for part := range l.parts {
+		t.removeCrash(part, CrashID(incarnation, ""))
+	}
+}
+
+// expire drops the losses that were pending for longer than PendingTimeout, and the
+// proofs whose quarantine has ended.
+func (t *PartTable) expire(now time.Time) {
+	for incarnation, l := range t.pending {
+		if now.Sub(l.lastAt) > PendingTimeout {
+			t.drop(incarnation, l)
+		}
+	}
+	t.proofs = slices.DeleteFunc(t.proofs, func(p *proof) bool { return now.Sub(p.since) > quarantineTime })
+}
+
+// Answered records that the first answer to a request with the parts arrived.
+func (t *PartTable) Answered(parts []uint64) {
+	for _, part := range parts {
+		if r, known := t.records.Peek(part); known {
+			r.answered++
+		}
+	}
+}
+
+// Served clears the parts of a request that began to be answered at the given time and
+// did not crash its upstream, if their crashes began earlier.
+func (t *PartTable) Served(parts []uint64, began time.Time) Effects {
+	var e Effects
+	for _, part := range parts {
+		blamed, since := t.blamed(part)
+		if !blamed || !began.After(since) {
+			continue
+		}
+		if r, known := t.records.Peek(part); !known || r.shared {
+			e.Notices = append(e.Notices, Notice{Fingerprint: part, Cleared: true, IsPart: true})
+		}
+		e.add(t.clear(part))
+	}
+	return e
+}
+
+// blamed reports whether a part was in flight in crashes, or is in a proof although they
+// have another cause or are not known here, and since when.
+func (t *PartTable) blamed(part uint64) (blamed bool, since time.Time) {
+	if r, known := t.records.Peek(part); known {
+		return true, r.crashes[0].at
+	}
+	for _, p := range t.proofs {
+		if slices.Contains(p.parts, part) {
+			return true, p.since
+		}
+	}
+	return false, time.Time{}
+}
+
+// clear removes a part's record, and the part from all proofs.
+func (t *PartTable) clear(part uint64) Effects {
+	var e Effects
+	t.records.Remove(part)
+	list := t.proofs
+	t.proofs = nil
+	for _, p := range list {
+		if !slices.Contains(p.parts, part) {
+			t.proofs = append(t.proofs, p)
+			continue
+		}
+		if p.own {
+			e.Released = append(e.Released, t.recordOf(p))
+		}
+		rest := slices.DeleteFunc(slices.Clone(p.parts), func(one uint64) bool { return one == part })
+		if len(rest) > 0 {
+			e.add(t.prove(rest, p.since, p.own))
+		}
+	}
+	return e
+}
+
+// Observe applies a notice of another instance about a part or a proof.
+func (t *PartTable) Observe(n Notice, now time.Time) Effects {
+	switch {
+	case len(n.Parts) > 0:
+		if len(n.Parts) == 1 {
+			t.addCrashes(n.Parts[0], n.Crashes, now)
+		}
+		return t.prove(n.Parts, now, false)
+	case n.Cleared:
+		return t.clear(n.Fingerprint)
+	}
+	t.addCrashes(n.Fingerprint, n.Crashes, now)
+	return Effects{}
+}
+
+// addCrashes adds confirmed crashes that another instance reported or that were stored.
+func (t *PartTable) addCrashes(part uint64, crashes []Crash, at time.Time) {
+	for _, c := range crashes {
+		t.addCrash(part, partCrash{id: c.ID, at: at, confirmed: true}).shared = true
+	}
+}
+
+// Records returns the records of all proofs.
+func (t *PartTable) Records() []Record {
+	list := make([]Record, 0, len(t.proofs))
+	for _, p := range t.proofs {
+		list = append(list, t.recordOf(p))
+	}
+	return list
+}
+
+// recordOf returns what is stored of a proof. Its fingerprint identifies the set of parts.
+func (t *PartTable) recordOf(p *proof) Record {
+	d := xxhash.New()
+	for _, part := range p.parts {
+		for shift := 0; shift < 64; shift += 8 {
+			_, _ = d.Write([]byte{byte(part >> shift)}) // never fails
+		}
+	}
+	r := Record{Fingerprint: d.Sum64(), Parts: p.parts, Since: p.since}
+	if len(p.parts) == 1 {
+		if known, ok := t.records.Peek(p.parts[0]); ok {
+			r.Crashes = known.confirmedCrashes()
+		}
+	}
+	return r
+}
+
+// Restore adds a record that an instance has kept. A time in the future, by the clock of
+// that instance, counts as now.
+func (t *PartTable) Restore(r Record, now time.Time) {
+	since := r.Since
+	if since.After(now) {
+		since = now
+	}
+	if len(r.Parts) == 1 {
+		t.addCrashes(r.Parts[0], r.Crashes, since)
+	}
+	t.prove(r.Parts, since, true)
+}
+
+// Size returns the numbers of parts with crashes and of proofs.
+func (t *PartTable) Size() (suspects, proofs int) { return t.records.Len(), len(t.proofs) }
+
+// containsAll reports whether list contains all values.
+func containsAll(list, values []uint64) bool {
+	for _, v := range values {
+		if !slices.Contains(list, v) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/poison/quarantine.go
+++ b/internal/poison/quarantine.go
@@ -10,6 +10,10 @@
 type Record struct {
 	Fingerprint uint64
 	Crashes     []Crash
+	// Parts is set in the record of a proof: one of these prompt parts crashes upstreams.
+	// The fingerprint is then that of the set, and the crashes are those of the part if
+	// it is a single one.
+	Parts []uint64
 	// Since is the time of the last crash.
 	Since time.Time
 }
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -174,6 +174,34 @@
 	}
 }
 
+// Explain records that the crashes have another cause than a request as a whole. Requests
+// without other crashes are no suspects any more. It returns the records that no longer
+// apply.
+func (t *Table) Explain(crashes []uint64) (released []Record) {
+	if len(crashes) == 0 {
+		return nil
+	}
+	for _, fingerprint := range t.suspects.Keys() {
+		s, _ := t.suspects.Peek(fingerprint)
+		record, recorded := t.Record(fingerprint)
+		s.crashes = slices.DeleteFunc(s.crashes, func(c Crash) bool { return slices.Contains(crashes, c.ID) })
+		if len(s.crashes) == 0 {
+			t.suspects.Remove(fingerprint)
+		}
+		if recorded && !s.recorded() {
+			released = append(released, record)
+		}
+	}
+	return released
+}
+
+// DropLosses drops the pending losses on an upstream whose crash has another cause.
+func (t *Table) DropLosses(upstreamID string) {
+	if t.pending[upstreamID] != nil {
+		t.dropPending(upstreamID)
+	}
+}
+
 // Completed clears a fingerprint whose request completed, pending losses included. It
 // returns the notice for the other instances, and false if the fingerprint was no
 // suspect.
