admit, entry: messages that crash engines are contained on the own interface, too

What callers would see: requests that share a system prompt or a document crash one engine after the other, each under a fingerprint of its own. Cause: as on the platform's path, the scheduler knew requests by a hash of workspace and body. Ruled out: the hashes of prefix blocks, since each covers all blocks before it, so a part behind another prefix has another hash. Change: the messages of a conversation but the last are its parts; the scheduler uses the same table; suspects run alone as before, one at a time for a part. All instances learn of a part's first crash, because no instance sees all requests here.

--- a/internal/admit/acquire.go
+++ b/internal/admit/acquire.go
@@ -112,7 +112,7 @@
 // checkFeasible refuses a request that would fail however long it waited. A
 // request that was tried on all upstreams may be tried on one of them once more.
 func (s *Scheduler) checkFeasible(p *pool, r *Request, now time.Time) *result.Error {
-	if verdict, left := s.poison.Verdict(r.Fingerprint, now); verdict == poison.Quarantined {
+	if verdict, left := s.verdict(r, now); verdict == poison.Quarantined {
 		return quarantineRefusal(left)
 	}
 	s.evaluatePool(p, now, false)
@@ -127,7 +127,7 @@
 	return nil
 }
 
-// quarantineRefusal refuses a quarantined request, one whose fingerprint
+// quarantineRefusal refuses a quarantined request, one whose fingerprint or prompt parts
 // crashed upstreams repeatedly.
 func quarantineRefusal(left time.Duration) *result.Error {
 	return result.New(result.PoisonSuspect, "the request was in flight in repeated upstream crashes").WithRetryAfter(left)
@@ -170,7 +170,7 @@
 		w.demand.Avoid = nil
 	}
 	w.lane = laneNormal + route.Sizes*classRank(r.Class) + int(w.demand.Size)
-	if verdict, _ := s.poison.Verdict(r.Fingerprint, now); verdict >= poison.Suspect {
+	if verdict, _ := s.verdict(r, now); verdict >= poison.Suspect {
 		w.lane = laneSuspect
 		w.demand.Alone = true
 	}
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -292,6 +292,66 @@
 	})
 }
 
+// TestCrashingPartAcrossInstances checks that requests that have only a part of their
+// prompt in common, and that crash every upstream, are refused by all instances soon after
+// the fifth crash, and that sound requests with their other parts run.
+func TestCrashingPartAcrossInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const instances, rounds, mostCrashes = 3, 40, 8 // five crashes and three more
+		const badPart, firstPart = 1, 100
+		var all []*Scheduler
+		for i := range instances {
+			s := New(Options{Instance: fmt.Sprint(i), Seed: uint64(i), OnPoison: func(p []byte) {
+				for other, receiver := range all {
+					if other != i {
+						receiver.ObservePoison(fmt.Sprint(i), p)
+					}
+				}
+			}})
+			s.SetUpstreams(engines(8))
+			all = append(all, s)
+		}
+		ask := func(i int, parts ...uint64) (*Grant, *result.Error) {
+			r := request(1000)
+			r.Parts = parts
+			return all[i%instances].Acquire(t.Context(), r)
+		}
+		crashes, refused := 0, 0
+		for n := range rounds {
+			first := uint64(firstPart + n%4)
+			if g, refusal := ask(n, first); refusal != nil {
+				t.Errorf("round %d: sound request refused: %v", n, refusal)
+			} else {
+				g.Sent()
+				g.FirstToken()
+				time.Sleep(100 * time.Millisecond)
+				g.Done(Completed)
+			}
+			g, refusal := ask(n, first, badPart)
+			if refusal != nil {
+				refused++
+				if refusal.Code != result.PoisonSuspect || refusal.Execution != result.NotRun {
+					t.Errorf("round %d: %v", n, refusal)
+				}
+				continue
+			}
+			crashes++
+			g.Sent()
+			time.Sleep(50 * time.Millisecond)
+			g.Done(Lost)
+			all[n%instances].ObserveProbe(g.Upstream().ID, false, 0)
+			for _, s := range all {
+				s.ObserveProbe(g.Upstream().ID, true, 0)
+			}
+			time.Sleep(10 * time.Second) // the upstream is in service again
+		}
+		t.Logf("%d crashes, %d refusals", crashes, refused)
+		if crashes > mostCrashes {
+			t.Errorf("%d upstreams crashed, want at most %d", crashes, mostCrashes)
+		}
+	})
+}
+
 // TestUnreachedUpstreamsMakeNoSuspect checks that a request which two crashed
 // upstreams did not receive does not become a suspect.
 func TestUnreachedUpstreamsMakeNoSuspect(t *testing.T) {
--- a/internal/admit/gang.go
+++ b/internal/admit/gang.go
@@ -52,7 +52,7 @@
 		return nil, s.gangRefusal(ctx, err)
 	}
 	s.mu.Lock()
-	verdict, left := s.poison.Verdict(r.Fingerprint, time.Now())
+	verdict, left := s.verdict(r, time.Now())
 	s.mu.Unlock()
 	if verdict == poison.Quarantined {
 		return nil, quarantineRefusal(left)
@@ -84,7 +84,7 @@
 // reservations that engines report and the total memory of engines that are kept
 // free now. A pool without reservations always has room.
 func (s *Scheduler) gangMayReserve(p *pool, r *Request) bool {
-	if verdict, _ := s.poison.Verdict(r.Fingerprint, time.Now()); verdict == poison.Pending {
+	if verdict, _ := s.verdict(r, time.Now()); verdict == poison.Pending {
 		return false
 	}
 	tokens := r.PromptTokens + r.OutputTokens
--- a/internal/admit/grant.go
+++ b/internal/admit/grant.go
@@ -28,6 +28,8 @@
 	// exclusiveShares lists the engines that are kept free until a suspect
 	// that runs on a gang has ended.
 	exclusiveShares []gang.Share
+	// trial lists the suspect prompt parts of which the request is a trial.
+	trial []uint64
 	// waiter is the suspect's waiter, for which the upstream is kept free; nil
 	// for any other request and for gangs.
 	waiter *waiter
@@ -70,6 +72,7 @@
 	}
 	now := time.Now()
 	g.firstTokenAt = now
+	s.parts.Answered(g.request.Parts)
 	g.state.load.FirstToken(g.request.ID, now)
 	g.sampleLatency(now)
 	s.onChange(g.state, now, false)
@@ -103,6 +106,15 @@
 // Progress records the arrival of further tokens of the answer.
 func (g *Grant) Progress(tokens int) {
 	g.tokens.Add(int64(tokens))
+	if len(g.trial) == 0 {
+		return
+	}
+	s := g.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !g.firstTokenAt.IsZero() && time.Since(g.firstTokenAt) > soundTime {
+		s.clearParts(g)
+	}
 }
 
 // Done ends the grant. Later calls have no effect.
@@ -122,6 +134,7 @@
 func (s *Scheduler) finish(g *Grant, outcome Outcome, now time.Time) {
 	st := g.state
 	st.load.Ended(g.request.ID)
+	s.endTrial(g)
 	for _, other := range g.others {
 		other.load.Ended(g.request.ID)
 		s.refresh(other, now)
@@ -143,6 +156,9 @@
 // probe failed shortly before.
 func (s *Scheduler) recordLoss(st *state, g *Grant, now time.Time) {
 	s.poison.Lost(st.upstream.ID, st.boot, g.request.Fingerprint, g.alone, now)
+	if g.firstTokenAt.IsZero() || now.Sub(g.firstTokenAt) < soundTime {
+		s.parts.Lost(st.upstream.ID, st.boot, g.request.Parts, len(g.trial) > 0, now)
+	}
 	if now.Sub(st.probeFailedAt) < probeFailureLifetime {
 		s.crashed(st, now)
 	}
@@ -165,6 +181,7 @@
 		for _, block := range r.Blocks {
 			s.prefix.Add(block, st.upstream.ID)
 		}
+		s.clearParts(g)
 		if notice, suspected := s.poison.Completed(r.Fingerprint); suspected {
 			s.publishPoison([]poison.Notice{notice})
 		}
--- a/internal/admit/observe.go
+++ b/internal/admit/observe.go
@@ -35,6 +35,7 @@
 		st.boot = r.Boot
 		produced := now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
 		s.poison.Dismiss(id, produced)
+		s.parts.Dismiss(id, produced)
 	})
 }
 
@@ -70,6 +71,7 @@
 			s.crashed(st, now)
 		case st.upstream.Service != "":
 			s.poison.Dismiss(id, now.Add(-minServiceRestartTime))
+			s.parts.Dismiss(id, now.Add(-minServiceRestartTime))
 		}
 	})
 }
@@ -202,15 +204,27 @@
 // crashed records that the upstream crashed: the requests that were lost there
 // become poison suspects, and the other instances are notified.
 func (s *Scheduler) crashed(st *state, now time.Time) {
+	effects, explained := s.parts.Confirm(st.upstream.ID, now)
+	s.applyEffects(effects)
+	if explained {
+		s.poison.DropLosses(st.upstream.ID)
+		s.countCrash(st, now)
+		return
+	}
 	notices := s.poison.Confirm(st.upstream.ID, now)
 	if len(notices) == 0 {
 		return
 	}
 	log.WithField("upstream", st.upstream.ID).WithField("suspects", len(notices)).Warn("upstream crashed: its requests are poison suspects")
+	s.countCrash(st, now)
+	s.publishPoison(notices)
+}
+
+// countCrash records a crash in the state of an upstream.
+func (s *Scheduler) countCrash(st *state, now time.Time) {
 	st.health.Crashed(now)
 	st.crashes++
 	st.boot = unknownBoot + strconv.Itoa(st.crashes)
-	s.publishPoison(notices)
 }
 
 // unknownBoot is the prefix of the placeholder for an incarnation that no report
@@ -219,7 +233,7 @@
 
 // publishPoison encodes notices and passes them to Options.OnPoison.
 func (s *Scheduler) publishPoison(notices []poison.Notice) {
-	if s.options.OnPoison == nil {
+	if s.options.OnPoison == nil || len(notices) == 0 {
 		return
 	}
 	messages, err := poison.Messages(notices)
@@ -244,6 +258,10 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	for _, n := range notices {
-		s.poison.Observe(n, now)
+		if n.AboutParts() {
+			s.applyEffects(s.parts.Observe(n, now))
+		} else {
+			s.poison.Observe(n, now)
+		}
 	}
 }
--- a/internal/admit/serve.go
+++ b/internal/admit/serve.go
@@ -73,6 +73,11 @@
 
 // place returns an upstream for w, or nil if it must wait.
 func (s *Scheduler) place(p *pool, w *waiter, view route.View, now time.Time) *state {
+	if !w.demand.Alone && len(w.request.Parts) > 0 {
+		// A part can become a suspect while requests with it wait.
+		verdict, _ := s.verdict(w.request, now)
+		w.demand.Alone = verdict >= poison.Suspect
+	}
 	if w.demand.Alone {
 		return s.placeAlone(p, w, view, now)
 	}
@@ -101,7 +106,7 @@
 // placeAlone returns an idle upstream for a suspect, or nil if it must wait. A
 // suspect waits while it is not known whether its last loss was a crash.
 func (s *Scheduler) placeAlone(p *pool, w *waiter, view route.View, now time.Time) *state {
-	verdict, left := s.poison.Verdict(w.request.Fingerprint, now)
+	verdict, left := s.verdict(w.request, now)
 	switch verdict {
 	case poison.Pending:
 		return nil
@@ -171,11 +176,13 @@
 	}
 	st.load.Sent(send, ahead)
 	s.refresh(st, now)
-	return &Grant{
+	g := &Grant{
 		scheduler: s, pool: p, state: st, upstream: st.upstream, request: r,
 		workAhead: ahead, work: send.Work, grantedAt: now,
 		priority: priority(r, d, &p.speed, now),
 	}
+	s.beginTrial(g, now)
+	return g
 }
 
 // priority returns the request's priority on the engine, by class and then by
--- a/internal/admit/types.go
+++ b/internal/admit/types.go
@@ -55,6 +55,8 @@
 	Deadline time.Time
 	// Fingerprint identifies workspace and body.
 	Fingerprint uint64
+	// Parts are the keys of the prompt's parts that other requests may share.
+	Parts []uint64
 	// DataCentre is where the request entered; upstreams there are preferred.
 	DataCentre string
 	// Avoid lists upstreams that were tried already.
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -84,6 +84,7 @@
 		Blocks:       req.blocks,
 		Deadline:     x.started.Add(limit),
 		Fingerprint:  req.fingerprint,
+		Parts:        req.parts,
 		DataCentre:   h.opts.DataCentre,
 	}
 }
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -189,3 +189,33 @@
 		}
 	}
 }
+
+// TestMessagesAreSharedParts checks that requests share the parts of equal messages at any
+// place but the last, for one model only, and that text prompts have none.
+func TestMessagesAreSharedParts(t *testing.T) {
+	partsOf := func(body string) []uint64 {
+		t.Helper()
+		req, err := parseGeneration("w", []byte(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return req.parts
+	}
+	const system, document, question = `{"role":"system","content":"s"}`, `{"role":"user","content":"d"}`, `{"role":"user","content":"q"}`
+	chat := func(model string, messages ...string) []uint64 {
+		return partsOf(`{"model":"` + model + `","messages":[` + strings.Join(messages, ",") + `]}`)
+	}
+	all := chat("m", system, document, question)
+	if len(all) != 2 {
+		t.Fatalf("got %d parts, want all messages but the last", len(all))
+	}
+	if other := chat("m", document, system); len(other) != 1 || other[0] != all[1] {
+		t.Errorf("got %v for the same document elsewhere, want %d", other, all[1])
+	}
+	if other := chat("n", system, question); other[0] == all[0] {
+		t.Error("requests to two models share a part")
+	}
+	if one, text := chat("m", question), partsOf(`{"model":"m","prompt":"p"}`); len(one)+len(text) != 0 {
+		t.Errorf("got %v and %v, want none", one, text)
+	}
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -13,6 +13,7 @@
 
 	"github.com/banyanroute/banyanroute/internal/catalogue"
 	"github.com/banyanroute/banyanroute/internal/dispatch"
+	"github.com/banyanroute/banyanroute/internal/poison"
 	"github.com/banyanroute/banyanroute/internal/result"
 	"github.com/banyanroute/banyanroute/internal/upstream"
 )
@@ -56,7 +57,9 @@
 	outputTokens int
 	blocks       []uint64
 	fingerprint  uint64
-	body         dispatch.Body
+	// parts are the keys of the messages that other requests may share.
+	parts []uint64
+	body  dispatch.Body
 }
 
 // parseGeneration reads the fields that the router needs. It may overwrite the
@@ -82,6 +85,7 @@
 		outputTokens: outputTokens(&f),
 		blocks:       prefixBlocks(f.Model, prompt),
 		fingerprint:  fingerprint(workspace, body),
+		parts:        sharedParts(f.Model, f.Messages),
 	}
 	req.body = dispatch.Body{Rest: body[1:], Empty: len(bytes.TrimSpace(body[1:])) == 1}
 	if req.plainText {
@@ -165,6 +169,25 @@
 	return blocks
 }
 
+// sharedParts returns hashes of the messages of a conversation, each with the model. The
+// last one is left out, because it is the request's own. A text prompt has no parts.
+func sharedParts(model string, messages []byte) []uint64 {
+	var list []rawField
+	if err := json.Unmarshal(messages, &list); err != nil || len(list) < 2 {
+		return nil // the engine answers a request whose messages are invalid
+	}
+	list = list[:min(len(list)-1, poison.MaxParts)]
+	parts := make([]uint64, len(list))
+	digest := xxhash.New()
+	for i, message := range list {
+		digest.Reset()
+		digest.WriteString(model) //nolint:errcheck // never fails
+		digest.Write(message)     //nolint:errcheck // never fails
+		parts[i] = digest.Sum64()
+	}
+	return parts
+}
+
 // fingerprint identifies a request body of a workspace, to detect requests that
 // crash upstreams.
 func fingerprint(workspace string, body []byte) uint64 {
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -134,7 +134,7 @@
 		WithField("answered", pj.answered).Info("attempt lost; its request is a suspect if the upstream crashed")
 	p.poison.Lost(incarnationOf(up), "", fingerprint, pj.decision.Apart, now)
 	if o == Stalled || !pj.answered || now.Sub(pj.answeredAt) < SoundTime {
-		p.parts.Lost(incarnationOf(up), pj.job.Parts, len(pj.decision.Trial) > 0, now)
+		p.parts.Lost(incarnationOf(up), "", pj.job.Parts, len(pj.decision.Trial) > 0, now)
 	}
 	p.unexplained[incarnationOf(up)] = unexplainedLoss{upstream: up, at: now}
 	if p.isReplaced(up) {
--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -39,7 +39,7 @@
 type PartTable struct {
 	records *simplelru.LRU[uint64, *partRecord]
 	// pending holds the losses that are neither confirmed as a crash nor dismissed, by
-	// incarnation of the upstream.
+	// upstream.
 	pending map[string]*partLosses
 	proofs  []*proof
 }
@@ -50,8 +50,6 @@
 	// answered counts the requests with the part whose first answer arrived since the
 	// first crash.
 	answered int
-	// shared reports whether the other instances know of the crashes.
-	shared bool
 }
 
 // partCrash is one crash in which a request with the part was in flight, or a loss that
@@ -65,6 +63,7 @@
 // partLosses are the parts of the requests that were lost on one incarnation of an
 // upstream.
 type partLosses struct {
+	crash  uint64
 	lastAt time.Time
 	parts  map[uint64]bool
 	// trials lists the parts of each trial among the requests.
@@ -173,17 +172,17 @@
 	return false
 }
 
-// Lost records the parts of a request that was lost on an incarnation of an upstream, and
-// whether it was a trial.
-func (t *PartTable) Lost(incarnation string, parts []uint64, trial bool, now time.Time) {
+// Lost records the parts of a request that was lost on an upstream, and whether it was a
+// trial. boot identifies the upstream's incarnation at that time; it is empty if unknown.
+func (t *PartTable) Lost(upstreamID, boot string, parts []uint64, trial bool, now time.Time) {
 	t.expire(now)
-	l := t.pending[incarnation]
+	l := t.pending[upstreamID]
 	if l == nil {
 		if len(t.pending) >= maxPendingUpstreams {
 			return
 		}
-		l = &partLosses{parts: map[uint64]bool{}}
-		t.pending[incarnation] = l
+		l = &partLosses{crash: CrashID(upstreamID, boot), parts: map[uint64]bool{}}
+		t.pending[upstreamID] = l
 	}
 	l.lastAt = now
 	if len(l.parts) >= maxPendingLosses {
@@ -191,7 +190,7 @@
 	}
 	for _, part := range parts {
 		l.parts[part] = true
-		t.addCrash(part, partCrash{id: CrashID(incarnation, ""), at: now})
+		t.addCrash(part, partCrash{id: l.crash, at: now})
 	}
 	if trial {
 		l.trials = append(l.trials, parts)
@@ -199,7 +198,7 @@
 }
 
 // addCrash adds a crash to the record of a part; each crash counts once.
-func (t *PartTable) addCrash(part uint64, c partCrash) *partRecord {
+func (t *PartTable) addCrash(part uint64, c partCrash) {
 	r, known := t.records.Get(part)
 	if !known {
 		r = &partRecord{}
@@ -208,13 +207,12 @@
 	for i := range r.crashes {
 		if r.crashes[i].id == c.id {
 			r.crashes[i].confirmed = r.crashes[i].confirmed || c.confirmed
-			return r
+			return
 		}
 	}
 	if len(r.crashes) < maxPartCrashes {
 		r.crashes = append(r.crashes, c)
 	}
-	return r
 }
 
 // removeCrash removes a crash from the record of a part.
@@ -229,15 +227,15 @@
 	}
 }
 
-// Confirm records that an incarnation of an upstream crashed. It reports whether a part
+// Confirm records that an upstream crashed. It reports whether a part
 // that is known to crash upstreams was in flight and so explains the crash.
-func (t *PartTable) Confirm(incarnation string, now time.Time) (e Effects, explained bool) {
-	l := t.pending[incarnation]
+func (t *PartTable) Confirm(upstreamID string, now time.Time) (e Effects, explained bool) {
+	l := t.pending[upstreamID]
 	if l == nil {
 		return Effects{}, false
 	}
-	delete(t.pending, incarnation)
-	id := CrashID(incarnation, "")
+	delete(t.pending, upstreamID)
+	id := l.crash
 	for part := range l.parts {
 		if t.isProved(part) {
 			explained = true
@@ -256,14 +254,11 @@
 			for i := range r.crashes {
 				r.crashes[i].confirmed = r.crashes[i].confirmed || r.crashes[i].id == id
 			}
-			if len(r.crashes) >= suspectPartCrashes {
-				r.shared = true
-				e.Notices = append(e.Notices, Notice{Fingerprint: part, Crashes: r.confirmedCrashes(), IsPart: true})
-			}
+			e.Notices = append(e.Notices, Notice{Fingerprint: part, Crashes: r.confirmedCrashes(), IsPart: true})
 		}
 	}
 	for _, trial := range l.trials {
-		if suspects := t.provedBy(trial, l, id); len(suspects) > 0 {
+		if suspects := t.provedBy(trial, l); len(suspects) > 0 {
 			e.add(t.prove(suspects, now, true))
 		}
 	}
@@ -273,11 +268,11 @@
 // provedBy returns the suspect parts of a trial, one of which is proved to be the cause of a
 // crash. There are none if a part of another request on the upstream may be the cause as
 // well.
-func (t *PartTable) provedBy(trial []uint64, l *partLosses, crash uint64) []uint64 {
+func (t *PartTable) provedBy(trial []uint64, l *partLosses) []uint64 {
 	// Parts that were cleared since the trial began are not the cause.
 	suspects := slices.DeleteFunc(slices.Clone(trial), func(part uint64) bool {
 		r, known := t.records.Peek(part)
-		return !known || len(r.crashes) < suspectPartCrashes || !r.wasIn(crash)
+		return !known || len(r.crashes) < suspectPartCrashes || !r.wasIn(l.crash)
 	})
 	for part := range l.parts {
 		r, known := t.records.Peek(part)
@@ -372,30 +367,28 @@
 	return ids
 }
 
-// Dismiss records that an incarnation of an upstream was alive at the time seen. Losses
+// Dismiss records that the upstream was alive at the time seen, with the same boot. Losses
 // before that time were broken connections and are dropped.
-func (t *PartTable) Dismiss(incarnation string, seen time.Time) {
-	l := t.pending[incarnation]
-	if l == nil || !seen.After(l.lastAt) {
-		return
+func (t *PartTable) Dismiss(upstreamID string, seen time.Time) {
+	if l := t.pending[upstreamID]; l != nil && seen.After(l.lastAt) {
+		t.drop(upstreamID, l)
 	}
-	t.drop(incarnation, l)
 }
 
-// drop drops the losses on an incarnation of an upstream.
-func (t *PartTable) drop(incarnation string, l *partLosses) {
-	delete(t.pending, incarnation)
+// drop drops the losses on an upstream.
+func (t *PartTable) drop(upstreamID string, l *partLosses) {
+	delete(t.pending, upstreamID)
 	for part := range l.parts {
-		t.removeCrash(part, CrashID(incarnation, ""))
+		t.removeCrash(part, l.crash)
 	}
 }
 
 // expire drops the losses that were pending for longer than PendingTimeout, and the
 // proofs whose quarantine has ended.
 func (t *PartTable) expire(now time.Time) {
-	for incarnation, l := range t.pending {
+	for id, l := range t.pending {
 		if now.Sub(l.lastAt) > PendingTimeout {
-			t.drop(incarnation, l)
+			t.drop(id, l)
 		}
 	}
 	t.proofs = slices.DeleteFunc(t.proofs, func(p *proof) bool { return now.Sub(p.since) > quarantineTime })
@@ -419,7 +412,8 @@
 		if !blamed || !began.After(since) {
 			continue
 		}
-		if r, known := t.records.Peek(part); !known || r.shared {
+		// The other instances see for themselves that a part in one crash is sound.
+		if r, known := t.records.Peek(part); !known || len(r.crashes) >= suspectPartCrashes {
 			e.Notices = append(e.Notices, Notice{Fingerprint: part, Cleared: true, IsPart: true})
 		}
 		e.add(t.clear(part))
@@ -472,7 +466,9 @@
 		}
 		return t.prove(n.Parts, now, false)
 	case n.Cleared:
-		return t.clear(n.Fingerprint)
+		e := t.clear(n.Fingerprint)
+		e.Notices = nil // the sender's notice has the same effect on all instances
+		return e
 	}
 	t.addCrashes(n.Fingerprint, n.Crashes, now)
 	return Effects{}
@@ -481,7 +477,7 @@
 // addCrashes adds confirmed crashes that another instance reported or that were stored.
 func (t *PartTable) addCrashes(part uint64, crashes []Crash, at time.Time) {
 	for _, c := range crashes {
-		t.addCrash(part, partCrash{id: c.ID, at: at, confirmed: true}).shared = true
+		t.addCrash(part, partCrash{id: c.ID, at: at, confirmed: true})
 	}
 }
 
