--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -137,6 +137,8 @@
 		p.Ended(e.ID, e.Outcome, now)
 	case eventRuns:
 		p.Runs(e.ID)
+	case eventSuspects:
+		p.observeNotices(e.Owner, e.Notices, now)
 	case eventReset:
 		p.reset(e.Owner, e.Service, now)
 	}
@@ -165,11 +167,15 @@
 }
 
 // resetEvents returns the events that bring a new home of the service up to date
-// with all jobs of an owner.
+// with all jobs of an owner, and with the suspects, of which the home may not have heard
+// while it was cut off.
 func (p *Planner) resetEvents(service, owner string, now time.Time) []event {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := []event{{Kind: eventReset, Owner: owner, Service: service}}
+	if notices := p.knownSuspects(); len(notices) > 0 {
+		list = append(list, event{Kind: eventSuspects, Owner: owner, Notices: notices})
+	}
 	for _, pj := range p.jobs {
 		if pj.job.Owner != owner || pj.job.Service != service {
 			continue
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/banyanroute/banyanroute/internal/deployment"
+	"github.com/banyanroute/banyanroute/internal/poison"
 )
 
 const (
@@ -31,6 +32,8 @@
 	eventReset
 	// eventRuns reports that a trial has been answered for SoundTime.
 	eventRuns
+	// eventSuspects reports the suspects and quarantines that the sender knows.
+	eventSuspects
 )
 
 // event reports a change of a job to the home of its service.
@@ -44,6 +47,8 @@
 	// Owner and Service are set for eventReset.
 	Owner   string
 	Service string
+	// Notices is set for eventSuspects.
+	Notices []poison.Notice
 }
 
 // Adoption is a job that another instance placed, with the decision.
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -57,7 +57,10 @@
 	// not listed.
 	upstream deployment.Upstream
 	// leaving reports whether that incarnation has left as planned.
-	leaving  bool
+	leaving bool
+	// planned reports whether this planner placed the job, knowing the jobs of all
+	// instances.
+	planned  bool
 	at       time.Time
 	deadline time.Time
 	// answered reports whether the first token has arrived, answeredAt when.
@@ -227,6 +230,7 @@
 		// An instance that plans alone does not know the suspects of the others.
 		d.Suspect, d.Apart, d.Trial = suspect, apart && s == fleetwide, trial
 		p.adopt(pl, j, d, now)
+		p.jobs[j.ID].planned = s == fleetwide
 	}
 	countPlacement(j.Service, d)
 	metrics.GetOrCreateHistogram(`banyanroute_placement_seconds`).UpdateDuration(now)
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -110,8 +110,7 @@
 		p.clearParts(pj)
 	}
 	switch {
-	case pj.job.Fingerprint == 0:
-	case o == Completed:
+	case o == Completed && pj.job.Fingerprint != 0:
 		q, quarantined := p.poison.Record(pj.job.Fingerprint)
 		if quarantined {
 			p.changeQuarantine(QuarantineChange{Record: q, Released: true})
@@ -132,9 +131,13 @@
 	metrics.GetOrCreateCounter(`banyanroute_poison_losses_total`).Inc()
 	lossLog(up).WithField("request", pj.job.ID).WithField("fingerprint", fingerprint).WithField("parts", pj.job.Parts).
 		WithField("answered", pj.answered).Info("attempt lost; its request is a suspect if the upstream crashed")
-	p.poison.Lost(incarnationOf(up), "", fingerprint, pj.decision.Apart, now)
+	if fingerprint != 0 {
+		p.poison.Lost(incarnationOf(up), "", fingerprint, pj.decision.Apart, now)
+	}
 	if o == Stalled || !pj.answered || now.Sub(pj.answeredAt) < SoundTime {
-		p.parts.Lost(incarnationOf(up), "", pj.job.Parts, len(pj.decision.Trial) > 0, now)
+		// Only the home knows what else ran on the upstream.
+		trial := pj.planned && len(pj.decision.Trial) > 0
+		p.parts.Lost(incarnationOf(up), "", pj.job.Parts, trial, now)
 	}
 	p.unexplained[incarnationOf(up)] = unexplainedLoss{upstream: up, at: now}
 	if p.isReplaced(up) {
@@ -221,6 +224,13 @@
 	p.changeQuarantine(QuarantineChange{Record: q})
 }
 
+// knownSuspects returns notices of all requests and prompt parts that are quarantined or
+// nearly so.
+func (p *Planner) knownSuspects() []poison.Notice {
+	notices := append(p.parts.Notices(), p.poison.Notices()...)
+	return notices[:min(len(notices), poison.MaxNotices)]
+}
+
 // setNoticeHandler sets the function that passes poison notices to the other instances.
 func (p *Planner) setNoticeHandler(f func([]poison.Notice)) {
 	p.mu.Lock()
--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -12,6 +12,9 @@
 const (
 	// suspectPartCrashes is the number of crashes after which a part is a suspect.
 	suspectPartCrashes = 2
+	// provingTrials is the number of trials of a part that must crash their upstreams for
+	// a proof. One may have been beside the first request with another crashing part.
+	provingTrials = 2
 	// excessAnswers is by how many the requests with a part that were answered since
 	// its first crash must exceed its crashes for it to be no suspect. A part that
 	// crashes each upstream has no more answers than crashes and requests in flight.
@@ -31,9 +34,10 @@
 // begins to be answered. Many sound requests share their other parts with such requests
 // or run beside them, so being in flight in crashes makes a part only a suspect. Requests
 // with a suspect part run one at a time, as trials, on different upstreams. A request that
-// is answered clears its parts. A trial that crashes its upstream proves that one of its
-// suspect parts is a cause, and requests that contain all of these are refused; as soon as
-// another request clears some of them, those that contain the remaining ones.
+// is answered clears its parts. Trials that crash their upstreams prove that one of the
+// suspect parts of the last one is a cause, and requests that contain all of these are
+// refused; as soon as another request clears some of them, those that contain the remaining
+// ones.
 //
 // A PartTable is not safe for concurrent use.
 type PartTable struct {
@@ -50,6 +54,8 @@
 	// answered counts the requests with the part whose first answer arrived since the
 	// first crash.
 	answered int
+	// failedTrials counts the crashes in which a trial of the part ran.
+	failedTrials int
 }
 
 // partCrash is one crash in which a request with the part was in flight, or a loss that
@@ -210,9 +216,10 @@
 			return
 		}
 	}
-	if len(r.crashes) < maxPartCrashes {
-		r.crashes = append(r.crashes, c)
+	if len(r.crashes) >= maxPartCrashes {
+		r.crashes = slices.Delete(r.crashes, 1, 2) // the first says since when, the last ones prove
 	}
+	r.crashes = append(r.crashes, c)
 }
 
 // removeCrash removes a crash from the record of a part.
@@ -267,7 +274,7 @@
 
 // provedBy returns the suspect parts of a trial, one of which is proved to be the cause of a
 // crash. There are none if a part of another request on the upstream may be the cause as
-// well.
+// well, or if no earlier trial of one of them has failed.
 func (t *PartTable) provedBy(trial []uint64, l *partLosses) []uint64 {
 	// Parts that were cleared since the trial began are not the cause.
 	suspects := slices.DeleteFunc(slices.Clone(trial), func(part uint64) bool {
@@ -280,6 +287,15 @@
 			return nil
 		}
 	}
+	failed := 0
+	for _, part := range suspects {
+		r, _ := t.records.Peek(part)
+		r.failedTrials++
+		failed = max(failed, r.failedTrials)
+	}
+	if failed < provingTrials {
+		return nil
+	}
 	return suspects
 }
 
@@ -334,9 +350,7 @@
 	t.proofs = append(t.proofs, p)
 	var e Effects
 	if own {
-		record := t.recordOf(p)
-		e.Saved = []Record{record}
-		e.Notices = []Notice{{Fingerprint: record.Fingerprint, Crashes: record.Crashes, Parts: parts}}
+		e.Saved, e.Notices = []Record{t.recordOf(p)}, []Notice{t.noticeOf(p)}
 	}
 	e.Explained = t.explain(p)
 	return e
@@ -481,6 +495,28 @@
 	}
 }
 
+// Notices returns notices of all proofs and of all parts that were in enough crashes to be
+// suspects.
+func (t *PartTable) Notices() []Notice {
+	var list []Notice
+	for _, p := range t.proofs {
+		list = append(list, t.noticeOf(p))
+	}
+	for _, part := range t.records.Keys() {
+		r, _ := t.records.Peek(part)
+		if crashes := r.confirmedCrashes(); len(crashes) >= suspectPartCrashes && !t.isProved(part) {
+			list = append(list, Notice{Fingerprint: part, Crashes: crashes, IsPart: true})
+		}
+	}
+	return list
+}
+
+// noticeOf returns the notice of a proof.
+func (t *PartTable) noticeOf(p *proof) Notice {
+	record := t.recordOf(p)
+	return Notice{Fingerprint: record.Fingerprint, Crashes: record.Crashes, Parts: record.Parts}
+}
+
 // Records returns the records of all proofs.
 func (t *PartTable) Records() []Record {
 	list := make([]Record, 0, len(t.proofs))
--- a/internal/poison/quarantine.go
+++ b/internal/poison/quarantine.go
@@ -44,6 +44,15 @@
 	return list
 }
 
+// Notices returns notices of all fingerprints that have a record.
+func (t *Table) Notices() []Notice {
+	var list []Notice
+	for _, r := range t.Records() {
+		list = append(list, Notice{Fingerprint: r.Fingerprint, Crashes: r.Crashes})
+	}
+	return list
+}
+
 // Restore adds a record that an instance has kept. A time in the future, by the clock of
 // that instance, counts as now.
 func (t *Table) Restore(q Record, now time.Time) {
