soak: requests that have only a crashing part in common

Every other drill sends requests with one part in their prompts and nothing else in common; the streams of the load share their first parts. Bound as the users state it: from 3 s after the fifth crash at most three sends.

--- a/tools/faults/soakload.go
+++ b/tools/faults/soakload.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/banyanroute/banyanroute/internal/sleep"
 	"github.com/banyanroute/banyanroute/platform/platformtest"
 )
@@ -70,7 +72,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout+s.options.slack)
 	defer cancel()
 	out := &outcome{kind: kind.name, sentAt: time.Now()}
-	out.status, out.body, out.err = exchange(ctx, client, p.frontAddress, call{kind.method, kind.path, id, "body " + id})
+	out.status, out.body, out.err = exchange(ctx, client, p.frontAddress, call{kind.method, kind.path, id, "body " + id, promptOf(kind.name, id)})
 	out.took = time.Since(out.sentAt)
 	s.mu.Lock()
 	s.outcomes[id] = out
@@ -96,7 +98,22 @@
 }
 
 // call is one request of a caller.
-type call struct{ method, path, id, body string }
+type call struct {
+	method, path, id, body string
+	// parts are the IDs of the prompt's parts.
+	parts []string
+}
+
+// soundParts is the number of first parts that the prompts of streams share.
+const soundParts = 5
+
+// promptOf returns the parts of the prompt of a sound request; only streams have any.
+func promptOf(kind, id string) []string {
+	if kind != "stream" {
+		return nil
+	}
+	return []string{fmt.Sprint("f", xxhash.Sum64String(id)%soundParts), id}
+}
 
 // exchange sends one request and returns the status and the part of the body that
 // arrived.
@@ -108,6 +125,9 @@
 	req.Host = platformtest.Host
 	req.GetBody = nil // net/http must not retry the request
 	platformtest.SetCallHeaders(req.Header, c.id, callerTimeout)
+	if len(c.parts) > 0 {
+		platformtest.SetPromptParts(req.Header, c.parts...)
+	}
 	res, err := client.Do(req)
 	if err != nil {
 		return 0, "", err
@@ -164,7 +184,7 @@
 			for attempt := range 3 {
 				id := fmt.Sprintf("end-%d-%d-%d", i, k, attempt)
 				callCtx, cancel := context.WithTimeout(ctx, callerTimeout)
-				status, _, err := exchange(callCtx, client, p.frontAddress, call{requestKinds[k].method, requestKinds[k].path, id, "body " + id})
+				status, _, err := exchange(callCtx, client, p.frontAddress, call{requestKinds[k].method, requestKinds[k].path, id, "body " + id, nil})
 				cancel()
 				problem = ""
 				if status != http.StatusOK {
