poison: a part that is answered does not keep trials beside it from proving another

Cause: a popular sound part was in a crash of a flapping engine as well, so each trial beside it counted as ambiguous, although requests with it were answered all the time. Change: only suspects make a trial ambiguous. TestAnsweredPartDoesNotSpoilTrial failed before.

--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -265,7 +265,7 @@
 		}
 	}
 	for _, trial := range l.trials {
-		if suspects := t.provedBy(trial, l); len(suspects) > 0 {
+		if suspects := t.provedBy(trial, l, now); len(suspects) > 0 {
 			e.add(t.prove(suspects, now, true))
 		}
 	}
@@ -275,15 +275,14 @@
 // provedBy returns the suspect parts of a trial, one of which is proved to be the cause of a
 // crash. There are none if a part of another request on the upstream may be the cause as
 // well, or if no earlier trial of one of them has failed.
-func (t *PartTable) provedBy(trial []uint64, l *partLosses) []uint64 {
+func (t *PartTable) provedBy(trial []uint64, l *partLosses, now time.Time) []uint64 {
 	// Parts that were cleared since the trial began are not the cause.
 	suspects := slices.DeleteFunc(slices.Clone(trial), func(part uint64) bool {
 		r, known := t.records.Peek(part)
 		return !known || len(r.crashes) < suspectPartCrashes || !r.wasIn(l.crash)
 	})
 	for part := range l.parts {
-		r, known := t.records.Peek(part)
-		if known && len(r.crashes) >= suspectPartCrashes && !slices.Contains(trial, part) && !t.explainedBy(part, suspects) {
+		if !slices.Contains(trial, part) && t.isSuspect(part, 0, now) && !t.explainedBy(part, suspects) {
 			return nil
 		}
 	}
--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -193,6 +193,31 @@
 	}
 }
 
+// TestAnsweredPartDoesNotSpoilTrial checks that a part that is no suspect, because requests
+// with it are answered, does not keep a trial beside it from proving another part.
+func TestAnsweredPartDoesNotSpoilTrial(t *testing.T) {
+	x, next := NewPartTable(), incarnations()
+	for range suspectPartCrashes {
+		crash(x, next(), epoch, false, first)
+		crash(x, next(), epoch, false, bad)
+	}
+	for range 10 {
+		x.Answered([]uint64{first})
+	}
+	for range provingTrials {
+		up := next()
+		x.Lost(up, "", []uint64{bad}, true, epoch)
+		x.Lost(up, "", []uint64{first}, false, epoch)
+		x.Confirm(up, epoch)
+	}
+	if v := verdict(x, epoch, bad); v != Quarantined {
+		t.Errorf("verdict %d, want quarantined", v)
+	}
+	if v := verdict(x, epoch, first); v != Clear {
+		t.Errorf("verdict %d on the part that is answered, want clear", v)
+	}
+}
+
 // TestOneTrialAfterQuarantine checks that after a quarantine the part is a suspect, and
 // that the crash of the next trial quarantines it again.
 func TestOneTrialAfterQuarantine(t *testing.T) {
