--- a/internal/passthrough/serve_test.go
+++ b/internal/passthrough/serve_test.go
@@ -71,6 +71,18 @@
 	return nil
 }
 
+// serveCaller is serve without helpers, and returns the failure of a caller whose connection
+// was aborted as status 502.
+func serveCaller(kind deployment.Kind, answers ...http.HandlerFunc) (w *httptest.ResponseRecorder) {
+	defer func() {
+		if recover() == http.ErrAbortHandler {
+			w = httptest.NewRecorder()
+			w.Code = http.StatusBadGateway
+		}
+	}()
+	return serve(kind, &scriptedPlacer{}, nil, answers...)
+}
+
 // serve sends one request of the kind through a Handler whose upstreams u0 and u1 answer
 // as given.
 func serve(kind deployment.Kind, placer *scriptedPlacer, reserver Reserver, answers ...http.HandlerFunc) *httptest.ResponseRecorder {
