upstream: each request of a caller uses a connection of its own

What callers would see on the own interface: a second copy of an answer that an upstream sends late, when the connection is in use again, arrives as the answer to the next request, so a caller gets another one's answer. Cause: requests other than non-idempotent ones used pooled connections; net/http notices extra bytes on an idle connection, but not after the next request was written. Evidence: TestLateSecondAnswerReachesNoOtherCaller failed: calls 1 and 2 got "answer to /0". Ruled out: comparing IDs in answers; the own interface's upstreams need not echo any. Change: Client.Do always opens a connection, Call.Fresh is gone; control calls may reuse theirs. TestFreshCallIsWrittenOnce tried both kinds and only logged the result for reused ones; as TestCallIsWrittenOnce it demands one write of every call. Measured: the tests above; the cost of a connection for each request was not measured. Conclusion: fixed for callers' requests. Answers of control calls could still be mixed up.

--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -236,7 +236,6 @@
 		URL:    up.URL + g.req.Path,
 		Header: header,
 		Body:   body,
-		Fresh:  resume,
 	}
 }
 
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -123,7 +123,7 @@
 		watchdog := time.AfterFunc(serviceSilenceFactor*d.opts.SilenceTimeout, cancel)
 		defer watchdog.Stop()
 	}
-	res, err := d.opts.Upstreams.Do(ctx, serviceCall(up, call, claimed))
+	res, err := d.opts.Upstreams.Do(ctx, serviceCall(up, call))
 	if err != nil {
 		return nil, sendOutcome(err), sendError(err)
 	}
@@ -167,13 +167,12 @@
 	return result.Wrap(err, result.UpstreamLost, "the upstream was lost after the call was sent")
 }
 
-// serviceCall returns the HTTP call to one upstream. fresh requests a new
-// connection.
-func serviceCall(up admit.Upstream, call *ServiceCall, fresh bool) upstream.Call {
+// serviceCall returns the HTTP call to one upstream.
+func serviceCall(up admit.Upstream, call *ServiceCall) upstream.Call {
 	header := call.Header.Clone()
 	header.Set(upstream.HeaderRequestID, call.ID)
 	header.Set(upstream.HeaderDeadline, remainingMs(call.Request.Deadline))
-	c := upstream.Call{Method: call.Method, URL: fmt.Sprintf("%s%s", up.URL, call.Path), Header: header, Fresh: fresh}
+	c := upstream.Call{Method: call.Method, URL: fmt.Sprintf("%s%s", up.URL, call.Path), Header: header}
 	if len(call.Body) > 0 {
 		c.Body = [][]byte{call.Body}
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -75,9 +75,10 @@
 // Client calls upstreams. It is safe for concurrent use.
 type Client struct {
 	opts Options
-	// pooled reuses connections; fresh opens one per call. A call that must
-	// run at most once uses fresh, because net/http silently retries a call
-	// with an Idempotency-Key when a reused connection fails.
+	// fresh opens a connection for each call; callers' requests use it. On a connection
+	// that is reused, a late second answer to an earlier call would be taken for the
+	// answer, and net/http silently sends a call with an Idempotency-Key again when the
+	// connection fails. pooled reuses connections, for control calls.
 	pooled *http.Transport
 	fresh  *http.Transport
 }
@@ -117,9 +118,6 @@
 	Header http.Header
 	// Body holds the body's parts in order.
 	Body [][]byte
-	// Fresh opens a new connection, so that the call is written at most once
-	// and does not use a pooled connection that no longer works.
-	Fresh bool
 }
 
 // size returns the body's length in bytes.
@@ -140,10 +138,14 @@
 	return io.MultiReader(readers...)
 }
 
-// Do sends a call. The caller closes the answer's body. The error wraps
+// Do sends a call over a new connection. The caller closes the answer's body. The error wraps
 // ErrNotSent only if no connection was obtained, which proves that the upstream
 // did not run the call; otherwise it wraps ErrLost.
 func (c *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
+	return do(ctx, c.fresh, call)
+}
+
+func do(ctx context.Context, transport *http.Transport, call Call) (*http.Response, error) {
 	var gotConn atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) },
@@ -158,10 +160,6 @@
 		req.ContentLength = size
 		req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(call.reader()), nil }
 	}
-	transport := c.pooled
-	if call.Fresh {
-		transport = c.fresh
-	}
 	res, err := transport.RoundTrip(req)
 	if err != nil && !gotConn.Load() {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
@@ -235,7 +233,7 @@
 func (c *Client) control(ctx context.Context, method, target string, in, out any, fresh bool) error {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.ControlTimeout)
 	defer cancel()
-	call := Call{Method: method, URL: target, Header: http.Header{}, Fresh: fresh}
+	call := Call{Method: method, URL: target, Header: http.Header{}}
 	if in != nil {
 		data, err := json.Marshal(in)
 		if err != nil {
@@ -244,7 +242,11 @@
 		call.Body = [][]byte{data}
 		call.Header.Set("Content-Type", "application/json")
 	}
-	res, err := c.Do(ctx, call)
+	transport := c.pooled
+	if fresh {
+		transport = c.fresh
+	}
+	res, err := do(ctx, transport, call)
 	if err != nil {
 		return err
 	}
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -1,8 +1,10 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,45 +14,40 @@
 	"testing"
 )
 
-// TestFreshCallIsWrittenOnce checks that a call with an Idempotency-Key is sent
-// only once over a new connection: net/http retries such a call on another
-// connection when a reused one breaks before the answer.
-func TestFreshCallIsWrittenOnce(t *testing.T) {
-	for _, fresh := range []bool{true, false} {
-		var calls atomic.Int64
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			io.Copy(io.Discard, r.Body)
-			if r.URL.Path == "/warm" {
-				return
-			}
-			calls.Add(1)
-			conn, _, err := http.NewResponseController(w).Hijack()
-			if err == nil {
-				conn.Close()
-			}
-		}))
-		c := NewClient(Options{})
-		warm, err := c.Do(t.Context(), Call{Method: "GET", URL: server.URL + "/warm", Header: http.Header{}})
-		if err != nil {
-			t.Fatal(err)
-		}
-		io.Copy(io.Discard, warm.Body)
-		warm.Body.Close()
-		_, err = c.Do(t.Context(), Call{
-			Method: "POST", URL: server.URL + "/book", Fresh: fresh,
-			Header: http.Header{"Idempotency-Key": {"k"}}, Body: [][]byte{[]byte("slot")},
-		})
-		if !errors.Is(err, ErrLost) {
-			t.Errorf("fresh %t: got %v, want ErrLost", fresh, err)
+// TestCallIsWrittenOnce checks that a call with an Idempotency-Key is sent only once:
+// net/http retries such a call on another connection when a reused one breaks before the
+// answer.
+func TestCallIsWrittenOnce(t *testing.T) {
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/warm" {
+			return
 		}
-		if fresh && calls.Load() != 1 {
-			t.Errorf("the call was written %d times, want 1", calls.Load())
+		calls.Add(1)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			conn.Close()
 		}
-		if !fresh && calls.Load() < 2 {
-			t.Logf("net/http no longer retries on reused connections (%d calls)", calls.Load())
-		}
-		c.Close()
-		server.Close()
+	}))
+	defer server.Close()
+	c := NewClient(Options{})
+	defer c.Close()
+	warm, err := c.Do(t.Context(), Call{Method: "GET", URL: server.URL + "/warm", Header: http.Header{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.Copy(io.Discard, warm.Body)
+	warm.Body.Close()
+	_, err = c.Do(t.Context(), Call{
+		Method: "POST", URL: server.URL + "/book",
+		Header: http.Header{"Idempotency-Key": {"k"}}, Body: [][]byte{[]byte("slot")},
+	})
+	if !errors.Is(err, ErrLost) {
+		t.Errorf("got %v, want ErrLost", err)
+	}
+	if calls.Load() != 1 {
+		t.Errorf("the call was written %d times, want 1", calls.Load())
 	}
 }
 
@@ -128,3 +125,51 @@
 		}
 	})
 }
+
+// TestLateSecondAnswerReachesNoOtherCaller checks that a call never gets a second copy of
+// the answer to an earlier one that an upstream sends late, when the next call has arrived.
+func TestLateSecondAnswerReachesNoOtherCaller(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				in := bufio.NewReader(conn)
+				first := ""
+				for {
+					req, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					if first == "" {
+						first = "answer to " + req.URL.Path
+					}
+					// From the second request on, the first answer is sent again.
+					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(first), first)
+				}
+			}()
+		}
+	}()
+	c := NewClient(Options{})
+	t.Cleanup(c.Close)
+	for i := range 3 {
+		path := fmt.Sprint("/", i)
+		res, err := c.Do(t.Context(), Call{Method: http.MethodGet, URL: "http://" + listener.Addr().String() + path, Header: http.Header{}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(res.Body)
+		res.Body.Close()
+		if want := "answer to " + path; err != nil || string(body) != want {
+			t.Errorf("call %d got %q, %v; want %q", i, body, err, want)
+		}
+	}
+}
