--- a/internal/placement/containment_test.go
+++ b/internal/placement/containment_test.go
@@ -402,3 +402,34 @@
 		}
 	}
 }
+
+// TestTrialsAvoidUnstableUpstreams checks that trials do not run on an upstream that has
+// just crashed while another one can take them.
+func TestTrialsAvoidUnstableUpstreams(t *testing.T) {
+	f := newFixture(3)
+	now := time.Now()
+	lose := func(id string) {
+		j := shortJob(id)
+		j.Parts = []uint64{1}
+		d := f.planner.Place(j, now)
+		f.planner.Ended(id, Lost, now)
+		up := f.upstreams[d.Upstream]
+		f.planner.Probed(up, deployment.Ended, now, now)
+		f.change(d.Upstream, func(up *deployment.Upstream) { up.Born++ })
+	}
+	lose("first")
+	lose("second")
+	var crashed []string
+	for _, up := range f.upstreams {
+		if up.Born > 1 {
+			crashed = append(crashed, up.ID)
+		}
+	}
+	now = now.Add(firstPause)
+	j := shortJob("trial")
+	j.Parts = []uint64{1}
+	d := f.planner.Place(j, now)
+	if len(d.Trial) != 1 || slices.Contains(crashed, d.Upstream) {
+		t.Errorf("got %+v, want a trial on another upstream than %v", d, crashed)
+	}
+}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -37,6 +37,8 @@
 	// that are trials, by part.
 	parts  *poison.PartTable
 	trials map[uint64]int
+	// crashedAt holds when an upstream last crashed, by address, for unstableTime.
+	crashedAt map[string]time.Time
 	// unexplained holds the upstreams, by incarnation, on which an attempt was lost and
 	// that are neither known to have crashed nor to be alive.
 	unexplained map[string]unexplainedLoss
@@ -115,7 +117,7 @@
 func NewPlanner(dataCentre string) *Planner {
 	return &Planner{
 		dataCentre: dataCentre, pools: map[string]*pool{}, jobs: map[string]*placed{},
-		poison: poison.NewTable(), parts: poison.NewPartTable(), trials: map[uint64]int{}, unexplained: map[string]unexplainedLoss{},
+		poison: poison.NewTable(), parts: poison.NewPartTable(), trials: map[uint64]int{}, crashedAt: map[string]time.Time{}, unexplained: map[string]unexplainedLoss{},
 	}
 }
 
@@ -209,7 +211,7 @@
 	}
 	candidates := pl.candidates(&j, s, now)
 	if len(trial) > 0 {
-		candidates = filter(candidates, func(m *member) bool { return m.trials == 0 })
+		candidates = p.trialCandidates(candidates, now)
 		if len(candidates) == 0 {
 			return p.refuseParts(&j, poison.Assessment{Verdict: poison.Pending, Suspects: trial})
 		}
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -159,6 +159,7 @@
 // may have crashed it.
 func (p *Planner) crashed(up deployment.Upstream, now time.Time) {
 	delete(p.unexplained, incarnationOf(up))
+	p.recordUnstable(up, now)
 	effects, explained := p.parts.Confirm(incarnationOf(up), now)
 	p.apply(effects)
 	if explained {
--- a/internal/placement/trials.go
+++ b/internal/placement/trials.go
@@ -1,10 +1,12 @@
 package placement
 
 import (
+	"maps"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/poison"
 )
 
@@ -40,6 +42,31 @@
 	return a.Suspects, Decision{}, false
 }
 
+// unstableTime is how long after a crash an upstream gets no trials if others can take
+// them: one that crashes by itself would make sound parts look like the cause.
+const unstableTime = 10 * time.Second
+
+// recordUnstable records that an upstream crashed. Its next incarnation has the same
+// address, but mostly another ID.
+func (p *Planner) recordUnstable(up deployment.Upstream, now time.Time) {
+	maps.DeleteFunc(p.crashedAt, func(_ string, at time.Time) bool { return now.Sub(at) > unstableTime })
+	p.crashedAt[up.Address] = now
+}
+
+// trialCandidates returns the candidates on which a trial can run: those without another
+// one, and if possible those that did not crash recently.
+func (p *Planner) trialCandidates(candidates []*member, now time.Time) []*member {
+	list := filter(candidates, func(m *member) bool { return m.trials == 0 })
+	stable := filter(list, func(m *member) bool {
+		at, crashed := p.crashedAt[m.upstream.Address]
+		return !crashed || now.Sub(at) > unstableTime
+	})
+	if len(stable) > 0 {
+		return stable
+	}
+	return list
+}
+
 // refuseParts refuses a job because of its prompt's parts.
 func (p *Planner) refuseParts(j *Job, a poison.Assessment) Decision {
 	d := Decision{Reason: PartSuspected, RetryAfter: trialRetryAfter}
