--- a/internal/admit/grant.go
+++ b/internal/admit/grant.go
@@ -112,7 +112,7 @@
 	s := g.scheduler
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !g.firstTokenAt.IsZero() && time.Since(g.firstTokenAt) > soundTime {
+	if !g.firstTokenAt.IsZero() && time.Since(g.firstTokenAt) > poison.TrialTime {
 		s.clearParts(g)
 	}
 }
@@ -156,7 +156,7 @@
 // probe failed shortly before.
 func (s *Scheduler) recordLoss(st *state, g *Grant, now time.Time) {
 	s.poison.Lost(st.upstream.ID, st.boot, g.request.Fingerprint, g.alone, now)
-	if g.firstTokenAt.IsZero() || now.Sub(g.firstTokenAt) < soundTime {
+	if g.firstTokenAt.IsZero() || now.Sub(g.firstTokenAt) < poison.TrialTime {
 		s.parts.Lost(st.upstream.ID, st.boot, g.request.Parts, len(g.trial) > 0, now)
 	}
 	if now.Sub(st.probeFailedAt) < probeFailureLifetime {
--- a/internal/admit/suspects.go
+++ b/internal/admit/suspects.go
@@ -6,10 +6,6 @@
 	"github.com/banyanroute/banyanroute/internal/poison"
 )
 
-// soundTime is how long a request must have been answered to show that its prompt's parts
-// do not crash upstreams.
-const soundTime = time.Second
-
 // verdict returns how a request must be treated, given the crashes of its fingerprint and
 // of its prompt's parts, and the remaining time of a quarantine. A suspect with suspect
 // parts waits while another one with such a part runs.
--- a/internal/passthrough/attempt_test.go
+++ b/internal/passthrough/attempt_test.go
@@ -22,7 +22,7 @@
 }
 
 func (*refusingPlacer) FirstAnswer(string, string) {}
-func (*refusingPlacer) Runs(string, string)        {}
+func (*refusingPlacer) TrialPassed(string, string) {}
 
 func (*refusingPlacer) Ended(string, string, placement.Outcome) {}
 
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -17,8 +17,8 @@
 	Place(ctx context.Context, j placement.Job) placement.Decision
 	// FirstAnswer reports that the first token or the answer arrived.
 	FirstAnswer(service, id string)
-	// Runs reports that a trial has been answered for placement.SoundTime.
-	Runs(service, id string)
+	// TrialPassed reports that a trial has been answered for poison.TrialTime.
+	TrialPassed(service, id string)
 	// Ended reports how the attempt ended; it must be called once for every placed job.
 	Ended(service, id string, o placement.Outcome)
 }
--- a/internal/passthrough/serve_test.go
+++ b/internal/passthrough/serve_test.go
@@ -41,7 +41,7 @@
 	return placement.Decision{Upstream: fmt.Sprint("u", len(p.placed)-1), Helpers: p.helpers}
 }
 
-func (p *scriptedPlacer) Runs(string, string) {}
+func (p *scriptedPlacer) TrialPassed(string, string) {}
 
 func (p *scriptedPlacer) FirstAnswer(_, id string) {
 	p.mu.Lock()
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/placement"
+	"github.com/banyanroute/banyanroute/internal/poison"
 	"github.com/banyanroute/banyanroute/internal/result"
 )
 
@@ -144,9 +145,9 @@
 			h.opts.Placer.FirstAnswer(rq.service, a.job)
 			answeredAt = time.Now()
 		}
-		if onTrial && time.Since(answeredAt) > placement.SoundTime {
+		if onTrial && time.Since(answeredAt) > poison.TrialTime {
 			onTrial = false
-			h.opts.Placer.Runs(rq.service, a.job)
+			h.opts.Placer.TrialPassed(rq.service, a.job)
 		}
 		if err := h.relay(rq, res, e, s); err != nil {
 			return streamEnd{outcome: placement.Abandoned, status: res.StatusCode, err: err}
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -148,10 +148,10 @@
 	f.report(service, event{Kind: eventFirst, ID: id})
 }
 
-// Runs implements passthrough.Placer.
-func (f *Fleet) Runs(service, id string) {
-	f.planner.Runs(id)
-	f.report(service, event{Kind: eventRuns, ID: id})
+// TrialPassed implements passthrough.Placer.
+func (f *Fleet) TrialPassed(service, id string) {
+	f.planner.TrialPassed(id)
+	f.report(service, event{Kind: eventTrialPassed, ID: id})
 }
 
 // Ended implements passthrough.Placer.
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -135,8 +135,8 @@
 		p.FirstAnswer(e.ID, now)
 	case eventEnd:
 		p.Ended(e.ID, e.Outcome, now)
-	case eventRuns:
-		p.Runs(e.ID)
+	case eventTrialPassed:
+		p.TrialPassed(e.ID)
 	case eventSuspects:
 		p.observeNotices(e.Owner, e.Notices, now)
 	case eventReset:
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -30,8 +30,8 @@
 	// eventReset reports that the owner's jobs of a service are those in the events
 	// that follow, and no others.
 	eventReset
-	// eventRuns reports that a trial has been answered for SoundTime.
-	eventRuns
+	// eventTrialPassed reports that a trial has been answered for poison.TrialTime.
+	eventTrialPassed
 	// eventSuspects reports the suspects and quarantines that the sender knows.
 	eventSuspects
 )
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -134,7 +134,7 @@
 	if fingerprint != 0 {
 		p.poison.Lost(incarnationOf(up), "", fingerprint, pj.decision.Apart, now)
 	}
-	if o == Stalled || !pj.answered || now.Sub(pj.answeredAt) < SoundTime {
+	if o == Stalled || !pj.answered || now.Sub(pj.answeredAt) < poison.TrialTime {
 		// Only the home knows what else ran on the upstream.
 		trial := pj.planned && len(pj.decision.Trial) > 0
 		p.parts.Lost(incarnationOf(up), "", pj.job.Parts, trial, now)
--- a/internal/placement/trials.go
+++ b/internal/placement/trials.go
@@ -10,10 +10,6 @@
 	"github.com/banyanroute/banyanroute/internal/poison"
 )
 
-// SoundTime is how long a request must have been answered to show that its prompt's parts
-// do not crash upstreams. A part that does crashes them as their answer begins.
-const SoundTime = time.Second
-
 // trialRetryAfter is the time after which a trial's result is known.
 const trialRetryAfter = time.Second
 
@@ -88,8 +84,8 @@
 	}
 }
 
-// Runs records that a trial has been answered for SoundTime.
-func (p *Planner) Runs(id string) {
+// TrialPassed records that a trial has been answered for poison.TrialTime.
+func (p *Planner) TrialPassed(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if pj := p.jobs[id]; pj != nil {
