--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -228,8 +228,8 @@
 	}
 }
 
-// Confirm records that an upstream crashed. It reports whether a part
-// that is known to crash upstreams was in flight and so explains the crash.
+// Confirm records that an upstream crashed. It reports whether a part that is known to crash
+// upstreams was in flight and so explains the crash.
 func (t *PartTable) Confirm(upstreamID string, now time.Time) (e Effects, explained bool) {
 	l := t.pending[upstreamID]
 	if l == nil {
