--- /dev/null
+++ b/internal/passthrough/secondanswer_test.go
@@ -0,0 +1,106 @@
+package passthrough
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/deployment"
+	"github.com/banyanroute/banyanroute/internal/placement"
+)
+
+// repeatingUpstream accepts connections, and answers each request on one with the path of
+// the first request there, so that a late second copy of that answer takes the place of
+// the answer to the next request. If early is set, the second copy follows at once.
+func repeatingUpstream(t *testing.T, stream, early bool) deployment.Upstream {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		in := bufio.NewReader(conn)
+		answer := ""
+		for {
+			req, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			if answer == "" {
+				body := req.URL.Path
+				if stream {
+					body = "id: 1\ndata: " + body + "\n\n"
+				}
+				answer = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			}
+			if early {
+				_, _ = conn.Write([]byte(answer)) // the caller may have left
+			}
+			_, _ = conn.Write([]byte(answer))
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return deployment.Upstream{ID: "u", Service: "s", Address: listener.Addr().String()}
+}
+
+// oneUpstream places all jobs on one upstream.
+type oneUpstream struct {
+	scriptedPlacer
+	id string
+}
+
+func (p *oneUpstream) Place(context.Context, placement.Job) placement.Decision {
+	return placement.Decision{Upstream: p.id}
+}
+
+// TestLateSecondAnswerReachesNoOtherCaller checks that no caller gets a second copy of the
+// answer to another one, whether it comes at once or when the next request has arrived.
+func TestLateSecondAnswerReachesNoOtherCaller(t *testing.T) {
+	for kindName, kind := range map[string]deployment.Kind{"stream": deployment.Stream, "call": deployment.Idempotent} {
+		for when, early := range map[string]bool{"late": false, "at once": true} {
+			t.Run(kindName+", "+when, func(t *testing.T) {
+				up := repeatingUpstream(t, kind == deployment.Stream, early)
+				state := deployment.NewState()
+				state.SetConfiguration(&deployment.Configuration{
+					Version: 1, Services: map[string]deployment.Service{"s": {Name: "s"}},
+					Routes: []deployment.Route{{
+						Host: "app.example", Prefix: "/", Kind: kind, Public: true, Targets: []deployment.Target{{Service: "s", Weight: 1}},
+						Timeout: 5 * time.Second, FirstAnswer: time.Second, MaxPause: time.Second, MaxAttempts: 1,
+					}},
+				}, time.Now())
+				state.ReplaceUpstreams([]deployment.Upstream{up}, deployment.Revision{Number: 1}, time.Now())
+				h := New(Options{
+					State: state, Codec: plainCodec{}, Placer: &oneUpstream{id: up.ID},
+					Retries:   RetryBudget{Ratio: 1, Extra: 100, Window: time.Second},
+					Instances: func() int { return 1 }, Draining: func() bool { return false },
+				})
+				for i := range 5 {
+					path := fmt.Sprint("/call-", i)
+					w := httptest.NewRecorder()
+					r := httptest.NewRequest(http.MethodGet, path, nil)
+					r.Host = "app.example"
+					h.ServeHTTP(w, r)
+					if w.Code != http.StatusOK || !strings.Contains(w.Body.String(), path) || strings.Count(w.Body.String(), "call-") != 1 {
+						t.Errorf("%s got status %d, %q", path, w.Code, w.Body.String())
+					}
+				}
+			})
+		}
+	}
+}
