poison: the table of parts counts trials in flight; one clamp of a record's time

Read once more: the scheduler and the planner each counted the trials in flight by part and turned a suspect into a pending request by that; restoring a record clamped its time in two places; a hash wrote a number byte by byte; a stream kept a flag beside the time that says the same; PartTable.Size was used nowhere. Change: BeginTrial, EndTrial and Assess serve both; Record.sinceBy; binary.LittleEndian; the flag and the method are gone. No change of behaviour.

--- a/internal/admit/grant.go
+++ b/internal/admit/grant.go
@@ -134,7 +134,7 @@
 func (s *Scheduler) finish(g *Grant, outcome Outcome, now time.Time) {
 	st := g.state
 	st.load.Ended(g.request.ID)
-	s.endTrial(g)
+	s.parts.EndTrial(g.trial)
 	for _, other := range g.others {
 		other.load.Ended(g.request.ID)
 		s.refresh(other, now)
--- a/internal/admit/scheduler.go
+++ b/internal/admit/scheduler.go
@@ -45,12 +45,10 @@
 	pools      map[poolKey]*pool
 	prefix     *load.PrefixIndex
 	poison     *poison.Table
-	// parts holds the prompt parts that may crash upstreams, and trials counts the
-	// requests in flight that are trials, by part.
-	parts  *poison.PartTable
-	trials map[uint64]int
-	retry  *retry.Policy
-	peers  map[string]peerState
+	// parts holds the prompt parts that may crash upstreams.
+	parts *poison.PartTable
+	retry *retry.Policy
+	peers map[string]peerState
 }
 
 // peerState describes the last hint of another instance.
@@ -76,7 +74,6 @@
 		prefix:   load.NewPrefixIndex(),
 		poison:   poison.NewTable(),
 		parts:    poison.NewPartTable(),
-		trials:   map[uint64]int{},
 		retry:    retry.NewPolicy(),
 		peers:    map[string]peerState{},
 	}
--- a/internal/admit/suspects.go
+++ b/internal/admit/suspects.go
@@ -12,11 +12,6 @@
 func (s *Scheduler) verdict(r *Request, now time.Time) (poison.Verdict, time.Duration) {
 	verdict, left := s.poison.Verdict(r.Fingerprint, now)
 	a := s.parts.Assess(r.Parts, 0, now)
-	for _, part := range a.Suspects {
-		if s.trials[part] > 0 {
-			a.Verdict = poison.Pending
-		}
-	}
 	if a.Verdict > verdict {
 		return a.Verdict, a.Remaining
 	}
@@ -27,18 +22,7 @@
 // prompt.
 func (s *Scheduler) beginTrial(g *Grant, now time.Time) {
 	g.trial = s.parts.Assess(g.request.Parts, 0, now).Suspects
-	for _, part := range g.trial {
-		s.trials[part]++
-	}
-}
-
-// endTrial records that the request of g has ended.
-func (s *Scheduler) endTrial(g *Grant) {
-	for _, part := range g.trial {
-		if s.trials[part]--; s.trials[part] <= 0 {
-			delete(s.trials, part)
-		}
-	}
+	s.parts.BeginTrial(g.trial)
 }
 
 // clearParts clears the parts of a request that was answered without a crash.
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -125,7 +125,6 @@
 		return h.notStream(ctx, rq, res, reply, s)
 	}
 	events := newEventReader(res.Body)
-	answered := false
 	var answeredAt time.Time
 	onTrial := len(a.decision.Trial) > 0
 	pauseTimeout := max(minStallTimeout, pauseObjectiveFactor*rq.route.MaxPause)
@@ -140,8 +139,7 @@
 		wd.reset(pauseTimeout)
 		wd.first()
 		rq.record.event(time.Now())
-		if !answered {
-			answered = true
+		if answeredAt.IsZero() {
 			h.opts.Placer.FirstAnswer(rq.service, a.job)
 			answeredAt = time.Now()
 		}
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -22,7 +22,7 @@
 	}
 	pj := &placed{job: j, decision: d, at: now, deadline: now.Add(j.Lifetime)}
 	p.jobs[j.ID] = pj
-	p.countTrial(pj, 1)
+	p.parts.BeginTrial(d.Trial)
 	first := pl.members[d.Upstream]
 	if first == nil {
 		return
@@ -99,7 +99,7 @@
 // drop removes a job from its upstreams.
 func (p *Planner) drop(pj *placed, now time.Time) {
 	delete(p.jobs, pj.job.ID)
-	p.countTrial(pj, -1)
+	p.parts.EndTrial(pj.decision.Trial)
 	pl := p.pools[pj.job.Service]
 	if pl == nil {
 		return
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -33,10 +33,8 @@
 	// poison detects requests that crash the upstreams that run them. It knows an
 	// upstream by its incarnation.
 	poison *poison.Table
-	// parts does the same for parts of prompts, and trials counts the jobs in flight
-	// that are trials, by part.
-	parts  *poison.PartTable
-	trials map[uint64]int
+	// parts does the same for parts of prompts.
+	parts *poison.PartTable
 	// crashedAt holds when an upstream last crashed, by address, for unstableTime.
 	crashedAt map[string]time.Time
 	// unexplained holds the upstreams, by incarnation, on which an attempt was lost and
@@ -117,7 +115,7 @@
 func NewPlanner(dataCentre string) *Planner {
 	return &Planner{
 		dataCentre: dataCentre, pools: map[string]*pool{}, jobs: map[string]*placed{},
-		poison: poison.NewTable(), parts: poison.NewPartTable(), trials: map[uint64]int{}, crashedAt: map[string]time.Time{}, unexplained: map[string]unexplainedLoss{},
+		poison: poison.NewTable(), parts: poison.NewPartTable(), crashedAt: map[string]time.Time{}, unexplained: map[string]unexplainedLoss{},
 	}
 }
 
--- a/internal/placement/trials.go
+++ b/internal/placement/trials.go
@@ -27,11 +27,6 @@
 // trial of a suspect part is in flight or lost with an unknown cause.
 func (p *Planner) trialOf(j *Job, now time.Time) (trial []uint64, d Decision, refused bool) {
 	a := p.assess(j, now)
-	for _, part := range a.Suspects {
-		if p.trials[part] > 0 {
-			a.Verdict = poison.Pending
-		}
-	}
 	if a.Verdict >= poison.Pending {
 		return nil, p.refuseParts(j, a), true
 	}
@@ -75,15 +70,6 @@
 	return d
 }
 
-// countTrial counts a job that is a trial, or one less.
-func (p *Planner) countTrial(pj *placed, change int) {
-	for _, part := range pj.decision.Trial {
-		if p.trials[part] += change; p.trials[part] <= 0 {
-			delete(p.trials, part)
-		}
-	}
-}
-
 // TrialPassed records that a trial has been answered for poison.TrialTime.
 func (p *Planner) TrialPassed(id string) {
 	p.mu.Lock()
--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -48,6 +48,8 @@
 	// upstream.
 	pending map[string]*partLosses
 	proofs  []*proof
+	// trials counts the trials in flight, by suspect part.
+	trials map[uint64]int
 }
 
 // partRecord holds the crashes of a part since it was last cleared, the earliest first.
@@ -102,13 +104,14 @@
 	if err != nil {
 		panic(err) // only for a size of zero or less
 	}
-	return &PartTable{records: records, pending: map[string]*partLosses{}}
+	return &PartTable{records: records, pending: map[string]*partLosses{}, trials: map[uint64]int{}}
 }
 
 // Assessment is how a request must be treated, given its parts.
 type Assessment struct {
 	// Verdict is Clear, Suspect, Pending or Quarantined. A Suspect must be sent as a
-	// trial; a Pending one waits for the result of another trial.
+	// trial; a Pending one waits for the result of another trial,
+	// in flight or lost.
 	Verdict Verdict
 	// Suspects are the suspect parts, if the verdict is Suspect or Pending.
 	Suspects []uint64
@@ -138,13 +141,30 @@
 		}
 		a.Suspects = append(a.Suspects, part)
 		a.Verdict = max(a.Verdict, Suspect)
-		if t.trialPending(part) {
+		if t.trials[part] > 0 || t.trialPending(part) {
 			a.Verdict = Pending
 		}
 	}
 	return a
 }
 
+// BeginTrial records that a request is sent as a trial of its suspect parts. EndTrial must
+// be called with the same parts when the request ends.
+func (t *PartTable) BeginTrial(suspects []uint64) {
+	for _, part := range suspects {
+		t.trials[part]++
+	}
+}
+
+// EndTrial records the end of a trial.
+func (t *PartTable) EndTrial(suspects []uint64) {
+	for _, part := range suspects {
+		if t.trials[part]--; t.trials[part] <= 0 {
+			delete(t.trials, part)
+		}
+	}
+}
+
 // isSuspect reports whether a part was in flight in enough crashes or losses.
 func (t *PartTable) isSuspect(part uint64, unrecorded int, now time.Time) bool {
 	r, known := t.records.Peek(part)
@@ -390,6 +410,3 @@
 		t.addCrash(part, partCrash{id: c.ID, at: at, confirmed: true})
 	}
 }
-
-// Size returns the numbers of parts with crashes and of proofs.
-func (t *PartTable) Size() (suspects, proofs int) { return t.records.Len(), len(t.proofs) }
--- a/internal/poison/proofs.go
+++ b/internal/poison/proofs.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -144,9 +145,7 @@
 func (t *PartTable) recordOf(p *proof) Record {
 	d := xxhash.New()
 	for _, part := range p.parts {
-		for shift := 0; shift < 64; shift += 8 {
-			_, _ = d.Write([]byte{byte(part >> shift)}) // never fails
-		}
+		_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, part)) // never fails
 	}
 	r := Record{Fingerprint: d.Sum64(), Parts: p.parts, Since: p.since}
 	if len(p.parts) == 1 {
@@ -157,13 +156,9 @@
 	return r
 }
 
-// Restore adds a record that an instance has kept. A time in the future, by the clock of
-// that instance, counts as now.
+// Restore adds a record that an instance has kept.
 func (t *PartTable) Restore(r Record, now time.Time) {
-	since := r.Since
-	if since.After(now) {
-		since = now
-	}
+	since := r.sinceBy(now)
 	if len(r.Parts) == 1 {
 		t.addCrashes(r.Parts[0], r.Crashes, since)
 	}
--- a/internal/poison/quarantine.go
+++ b/internal/poison/quarantine.go
@@ -21,6 +21,15 @@
 // Expired reports whether the record no longer applies.
 func (q Record) Expired(now time.Time) bool { return now.Sub(q.Since) > quarantineTime }
 
+// sinceBy returns the time of the last crash. A time in the future, by the clock of the
+// instance that wrote the record, counts as now.
+func (q Record) sinceBy(now time.Time) time.Time {
+	if q.Since.After(now) {
+		return now
+	}
+	return q.Since
+}
+
 // Record returns the record of a fingerprint, and false if it has too few crashes.
 func (t *Table) Record(fingerprint uint64) (Record, bool) {
 	s, known := t.suspects.Peek(fingerprint)
@@ -53,13 +62,9 @@
 	return list
 }
 
-// Restore adds a record that an instance has kept. A time in the future, by the clock of
-// that instance, counts as now.
+// Restore adds a record that an instance has kept.
 func (t *Table) Restore(q Record, now time.Time) {
-	since := q.Since
-	if since.After(now) {
-		since = now
-	}
+	since := q.sinceBy(now)
 	for _, c := range q.Crashes {
 		t.addCrash(q.Fingerprint, c, since)
 	}
