--- a/internal/placement/containment_test.go
+++ b/internal/placement/containment_test.go
@@ -341,7 +341,10 @@
 	}
 	r.share = float64(served) / float64(max(all, 1))
 	for _, n := range s.nodes {
-		for _, record := range n.planner.parts.Records() {
+		n.planner.mu.Lock()
+		records := n.planner.parts.Records()
+		n.planner.mu.Unlock()
+		for _, record := range records {
 			if !slices.Contains(record.Parts, simBadPart) {
 				r.blamed++
 			}
