--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/banyanroute/banyanroute/internal/catalogue"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/peer"
 )
 
@@ -70,6 +71,7 @@
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
+			defer panics.Recover(log.WithField("member", m.ID), func() { answer.Instances[i] = a.describe(m) })
 			answer.Instances[i] = a.statusOf(r.Context(), m)
 		})
 	}
--- a/internal/admit/acquire.go
+++ b/internal/admit/acquire.go
@@ -50,35 +50,51 @@
 // deadline or that no engines can hold. A request that Acquire refuses has not
 // run.
 func (s *Scheduler) Acquire(ctx context.Context, r *Request) (*Grant, *result.Error) {
+	q := s.queueUp(r, time.Now())
+	switch {
+	case q.gang:
+		return s.acquireGang(ctx, q.pool, r)
+	case q.waiter != nil:
+		return s.awaitDecision(ctx, q.pool, q.waiter)
+	}
+	return q.grant, q.refusal
+}
+
+// queued is what becomes of a request at once: a grant, a refusal, a waiter in the queue of
+// pool, or the need for several engines of pool.
+type queued struct {
+	grant   *Grant
+	refusal *result.Error
+	pool    *pool
+	waiter  *waiter
+	gang    bool
+}
+
+// queueUp grants, refuses or queues a request.
+func (s *Scheduler) queueUp(r *Request, now time.Time) queued {
 	s.mu.Lock()
-	now := time.Now()
+	defer s.mu.Unlock()
 	p := s.pools[poolKey{r.Target, r.Service}]
 	if p == nil || len(p.states) == 0 {
-		defer s.mu.Unlock()
-		return nil, s.noUpstream(r)
+		return queued{refusal: s.noUpstream(r)}
 	}
 	if grant, refusal, done := s.grantBaseline(p, r, now); done {
-		s.mu.Unlock()
-		return grant, refusal
+		return queued{grant: grant, refusal: refusal}
 	}
 	if refusal := s.checkFeasible(p, r, now); refusal != nil {
-		s.mu.Unlock()
-		return nil, refusal
+		return queued{refusal: refusal}
 	}
 	if s.needsGang(p, r) {
-		s.mu.Unlock()
-		return s.acquireGang(ctx, p, r)
+		return queued{pool: p, gang: true}
 	}
 	w := s.newWaiter(p, r, now)
 	if refusal := s.enqueue(p, w, now); refusal != nil {
-		s.mu.Unlock()
-		return nil, refusal
+		return queued{refusal: refusal}
 	}
 	if w.index == 0 || w.lane < laneNormal {
 		s.serveLane(p, w.lane, p.view, now)
 	}
-	s.mu.Unlock()
-	return s.awaitDecision(ctx, p, w)
+	return queued{pool: p, waiter: w}
 }
 
 // awaitDecision waits until w is granted or refused, or the caller leaves.
@@ -88,12 +104,7 @@
 		return d.grant, d.refusal
 	case <-ctx.Done():
 	}
-	s.mu.Lock()
-	if w.index >= 0 {
-		s.dequeue(p, w)
-		s.serveQueue(p, p.view, time.Now())
-	}
-	s.mu.Unlock()
+	s.withdraw(p, w)
 	select {
 	case d := <-w.answer:
 		if d.grant != nil {
@@ -104,6 +115,16 @@
 	return nil, result.Wrap(context.Cause(ctx), result.CallerGone, "the caller left while the request waited").WithExecution(result.NotRun)
 }
 
+// withdraw removes a waiter from the queue.
+func (s *Scheduler) withdraw(p *pool, w *waiter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w.index >= 0 {
+		s.dequeue(p, w)
+		s.serveQueue(p, p.view, time.Now())
+	}
+}
+
 // noUpstream refuses a request that no upstream can take.
 func (s *Scheduler) noUpstream(r *Request) *result.Error {
 	return result.New(result.NoUpstream, "no upstream of %q can take a request", r.Target).WithRetryAfter(s.retryAfter(time.Second))
--- a/internal/admit/gang.go
+++ b/internal/admit/gang.go
@@ -51,9 +51,9 @@
 	if err := s.pollUntil(ctx, func() bool { return s.gangMayReserve(p, r) }); err != nil {
 		return nil, s.gangRefusal(ctx, err)
 	}
-	s.mu.Lock()
-	verdict, left := s.verdict(r, time.Now())
-	s.mu.Unlock()
+	var verdict poison.Verdict
+	var left time.Duration
+	s.locked(func() { verdict, left = s.verdict(r, time.Now()) })
 	if verdict == poison.Quarantined {
 		return nil, quarantineRefusal(left)
 	}
@@ -64,9 +64,8 @@
 // until it returns true or ctx ends.
 func (s *Scheduler) pollUntil(ctx context.Context, ready func() bool) error {
 	for {
-		s.mu.Lock()
-		done := ready()
-		s.mu.Unlock()
+		var done bool
+		s.locked(func() { done = ready() })
 		if done {
 			return nil
 		}
@@ -78,6 +77,13 @@
 	}
 }
 
+// locked calls f with the scheduler's lock held.
+func (s *Scheduler) locked(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
 // gangMayReserve reports whether the reservations of all instances, with r's,
 // leave enough of the pool's memory for other requests, and whether r's last
 // loss is resolved, that is, known to be a crash or not. It counts the
--- a/internal/admit/grant.go
+++ b/internal/admit/grant.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/gang"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/poison"
 )
 
@@ -121,17 +122,17 @@
 func (g *Grant) Done(outcome Outcome) {
 	g.done.Do(func() {
 		s := g.scheduler
-		s.mu.Lock()
 		s.finish(g, outcome, time.Now())
-		s.mu.Unlock()
 		if len(g.parts) > 0 {
-			go s.releaseParts(g)
+			go panics.Run(log, func() { s.releaseParts(g) })
 		}
 	})
 }
 
 // finish removes the request from the upstream's load and applies its outcome.
 func (s *Scheduler) finish(g *Grant, outcome Outcome, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	st := g.state
 	st.load.Ended(g.request.ID)
 	s.parts.EndTrial(g.trial)
--- a/internal/admit/serve.go
+++ b/internal/admit/serve.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/load"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/poison"
 	"github.com/banyanroute/banyanroute/internal/result"
 	"github.com/banyanroute/banyanroute/internal/route"
@@ -210,7 +211,7 @@
 		return
 	}
 	p.tickScheduled = true
-	time.AfterFunc(tickInterval, func() { s.tick(p) })
+	panics.AfterFunc(log, tickInterval, func() { s.tick(p) })
 }
 
 // tick refuses requests that waited for too long, promotes aged ones, and serves
--- a/internal/catalogue/replica.go
+++ b/internal/catalogue/replica.go
@@ -12,6 +12,7 @@
 
 	"github.com/banyanroute/banyanroute/internal/chart"
 	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/peer"
 )
 
@@ -119,8 +120,8 @@
 // Run keeps the replica up to date until ctx ends.
 func (r *Replica) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
-	wg.Go(func() { r.runExchange(ctx) })
-	wg.Go(func() { r.runPoll(ctx) })
+	wg.Go(func() { panics.Restart(ctx, log, r.runExchange) })
+	wg.Go(func() { panics.Restart(ctx, log, r.runPoll) })
 	wg.Wait()
 	return ctx.Err()
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -19,11 +19,14 @@
 	"github.com/banyanroute/banyanroute/internal/admit"
 	"github.com/banyanroute/banyanroute/internal/catalogue"
 	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/platform"
 	"github.com/banyanroute/banyanroute/internal/upstream"
 )
 
+var log = logging.For("control")
+
 // Topics of the broadcasts between instances.
 const (
 	// topicLeaving carries the ID of an upstream that is leaving.
@@ -99,7 +102,6 @@
 // Controller owns the instance's view of the upstreams.
 type Controller struct {
 	opts Options
-	log  logger
 	// snapshot is the latest catalogue received, active the one in use.
 	snapshot atomic.Pointer[catalogue.Snapshot]
 	active   atomic.Pointer[catalogue.Snapshot]
@@ -123,17 +125,10 @@
 	listReadRunning bool
 }
 
-// logger is the part of logrus that the package uses.
-type logger interface {
-	Infof(format string, args ...any)
-	Warnf(format string, args ...any)
-}
-
 // New returns a controller and registers its topics on the bus.
 func New(opts Options) *Controller {
 	c := &Controller{
 		opts:             opts,
-		log:              logging.For("control"),
 		changed:          make(chan struct{}, 1),
 		pollResults:      make(chan pollResult, maxQueued),
 		piggybackedLoads: make(chan piggybackedLoad, maxQueued),
@@ -184,27 +179,32 @@
 func (c *Controller) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-c.changed:
-			c.install(c.snapshot.Load())
-		case now := <-ticker.C:
-			c.tick(ctx, now)
-		case r := <-c.pollResults:
-			c.applyPoll(r)
-		case l := <-c.piggybackedLoads:
-			c.applyPiggybackedLoad(l)
-		case list := <-c.listed:
-			c.applyList(list)
-		case id := <-c.leavingNotices:
-			c.markLeaving(id, leavingByPeer)
-		case reply := <-c.loadRequests:
-			reply <- c.engineLoads()
-		case reply := <-c.dumpRequests:
-			reply <- c.state()
-		}
+	for ctx.Err() == nil {
+		panics.Run(log, func() { c.handleNext(ctx, ticker.C) })
+	}
+	return nil
+}
+
+// handleNext waits for the next event and handles it.
+func (c *Controller) handleNext(ctx context.Context, ticks <-chan time.Time) {
+	select {
+	case <-ctx.Done():
+	case <-c.changed:
+		c.install(c.snapshot.Load())
+	case now := <-ticks:
+		c.tick(ctx, now)
+	case r := <-c.pollResults:
+		c.applyPoll(r)
+	case l := <-c.piggybackedLoads:
+		c.applyPiggybackedLoad(l)
+	case list := <-c.listed:
+		c.applyList(list)
+	case id := <-c.leavingNotices:
+		c.markLeaving(id, leavingByPeer)
+	case reply := <-c.loadRequests:
+		reply <- c.engineLoads()
+	case reply := <-c.dumpRequests:
+		reply <- c.state()
 	}
 }
 
@@ -223,7 +223,7 @@
 	c.opts.Scheduler.SetPolicy(s.Policy())
 	c.setUpstreams(s.Entries(catalogue.KindUpstream))
 	c.active.Store(s)
-	c.log.Infof("catalogue installed: revision %d with %d entries", s.Revision(), s.Len())
+	log.Infof("catalogue installed: revision %d with %d entries", s.Revision(), s.Len())
 }
 
 // setUpstreams replaces the set of upstreams; known ones keep their polling state.
@@ -284,15 +284,22 @@
 	}
 	c.listReadRunning = true
 	c.nextList = now.Add(listInterval + time.Duration(len(c.opts.Bus.Members()))*listIntervalPerMember)
-	go func() {
+	go panics.Run(log, func() {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
-		list, err := c.opts.LiveList.List(ctx)
+		list, err := c.list(ctx)
 		if err != nil {
+			log.WithError(err).Debug("reading live list failed")
 			list = nil
 		}
 		c.listed <- list
-	}()
+	})
+}
+
+// list reads the live list.
+func (c *Controller) list(ctx context.Context) (list []platform.LiveListEntry, err error) {
+	defer panics.RecoverError(log, &err)
+	return c.opts.LiveList.List(ctx)
 }
 
 // applyList applies the phases of upstreams on the live list and stores the IDs
@@ -368,7 +375,7 @@
 	if known {
 		return
 	}
-	c.log.Infof("upstream %s is leaving (%s)", id, source)
+	log.Infof("upstream %s is leaving (%s)", id, source)
 	c.opts.Scheduler.SetLeaving(id, true)
 	if source != leavingByPeer {
 		payload, _ := cbor.Marshal(id) // encoding a string cannot fail
@@ -382,7 +389,7 @@
 		return
 	}
 	delete(c.leaving, id)
-	c.log.Infof("upstream %s is no longer leaving", id)
+	log.Infof("upstream %s is no longer leaving", id)
 	c.opts.Scheduler.SetLeaving(id, false)
 }
 
--- a/internal/control/poll.go
+++ b/internal/control/poll.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/admit"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/upstream"
 )
 
@@ -112,33 +113,38 @@
 		p.next = now.Add(interval)
 		p.round++
 		withEvents := p.up.Service == "" && p.round%pollsPerEventPoll == 0
-		go c.pollOnce(ctx, p.up, p.after, withEvents)
+		go panics.Run(log, func() { c.pollOnce(ctx, p.up, p.after, withEvents) })
 	}
 }
 
 // pollOnce polls one upstream and passes the result to the control goroutine.
 func (c *Controller) pollOnce(ctx context.Context, up admit.Upstream, after uint64, withEvents bool) {
 	r := pollResult{id: up.ID, url: up.URL}
+	c.query(ctx, up, after, withEvents, &r)
+	select {
+	case c.pollResults <- r:
+	case <-ctx.Done():
+	}
+}
+
+// query sends the calls of a poll and sets its result.
+func (c *Controller) query(ctx context.Context, up admit.Upstream, after uint64, withEvents bool, r *pollResult) {
+	defer panics.RecoverError(log.WithField("upstream", up.ID), &r.err)
 	start := time.Now()
 	if up.Service != "" {
 		var health upstream.Health
 		health, r.err = c.opts.Upstreams.Health(ctx, up.URL)
-		r.health = &health
-	} else {
-		var load upstream.LoadReport
-		load, r.err = c.opts.Upstreams.Load(ctx, up.URL)
-		r.load = &load
+		r.health, r.latency = &health, time.Since(start)
+		return
 	}
-	r.latency = time.Since(start)
+	var load upstream.LoadReport
+	load, r.err = c.opts.Upstreams.Load(ctx, up.URL)
+	r.load, r.latency = &load, time.Since(start)
 	if r.err == nil && withEvents {
 		if events, err := c.opts.Upstreams.Events(ctx, up.URL, after); err == nil {
 			r.events = &events
 		}
 	}
-	select {
-	case c.pollResults <- r:
-	case <-ctx.Done():
-	}
 }
 
 // piggybackedLoad is a load report that an upstream sent with an answer.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/banyanroute/banyanroute/internal/logging"
 	"github.com/banyanroute/banyanroute/internal/member"
 	"github.com/banyanroute/banyanroute/internal/order"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/platform/httpclient"
 	"github.com/banyanroute/banyanroute/internal/quota"
@@ -231,8 +232,9 @@
 // stops.
 func (d *Daemon) addActor(group *run.Group, name string, f func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	group.Add(func() error {
-		err := f(ctx)
+	group.Add(func() (err error) {
+		defer panics.RecoverError(log.WithField("actor", name), &err)
+		err = f(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -16,6 +16,7 @@
 
 	"github.com/banyanroute/banyanroute/internal/entry"
 	"github.com/banyanroute/banyanroute/internal/member"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/settings"
 )
 
@@ -52,7 +53,7 @@
 
 func newServer(h http.Handler, headerBytes int64) *http.Server {
 	return &http.Server{
-		Handler:           h,
+		Handler:           panics.Handler(log, h),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    int(headerBytes),
--- a/internal/deployment/era.go
+++ b/internal/deployment/era.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/banyanroute/banyanroute/internal/panics"
 )
 
 // After its return from an older copy, the store may list upstreams as they were some
@@ -108,7 +110,7 @@
 		kept = append(kept, u)
 	}
 	if len(f.distrusted) > 0 {
-		time.AfterFunc(distrustTime, f.useDistrusted)
+		panics.AfterFunc(log, distrustTime, f.useDistrusted)
 	}
 	return kept
 }
--- a/internal/deployment/exchange.go
+++ b/internal/deployment/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/peer"
 )
 
@@ -63,7 +64,7 @@
 func (e *Exchange) Receive(from string, seen []Revision) {
 	for i, f := range e.followers {
 		if i < len(seen) && f.complete.load().Before(seen[i]) && f.catchingUp.CompareAndSwap(false, true) {
-			go e.catchUp(f, i, from, seen[i])
+			go panics.Run(log, func() { e.catchUp(f, i, from, seen[i]) })
 		}
 	}
 }
--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -12,6 +12,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/sleep"
 )
 
@@ -191,7 +192,11 @@
 			continue
 		}
 		f.recordSuccess(now)
-		f.apply(update, now)
+		if err := f.applyContained(update, now); err != nil {
+			snapshot = true
+			sleep.For(ctx, pause.NextBackOff())
+			continue
+		}
 		snapshot = false
 		sleep.For(ctx, f.options.batchDelay())
 	}
@@ -209,7 +214,8 @@
 }
 
 // next reads a snapshot or waits for changes.
-func (f *Follower) next(ctx context.Context, snapshot bool) (Update, error) {
+func (f *Follower) next(ctx context.Context, snapshot bool) (u Update, err error) {
+	defer panics.RecoverError(log.WithField("table", f.source.Name()), &err)
 	if snapshot {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
@@ -252,7 +258,7 @@
 		if f.complete.load().Before(u.Revision) {
 			log.WithField("table", f.source.Name()).WithField("revision", u.Revision).
 				Info("update from another instance applied")
-			f.apply(u, time.Now())
+			_ = f.applyContained(u, time.Now()) // logged; the store is read all the same
 		}
 	default:
 	}
@@ -295,6 +301,13 @@
 		Info("platform store available again")
 }
 
+// applyContained applies an update and returns a panic as an error.
+func (f *Follower) applyContained(u Update, now time.Time) (err error) {
+	defer panics.RecoverError(log.WithField("table", f.source.Name()), &err)
+	f.apply(u, now)
+	return nil
+}
+
 // apply applies an update to the state.
 func (f *Follower) apply(u Update, now time.Time) {
 	newEra := f.enterEra(u, now)
@@ -399,7 +412,7 @@
 			f.pendingRemovals[id] = f.deferRemovalsUntil
 		}
 	}
-	time.AfterFunc(time.Until(f.deferRemovalsUntil), f.applyRemovals)
+	panics.AfterFunc(log, time.Until(f.deferRemovalsUntil), f.applyRemovals)
 }
 
 // applyRemovals removes the upstreams that were not listed again in time.
--- a/internal/deployment/follower_test.go
+++ b/internal/deployment/follower_test.go
@@ -16,6 +16,8 @@
 	mu       sync.Mutex
 	snapshot Update
 	err      error
+	// panics is whether reading an answer panics.
+	panics bool
 }
 
 // set replaces the answers.
@@ -28,6 +30,9 @@
 func (s *fakeSource) get() (Update, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.panics {
+		panic("malformed answer")
+	}
 	return s.snapshot, s.err
 }
 
@@ -175,3 +180,27 @@
 		}
 	}
 }
+
+// TestPanicOfSourceIsAFailure checks that a panic while an answer of the store is read counts
+// as a failed read: what is known stays in use, and the store is read again.
+func TestPanicOfSourceIsAFailure(t *testing.T) {
+	s := &fakeSource{snapshot: Update{Complete: true, Revision: rev(1), Upstreams: upstreams("a")}}
+	follow(t, s, func(state *State) {
+		setPanics := func(panics bool) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.panics = panics
+		}
+		setPanics(true)
+		time.Sleep(time.Minute)
+		if n := len(state.View().Upstreams("s")); n != 1 {
+			t.Errorf("%d upstreams while reads panic, want 1", n)
+		}
+		setPanics(false)
+		s.changes <- Update{Revision: rev(2), Upstreams: upstreams("b")}
+		synctest.Wait()
+		if n := len(state.View().Upstreams("s")); n != 2 {
+			t.Errorf("%d upstreams after the panics, want 2", n)
+		}
+	})
+}
--- a/internal/dispatch/atmostonce.go
+++ b/internal/dispatch/atmostonce.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/ledger"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/result"
 )
 
@@ -40,6 +41,7 @@
 	done := make(chan outcome, 1)
 	d.background.Go(func() {
 		c := &claimedCall{d: d, call: call}
+		defer panics.Recover(log.WithField("request", call.ID), func() { done <- outcome{err: c.abandon(ctx)} })
 		answer, err := c.run(ctx)
 		done <- outcome{answer, err}
 	})
@@ -80,6 +82,16 @@
 	}
 }
 
+// abandon ends a call that panicked: once its key is claimed, it may have run.
+func (c *claimedCall) abandon(ctx context.Context) *result.Error {
+	err := result.New(result.Internal, "internal error")
+	if c.claim == nil {
+		return err.WithExecution(result.NotRun)
+	}
+	c.settle(ctx, c.claim.FinishUnknown)
+	return err
+}
+
 // try makes one attempt. Until the key is claimed, the attempt is cancelled when
 // the caller leaves; afterwards it continues without the caller.
 func (c *claimedCall) try(ctx context.Context) (*Answer, *result.Error) {
@@ -119,7 +131,7 @@
 // retries in the background.
 func (c *claimedCall) settle(ctx context.Context, end func(context.Context) error) {
 	if err := end(context.WithoutCancel(ctx)); err != nil {
-		c.d.log.Warnf("claim not settled yet, retrying in the background: %v", err)
+		log.Warnf("claim not settled yet, retrying in the background: %v", err)
 	}
 }
 
--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/sleep"
 )
 
@@ -32,12 +33,11 @@
 // released long before the deadline.
 type canceller struct {
 	upstreams Upstreams
-	log       logger
 	queue     chan cancellation
 }
 
-func newCanceller(upstreams Upstreams, log logger) *canceller {
-	return &canceller{upstreams: upstreams, log: log, queue: make(chan cancellation, maxPendingCancels)}
+func newCanceller(upstreams Upstreams) *canceller {
+	return &canceller{upstreams: upstreams, queue: make(chan cancellation, maxPendingCancels)}
 }
 
 // add queues a cancellation without blocking.
@@ -45,7 +45,7 @@
 	select {
 	case c.queue <- item:
 	default:
-		c.log.Warnf("cancellation dropped: queue full, request %s ends at its deadline", item.requestID)
+		log.Warnf("cancellation dropped: queue full, request %s ends at its deadline", item.requestID)
 	}
 }
 
@@ -65,7 +65,7 @@
 		case <-ctx.Done():
 			return
 		case item := <-c.queue:
-			c.cancel(ctx, item)
+			panics.Run(log.WithField("request", item.requestID), func() { c.cancel(ctx, item) })
 		}
 	}
 }
--- a/internal/dispatch/connection.go
+++ b/internal/dispatch/connection.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/upstream"
 )
 
@@ -74,13 +75,20 @@
 func connect(ctx context.Context, upstreams Upstreams, call upstream.Call) *connection {
 	ctx, cancel := context.WithCancel(ctx)
 	c := &connection{messages: make(chan message), cancel: cancel}
-	go c.read(ctx, upstreams, call)
+	go c.readContained(ctx, upstreams, call)
 	return c
 }
 
 // close ends the exchange; its goroutine ends shortly after.
 func (c *connection) close() { c.cancel() }
 
+// readContained is read; a panic ends the connection as lost.
+func (c *connection) readContained(ctx context.Context, upstreams Upstreams, call upstream.Call) {
+	entry := log.WithField("request", call.Header.Get(upstream.HeaderRequestID))
+	defer panics.Recover(entry, func() { c.deliver(ctx, message{err: upstream.ErrLost}) })
+	c.read(ctx, upstreams, call)
+}
+
 // read sends the call and delivers the header and the events of its answer.
 func (c *connection) read(ctx context.Context, upstreams Upstreams, call upstream.Call) {
 	res, err := upstreams.Do(ctx, call)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -63,25 +63,19 @@
 
 const defaultMaxAnswerBytes = 8 << 20
 
+var log = logging.For("dispatch")
+
 // Dispatcher runs requests. It is safe for concurrent use.
 type Dispatcher struct {
 	opts      Options
 	lifecycle *chart.Chart
 	cancels   *canceller
-	log       logger
 	active    activeRequests
 	// background counts the calls that run to their end even if their callers
 	// leave.
 	background sync.WaitGroup
 }
 
-// logger is the part of logrus that the package uses.
-type logger interface {
-	Debugf(format string, args ...any)
-	Infof(format string, args ...any)
-	Warnf(format string, args ...any)
-}
-
 // New returns a dispatcher. It fails if the request chart is invalid.
 func New(opts Options) (*Dispatcher, error) {
 	lifecycle, err := chart.Load(charts.FS, "request")
@@ -91,12 +85,10 @@
 	if opts.MaxAnswerBytes == 0 {
 		opts.MaxAnswerBytes = defaultMaxAnswerBytes
 	}
-	log := logging.For("dispatch")
 	return &Dispatcher{
 		opts:      opts,
 		lifecycle: lifecycle,
-		cancels:   newCanceller(opts.Upstreams, log),
-		log:       log,
+		cancels:   newCanceller(opts.Upstreams),
 	}, nil
 }
 
--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -269,7 +269,7 @@
 	if f.g.finished {
 		return f.complete()
 	}
-	f.g.d.log.Infof("upstream %s lost for request %s: %v", f.g.grant.Upstream().ID, f.g.req.ID, err)
+	log.Infof("upstream %s lost for request %s: %v", f.g.grant.Upstream().ID, f.g.req.ID, err)
 	code := result.UpstreamLost
 	if outcome == admit.Stalled {
 		code = result.Stalled
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -90,6 +90,7 @@
 	defer cancel()
 	defer d.active.add(req.ID)()
 	g := &generation{d: d, req: req, sink: sink, machine: d.lifecycle.NewMachine(), ran: result.NotRun}
+	defer g.close()
 	event := eventAdmitted
 	for {
 		actions, err := g.machine.Fire(event)
@@ -103,6 +104,16 @@
 	}
 }
 
+// close ends what a request that panicked still holds; after any other end there is nothing.
+func (g *generation) close() {
+	if g.follower != nil {
+		g.follower.close()
+	}
+	if g.grant != nil {
+		g.grant.Done(admit.Cancelled)
+	}
+}
+
 // do runs the actions of a transition and returns the next event.
 func (g *generation) do(ctx context.Context, actions []chart.Action) chart.Event {
 	var next chart.Event
--- a/internal/dispatch/generate_test.go
+++ b/internal/dispatch/generate_test.go
@@ -1,11 +1,13 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/banyanroute/banyanroute/internal/admit"
 	"github.com/banyanroute/banyanroute/internal/result"
 )
 
@@ -212,3 +214,30 @@
 		})
 	}
 }
+
+// panickingSink is a Sink that panics at the first chunk.
+type panickingSink struct{ recorder }
+
+// Chunk implements Sink.
+func (*panickingSink) Chunk([]byte) error { panic("chunk") }
+
+// TestPanicReleasesUpstream checks that a request that panics leaves no load on its upstream.
+func TestPanicReleasesUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDispatcher(t, fakeNet{"http://a": newFakeEngine(testTokens)}, nil)
+		scheduler := d.opts.Scheduler.(*admit.Scheduler)
+		idle := scheduler.PeerHint()
+		func() {
+			defer func() {
+				if recover() == nil {
+					t.Error("the panic did not reach the handler of the request")
+				}
+			}()
+			_ = d.Generate(t.Context(), newTestGeneration(d, time.Minute), &panickingSink{})
+		}()
+		if hint := scheduler.PeerHint(); !bytes.Equal(hint, idle) {
+			t.Errorf("load remains: hint %x, want %x", hint, idle)
+		}
+		synctest.Wait()
+	})
+}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/banyanroute/banyanroute/internal/admit"
 	"github.com/banyanroute/banyanroute/internal/ledger"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/result"
 	"github.com/banyanroute/banyanroute/internal/upstream"
 )
@@ -95,6 +95,7 @@
 	if rerr != nil {
 		return nil, rerr
 	}
+	defer grant.Done(admit.Cancelled) // has an effect only if the attempt panics
 	up := grant.Upstream()
 	if claim != nil {
 		if answer, rerr := claim(); answer != nil || rerr != nil {
@@ -120,7 +121,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if !claimed && !call.NoSilenceTimeout {
-		watchdog := time.AfterFunc(serviceSilenceFactor*d.opts.SilenceTimeout, cancel)
+		watchdog := panics.AfterFunc(log.WithField("request", call.ID), serviceSilenceFactor*d.opts.SilenceTimeout, cancel)
 		defer watchdog.Stop()
 	}
 	res, err := d.opts.Upstreams.Do(ctx, serviceCall(up, call))
--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -20,8 +20,9 @@
 	// runs counts executions by idempotency key.
 	runs map[string]int
 	// answer returns how a call, counted from 1, is answered: "lost" runs the
-	// call and then breaks the connection, "unreached" fails before anything is
-	// sent, "refused" proves that the call did not run, and any other runs it.
+	// call and then breaks the connection, "panic" runs it and then panics,
+	// "unreached" fails before anything is sent, "refused" proves that the call did
+	// not run, and any other runs it.
 	answer func(call int) string
 	calls  int
 	// duration is how long a call runs.
@@ -42,6 +43,9 @@
 		return nil, upstream.ErrLost
 	}
 	s.runs[call.Header.Get("Idempotency-Key")]++
+	if kind == "panic" {
+		panic("reading the answer")
+	}
 	if kind == "lost" {
 		return nil, upstream.ErrLost
 	}
@@ -105,6 +109,7 @@
 	}{
 		"answered":                     {always("ok"), result.OK, result.OK, 1},
 		"lost after it ran":            {always("lost"), result.UpstreamLost, result.OutcomeUnknown, 1},
+		"panic after it ran":           {always("panic"), result.Internal, result.OutcomeUnknown, 1},
 		"never reached":                {always("unreached"), result.NoUpstream, result.NoUpstream, 0},
 		"refused by all":               {always("refused"), result.NoUpstream, result.NoUpstream, 0},
 		"refused once, then answered":  {func(n int) string { return []string{"refused", "ok"}[min(n, 2)-1] }, result.OK, result.OK, 1},
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -12,6 +12,7 @@
 	"github.com/banyanroute/banyanroute/internal/catalogue"
 	"github.com/banyanroute/banyanroute/internal/dispatch"
 	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/result"
 )
 
@@ -113,10 +114,12 @@
 		if h.opts.Draining() {
 			w.Header().Set("Connection", "close")
 		}
-		err := h.authenticate(x)
-		if err == nil {
-			err = f(x)
-		}
+		err := x.run(func() *result.Error {
+			if err := h.authenticate(x); err != nil {
+				return err
+			}
+			return f(x)
+		})
 		code := result.OK
 		if err != nil {
 			code = err.Code
@@ -126,6 +129,12 @@
 	}
 }
 
+// run calls f and turns its panic into an error.
+func (x *exchange) run(f func() *result.Error) (err *result.Error) {
+	defer panics.Recover(log.WithField("request", x.id), func() { err = result.New(result.Internal, "internal error") })
+	return f()
+}
+
 // countRequest updates the metrics for a finished request.
 func countRequest(code result.Code, took time.Duration) {
 	label := `banyanroute_requests_total{result="` + code.String() + `"}`
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -11,6 +11,7 @@
 
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/passthrough"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/placement"
@@ -147,8 +148,9 @@
 // interrupt it.
 func addActor(group *run.Group, f func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	group.Add(func() error {
-		err := f(ctx)
+	group.Add(func() (err error) {
+		defer panics.RecoverError(log, &err)
+		err = f(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -173,11 +175,11 @@
 
 // probeLost probes lost upstreams until ctx ends.
 func (n *Instance) probeLost(ctx context.Context) error {
-	return sleep.Every(ctx, probeInterval, func() {
+	return sleep.Every(ctx, probeInterval, panics.Guard(log, func() {
 		for _, up := range n.planner.DueForProbe(time.Now()) {
-			go n.probeOne(ctx, up)
+			go panics.Run(log.WithField("upstream", up.ID), func() { n.probeOne(ctx, up) })
 		}
-	})
+	}))
 }
 
 // probeOne probes a lost upstream and reports the result to the planner.
--- a/internal/hosted/links.go
+++ b/internal/hosted/links.go
@@ -11,6 +11,7 @@
 
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/member"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/placement"
 	"github.com/banyanroute/banyanroute/internal/platform"
@@ -96,7 +97,7 @@
 		return err
 	}
 	log.WithField("address", l.self.Address).Info("instance registered in the directory; joining the overlay")
-	go l.checkSecret(ctx, overlay)
+	go panics.Run(log, func() { l.checkSecret(ctx, overlay) })
 	return overlay.Run(ctx)
 }
 
@@ -184,12 +185,18 @@
 	return false
 }
 
+// contained makes a call and returns its panic as an error: the store may hold anything.
+func contained[T any](ctx context.Context, call func(context.Context) (T, error)) (value T, err error) {
+	defer panics.RecoverError(log, &err)
+	return call(ctx)
+}
+
 // retryUntilDone retries a call to the store until it succeeds or ctx ends.
 // Only the first failure is logged as a warning.
 func retryUntilDone[T any](ctx context.Context, operation string, call func(context.Context) (T, error)) (T, error) {
 	for first := true; ; first = false {
 		attempt, cancel := context.WithTimeout(ctx, directoryTimeout)
-		value, err := call(attempt)
+		value, err := contained(attempt, call)
 		cancel()
 		if err == nil {
 			return value, nil
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -11,6 +11,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
+
+	"github.com/banyanroute/banyanroute/internal/panics"
 )
 
 // Bounds of the listeners. The configuration sets tighter bounds for callers,
@@ -53,7 +55,7 @@
 
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           h,
+		Handler:           panics.Handler(log, h),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/hosted/shutdown.go
+++ b/internal/hosted/shutdown.go
@@ -9,6 +9,7 @@
 
 	"github.com/oklog/run"
 
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/sleep"
 )
 
@@ -38,7 +39,7 @@
 				return nil
 			case s := <-signals:
 				if s == syscall.SIGHUP {
-					n.reload()
+					panics.Run(log, n.reload)
 					continue
 				}
 				n.stopGracefully(ctx)
@@ -59,7 +60,7 @@
 		grace = defaultStopGrace
 	}
 	log.WithField("grace", grace).Info("graceful shutdown started; instance no longer ready")
-	go n.links.leave(context.WithoutCancel(ctx))
+	go panics.Run(log, func() { n.links.leave(context.WithoutCancel(ctx)) })
 	sleep.For(ctx, min(notReadyPeriod, grace/2))
 	n.shutdownCallers(grace - exitReserve - time.Since(started))
 }
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"golang.org/x/time/rate"
 
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/platform"
 )
 
@@ -69,7 +70,7 @@
 	b.queue = append(b.queue, o)
 	if b.workers < maxWorkers {
 		b.workers++
-		go b.work()
+		go panics.Run(log, b.work)
 	}
 	return o.done
 }
@@ -77,7 +78,7 @@
 // work sends batches until the queue is empty.
 func (b *batcher) work() {
 	for batch := b.next(); len(batch) > 0; batch = b.next() {
-		b.send(batch)
+		b.sendContained(batch)
 	}
 }
 
@@ -126,6 +127,12 @@
 	return batch
 }
 
+// sendContained sends a batch; a panic fails its writes, which may have taken effect.
+func (b *batcher) sendContained(batch []*op) {
+	defer panics.Recover(log, func() { fail(batch, platform.ErrUnknownOutcome) })
+	b.send(batch)
+}
+
 // send commits a batch. Writes whose condition failed are answered with the
 // current row, and the others go into a new transaction.
 func (b *batcher) send(batch []*op) {
@@ -186,9 +193,12 @@
 	return rest
 }
 
-// fail delivers an error to all ops of a batch.
+// fail delivers an error to the ops of a batch that have no result yet.
 func fail(batch []*op, err error) {
 	for _, o := range batch {
-		o.done <- opResult{err: err}
+		select {
+		case o.done <- opResult{err: err}:
+		default:
+		}
 	}
 }
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/banyanroute/banyanroute/internal/chart"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/platform"
 	"github.com/banyanroute/banyanroute/internal/result"
 )
@@ -66,13 +67,11 @@
 	o := &outcome{claim: c, from: stateClaimed, version: c.version, event: event, record: rec}
 	done := make(chan struct{})
 	c.ledger.settler.inProgress.Add(1)
-	go func() {
+	go panics.Run(log, func() {
 		defer close(done)
 		defer c.ledger.settler.inProgress.Add(-1)
-		if !c.ledger.settler.try(context.WithoutCancel(ctx), o) {
-			c.ledger.settler.push(o)
-		}
-	}()
+		c.ledger.settler.settle(context.WithoutCancel(ctx), o)
+	})
 	select {
 	case <-done:
 	case <-ctx.Done():
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -26,6 +26,7 @@
 	"github.com/banyanroute/banyanroute/charts"
 	"github.com/banyanroute/banyanroute/internal/chart"
 	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/platform"
 	"github.com/banyanroute/banyanroute/internal/result"
@@ -237,7 +238,7 @@
 	case res := <-done:
 		return res, nil
 	case <-ctx.Done():
-		go func() {
+		go panics.Run(log, func() {
 			res := <-done
 			if res.err != nil {
 				l.fence(claim, expect, res.err)
@@ -246,7 +247,7 @@
 			if res.wrote {
 				l.settler.push(&outcome{claim: claim, from: stateClaimed, version: res.row.Version, event: eventRefuse, record: claim.record})
 			}
-		}()
+		})
 		return opResult{}, callEnded(ctx)
 	}
 }
@@ -300,8 +301,8 @@
 // ctx ends.
 func (l *Ledger) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
-	wg.Go(func() { l.settler.run(ctx) })
-	wg.Go(func() { l.runSweeps(ctx) })
+	wg.Go(func() { panics.Restart(ctx, log, l.settler.run) })
+	wg.Go(func() { panics.Restart(ctx, log, l.runSweeps) })
 	wg.Wait()
 	return nil
 }
--- a/internal/ledger/relay.go
+++ b/internal/ledger/relay.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 	"golang.org/x/time/rate"
 
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/platform"
 )
@@ -118,6 +119,8 @@
 	}
 	done := make(chan opResult, 1)
 	go func() {
+		// A write whose sending panicked may have been sent.
+		defer panics.Recover(log, func() { done <- opResult{err: platform.ErrUnknownOutcome} })
 		res, unknown := r.send(to, relayWrite{Key: key, Expect: expect, Value: value})
 		if res.err != nil {
 			res = <-r.direct.submit(key, expect, value)
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/chart"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/platform"
 )
 
@@ -119,12 +120,10 @@
 	}
 	var wg sync.WaitGroup
 	for _, o := range s.take() {
-		wg.Go(func() {
+		wg.Go(panics.Guard(log, func() {
 			defer s.inProgress.Add(-1)
-			if !s.try(ctx, o) {
-				s.push(o)
-			}
-		})
+			s.settle(ctx, o)
+		}))
 	}
 	wg.Wait()
 	if s.pending() > 0 {
@@ -132,6 +131,15 @@
 	}
 }
 
+// settle tries to write an outcome and queues it if that fails.
+func (s *settler) settle(ctx context.Context, o *outcome) {
+	// It is not queued after a panic, which would repeat; the claim ends as unknown.
+	defer panics.Recover(log.WithField("claim", o.record.ClaimID))
+	if !s.try(ctx, o) {
+		s.push(o)
+	}
+}
+
 // try writes an outcome and reports whether it is settled: it was written, or this
 // claim may no longer write the row.
 func (s *settler) try(ctx context.Context, o *outcome) bool {
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/platform"
 )
@@ -110,9 +111,9 @@
 		case <-ctx.Done():
 			return
 		case e := <-c.o.events:
-			c.handle(e, time.Now())
+			panics.Run(log, func() { c.handle(e, time.Now()) })
 		case <-ticker.C:
-			c.tick(time.Now())
+			panics.Run(log, func() { c.tick(time.Now()) })
 		}
 	}
 }
--- a/internal/member/memnet_test.go
+++ b/internal/member/memnet_test.go
@@ -174,6 +174,8 @@
 	net    *memNet
 	nodes  map[string]*node
 	starts uint64
+	// onMessage, if set, is called with the payload of each call and broadcast.
+	onMessage func(payload string)
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -192,11 +194,17 @@
 		c.t.Fatal(err)
 	}
 	n := &node{Overlay: o, stopped: make(chan struct{})}
+	onMessage := c.onMessage
+	if onMessage == nil {
+		onMessage = func(string) {}
+	}
 	o.HandleBroadcast(testTopic, func(_ string, payload []byte) {
+		onMessage(string(payload))
 		count, _ := n.deliveries.LoadOrStore(string(payload), new(atomic.Int64))
 		count.(*atomic.Int64).Add(1)
 	})
 	o.HandleCall(testTopic, func(_ context.Context, from string, payload []byte) ([]byte, error) {
+		onMessage(string(payload))
 		return append([]byte(from+": "), payload...), nil
 	})
 	var ctx context.Context
--- a/internal/member/overlay.go
+++ b/internal/member/overlay.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/platform"
 )
@@ -129,7 +130,7 @@
 	o.mu.Lock()
 	o.runContext = running
 	o.mu.Unlock()
-	o.spawn(func(run context.Context) { o.pollList(run) })
+	o.spawn(func(run context.Context) { panics.Restart(run, log, o.pollList) })
 	c.loop(ctx)
 	c.sendLeave()
 	o.mu.Lock()
@@ -153,7 +154,7 @@
 	o.workers.Add(1)
 	go func() {
 		defer o.workers.Done()
-		f(ctx)
+		panics.Run(log, func() { f(ctx) })
 	}()
 	return true
 }
@@ -186,12 +187,17 @@
 
 // HandleBroadcast implements peer.Bus.
 func (o *Overlay) HandleBroadcast(topic peer.Topic, h peer.BroadcastHandler) {
-	o.broadcastHandlers[topic] = h
+	o.broadcastHandlers[topic] = func(from string, payload []byte) {
+		panics.Run(log.WithField("topic", topic).WithField("peer", from), func() { h(from, payload) })
+	}
 }
 
 // HandleCall implements peer.Bus.
 func (o *Overlay) HandleCall(topic peer.Topic, h peer.CallHandler) {
-	o.callHandlers[topic] = h
+	o.callHandlers[topic] = func(ctx context.Context, from string, payload []byte) (answer []byte, err error) {
+		defer panics.RecoverError(log.WithField("topic", topic).WithField("peer", from), &err)
+		return h(ctx, from, payload)
+	}
 }
 
 func (o *Overlay) publishMembers(members []peer.Member) {
--- a/internal/member/overlay_test.go
+++ b/internal/member/overlay_test.go
@@ -412,3 +412,39 @@
 		t.Errorf("%d slots and %d active calls are kept", n, active)
 	}
 }
+
+// TestPanicOfHandlerIsContained checks that a panic while a call, a broadcast or a message
+// of the overlay itself is handled ends neither the process nor the overlay, and that the
+// caller of a call gets an error.
+func TestPanicOfHandlerIsContained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.stopAll()
+		c.onMessage = func(payload string) {
+			if payload == "bad" {
+				panic("bad message")
+			}
+		}
+		c.startAll(3, "r1/a")
+		c.converge(joinBound, all)
+		caller, target := c.nodes[c.ids()[0]], c.ids()[1]
+		if _, err := caller.Call(t.Context(), target, testTopic, []byte("bad")); err == nil || !strings.Contains(err.Error(), "bad message") {
+			t.Errorf("call: error %v, want the panic", err)
+		}
+		caller.Broadcast(testTopic, []byte("bad"))
+		c.nodes[target].post(t.Context(), received{})
+		c.nodes[target].post(t.Context(), received{message: message{Heartbeat: &heartbeat{}}})
+		time.Sleep(time.Minute)
+		caller.Broadcast(testTopic, []byte("good"))
+		time.Sleep(time.Second)
+		if n := c.deliveredTo("good"); n != 2 {
+			t.Errorf("the broadcast after the bad one reached %d members, want 2", n)
+		}
+		if got, err := caller.Call(t.Context(), target, testTopic, []byte("good")); err != nil {
+			t.Errorf("call after the bad one: %q, %v", got, err)
+		}
+		if d := c.disagreement(all); d != "" {
+			t.Error(d)
+		}
+	})
+}
--- a/internal/order/controller.go
+++ b/internal/order/controller.go
@@ -23,6 +23,7 @@
 	"github.com/banyanroute/banyanroute/charts"
 	"github.com/banyanroute/banyanroute/internal/chart"
 	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/upstream"
 )
 
@@ -167,7 +168,7 @@
 	for {
 		select {
 		case <-time.After(c.observeDelay()):
-			c.Reconcile(ctx)
+			panics.Run(log, func() { c.Reconcile(ctx) })
 		case <-ctx.Done():
 			return nil
 		}
@@ -240,6 +241,7 @@
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
+			defer panics.Recover(log.WithField("upstream", e.ID)) // it counts as not observed
 			ctx, cancel := context.WithTimeout(ctx, observeTimeout)
 			defer cancel()
 			o, err := c.options.Engines.Observe(ctx, e)
--- a/internal/order/manager.go
+++ b/internal/order/manager.go
@@ -10,6 +10,7 @@
 
 	"github.com/banyanroute/banyanroute/internal/catalogue"
 	"github.com/banyanroute/banyanroute/internal/lease"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/platform"
 )
@@ -113,8 +114,8 @@
 		Key:         m.options.Key,
 		Metrics:     m.set,
 	})}
-	runner.done.Go(func() { _ = l.Run(ctx) })
-	runner.done.Go(func() { _ = runner.controller.Run(ctx) })
+	runner.done.Go(func() { panics.Restart(ctx, log, func(ctx context.Context) { _ = l.Run(ctx) }) })
+	runner.done.Go(func() { panics.Restart(ctx, log, func(ctx context.Context) { _ = runner.controller.Run(ctx) }) })
 	return runner
 }
 
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -130,12 +130,13 @@
 // prepare turns a placed job into an attempt.
 func (h *Handler) prepare(ctx context.Context, rq *request, c placedJob, lastEvent string) (*attempt, *result.Error) {
 	job, d := c.job, c.decision
+	rq.placed = job.ID
 	// The view may have changed since the request arrived; an upstream that has left
 	// meanwhile must not be used.
 	view := h.opts.State.View()
 	up, known := view.Upstream(d.Upstream)
 	if !known || up.Leaving || up.Service != rq.service {
-		h.opts.Placer.Ended(rq.service, job.ID, placement.Abandoned)
+		h.ended(rq, job.ID, placement.Abandoned)
 		return nil, result.New(result.NoUpstream, "upstream %s has left", d.Upstream).WithRetryAfter(transientRetryAfter)
 	}
 	a := &attempt{job: job.ID, upstream: up, decision: d, release: func() {}}
@@ -148,7 +149,7 @@
 		LastEventID: lastEvent,
 	}
 	if err := h.prepareHelpers(ctx, rq, a, view, &out); err != nil {
-		h.opts.Placer.Ended(rq.service, job.ID, placement.Abandoned)
+		h.ended(rq, job.ID, placement.Abandoned)
 		return nil, err
 	}
 	a.header = make(http.Header, len(rq.r.Header)+4)
--- a/internal/passthrough/buffered.go
+++ b/internal/passthrough/buffered.go
@@ -25,7 +25,6 @@
 			return h.placementFailure(ctx, rq, refused)
 		}
 		answer := h.attemptBuffered(ctx, rq, a)
-		a.release()
 		if answer.err == nil && !answer.retryable(rq) {
 			return h.deliver(rq, answer)
 		}
@@ -65,6 +64,7 @@
 
 // attemptBuffered makes one attempt.
 func (h *Handler) attemptBuffered(ctx context.Context, rq *request, a *attempt) *bufferedAnswer {
+	defer a.release()
 	attemptCtx := ctx
 	if limit := rq.attemptTimeout(); limit > 0 {
 		var cancel context.CancelFunc
@@ -84,7 +84,7 @@
 		}
 	}
 	outcome := outcomeOf(attemptCtx, rq, answer)
-	h.opts.Placer.Ended(rq.service, a.job, outcome)
+	h.ended(rq, a.job, outcome)
 	rq.record.ended(rq.service, outcome, answer.status)
 	return answer
 }
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -7,7 +7,9 @@
 
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/placement"
+	"github.com/banyanroute/banyanroute/internal/result"
 )
 
 var log = logging.For("passthrough")
@@ -80,6 +82,8 @@
 	mayHaveRun []string
 	// sends counts all sends.
 	sends int
+	// placed is the ID of the job that was placed and has not ended; empty if there is none.
+	placed string
 	// jobs counts the job IDs that were assigned.
 	jobs   int
 	record requestRecord
@@ -97,6 +101,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	rq := &request{w: w, r: r, arrived: time.Now(), view: h.opts.State.View(), call: h.opts.Codec.ReadCall(r.Header)}
+	defer panics.Recover(log.WithField("request", rq.call.ID), func() { h.abandon(rq) })
 	if h.opts.Draining() {
 		w.Header().Set("Connection", "close")
 	}
@@ -116,3 +121,22 @@
 		h.writeFailure(rq, err)
 	}
 }
+
+// abandon ends a request that panicked.
+func (h *Handler) abandon(rq *request) {
+	if rq.placed != "" {
+		h.ended(rq, rq.placed, placement.Abandoned)
+	}
+	err := result.New(result.Internal, "internal error")
+	if rq.sends == 0 {
+		err = err.WithExecution(result.NotRun)
+	}
+	h.requests.write(rq, err)
+	h.writeFailure(rq, err)
+}
+
+// ended reports how the attempt of a placed job ended.
+func (h *Handler) ended(rq *request, job string, o placement.Outcome) {
+	rq.placed = ""
+	h.opts.Placer.Ended(rq.service, job, o)
+}
--- a/internal/passthrough/hold.go
+++ b/internal/passthrough/hold.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/sleep"
 )
 
@@ -52,12 +53,12 @@
 func (h *Handler) reserve(ctx context.Context, holds []hold, remaining time.Duration) (*memoryLease, error) {
 	l := &memoryLease{reserver: h.opts.Reserver, holds: holds}
 	if err := l.reserveAll(ctx); err != nil {
-		go l.releaseAll()
+		go panics.Run(log, l.releaseAll)
 		return nil, err
 	}
 	renewing, cancel := context.WithTimeout(context.Background(), remaining)
 	l.cancel = cancel
-	l.done.Go(func() { l.renew(renewing) })
+	l.done.Go(func() { panics.Restart(renewing, log, l.renew) })
 	return l, nil
 }
 
@@ -68,7 +69,10 @@
 	errs := make([]error, len(l.holds))
 	var wait sync.WaitGroup
 	for i, one := range l.holds {
-		wait.Go(func() { errs[i] = l.reserver.Reserve(ctx, one.address, one.name, one.tokens, holdLease) })
+		wait.Go(func() {
+			defer panics.RecoverError(log, &errs[i])
+			errs[i] = l.reserver.Reserve(ctx, one.address, one.name, one.tokens, holdLease)
+		})
 	}
 	wait.Wait()
 	refused := &reserveError{cause: errors.Join(errs...)}
@@ -95,16 +99,16 @@
 // release releases the holds without blocking the caller.
 func (l *memoryLease) release() {
 	l.cancel()
-	go func() {
+	go panics.Run(log, func() {
 		l.done.Wait()
 		l.releaseAll()
-	}()
+	})
 }
 
 // releaseAll starts the release of all holds, each with retries.
 func (l *memoryLease) releaseAll() {
 	for _, one := range l.holds {
-		go func() {
+		go panics.Run(log, func() {
 			var err error
 			for range maxReleaseAttempts {
 				ctx, cancel := context.WithTimeout(context.Background(), engineCallTimeout)
@@ -115,7 +119,7 @@
 				}
 			}
 			log.WithError(err).WithField("reservation", one.name).Warn("releasing reserved engine memory failed; its lease will expire")
-		}()
+		})
 	}
 }
 
--- a/internal/passthrough/serve_test.go
+++ b/internal/passthrough/serve_test.go
@@ -86,13 +86,28 @@
 // serve sends one request of the kind through a Handler whose upstreams u0 and u1 answer
 // as given.
 func serve(kind deployment.Kind, placer *scriptedPlacer, reserver Reserver, answers ...http.HandlerFunc) *httptest.ResponseRecorder {
+	var urls []string
+	for _, answer := range answers {
+		server := httptest.NewServer(answer)
+		defer server.Close()
+		urls = append(urls, server.URL)
+	}
+	h := newTestHandler(kind, plainCodec{}, placer, reserver, urls...)
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodPost, "/x", strings.NewReader("body"))
+	r.Host = "app.example"
+	h.ServeHTTP(w, r)
+	return w
+}
+
+// newTestHandler returns a Handler with one route of the kind to the upstreams u0, u1 and so
+// on with the given URLs.
+func newTestHandler(kind deployment.Kind, codec Codec, placer Placer, reserver Reserver, urls ...string) *Handler {
 	state := deployment.NewState()
 	now := time.Now()
 	var ups []deployment.Upstream
-	for i, answer := range answers {
-		server := httptest.NewServer(answer)
-		defer server.Close()
-		ups = append(ups, deployment.Upstream{ID: fmt.Sprint("u", i), Service: "s", Address: strings.TrimPrefix(server.URL, "http://")})
+	for i, url := range urls {
+		ups = append(ups, deployment.Upstream{ID: fmt.Sprint("u", i), Service: "s", Address: strings.TrimPrefix(url, "http://")})
 	}
 	state.SetConfiguration(&deployment.Configuration{
 		Version:  1,
@@ -103,16 +118,11 @@
 		}},
 	}, now)
 	state.ReplaceUpstreams(ups, deployment.Revision{Number: 1}, now)
-	h := New(Options{
-		State: state, Codec: plainCodec{}, Placer: placer, Reserver: reserver,
+	return New(Options{
+		State: state, Codec: codec, Placer: placer, Reserver: reserver,
 		Retries:   RetryBudget{Ratio: 1, Extra: 100, Window: time.Second},
 		Instances: func() int { return 1 }, Draining: func() bool { return false },
 	})
-	w := httptest.NewRecorder()
-	r := httptest.NewRequest(http.MethodPost, "/x", strings.NewReader("body"))
-	r.Host = "app.example"
-	h.ServeHTTP(w, r)
-	return w
 }
 
 // TestFirstAnswerOfResumedStreamIsReported checks that the placer learns of the first
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/placement"
 	"github.com/banyanroute/banyanroute/internal/poison"
 	"github.com/banyanroute/banyanroute/internal/result"
@@ -53,8 +54,7 @@
 			return h.placementFailure(ctx, rq, refused)
 		}
 		end := h.attemptStream(ctx, rq, a, &s)
-		a.release()
-		h.opts.Placer.Ended(rq.service, a.job, end.outcome)
+		h.ended(rq, a.job, end.outcome)
 		rq.record.ended(rq.service, end.outcome, end.status)
 		switch {
 		case end.outcome == placement.Completed:
@@ -106,13 +106,14 @@
 
 // attemptStream makes one attempt and relays its events.
 func (h *Handler) attemptStream(ctx context.Context, rq *request, a *attempt, s *streamState) streamEnd {
+	defer a.release()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	firstTimeout := max(minStallTimeout, firstObjectiveFactor*rq.route.FirstAnswer, predictedFactor*a.decision.Expect)
 	wd := h.newWatchdog(ctx, rq, firstTimeout, cancel)
 	defer func() { s.next = wd.stop() }()
 	if a.holds {
-		idle := time.AfterFunc(h.idleHoldTimeout(), func() { cancel(errIdleHold) })
+		idle := panics.AfterFunc(log, h.idleHoldTimeout(), func() { cancel(errIdleHold) })
 		wd.onFirst = func() { idle.Stop() }
 		defer idle.Stop()
 	}
--- a/internal/passthrough/watchdog.go
+++ b/internal/passthrough/watchdog.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/placement"
 )
 
@@ -36,7 +37,7 @@
 	w := &watchdog{h: h, ctx: ctx, cancel: cancel, rq: rq}
 	if rq.route.Resumable && len(rq.mayHaveRun)+1 < rq.route.MaxAttempts {
 		w.job = h.job(rq)
-		w.timer = time.AfterFunc(timeout, w.fire)
+		w.timer = panics.AfterFunc(log.WithField("request", rq.call.ID), timeout, w.fire)
 	}
 	return w
 }
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/banyanroute/banyanroute/internal/deployment"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/poison"
 	"github.com/banyanroute/banyanroute/internal/sleep"
@@ -267,7 +268,7 @@
 	list := append(f.pending[home], events...)
 	f.pending[home] = list[max(0, len(list)-maxPendingEvents):]
 	if f.flushes[home] == nil {
-		f.flushes[home] = time.AfterFunc(flushDelay, func() { f.flush(home) })
+		f.flushes[home] = panics.AfterFunc(log, flushDelay, func() { f.flush(home) })
 	}
 }
 
@@ -320,7 +321,7 @@
 
 // Run periodically drops the jobs of instances that are gone, until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
-	return sleep.Every(ctx, maintenanceInterval, func() { f.dropDeadOwners(time.Now()) })
+	return sleep.Every(ctx, maintenanceInterval, panics.Guard(log, func() { f.dropDeadOwners(time.Now()) }))
 }
 
 // dropDeadOwners drops the jobs of incarnations that are not members.
--- a/internal/quota/control.go
+++ b/internal/quota/control.go
@@ -7,6 +7,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
+
+	"github.com/banyanroute/banyanroute/internal/panics"
 )
 
 // control is the state of the limiter's control goroutine.
@@ -72,21 +74,26 @@
 	c.tick(ctx, time.Now())
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			c.tick(ctx, time.Now())
-		case <-l.urgent:
-			c.renewUrgent(ctx, time.Now())
-		case b := <-l.requests:
-			b.reply <- c.grantLeases(b, time.Now())
-		case r := <-l.results:
-			c.finish(r, time.Now())
-		case reply := <-l.dumps:
-			reply <- c.dump(time.Now())
-		}
+	for ctx.Err() == nil {
+		panics.Run(log, func() { c.handleNext(ctx, ticker.C) })
+	}
+	return ctx.Err()
+}
+
+// handleNext waits for the next event and handles it.
+func (c *control) handleNext(ctx context.Context, ticks <-chan time.Time) {
+	select {
+	case <-ctx.Done():
+	case <-ticks:
+		c.tick(ctx, time.Now())
+	case <-c.l.urgent:
+		c.renewUrgent(ctx, time.Now())
+	case b := <-c.l.requests:
+		b.reply <- c.grantLeases(b, time.Now())
+	case r := <-c.l.results:
+		c.finish(r, time.Now())
+	case reply := <-c.l.dumps:
+		reply <- c.dump(time.Now())
 	}
 }
 
@@ -285,7 +292,10 @@
 // callOwner sends one batch and passes the outcome to the control goroutine.
 func (l *Limiter) callOwner(ctx context.Context, owner string, requests []leaseRequest, sentAt time.Time) {
 	r := renewalResult{owner: owner, sentAt: sentAt, requests: requests}
-	r.grants, r.err = l.requestGrants(ctx, owner, requests)
+	func() {
+		defer panics.RecoverError(log, &r.err)
+		r.grants, r.err = l.requestGrants(ctx, owner, requests)
+	}()
 	select {
 	case l.results <- r:
 	case <-ctx.Done():
--- a/internal/reclaim/reclaim.go
+++ b/internal/reclaim/reclaim.go
@@ -16,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/upstream"
 )
@@ -121,7 +122,7 @@
 	for {
 		select {
 		case <-time.After(sweepInterval/2 + rand.N(sweepInterval)):
-			s.Sweep(ctx)
+			panics.Run(log, func() { s.Sweep(ctx) })
 		case <-ctx.Done():
 			return nil
 		}
@@ -183,10 +184,12 @@
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
+			listings[i].engine = e
+			defer panics.RecoverError(log.WithField("upstream", e.ID), &listings[i].err)
 			ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 			defer cancel()
 			holds, err := s.options.Holds.Holds(ctx, e.URL)
-			listings[i] = listing{engine: e, holds: holds.Holds, err: err}
+			listings[i].holds, listings[i].err = holds.Holds, err
 		})
 	}
 	wg.Wait()
