A planned stop cuts off no request that has reached the process

What callers saw: under load, about one request in 10,000 during a planned stop lost its connection without an answer, although the instance had accepted it; nothing was logged, since no handler had seen it.

Cause: http.Server.Shutdown drops a request without an answer if its header is read after the stop has begun (net/http's conn.serve checks shuttingDown right after readRequest), resets connections that the kernel has established and the process has not accepted, and closes a kept connection as idle while the header of its next request arrives.

Ruled out: the end of the process and the run group (the connections ended before Shutdown returned), callers that reuse a closing connection (new connections were cut as well).

Change: package graceful. A stop accepts what the kernel holds and refuses the rest, answers every request on the connections that there are with 'Connection: close', and closes idle connections on which nothing has arrived. Both callers' listeners use it.

With http.Server.Shutdown in place of Stop TestStopAnswersWhatHasArrived fails; without the pending connections TestStopAcceptsPendingConnections fails.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/banyanroute/banyanroute/internal/control"
 	"github.com/banyanroute/banyanroute/internal/dispatch"
 	"github.com/banyanroute/banyanroute/internal/entry"
+	"github.com/banyanroute/banyanroute/internal/graceful"
 	"github.com/banyanroute/banyanroute/internal/ledger"
 	"github.com/banyanroute/banyanroute/internal/logging"
 	"github.com/banyanroute/banyanroute/internal/member"
@@ -52,7 +53,9 @@
 	orders     *order.Manager
 	endpoints  *endpoints
 
-	callerServer   *http.Server
+	callerHandler http.Handler
+	// callerServer is opened by Run.
+	callerServer   *graceful.Server
 	operatorServer *http.Server
 	linkServer     *http.Server
 
@@ -215,12 +218,14 @@
 	}{
 		{"links", d.linkServer, d.settings.Listen.Links},
 		{"operators", d.operatorServer, d.settings.Listen.Operators},
-		{"callers", d.callerServer, d.settings.Listen.Callers},
 	} {
 		if err := d.addServer(&group, s.name, s.server, s.listen); err != nil {
 			return trace.Wrap(err)
 		}
 	}
+	if err := d.addCallerServer(&group); err != nil {
+		return trace.Wrap(err)
+	}
 	d.addStop(ctx, &group)
 	log.Infof("instance starting: %s in data centre %s, incarnation %d", d.settings.Instance, d.settings.DataCentre, d.incarnation)
 	err := group.Run()
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -15,6 +15,7 @@
 	"github.com/oklog/run"
 
 	"github.com/banyanroute/banyanroute/internal/entry"
+	"github.com/banyanroute/banyanroute/internal/graceful"
 	"github.com/banyanroute/banyanroute/internal/member"
 	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/settings"
@@ -35,7 +36,7 @@
 // buildServers builds the three HTTP servers.
 func (d *Daemon) buildServers() {
 	bounds := d.settings.Limits
-	callers := entry.NewHandler(entry.Options{
+	d.callerHandler = entry.NewHandler(entry.Options{
 		DataCentre:     d.settings.DataCentre,
 		Catalogue:      d.controller.ActiveCatalogue,
 		Dispatcher:     d.dispatcher,
@@ -46,7 +47,6 @@
 		RequestTimeout: bounds.RequestTimeout.Std(),
 		Draining:       d.draining.Load,
 	})
-	d.callerServer = newServer(callers, bounds.HeaderBytes)
 	d.operatorServer = newServer(d.operatorHandler(), bounds.HeaderBytes)
 	d.linkServer = newServer(d.overlay.Handler(), bounds.HeaderBytes)
 }
@@ -60,19 +60,46 @@
 	}
 }
 
+// tlsConfig returns the TLS configuration of a listener; nil without a certificate.
+func tlsConfig(name string, l settings.Listener) (*tls.Config, error) {
+	if l.TLSCert == "" {
+		return nil, nil
+	}
+	loader, err := newCertLoader(l.TLSCert, l.TLSKey)
+	if err != nil {
+		return nil, trace.Wrap(err, "loading the TLS certificate of %s", name)
+	}
+	return &tls.Config{GetCertificate: loader.get, MinVersion: tls.VersionTLS12}, nil
+}
+
+// addCallerServer listens for callers and adds the actor that serves them.
+func (d *Daemon) addCallerServer(group *run.Group) error {
+	l := d.settings.Listen.Callers
+	config, err := tlsConfig("callers", l)
+	if err != nil {
+		return err
+	}
+	server, err := graceful.Listen(l.Address, newServer(d.callerHandler, d.settings.Limits.HeaderBytes), config)
+	if err != nil {
+		return trace.Wrap(err, "listening for callers on %s", l.Address)
+	}
+	d.callerServer = server
+	group.Add(server.Serve, func(error) { server.Close() })
+	return nil
+}
+
 // addServer listens immediately, so that a port in use makes the start fail, and
 // adds the actor that serves.
 func (d *Daemon) addServer(group *run.Group, name string, server *http.Server, l settings.Listener) error {
+	config, err := tlsConfig(name, l)
+	if err != nil {
+		return err
+	}
 	listener, err := net.Listen("tcp", l.Address)
 	if err != nil {
 		return trace.Wrap(err, "listening for %s", name)
 	}
-	if l.TLSCert != "" {
-		loader, err := newCertLoader(l.TLSCert, l.TLSKey)
-		if err != nil {
-			return trace.Wrap(err, "loading the TLS certificate of %s", name)
-		}
-		config := &tls.Config{GetCertificate: loader.get, MinVersion: tls.VersionTLS12}
+	if config != nil {
 		listener = tls.NewListener(listener, config)
 	}
 	stopped := make(chan struct{})
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -38,8 +38,8 @@
 	d.draining.Store(true)
 	d.overlay.SetLeaving()
 	time.Sleep(notice)
-	if err := d.callerServer.Shutdown(context.Background()); err != nil {
-		log.Warnf("callers' listener not closed cleanly: %v", err)
+	if err := d.callerServer.Stop(context.Background()); err != nil {
+		log.Warnf("callers' server not stopped cleanly: %v", err)
 	}
 	d.dispatcher.Wait()
 	ctx, cancel := context.WithTimeout(context.Background(), claimDrainTimeout)
--- /dev/null
+++ b/internal/graceful/server.go
@@ -0,0 +1,177 @@
+package graceful
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/sleep"
+)
+
+var log = logging.For("graceful")
+
+const (
+	// newConnTimeout is how long a stop waits for the first byte on a new connection.
+	newConnTimeout = 5 * time.Second
+	// stopPollInterval is the interval at which a stop checks whether requests remain.
+	stopPollInterval = 5 * time.Millisecond
+)
+
+// Server serves HTTP on one listener and can stop without cutting off a request.
+type Server struct {
+	server   *http.Server
+	listener *listener
+	tls      *tls.Config
+	stopping atomic.Bool
+	// acceptEnded is closed when the last connection has been accepted, stopped by Close.
+	acceptEnded chan struct{}
+	endAccept   sync.Once
+	stopped     chan struct{}
+	endStop     sync.Once
+
+	mu    sync.Mutex
+	conns map[*conn]bool
+}
+
+// Listen opens the address, host:port, at once; Serve serves it. A nil config means no TLS.
+func Listen(address string, s *http.Server, config *tls.Config) (*Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	g := &Server{server: s, listener: newListener(l.(*net.TCPListener)), tls: config, acceptEnded: make(chan struct{}), stopped: make(chan struct{}), conns: map[*conn]bool{}}
+	s.ConnState = g.onState
+	next := s.Handler
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(&writer{ResponseWriter: w, g: g}, r)
+	})
+	return g, nil
+}
+
+// Serve serves until Stop or Close. It returns nil after them, once Close was called.
+func (g *Server) Serve() error {
+	var l net.Listener = trackedListener{g}
+	if g.tls != nil {
+		l = tls.NewListener(l, g.tls)
+	}
+	err := g.server.Serve(l)
+	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
+		<-g.stopped
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+// Stop refuses new connections, answers the requests on those that there are, each with
+// "Connection: close", and returns once none is left and all connections are closed, or with
+// the error of ctx.
+func (g *Server) Stop(ctx context.Context) error {
+	g.stopping.Store(true)
+	g.listener.stop()
+	select {
+	case <-g.acceptEnded:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	for !g.closeIdle(time.Now()) {
+		if !sleep.For(ctx, stopPollInterval) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// Close closes the listener and all connections.
+func (g *Server) Close() {
+	g.stopping.Store(true)
+	g.listener.stop()
+	g.server.Close() //nolint:errcheck // the listener is closed
+	g.endStop.Do(func() { close(g.stopped) })
+}
+
+// closeIdle closes the idle connections and reports whether no other is left.
+func (g *Server) closeIdle(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.conns {
+		if c.closeIfIdle(now) {
+			delete(g.conns, c)
+		}
+	}
+	return len(g.conns) == 0
+}
+
+// onState follows the states of connections.
+func (g *Server) onState(nc net.Conn, s http.ConnState) {
+	c := connOf(nc)
+	if c == nil {
+		return
+	}
+	c.setState(s, time.Now())
+	if s == http.StateClosed || s == http.StateHijacked {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.conns, c)
+	}
+}
+
+// trackedListener returns the connections of a Server's listener as conn.
+type trackedListener struct{ g *Server }
+
+// Accept implements net.Listener.
+func (l trackedListener) Accept() (net.Conn, error) {
+	nc, err := l.g.listener.Accept()
+	if err != nil {
+		if errors.Is(err, net.ErrClosed) {
+			l.g.endAccept.Do(func() { close(l.g.acceptEnded) })
+		}
+		return nil, err
+	}
+	c := &conn{TCPConn: nc.(*net.TCPConn), state: http.StateNew, since: time.Now()}
+	l.g.mu.Lock()
+	defer l.g.mu.Unlock()
+	l.g.conns[c] = true
+	return c, nil
+}
+
+// Close implements net.Listener.
+func (l trackedListener) Close() error { return l.g.listener.Close() }
+
+// Addr implements net.Listener.
+func (l trackedListener) Addr() net.Addr { return l.g.listener.Addr() }
+
+// writer announces in the header of an answer that its connection ends, if the server is
+// stopping by then.
+type writer struct {
+	http.ResponseWriter
+	g    *Server
+	sent bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *writer) WriteHeader(status int) {
+	if w.g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.sent = w.sent || status >= http.StatusOK
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *writer) Write(p []byte) (int, error) {
+	if !w.sent {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap lets http.ResponseController reach the server's writer.
+func (w *writer) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -10,6 +10,7 @@
 	"github.com/oklog/run"
 
 	"github.com/banyanroute/banyanroute/internal/deployment"
+	"github.com/banyanroute/banyanroute/internal/graceful"
 	"github.com/banyanroute/banyanroute/internal/logging"
 	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/passthrough"
@@ -62,7 +63,8 @@
 	handler     *passthrough.Handler
 	draining    atomic.Bool
 
-	callers    *http.Server
+	// callers is opened by Run.
+	callers    *graceful.Server
 	readiness  *http.Server
 	operators  *http.Server
 	linkServer *http.Server
@@ -127,12 +129,14 @@
 		{"operators", n.settings.OperatorsAddress, n.operators},
 		{"readiness", n.settings.ReadinessAddress, n.readiness},
 		{"links", n.settings.LinksAddress, n.linkServer},
-		{"callers", n.settings.CallersAddress, n.callers},
 	} {
 		if err := addServer(&group, s.name, s.address, s.server); err != nil {
 			return trace.Wrap(err)
 		}
 	}
+	if err := n.addCallersServer(&group); err != nil {
+		return err
+	}
 	if n.opts.Listening != nil {
 		n.opts.Listening()
 	}
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 
+	"github.com/banyanroute/banyanroute/internal/graceful"
 	"github.com/banyanroute/banyanroute/internal/panics"
 )
 
@@ -28,10 +29,8 @@
 	maxHeaderBytes = 64 << 10
 )
 
-// buildServers builds the servers for callers, readiness checks, operators and
-// links.
+// buildServers builds the servers for readiness checks, operators and links.
 func (n *Instance) buildServers() {
-	n.callers = newServer(n.handler)
 	readiness := http.NewServeMux()
 	readiness.HandleFunc("GET "+n.opts.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
 		if !n.ready() {
@@ -84,12 +83,22 @@
 	return nil
 }
 
-// shutdownCallers closes the callers' server and waits for its requests until
-// the timeout.
+// addCallersServer starts to listen for callers and adds the actor that serves.
+func (n *Instance) addCallersServer(group *run.Group) error {
+	server, err := graceful.Listen(n.settings.CallersAddress, newServer(n.handler), nil)
+	if err != nil {
+		return trace.Wrap(err, "listening for callers")
+	}
+	n.callers = server
+	group.Add(server.Serve, func(error) { server.Close() })
+	return nil
+}
+
+// shutdownCallers stops the callers' server and waits for its requests until the timeout.
 func (n *Instance) shutdownCallers(timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	if err := n.callers.Shutdown(ctx); err != nil {
+	if err := n.callers.Stop(ctx); err != nil {
 		log.WithError(err).Warn("requests still running at the end of the graceful shutdown")
 	}
 }
--- a/internal/panics/panics_test.go
+++ b/internal/panics/panics_test.go
@@ -27,13 +27,15 @@
 // of the logger, and counted by part.
 func TestPanicIsReported(t *testing.T) {
 	log, out := newLog("reported")
+	counter := metrics.GetOrCreateCounter(`banyanroute_panics_total{part="reported"}`)
+	before := counter.Get()
 	Run(log.WithField("request", "r1"), func() { panic("boom") })
 	for _, want := range []string{"request=r1", "panic=boom", "TestPanicIsReported"} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("log lacks %q: %s", want, out)
 		}
 	}
-	if n := metrics.GetOrCreateCounter(`banyanroute_panics_total{part="reported"}`).Get(); n != 1 {
+	if n := counter.Get() - before; n != 1 {
 		t.Errorf("counted %d panics, want 1", n)
 	}
 }
@@ -101,6 +103,7 @@
 			t.Errorf("%s: error %v", path, err)
 		}
 	}
+	server.Close() // waits for the handlers
 	if n := strings.Count(out.String(), "panic contained"); n != 1 {
 		t.Errorf("%d panics were logged, want 1: an aborted connection is none", n)
 	}
