A request that still runs when its instance must end gets an error

What callers saw: a call longer than the grace period of a planned stop ended with a closed connection, so that they could not tell it from a lost machine.

Cause: at the end of the grace period the process closed the connections of running requests. Ruled out: their deadline, which was later.

Change: 400 ms before the end of the grace period, running requests are ended. Streams that have begun can only be cut.

--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -62,6 +62,9 @@
 	followers   []*deployment.Follower
 	handler     *passthrough.Handler
 	draining    atomic.Bool
+	// ending ends when the requests that still run must end, because the process does.
+	ending      context.Context
+	endRequests context.CancelFunc
 
 	// callers is opened by Run.
 	callers    *graceful.Server
@@ -75,6 +78,7 @@
 	s := o.Settings
 	n := &Instance{opts: o, settings: s, state: deployment.NewState(), planner: placement.NewPlanner(s.DataCentre)}
 	n.state.Subscribe(n.planner.SetView)
+	n.ending, n.endRequests = context.WithCancel(context.Background())
 	self := peer.Member{
 		ID:          s.Instance,
 		Incarnation: uint64(time.Now().UnixNano()),
@@ -101,6 +105,7 @@
 		Instances:   n.links.instances,
 		MaxIdleHold: s.MaxIdleHold,
 		Draining:    n.draining.Load,
+		Ending:      n.ending,
 	})
 	n.buildServers()
 	return n
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -95,10 +95,19 @@
 }
 
 // shutdownCallers stops the callers' server and waits for its requests until the timeout.
+// Those that still run then get an error.
 func (n *Instance) shutdownCallers(timeout time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	if err := n.callers.Stop(ctx); err != nil {
-		log.WithError(err).Warn("requests still running at the end of the graceful shutdown")
+	stop := func(timeout time.Duration) error {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		return n.callers.Stop(ctx)
+	}
+	if stop(timeout) == nil {
+		return
+	}
+	log.Warn("requests still running at the end of the graceful shutdown are ended with an error")
+	n.endRequests()
+	if err := stop(endTimeout); err != nil {
+		log.WithError(err).Warn("connections left at the end of the graceful shutdown are closed")
 	}
 }
--- a/internal/hosted/shutdown.go
+++ b/internal/hosted/shutdown.go
@@ -19,9 +19,10 @@
 	// it closes its listener: the load balancer checks every second and removes an
 	// instance after two failed checks.
 	notReadyPeriod = 2500 * time.Millisecond
-	// exitReserve is the part of the grace period that is reserved for the exit of
-	// the process.
+	// exitReserve is the part of the grace period that is reserved for errors to requests
+	// that still run, for up to endTimeout, and for the exit of the process.
 	exitReserve = 400 * time.Millisecond
+	endTimeout  = 200 * time.Millisecond
 	// defaultStopGrace is the grace period if the settings have none.
 	defaultStopGrace = 8 * time.Second
 )
--- a/internal/passthrough/buffered.go
+++ b/internal/passthrough/buffered.go
@@ -168,6 +168,8 @@
 		return result.Wrap(cause, result.CallerGone, "the caller left")
 	case notRun:
 		return result.Wrap(cause, result.UpstreamRefused, "the upstreams that were tried did not run the request").WithRetryAfter(transientRetryAfter)
+	case h.opts.Ending.Err() != nil:
+		return result.Wrap(cause, result.Draining, "the instance ended before the answer was complete").WithExecution(result.MayHaveRun)
 	case ctx.Err() != nil:
 		return result.Wrap(cause, result.DeadlineExceeded, "the request did not finish within its time")
 	}
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -40,6 +40,8 @@
 	MaxIdleHold time.Duration
 	// Draining reports whether a graceful shutdown has begun.
 	Draining func() bool
+	// Ending ends when the requests that still run must end; nil is never.
+	Ending context.Context
 }
 
 // Handler serves callers.
@@ -52,6 +54,9 @@
 
 // New returns a Handler.
 func New(o Options) *Handler {
+	if o.Ending == nil {
+		o.Ending = context.Background()
+	}
 	return &Handler{
 		opts:      o,
 		transport: newTransport(),
@@ -109,11 +114,13 @@
 	if err == nil {
 		h.budgets.addRequest(rq.service, rq.arrived)
 		ctx, cancel := context.WithDeadline(r.Context(), rq.deadline)
+		unlink := context.AfterFunc(h.opts.Ending, cancel)
 		if rq.route.Kind == deployment.Stream {
 			err = h.serveStream(ctx, rq)
 		} else {
 			err = h.serveBuffered(ctx, rq)
 		}
+		unlink()
 		cancel()
 	}
 	h.requests.write(rq, err)
