passthrough: only events with data are progress of a stream

What callers saw: an engine that stalled midway and still sent comments, empty lines or fields without data kept its streams until the deadline; each such block counted as an event and restarted the watchdog. Before the first event a comment also began the answer, so the request could no longer be refused or sent elsewhere.

Cause: the reader of events took any block as an event.

Change: blocks without data are relayed within an answer, but restart nothing; before the first event they are held.

--- a/internal/passthrough/events.go
+++ b/internal/passthrough/events.go
@@ -18,6 +18,9 @@
 	raw []byte
 	// id is the event's ID; empty if it has none.
 	id string
+	// data reports whether the event has data. Comments, empty lines and other fields alone
+	// are no progress of the answer.
+	data bool
 }
 
 // eventReader splits a stream into complete events.
@@ -43,6 +46,7 @@
 		case err != nil:
 			return event{}, err
 		}
+		e.data = e.data || bytes.HasPrefix(line, []byte("data"))
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(id))
 		}
--- a/internal/passthrough/serve_test.go
+++ b/internal/passthrough/serve_test.go
@@ -28,6 +28,8 @@
 // records whose first answer is reported.
 type scriptedPlacer struct {
 	helpers []placement.Part
+	// single places all jobs on u0.
+	single bool
 
 	mu       sync.Mutex
 	placed   []string
@@ -38,6 +40,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.placed = append(p.placed, j.ID)
+	if p.single {
+		return placement.Decision{Upstream: "u0"}
+	}
 	return placement.Decision{Upstream: fmt.Sprint("u", len(p.placed)-1), Helpers: p.helpers}
 }
 
@@ -114,7 +119,7 @@
 		Services: map[string]deployment.Service{"s": {Name: "s"}},
 		Routes: []deployment.Route{{
 			Host: "app.example", Prefix: "/", Kind: kind, Public: true, Targets: []deployment.Target{{Service: "s", Weight: 1}},
-			Timeout: 5 * time.Second, FirstAnswer: time.Second, MaxPause: time.Second, MaxAttempts: 2, Resumable: true,
+			Timeout: 5 * time.Second, FirstAnswer: time.Second, MaxPause: 300 * time.Millisecond, MaxAttempts: 2, Resumable: true,
 		}},
 	}, now)
 	state.ReplaceUpstreams(ups, deployment.Revision{Number: 1}, now)
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -125,7 +125,15 @@
 	if res.StatusCode != http.StatusOK || !reply.Signed {
 		return h.notStream(ctx, rq, res, reply, s)
 	}
+	return h.relayEvents(ctx, rq, a, res, wd, s)
+}
+
+// relayEvents relays the events of one attempt's answer.
+func (h *Handler) relayEvents(ctx context.Context, rq *request, a *attempt, res *http.Response, wd *watchdog, s *streamState) streamEnd {
 	events := newEventReader(res.Body)
+	// early holds what the engine sends before the first event. While it is not relayed, the
+	// request can be sent to another engine or refused.
+	var early []byte
 	var answeredAt time.Time
 	onTrial := len(a.decision.Trial) > 0
 	pauseTimeout := max(minStallTimeout, pauseObjectiveFactor*rq.route.MaxPause)
@@ -137,6 +145,18 @@
 		if err != nil {
 			return streamEnd{outcome: outcomeOfError(ctx, rq, err), status: res.StatusCode, err: err}
 		}
+		if !e.data {
+			if !s.begun {
+				early = append(early, e.raw...)
+			} else if err := h.relay(rq, res, e, s); err != nil {
+				return streamEnd{outcome: placement.Abandoned, status: res.StatusCode, err: err}
+			}
+			if len(early) > maxEventBytes {
+				return streamEnd{outcome: placement.Lost, status: res.StatusCode, err: errLongEvent}
+			}
+			continue
+		}
+		e.raw, early = append(early, e.raw...), nil
 		wd.reset(pauseTimeout)
 		wd.first()
 		rq.record.event(time.Now())
