Callers that do not read or send hold nothing past their deadline

What others saw: a caller that kept its connection open without reading its answer held its handler, its engine's place and, on the own interface, its permit and body for as long as it liked; so did, without a place, one that sent its body a byte at a time.

Cause: a write to a caller blocks regardless of the request's context, and the platform's path set no deadline for the body. On the own interface only generations had a deadline for writes.

Change: writes fail a second (own interface: 5 s) after the request's deadline; the body on the platform's path must arrive by the deadline (408, which says that it has not run). net/http clears the write deadline after each answer: TestDeadlineOfAnAnswerDoesNotOutliveIt and TestWriteDeadlineDoesNotOutliveItsAnswer stay as the proof.

Before: TestStalledCallersHoldNothing failed in its three cases (not ended 2 s after the route's timeout), TestCallerThatDoesNotReadHoldsNothing failed. After: pass, with the race detector too.

--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -35,11 +35,12 @@
 		return rerr
 	}
 	schedulerReq := h.schedulerRequest(x, req, model, limit)
+	x.limitWrites(schedulerReq.Deadline)
 	if !req.plainText && !req.stream {
 		defer permit.Done(req.promptTokens + req.outputTokens)
 		return h.forwardGeneration(x, raw, schedulerReq)
 	}
-	sink := newSink(x, req.stream, schedulerReq.Deadline)
+	sink := newSink(x, req.stream)
 	defer func() { permit.Done(req.promptTokens + sink.tokens()) }()
 	return h.opts.Dispatcher.Generate(x.r.Context(), &dispatch.Generation{
 		ID:          x.id,
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -114,6 +114,7 @@
 		if h.opts.Draining() {
 			w.Header().Set("Connection", "close")
 		}
+		x.limitWrites(x.started.Add(h.opts.RequestTimeout))
 		err := x.run(func() *result.Error {
 			if err := h.authenticate(x); err != nil {
 				return err
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -43,6 +43,7 @@
 	defer permit.Done(0)
 	call := h.serviceCall(x, service, body)
 	call.Request.Deadline = x.started.Add(limit)
+	x.limitWrites(call.Request.Deadline)
 	call.Claim = claimRequest(x, call, key)
 	return h.runService(x, call, route.Idempotent)
 }
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -18,12 +18,9 @@
 }
 
 // newSink returns a sink that streams to the caller or assembles the answer.
-// Writes to the caller fail once writeGrace has passed after the deadline.
-func newSink(x *exchange, stream bool, deadline time.Time) sink {
-	controller := http.NewResponseController(x.w)
-	controller.SetWriteDeadline(deadline.Add(writeGrace)) //nolint:errcheck // the server supports deadlines
+func newSink(x *exchange, stream bool) sink {
 	if stream {
-		return &streamSink{w: x.w, controller: controller}
+		return &streamSink{w: x.w, controller: http.NewResponseController(x.w)}
 	}
 	return &bufferedSink{w: x.w}
 }
@@ -32,6 +29,14 @@
 // receive the last bytes of the answer.
 const writeGrace = 5 * time.Second
 
+// limitWrites makes writes to the caller fail once writeGrace has passed after the
+// deadline, so that a caller that does not read holds nothing for longer. It ends with the
+// request.
+func (x *exchange) limitWrites(deadline time.Time) {
+	controller := http.NewResponseController(x.w)
+	controller.SetWriteDeadline(deadline.Add(writeGrace)) //nolint:errcheck // the server supports deadlines
+}
+
 // streamSink sends each chunk as a server-sent event.
 type streamSink struct {
 	w          http.ResponseWriter
--- a/internal/passthrough/body.go
+++ b/internal/passthrough/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 
 	"github.com/banyanroute/banyanroute/internal/result"
 )
@@ -29,6 +30,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, result.New(result.BodyTooLarge, "the body is over the limit of %d bytes", limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, result.Wrap(err, result.BodyTimeout, "the body did not arrive in time")
 	case err != nil:
 		return nil, result.Wrap(err, result.CallerGone, "the body did not arrive")
 	}
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -111,6 +112,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	err := h.admit(rq)
+	rq.limitWrites()
 	if err == nil {
 		h.budgets.addRequest(rq.service, rq.arrived)
 		ctx, cancel := context.WithDeadline(r.Context(), rq.deadline)
@@ -129,6 +131,23 @@
 	}
 }
 
+// writeGrace is the time after the deadline in which the caller can still receive the last
+// bytes of its answer.
+const writeGrace = time.Second
+
+// limitWrites sets when writes to the caller fail, so that one that does not read holds
+// nothing after its deadline. The limit of an earlier request on the connection is replaced.
+func (rq *request) limitWrites() {
+	deadline := rq.deadline
+	if deadline.IsZero() {
+		deadline = rq.arrived.Add(defaultTimeout)
+	}
+	err := http.NewResponseController(rq.w).SetWriteDeadline(deadline.Add(writeGrace))
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		log.WithError(err).WithField("request", rq.call.ID).Debug("write deadline not set")
+	}
+}
+
 // abandon ends a request that panicked.
 func (h *Handler) abandon(rq *request) {
 	if rq.placed != "" {
--- a/internal/passthrough/route.go
+++ b/internal/passthrough/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"strings"
 	"time"
 
@@ -33,7 +34,10 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
+	controller := http.NewResponseController(rq.w)
+	_ = controller.SetReadDeadline(rq.deadline) // only a writer of a test does not support it
 	body, err := readBody(rq.w, rq.r, limit)
+	_ = controller.SetReadDeadline(time.Time{})
 	rq.body = body
 	rq.fingerprint = fingerprintOf(rq)
 	rq.parts = sharedParts(rq.service, rq.call.PromptParts)
