member, ledger: a dialler that panics ends its calls; links over the bound; dropped outcomes are logged

Before: TestPanicOfDialerEndsCalls hangs, TestAcceptedLinksAreBounded counts 2049 links. After: both pass.";

--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -149,6 +149,8 @@
 	for {
 		t, err := s.ledger.chart.Next(o.from, o.event)
 		if err != nil || !slices.Contains(t.Do, actionWrite) {
+			log.WithField("claim", o.record.ClaimID).WithField("row", o.from).WithField("event", o.event).
+				Info("outcome of a claim dropped: the row is in a state that it may not change")
 			return true
 		}
 		o.record.State = finalState(t.To, &o.record)
--- a/internal/member/calls.go
+++ b/internal/member/calls.go
@@ -202,16 +202,23 @@
 	}
 }
 
+// dial opens the link of an entry and serves it.
 func (d *directLinks) dial(ctx context.Context, m peer.Member, e *directEntry) {
+	d.openEntry(ctx, m, e)
+	if e.link != nil {
+		d.overlay.serveLink(ctx, e.link)
+	}
+}
+
+// openEntry opens the link of an entry. Calls wait for ready, so it is closed in any case.
+func (d *directLinks) openEntry(ctx context.Context, m peer.Member, e *directEntry) {
+	defer close(e.ready)
 	l, err := d.overlay.openLink(ctx, m, linkDirect)
 	if err != nil {
 		log.WithError(err).WithField("peer", m.ID).Debug("opening direct link failed")
-		close(e.ready)
 		return
 	}
 	e.link = l
-	close(e.ready)
-	d.overlay.serveLink(ctx, l)
 }
 
 func (d *directLinks) addAccepted(l *link) {
@@ -219,6 +226,7 @@
 	defer d.mu.Unlock()
 	if len(d.accepted) >= maxDirectLinks {
 		l.close()
+		return
 	}
 	d.accepted[l] = true
 }
--- a/internal/member/overlay_test.go
+++ b/internal/member/overlay_test.go
@@ -448,3 +448,45 @@
 		}
 	})
 }
+
+// panickingDialer is a Dialer that panics.
+type panickingDialer struct{}
+
+func (panickingDialer) Dial(context.Context, string) (Conn, error) { panic("dial") }
+
+// TestPanicOfDialerEndsCalls checks that a call over a link whose opening panics fails at once.
+func TestPanicOfDialerEndsCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, err := New(Options{Self: peer.Member{ID: "a", Incarnation: 1, Address: "a"}, Secret: []byte("s"), Dialer: panickingDialer{}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = o.Run(ctx)
+		}()
+		synctest.Wait()
+		began := time.Now()
+		if _, err := o.direct.open(t.Context(), peer.Member{ID: "b", Address: "b"}); !errors.Is(err, peer.ErrUnreachable) || time.Since(began) > 0 {
+			t.Errorf("got %v after %s, want %v at once", err, time.Since(began), peer.ErrUnreachable)
+		}
+		stop()
+		<-done
+	})
+}
+
+// TestAcceptedLinksAreBounded checks that an accepted direct link over the bound is closed and
+// not kept.
+func TestAcceptedLinksAreBounded(t *testing.T) {
+	d := newDirectLinks(nil)
+	var last *link
+	for range maxDirectLinks + 1 {
+		last = newLink(noConn{}, linkDirect, false, peer.Member{ID: "b"})
+		d.addAccepted(last)
+	}
+	if _, accepted := d.count(); accepted != maxDirectLinks || !last.isClosed() {
+		t.Errorf("%d links accepted, the last closed %t; want %d, true", accepted, last.isClosed(), maxDirectLinks)
+	}
+}
