tools/faults: the soak checks that planned stops cut off no request

A request over a new connection to an instance that is not killed or paused meanwhile must get an answer, also while the instance stops.

--- a/tools/faults/soak.go
+++ b/tools/faults/soak.go
@@ -60,6 +60,8 @@
 	// claimed reports whether a fault that kills, shuts down or pauses the process
 	// has claimed it, so that no second such fault begins meanwhile.
 	claimed bool
+	// unplanned counts the beginnings and ends of faults that kill or pause the process.
+	unplanned int
 	// exited is closed once the process has exited.
 	exited chan struct{}
 }
--- a/tools/faults/soakfaults.go
+++ b/tools/faults/soakfaults.go
@@ -123,6 +123,13 @@
 	return p
 }
 
+// disturb records the beginning or the end of a fault that kills or pauses the process.
+func (p *process) disturb() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unplanned++
+}
+
 // release ends the claim of a fault on the process.
 func (p *process) release() {
 	p.mu.Lock()
@@ -139,10 +146,12 @@
 
 func (s *soakRun) kill(ctx context.Context, r *rand.Rand, duration time.Duration) {
 	if p := s.claimProcess(r); p != nil {
+		p.disturb()
 		p.signal(syscall.SIGKILL)
 		<-p.exited
 		sleep.For(ctx, duration/2)
 		s.restart(p)
+		p.disturb()
 	}
 }
 
@@ -161,8 +170,10 @@
 		s.report.check(gracefulShutdown, "")
 	case <-time.After(soakShutdownTimeout + s.options.slack):
 		s.report.check(gracefulShutdown, p.name+" still runs after the grace of a planned stop")
+		p.disturb()
 		p.signal(syscall.SIGKILL)
 		<-p.exited
+		p.disturb()
 	}
 	sleep.For(ctx, minFaultDuration)
 	s.restart(p)
@@ -170,9 +181,11 @@
 
 func (s *soakRun) pause(ctx context.Context, r *rand.Rand, duration time.Duration) {
 	if p := s.claimProcess(r); p != nil {
+		p.disturb()
 		p.signal(syscall.SIGSTOP)
 		sleep.For(ctx, duration)
 		p.signal(syscall.SIGCONT)
+		p.disturb()
 		p.release()
 	}
 }
--- a/tools/faults/soakload.go
+++ b/tools/faults/soakload.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"strconv"
 	"strings"
@@ -71,6 +72,9 @@
 	kind := requestKinds[k]
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout+s.options.slack)
 	defer cancel()
+	fresh := false // whether the request was sent over a new connection
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { fresh = !i.Reused }})
+	before := p.disturbances()
 	out := &outcome{kind: kind.name, sentAt: time.Now()}
 	out.status, out.body, out.err = exchange(ctx, client, p.frontAddress, call{kind.method, kind.path, id, "body " + id, promptOf(kind.name, id)})
 	out.took = time.Since(out.sentAt)
@@ -84,6 +88,19 @@
 	}
 	s.report.check(endsInTime, s.unlessClaimed(p, late))
 	s.report.check(correctAnswer, answerProblem(id, out))
+	// A kept connection may end just as the next request is sent; a stream that has begun
+	// ends with its engine or at the end of the grace period.
+	if fresh && before == p.disturbances() && before%2 == 0 {
+		s.report.check(gracefulShutdown, problemIf(out.err != nil && out.status == 0, "%s at %s was cut off: %v", id, p.name, out.err))
+	}
+}
+
+// disturbances returns the number of beginnings and ends of faults that kill or pause the
+// process; it is odd during one.
+func (p *process) disturbances() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.unplanned
 }
 
 // unlessClaimed returns the problem, or none if a fault is stopping or pausing the
