A second copy of an answer is no answer to the next call to a store or a control call

What could happen: an upstream or a store that sends an answer again, late, when its connection is in use again, answers the next call with it. On the platform's path the list of upstreams could be read as the configuration's rows, or a write taken as done; on the own interface a reservation could count as made, or another row be read.

Cause: clients of stores and control calls reused connections; HTTP/1.1 has nothing by which an answer names its request.

Change: a connection for each call, as callers' requests have. The two test servers that repeated answers are one stand-in now.

The price of connections on the own interface was not measured.

--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -17,7 +17,7 @@
 	return order.NewManager(order.ManagerOptions{
 		Bus:     d.overlay,
 		Table:   d.platform,
-		Engines: order.HTTPEngines{Client: &http.Client{}},
+		Engines: order.HTTPEngines{Client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}},
 		LoadLimiter: order.WeightLoadLimiter{
 			Table:    d.platform,
 			Interval: time.Minute / time.Duration(d.settings.Platform.LoadsPerMinute),
--- a/internal/passthrough/secondanswer_test.go
+++ b/internal/passthrough/secondanswer_test.go
@@ -1,10 +1,8 @@
 package passthrough
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,50 +11,20 @@
 
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/placement"
+	"github.com/banyanroute/banyanroute/internal/standin/lateanswer"
 )
 
-// repeatingUpstream accepts connections, and answers each request on one with the path of
-// the first request there, so that a late second copy of that answer takes the place of
-// the answer to the next request. If early is set, the second copy follows at once.
+// repeatingUpstream returns an upstream that answers with the path of the request, and sends
+// second copies of its answers.
 func repeatingUpstream(t *testing.T, stream, early bool) deployment.Upstream {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	serve := func(conn net.Conn) {
-		defer conn.Close()
-		in := bufio.NewReader(conn)
-		answer := ""
-		for {
-			req, err := http.ReadRequest(in)
-			if err != nil {
-				return
-			}
-			if answer == "" {
-				body := req.URL.Path
-				if stream {
-					body = "id: 1\ndata: " + body + "\n\n"
-				}
-				answer = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-			}
-			if early {
-				_, _ = conn.Write([]byte(answer)) // the caller may have left
-			}
-			_, _ = conn.Write([]byte(answer))
-		}
-	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
+	address := lateanswer.Start(t, early, func(r *http.Request) string {
+		if stream {
+			return "id: 1\ndata: " + r.URL.Path + "\n\n"
 		}
-	}()
-	return deployment.Upstream{ID: "u", Service: "s", Address: listener.Addr().String()}
+		return r.URL.Path
+	})
+	return deployment.Upstream{ID: "u", Service: "s", Address: address}
 }
 
 // oneUpstream places all jobs on one upstream.
--- a/internal/platform/httpclient/httpclient.go
+++ b/internal/platform/httpclient/httpclient.go
@@ -21,11 +21,9 @@
 
 // Defaults and limits of the client.
 const (
-	defaultTimeout     = 2 * time.Second
-	defaultMaxConns    = 16
-	idleConnTimeout    = 30 * time.Second
-	maxAnswerBytes     = 64 << 20
-	maxErrorDrainBytes = 4 << 10
+	defaultTimeout  = 2 * time.Second
+	defaultMaxConns = 16
+	maxAnswerBytes  = 64 << 20
 )
 
 // Options configures a Client.
@@ -79,10 +77,10 @@
 func newTransport(opts Options) *http.Transport {
 	dialer := &net.Dialer{Timeout: opts.Timeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: opts.MaxConns,
-		MaxConnsPerHost:     opts.MaxConns,
-		IdleConnTimeout:     idleConnTimeout,
+		DialContext:     dialer.DialContext,
+		MaxConnsPerHost: opts.MaxConns,
+		// On a connection that is used once, no answer to an earlier call can arrive.
+		DisableKeepAlives: true,
 	}
 }
 
@@ -231,7 +229,6 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode >= http.StatusMultipleChoices {
-		io.Copy(io.Discard, io.LimitReader(resp.Body, maxErrorDrainBytes)) //nolint:errcheck // read only so that the connection can be reused
 		return nil, newStatusError(resp)
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
--- a/internal/platform/httpclient/httpclient_test.go
+++ b/internal/platform/httpclient/httpclient_test.go
@@ -1,6 +1,7 @@
 package httpclient
 
 import (
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/platform"
+	"github.com/banyanroute/banyanroute/internal/standin/lateanswer"
 )
 
 // serve starts a server with one handler and returns a client of it.
@@ -135,3 +137,19 @@
 		t.Errorf("got path %s", got)
 	}
 }
+
+// TestLateSecondAnswerIsNoAnswerToNextCall checks that a second copy of the answer to an
+// earlier call is not taken for an answer.
+func TestLateSecondAnswerIsNoAnswerToNextCall(t *testing.T) {
+	address := lateanswer.Start(t, false, func(r *http.Request) string {
+		var body readBody
+		_ = json.NewDecoder(r.Body).Decode(&body)
+		return `{"rows":[{"key":"` + body.Keys[0] + `"}]}`
+	})
+	c := New(Options{BaseURL: "http://" + address})
+	for _, key := range []string{"a", "b", "c"} {
+		if rows, err := c.Read(t.Context(), key); err != nil || len(rows) != 1 || rows[0].Key != key {
+			t.Errorf("read of %s: got %v, %v", key, rows, err)
+		}
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -47,23 +47,13 @@
 	DialTimeout time.Duration
 	// ControlTimeout bounds a control call (load, holds, orders). Default 2 s.
 	ControlTimeout time.Duration
-	// IdleTimeout is the time after which idle pooled connections are closed:
-	// a connection whose state a device on the path has dropped looks healthy
-	// until it is used. Default 15 s.
-	IdleTimeout time.Duration
 	// Owner is this instance's name; load reports then list its requests only.
 	Owner string
-	// IdlePerHost bounds the pooled connections to one upstream. Default 64.
-	IdlePerHost int
 }
 
 func (o *Options) setDefaults() {
 	setDefault(&o.DialTimeout, time.Second)
 	setDefault(&o.ControlTimeout, 2*time.Second)
-	setDefault(&o.IdleTimeout, 15*time.Second)
-	if o.IdlePerHost == 0 {
-		o.IdlePerHost = 64
-	}
 }
 
 func setDefault(d *time.Duration, value time.Duration) {
@@ -75,31 +65,29 @@
 // Client calls upstreams. It is safe for concurrent use.
 type Client struct {
 	opts Options
-	// fresh opens a connection for each call; callers' requests use it. On a connection
-	// that is reused, a late second answer to an earlier call would be taken for the
-	// answer, and net/http silently sends a call with an Idempotency-Key again when the
-	// connection fails. pooled reuses connections, for control calls.
-	pooled *http.Transport
-	fresh  *http.Transport
+	// transport opens a connection for each call. On a connection that is reused, a late
+	// second answer to an earlier call would be taken for the answer, and net/http silently
+	// sends a call with an Idempotency-Key again when the connection fails.
+	transport *http.Transport
 }
 
 // NewClient returns a client.
 func NewClient(opts Options) *Client {
 	opts.setDefaults()
-	c := &Client{opts: opts, pooled: newTransport(opts), fresh: newTransport(opts)}
-	c.fresh.DisableKeepAlives = true
-	return c
+	return &Client{opts: opts, transport: newTransport(opts)}
 }
 
+// keepAliveInterval is the interval of TCP keep-alive probes during a call.
+const keepAliveInterval = 15 * time.Second
+
 // maxHeaderBytes bounds the header of an upstream's answer.
 const maxHeaderBytes = 64 << 10
 
 func newTransport(opts Options) *http.Transport {
-	dialer := &net.Dialer{Timeout: opts.DialTimeout, KeepAlive: opts.IdleTimeout}
+	dialer := &net.Dialer{Timeout: opts.DialTimeout, KeepAlive: keepAliveInterval}
 	return &http.Transport{
 		DialContext:            dialer.DialContext,
-		MaxIdleConnsPerHost:    opts.IdlePerHost,
-		IdleConnTimeout:        opts.IdleTimeout,
+		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableCompression:     true,
 	}
@@ -107,8 +95,7 @@
 
 // Close closes idle connections.
 func (c *Client) Close() {
-	c.pooled.CloseIdleConnections()
-	c.fresh.CloseIdleConnections()
+	c.transport.CloseIdleConnections()
 }
 
 // Call is one HTTP call to an upstream.
@@ -142,10 +129,6 @@
 // ErrNotSent only if no connection was obtained, which proves that the upstream
 // did not run the call; otherwise it wraps ErrLost.
 func (c *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
-	return do(ctx, c.fresh, call)
-}
-
-func do(ctx context.Context, transport *http.Transport, call Call) (*http.Response, error) {
 	var gotConn atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) },
@@ -160,7 +143,7 @@
 		req.ContentLength = size
 		req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(call.reader()), nil }
 	}
-	res, err := transport.RoundTrip(req)
+	res, err := c.transport.RoundTrip(req)
 	if err != nil && !gotConn.Load() {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -170,18 +153,17 @@
 	return res, nil
 }
 
-// Probe requests the upstream's health over a new connection and returns the
-// response time.
+// Probe requests the upstream's health and returns the response time.
 func (c *Client) Probe(ctx context.Context, baseURL string) (time.Duration, error) {
 	start := time.Now()
 	_, err := c.Health(ctx, baseURL)
 	return time.Since(start), err
 }
 
-// Health requests the upstream's health over a new connection.
+// Health requests the upstream's health.
 func (c *Client) Health(ctx context.Context, baseURL string) (Health, error) {
 	var h Health
-	err := c.control(ctx, http.MethodGet, baseURL+PathHealth, nil, &h, true)
+	err := c.control(ctx, http.MethodGet, baseURL+PathHealth, nil, &h)
 	return h, err
 }
 
@@ -189,7 +171,7 @@
 func (c *Client) Load(ctx context.Context, baseURL string) (LoadReport, error) {
 	var r LoadReport
 	target := baseURL + PathLoad + "?owner=" + url.QueryEscape(c.opts.Owner)
-	err := c.control(ctx, http.MethodGet, target, nil, &r, false)
+	err := c.control(ctx, http.MethodGet, target, nil, &r)
 	return r, err
 }
 
@@ -197,40 +179,39 @@
 func (c *Client) Events(ctx context.Context, baseURL string, after uint64) (CacheEvents, error) {
 	var e CacheEvents
 	target := baseURL + PathEvents + "?after=" + strconv.FormatUint(after, 10)
-	err := c.control(ctx, http.MethodGet, target, nil, &e, false)
+	err := c.control(ctx, http.MethodGet, target, nil, &e)
 	return e, err
 }
 
 // Holds lists the memory that the engine keeps for the router.
 func (c *Client) Holds(ctx context.Context, baseURL string) (Holds, error) {
 	var h Holds
-	err := c.control(ctx, http.MethodGet, baseURL+PathHolds, nil, &h, false)
+	err := c.control(ctx, http.MethodGet, baseURL+PathHolds, nil, &h)
 	return h, err
 }
 
 // ReleaseHold releases one hold; an absent hold is no error.
 func (c *Client) ReleaseHold(ctx context.Context, baseURL, name string) error {
 	target := baseURL + PathHolds + "?name=" + url.QueryEscape(name)
-	return c.control(ctx, http.MethodDelete, target, nil, nil, false)
+	return c.control(ctx, http.MethodDelete, target, nil, nil)
 }
 
 // Reserve reserves engine memory; it returns ErrConflict if too little is free.
 func (c *Client) Reserve(ctx context.Context, baseURL string, r ReserveRequest) error {
-	return c.control(ctx, http.MethodPost, baseURL+PathReserve, r, nil, false)
+	return c.control(ctx, http.MethodPost, baseURL+PathReserve, r, nil)
 }
 
 // Cancel cancels a request and frees its memory; an absent one is no error.
-// It uses a new connection so that it does not fail together with the request's.
 func (c *Client) Cancel(ctx context.Context, baseURL, requestID string) error {
 	body := CancelRequest{RequestID: requestID}
-	return c.control(ctx, http.MethodPost, baseURL+PathCancel, body, nil, true)
+	return c.control(ctx, http.MethodPost, baseURL+PathCancel, body, nil)
 }
 
 // maxControlBytes bounds the answer of a control call.
 const maxControlBytes = 4 << 20
 
 // control sends a JSON call and decodes its JSON answer into out.
-func (c *Client) control(ctx context.Context, method, target string, in, out any, fresh bool) error {
+func (c *Client) control(ctx context.Context, method, target string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.ControlTimeout)
 	defer cancel()
 	call := Call{Method: method, URL: target, Header: http.Header{}}
@@ -242,11 +223,7 @@
 		call.Body = [][]byte{data}
 		call.Header.Set("Content-Type", "application/json")
 	}
-	transport := c.pooled
-	if fresh {
-		transport = c.fresh
-	}
-	res, err := do(ctx, transport, call)
+	res, err := c.Do(ctx, call)
 	if err != nil {
 		return err
 	}
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -12,6 +11,8 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+
+	"github.com/banyanroute/banyanroute/internal/standin/lateanswer"
 )
 
 // TestCallIsWrittenOnce checks that a call with an Idempotency-Key is sent only once:
@@ -129,40 +130,12 @@
 // TestLateSecondAnswerReachesNoOtherCaller checks that a call never gets a second copy of
 // the answer to an earlier one that an upstream sends late, when the next call has arrived.
 func TestLateSecondAnswerReachesNoOtherCaller(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				in := bufio.NewReader(conn)
-				first := ""
-				for {
-					req, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					if first == "" {
-						first = "answer to " + req.URL.Path
-					}
-					// From the second request on, the first answer is sent again.
-					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(first), first)
-				}
-			}()
-		}
-	}()
+	address := lateanswer.Start(t, false, func(r *http.Request) string { return "answer to " + r.URL.Path })
 	c := NewClient(Options{})
 	t.Cleanup(c.Close)
 	for i := range 3 {
 		path := fmt.Sprint("/", i)
-		res, err := c.Do(t.Context(), Call{Method: http.MethodGet, URL: "http://" + listener.Addr().String() + path, Header: http.Header{}})
+		res, err := c.Do(t.Context(), Call{Method: http.MethodGet, URL: "http://" + address + path, Header: http.Header{}})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -173,3 +146,17 @@
 		}
 	}
 }
+
+// TestLateSecondAnswerIsNoAnswerToControlCall checks the same for control calls.
+func TestLateSecondAnswerIsNoAnswerToControlCall(t *testing.T) {
+	address := lateanswer.Start(t, false, func(r *http.Request) string {
+		return `{"boot":"` + r.URL.Query().Get("after") + `"}`
+	})
+	c := NewClient(Options{})
+	t.Cleanup(c.Close)
+	for after := range uint64(3) {
+		if e, err := c.Events(t.Context(), "http://"+address, after); err != nil || e.Boot != fmt.Sprint(after) {
+			t.Errorf("call %d got the answer to %s, %v", after, e.Boot, err)
+		}
+	}
+}
