admit: the end of a suspect reopens no engine that another gang keeps free

Cause: whether an engine is kept free for a gang was one flag. A suspect over several engines sets it until its end, beyond the time in which it holds the pool's turn to plan, so its end cleared the flag of the next gang, which then waited for memory that new requests took.

Before (the count set as a flag): TestEndOfGangKeepsEngineOfAnotherFree failed. After: passes; race tests of admit pass.

--- a/internal/admit/gang.go
+++ b/internal/admit/gang.go
@@ -214,7 +214,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.setGangExclusive(shares, true)
+	s.addGangPlan(shares, 1)
 	return shares, nil
 }
 
@@ -222,15 +222,15 @@
 func (s *Scheduler) reopenGang(shares []gang.Share) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.setGangExclusive(shares, false)
+	s.addGangPlan(shares, -1)
 }
 
-// setGangExclusive sets whether the engines of shares are kept free for a gang.
-func (s *Scheduler) setGangExclusive(shares []gang.Share, exclusive bool) {
+// addGangPlan adds n to the number of gangs for which the engines of shares are kept free.
+func (s *Scheduler) addGangPlan(shares []gang.Share, n int) {
 	now := time.Now()
 	for _, share := range shares {
 		if st := s.byID[share.UpstreamID]; st != nil {
-			st.gangExclusive = exclusive
+			st.gangPlans = max(st.gangPlans+n, 0) // the engine may have been listed anew meanwhile
 			s.refresh(st, now)
 		}
 	}
--- a/internal/admit/grant.go
+++ b/internal/admit/grant.go
@@ -140,7 +140,7 @@
 		other.load.Ended(g.request.ID)
 		s.refresh(other, now)
 	}
-	s.setGangExclusive(g.exclusiveShares, false)
+	s.addGangPlan(g.exclusiveShares, -1)
 	before := st.health.State()
 	s.applyOutcome(g, outcome, now)
 	if g.waiter != nil {
--- a/internal/admit/state.go
+++ b/internal/admit/state.go
@@ -39,8 +39,8 @@
 	reportInterval time.Duration
 	// exclusiveFor is the request for which the upstream is kept free, or nil.
 	exclusiveFor *waiter
-	// gangExclusive reports whether the upstream is kept free for a gang.
-	gangExclusive bool
+	// gangPlans counts the gangs for which the upstream is kept free.
+	gangPlans int
 	// pausedUntil is when the upstream may get requests again after a refusal
 	// or loss.
 	pausedUntil time.Time
@@ -115,7 +115,7 @@
 	if now.Before(st.pausedUntil) || st.load.InFlight() >= maxRunning {
 		c.Share = 0
 	}
-	c.Exclusive = st.exclusiveFor != nil || st.gangExclusive || e.PeerExclusive
+	c.Exclusive = st.exclusiveFor != nil || st.gangPlans > 0 || e.PeerExclusive
 }
 
 // usable reports whether the upstream's health allows it to take requests.
@@ -128,6 +128,6 @@
 // its peers.
 func (st *state) hint() load.Outstanding {
 	o := st.load.Outstanding()
-	o.Exclusive = st.exclusiveFor != nil || st.gangExclusive
+	o.Exclusive = st.exclusiveFor != nil || st.gangPlans > 0
 	return o
 }
