reclaim: the random test has engines that do not answer; a write under its mutex

docs/PROOFS.md said that engines are silent in TestOrphanedHoldsAreReleasedUnderFaults; none ever was. TestUnlistedButLiveOwnerKeepsItsHolds wrote a map without its mutex.

--- a/internal/reclaim/reclaim_test.go
+++ b/internal/reclaim/reclaim_test.go
@@ -87,6 +87,20 @@
 	return engines
 }
 
+// maxSilence is the longest time for which an engine does not answer.
+const maxSilence = time.Minute
+
+// silenceEngine makes an engine not answer for d.
+func (f *fleet) silenceEngine(url string, d time.Duration) {
+	set := func(down bool) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.down[url] = down
+	}
+	set(true)
+	time.AfterFunc(d, func() { set(false) })
+}
+
 // start starts an instance's sweeper.
 func (f *fleet) start(ctx context.Context, id string, incarnation uint64) {
 	node := f.net.Join(peer.Member{ID: id, Incarnation: incarnation})
@@ -197,7 +211,9 @@
 		for _, id := range []string{"a", "b", "c", "d"} {
 			f.start(t.Context(), id, 1)
 		}
+		f.mu.Lock()
 		f.listed["a"] = time.Time{}
+		f.mu.Unlock()
 		f.net.SetLinkBroken("a", "b", true)
 		f.net.SetLinkBroken("a", "c", true)
 		time.Sleep(time.Hour)
@@ -216,14 +232,14 @@
 }
 
 // TestOrphanedHoldsAreReleasedUnderFaults checks, while instances crash, restart and
-// lose links at random, that all holds of crashed owners are released and no
+// lose links at random and engines do not answer for a while, that all holds of crashed owners are released and no
 // needed hold of a live owner is. It checks only the holds that the engines have.
 func TestOrphanedHoldsAreReleasedUnderFaults(t *testing.T) {
 	var longest time.Duration
-	holds := 0
+	holds, silent := 0, 0
 	for seed := range uint64(*schedules) {
 		synctest.Test(t, func(t *testing.T) {
-			rng := rand.New(rand.NewPCG(seed, 3))
+			rng, silence := rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, 4))
 			f := newFleet()
 			ids := []string{"a", "b", "c", "d", "e"}
 			incarnation := map[string]uint64{}
@@ -253,6 +269,10 @@
 					incarnation[victim]++
 					f.start(t.Context(), victim, incarnation[victim])
 				}
+				if silence.IntN(6) == 0 {
+					silent++
+					f.silenceEngine(fmt.Sprint("e", silence.IntN(4)), time.Duration(silence.Int64N(int64(maxSilence))))
+				}
 				if rng.IntN(6) == 0 {
 					x, y := ids[rng.IntN(len(ids))], ids[rng.IntN(len(ids))]
 					f.net.SetLinkBroken(x, y, x != y)
@@ -274,7 +294,7 @@
 			}
 		})
 	}
-	t.Logf("%d schedules, %d holds; maximum time from crash to release %v", *schedules, holds, longest)
+	t.Logf("%d schedules, %d holds, %d silences of engines; maximum time from crash to release %v", *schedules, holds, silent, longest)
 	if longest > maxRecoveryTime+2*time.Minute {
 		t.Errorf("maximum time from crash to release %v", longest)
 	}
