passthrough: a line longer than the reader's buffer is one line

What callers could see: an event whose data line ended exactly at the 4 KiB buffer was taken for two, the first without its end. It was relayed and counted as whole, and a stream that was moved then would have gone on after half an event.

Cause: each piece of a line that ReadSlice returns was looked at as if it were a line: the line feed alone as the empty line that ends an event, the rest of a line as a field.

An event of exactly the bound is the longest one now.

--- a/internal/passthrough/events.go
+++ b/internal/passthrough/events.go
@@ -33,28 +33,36 @@
 func (r *eventReader) next() (event, error) {
 	var e event
 	for {
-		line, err := r.in.ReadSlice('\n')
-		e.raw = append(e.raw, line...)
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			if len(e.raw) > maxEventBytes {
-				return event{}, errLongEvent
-			}
-			continue
-		case errors.Is(err, io.EOF) && len(e.raw) > 0:
-			return event{}, io.ErrUnexpectedEOF
-		case err != nil:
+		start := len(e.raw)
+		if err := r.appendLine(&e); err != nil {
 			return event{}, err
 		}
-		e.data = e.data || bytes.HasPrefix(line, []byte("data"))
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			e.id = string(bytes.TrimSpace(id))
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		line := bytes.TrimRight(e.raw[start:], "\r\n")
+		if len(line) == 0 {
 			return e, nil
 		}
-		if len(e.raw) > maxEventBytes {
-			return event{}, errLongEvent
+		switch field, value, _ := bytes.Cut(line, []byte(":")); string(field) {
+		case "data":
+			e.data = true
+		case "id":
+			e.id = string(bytes.TrimSpace(value))
+		}
+	}
+}
+
+// appendLine appends the next line to an event.
+func (r *eventReader) appendLine(e *event) error {
+	for {
+		part, err := r.in.ReadSlice('\n')
+		e.raw = append(e.raw, part...)
+		switch {
+		case len(e.raw) > maxEventBytes:
+			return errLongEvent
+		case errors.Is(err, bufio.ErrBufferFull):
+		case errors.Is(err, io.EOF) && len(e.raw) > 0:
+			return io.ErrUnexpectedEOF
+		default:
+			return err
 		}
 	}
 }
--- a/internal/passthrough/fuzz_test.go
+++ b/internal/passthrough/fuzz_test.go
@@ -21,7 +21,7 @@
 			if err != nil {
 				return
 			}
-			if len(e.raw) == 0 || len(e.raw) > maxEventBytes+reader.in.Size() || !bytes.HasPrefix(stream[read:], e.raw) {
+			if len(e.raw) == 0 || len(e.raw) > maxEventBytes || !bytes.HasPrefix(stream[read:], e.raw) {
 				t.Fatalf("event of %d bytes after %d of %d bytes", len(e.raw), read, len(stream))
 			}
 			read += len(e.raw)
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -114,16 +114,7 @@
 	err := h.admit(rq)
 	rq.limitWrites()
 	if err == nil {
-		h.budgets.addRequest(rq.service, rq.arrived)
-		ctx, cancel := context.WithDeadline(r.Context(), rq.deadline)
-		unlink := context.AfterFunc(h.opts.Ending, cancel)
-		if rq.route.Kind == deployment.Stream {
-			err = h.serveStream(ctx, rq)
-		} else {
-			err = h.serveBuffered(ctx, rq)
-		}
-		unlink()
-		cancel()
+		err = h.serve(rq)
 	}
 	h.requests.write(rq, err)
 	if err != nil {
@@ -131,6 +122,19 @@
 	}
 }
 
+// serve serves a request that is admitted, until its deadline or until it must end.
+func (h *Handler) serve(rq *request) *result.Error {
+	h.budgets.addRequest(rq.service, rq.arrived)
+	ctx, cancel := context.WithDeadline(rq.r.Context(), rq.deadline)
+	defer cancel()
+	unlink := context.AfterFunc(h.opts.Ending, cancel)
+	defer unlink()
+	if rq.route.Kind == deployment.Stream {
+		return h.serveStream(ctx, rq)
+	}
+	return h.serveBuffered(ctx, rq)
+}
+
 // writeGrace is the time after the deadline in which the caller can still receive the last
 // bytes of its answer.
 const writeGrace = time.Second
--- a/internal/passthrough/passthrough_test.go
+++ b/internal/passthrough/passthrough_test.go
@@ -60,6 +60,22 @@
 	})
 }
 
+// TestLongLinesAreOneLine checks that lines of any length around the size of the reader's
+// buffer are neither taken for several lines nor for the end of an event.
+func TestLongLinesAreOneLine(t *testing.T) {
+	size := newEventReader(strings.NewReader("")).in.Size()
+	for n := size - 10; n <= size+10; n++ {
+		// The text after the first buffer of the line looks like another field.
+		text := "data: " + strings.Repeat("x", n-6) + "id: 9" + "\ndata: y\nid: 1\n\n"
+		for _, text := range []string{text, strings.Replace(text, "id: 9", "", 1)} {
+			e, err := newEventReader(strings.NewReader(text)).next()
+			if err != nil || string(e.raw) != text || e.id != "1" || !e.data {
+				t.Errorf("line of %d bytes: event of %d of %d bytes, ID %q, data %t, error %v", n, len(e.raw), len(text), e.id, e.data, err)
+			}
+		}
+	}
+}
+
 // TestRetriesOfAllInstancesStayInBudget checks that for any sequence of requests and
 // retries the instances together spend at most the ratio of the requests plus the
 // fixed number in each window. As the users count, the requests of the window before
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -156,7 +156,9 @@
 			}
 			continue
 		}
-		e.raw, early = append(early, e.raw...), nil
+		if len(early) > 0 {
+			e.raw, early = append(early, e.raw...), nil
+		}
 		wd.reset(pauseTimeout)
 		wd.first()
 		rq.record.event(time.Now())
