graceful: a stop does not wait for a server that serves no more; failed actors let requests end

Cause (found by reading): Stop waited for the accept loop to end by a closed listener, so it waited for ever if serving had failed with another error, and the own interface's stop has no bound. When an actor failed, the own interface's callers were cut off at once; http.Server's Shutdown had given their requests the close timeout before.

Before: TestStopAfterServeFailed ended by its context after 5 s. After: passes at once; race tests of graceful, daemon and hosted five times.

--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -84,7 +84,14 @@
 		return trace.Wrap(err, "listening for callers on %s", l.Address)
 	}
 	d.callerServer = server
-	group.Add(server.Serve, func(error) { server.Close() })
+	group.Add(server.Serve, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		if err := server.Stop(ctx); err != nil {
+			log.Warnf("requests of callers are cut off: %v", err)
+		}
+		server.Close()
+	})
 	return nil
 }
 
--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -31,11 +31,11 @@
 	listener *listener
 	tls      *tls.Config
 	stopping atomic.Bool
-	// acceptEnded is closed when the last connection has been accepted, stopped by Close.
+	// acceptEnded is closed when the last connection has been accepted, closed by Close.
 	acceptEnded chan struct{}
-	endAccept   sync.Once
-	stopped     chan struct{}
-	endStop     sync.Once
+	acceptOnce  sync.Once
+	closed      chan struct{}
+	closeOnce   sync.Once
 
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	g := &Server{server: s, listener: newListener(l.(*net.TCPListener)), tls: config, acceptEnded: make(chan struct{}), stopped: make(chan struct{}), conns: map[*conn]bool{}}
+	g := &Server{server: s, listener: newListener(l.(*net.TCPListener)), tls: config, acceptEnded: make(chan struct{}), closed: make(chan struct{}), conns: map[*conn]bool{}}
 	s.ConnState = g.onState
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -63,8 +63,9 @@
 		l = tls.NewListener(l, g.tls)
 	}
 	err := g.server.Serve(l)
+	g.acceptOnce.Do(func() { close(g.acceptEnded) })
 	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
-		<-g.stopped
+		<-g.closed
 		return nil
 	}
 	return trace.Wrap(err)
@@ -94,7 +95,7 @@
 	g.stopping.Store(true)
 	g.listener.stop()
 	g.server.Close() //nolint:errcheck // the listener is closed
-	g.endStop.Do(func() { close(g.stopped) })
+	g.closeOnce.Do(func() { close(g.closed) })
 }
 
 // closeIdle closes the idle connections and reports whether no other is left.
@@ -130,9 +131,6 @@
 func (l trackedListener) Accept() (net.Conn, error) {
 	nc, err := l.g.listener.Accept()
 	if err != nil {
-		if errors.Is(err, net.ErrClosed) {
-			l.g.endAccept.Do(func() { close(l.g.acceptEnded) })
-		}
 		return nil, err
 	}
 	c := &conn{TCPConn: nc.(*net.TCPConn), state: http.StateNew, since: time.Now()}
--- a/internal/graceful/server_test.go
+++ b/internal/graceful/server_test.go
@@ -198,3 +198,15 @@
 		t.Errorf("got %v, want that the address is in use", err)
 	}
 }
+
+// TestStopAfterServeFailed checks that a stop does not wait for a server that serves no more.
+func TestStopAfterServeFailed(t *testing.T) {
+	s := newTestServer(t, false)
+	s.server.Close()
+	go func() { _ = s.Serve() }()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if err := s.Stop(ctx); err != nil {
+		t.Error(err)
+	}
+}
