One listener for the stand-ins that write bytes; a method and a second guard that did nothing removed

From reading the change as a whole; behaviour stays as it is.

- endless and lateanswer each had the same listen and accept loop: rawtcp.Serve.
- upstream.Client.Close closed idle connections, and none is kept since each call has its own; only tests called it.
- settle contained a panic that its two callers contain as well; the claim's ID moved to them.
- Comments in graceful that were wrong or unclear.

Checks: lint, race tests of the packages concerned, tests of platform that use the stand-ins.

--- a/internal/daemon/endpoints_test.go
+++ b/internal/daemon/endpoints_test.go
@@ -19,7 +19,6 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
 	defer server.Close()
 	client := upstream.NewClient(upstream.Options{})
-	defer client.Close()
 	e := newEndpoints()
 	e.set([]admit.Upstream{{ID: "e1", URL: server.URL}})
 	r := &reserver{client: client, endpoints: e}
--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -15,7 +15,7 @@
 	*net.TCPConn
 
 	mu sync.Mutex
-	// state is the connection's state in the server, since since.
+	// state is the connection's state in the server, and since the time of its last change.
 	state http.ConnState
 	since time.Time
 	// received reports whether bytes have been read since the connection was opened or
--- a/internal/graceful/listener.go
+++ b/internal/graceful/listener.go
@@ -45,7 +45,7 @@
 func (l *listener) stop() {
 	l.once.Do(func() {
 		if raw, err := l.SyscallConn(); err == nil {
-			_ = raw.Control(l.acceptPending) // closing fails if the listener is closed already
+			_ = raw.Control(l.acceptPending) // fails if the listener is closed already
 		}
 		l.Close() //nolint:errcheck // it may be closed already
 		close(l.pending)
--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -31,11 +31,12 @@
 	listener *listener
 	tls      *tls.Config
 	stopping atomic.Bool
-	// acceptEnded is closed when the last connection has been accepted, closed by Close.
+	// acceptEnded is closed when the last connection has been accepted.
 	acceptEnded chan struct{}
 	acceptOnce  sync.Once
-	closed      chan struct{}
-	closeOnce   sync.Once
+	// closed is closed by Close.
+	closed    chan struct{}
+	closeOnce sync.Once
 
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -47,7 +48,14 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	g := &Server{server: s, listener: newListener(l.(*net.TCPListener)), tls: config, acceptEnded: make(chan struct{}), closed: make(chan struct{}), conns: map[*conn]bool{}}
+	g := &Server{
+		server:      s,
+		listener:    newListener(l.(*net.TCPListener)),
+		tls:         config,
+		acceptEnded: make(chan struct{}),
+		closed:      make(chan struct{}),
+		conns:       map[*conn]bool{},
+	}
 	s.ConnState = g.onState
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -56,7 +64,8 @@
 	return g, nil
 }
 
-// Serve serves until Stop or Close. It returns nil after them, once Close was called.
+// Serve serves until Stop or Close. After a Stop it returns only once Close is called, since
+// the end of an actor ends its whole run group.
 func (g *Server) Serve() error {
 	var l net.Listener = trackedListener{g}
 	if g.tls != nil {
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -67,7 +67,7 @@
 	o := &outcome{claim: c, from: stateClaimed, version: c.version, event: event, record: rec}
 	done := make(chan struct{})
 	c.ledger.settler.inProgress.Add(1)
-	go panics.Run(log, func() {
+	go panics.Run(log.WithField("claim", rec.ClaimID), func() {
 		defer close(done)
 		defer c.ledger.settler.inProgress.Add(-1)
 		c.ledger.settler.settle(context.WithoutCancel(ctx), o)
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -120,7 +120,7 @@
 	}
 	var wg sync.WaitGroup
 	for _, o := range s.take() {
-		wg.Go(panics.Guard(log, func() {
+		wg.Go(panics.Guard(log.WithField("claim", o.record.ClaimID), func() {
 			defer s.inProgress.Add(-1)
 			s.settle(ctx, o)
 		}))
@@ -131,10 +131,9 @@
 	}
 }
 
-// settle tries to write an outcome and queues it if that fails.
+// settle tries to write an outcome and queues it if that fails. After a panic, which would
+// repeat, it is not queued; the claim ends as unknown.
 func (s *settler) settle(ctx context.Context, o *outcome) {
-	// It is not queued after a panic, which would repeat; the claim ends as unknown.
-	defer panics.Recover(log.WithField("claim", o.record.ClaimID))
 	if !s.try(ctx, o) {
 		s.push(o)
 	}
--- a/internal/panics/goroutines_test.go
+++ b/internal/panics/goroutines_test.go
@@ -6,6 +6,7 @@
 	"go/token"
 	"io/fs"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -42,14 +43,9 @@
 }
 
 func isTool(path string) bool {
-	for _, part := range strings.Split(filepath.ToSlash(path), "/") {
-		for _, name := range toolPackages {
-			if part == name {
-				return true
-			}
-		}
-	}
-	return false
+	return slices.ContainsFunc(strings.Split(filepath.ToSlash(path), "/"), func(part string) bool {
+		return slices.Contains(toolPackages, part)
+	})
 }
 
 // startedFunctions returns the functions that a file starts with a go statement,
--- a/internal/standin/endless/endless.go
+++ b/internal/standin/endless/endless.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/banyanroute/banyanroute/internal/standin/rawtcp"
 )
 
 // Message is an HTTP message of which one part is repeated without end.
@@ -50,22 +52,5 @@
 // Serve starts a server that sends the message on each connection, and returns host:port.
 func (m Message) Serve(t testing.TB, pause time.Duration) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close() //nolint:errcheck // the client may have closed it
-				m.Send(conn, pause)
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	return rawtcp.Serve(t, func(conn net.Conn) { m.Send(conn, pause) })
 }
--- a/internal/standin/lateanswer/lateanswer.go
+++ b/internal/standin/lateanswer/lateanswer.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"testing"
+
+	"github.com/banyanroute/banyanroute/internal/standin/rawtcp"
 )
 
 // Start starts a server that answers each request on a connection with the answer to the first
@@ -14,25 +16,10 @@
 // use again. If early is set, the copy follows the answer at once. It returns host:port.
 func Start(t testing.TB, early bool, answer func(r *http.Request) string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn, early, answer)
-		}
-	}()
-	return listener.Addr().String()
+	return rawtcp.Serve(t, func(conn net.Conn) { serve(conn, early, answer) })
 }
 
 func serve(conn net.Conn, early bool, answer func(r *http.Request) string) {
-	defer conn.Close() //nolint:errcheck // the caller may have closed it
 	in := bufio.NewReader(conn)
 	text := ""
 	for {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -93,11 +93,6 @@
 	}
 }
 
-// Close closes idle connections.
-func (c *Client) Close() {
-	c.transport.CloseIdleConnections()
-}
-
 // Call is one HTTP call to an upstream.
 type Call struct {
 	Method string
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -33,7 +33,6 @@
 	}))
 	defer server.Close()
 	c := NewClient(Options{})
-	defer c.Close()
 	warm, err := c.Do(t.Context(), Call{Method: "GET", URL: server.URL + "/warm", Header: http.Header{}})
 	if err != nil {
 		t.Fatal(err)
@@ -62,7 +61,6 @@
 	address := l.Addr().String()
 	l.Close()
 	c := NewClient(Options{})
-	defer c.Close()
 	_, err = c.Do(t.Context(), Call{Method: "GET", URL: "http://" + address, Header: http.Header{}})
 	if !errors.Is(err, ErrNotSent) {
 		t.Fatalf("refused connection: got %v, want ErrNotSent", err)
@@ -132,7 +130,6 @@
 func TestLateSecondAnswerReachesNoOtherCaller(t *testing.T) {
 	address := lateanswer.Start(t, false, func(r *http.Request) string { return "answer to " + r.URL.Path })
 	c := NewClient(Options{})
-	t.Cleanup(c.Close)
 	for i := range 3 {
 		path := fmt.Sprint("/", i)
 		res, err := c.Do(t.Context(), Call{Method: http.MethodGet, URL: "http://" + address + path, Header: http.Header{}})
@@ -153,7 +150,6 @@
 		return `{"boot":"` + r.URL.Query().Get("after") + `"}`
 	})
 	c := NewClient(Options{})
-	t.Cleanup(c.Close)
 	for after := range uint64(3) {
 		if e, err := c.Events(t.Context(), "http://"+address, after); err != nil || e.Boot != fmt.Sprint(after) {
 			t.Errorf("call %d got the answer to %s, %v", after, e.Boot, err)
