Logs: deferred removals, the list's revision of each attempt, followed tables in the dump

What the logs could not tell about requests to leaving upstreams: that a removal is held back and for how long; which revision of the list an attempt was checked against (the line had the one of the request's arrival); what the follower waits for.

--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -308,6 +310,24 @@
 	return nil
 }
 
+// FollowerState is what a Follower knows of its source, for state dumps.
+type FollowerState struct {
+	Source   string   `json:"source"`
+	Revision Revision `json:"revision"`
+	// PendingRemovals lists the upstreams whose removal is deferred.
+	PendingRemovals []string `json:"pending_removals,omitempty"`
+}
+
+// Dump returns what the follower knows of its source.
+func (f *Follower) Dump() FollowerState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return FollowerState{
+		Source: f.source.Name(), Revision: f.complete.load(),
+		PendingRemovals: slices.Sorted(maps.Keys(f.pendingRemovals)),
+	}
+}
+
 // apply applies an update to the state.
 func (f *Follower) apply(u Update, now time.Time) {
 	newEra := f.enterEra(u, now)
@@ -405,14 +425,22 @@
 	if len(ids) == 0 {
 		return
 	}
+	wait := time.Until(f.deferRemovalsUntil)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	var added []string
 	for _, id := range ids {
 		if _, pending := f.pendingRemovals[id]; !pending {
 			f.pendingRemovals[id] = f.deferRemovalsUntil
+			added = append(added, id)
 		}
 	}
-	panics.AfterFunc(log, time.Until(f.deferRemovalsUntil), f.applyRemovals)
+	if len(added) > 0 {
+		metrics.GetOrCreateCounter(`banyanroute_removals_deferred_total`).Add(len(added))
+		log.WithField("upstreams", added).WithField("wait_ms", wait.Milliseconds()).
+			Info("removal of upstreams deferred; their entries may have expired while the store was unavailable")
+	}
+	panics.AfterFunc(log, wait, f.applyRemovals)
 }
 
 // applyRemovals removes the upstreams that were not listed again in time.
--- a/internal/hosted/dump.go
+++ b/internal/hosted/dump.go
@@ -17,6 +17,8 @@
 	// ListRevision is the store's era and version of the list of upstreams.
 	ListRevision deployment.Revision `json:"list_revision"`
 	ListAge      float64             `json:"list_age_seconds"`
+	// Sources are the tables of the store that this instance follows.
+	Sources []deployment.FollowerState `json:"sources"`
 	// Members are the live instances in this instance's view.
 	Members   []string                  `json:"members"`
 	Upstreams []placement.UpstreamState `json:"upstreams"`
@@ -32,6 +34,9 @@
 	if v.Config != nil {
 		s.ConfigVersion, s.ConfigAge = v.Config.Version, time.Since(v.ConfigAt).Seconds()
 	}
+	for _, f := range n.followers {
+		s.Sources = append(s.Sources, f.Dump())
+	}
 	if overlay := n.links.overlay.Load(); overlay != nil {
 		for _, m := range overlay.Members() {
 			s.Members = append(s.Members, m.ID)
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -154,7 +154,7 @@
 	}
 	a.header = make(http.Header, len(rq.r.Header)+4)
 	h.opts.Codec.WriteCall(a.header, rq.r.Header, out)
-	rq.record.placed(a, rq.arrived)
+	rq.record.placed(a, view.Revision, rq.arrived)
 	rq.tried = append(rq.tried, a.upstream.ID)
 	return a, nil
 }
--- a/internal/passthrough/requestlog.go
+++ b/internal/passthrough/requestlog.go
@@ -36,15 +36,18 @@
 	outcome  placement.Outcome
 	status   int
 	began    time.Time
+	// list is the revision of the list of upstreams when the attempt was placed.
+	list deployment.Revision
 	// waited is how long the request had waited until it was placed.
 	waited time.Duration
 }
 
 // placed records the start of an attempt.
-func (r *requestRecord) placed(a *attempt, arrived time.Time) {
+func (r *requestRecord) placed(a *attempt, list deployment.Revision, arrived time.Time) {
 	now := time.Now()
 	r.attempts = append(r.attempts, attemptRecord{
-		upstream: a.upstream.ID, helpers: len(a.decision.Helpers), expect: a.decision.Expect, began: now, waited: now.Sub(arrived),
+		upstream: a.upstream.ID, helpers: len(a.decision.Helpers), expect: a.decision.Expect, began: now,
+		list: list, waited: now.Sub(arrived),
 	})
 }
 
@@ -156,9 +159,9 @@
 	return f
 }
 
-// String returns the attempt's upstream, outcome, time of placement, predicted time,
-// helpers, and status for the log.
+// String returns the attempt's upstream, outcome, time of placement, revision of the list,
+// predicted time, helpers, and status for the log.
 func (t attemptRecord) String() string {
-	return fmt.Sprintf("%s %s at_ms=%d expect_ms=%d helpers=%d status=%d",
-		t.upstream, t.outcome, t.waited.Milliseconds(), t.expect.Milliseconds(), t.helpers, t.status)
+	return fmt.Sprintf("%s %s at_ms=%d list=%s expect_ms=%d helpers=%d status=%d",
+		t.upstream, t.outcome, t.waited.Milliseconds(), t.list, t.expect.Milliseconds(), t.helpers, t.status)
 }
