deployment: a removal waits only if the store was away long enough for entries to expire

What callers saw: requests went on to upstreams whose entries had been removed, for up to 1.8 s and the pauses and batches before it more than allowed.

Cause: any failed call of an instance's own, a dropped history and a stale read counted as an outage of the store, after each of which missing entries were held for 1.8 s in case they had only expired. The failure of a connection that went silent is noticed late, so the wait ended after the instance counted as undisturbed again.

Ruled out: a shorter wait.

Change: type outage. Entries expire after several heartbeats of their upstreams, so they can be missing only if new calls failed for a heartbeat or longer, or if there was no answer for so long and more than half of a service is missing together; then they are held as before. An answer that cannot be used (dropped history, older version) shows that the store is available. The heartbeat comes from the settings. A backoff starts anew after each usable answer, not after each change between failure and answer.

--- a/internal/deployment/era.go
+++ b/internal/deployment/era.go
@@ -69,7 +69,9 @@
 	if !f.started {
 		return false
 	}
-	f.deferRemovalsUntil = now.Add(reappearTimeout)
+	f.mu.Lock()
+	f.outage.returned(now)
+	f.mu.Unlock()
 	metrics.GetOrCreateCounter(fmt.Sprintf(`banyanroute_store_eras_total{table=%q}`, f.source.Name())).Inc()
 	entry := log.WithField("table", f.source.Name()).WithField("known", known).WithField("revision", u.Revision)
 	if u.Revision.Era > known.Era+1 {
--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -84,10 +84,6 @@
 	maxRetryPause         = 400 * time.Millisecond
 	retryPausePerInstance = 10 * time.Millisecond
 	maxFleetRetryPause    = 1200 * time.Millisecond
-	// reappearTimeout is how long entries that expired during an outage of the store may
-	// be missing after it. The users promise about two seconds; an upstream that left
-	// during the outage must get no work after two seconds either.
-	reappearTimeout = 1800 * time.Millisecond
 )
 
 // Batching of changes: calls are priced, and each change would wake all instances.
@@ -105,6 +101,8 @@
 	Instances func() int
 	// ApplyTimeout is the time within which a change must be applied.
 	ApplyTimeout time.Duration
+	// UpstreamHeartbeat is the interval at which upstreams renew their entries.
+	UpstreamHeartbeat time.Duration
 	// IsWatcher reports whether this instance is one of the few that check often that the
 	// store's answers still arrive.
 	IsWatcher func() bool
@@ -134,31 +132,30 @@
 	catchingUp atomic.Bool
 	// fetched receives updates from other instances.
 	fetched chan Update
-	// storeLost reports whether the last call to the store failed.
-	storeLost bool
 	// started reports whether a snapshot has been applied.
 	started bool
 	// eraKnownAt is when the era of complete became known.
 	eraKnownAt time.Time
-	// mu guards the fields below except deferRemovalsUntil.
+	// mu guards the fields below.
 	mu sync.Mutex
 	// interrupt cancels the current call for changes.
 	interrupt context.CancelFunc
-	// pendingRemovals holds upstreams whose entries were removed during an outage of
-	// the store or shortly after, with the time at which they are dropped.
+	// outage judges whether missing entries may have expired.
+	outage outage
+	// pendingRemovals holds upstreams whose entries may have expired, with the time at
+	// which they are dropped.
 	pendingRemovals map[string]time.Time
 	// removed holds the upstreams that were removed lately, and distrusted those of them
 	// that an older copy lists again.
 	removed    map[string]removedUpstream
 	distrusted map[string]Upstream
-	// deferRemovalsUntil is when removals are applied without delay again.
-	deferRemovalsUntil time.Time
 }
 
 // NewFollower returns a Follower; Run starts it.
 func NewFollower(state *State, source Source, options FollowerOptions) *Follower {
 	return &Follower{
 		state: state, source: source, options: options, fetched: make(chan Update, 1),
+		outage:          outage{heartbeat: options.UpstreamHeartbeat},
 		pendingRemovals: map[string]time.Time{}, removed: map[string]removedUpstream{}, distrusted: map[string]Upstream{},
 	}
 }
@@ -185,20 +182,18 @@
 			continue
 		}
 		if err != nil {
-			if !f.storeLost {
-				pause = f.newBackoff()
-			}
-			snapshot = snapshot || errors.Is(err, ErrHistoryLost) || errors.Is(err, errLateEra)
+			snapshot = snapshot || isUnusable(err)
 			f.recordFailure(ctx, err, now)
 			sleep.For(ctx, pause.NextBackOff())
 			continue
 		}
-		f.recordSuccess(now)
+		f.recordAnswer(now)
 		if err := f.applyContained(update, now); err != nil {
 			snapshot = true
 			sleep.For(ctx, pause.NextBackOff())
 			continue
 		}
+		pause = f.newBackoff()
 		snapshot = false
 		sleep.For(ctx, f.options.batchDelay())
 	}
@@ -280,27 +275,39 @@
 	return u
 }
 
-// recordFailure records that a call to the store failed.
+// isUnusable reports whether the store answered a call, but not with what was asked for.
+func isUnusable(err error) bool {
+	return errors.Is(err, ErrHistoryLost) || errors.Is(err, errStale) || errors.Is(err, errLateEra)
+}
+
+// recordFailure records that a call to the store failed or got an unusable answer.
 func (f *Follower) recordFailure(ctx context.Context, err error, now time.Time) {
-	f.deferRemovalsUntil = now.Add(reappearTimeout)
-	if f.storeLost || ctx.Err() != nil {
+	entry := log.WithField("table", f.source.Name()).WithField("revision", f.complete.load()).WithError(err)
+	if isUnusable(err) {
+		f.recordAnswer(now)
+		entry.Info("answer of the platform store cannot be used; reading a snapshot")
 		return
 	}
-	f.storeLost = true
-	metrics.GetOrCreateCounter(fmt.Sprintf(`banyanroute_store_lost_total{table=%q}`, f.source.Name())).Inc()
-	log.WithField("table", f.source.Name()).WithField("revision", f.complete.load()).WithError(err).
-		Warn("platform store unavailable; known configuration and upstreams remain active")
+	if ctx.Err() != nil {
+		return
+	}
+	f.mu.Lock()
+	first := f.outage.failed(now)
+	f.mu.Unlock()
+	if first {
+		metrics.GetOrCreateCounter(fmt.Sprintf(`banyanroute_store_lost_total{table=%q}`, f.source.Name())).Inc()
+		entry.Warn("platform store unavailable; known configuration and upstreams remain active")
+	}
 }
 
-// recordSuccess records that a call to the store succeeded.
-func (f *Follower) recordSuccess(now time.Time) {
-	if !f.storeLost {
-		return
+// recordAnswer records that the store answered a call.
+func (f *Follower) recordAnswer(now time.Time) {
+	f.mu.Lock()
+	again := f.outage.answered(f.state.View(), now)
+	f.mu.Unlock()
+	if again {
+		log.WithField("table", f.source.Name()).WithField("revision", f.complete.load()).Info("platform store available again")
 	}
-	f.storeLost = false
-	f.deferRemovalsUntil = now.Add(reappearTimeout)
-	log.WithField("table", f.source.Name()).WithField("revision", f.complete.load()).
-		Info("platform store available again")
 }
 
 // applyContained applies an update and returns a panic as an error.
@@ -351,36 +358,45 @@
 	}
 	f.forget(u.Upstreams, u.Removed, now)
 	f.cancelRemovals(u.Upstreams)
-	removed := u.Removed
-	if now.Before(f.deferRemovalsUntil) {
-		f.deferRemovals(removed)
-		removed = nil
-	}
+	removed := without(u.Removed, f.deferRemovals(u.Removed, now))
 	if len(u.Upstreams)+len(removed) > 0 {
 		f.logUpstreams(u.Upstreams, removed, u.Revision)
 		f.state.UpdateUpstreams(u.Upstreams, removed, u.Revision, now)
 	}
 }
 
-// replace installs a complete list. Upstreams whose entries expired during an outage of
-// the store remain listed until reappearTimeout after it.
+// replace installs a complete list. Upstreams whose entries may only have expired remain
+// listed until reappearTimeout after the outage.
 func (f *Follower) replace(u Update, now time.Time) {
 	f.cancelRemovals(u.Upstreams)
-	list := u.Upstreams
-	missing := f.missing(list)
+	missing := f.missing(u.Upstreams)
 	ids := make([]string, len(missing))
 	for i, up := range missing {
 		ids[i] = up.ID
 	}
-	if now.Before(f.deferRemovalsUntil) {
-		f.deferRemovals(ids)
-		list, ids = append(list, missing...), nil
+	deferred := f.deferRemovals(ids, now)
+	list := u.Upstreams
+	for _, up := range missing {
+		if slices.Contains(deferred, up.ID) {
+			list = append(list, up)
+		}
 	}
-	f.forget(nil, ids, now)
+	f.forget(nil, without(ids, deferred), now)
 	f.logUpstreams(u.Upstreams, nil, u.Revision)
 	f.state.ReplaceUpstreams(list, u.Revision, now)
 }
 
+// without returns the elements of list that are not in excluded.
+func without(list, excluded []string) []string {
+	var rest []string
+	for _, s := range list {
+		if !slices.Contains(excluded, s) {
+			rest = append(rest, s)
+		}
+	}
+	return rest
+}
+
 func (f *Follower) logUpstreams(changed []Upstream, removed []string, revision Revision) {
 	view := f.state.View()
 	for _, up := range changed {
@@ -419,28 +435,31 @@
 	}
 }
 
-// deferRemovals removes upstreams at deferRemovalsUntil unless they are listed again
-// before. The removal does not depend on another answer of the store.
-func (f *Follower) deferRemovals(ids []string) {
-	if len(ids) == 0 {
-		return
+// deferRemovals returns those of the missing upstreams that may be listed again soon. It
+// removes them when that time is over unless they are; this does not depend on another
+// answer of the store.
+func (f *Follower) deferRemovals(missing []string, now time.Time) []string {
+	if len(missing) == 0 {
+		return nil
 	}
-	wait := time.Until(f.deferRemovalsUntil)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	deferred, until := f.outage.mayReappear(f.state.View(), missing, now)
 	var added []string
-	for _, id := range ids {
+	for _, id := range deferred {
 		if _, pending := f.pendingRemovals[id]; !pending {
-			f.pendingRemovals[id] = f.deferRemovalsUntil
+			f.pendingRemovals[id] = until
 			added = append(added, id)
 		}
 	}
 	if len(added) > 0 {
+		wait := until.Sub(now)
 		metrics.GetOrCreateCounter(`banyanroute_removals_deferred_total`).Add(len(added))
 		log.WithField("upstreams", added).WithField("wait_ms", wait.Milliseconds()).
 			Info("removal of upstreams deferred; their entries may have expired while the store was unavailable")
+		panics.AfterFunc(log, wait, f.applyRemovals)
 	}
-	panics.AfterFunc(log, wait, f.applyRemovals)
+	return deferred
 }
 
 // applyRemovals removes the upstreams that were not listed again in time.
--- a/internal/deployment/leaving_test.go
+++ b/internal/deployment/leaving_test.go
@@ -219,8 +219,8 @@
 	for i := range n {
 		options := FollowerOptions{
 			Instances:    func() int { return n },
-			ApplyTimeout: min(bound, 2*time.Second),
-			IsWatcher:    func() bool { return i < leavingWatchers },
+			ApplyTimeout: min(bound, 2*time.Second), UpstreamHeartbeat: time.Second,
+			IsWatcher: func() bool { return i < leavingWatchers },
 		}
 		link, state, id := newStoreLink(f.store), NewState(), fmt.Sprintf("i%d", i)
 		follower := NewFollower(state, link, options)
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -90,7 +90,10 @@
 	n.links = &links{directory: o.Directory, self: self}
 	n.restorer = newRestorer(n.links.restore, n.quarantines.restore)
 	for _, source := range o.Sources {
-		options := deployment.FollowerOptions{Instances: n.links.instances, ApplyTimeout: s.ApplyTimeout, IsWatcher: n.links.isWatcher, OnEra: n.restorer.enter}
+		options := deployment.FollowerOptions{
+			Instances: n.links.instances, ApplyTimeout: s.ApplyTimeout, UpstreamHeartbeat: s.UpstreamHeartbeat,
+			IsWatcher: n.links.isWatcher, OnEra: n.restorer.enter,
+		}
 		n.followers = append(n.followers, deployment.NewFollower(n.state, source, options))
 	}
 	n.links.exchange = deployment.NewExchange(n.followers...)
--- a/internal/hosted/settings.go
+++ b/internal/hosted/settings.go
@@ -25,6 +25,8 @@
 	// ApplyTimeout is the time within which a change of the configuration or of the
 	// list of upstreams must be applied.
 	ApplyTimeout time.Duration
+	// UpstreamHeartbeat is the interval at which upstreams renew their entries.
+	UpstreamHeartbeat time.Duration
 	// MaxIdleHold is how long reserved engine memory may remain unused.
 	MaxIdleHold time.Duration
 	// RetryRatio, RetryWindow and RetryBurst bound the retries of all instances
