platform: a silent connection to the store is closed after 2 s

What callers saw: an upstream that left just after all connections to the store had gone silent was used 80 ms longer than allowed (7 instances; the users count again 3 s after a disturbance).

Cause: two keep-alive probes have to go unanswered, so a long poll ends 3 s after the last byte, and the read of what it missed comes later still.

Ruled out: shorter long polls on all instances; each call is priced. Connections to upstreams keep two probes: a lost one would break a request there, at the store it costs a call.

--- a/internal/deployment/leaving_test.go
+++ b/internal/deployment/leaving_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/peer/peertest"
+	"github.com/banyanroute/banyanroute/internal/sockets"
 )
 
 // logStore is a store of upstreams that is always available and keeps its changes.
@@ -102,7 +103,7 @@
 }
 
 // silenceDetection is the time in which keep-alive probes show that a connection is silent.
-const silenceDetection = 3 * time.Second
+var silenceDetection = sockets.Options{KeepAliveProbes: 1}.SilenceTimeout()
 
 // callTime is the time of a call to a store that is one network hop away.
 const callTime = 5 * time.Millisecond
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -18,6 +18,23 @@
 	// UserTimeout bounds how long written bytes may stay unacknowledged
 	// (TCP_USER_TIMEOUT).
 	UserTimeout time.Duration
+	// KeepAliveProbes is the number of unanswered keep-alive probes after which an idle
+	// connection is closed; zero selects defaultKeepAliveProbes.
+	KeepAliveProbes int
+}
+
+// keepAliveProbes returns KeepAliveProbes or its default.
+func (o Options) keepAliveProbes() int {
+	if o.KeepAliveProbes == 0 {
+		return defaultKeepAliveProbes
+	}
+	return o.KeepAliveProbes
+}
+
+// SilenceTimeout returns how long after the last received byte an idle connection is
+// closed if the peer does not answer probes.
+func (o Options) SilenceTimeout() time.Duration {
+	return keepAliveIdle + time.Duration(o.keepAliveProbes())*keepAliveInterval
 }
 
 // NewTransport returns a transport that opens a connection for each request. A
@@ -34,9 +51,9 @@
 // Keep-alive probes of idle connections. The kernel takes these times in whole
 // seconds.
 const (
-	keepAliveIdle     = time.Second
-	keepAliveInterval = time.Second
-	keepAliveCount    = 2
+	keepAliveIdle          = time.Second
+	keepAliveInterval      = time.Second
+	defaultKeepAliveProbes = 2
 )
 
 // NewDialer returns a dialer whose connections send frequent keep-alive probes and
@@ -48,7 +65,7 @@
 			Enable:   true,
 			Idle:     keepAliveIdle,
 			Interval: keepAliveInterval,
-			Count:    keepAliveCount,
+			Count:    o.keepAliveProbes(),
 		},
 		Control: func(_, _ string, c syscall.RawConn) error {
 			var sockErr error
