deployment: each return of the store from an older copy distrusts its entries anew

What callers saw: when the store came back from an older copy twice within 5 s, an upstream that had left before the first return, and that both copies still listed, got work 2 s after the second one.

Cause: one timer for all distrusted entries; the one of the first return also ended the distrust of the second's entries.

Change: each entry has the time of its own. The same cause elsewhere: pending removals already have one each.

TestEachReturnDistrustsAnew failed before (used within 3 s of return 2) and passes now.

--- a/internal/deployment/era.go
+++ b/internal/deployment/era.go
@@ -39,6 +39,13 @@
 	at       time.Time
 }
 
+// distrustedUpstream is an entry of an older copy whose upstream was removed since.
+type distrustedUpstream struct {
+	upstream Upstream
+	// until is when the entry is used unless the store removes it before.
+	until time.Time
+}
+
 // check reports why an update must not be applied; nil if it may be. began is when the
 // call began, snapshot whether it read a snapshot.
 func (f *Follower) check(u Update, snapshot bool, began time.Time) error {
@@ -104,7 +111,7 @@
 		case listed && u.Born == old.Born && old.Leaving:
 			u = old
 		case !listed && f.wasRemoved(u, now):
-			f.distrusted[u.ID] = u
+			f.distrusted[u.ID] = distrustedUpstream{upstream: u, until: now.Add(distrustTime)}
 			continue
 		case !listed && u.Born < byAddress[u.Address].Born:
 			continue
@@ -124,18 +131,21 @@
 	return known && now.Sub(r.at) <= removalMemory && u.Born <= r.upstream.Born
 }
 
-// useDistrusted lists the distrusted upstreams that were not removed again.
+// useDistrusted lists the upstreams whose entries have outlived the time of their distrust.
 func (f *Follower) useDistrusted() {
+	now := time.Now()
 	f.mu.Lock()
 	var list []Upstream
-	for _, u := range f.distrusted {
-		list = append(list, u)
+	for id, d := range f.distrusted {
+		if !now.Before(d.until) {
+			list = append(list, d.upstream)
+			delete(f.distrusted, id)
+		}
 	}
-	clear(f.distrusted)
 	f.mu.Unlock()
 	if len(list) > 0 {
 		f.logUpstreams(list, nil, f.state.View().Revision)
-		f.state.AddUpstreams(list, time.Now())
+		f.state.AddUpstreams(list, now)
 	}
 }
 
--- a/internal/deployment/era_test.go
+++ b/internal/deployment/era_test.go
@@ -188,3 +188,26 @@
 		}
 	})
 }
+
+// TestEachReturnDistrustsAnew checks that an upstream that has left is not used when the
+// store comes back from an older copy again before the entries of the first return are
+// trusted.
+func TestEachReturnDistrustsAnew(t *testing.T) {
+	s := &fakeSource{snapshot: Update{Complete: true, Revision: rev(100), Upstreams: upstreams("a", "left")}}
+	follow(t, s, func(state *State) {
+		s.changes <- Update{Revision: rev(101), Changed: rev(101), Removed: []string{"left"}}
+		time.Sleep(time.Second)
+		for era := int64(1); era <= 3; era++ {
+			revision := Revision{Era: era, Number: 90}
+			s.set(Update{Complete: true, Revision: revision, Changed: revision, Upstreams: upstreams("a", "left")}, nil)
+			s.changes <- Update{Revision: revision}
+			for range 30 {
+				time.Sleep(100 * time.Millisecond)
+				if _, listed := state.View().Upstream("left"); listed {
+					t.Errorf("the upstream that left is used within 3 s of return %d", era)
+					return
+				}
+			}
+		}
+	})
+}
--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -148,7 +148,7 @@
 	// removed holds the upstreams that were removed lately, and distrusted those of them
 	// that an older copy lists again.
 	removed    map[string]removedUpstream
-	distrusted map[string]Upstream
+	distrusted map[string]distrustedUpstream
 }
 
 // NewFollower returns a Follower; Run starts it.
@@ -156,7 +156,7 @@
 	return &Follower{
 		state: state, source: source, options: options, fetched: make(chan Update, 1),
 		outage:          outage{heartbeat: options.UpstreamHeartbeat},
-		pendingRemovals: map[string]time.Time{}, removed: map[string]removedUpstream{}, distrusted: map[string]Upstream{},
+		pendingRemovals: map[string]time.Time{}, removed: map[string]removedUpstream{}, distrusted: map[string]distrustedUpstream{},
 	}
 }
 
