deployment: distrust of an older copy's entries follows the heartbeats of upstreams

What callers saw: where upstreams renew their entries every 1.7 s or more seldom, an upstream that had left was used again 5 s after the store came back from an older copy, although the store could still remove its entry.

Cause: a constant for a time that the deployment decides: the store removes entries after three intervals of silence.

Change: four intervals, from the settings; 5 s where the interval is unknown.

TestDistrustLastsAsLongAsEntries failed before (used after 3.5 of 3 s; unused after 5.5 of 0.5 s) and passes now.

--- a/internal/deployment/era.go
+++ b/internal/deployment/era.go
@@ -16,12 +16,24 @@
 	// removalMemory is how long removed upstreams are remembered: longer than a copy is
 	// old.
 	removalMemory = 60 * time.Second
-	// distrustTime is how long an entry of an upstream that was removed since the copy
-	// was made must outlive the return before it is used: the store removes the entries
-	// of upstreams that are silent for some heartbeats.
-	distrustTime = 5 * time.Second
+	// distrustedHeartbeats is for how many heartbeats of its upstream an entry of one that
+	// was removed since the copy was made must outlive the return before it is used. The
+	// store removes the entries of upstreams that are silent for three, and one more covers
+	// a heartbeat that comes late.
+	distrustedHeartbeats = 4
+	// defaultDistrustTime applies if the interval of heartbeats is unknown.
+	defaultDistrustTime = 5 * time.Second
 )
 
+// distrustTime returns how long entries of upstreams that were removed since the copy was
+// made are not used.
+func (o FollowerOptions) distrustTime() time.Duration {
+	if o.UpstreamHeartbeat <= 0 {
+		return defaultDistrustTime
+	}
+	return distrustedHeartbeats * o.UpstreamHeartbeat
+}
+
 // Reasons why an update is not applied.
 var (
 	// errStale is returned if a read returned an older revision than is known.
@@ -111,7 +123,7 @@
 		case listed && u.Born == old.Born && old.Leaving:
 			u = old
 		case !listed && f.wasRemoved(u, now):
-			f.distrusted[u.ID] = distrustedUpstream{upstream: u, until: now.Add(distrustTime)}
+			f.distrusted[u.ID] = distrustedUpstream{upstream: u, until: now.Add(f.options.distrustTime())}
 			continue
 		case !listed && u.Born < byAddress[u.Address].Born:
 			continue
@@ -119,7 +131,7 @@
 		kept = append(kept, u)
 	}
 	if len(f.distrusted) > 0 {
-		panics.AfterFunc(log, distrustTime, f.useDistrusted)
+		panics.AfterFunc(log, f.options.distrustTime(), f.useDistrusted)
 	}
 	return kept
 }
--- a/internal/deployment/era_test.go
+++ b/internal/deployment/era_test.go
@@ -130,7 +130,7 @@
 		s.changes <- Update{Revision: inEra(90)}
 		time.Sleep(time.Second)
 		s.changes <- Update{Revision: inEra(91), Changed: inEra(91), Removed: []string{"silent"}}
-		time.Sleep(distrustTime)
+		time.Sleep(oneInstance.distrustTime())
 		if _, listed := state.View().Upstream("alive"); !listed {
 			t.Error("an upstream whose entry remains is not used")
 		}
@@ -211,3 +211,28 @@
 		}
 	})
 }
+
+// TestDistrustLastsAsLongAsEntries checks that an upstream that has left is not used while
+// the entry that an older copy has of it can still expire, however rarely upstreams renew
+// their entries.
+func TestDistrustLastsAsLongAsEntries(t *testing.T) {
+	for _, heartbeat := range []time.Duration{500 * time.Millisecond, 3 * time.Second} {
+		s := &fakeSource{snapshot: Update{Complete: true, Revision: rev(100), Upstreams: upstreams("a", "left")}}
+		options := oneInstance
+		options.UpstreamHeartbeat = heartbeat
+		followWith(t, s, options, func(state *State) {
+			s.changes <- Update{Revision: rev(101), Changed: rev(101), Removed: []string{"left"}}
+			time.Sleep(time.Second)
+			s.set(Update{Complete: true, Revision: inEra(90), Changed: inEra(90), Upstreams: upstreams("a", "left")}, nil)
+			s.changes <- Update{Revision: inEra(90)}
+			time.Sleep(7 * heartbeat / 2)
+			if _, listed := state.View().Upstream("left"); listed {
+				t.Errorf("heartbeats every %s: the upstream that left is used before its entry could expire", heartbeat)
+			}
+			time.Sleep(2 * heartbeat)
+			if _, listed := state.View().Upstream("left"); !listed {
+				t.Errorf("heartbeats every %s: an entry that has not expired is not used", heartbeat)
+			}
+		})
+	}
+}
--- a/internal/deployment/follower_test.go
+++ b/internal/deployment/follower_test.go
@@ -74,6 +74,12 @@
 
 // follow runs a Follower of a source in a bubble of virtual time and calls f in it.
 func follow(t *testing.T, s *fakeSource, f func(state *State)) {
+	t.Helper()
+	followWith(t, s, oneInstance, f)
+}
+
+// followWith is follow with other options.
+func followWith(t *testing.T, s *fakeSource, options FollowerOptions, f func(state *State)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s.changes = make(chan Update)
@@ -82,7 +88,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			_ = NewFollower(state, s, oneInstance).Run(ctx)
+			_ = NewFollower(state, s, options).Run(ctx)
 		}()
 		time.Sleep(time.Second) // the first read is done, and the follower waits for changes
 		synctest.Wait()
