deployment: an incarnation that leaves does not work again

Cause: the newest entry was believed. An incarnation never takes work again after it has said that it leaves, so such an entry is older than what is known, whatever its version.

Ruled out: doing the same where the start time of the upstream is unknown; its next incarnation could not be told apart.

--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -352,6 +352,7 @@
 	if newEra {
 		u.Upstreams = f.reconcile(u.Upstreams, now)
 	}
+	u.Upstreams = f.keepLeaving(u.Upstreams)
 	if u.Complete {
 		f.replace(u, now)
 		return
@@ -365,6 +366,22 @@
 	}
 }
 
+// keepLeaving returns the list in which incarnations that are known to leave still do. They
+// never take work again, so an entry that says otherwise is older than what is known, such as
+// a write that the store carried out late.
+func (f *Follower) keepLeaving(list []Upstream) []Upstream {
+	view := f.state.View()
+	kept := slices.Clone(list)
+	for i, u := range list {
+		known, listed := view.Upstream(u.ID)
+		if listed && known.Leaving && !u.Leaving && u.Born > 0 && known.SameIncarnation(u) {
+			kept[i] = known
+			log.WithField("upstream", u.ID).WithField("born", u.Born).Info("entry ignored; this incarnation of the upstream is leaving")
+		}
+	}
+	return kept
+}
+
 // replace installs a complete list. Upstreams whose entries may only have expired remain
 // listed until reappearTimeout after the outage.
 func (f *Follower) replace(u Update, now time.Time) {
--- a/internal/deployment/follower_test.go
+++ b/internal/deployment/follower_test.go
@@ -210,3 +210,37 @@
 		}
 	})
 }
+
+// TestLeavingIsFinal checks that an entry of an upstream that says that it works again does
+// not bring back an incarnation that is known to leave, and that the next incarnation is
+// used.
+func TestLeavingIsFinal(t *testing.T) {
+	entry := func(born int64, leaving bool) []Upstream {
+		u := upstreams("a")
+		u[0].Born, u[0].Leaving = born, leaving
+		return u
+	}
+	s := &fakeSource{snapshot: Update{Complete: true, Revision: rev(1), Upstreams: entry(10, false)}}
+	follow(t, s, func(state *State) {
+		used := func() bool { return len(state.View().Upstreams("s")) == 1 }
+		s.changes <- Update{Revision: rev(2), Changed: rev(2), Upstreams: entry(10, true)}
+		time.Sleep(time.Second)
+		s.changes <- Update{Revision: rev(3), Changed: rev(3), Upstreams: entry(10, false)}
+		time.Sleep(time.Second)
+		if used() {
+			t.Error("a write that was carried out late brought back an upstream that leaves")
+		}
+		s.set(Update{Complete: true, Revision: rev(4), Changed: rev(4), Upstreams: entry(10, false)}, ErrHistoryLost)
+		s.changes <- Update{}
+		s.set(Update{Complete: true, Revision: rev(4), Changed: rev(4), Upstreams: entry(10, false)}, nil)
+		time.Sleep(time.Second)
+		if used() {
+			t.Error("a snapshot brought back an upstream that leaves")
+		}
+		s.changes <- Update{Revision: rev(5), Changed: rev(5), Upstreams: entry(20, false)}
+		time.Sleep(time.Second)
+		if !used() {
+			t.Error("the next incarnation is not used")
+		}
+	})
+}
