--- a/internal/deployment/era.go
+++ b/internal/deployment/era.go
@@ -85,12 +85,15 @@
 		return false
 	}
 	f.eraKnownAt = now
-	if !f.started {
-		return false
-	}
 	f.mu.Lock()
-	f.outage.returned(now)
+	started := !f.startedAt.IsZero()
+	if started {
+		f.outage.returned(now)
+	}
 	f.mu.Unlock()
+	if !started {
+		return false
+	}
 	metrics.GetOrCreateCounter(fmt.Sprintf(`banyanroute_store_eras_total{table=%q}`, f.source.Name())).Inc()
 	entry := log.WithField("table", f.source.Name()).WithField("known", known).WithField("revision", u.Revision)
 	if u.Revision.Era > known.Era+1 {
@@ -164,9 +167,13 @@
 // forget remembers removed upstreams for removalMemory, and ends the distrust of all that
 // the store has changed.
 func (f *Follower) forget(changed []Upstream, removed []string, now time.Time) {
-	view := f.state.View()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.forgetLocked(changed, removed, now)
+}
+
+func (f *Follower) forgetLocked(changed []Upstream, removed []string, now time.Time) {
+	view := f.state.View()
 	for _, u := range changed {
 		delete(f.distrusted, u.ID)
 		delete(f.removed, u.ID)
--- a/internal/deployment/exchange_test.go
+++ b/internal/deployment/exchange_test.go
@@ -135,3 +135,48 @@
 		synctest.Wait()
 	})
 }
+
+// TestDeferredRemovalIsPassedOn checks that an instance that takes another's snapshot, in
+// which an upstream is listed only because its removal is deferred, does not use the
+// upstream longer than the other, although its own calls to the store get no answer.
+func TestDeferredRemovalIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := Update{Complete: true, Revision: rev(1), Changed: rev(1), Upstreams: upstreams("a", "left")}
+		recovering := &fakeSource{changes: make(chan Update), snapshot: first}
+		cutOff := &stalledSource{fakeSource: fakeSource{snapshot: first}, rejects: true}
+		net := peertest.NewNet(time.Millisecond)
+		ctx, cancel := context.WithCancel(t.Context())
+		var exchanges []*Exchange
+		var states []*State
+		for i, source := range []Source{recovering, cutOff} {
+			state := NewState()
+			f := NewFollower(state, source, oneInstance)
+			e := NewExchange(f)
+			e.SetBus(net.Join(peer.Member{ID: []string{"recovering", "cut off"}[i]}))
+			go f.Run(ctx)
+			exchanges, states = append(exchanges, e), append(states, state)
+		}
+		time.Sleep(time.Second)
+		recovering.set(first, errors.New("down"))
+		recovering.changes <- Update{}
+		time.Sleep(3 * time.Second)
+		recovering.set(Update{Complete: true, Revision: rev(5), Changed: rev(5), Upstreams: upstreams("a")}, nil)
+		recovering.changes <- Update{Revision: rev(5), Changed: rev(5), Removed: []string{"left"}}
+		synctest.Wait()
+		if _, listed := states[0].View().Upstream("left"); !listed {
+			t.Error("the removal is not deferred after the outage")
+		}
+		exchanges[1].Receive("recovering", exchanges[0].Seen())
+		time.Sleep(catchUpDelay + fetchTimeout + 2*reappearTimeout)
+		if got := states[1].View().Revision; got != rev(5) {
+			t.Errorf("the instance that is cut off knows revision %s, want 0/5", got)
+		}
+		for i, s := range states {
+			if _, listed := s.View().Upstream("left"); listed {
+				t.Errorf("instance %d still uses the upstream that left", i)
+			}
+		}
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -37,6 +37,13 @@
 	Upstreams []Upstream
 	// Removed are the IDs of entries that were removed or cannot be read.
 	Removed []string `cbor:"Gone"`
+	// Pending lists those of Upstreams whose removal another instance defers.
+	Pending []string
+	// Fresh reports whether the other instance has followed the store for so short a time
+	// that entries which had expired before may still be missing.
+	Fresh bool
+	// fetched reports whether the update is from another instance.
+	fetched bool
 }
 
 // Content is the kind of data in a source.
@@ -132,14 +139,14 @@
 	catchingUp atomic.Bool
 	// fetched receives updates from other instances.
 	fetched chan Update
-	// started reports whether a snapshot has been applied.
-	started bool
 	// eraKnownAt is when the era of complete became known.
 	eraKnownAt time.Time
 	// mu guards the fields below.
 	mu sync.Mutex
 	// interrupt cancels the current call for changes.
 	interrupt context.CancelFunc
+	// startedAt is when the first snapshot was applied; zero before that.
+	startedAt time.Time
 	// outage judges whether missing entries may have expired.
 	outage outage
 	// pendingRemovals holds upstreams whose entries may have expired, with the time at
@@ -242,6 +249,7 @@
 
 // offer passes an update from another instance to the follower.
 func (f *Follower) offer(u Update) {
+	u.fetched = true
 	select {
 	case f.fetched <- u:
 	default: // the pending update is about as new
@@ -263,6 +271,8 @@
 
 // snapshot returns all known data of the source.
 func (f *Follower) snapshot() Update {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	v := f.state.View()
 	u := Update{Complete: true, Revision: f.complete.load(), Changed: f.changed.load()}
 	if f.source.Content() == Configurations {
@@ -272,6 +282,8 @@
 	for _, up := range v.upstreams {
 		u.Upstreams = append(u.Upstreams, up)
 	}
+	u.Pending = slices.Sorted(maps.Keys(f.pendingRemovals))
+	u.Fresh = time.Since(f.startedAt) < reappearTimeout
 	return u
 }
 
@@ -338,7 +350,11 @@
 // apply applies an update to the state.
 func (f *Follower) apply(u Update, now time.Time) {
 	newEra := f.enterEra(u, now)
-	f.started = true
+	f.mu.Lock()
+	if f.startedAt.IsZero() {
+		f.startedAt = now
+	}
+	f.mu.Unlock()
 	f.complete.store(u.Revision)
 	f.changed.store(latest(f.changed.load(), u.Changed))
 	if u.Config != nil && f.state.SetConfiguration(u.Config, now) {
@@ -359,7 +375,7 @@
 	}
 	f.forget(u.Upstreams, u.Removed, now)
 	f.cancelRemovals(u.Upstreams)
-	removed := without(u.Removed, f.deferRemovals(u.Removed, now))
+	removed := without(u.Removed, f.deferRemovals(u, u.Removed, now))
 	if len(u.Upstreams)+len(removed) > 0 {
 		f.logUpstreams(u.Upstreams, removed, u.Revision)
 		f.state.UpdateUpstreams(u.Upstreams, removed, u.Revision, now)
@@ -391,7 +407,7 @@
 	for i, up := range missing {
 		ids[i] = up.ID
 	}
-	deferred := f.deferRemovals(ids, now)
+	deferred := f.deferRemovals(u, ids, now)
 	list := u.Upstreams
 	for _, up := range missing {
 		if slices.Contains(deferred, up.ID) {
@@ -452,18 +468,15 @@
 	}
 }
 
-// deferRemovals returns those of the missing upstreams that may be listed again soon. It
-// removes them when that time is over unless they are; this does not depend on another
-// answer of the store.
-func (f *Follower) deferRemovals(missing []string, now time.Time) []string {
-	if len(missing) == 0 {
-		return nil
-	}
+// deferRemovals returns those of the upstreams missing in an update that may be listed again
+// soon. It removes them when that time is over unless they are; this does not depend on
+// another answer of the store.
+func (f *Follower) deferRemovals(u Update, missing []string, now time.Time) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	deferred, until := f.outage.mayReappear(f.state.View(), missing, now)
+	deferred, until := f.mayReappear(u, missing, now)
 	var added []string
-	for _, id := range deferred {
+	for _, id := range slices.Concat(deferred, u.Pending) {
 		if _, pending := f.pendingRemovals[id]; !pending {
 			f.pendingRemovals[id] = until
 			added = append(added, id)
@@ -479,10 +492,24 @@
 	return deferred
 }
 
+// mayReappear returns those of the upstreams missing in an update that may be listed again,
+// and until when. The caller must hold mu.
+func (f *Follower) mayReappear(u Update, missing []string, now time.Time) ([]string, time.Time) {
+	switch {
+	case !u.fetched:
+		return f.outage.mayReappear(f.state.View(), missing, now)
+	case u.Fresh:
+		return missing, now.Add(reappearTimeout)
+	}
+	// The other instance has judged the missing ones itself, and names those it waits for.
+	return nil, now.Add(reappearTimeout)
+}
+
 // applyRemovals removes the upstreams that were not listed again in time.
 func (f *Follower) applyRemovals() {
 	now := time.Now()
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	var removed []string
 	for id, at := range f.pendingRemovals {
 		if !now.Before(at) {
@@ -490,10 +517,9 @@
 			removed = append(removed, id)
 		}
 	}
-	f.mu.Unlock()
 	if len(removed) > 0 {
 		f.logUpstreams(nil, removed, f.state.View().Revision)
-		f.forget(nil, removed, now)
+		f.forgetLocked(nil, removed, now)
 		f.state.RemoveUpstreams(removed, now)
 	}
 }
