deployment: an instance that is behind catches up without waiting for a batch that it is not in

What callers saw: after connections to the store had gone silent although keep-alive probes were still answered, an upstream that left was used 0.12 s (7 instances) and 0.23 s (65 and 410) longer than allowed.

Cause: a chain of waits. A watcher notices after its poll and a slack of a second, the home waits 0.4 s and a batch, and each other instance the same again, 1.06 s a step at 65 instances. The batch delay stands for an instance that just waits for further changes; these did not.

Change: the wait ends 0.25 s after the batch that the instance is in, if any; the slack of the watchers' short polls is 0.5 s. A spurious failure costs a call now that it holds back no removal.

--- a/internal/deployment/exchange.go
+++ b/internal/deployment/exchange.go
@@ -18,10 +18,9 @@
 
 // Timing of the exchange between instances.
 const (
-	// catchUpDelay is how long, in addition to the batch delay, an instance may be behind
-	// another before it reads the store again: the store itself delivers changes within a
-	// few milliseconds.
-	catchUpDelay = 400 * time.Millisecond
+	// catchUpDelay is how long after a batch an instance may be behind another before it
+	// reads the store again: the store itself delivers changes within a few milliseconds.
+	catchUpDelay = 250 * time.Millisecond
 	// fetchTimeout bounds a call to another instance.
 	fetchTimeout = 500 * time.Millisecond
 )
@@ -73,7 +72,7 @@
 // follower read the store again and fetches the data from the other instance.
 func (e *Exchange) catchUp(f *Follower, index int, from string, change Revision) {
 	defer f.catchingUp.Store(false)
-	time.Sleep(catchUpDelay + f.options.batchDelay())
+	time.Sleep(max(f.untilBatchEnds(), 0) + catchUpDelay)
 	if !f.complete.load().Before(change) {
 		return
 	}
--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -79,8 +79,10 @@
 	// that their connection delivers no data; the other instances learn of changes from
 	// them, also if their own connections are silent all at once.
 	watcherPollWait = time.Second
-	// longPollSlack is how much longer than requested an answer may take.
-	longPollSlack = time.Second
+	// longPollSlack and watcherPollSlack are how much longer than requested an answer may
+	// take.
+	longPollSlack    = time.Second
+	watcherPollSlack = 500 * time.Millisecond
 	// readTimeout bounds the read of a snapshot.
 	readTimeout = 3 * time.Second
 	// initialRetryPause and maxRetryPause bound the pauses after failed calls: a store
@@ -145,6 +147,8 @@
 	mu sync.Mutex
 	// interrupt cancels the current call for changes.
 	interrupt context.CancelFunc
+	// batchEnds is when the last wait for further changes ends or has ended.
+	batchEnds time.Time
 	// startedAt is when the first snapshot was applied; zero before that.
 	startedAt time.Time
 	// outage judges whether missing entries may have expired.
@@ -202,11 +206,28 @@
 		}
 		pause = f.newBackoff()
 		snapshot = false
-		sleep.For(ctx, f.options.batchDelay())
+		f.waitForBatch(ctx)
 	}
 	return ctx.Err()
 }
 
+// waitForBatch waits for further changes, which the next call then reads together.
+func (f *Follower) waitForBatch(ctx context.Context) {
+	delay := f.options.batchDelay()
+	f.mu.Lock()
+	f.batchEnds = time.Now().Add(delay)
+	f.mu.Unlock()
+	sleep.For(ctx, delay)
+}
+
+// untilBatchEnds returns how long the follower waits before its next call; not positive if
+// it does not wait.
+func (f *Follower) untilBatchEnds() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Until(f.batchEnds)
+}
+
 // newBackoff returns a backoff with jitter, so that the instances do not all retry at
 // the same time.
 func (f *Follower) newBackoff() *backoff.ExponentialBackOff {
@@ -225,11 +246,11 @@
 		defer cancel()
 		return f.source.Read(ctx)
 	}
-	wait := longPollWait
+	wait, slack := longPollWait, longPollSlack
 	if f.options.IsWatcher() {
-		wait = watcherPollWait
+		wait, slack = watcherPollWait, watcherPollSlack
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+longPollSlack)
+	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
 	f.mu.Lock()
 	f.interrupt = cancel
--- a/internal/deployment/leaving_test.go
+++ b/internal/deployment/leaving_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/peer/peertest"
+	"github.com/banyanroute/banyanroute/internal/sleep"
 	"github.com/banyanroute/banyanroute/internal/sockets"
 )
 
@@ -100,6 +101,9 @@
 	// deaf is closed when the open connections go silent: calls under way get no answer,
 	// and fail after silenceDetection.
 	deaf chan struct{}
+	// acknowledged reports whether something between the two ends goes on answering
+	// keep-alive probes, so that calls on silent connections never fail by themselves.
+	acknowledged bool
 }
 
 // silenceDetection is the time in which keep-alive probes show that a connection is silent.
@@ -178,6 +182,10 @@
 		case <-ctx.Done():
 			return Update{}, ctx.Err()
 		case <-deaf:
+			if l.acknowledged {
+				<-ctx.Done()
+				return Update{}, ctx.Err()
+			}
 			select {
 			case <-time.After(silenceDetection):
 				return Update{}, errLink
@@ -233,6 +241,24 @@
 	return f
 }
 
+// messageInterval is the time between two calls of an instance to the home.
+const messageInterval = 300 * time.Millisecond
+
+// exchangeMessages passes messages between each instance and the last one, as between
+// instances and the home of a service, until ctx ends.
+func (f *leavingFleet) exchangeMessages(ctx context.Context) {
+	home := len(f.ids) - 1
+	for i := range home {
+		go func() {
+			time.Sleep(messageInterval * time.Duration(i) / time.Duration(home))
+			for sleep.For(ctx, messageInterval) {
+				f.exchanges[home].Receive(f.ids[i], f.exchanges[i].Seen())
+				f.exchanges[i].Receive(f.ids[home], f.exchanges[home].Seen())
+			}
+		}()
+	}
+}
+
 // usedFor returns for how long from now on some instance still gives work to an upstream,
 // or limit if it is longer.
 func (f *leavingFleet) usedFor(id string, limit time.Duration) time.Duration {
@@ -338,3 +364,33 @@
 		})
 	}
 }
+
+// TestWorkEndsInTimeAlthoughProbesAreAnswered checks the same if probes of the silent
+// connections are answered, so that only the watchers notice, and instances that are linked
+// learn of the change from one another.
+func TestWorkEndsInTimeAlthoughProbesAreAnswered(t *testing.T) {
+	for _, size := range leavingSizes {
+		undisturbed := size.bound + time.Second
+		var worst, worstDelay time.Duration
+		for delay := 100 * time.Millisecond; delay < undisturbed; delay += 300 * time.Millisecond {
+			withLeavingFleet(t, size.instances, size.bound, func(f *leavingFleet) {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				f.exchangeMessages(ctx)
+				for _, l := range f.links {
+					l.acknowledged = true
+					l.silence()
+				}
+				time.Sleep(delay)
+				f.leave(false)
+				late := f.usedFor("leaves", 20*time.Second) - max(size.bound, undisturbed-delay)
+				if late > worst {
+					worst, worstDelay = late, delay
+				}
+			})
+		}
+		if worst > 0 {
+			t.Errorf("%d instances, leaving %s after the connections went silent: used %s longer than allowed", size.instances, worstDelay, worst)
+		}
+	}
+}
