passthrough: an upstream that leaves before the first byte is sent gets nothing

What callers saw: a request reached an upstream up to 0.8 s after the instance had learned that it leaves.

Cause: the list is checked when the upstream is chosen.

Change: the dialler checks once more when the connection is open.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -159,6 +159,13 @@
 	return a, nil
 }
 
+// isUsable reports whether an upstream is still listed as the one that was chosen and takes
+// work.
+func isUsable(v *deployment.View, chosen deployment.Upstream) bool {
+	up, known := v.Upstream(chosen.ID)
+	return known && !up.Leaving && up.SameIncarnation(chosen)
+}
+
 // Retries of a placement while no upstream can take the job.
 const (
 	// slotRetryInterval is the pause before a retry while no slot is free; with many
@@ -258,6 +265,7 @@
 		target:  rq.r.RequestURI,
 		header:  a.header,
 		body:    rq.body,
+		maySend: func() bool { return isUsable(h.opts.State.View(), a.upstream) },
 	})
 	if err != nil {
 		return nil, UpstreamReply{}, err
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -206,7 +206,7 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errStalled), errors.Is(context.Cause(ctx), errIdleHold):
 		return placement.Stalled
-	case rq.r.Context().Err() != nil || ctx.Err() != nil:
+	case rq.r.Context().Err() != nil || ctx.Err() != nil, errors.Is(err, errLeft):
 		return placement.Abandoned
 	case errors.Is(err, errNotSent):
 		return placement.Unreached
--- a/internal/passthrough/transport.go
+++ b/internal/passthrough/transport.go
@@ -36,9 +36,36 @@
 func newTransport() *http.Transport {
 	t := sockets.NewTransport(sockets.Options{DialTimeout: upstreamDialTimeout, UserTimeout: upstreamUserTimeout})
 	t.MaxResponseHeaderBytes = maxUpstreamHeaderBytes
+	t.DialContext = dialChecked(t.DialContext)
 	return t
 }
 
+// errLeft is returned if the upstream left before a byte of the request was written.
+var errLeft = errors.New("upstream left before the request was sent")
+
+// dialFunc opens connections.
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// maySendKey is the key of the check that dialChecked makes, in the context of a request.
+type maySendKey struct{}
+
+// dialChecked returns a dialFunc that checks, once the connection is open, whether the
+// request may still be sent. Each connection serves one request, so this is the last moment
+// before its first byte.
+func dialChecked(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if maySend, ok := ctx.Value(maySendKey{}).(func() bool); ok && !maySend() {
+			_ = conn.Close() // nothing was written
+			return nil, errLeft
+		}
+		return conn, nil
+	}
+}
+
 // outbound is a request as sent to an upstream.
 type outbound struct {
 	method  string
@@ -48,12 +75,15 @@
 	target string
 	header http.Header
 	body   []byte
+	// maySend reports whether the upstream may still get the request.
+	maySend func() bool
 }
 
 // roundTrip sends the request and returns the answer, whose body is still to be read.
 // An error that wraps errNotSent proves that the request was not sent.
 func roundTrip(ctx context.Context, transport http.RoundTripper, o outbound) (*http.Response, error) {
 	var connected atomic.Bool
+	ctx = context.WithValue(ctx, maySendKey{}, o.maySend)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
