--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -275,6 +275,7 @@
 		res.Body.Close()
 		return nil, UpstreamReply{}, errNotAnswer
 	}
+	h.opts.Placer.LimitObserved(rq.service, a.upstream, reply.Limit)
 	return res, reply, nil
 }
 
--- a/internal/passthrough/attempt_test.go
+++ b/internal/passthrough/attempt_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/placement"
+	"github.com/banyanroute/banyanroute/internal/upstreamlimit"
 )
 
 // refusingPlacer refuses all jobs for one reason and counts them.
@@ -24,6 +25,8 @@
 func (*refusingPlacer) FirstAnswer(string, string) {}
 func (*refusingPlacer) TrialPassed(string, string) {}
 
+func (*refusingPlacer) LimitObserved(string, deployment.Upstream, upstreamlimit.Limit) {}
+
 func (*refusingPlacer) Ended(string, string, placement.Outcome) {}
 
 // TestFinalRefusalIsNotHeld checks that a request that waiting cannot help is refused at
--- a/internal/passthrough/codec.go
+++ b/internal/passthrough/codec.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/banyanroute/banyanroute/internal/upstreamlimit"
 )
 
 // CallerInfo is the information in a request's header beside its method and path.
@@ -59,6 +61,8 @@
 	Signed bool
 	// NotRun reports whether the upstream did not run the request and never will.
 	NotRun bool
+	// Limit is the rate of requests that the upstream takes from all instances.
+	Limit upstreamlimit.Limit
 	// Encoded reports whether the body has a content encoding and so is not the
 	// upstream's own bytes.
 	Encoded bool
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -11,6 +11,7 @@
 	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/placement"
 	"github.com/banyanroute/banyanroute/internal/result"
+	"github.com/banyanroute/banyanroute/internal/upstreamlimit"
 )
 
 var log = logging.For("passthrough")
@@ -22,6 +23,8 @@
 	FirstAnswer(service, id string)
 	// TrialPassed reports that a trial has been answered for poison.TrialTime.
 	TrialPassed(service, id string)
+	// LimitObserved reports what an answer of an upstream says of its limit.
+	LimitObserved(service string, up deployment.Upstream, l upstreamlimit.Limit)
 	// Ended reports how the attempt ended; it must be called once for every placed job.
 	Ended(service, id string, o placement.Outcome)
 }
--- a/internal/passthrough/panic_test.go
+++ b/internal/passthrough/panic_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/placement"
+	"github.com/banyanroute/banyanroute/internal/upstreamlimit"
 )
 
 // panickingCodec panics when it translates an answer whose header names the step.
@@ -62,6 +63,8 @@
 
 func (p *panickingPlacer) TrialPassed(string, string) { p.panicIf("trial passed") }
 
+func (*panickingPlacer) LimitObserved(string, deployment.Upstream, upstreamlimit.Limit) {}
+
 func (p *panickingPlacer) Ended(_, id string, _ placement.Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/passthrough/serve_test.go
+++ b/internal/passthrough/serve_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/placement"
+	"github.com/banyanroute/banyanroute/internal/upstreamlimit"
 )
 
 // plainCodec treats each answer as the upstream's own.
@@ -54,6 +55,8 @@
 	p.answered = append(p.answered, id)
 }
 
+func (*scriptedPlacer) LimitObserved(string, deployment.Upstream, upstreamlimit.Limit) {}
+
 func (*scriptedPlacer) Ended(string, string, placement.Outcome) {}
 
 // countingReserver counts the reservations that are held.
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/poison"
 	"github.com/banyanroute/banyanroute/internal/sleep"
+	"github.com/banyanroute/banyanroute/internal/upstreamlimit"
 )
 
 // Timing of calls to homes.
@@ -155,6 +156,11 @@
 	f.report(service, event{Kind: eventTrialPassed, ID: id})
 }
 
+// LimitObserved implements passthrough.Placer.
+func (f *Fleet) LimitObserved(_ string, up deployment.Upstream, l upstreamlimit.Limit) {
+	f.planner.ObserveLimit(up, l)
+}
+
 // Ended implements passthrough.Placer.
 func (f *Fleet) Ended(service, id string, o Outcome) {
 	f.planner.Ended(id, o, time.Now())
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -28,6 +28,7 @@
 		return
 	}
 	pj.upstream = first.upstream
+	p.limits.Sent(limitKey(first.upstream))
 	first.jobs++
 	if d.Suspect {
 		first.suspects++
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -14,6 +14,7 @@
 	"github.com/banyanroute/banyanroute/internal/enginemodel"
 	"github.com/banyanroute/banyanroute/internal/logging"
 	"github.com/banyanroute/banyanroute/internal/poison"
+	"github.com/banyanroute/banyanroute/internal/upstreamlimit"
 )
 
 var log = logging.For("placement")
@@ -35,6 +36,8 @@
 	poison *poison.Table
 	// parts does the same for parts of prompts.
 	parts *poison.PartTable
+	// limits holds the limits that upstreams name.
+	limits *upstreamlimit.Table
 	// crashedAt holds when an upstream last crashed, by address, for unstableTime.
 	crashedAt map[string]time.Time
 	// unexplained holds the upstreams, by incarnation, on which an attempt was lost and
@@ -115,7 +118,7 @@
 func NewPlanner(dataCentre string) *Planner {
 	return &Planner{
 		dataCentre: dataCentre, pools: map[string]*pool{}, jobs: map[string]*placed{},
-		poison: poison.NewTable(), parts: poison.NewPartTable(), crashedAt: map[string]time.Time{}, unexplained: map[string]unexplainedLoss{},
+		poison: poison.NewTable(), parts: poison.NewPartTable(), limits: upstreamlimit.NewTable(), crashedAt: map[string]time.Time{}, unexplained: map[string]unexplainedLoss{},
 	}
 }
 
