Limits that upstreams name are kept by all instances together

What callers saw: an engine in need that named 1.2 requests a second got 20 in 4 s, one that named 1.8 got 26; 12 and 16 are allowed. Their load did not fall when they named the limits.

The class: a signal of the protocol that the adapter did not decode, so that no part of the product could act on it.

Change: package upstreamlimit holds a token bucket for each incarnation that names a limit. The home of a service keeps it, since it places the jobs of all instances: first sends, retries, resumptions and trials alike. An instance reports what it reads to the home, which tells the others every 0.5 s what has changed, and a new home hears from each instance what it knows. An instance that reaches no home uses its part of half of the limit, and one that stands in for the home that of those that call it; parts of less than a request are drawn. Jobs go to other upstreams first. A limit that is no longer named is raised step by step.

Ruled out: shares for each instance alone. Of 1.8 a second, 410 instances would have 0.004 each.

Instances of an older build cannot read the events with limits: in a rolling update instances of both builds plan alone until all are of one.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -174,6 +174,9 @@
 	// memoryRetryInterval is the pause while no memory is free; memory is freed less
 	// often than slots.
 	memoryRetryInterval = 120 * time.Millisecond
+	// maxLimitPause bounds the pause while all upstreams have got as many requests as they
+	// take; it matters for streams that have begun, which wait as long as their callers.
+	maxLimitPause = 500 * time.Millisecond
 	// maxSlotWaitShare and maxMemoryWaitShare bound the wait for a slot and for memory
 	// as fractions of the objective. A caller that has to retry the whole request
 	// loses more time.
@@ -204,6 +207,9 @@
 			wait = false
 		case placement.Full:
 			pause = slotRetryInterval
+		case placement.Limited:
+			wait = float64(job.Waited+d.RetryAfter) < maxSlotWaitShare*objective
+			pause = min(max(d.RetryAfter, slotRetryInterval), maxLimitPause)
 		case placement.Deferred:
 			pause, wait = deferRetryInterval, true
 		}
@@ -275,7 +281,7 @@
 		res.Body.Close()
 		return nil, UpstreamReply{}, errNotAnswer
 	}
-	h.opts.Placer.LimitObserved(rq.service, a.upstream, reply.Limit)
+	h.opts.Placer.LimitObserved(a.upstream, reply.Limit)
 	return res, reply, nil
 }
 
@@ -287,6 +293,8 @@
 		e = result.New(result.DeadlineUnmeetable, "the engines cannot answer in time")
 	case placement.TooLarge:
 		e = result.New(result.Overloaded, "the engines have no memory for the prompt now")
+	case placement.Limited:
+		e = result.New(result.Overloaded, "the upstreams take no more requests a second")
 	case placement.Poisoned:
 		e = result.New(result.PoisonSuspect, "this request was lost with several upstreams that ended")
 	case placement.Suspected:
--- a/internal/passthrough/attempt_test.go
+++ b/internal/passthrough/attempt_test.go
@@ -25,7 +25,7 @@
 func (*refusingPlacer) FirstAnswer(string, string) {}
 func (*refusingPlacer) TrialPassed(string, string) {}
 
-func (*refusingPlacer) LimitObserved(string, deployment.Upstream, upstreamlimit.Limit) {}
+func (*refusingPlacer) LimitObserved(deployment.Upstream, upstreamlimit.Limit) {}
 
 func (*refusingPlacer) Ended(string, string, placement.Outcome) {}
 
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -24,7 +24,7 @@
 	// TrialPassed reports that a trial has been answered for poison.TrialTime.
 	TrialPassed(service, id string)
 	// LimitObserved reports what an answer of an upstream says of its limit.
-	LimitObserved(service string, up deployment.Upstream, l upstreamlimit.Limit)
+	LimitObserved(up deployment.Upstream, l upstreamlimit.Limit)
 	// Ended reports how the attempt ended; it must be called once for every placed job.
 	Ended(service, id string, o placement.Outcome)
 }
--- a/internal/passthrough/panic_test.go
+++ b/internal/passthrough/panic_test.go
@@ -63,7 +63,7 @@
 
 func (p *panickingPlacer) TrialPassed(string, string) { p.panicIf("trial passed") }
 
-func (*panickingPlacer) LimitObserved(string, deployment.Upstream, upstreamlimit.Limit) {}
+func (*panickingPlacer) LimitObserved(deployment.Upstream, upstreamlimit.Limit) {}
 
 func (p *panickingPlacer) Ended(_, id string, _ placement.Outcome) {
 	p.mu.Lock()
--- a/internal/passthrough/serve_test.go
+++ b/internal/passthrough/serve_test.go
@@ -55,7 +55,7 @@
 	p.answered = append(p.answered, id)
 }
 
-func (*scriptedPlacer) LimitObserved(string, deployment.Upstream, upstreamlimit.Limit) {}
+func (*scriptedPlacer) LimitObserved(deployment.Upstream, upstreamlimit.Limit) {}
 
 func (*scriptedPlacer) Ended(string, string, placement.Outcome) {}
 
--- a/internal/placement/containment_test.go
+++ b/internal/placement/containment_test.go
@@ -414,7 +414,7 @@
 	lose := func(id string) {
 		j := shortJob(id)
 		j.Parts = []uint64{1}
-		d := f.planner.Place(j, now)
+		d := f.planner.Place(j, 1, now)
 		f.planner.Ended(id, Lost, now)
 		up := f.upstreams[d.Upstream]
 		f.planner.Probed(up, deployment.Ended, now, now)
@@ -431,7 +431,7 @@
 	now = now.Add(firstPause)
 	j := shortJob("trial")
 	j.Parts = []uint64{1}
-	d := f.planner.Place(j, now)
+	d := f.planner.Place(j, 1, now)
 	if len(d.Trial) != 1 || slices.Contains(crashed, d.Upstream) {
 		t.Errorf("got %+v, want a trial on another upstream than %v", d, crashed)
 	}
--- a/internal/placement/dump.go
+++ b/internal/placement/dump.go
@@ -13,6 +13,10 @@
 	SpeedFactor    float64 `json:"pace,omitempty"`
 	PendingPrefill float64 `json:"pending_prefill_seconds,omitempty"`
 	ErrorRate      float64 `json:"error_rate"`
+	// Limit is the number of requests a second that the upstream names, Allowance how many
+	// may be sent now as far as this instance knows.
+	Limit     *float64 `json:"limit_per_second,omitempty"`
+	Allowance *float64 `json:"limit_allowance,omitempty"`
 	// Down reports whether the upstream was lost; it then gets no work until a
 	// probe succeeds or its pause ends.
 	Down bool `json:"down"`
@@ -30,6 +34,9 @@
 				m.engine.Advance(now)
 				s.UsedTokens, s.SpeedFactor, s.PendingPrefill = m.engine.UsedTokens(), m.engine.SpeedFactor(), m.engine.PendingPrefill().Seconds()
 			}
+			if perSecond, tokens, named := p.limits.State(limitKey(m.upstream)); named {
+				s.Limit, s.Allowance = &perSecond, &tokens
+			}
 			list = append(list, s)
 		}
 	}
--- a/internal/placement/extreme_test.go
+++ b/internal/placement/extreme_test.go
@@ -40,14 +40,14 @@
 				j := shortJob("extreme")
 				j.Prompt, j.Output, j.MaxOutput = c.prompt, c.output, c.most
 				j.Lifetime, j.Remaining = time.Duration(c.lifetime), time.Duration(c.lifetime)
-				p.Place(j, now)
+				p.Place(j, 1, now)
 				j.ID = "adopted"
 				p.Adopt(Adoption{Job: j, Decision: Decision{Upstream: "e0", Helpers: []Part{{Upstream: "e1", ReservedTokens: c.reserved}}}}, now)
 				for i := range 20 {
 					now = now.Add(500 * time.Millisecond)
 					next := shortJob(fmt.Sprint("next", i))
 					next.Prompt = 60_000 * (i % 3)
-					p.Place(next, now)
+					p.Place(next, 1, now)
 					p.FirstAnswer("adopted", now)
 				}
 				p.Ended("adopted", Completed, now)
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -15,7 +15,6 @@
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/poison"
 	"github.com/banyanroute/banyanroute/internal/sleep"
-	"github.com/banyanroute/banyanroute/internal/upstreamlimit"
 )
 
 // Timing of calls to homes.
@@ -66,6 +65,8 @@
 	pending map[string][]event
 	// flushes holds the timers that send them, by home.
 	flushes map[string]*time.Timer
+	// callers holds when each other instance last had this one place a job, by service.
+	callers map[string]map[string]time.Time
 }
 
 // NewFleet returns a Fleet that plans alone until it has a bus. owner names this
@@ -79,6 +80,7 @@
 		avoided:   map[string]time.Time{},
 		pending:   map[string][]event{},
 		flushes:   map[string]*time.Timer{},
+		callers:   map[string]map[string]time.Time{},
 	}
 }
 
@@ -87,6 +89,7 @@
 func (f *Fleet) SetBus(bus peer.Bus) {
 	bus.HandleCall(topicPlace, f.handleCall)
 	bus.HandleBroadcast(topicPoison, f.handleNotices)
+	bus.HandleBroadcast(topicLimits, f.handleLimits)
 	f.planner.setNoticeHandler(func(notices []poison.Notice) { broadcastNotices(bus, notices) })
 	f.mu.Lock()
 	f.bus = bus
@@ -123,10 +126,10 @@
 	}
 	home, linked := f.home(j.Service)
 	if !linked {
-		return f.planner.PlaceAlone(j, time.Now())
+		return f.planner.PlaceAlone(j, f.aloneShare(), time.Now())
 	}
 	if home == "" {
-		return f.planner.Place(j, time.Now())
+		return f.planner.Place(j, f.limitShare(j.Service, time.Now()), time.Now())
 	}
 	d, err := f.placeAt(ctx, home, j)
 	if err == nil {
@@ -137,7 +140,7 @@
 		return Decision{Reason: NoUpstream}
 	}
 	f.avoid(home, j, err)
-	d = f.planner.PlaceAlone(j, time.Now())
+	d = f.planner.PlaceAlone(j, f.aloneShare(), time.Now())
 	if next, _ := f.home(j.Service); next != "" && d.Upstream != "" {
 		f.enqueue(next, event{Kind: eventAdopt, ID: j.ID, Adopted: &Adoption{Job: j, Decision: d}})
 	}
@@ -156,11 +159,6 @@
 	f.report(service, event{Kind: eventTrialPassed, ID: id})
 }
 
-// LimitObserved implements passthrough.Placer.
-func (f *Fleet) LimitObserved(_ string, up deployment.Upstream, l upstreamlimit.Limit) {
-	f.planner.ObserveLimit(up, l)
-}
-
 // Ended implements passthrough.Placer.
 func (f *Fleet) Ended(service, id string, o Outcome) {
 	f.planner.Ended(id, o, time.Now())
@@ -319,15 +317,22 @@
 	}
 	a := placeAnswer{Seen: f.revisions.Seen()}
 	if request.Job != nil {
-		d := f.planner.Place(*request.Job, now)
+		service := request.Job.Service
+		f.recordCaller(service, from, now)
+		d := f.planner.Place(*request.Job, f.limitShare(service, now), now)
 		a.Decision = &d
 	}
 	return encode(a), nil
 }
 
-// Run periodically drops the jobs of instances that are gone, until ctx ends.
+// Run periodically drops the jobs of instances that are gone, and tells the others of the
+// limits that upstreams name, until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
-	return sleep.Every(ctx, maintenanceInterval, panics.Guard(log, func() { f.dropDeadOwners(time.Now()) }))
+	return sleep.Every(ctx, maintenanceInterval, panics.Guard(log, func() {
+		now := time.Now()
+		f.dropDeadOwners(now)
+		f.tellLimits(now)
+	}))
 }
 
 // dropDeadOwners drops the jobs of incarnations that are not members.
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -167,13 +167,13 @@
 	now := time.Now()
 	a, b := shortJob("a"), shortJob("b")
 	a.Owner, b.Owner = "dead/1", "live/1"
-	p.Place(a, now)
-	p.Place(b, now)
+	p.Place(a, 1, now)
+	p.Place(b, 1, now)
 	p.dropDeadOwners(map[string]bool{"live/1": true}, now)
 	if p.jobs["a"] != nil || p.jobs["b"] == nil {
 		t.Error("the wrong jobs were dropped")
 	}
-	p.Place(shortJob("c"), now.Add(b.Lifetime+overdueGrace+2*sweepInterval))
+	p.Place(shortJob("c"), 1, now.Add(b.Lifetime+overdueGrace+2*sweepInterval))
 	if p.jobs["b"] != nil {
 		t.Error("an overdue job is still counted")
 	}
@@ -185,10 +185,10 @@
 	p := NewPlanner("")
 	deploymentOf([]*Planner{p}, 4)
 	now := time.Now()
-	d := p.Place(shortJob("a"), now)
+	d := p.Place(shortJob("a"), 1, now)
 	p.Ended("a", Unreached, now)
 	for i := range 12 {
-		if got := p.Place(shortJob(fmt.Sprint("b", i)), now); got.Upstream == d.Upstream {
+		if got := p.Place(shortJob(fmt.Sprint("b", i)), 1, now); got.Upstream == d.Upstream {
 			t.Errorf("job %d went to the lost upstream", i)
 		}
 	}
@@ -214,7 +214,7 @@
 		bad, good := shortJob(fmt.Sprint("bad", i)), shortJob(fmt.Sprint("good", i))
 		bad.Avoid = ended
 		bad.Fingerprint, good.Fingerprint = 666, uint64(1000+i)
-		d := p.Place(bad, now)
+		d := p.Place(bad, 1, now)
 		if d.Upstream == "" {
 			if d.Reason != Poisoned {
 				t.Fatalf("refused for reason %s", d.Reason)
@@ -237,7 +237,7 @@
 	for i := range crashes {
 		j := shortJob(fmt.Sprint("again", i))
 		j.Fingerprint = uint64(1000 + i)
-		if d := p.Place(j, now); d.Upstream == "" {
+		if d := p.Place(j, 1, now); d.Upstream == "" {
 			t.Errorf("a request that ran beside it was refused for reason %s", d.Reason)
 		}
 	}
@@ -250,7 +250,7 @@
 	deploymentOf([]*Planner{p}, 4)
 	j := shortJob("huge")
 	j.Prompt, j.FirstAnswer, j.MaxPause, j.Remaining = 600_000, 30*time.Second, time.Second, 60*time.Second
-	d := p.Place(j, time.Now())
+	d := p.Place(j, 1, time.Now())
 	reserved := 0
 	for _, h := range d.Helpers {
 		reserved += h.ReservedTokens
@@ -259,7 +259,7 @@
 		t.Errorf("decision %+v reserves %d tokens at helpers, want an engine with enough for prompt and answer", d, reserved)
 	}
 	j.ID, j.Prompt = "never", 4*usersModel().MemoryTokens
-	if d := p.Place(j, time.Now()); d.Upstream != "" || d.Reason != TooLarge {
+	if d := p.Place(j, 1, time.Now()); d.Upstream != "" || d.Reason != TooLarge {
 		t.Errorf("a prompt that cannot fit got %+v, want it refused as too large", d)
 	}
 }
@@ -273,7 +273,7 @@
 	j := shortJob("huge")
 	j.Prompt, j.Output, j.MaxOutput = usersModel().MemoryTokens-300, 200, 2500
 	j.FirstAnswer, j.MaxPause, j.Remaining = 3*time.Second, time.Second, 15*time.Second
-	d := p.Place(j, time.Now())
+	d := p.Place(j, 1, time.Now())
 	reserved := 0
 	for _, h := range d.Helpers {
 		reserved += h.ReservedTokens
@@ -300,12 +300,12 @@
 	long := shortJob("long")
 	long.Prompt, long.FirstAnswer, long.MaxPause = 150_000, 2500*time.Millisecond, time.Second
 	long.MayDefer = true
-	if d := p.Place(long, now); d.Reason != Deferred {
+	if d := p.Place(long, 1, now); d.Reason != Deferred {
 		t.Errorf("the prompt was %s beside 48 short streams, want it deferred", d.Reason)
 	}
 	hurried := long
 	hurried.ID, hurried.MayDefer = "hurried", false
-	if d := p.Place(hurried, now); d.Upstream == "" {
+	if d := p.Place(hurried, 1, now); d.Upstream == "" {
 		t.Errorf("a prompt that cannot be deferred again was refused: %s", d.Reason)
 	}
 	p.Ended(hurried.ID, Abandoned, now)
@@ -314,7 +314,7 @@
 			p.Ended(short(i, k), Completed, now)
 		}
 	}
-	if d := p.Place(long, now); d.Upstream == "" {
+	if d := p.Place(long, 1, now); d.Upstream == "" {
 		t.Errorf("the prompt was refused on idle engines: %s", d.Reason)
 	}
 }
@@ -337,17 +337,17 @@
 		p.FirstAnswer(fmt.Sprint("old", i), now)
 	}
 	huge := long("huge", 2*memory-3000)
-	if d := p.Place(huge, now); d.Reason != Deferred {
+	if d := p.Place(huge, 1, now); d.Reason != Deferred {
 		t.Fatalf("the prompt was %s with all memory taken, want it deferred", d.Reason)
 	}
 	last := huge
 	last.MayDefer = false
-	if d := p.Place(last, now); d.Reason != TooLarge {
+	if d := p.Place(last, 1, now); d.Reason != TooLarge {
 		t.Errorf("a prompt that cannot be deferred again was %s, want it refused", d.Reason)
 	}
 	p.Ended("old0", Completed, now)
 	p.Ended("old1", Completed, now)
-	if d := p.Place(huge, now.Add(200*time.Millisecond)); d.Upstream == "" {
+	if d := p.Place(huge, 1, now.Add(200*time.Millisecond)); d.Upstream == "" {
 		t.Errorf("the prompt was %s with two engines free", d.Reason)
 	}
 }
@@ -372,7 +372,7 @@
 	}
 	huge := shortJob("huge")
 	huge.Prompt, huge.FirstAnswer, huge.MaxPause, huge.Remaining = 3*memory, 3*time.Second, time.Second, 15*time.Second
-	if d := p.Place(huge, now); d.Upstream == "" {
+	if d := p.Place(huge, 1, now); d.Upstream == "" {
 		t.Errorf("four engines have memory for the prompt, but it was refused: %s", d.Reason)
 	}
 }
@@ -435,14 +435,14 @@
 	deploymentOf([]*Planner{p}, engines)
 	now := time.Now()
 	for i := range engines * 4 {
-		p.Place(shortJob(fmt.Sprint("load", i)), now)
+		p.Place(shortJob(fmt.Sprint("load", i)), 1, now)
 	}
 	i := 0
 	for b.Loop() {
 		i++
 		j.ID = fmt.Sprint("j", i)
 		now = now.Add(time.Millisecond)
-		p.Place(j, now)
+		p.Place(j, 1, now)
 		p.Ended(j.ID, Completed, now)
 	}
 }
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -10,13 +10,14 @@
 	if pl == nil || a.Decision.Upstream == "" {
 		return
 	}
-	p.adopt(pl, a.Job, a.Decision, now)
+	p.adopt(pl, a.Job, a.Decision, a.Since < adoptedSpendTime, now)
 	if a.Answered {
 		p.firstAnswer(a.Job.ID, now)
 	}
 }
 
-func (p *Planner) adopt(pl *pool, j Job, d Decision, now time.Time) {
+// adopt records a placed job. spend reports whether it counts against its upstream's limit.
+func (p *Planner) adopt(pl *pool, j Job, d Decision, spend bool, now time.Time) {
 	if _, known := p.jobs[j.ID]; known {
 		return
 	}
@@ -28,7 +29,9 @@
 		return
 	}
 	pj.upstream = first.upstream
-	p.limits.Sent(limitKey(first.upstream))
+	if spend {
+		p.limits.Sent(limitKey(first.upstream))
+	}
 	first.jobs++
 	if d.Suspect {
 		first.suspects++
@@ -138,6 +141,8 @@
 		p.Ended(e.ID, e.Outcome, now)
 	case eventTrialPassed:
 		p.TrialPassed(e.ID)
+	case eventLimits:
+		p.ObserveLimits(e.Limits, now)
 	case eventSuspects:
 		p.observeNotices(e.Owner, e.Notices, now)
 	case eventReset:
@@ -149,6 +154,7 @@
 func (p *Planner) reset(owner, service string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.limits.Retell(service) // the owner may have started anew
 	for _, pj := range p.jobs {
 		if pj.job.Owner == owner && pj.job.Service == service {
 			p.drop(pj, now)
@@ -168,8 +174,8 @@
 }
 
 // resetEvents returns the events that bring a new home of the service up to date
-// with all jobs of an owner, and with the suspects, of which the home may not have heard
-// while it was cut off.
+// with all jobs of an owner, and with the suspects and the limits of upstreams, of which the
+// home may not have heard while it was cut off.
 func (p *Planner) resetEvents(service, owner string, now time.Time) []event {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -177,6 +183,9 @@
 	if notices := p.knownSuspects(); len(notices) > 0 {
 		list = append(list, event{Kind: eventSuspects, Owner: owner, Notices: notices})
 	}
+	if limits := p.limits.Known(service); len(limits) > 0 {
+		list = append(list, event{Kind: eventLimits, Service: service, Limits: limits})
+	}
 	for _, pj := range p.jobs {
 		if pj.job.Owner != owner || pj.job.Service != service {
 			continue
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -1,18 +1,203 @@
 package placement
 
 import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/banyanroute/banyanroute/internal/deployment"
+	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/upstreamlimit"
 )
 
+// The home of a service keeps the limits that its upstreams name, since it places the jobs
+// of all instances. An instance reports what it reads in answers to the home, which tells all
+// others, so that a new home and instances that plan alone know them too.
+
+const (
+	// topicLimits is the topic of broadcasts of limits that have changed.
+	topicLimits = "limits"
+	// substituteShare is the part of a limit that all instances together may use that do not
+	// reach the home, each an equal part of it. The home does not know of them and may be
+	// using the whole limit.
+	substituteShare = 0.5
+	// unlinkedInstances is the number of instances that one without links assumes.
+	unlinkedInstances = 100
+	// callerMemory is how long an instance counts as using a substitute of the home after
+	// its last call; it uses the home again sooner.
+	callerMemory = homeAvoidTime
+	// adoptedSpendTime is how old a job may be that another instance reports, to count
+	// against the limit of its upstream. Older ones are told again, to a new home.
+	adoptedSpendTime = time.Second
+	// maxReturnDelay bounds the time that callers refused for limits are told to wait.
+	maxReturnDelay = 10 * time.Second
+)
+
 // limitKey returns the key of an upstream's limit.
 func limitKey(up deployment.Upstream) upstreamlimit.Key {
-	return upstreamlimit.Key{ID: up.ID, Born: up.Born}
+	return upstreamlimit.Key{Service: up.Service, ID: up.ID, Born: up.Born}
+}
+
+// ObserveLimits records what answers of upstreams say of their limits.
+func (p *Planner) ObserveLimits(list []upstreamlimit.Observation, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, o := range list {
+		p.limits.Observe(o, now)
+	}
 }
 
-// ObserveLimit records what an answer of an upstream says of its limit.
-func (p *Planner) ObserveLimit(up deployment.Upstream, l upstreamlimit.Limit) {
+// limitNews returns what other instances must be told of the limits of a service.
+func (p *Planner) limitNews(service string, now time.Time) []upstreamlimit.Observation {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limits.Observe(limitKey(up), l)
+	return p.limits.News(service, now)
+}
+
+// keepLimits drops the limits of incarnations that are not listed any more. The caller must
+// hold mu.
+func (p *Planner) keepLimits() {
+	p.limits.Keep(func(k upstreamlimit.Key) bool {
+		pl := p.pools[k.Service]
+		return pl != nil && pl.members[k.ID] != nil && pl.members[k.ID].upstream.Born == k.Born
+	})
+}
+
+// limitRefusal is when requests are taken again.
+type limitRefusal struct {
+	// wait is the time until one of the upstreams takes the next request.
+	wait time.Duration
+	// perSecond is the number of requests that this instance may send to all of them.
+	perSecond float64
+}
+
+// withinLimits returns the candidates that may get the job within the limits that they name,
+// or, if there are none, when one may. share is the part of each limit that this instance may
+// use.
+func (p *Planner) withinLimits(candidates []*member, j *Job, share float64, now time.Time) ([]*member, limitRefusal) {
+	if p.limits.Empty() {
+		return candidates, limitRefusal{}
+	}
+	draw := float64(xxhash.Sum64String(j.ID)) / math.MaxUint64
+	refusal := limitRefusal{wait: math.MaxInt64}
+	within := make([]*member, 0, len(candidates))
+	for _, m := range candidates {
+		k := limitKey(m.upstream)
+		wait := p.limits.Wait(k, share, draw, now)
+		if wait == 0 {
+			within = append(within, m)
+			continue
+		}
+		refusal.wait = min(refusal.wait, wait)
+		refusal.perSecond += p.limits.Rate(k, now) * share
+	}
+	return within, refusal
+}
+
+// refuseForLimits refuses a job because all upstreams have got as many requests as they take.
+// Callers are told to return one after the other, as requests are taken again. An instance
+// that plans alone has the home again soon.
+func (pl *pool) refuseForLimits(r limitRefusal, s scope, now time.Time) Decision {
+	if s == alone {
+		return Decision{Reason: Limited, RetryAfter: min(r.wait, homeAvoidTime)}
+	}
+	next := latest(now.Add(r.wait), pl.nextReturn)
+	if limit := now.Add(maxReturnDelay); next.After(limit) {
+		next = limit
+	}
+	pl.nextReturn = next.Add(time.Duration(float64(time.Second) / r.perSecond))
+	return Decision{Reason: Limited, RetryAfter: next.Sub(now)}
+}
+
+// LimitObserved implements passthrough.Placer.
+func (f *Fleet) LimitObserved(up deployment.Upstream, l upstreamlimit.Limit) {
+	if !f.planner.observeOwn(upstreamlimit.Observation{Key: limitKey(up), Limit: l}, time.Now()) {
+		return
+	}
+	f.report(up.Service, event{Kind: eventLimits, Service: up.Service, Limits: []upstreamlimit.Observation{{Key: limitKey(up), Limit: l}}})
+}
+
+// observeOwn records an answer that this instance has received. It reports whether the home
+// must be told.
+func (p *Planner) observeOwn(o upstreamlimit.Observation, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, _, known := p.limits.State(o.Key); !known && !o.Limit.Named {
+		return false
+	}
+	p.limits.Observe(o, now)
+	return true
+}
+
+// limitShare returns the part of the limits of a service's upstreams that this instance may
+// use when it places jobs as the home or in its stead.
+func (f *Fleet) limitShare(service string, now time.Time) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.bus == nil {
+		return substituteShare / unlinkedInstances
+	}
+	members := f.bus.Members()
+	if peer.Owner(members, service, nil) == f.bus.Self().ID {
+		return 1
+	}
+	callers := 1
+	for _, at := range f.callers[service] {
+		if now.Sub(at) < callerMemory {
+			callers++
+		}
+	}
+	return substituteShare * float64(min(callers, len(members))) / float64(max(len(members), 1))
+}
+
+// aloneShare returns the part that this instance may use when it plans alone.
+func (f *Fleet) aloneShare() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.bus == nil {
+		return substituteShare / unlinkedInstances
+	}
+	return substituteShare / float64(max(len(f.bus.Members()), 1))
+}
+
+// recordCaller records that an instance had this one place a job.
+func (f *Fleet) recordCaller(service, from string, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.callers[service] == nil {
+		f.callers[service] = map[string]time.Time{}
+	}
+	f.callers[service][from] = now
+}
+
+// tellLimits tells all other instances of the limits that have changed, of services of which
+// this instance is the home.
+func (f *Fleet) tellLimits(now time.Time) {
+	f.mu.Lock()
+	bus := f.bus
+	f.mu.Unlock()
+	if bus == nil {
+		return
+	}
+	members := bus.Members()
+	for _, service := range f.planner.services() {
+		if peer.Owner(members, service, nil) != bus.Self().ID {
+			continue
+		}
+		if news := f.planner.limitNews(service, now); len(news) > 0 {
+			bus.Broadcast(topicLimits, encode(news))
+		}
+	}
+}
+
+// handleLimits records the limits that the home of a service has told.
+func (f *Fleet) handleLimits(from string, payload []byte) {
+	var news []upstreamlimit.Observation
+	if err := cbor.Unmarshal(payload, &news); err != nil {
+		log.WithError(err).WithField("instance", from).Warn("limits of upstreams rejected: payload cannot be decoded")
+		return
+	}
+	f.planner.ObserveLimits(news, time.Now())
 }
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -8,6 +8,7 @@
 
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/poison"
+	"github.com/banyanroute/banyanroute/internal/upstreamlimit"
 )
 
 const (
@@ -34,6 +35,8 @@
 	eventTrialPassed
 	// eventSuspects reports the suspects and quarantines that the sender knows.
 	eventSuspects
+	// eventLimits reports the limits that answers of upstreams have named.
+	eventLimits
 )
 
 // event reports a change of a job to the home of its service.
@@ -44,11 +47,13 @@
 	Outcome Outcome
 	// Adopted is set for eventAdopt.
 	Adopted *Adoption
-	// Owner and Service are set for eventReset.
+	// Owner and Service are set for eventReset, Service for eventLimits.
 	Owner   string
 	Service string
 	// Notices is set for eventSuspects.
 	Notices []poison.Notice
+	// Limits is set for eventLimits.
+	Limits []upstreamlimit.Observation
 }
 
 // Adoption is a job that another instance placed, with the decision.
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -77,6 +78,8 @@
 	members map[string]*member
 	// order lists the members by ID, so that decisions are deterministic.
 	order []*member
+	// nextReturn is when the next caller that is refused for limits is told to return.
+	nextReturn time.Time
 	// nextStart is where the next plain job starts in the order (round robin).
 	nextStart int
 }
@@ -151,6 +154,14 @@
 			delete(p.pools, name)
 		}
 	}
+	p.keepLimits()
+}
+
+// services returns the names of all services.
+func (p *Planner) services() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Keys(p.pools))
 }
 
 // set replaces the members. It returns the old incarnations of those that restarted,
@@ -187,14 +198,19 @@
 	return restarted, removed
 }
 
-// Place chooses an upstream for the job and records the job there.
-func (p *Planner) Place(j Job, now time.Time) Decision { return p.place(j, fleetwide, now) }
+// Place chooses an upstream for the job and records the job there. limitShare is the part of
+// the limits that upstreams name that this instance may use.
+func (p *Planner) Place(j Job, limitShare float64, now time.Time) Decision {
+	return p.place(j, fleetwide, limitShare, now)
+}
 
 // PlaceAlone chooses an upstream for a job of this instance without a home that
 // knows the work of the other instances.
-func (p *Planner) PlaceAlone(j Job, now time.Time) Decision { return p.place(j, alone, now) }
+func (p *Planner) PlaceAlone(j Job, limitShare float64, now time.Time) Decision {
+	return p.place(j, alone, limitShare, now)
+}
 
-func (p *Planner) place(j Job, s scope, now time.Time) Decision {
+func (p *Planner) place(j Job, s scope, limitShare float64, now time.Time) Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweep(now)
@@ -211,6 +227,15 @@
 		return d
 	}
 	candidates := pl.candidates(&j, s, now)
+	if len(candidates) > 0 {
+		within, refusal := p.withinLimits(candidates, &j, limitShare, now)
+		if len(within) == 0 {
+			d = pl.refuseForLimits(refusal, s, now)
+			countPlacement(j.Service, d)
+			return d
+		}
+		candidates = within
+	}
 	if len(trial) > 0 {
 		candidates = p.trialCandidates(candidates, now)
 		if len(candidates) == 0 {
@@ -232,7 +257,7 @@
 	if d.Upstream != "" {
 		// An instance that plans alone does not know the suspects of the others.
 		d.Suspect, d.Apart, d.Trial = suspect, apart && s == fleetwide, trial
-		p.adopt(pl, j, d, now)
+		p.adopt(pl, j, d, true, now)
 		p.jobs[j.ID].planned = s == fleetwide
 	}
 	countPlacement(j.Service, d)
--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -201,7 +201,7 @@
 	j.job.Waited = now.Sub(j.at)
 	j.job.MayWait = j.job.Waited+40*time.Millisecond < j.job.FirstAnswer/2
 	j.job.MayDefer = float64(j.job.Waited) < 0.4*float64(j.gap())
-	d := s.planner.Place(j.job, now)
+	d := s.planner.Place(j.job, 1, now)
 	if d.Upstream == "" {
 		return false, d.Reason == Full || d.Reason == Deferred
 	}
--- a/internal/placement/suspects_test.go
+++ b/internal/placement/suspects_test.go
@@ -66,7 +66,7 @@
 			f := newFixture(8)
 			now := time.Now()
 			for i := range 6 {
-				d := f.planner.Place(crashingJob(i), now)
+				d := f.planner.Place(crashingJob(i), 1, now)
 				if d.Upstream == "" {
 					t.Fatalf("refused for reason %s after %d upstreams had left", d.Reason, i)
 				}
@@ -105,7 +105,7 @@
 				for i := range 6 {
 					j := crashingJob(i)
 					j.Avoid = crashed
-					d := f.planner.Place(j, now)
+					d := f.planner.Place(j, 1, now)
 					if d.Reason == Poisoned {
 						return
 					}
@@ -143,7 +143,7 @@
 	for i := range 6 {
 		j := crashingJob(i)
 		j.Avoid = lost
-		d := f.planner.Place(j, now)
+		d := f.planner.Place(j, 1, now)
 		if d.Upstream == "" {
 			t.Fatalf("refused for reason %s after %d losses on upstreams that run", d.Reason, i)
 		}
@@ -263,7 +263,7 @@
 	for r := range requests {
 		j := jobOf(r, 0)
 		if r == 0 {
-			first = f.planner.Place(j, now)
+			first = f.planner.Place(j, 1, now)
 			continue
 		}
 		f.planner.Adopt(Adoption{Job: j, Decision: first}, now)
@@ -278,7 +278,7 @@
 	for r := range requests {
 		j := jobOf(r, 1)
 		j.Avoid = []string{first.Upstream}
-		d := f.planner.Place(j, now)
+		d := f.planner.Place(j, 1, now)
 		if d.Upstream == "" {
 			t.Fatalf("request %d was refused after one crash for reason %s", r, d.Reason)
 		}
@@ -303,7 +303,7 @@
 	}
 	now = now.Add(time.Second)
 	for r := range requests {
-		d := f.planner.Place(jobOf(r, 2), now)
+		d := f.planner.Place(jobOf(r, 2), 1, now)
 		if want := r == poisonous; (d.Reason == Poisoned) != want {
 			t.Errorf("request %d: reason %s; want a refusal: %v", r, d.Reason, want)
 		}
@@ -319,18 +319,18 @@
 	for i := range 2 {
 		j := crashingJob(i)
 		j.Avoid = lost
-		d := f.planner.Place(j, now)
+		d := f.planner.Place(j, 1, now)
 		lost = append(lost, d.Upstream)
 		f.planner.Ended(j.ID, Lost, now)
 	}
-	if d := f.planner.Place(crashingJob(2), now); d.Reason != Suspected || d.RetryAfter <= 0 {
+	if d := f.planner.Place(crashingJob(2), 1, now); d.Reason != Suspected || d.RetryAfter <= 0 {
 		t.Errorf("while the losses are unexplained: reason %s with retry after %s, want suspected and a time", d.Reason, d.RetryAfter)
 	}
 	now = now.Add(time.Second)
 	for _, up := range f.planner.DueForProbe(now) {
 		f.planner.Probed(up, deployment.Healthy, now, now)
 	}
-	if d := f.planner.Place(crashingJob(3), now); d.Upstream == "" {
+	if d := f.planner.Place(crashingJob(3), 1, now); d.Upstream == "" {
 		t.Errorf("after the upstreams answered probes: refused for reason %s", d.Reason)
 	}
 }
@@ -343,7 +343,7 @@
 	refused := 0
 	for i := range 200 {
 		j := crashingJob(i)
-		d := f.planner.Place(j, now)
+		d := f.planner.Place(j, 1, now)
 		if d.Upstream == "" {
 			refused++
 		}
@@ -373,7 +373,7 @@
 			f := newFixture(8)
 			now := time.Now()
 			for i := range 5 {
-				d := f.planner.Place(crashingJob(i), now)
+				d := f.planner.Place(crashingJob(i), 1, now)
 				if d.Reason == Poisoned {
 					return
 				}
@@ -399,7 +399,7 @@
 	for i := range 6 {
 		j := crashingJob(i)
 		j.Avoid = lost
-		if d := f.planner.Place(j, now); d.Upstream != "" {
+		if d := f.planner.Place(j, 1, now); d.Upstream != "" {
 			lost = append(lost, d.Upstream)
 			f.planner.Ended(j.ID, Stalled, now)
 		}
@@ -414,7 +414,7 @@
 	for _, up := range f.planner.DueForProbe(now) {
 		f.planner.Probed(up, deployment.Healthy, now, now)
 	}
-	if d := f.planner.Place(crashingJob(10), now); d.Upstream == "" {
+	if d := f.planner.Place(crashingJob(10), 1, now); d.Upstream == "" {
 		t.Errorf("after the cut: refused for reason %s", d.Reason)
 	}
 }
@@ -424,9 +424,9 @@
 func TestEndOfEarlierIncarnationsJobLeavesLoad(t *testing.T) {
 	f := newFixture(1)
 	now := time.Now()
-	d := f.planner.Place(shortJob("before"), now)
+	d := f.planner.Place(shortJob("before"), 1, now)
 	f.change(d.Upstream, func(up *deployment.Upstream) { up.Born++ })
-	f.planner.Place(shortJob("after"), now)
+	f.planner.Place(shortJob("after"), 1, now)
 	f.planner.Ended("before", Lost, now)
 	if got := f.planner.pools["llm"].members[d.Upstream].jobs; got != 1 {
 		t.Errorf("%d jobs on the later incarnation, want 1", got)
@@ -450,7 +450,7 @@
 		}
 		for i := range 2 {
 			// An instance that plans alone cannot tell whether a suspect runs apart.
-			d := f.planner.PlaceAlone(crashingJob(10*life+i), now)
+			d := f.planner.PlaceAlone(crashingJob(10*life+i), 1, now)
 			if d.Reason == Poisoned {
 				break
 			}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -121,11 +121,14 @@
 	// PartSuspected: a part of the prompt may crash upstreams, and another request with
 	// it is on trial.
 	PartSuspected
+	// Limited: all upstreams that could take the job name limits, and have got as many
+	// requests as they take.
+	Limited
 )
 
 // String returns the reason's name in metrics.
 func (r Reason) String() string {
-	names := [...]string{"placed", "no-upstream", "too-late", "too-large", "full", "poisoned", "deferred", "suspected", "part-poisoned", "part-suspected"}
+	names := [...]string{"placed", "no-upstream", "too-late", "too-large", "full", "poisoned", "deferred", "suspected", "part-poisoned", "part-suspected", "limited"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/internal/upstreamlimit/table.go
+++ b/internal/upstreamlimit/table.go
@@ -1,6 +1,9 @@
 package upstreamlimit
 
 import (
+	"math"
+	"time"
+
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/banyanroute/banyanroute/internal/logging"
@@ -8,50 +11,232 @@
 
 var log = logging.For("limits")
 
+// Times and rates of limits.
+const (
+	// burstTime is the time whose requests may be sent at once, minBurst the least number.
+	burstTime = 500 * time.Millisecond
+	minBurst  = 2
+	// maxDebtTime is the time in which the requests that were sent beyond a limit, because
+	// it was not known or instances planned alone, are made up for at most.
+	maxDebtTime = 2 * time.Second
+	// minPerSecond is the rate at which an upstream gets requests whatever it names.
+	// Without any, no answer could say that the limit has ended.
+	minPerSecond = 0.1
+	// endTime is how long after its end a limit is raised, doubling each endDoubling, until
+	// it is dropped: an upstream that has just recovered gets no jump in its load.
+	endTime     = 5 * time.Second
+	endDoubling = time.Second
+	// staleTime is how long a limit holds without an answer that confirms it.
+	staleTime = time.Minute
+	// minChange is the relative change of a limit that other instances are told.
+	minChange = 0.05
+	// confirmInterval is the time after which they are told of an unchanged limit again.
+	confirmInterval = 20 * time.Second
+)
+
 // Key identifies one incarnation of an upstream.
 type Key struct {
-	ID string
+	_       struct{} `cbor:",toarray"`
+	Service string
+	ID      string
 	// Born is the start of the upstream in Unix milliseconds; 0 if unknown.
 	Born int64
 }
 
 // Limit is what an answer of an upstream says.
 type Limit struct {
+	_ struct{} `cbor:",toarray"`
 	// Named reports whether the answer names a limit.
 	Named bool
 	// PerSecond is the limit, in requests a second, not negative.
 	PerSecond float64
 }
 
-// Table holds the limits that upstreams name. It is not safe for concurrent use.
+// Observation is what is known of one upstream's limit.
+type Observation struct {
+	_     struct{} `cbor:",toarray"`
+	Key   Key
+	Limit Limit
+}
+
+// Table holds the limits that upstreams name, and what is left of each. It is not safe for
+// concurrent use.
 type Table struct{ limits map[Key]*limit }
 
-// limit is the state of one upstream that names a limit.
-type limit struct{ perSecond float64 }
+// limit is the state of one upstream that names a limit, a token bucket.
+type limit struct {
+	perSecond  float64
+	tokens     float64
+	refilledAt time.Time
+	observedAt time.Time
+	// endedAt is when an answer named no limit any more; zero while one is named.
+	endedAt time.Time
+	// told and toldAt are what other instances were told last and when; dirty reports
+	// whether they must be told again.
+	told   Limit
+	toldAt time.Time
+	dirty  bool
+}
 
 // NewTable returns an empty Table.
 func NewTable() *Table { return &Table{limits: map[Key]*limit{}} }
 
-// Observe records what an answer of an upstream says.
-func (t *Table) Observe(k Key, l Limit) {
-	known := t.limits[k]
-	entry := log.WithField("upstream", k.ID).WithField("limit", l.PerSecond)
+// Observe records what an answer of an upstream says, or another instance says of it.
+func (t *Table) Observe(o Observation, now time.Time) {
+	l := t.limits[o.Key]
+	entry := log.WithField("upstream", o.Key.ID).WithField("service", o.Key.Service).WithField("limit", o.Limit.PerSecond)
 	switch {
-	case !l.Named && known != nil:
-		delete(t.limits, k)
-		entry.Info("upstream names no limit any more")
-	case l.Named && known == nil:
-		t.limits[k] = &limit{perSecond: l.PerSecond}
+	case o.Limit.Named && l == nil:
+		l = &limit{refilledAt: now, dirty: true}
+		t.limits[o.Key] = l
 		entry.Info("upstream names a limit of requests a second")
-	case l.Named && known.perSecond != l.PerSecond:
-		known.perSecond = l.PerSecond
-		entry.Debug("upstream names another limit")
+	case o.Limit.Named && !l.endedAt.IsZero():
+		entry.Info("upstream names a limit of requests a second again")
+	case !o.Limit.Named && l != nil && l.endedAt.IsZero():
+		l.endedAt = now
+		l.dirty = true
+		entry.Info("upstream names no limit any more")
+		return
+	case !o.Limit.Named:
+		return
+	}
+	l.perSecond, l.observedAt, l.endedAt = o.Limit.PerSecond, now, time.Time{}
+	changed := !l.told.Named || math.Abs(l.perSecond-l.told.PerSecond) > minChange*l.told.PerSecond
+	l.dirty = l.dirty || changed || now.Sub(l.toldAt) > confirmInterval
+}
+
+// Wait returns how long it takes until a request may be sent to an upstream; 0 if one may
+// be sent now. share is the part of the limit that the caller may use. If it is less than
+// one, the parts of many callers may each be less than a request; what has accrued then is the
+// chance to send a whole one, which draw, from 0 to 1, decides, and it is spent either way.
+// Together the callers use as much as they may.
+func (t *Table) Wait(k Key, share, draw float64, now time.Time) time.Duration {
+	l := t.limits[k]
+	if l == nil {
+		return 0
+	}
+	rate := l.rate(now)
+	if math.IsInf(rate, 1) {
+		delete(t.limits, k)
+		return 0
+	}
+	l.refill(rate*share, l.burst()*share, now)
+	if share < 1 && l.tokens > 0 && l.tokens < 1 {
+		won := draw < l.tokens
+		l.tokens = 0
+		if won {
+			l.tokens = 1
+		}
+	}
+	if l.tokens >= 1 {
+		return 0
+	}
+	return time.Duration((1 - l.tokens) / (rate * share) * float64(time.Second))
+}
+
+// Rate returns the requests a second that an upstream takes now; infinite if it names no
+// limit.
+func (t *Table) Rate(k Key, now time.Time) float64 {
+	if l := t.limits[k]; l != nil {
+		return l.rate(now)
+	}
+	return math.Inf(1)
+}
+
+// Empty reports whether no upstream names a limit.
+func (t *Table) Empty() bool { return len(t.limits) == 0 }
+
+// rate returns the requests a second that the upstream takes now; infinite once its limit
+// is over.
+func (l *limit) rate(now time.Time) float64 {
+	ended := l.endedAt
+	if ended.IsZero() && now.Sub(l.observedAt) > staleTime {
+		ended = l.observedAt.Add(staleTime)
 	}
+	rate := max(l.perSecond, minPerSecond)
+	switch {
+	case ended.IsZero():
+		return rate
+	case now.Sub(ended) > endTime:
+		return math.Inf(1)
+	}
+	return rate * math.Exp2(float64(now.Sub(ended))/float64(endDoubling))
+}
+
+// burst returns how many requests may be sent at once. With two, what accrues until the next
+// request comes is not lost.
+func (l *limit) burst() float64 { return max(minBurst, l.perSecond*burstTime.Seconds()) }
+
+// refill adds the tokens of the time since the last refill.
+func (l *limit) refill(rate, capacity float64, now time.Time) {
+	l.tokens = min(l.tokens+rate*now.Sub(l.refilledAt).Seconds(), capacity)
+	l.refilledAt = now
 }
 
 // Sent records that a request is sent to an upstream.
 func (t *Table) Sent(k Key) {
-	if t.limits[k] != nil {
-		metrics.GetOrCreateCounter(`banyanroute_limited_requests_total`).Inc()
+	l := t.limits[k]
+	if l == nil {
+		return
+	}
+	metrics.GetOrCreateCounter(`banyanroute_limited_requests_total`).Inc()
+	l.tokens = max(l.tokens-1, -max(1, l.perSecond*maxDebtTime.Seconds()))
+}
+
+// News returns what other instances must be told of the limits of a service, and counts it
+// as told.
+func (t *Table) News(service string, now time.Time) []Observation {
+	var list []Observation
+	for k, l := range t.limits {
+		if k.Service != service || !l.dirty {
+			continue
+		}
+		l.told, l.toldAt, l.dirty = l.observation(), now, false
+		list = append(list, Observation{Key: k, Limit: l.told})
+	}
+	return list
+}
+
+// observation returns what the last answer said.
+func (l *limit) observation() Limit {
+	if !l.endedAt.IsZero() {
+		return Limit{}
+	}
+	return Limit{Named: true, PerSecond: l.perSecond}
+}
+
+// Known returns the limits of a service that are in force.
+func (t *Table) Known(service string) []Observation {
+	var list []Observation
+	for k, l := range t.limits {
+		if o := l.observation(); k.Service == service && o.Named {
+			list = append(list, Observation{Key: k, Limit: o})
+		}
+	}
+	return list
+}
+
+// Retell has News return all limits of a service that are in force.
+func (t *Table) Retell(service string) {
+	for k, l := range t.limits {
+		l.dirty = l.dirty || k.Service == service && l.endedAt.IsZero()
+	}
+}
+
+// Keep drops the limits of upstreams that are not listed any more.
+func (t *Table) Keep(listed func(Key) bool) {
+	for k := range t.limits {
+		if !listed(k) {
+			delete(t.limits, k)
+		}
+	}
+}
+
+// State returns the limit that an upstream names, and what is left of it.
+func (t *Table) State(k Key) (perSecond, tokens float64, named bool) {
+	l := t.limits[k]
+	if l == nil || !l.endedAt.IsZero() {
+		return 0, 0, false
 	}
+	return l.perSecond, l.tokens, true
 }
