--- a/internal/peer/peertest/net.go
+++ b/internal/peer/peertest/net.go
@@ -18,12 +18,13 @@
 	mu      sync.Mutex
 	nodes   map[string]*Node
 	broken  map[[2]string]bool
+	silent  map[[2]string]bool
 	latency time.Duration
 }
 
 // NewNet returns a network in which each message takes latency.
 func NewNet(latency time.Duration) *Net {
-	return &Net{nodes: map[string]*Node{}, broken: map[[2]string]bool{}, latency: latency}
+	return &Net{nodes: map[string]*Node{}, broken: map[[2]string]bool{}, silent: map[[2]string]bool{}, latency: latency}
 }
 
 // Node is the bus of one instance.
@@ -67,6 +68,21 @@
 	n.broken[[2]string{b, a}] = broken
 }
 
+// SetSilent sets whether messages from one member to another are lost although both remain
+// members: calls get no answer.
+func (n *Net) SetSilent(from, to string, silent bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silent[[2]string{from, to}] = silent
+}
+
+// isSilent reports whether messages from one member to another are lost.
+func (n *Net) isSilent(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.silent[[2]string{from, to}]
+}
+
 // reachable returns the node of id, or nil if a message from the member from cannot
 // reach it.
 func (n *Net) reachable(from, id string) *Node {
@@ -117,7 +133,7 @@
 // deliver passes a broadcast to the handler of a member if the member is reachable.
 func (b *Node) deliver(id string, topic peer.Topic, payload []byte) {
 	node := b.net.reachable(b.self.ID, id)
-	if node == nil {
+	if node == nil || b.net.isSilent(b.self.ID, id) {
 		return
 	}
 	node.mu.Lock()
@@ -137,6 +153,10 @@
 	if node == nil {
 		return nil, peer.ErrUnreachable
 	}
+	if b.net.isSilent(b.self.ID, to) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	node.mu.Lock()
 	h := node.calls[topic]
 	node.mu.Unlock()
--- /dev/null
+++ b/internal/placement/limits_test.go
@@ -0,0 +1,258 @@
+package placement
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/deployment"
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/peer/peertest"
+	"github.com/banyanroute/banyanroute/internal/upstreamlimit"
+)
+
+// The users' bound for an upstream that names a limit: from limitKnownAfter after it first
+// named it on, it gets in any limitWindow at most limitFactor times what the limit allows and
+// limitExtra requests.
+const (
+	limitKnownAfter = 3 * time.Second
+	limitWindow     = 4 * time.Second
+	limitFactor     = 1.5
+	limitExtra      = 5
+	// limitedFor is how long upstreams name limits in a run.
+	limitedFor = 20 * time.Second
+	// minLimitUse is the share of the allowance that must be used while there is more work.
+	minLimitUse = 0.9
+)
+
+// limitCase is one run: instances place calls to a plain service, some of whose upstreams
+// name limits.
+type limitCase struct {
+	instances, upstreams, limited int
+	// perSecond is the limit that each of them names.
+	perSecond float64
+	// load is the number of requests a second, as a multiple of what all limits allow.
+	load float64
+	// home is what happens to the home for troubleTime: "" for nothing.
+	home string
+}
+
+// Times of a trouble, from the first naming of limits.
+const (
+	troubleAt   = 5 * time.Second
+	troubleTime = 4 * time.Second
+)
+
+// limitRun is the state of a run.
+type limitRun struct {
+	limitCase
+	t     *testing.T
+	net   *peertest.Net
+	state *deployment.State
+
+	mu    sync.Mutex
+	nodes []*node
+	// stopped holds the instances that send nothing, such as frozen ones.
+	stopped map[string]bool
+	// sends holds when each upstream got requests.
+	sends map[string][]time.Time
+	// refused counts the refusals for limits, refusedInVain those while an upstream without
+	// a limit was listed.
+	refused, refusedInVain int
+}
+
+func (r *limitRun) names(id string) upstreamlimit.Limit {
+	var i int
+	if _, err := fmt.Sscanf(id, "p%d", &i); err != nil || i >= r.limited {
+		return upstreamlimit.Limit{}
+	}
+	return upstreamlimit.Limit{Named: true, PerSecond: r.perSecond}
+}
+
+// join starts an instance.
+func (r *limitRun) join(ctx context.Context, id string, incarnation uint64) *node {
+	m := peer.Member{ID: id, Incarnation: incarnation}
+	p := NewPlanner("")
+	p.SetView(r.state.View())
+	f := NewFleet(p, OwnerName(m), noRevisions{})
+	f.SetBus(r.net.Join(m))
+	go func() { _ = f.Run(ctx) }()
+	return &node{f, p, m}
+}
+
+// request places one call from a random instance that works.
+func (r *limitRun) request(id string) {
+	r.mu.Lock()
+	n := r.nodes[rand.IntN(len(r.nodes))]
+	stopped := r.stopped[n.member.ID]
+	r.mu.Unlock()
+	if stopped {
+		return
+	}
+	j := Job{ID: id, Service: "plain", FirstAnswer: 300 * time.Millisecond, Remaining: time.Second, Lifetime: time.Second}
+	d := n.fleet.Place(r.t.Context(), j)
+	r.mu.Lock()
+	if d.Upstream == "" {
+		r.refused++
+		if r.limited < r.upstreams {
+			r.refusedInVain++
+		}
+		r.mu.Unlock()
+		return
+	}
+	r.sends[d.Upstream] = append(r.sends[d.Upstream], time.Now())
+	r.mu.Unlock()
+	time.Sleep(30 * time.Millisecond)
+	up, _ := r.state.View().Upstream(d.Upstream)
+	n.fleet.LimitObserved(up, r.names(d.Upstream))
+	n.fleet.Ended("plain", id, Completed)
+}
+
+// trouble troubles the home.
+func (r *limitRun) trouble(ctx context.Context) {
+	home := homeOf(r.nodes, "plain").member.ID
+	switch r.home {
+	case "frozen":
+		r.silence(home, len(r.nodes), true)
+		r.setStopped(home, true)
+		time.Sleep(troubleTime)
+		r.silence(home, len(r.nodes), false)
+		r.setStopped(home, false)
+	case "slow for most":
+		// The home works, and answers the calls of most instances too late.
+		r.silence(home, len(r.nodes)*3/4, true)
+		time.Sleep(2 * troubleTime)
+		r.silence(home, len(r.nodes), false)
+	case "restarted":
+		r.net.Leave(home)
+		r.setStopped(home, true)
+		time.Sleep(time.Second)
+		n := r.join(ctx, home, 2)
+		r.mu.Lock()
+		for i, old := range r.nodes {
+			if old.member.ID == home {
+				r.nodes[i] = n
+			}
+		}
+		r.mu.Unlock()
+		r.setStopped(home, false)
+	case "cut off":
+		for _, n := range r.nodes {
+			r.net.SetLinkBroken(home, n.member.ID, n.member.ID != home)
+		}
+		r.setStopped(home, true) // the users excuse an instance that is cut off
+		time.Sleep(troubleTime)
+		for _, n := range r.nodes {
+			r.net.SetLinkBroken(home, n.member.ID, false)
+		}
+		r.setStopped(home, false)
+	}
+}
+
+// silence sets whether the home answers the calls of the first n instances.
+func (r *limitRun) silence(home string, n int, silent bool) {
+	for _, other := range r.nodes[:n] {
+		r.net.SetSilent(other.member.ID, home, silent && other.member.ID != home)
+	}
+}
+
+func (r *limitRun) setStopped(id string, stopped bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopped[id] = stopped
+}
+
+// run plays the case and returns the most requests that an upstream with a limit got in a
+// window, and the share of the allowance that was used.
+func (c limitCase) run(t *testing.T) (r *limitRun, most int, used float64) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		r = &limitRun{limitCase: c, t: t, net: peertest.NewNet(time.Millisecond), state: deployment.NewState(), stopped: map[string]bool{}, sends: map[string][]time.Time{}}
+		r.state.SetConfiguration(&deployment.Configuration{Version: 1, Services: map[string]deployment.Service{"plain": {Name: "plain"}}}, time.Now())
+		var ups []deployment.Upstream
+		for i := range c.upstreams {
+			ups = append(ups, deployment.Upstream{ID: fmt.Sprint("p", i), Service: "plain", Address: fmt.Sprint("p", i), Slots: 6, Born: 1})
+		}
+		r.state.ReplaceUpstreams(ups, deployment.Revision{Number: 1}, time.Now())
+		for i := range c.instances {
+			r.nodes = append(r.nodes, r.join(ctx, fmt.Sprint("i", i), 1))
+		}
+		time.Sleep(time.Second)
+		named := time.Now()
+		time.AfterFunc(troubleAt, func() { go r.trouble(ctx) })
+		interval := time.Duration(float64(time.Second) / (c.load * c.perSecond * float64(c.limited)))
+		for n := 0; time.Since(named) < limitedFor; n++ {
+			go r.request(fmt.Sprint("r", n))
+			time.Sleep(interval)
+		}
+		r.mu.Lock()
+		total := 0
+		for id, sends := range r.sends {
+			if r.names(id).Named {
+				most = max(most, mostInWindow(sends, named.Add(limitKnownAfter)))
+				total += len(sends)
+			}
+		}
+		used = float64(total) / (c.perSecond * float64(c.limited) * limitedFor.Seconds())
+		r.mu.Unlock()
+		cancel()
+		time.Sleep(time.Minute)
+	})
+	return r, most, used
+}
+
+// mostInWindow returns the largest number of sends within limitWindow from a time on.
+func mostInWindow(sends []time.Time, from time.Time) int {
+	most, first := 0, 0
+	for i := range sends {
+		if sends[i].Before(from) {
+			first = i + 1
+			continue
+		}
+		for sends[i].Sub(sends[first]) >= limitWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// TestLimitsAreKeptAtSize checks the users' bound, that no request is refused while an upstream
+// without a limit is listed, and that the allowance is used while there is more work, with 7 to
+// 410 instances and while the home restarts, freezes, is slow or is cut off.
+func TestLimitsAreKeptAtSize(t *testing.T) {
+	for _, home := range []string{"", "frozen", "slow for most", "restarted", "cut off"} {
+		for _, c := range []limitCase{
+			{instances: 7, upstreams: 23, limited: 2, perSecond: 1.5, load: 20},
+			{instances: 7, upstreams: 3, limited: 3, perSecond: 1.5, load: 4},
+			{instances: 7, upstreams: 3, limited: 3, perSecond: 100, load: 2},
+			{instances: 65, upstreams: 78, limited: 8, perSecond: 1.5, load: 10},
+			{instances: 65, upstreams: 4, limited: 4, perSecond: 10, load: 4},
+			{instances: 410, upstreams: 800, limited: 80, perSecond: 1, load: 4},
+			{instances: 410, upstreams: 20, limited: 20, perSecond: 5, load: 4},
+		} {
+			if c.instances > 65 && (home != "" && home != "frozen" || c.limited < c.upstreams) {
+				continue // takes minutes with the race detector; docs/CAPACITY.md has the figures
+			}
+			c.home = home
+			t.Run(fmt.Sprintf("%d instances, %d of %d upstreams, %v a second, home %s", c.instances, c.limited, c.upstreams, c.perSecond, home), func(t *testing.T) {
+				r, most, used := c.run(t)
+				allowed := limitFactor*c.perSecond*limitWindow.Seconds() + limitExtra
+				t.Logf("at most %d in %s, allowed %.0f; %.2f of the allowance used; %d refused, %d of them in vain", most, limitWindow, allowed, used, r.refused, r.refusedInVain)
+				if float64(most) > allowed {
+					t.Errorf("an upstream got %d requests in %s, allowed %.0f", most, limitWindow, allowed)
+				}
+				if r.refusedInVain > 0 {
+					t.Errorf("%d requests were refused while other upstreams were free", r.refusedInVain)
+				}
+				if home == "" && c.limited == c.upstreams && used < minLimitUse {
+					t.Errorf("%.2f of the allowance was used, want %.2f", used, minLimitUse)
+				}
+			})
+		}
+	}
+}
