A crash counts for prompt parts however long the connection stays silent before it breaks

Cause: a request that was answered for a second shows that its parts are sound, and the time was counted until the loss, not until the last event. What an engine sends after it has fallen silent is nothing.

Change: the end of an attempt says how long nothing had come before it; the own interface notes when the last token came.

Instances of an older build cannot read the event; in a rolling update instances of both builds plan alone.

--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/banyanroute/banyanroute/internal/catalogue"
 	"github.com/banyanroute/banyanroute/internal/gang"
+	"github.com/banyanroute/banyanroute/internal/poison"
 	"github.com/banyanroute/banyanroute/internal/result"
 	"github.com/banyanroute/banyanroute/internal/upstream"
 )
@@ -296,6 +297,18 @@
 // prompt in common, and that crash every upstream, are refused by all instances soon after
 // the fifth crash, and that sound requests with their other parts run.
 func TestCrashingPartAcrossInstances(t *testing.T) {
+	testCrashingPart(t, 0)
+}
+
+// TestCrashingPartThatSilencesUpstreams checks the same if the upstreams fall silent after
+// their first token and their connections break long after that.
+func TestCrashingPartThatSilencesUpstreams(t *testing.T) {
+	testCrashingPart(t, 2*poison.TrialTime)
+}
+
+// testCrashingPart sends requests with a crashing part, whose upstreams are silent for a time
+// after their first token; 0 means that they crash before it.
+func testCrashingPart(t *testing.T, silence time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
 		const instances, rounds, mostCrashes = 3, 40, 8 // the users' bound: five crashes and three sends
 		const badPart, firstPart = 1, 100
@@ -338,6 +351,10 @@
 			crashes++
 			g.Sent()
 			time.Sleep(50 * time.Millisecond)
+			if silence > 0 {
+				g.FirstToken()
+				time.Sleep(silence)
+			}
 			g.Done(Lost)
 			all[n%instances].ObserveProbe(g.Upstream().ID, false, 0)
 			for _, s := range all {
--- a/internal/admit/grant.go
+++ b/internal/admit/grant.go
@@ -47,6 +47,8 @@
 
 	// firstTokenAt is guarded by the scheduler's lock.
 	firstTokenAt time.Time
+	// lastTokenAt is when the last token arrived, in Unix nanoseconds.
+	lastTokenAt atomic.Int64
 }
 
 // Upstream returns the upstream to send to.
@@ -73,6 +75,7 @@
 	}
 	now := time.Now()
 	g.firstTokenAt = now
+	g.lastTokenAt.Store(now.UnixNano())
 	s.parts.Answered(g.request.Parts)
 	g.state.load.FirstToken(g.request.ID, now)
 	g.sampleLatency(now)
@@ -107,6 +110,7 @@
 // Progress records the arrival of further tokens of the answer.
 func (g *Grant) Progress(tokens int) {
 	g.tokens.Add(int64(tokens))
+	g.lastTokenAt.Store(time.Now().UnixNano())
 	if len(g.trial) == 0 {
 		return
 	}
@@ -157,7 +161,8 @@
 // probe failed shortly before.
 func (s *Scheduler) recordLoss(st *state, g *Grant, now time.Time) {
 	s.poison.Lost(st.upstream.ID, st.boot, g.request.Fingerprint, g.alone, now)
-	if g.firstTokenAt.IsZero() || now.Sub(g.firstTokenAt) < poison.TrialTime {
+	// An upstream that has fallen silent may have crashed long before its connection broke.
+	if g.firstTokenAt.IsZero() || time.Unix(0, g.lastTokenAt.Load()).Sub(g.firstTokenAt) < poison.TrialTime {
 		s.parts.Lost(st.upstream.ID, st.boot, g.request.Parts, len(g.trial) > 0, now)
 	}
 	if now.Sub(st.probeFailedAt) < probeFailureLifetime {
--- a/internal/passthrough/attempt_test.go
+++ b/internal/passthrough/attempt_test.go
@@ -27,7 +27,7 @@
 
 func (*refusingPlacer) LimitObserved(deployment.Upstream, upstreamlimit.Limit) {}
 
-func (*refusingPlacer) Ended(string, string, placement.Outcome) {}
+func (*refusingPlacer) Ended(string, string, placement.End) {}
 
 // TestFinalRefusalIsNotHeld checks that a request that waiting cannot help is refused at
 // once, and that one that may be placed soon is not.
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -26,7 +26,7 @@
 	// LimitObserved reports what an answer of an upstream says of its limit.
 	LimitObserved(up deployment.Upstream, l upstreamlimit.Limit)
 	// Ended reports how the attempt ended; it must be called once for every placed job.
-	Ended(service, id string, o placement.Outcome)
+	Ended(service, id string, e placement.End)
 }
 
 // Options configures a Handler.
@@ -171,5 +171,9 @@
 // ended reports how the attempt of a placed job ended.
 func (h *Handler) ended(rq *request, job string, o placement.Outcome) {
 	rq.placed = ""
-	h.opts.Placer.Ended(rq.service, job, o)
+	e := placement.End{Outcome: o}
+	if last := rq.record.last; !last.IsZero() {
+		e.Silence = time.Since(last)
+	}
+	h.opts.Placer.Ended(rq.service, job, e)
 }
--- a/internal/passthrough/panic_test.go
+++ b/internal/passthrough/panic_test.go
@@ -65,7 +65,7 @@
 
 func (*panickingPlacer) LimitObserved(deployment.Upstream, upstreamlimit.Limit) {}
 
-func (p *panickingPlacer) Ended(_, id string, _ placement.Outcome) {
+func (p *panickingPlacer) Ended(_, id string, _ placement.End) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.open, id)
--- a/internal/passthrough/serve_test.go
+++ b/internal/passthrough/serve_test.go
@@ -57,7 +57,7 @@
 
 func (*scriptedPlacer) LimitObserved(deployment.Upstream, upstreamlimit.Limit) {}
 
-func (*scriptedPlacer) Ended(string, string, placement.Outcome) {}
+func (*scriptedPlacer) Ended(string, string, placement.End) {}
 
 // countingReserver counts the reservations that are held.
 type countingReserver struct {
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -78,7 +78,7 @@
 // releaseNext ends a job that was placed for resuming and is not needed.
 func (h *Handler) releaseNext(s *streamState) {
 	if s.next != nil {
-		h.opts.Placer.Ended(s.next.job.Service, s.next.job.ID, placement.Abandoned)
+		h.opts.Placer.Ended(s.next.job.Service, s.next.job.ID, placement.End{Outcome: placement.Abandoned})
 		s.next = nil
 	}
 }
--- a/internal/passthrough/watchdog.go
+++ b/internal/passthrough/watchdog.go
@@ -83,7 +83,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stopped || !w.h.budgets.spend(w.rq.service, now) {
-		w.h.opts.Placer.Ended(job.Service, job.ID, placement.Abandoned)
+		w.h.opts.Placer.Ended(job.Service, job.ID, placement.End{Outcome: placement.Abandoned})
 		return
 	}
 	w.next = &placedJob{job, d}
--- a/internal/placement/containment_test.go
+++ b/internal/placement/containment_test.go
@@ -159,7 +159,7 @@
 			return false
 		}
 		outcome := s.attempt(n, j.ID, d.Upstream, bad)
-		n.fleet.Ended("llm", j.ID, outcome)
+		n.fleet.Ended("llm", j.ID, End{Outcome: outcome})
 		if outcome == Completed {
 			return true
 		}
@@ -415,7 +415,7 @@
 		j := shortJob(id)
 		j.Parts = []uint64{1}
 		d := f.planner.Place(j, 1, now)
-		f.planner.Ended(id, Lost, now)
+		f.planner.Ended(id, End{Outcome: Lost}, now)
 		up := f.upstreams[d.Upstream]
 		f.planner.Probed(up, deployment.Ended, now, now)
 		f.change(d.Upstream, func(up *deployment.Upstream) { up.Born++ })
--- a/internal/placement/extreme_test.go
+++ b/internal/placement/extreme_test.go
@@ -50,7 +50,7 @@
 					p.Place(next, 1, now)
 					p.FirstAnswer("adopted", now)
 				}
-				p.Ended("adopted", Completed, now)
+				p.Ended("adopted", End{Outcome: Completed}, now)
 			}()
 			select {
 			case <-done:
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -160,9 +160,9 @@
 }
 
 // Ended implements passthrough.Placer.
-func (f *Fleet) Ended(service, id string, o Outcome) {
-	f.planner.Ended(id, o, time.Now())
-	f.report(service, event{Kind: eventEnd, ID: id, Outcome: o})
+func (f *Fleet) Ended(service, id string, e End) {
+	f.planner.Ended(id, e, time.Now())
+	f.report(service, event{Kind: eventEnd, ID: id, End: e})
 }
 
 // report queues an event for the home of a service, unless this instance is the
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -102,7 +102,7 @@
 			t.Errorf("the home knows %d jobs, want 8", n)
 		}
 		for i := range 8 {
-			nodes[i%4].fleet.Ended("llm", fmt.Sprint("j", i), Completed)
+			nodes[i%4].fleet.Ended("llm", fmt.Sprint("j", i), End{Outcome: Completed})
 		}
 		time.Sleep(time.Second)
 		if n := home.known(); n != 0 {
@@ -138,7 +138,7 @@
 		if took := time.Since(began); took > 2*placeTimeout+10*time.Millisecond {
 			t.Errorf("the decision took %s", took)
 		}
-		n.fleet.Ended("llm", "before", Completed)
+		n.fleet.Ended("llm", "before", End{Outcome: Completed})
 		time.Sleep(100 * time.Millisecond)
 		for _, other := range nodes {
 			if other != n {
@@ -186,7 +186,7 @@
 	deploymentOf([]*Planner{p}, 4)
 	now := time.Now()
 	d := p.Place(shortJob("a"), 1, now)
-	p.Ended("a", Unreached, now)
+	p.Ended("a", End{Outcome: Unreached}, now)
 	for i := range 12 {
 		if got := p.Place(shortJob(fmt.Sprint("b", i)), 1, now); got.Upstream == d.Upstream {
 			t.Errorf("job %d went to the lost upstream", i)
@@ -224,8 +224,8 @@
 		crashes++
 		ended = append(ended, d.Upstream)
 		p.Adopt(Adoption{Job: good, Decision: d}, now)
-		p.Ended(bad.ID, Lost, now)
-		p.Ended(good.ID, Lost, now)
+		p.Ended(bad.ID, End{Outcome: Lost}, now)
+		p.Ended(good.ID, End{Outcome: Lost}, now)
 		up := p.pools["llm"].members[d.Upstream].upstream
 		p.Probed(up, deployment.Ended, now, now.Add(100*time.Millisecond))
 		now = now.Add(20 * time.Second)
@@ -308,10 +308,10 @@
 	if d := p.Place(hurried, 1, now); d.Upstream == "" {
 		t.Errorf("a prompt that cannot be deferred again was refused: %s", d.Reason)
 	}
-	p.Ended(hurried.ID, Abandoned, now)
+	p.Ended(hurried.ID, End{Outcome: Abandoned}, now)
 	for i := range 4 {
 		for k := range 12 {
-			p.Ended(short(i, k), Completed, now)
+			p.Ended(short(i, k), End{Outcome: Completed}, now)
 		}
 	}
 	if d := p.Place(long, 1, now); d.Upstream == "" {
@@ -345,8 +345,8 @@
 	if d := p.Place(last, 1, now); d.Reason != TooLarge {
 		t.Errorf("a prompt that cannot be deferred again was %s, want it refused", d.Reason)
 	}
-	p.Ended("old0", Completed, now)
-	p.Ended("old1", Completed, now)
+	p.Ended("old0", End{Outcome: Completed}, now)
+	p.Ended("old1", End{Outcome: Completed}, now)
 	if d := p.Place(huge, 1, now.Add(200*time.Millisecond)); d.Upstream == "" {
 		t.Errorf("the prompt was %s with two engines free", d.Reason)
 	}
@@ -443,7 +443,7 @@
 		j.ID = fmt.Sprint("j", i)
 		now = now.Add(time.Millisecond)
 		p.Place(j, 1, now)
-		p.Ended(j.ID, Completed, now)
+		p.Ended(j.ID, End{Outcome: Completed}, now)
 	}
 }
 
--- a/internal/placement/fuzz_test.go
+++ b/internal/placement/fuzz_test.go
@@ -17,7 +17,7 @@
 	adopted := Adoption{Job: long, Decision: Decision{Upstream: "e0", Helpers: []Part{{Upstream: "e1", ReservedTokens: 65_000}}, Trial: []uint64{1}}, Answered: true}
 	for _, r := range []placeRequest{
 		{Job: &long},
-		{Events: []event{{Kind: eventAdopt, ID: "long", Adopted: &adopted}, {Kind: eventFirst, ID: "long"}, {Kind: eventTrialPassed, ID: "long"}, {Kind: eventEnd, ID: "long", Outcome: Lost}}},
+		{Events: []event{{Kind: eventAdopt, ID: "long", Adopted: &adopted}, {Kind: eventFirst, ID: "long"}, {Kind: eventTrialPassed, ID: "long"}, {Kind: eventEnd, ID: "long", End: End{Outcome: Lost}}}},
 		{Events: []event{{Kind: eventReset, Owner: "i1", Service: "llm"}, {Kind: eventSuspects, Notices: []poison.Notice{
 			{Fingerprint: 1, Crashes: []poison.Crash{{ID: 1}, {ID: 2}}, IsPart: true}, {Parts: []uint64{1, 2}}, {Fingerprint: 1, IsPart: true, Cleared: true},
 		}}}},
@@ -38,7 +38,7 @@
 				return
 			}
 			home.fleet.Place(t.Context(), shortJob("next"))
-			home.fleet.Ended("llm", "next", Completed)
+			home.fleet.Ended("llm", "next", End{Outcome: Completed})
 			time.Sleep(time.Minute)
 			home.fleet.dropDeadOwners(time.Now())
 		})
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -81,7 +81,7 @@
 }
 
 // Ended records the end of a job.
-func (p *Planner) Ended(id string, o Outcome, now time.Time) {
+func (p *Planner) Ended(id string, e End, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pj := p.jobs[id]
@@ -89,13 +89,13 @@
 		return
 	}
 	p.drop(pj, now)
-	p.recordPoison(pj, o, now)
+	p.recordPoison(pj, e, now)
 	m := p.current(pj.upstream)
 	if m == nil {
 		return
 	}
-	if m.health.record(o, now) {
-		log.WithField("upstream", m.upstream.ID).WithField("outcome", o.String()).WithField("request", id).
+	if m.health.record(e.Outcome, now) {
+		log.WithField("upstream", m.upstream.ID).WithField("outcome", e.Outcome.String()).WithField("request", id).
 			WithField("pause", m.health.pause).Warn("upstream marked as down and paused; a successful probe ends the pause early")
 	}
 }
@@ -138,7 +138,7 @@
 	case eventFirst:
 		p.FirstAnswer(e.ID, now)
 	case eventEnd:
-		p.Ended(e.ID, e.Outcome, now)
+		p.Ended(e.ID, e.End, now)
 	case eventTrialPassed:
 		p.TrialPassed(e.ID)
 	case eventLimits:
--- a/internal/placement/limits_test.go
+++ b/internal/placement/limits_test.go
@@ -109,7 +109,7 @@
 	time.Sleep(30 * time.Millisecond)
 	up, _ := r.state.View().Upstream(d.Upstream)
 	n.fleet.LimitObserved(up, r.names(d.Upstream))
-	n.fleet.Ended("plain", id, Completed)
+	n.fleet.Ended("plain", id, End{Outcome: Completed})
 }
 
 // trouble troubles the home.
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -41,10 +41,11 @@
 
 // event reports a change of a job to the home of its service.
 type event struct {
-	_       struct{} `cbor:",toarray"`
-	Kind    eventKind
-	ID      string
-	Outcome Outcome
+	_    struct{} `cbor:",toarray"`
+	Kind eventKind
+	ID   string
+	// End is set for eventEnd.
+	End End
 	// Adopted is set for eventAdopt.
 	Adopted *Adoption
 	// Owner and Service are set for eventReset, Service for eventLimits.
--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -268,7 +268,7 @@
 		for _, other := range s.engines {
 			other.Remove(id, now)
 		}
-		s.planner.Ended(id, Completed, now)
+		s.planner.Ended(id, End{Outcome: Completed}, now)
 		delete(s.jobs, id)
 		return
 	}
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -105,7 +105,8 @@
 }
 
 // recordPoison updates the poison table with the outcome of an attempt.
-func (p *Planner) recordPoison(pj *placed, o Outcome, now time.Time) {
+func (p *Planner) recordPoison(pj *placed, e End, now time.Time) {
+	o := e.Outcome
 	if o == Completed {
 		p.clearParts(pj)
 	}
@@ -120,13 +121,13 @@
 			p.notify([]poison.Notice{notice})
 		}
 	case (o == Lost || o == Stalled) && pj.upstream.ID != "" && !pj.leaving:
-		p.recordLoss(pj, o, now)
+		p.recordLoss(pj, e, now)
 	}
 }
 
 // recordLoss records an attempt that was lost or got no answer, perhaps because its
 // upstream crashed.
-func (p *Planner) recordLoss(pj *placed, o Outcome, now time.Time) {
+func (p *Planner) recordLoss(pj *placed, e End, now time.Time) {
 	up, fingerprint := pj.upstream, pj.job.Fingerprint
 	metrics.GetOrCreateCounter(`banyanroute_poison_losses_total`).Inc()
 	lossLog(up).WithField("request", pj.job.ID).WithField("fingerprint", fingerprint).WithField("parts", pj.job.Parts).
@@ -134,7 +135,7 @@
 	if fingerprint != 0 {
 		p.poison.Lost(incarnationOf(up), "", fingerprint, pj.decision.Apart, now)
 	}
-	if o == Stalled || !pj.answered || now.Sub(pj.answeredAt) < poison.TrialTime {
+	if e.Outcome == Stalled || !pj.answered || now.Add(-e.Silence).Sub(pj.answeredAt) < poison.TrialTime {
 		// Only the home knows what else ran on the upstream.
 		trial := pj.planned && len(pj.decision.Trial) > 0
 		p.parts.Lost(incarnationOf(up), "", pj.job.Parts, trial, now)
--- a/internal/placement/suspects_test.go
+++ b/internal/placement/suspects_test.go
@@ -70,7 +70,7 @@
 				if d.Upstream == "" {
 					t.Fatalf("refused for reason %s after %d upstreams had left", d.Reason, i)
 				}
-				lost := func() { f.planner.Ended(fmt.Sprint("bad", i), Lost, now) }
+				lost := func() { f.planner.Ended(fmt.Sprint("bad", i), End{Outcome: Lost}, now) }
 				if lostFirst {
 					lost()
 				}
@@ -112,11 +112,11 @@
 					crashed = append(crashed, d.Upstream)
 					up := f.upstreams[d.Upstream]
 					if lostFirst {
-						f.planner.Ended(fmt.Sprint("bad", i), Lost, now)
+						f.planner.Ended(fmt.Sprint("bad", i), End{Outcome: Lost}, now)
 					}
 					listed(f, d.Upstream)
 					if !lostFirst {
-						f.planner.Ended(fmt.Sprint("bad", i), Lost, now)
+						f.planner.Ended(fmt.Sprint("bad", i), End{Outcome: Lost}, now)
 					}
 					now = now.Add(time.Second)
 					for _, probed := range f.planner.DueForProbe(now) {
@@ -148,7 +148,7 @@
 			t.Fatalf("refused for reason %s after %d losses on upstreams that run", d.Reason, i)
 		}
 		lost = append(lost, d.Upstream)
-		f.planner.Ended(j.ID, Lost, now)
+		f.planner.Ended(j.ID, End{Outcome: Lost}, now)
 		now = now.Add(time.Second)
 		for _, up := range f.planner.DueForProbe(now) {
 			f.planner.Probed(up, deployment.Alive, now, now)
@@ -173,7 +173,7 @@
 			t.Fatalf("refused for reason %s", d.Reason)
 		}
 		crashed = append(crashed, d.Upstream)
-		n.fleet.Ended("llm", j.ID, Lost)
+		n.fleet.Ended("llm", j.ID, End{Outcome: Lost})
 		time.Sleep(time.Second)
 		for _, other := range nodes {
 			for _, up := range other.planner.DueForProbe(time.Now()) {
@@ -222,7 +222,7 @@
 			if d.Upstream == "" {
 				t.Fatalf("refused for reason %s", d.Reason)
 			}
-			nodes[0].fleet.Ended("llm", j.ID, outcome)
+			nodes[0].fleet.Ended("llm", j.ID, End{Outcome: outcome})
 			time.Sleep(time.Second)
 			for _, n := range nodes {
 				for _, up := range n.planner.DueForProbe(time.Now()) {
@@ -269,7 +269,7 @@
 		f.planner.Adopt(Adoption{Job: j, Decision: first}, now)
 	}
 	for r := range requests {
-		f.planner.Ended(fmt.Sprintf("r%d-0", r), Lost, now)
+		f.planner.Ended(fmt.Sprintf("r%d-0", r), End{Outcome: Lost}, now)
 	}
 	f.planner.Probed(f.upstreams[first.Upstream], deployment.Ended, now, now)
 
@@ -295,7 +295,7 @@
 			}
 		}
 		for _, r := range list {
-			f.planner.Ended(fmt.Sprintf("r%d-1", r), outcome, now)
+			f.planner.Ended(fmt.Sprintf("r%d-1", r), End{Outcome: outcome}, now)
 		}
 		if outcome == Lost {
 			f.planner.Probed(f.upstreams[id], deployment.Ended, now, now)
@@ -321,7 +321,7 @@
 		j.Avoid = lost
 		d := f.planner.Place(j, 1, now)
 		lost = append(lost, d.Upstream)
-		f.planner.Ended(j.ID, Lost, now)
+		f.planner.Ended(j.ID, End{Outcome: Lost}, now)
 	}
 	if d := f.planner.Place(crashingJob(2), 1, now); d.Reason != Suspected || d.RetryAfter <= 0 {
 		t.Errorf("while the losses are unexplained: reason %s with retry after %s, want suspected and a time", d.Reason, d.RetryAfter)
@@ -351,7 +351,7 @@
 		if i%3 == 0 {
 			outcome = Lost
 		}
-		f.planner.Ended(j.ID, outcome, now)
+		f.planner.Ended(j.ID, End{Outcome: outcome}, now)
 		now = now.Add(20 * time.Millisecond)
 	}
 	if refused > 0 {
@@ -377,7 +377,7 @@
 				if d.Reason == Poisoned {
 					return
 				}
-				f.planner.Ended(crashingJob(i).ID, Stalled, now)
+				f.planner.Ended(crashingJob(i).ID, End{Outcome: Stalled}, now)
 				now = now.Add(4 * time.Second)
 				ends(f, d.Upstream)
 				for _, up := range f.planner.DueForProbe(now) {
@@ -401,7 +401,7 @@
 		j.Avoid = lost
 		if d := f.planner.Place(j, 1, now); d.Upstream != "" {
 			lost = append(lost, d.Upstream)
-			f.planner.Ended(j.ID, Stalled, now)
+			f.planner.Ended(j.ID, End{Outcome: Stalled}, now)
 		}
 		for range 4 {
 			now = now.Add(500 * time.Millisecond)
@@ -427,7 +427,7 @@
 	d := f.planner.Place(shortJob("before"), 1, now)
 	f.change(d.Upstream, func(up *deployment.Upstream) { up.Born++ })
 	f.planner.Place(shortJob("after"), 1, now)
-	f.planner.Ended("before", Lost, now)
+	f.planner.Ended("before", End{Outcome: Lost}, now)
 	if got := f.planner.pools["llm"].members[d.Upstream].jobs; got != 1 {
 		t.Errorf("%d jobs on the later incarnation, want 1", got)
 	}
@@ -455,7 +455,7 @@
 				break
 			}
 			crashes++
-			f.planner.Ended(crashingJob(10*life+i).ID, Lost, now)
+			f.planner.Ended(crashingJob(10*life+i).ID, End{Outcome: Lost}, now)
 			f.planner.Probed(f.upstreams[d.Upstream], deployment.Ended, now, now)
 			f.change(d.Upstream, func(up *deployment.Upstream) { up.Born++ })
 			now = now.Add(10 * time.Second)
@@ -465,3 +465,33 @@
 		t.Errorf("the request crashed %d upstreams, want 3", crashes)
 	}
 }
+
+// TestLossAfterSilenceCountsForParts checks that a crash counts for the parts of a request
+// whose stream fell silent soon after its first event, however long after that the
+// connection broke, and not for one whose events had come for long.
+func TestLossAfterSilenceCountsForParts(t *testing.T) {
+	const brokeAfter = 3 * time.Second
+	for _, silence := range []time.Duration{0, brokeAfter - 50*time.Millisecond} {
+		f := newFixture(8)
+		now := time.Now()
+		suspect := false
+		for i := range 2 {
+			j := shortJob(fmt.Sprint("silent", i))
+			j.Parts = []uint64{9}
+			d := f.planner.Place(j, 1, now)
+			if d.Upstream == "" {
+				t.Fatalf("refused for reason %s", d.Reason)
+			}
+			f.planner.FirstAnswer(j.ID, now.Add(50*time.Millisecond))
+			now = now.Add(50*time.Millisecond + brokeAfter)
+			f.planner.Ended(j.ID, End{Outcome: Lost, Silence: silence}, now)
+			f.change(d.Upstream, func(up *deployment.Upstream) { up.Born++ })
+		}
+		j := shortJob("next")
+		j.Parts = []uint64{9}
+		suspect = f.planner.Place(j, 1, now).Suspect
+		if want := silence > 0; suspect != want {
+			t.Errorf("silent for the last %s of %s: the part is a suspect: %v, want %v", silence, brokeAfter, suspect, want)
+		}
+	}
+}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -156,6 +156,14 @@
 	Stalled
 )
 
+// End is how an attempt ended.
+type End struct {
+	_       struct{} `cbor:",toarray"`
+	Outcome Outcome
+	// Silence is the time since the last event of the answer; 0 if there was none.
+	Silence time.Duration
+}
+
 // String returns the outcome's name in logs.
 func (o Outcome) String() string {
 	names := [...]string{"none", "completed", "abandoned", "unreached", "refused", "failed", "lost", "stalled"}
