placement: a limit from another instance that is no rate is ignored

Cause: only the adapter checked limits; a message of an instance could set a negative, infinite or undefined rate, with which an upstream got no work, or replace a valid one.

TestInvalidLimitsOfInstancesAreIgnored failed before and passes now.

--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -42,11 +42,15 @@
 	return upstreamlimit.Key{Service: up.Service, ID: up.ID, Born: up.Born}
 }
 
-// ObserveLimits records what answers of upstreams say of their limits.
+// ObserveLimits records what another instance says of the limits of upstreams.
 func (p *Planner) ObserveLimits(list []upstreamlimit.Observation, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, o := range list {
+		if !o.Limit.Valid() {
+			log.WithField("upstream", o.Key.ID).WithField("limit", o.Limit.PerSecond).Warn("limit of an upstream ignored: not a rate")
+			continue
+		}
 		p.limits.Observe(o, now)
 	}
 }
--- a/internal/placement/limits_test.go
+++ b/internal/placement/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -256,3 +257,23 @@
 		}
 	}
 }
+
+// TestInvalidLimitsOfInstancesAreIgnored checks that a limit of another instance that is no
+// rate neither replaces a valid one nor keeps an upstream from getting work.
+func TestInvalidLimitsOfInstancesAreIgnored(t *testing.T) {
+	for _, perSecond := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1} {
+		f := newFixture(1)
+		now := time.Now()
+		o := upstreamlimit.Observation{Key: limitKey(f.upstreams["e0"]), Limit: upstreamlimit.Limit{Named: true, PerSecond: perSecond}}
+		f.planner.ObserveLimits([]upstreamlimit.Observation{o}, now)
+		if d := f.planner.Place(shortJob("first"), 1, now); d.Upstream != "e0" {
+			t.Errorf("limit %v: refused for reason %s", perSecond, d.Reason)
+		}
+		valid := o
+		valid.Limit.PerSecond = 2
+		f.planner.ObserveLimits([]upstreamlimit.Observation{valid, o}, now)
+		if got, _, named := f.planner.limits.State(o.Key); got != 2 || !named {
+			t.Errorf("limit %v replaced the valid one: %v a second, named %v", perSecond, got, named)
+		}
+	}
+}
--- a/internal/upstreamlimit/table.go
+++ b/internal/upstreamlimit/table.go
@@ -52,6 +52,9 @@
 	PerSecond float64
 }
 
+// Valid reports whether the limit is a rate: not negative and finite.
+func (l Limit) Valid() bool { return l.PerSecond >= 0 && !math.IsInf(l.PerSecond, 1) }
+
 // Observation is what is known of one upstream's limit.
 type Observation struct {
 	_     struct{} `cbor:",toarray"`
