placement: instances that used a substitute of the home are forgotten

Cause: when each instance last had this one place a job was kept until the process ends, one entry for each instance that ever did.

TestCallersOfSubstituteAreForgotten failed before (100 kept) and passes now, with the race detector.

--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -165,13 +166,10 @@
 	if peer.Owner(members, service, nil) == f.bus.Self().ID {
 		return 1
 	}
-	callers := 1
-	for _, at := range f.callers[service] {
-		if now.Sub(at) < callerMemory {
-			callers++
-		}
-	}
-	return substituteShare * float64(min(callers, len(members))) / float64(max(len(members), 1))
+	callers := f.callers[service]
+	maps.DeleteFunc(callers, func(_ string, at time.Time) bool { return now.Sub(at) >= callerMemory })
+	users := len(callers) + 1 // this instance as well
+	return substituteShare * float64(min(users, len(members))) / float64(max(len(members), 1))
 }
 
 // aloneShare returns the part that this instance may use when it plans alone.
--- a/internal/placement/limits_test.go
+++ b/internal/placement/limits_test.go
@@ -277,3 +277,23 @@
 		}
 	}
 }
+
+// TestCallersOfSubstituteAreForgotten checks that an instance keeps no record of the instances
+// whose jobs it placed in the home's stead longer than it needs.
+func TestCallersOfSubstituteAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newNodes(peertest.NewNet(time.Millisecond), 4)
+		substitute := nodes[0]
+		if substitute == homeOf(nodes, "plain") {
+			substitute = nodes[1]
+		}
+		for i := range 100 {
+			substitute.fleet.recordCaller("plain", fmt.Sprint("gone", i), time.Now())
+		}
+		time.Sleep(callerMemory)
+		share := substitute.fleet.limitShare("plain", time.Now())
+		if n := len(substitute.fleet.callers["plain"]); n != 0 || share != substituteShare/4 {
+			t.Errorf("%d callers are kept, share %v; want none and %v", n, share, substituteShare/4)
+		}
+	})
+}
