placement: the parts of a limit that is used without its home fit the bound together

Instances that do not reach the home used half of the limit twice, once through its substitute and once for the jobs that they place alone, and what a substitute may send was drawn. Change: a fifth of the limit for all substitutes together, which save up whole requests instead of drawing; 0.04 for all jobs placed alone, which are still drawn. Conclusion: the bound no longer depends on the draw of a substitute.

--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -20,10 +20,13 @@
 const (
 	// topicLimits is the topic of broadcasts of limits that have changed.
 	topicLimits = "limits"
-	// substituteShare is the part of a limit that all instances together may use that do not
-	// reach the home, each an equal part of it. The home does not know of them and may be
-	// using the whole limit.
-	substituteShare = 0.5
+	// substituteShare and loneShare are the parts of a limit that all instances together may
+	// use that do not reach the home: through a substitute of the home, and for the jobs that
+	// they place alone, each instance an equal part. The home does not know of them and may be
+	// using the whole limit, so both parts and the bursts of all must fit into what the users
+	// allow beyond the limit. Jobs placed alone are left to chance, so their part is small.
+	substituteShare = 0.2
+	loneShare       = 0.04
 	// unlinkedInstances is the number of instances that one without links assumes.
 	unlinkedInstances = 100
 	// shareLifetime is how long a share is used before it is computed again, from all members.
@@ -160,7 +163,7 @@
 // computeShare computes limitShare. The caller must hold mu.
 func (f *Fleet) computeShare(service string, now time.Time) float64 {
 	if f.bus == nil {
-		return substituteShare / unlinkedInstances
+		return loneShare / unlinkedInstances
 	}
 	members := f.bus.Members()
 	if peer.Owner(members, service, nil) == f.bus.Self().ID {
@@ -177,9 +180,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.bus == nil {
-		return substituteShare / unlinkedInstances
+		return loneShare / unlinkedInstances
 	}
-	return substituteShare / float64(max(len(f.bus.Members()), 1))
+	return loneShare / float64(max(len(f.bus.Members()), 1))
 }
 
 // recordCaller records that an instance had this one place a job.
--- a/internal/placement/limits_test.go
+++ b/internal/placement/limits_test.go
@@ -297,3 +297,55 @@
 		}
 	})
 }
+
+// TestPartsOfLimitsFitTheBound checks that what the home, its substitutes and all instances
+// that plan alone send together stays within the users' bound, over thousands of draws, while
+// each of them has more work than it may send.
+func TestPartsOfLimitsFitTheBound(t *testing.T) {
+	const instances, requests = 65, 1000
+	for _, perSecond := range []float64{1.5, 10, 100} {
+		for _, substitutes := range []int{1, 3} {
+			t.Run(fmt.Sprintf("%v a second, %d substitutes", perSecond, substitutes), func(t *testing.T) {
+				shares := []float64{1}
+				for range substitutes {
+					shares = append(shares, substituteShare/float64(substitutes))
+				}
+				for range instances {
+					shares = append(shares, loneShare/instances)
+				}
+				sends := sendsWithShares(shares, perSecond, time.Duration(requests/perSecond*float64(time.Second)))
+				most := mostInWindow(sends, sends[0].Add(limitKnownAfter))
+				allowed := limitFactor*perSecond*limitWindow.Seconds() + limitExtra
+				if t.Logf("at most %d, allowed %.0f", most, allowed); float64(most) > allowed {
+					t.Errorf("an upstream got %d requests in %s, allowed %.0f", most, limitWindow, allowed)
+				}
+			})
+		}
+	}
+}
+
+// sendsWithShares returns when an upstream that names a limit gets requests from instances
+// that each use a part of it.
+func sendsWithShares(shares []float64, perSecond float64, length time.Duration) []time.Time {
+	const steps = 4 // for each request that the limit allows
+	random := rand.New(rand.NewPCG(65, uint64(perSecond)))
+	key := upstreamlimit.Key{Service: "plain", ID: "p"}
+	start := time.Unix(1000, 0)
+	tables := make([]*upstreamlimit.Table, len(shares))
+	for i := range tables {
+		tables[i] = upstreamlimit.NewTable()
+	}
+	var sends []time.Time
+	step := time.Duration(float64(time.Second) / perSecond / steps)
+	named := upstreamlimit.Observation{Key: key, Limit: upstreamlimit.Limit{Named: true, PerSecond: perSecond}}
+	for now := start; now.Before(start.Add(length)); now = now.Add(step) {
+		for i, table := range tables {
+			table.Observe(named, now) // a limit that is not confirmed ends after a while
+			for table.Wait(key, shares[i], random.Float64(), now) == 0 {
+				table.Sent(key)
+				sends = append(sends, now)
+			}
+		}
+	}
+	return sends
+}
--- a/internal/upstreamlimit/table.go
+++ b/internal/upstreamlimit/table.go
@@ -28,6 +28,10 @@
 	endDoubling = time.Second
 	// staleTime is how long a limit holds without an answer that confirms it.
 	staleTime = time.Minute
+	// minSteadyShare is the smallest part of a limit whose whole requests are saved up. An
+	// instance with less of it draws, because hundreds of instances that each save up a
+	// request could send them all at once.
+	minSteadyShare = 0.04
 	// minChange is the relative change of a limit that other instances are told.
 	minChange = 0.05
 	// confirmInterval is the time after which they are told of an unchanged limit again.
@@ -109,10 +113,10 @@
 }
 
 // Wait returns how long it takes until a request may be sent to an upstream; 0 if one may
-// be sent now. share is the part of the limit that the caller may use. If it is less than
-// one, the parts of many callers may each be less than a request; what has accrued then is the
+// be sent now. share is the part of the limit that the caller may use. Below minSteadyShare
+// the parts of many callers may each be less than a request; what has accrued then is the
 // chance to send a whole one, which draw, from 0 to 1, decides, and it is spent either way.
-// Together the callers use as much as they may.
+// Together the callers use as much as they may on average.
 func (t *Table) Wait(k Key, share, draw float64, now time.Time) time.Duration {
 	l := t.limits[k]
 	if l == nil {
@@ -123,8 +127,13 @@
 		delete(t.limits, k)
 		return 0
 	}
-	l.refill(rate*share, l.burst()*share, now)
-	if share < 1 && l.tokens > 0 && l.tokens < 1 {
+	steady := share >= minSteadyShare
+	capacity := l.burst() * share
+	if steady {
+		capacity = max(capacity, 1)
+	}
+	l.refill(rate*share, capacity, now)
+	if !steady && l.tokens > 0 && l.tokens < 1 {
 		won := draw < l.tokens
 		l.tokens = 0
 		if won {
