Upstreams say that they leave, or want a pause, in their answers

Cause: a leaving upstream was known from the store only, and the time that a refusal names was dropped, so both got requests that they had asked not to get. An upstream that says that it leaves takes no new work from then on, on all instances (one broadcast); that is final for its incarnation, whatever the store says later, also after a return from an older copy. If all upstreams pause, callers are refused at once with the time at which the first pause ends. Not done: the own interface, the soak, and a simulation at 195 and 410 instances.

--- a/internal/deployment/era_test.go
+++ b/internal/deployment/era_test.go
@@ -166,7 +166,7 @@
 		for i, source := range []Source{newer, older} {
 			state := NewState()
 			f := NewFollower(state, source, oneInstance)
-			e := NewExchange(f)
+			e := NewExchange(f.state, f)
 			e.SetBus(net.Join(peer.Member{ID: []string{"newer", "older"}[i]}))
 			go f.Run(t.Context())
 			exchanges, states = append(exchanges, e), append(states, state)
--- a/internal/deployment/exchange.go
+++ b/internal/deployment/exchange.go
@@ -30,20 +30,24 @@
 // newer version and does not get the change from the store, because its connection
 // delivers no data or the store rejects it, fetches the data from the sender.
 type Exchange struct {
+	state     *State
 	followers []*Follower
 
 	mu  sync.Mutex
 	bus peer.Bus
 }
 
-// NewExchange returns an Exchange for the followers. All instances must list them in
+// NewExchange returns an Exchange for the followers of a state. All instances must list them in
 // the same order.
-func NewExchange(followers ...*Follower) *Exchange { return &Exchange{followers: followers} }
+func NewExchange(state *State, followers ...*Follower) *Exchange {
+	return &Exchange{state: state, followers: followers}
+}
 
 // SetBus connects the Exchange to the other instances. It must be called before the bus
 // is started.
 func (e *Exchange) SetBus(bus peer.Bus) {
 	bus.HandleCall(topicUpdate, e.handleFetch)
+	bus.HandleBroadcast(topicLeaving, e.handleLeaving)
 	e.mu.Lock()
 	e.bus = bus
 	e.mu.Unlock()
--- a/internal/deployment/exchange_test.go
+++ b/internal/deployment/exchange_test.go
@@ -49,7 +49,7 @@
 			for i, source := range []Source{good, bad} {
 				state := NewState()
 				f := NewFollower(state, source, oneInstance)
-				e := NewExchange(f)
+				e := NewExchange(f.state, f)
 				e.SetBus(net.Join(peer.Member{ID: []string{"good", "bad"}[i]}))
 				go f.Run(ctx)
 				exchanges, states = append(exchanges, e), append(states, state)
@@ -106,7 +106,7 @@
 			options.IsWatcher = func() bool { return i == 0 }
 			state := NewState()
 			f := NewFollower(state, source, options)
-			e := NewExchange(f)
+			e := NewExchange(f.state, f)
 			e.SetBus(net.Join(peer.Member{ID: id}))
 			go f.Run(ctx)
 			sources, exchanges, states = append(sources, source), append(exchanges, e), append(states, state)
@@ -151,7 +151,7 @@
 		for i, source := range []Source{recovering, cutOff} {
 			state := NewState()
 			f := NewFollower(state, source, oneInstance)
-			e := NewExchange(f)
+			e := NewExchange(f.state, f)
 			e.SetBus(net.Join(peer.Member{ID: []string{"recovering", "cut off"}[i]}))
 			go f.Run(ctx)
 			exchanges, states = append(exchanges, e), append(states, state)
--- a/internal/deployment/leaving_test.go
+++ b/internal/deployment/leaving_test.go
@@ -233,7 +233,7 @@
 		}
 		link, state, id := newStoreLink(f.store), NewState(), fmt.Sprintf("i%d", i)
 		follower := NewFollower(state, link, options)
-		exchange := NewExchange(follower)
+		exchange := NewExchange(follower.state, follower)
 		exchange.SetBus(net.Join(peer.Member{ID: id}))
 		go follower.Run(ctx)
 		f.links, f.states, f.exchanges, f.ids = append(f.links, link), append(f.states, state), append(f.exchanges, exchange), append(f.ids, id)
--- a/internal/deployment/view.go
+++ b/internal/deployment/view.go
@@ -53,6 +53,8 @@
 type State struct {
 	view atomic.Pointer[View]
 	mu   sync.Mutex
+	// leaving holds the upstreams that said that they leave, by ID.
+	leaving map[string]leavingMark
 	// notify is called after each change.
 	notify []func(*View)
 }
@@ -161,6 +163,7 @@
 }
 
 func (s *State) setUpstreams(old *View, byID map[string]Upstream, revision Revision, now time.Time) {
+	s.applyLeaving(byID, now)
 	next := *old
 	next.Revision, next.ListedAt, next.upstreams = revision, now, byID
 	next.services = map[string][]Upstream{}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -38,6 +38,9 @@
 	Codec    passthrough.Codec
 	Reserver passthrough.Reserver
 	Prober   Prober
+	// ObserveSignals, if set, registers a function that is told what answers to orders and
+	// probes say of their upstreams.
+	ObserveSignals func(observe func(deployment.Upstream, deployment.Signals))
 	// Directory lists the instances.
 	Directory Directory
 	// Quarantines keeps the quarantined requests.
@@ -96,13 +99,18 @@
 		}
 		n.followers = append(n.followers, deployment.NewFollower(n.state, source, options))
 	}
-	n.links.exchange = deployment.NewExchange(n.followers...)
+	n.links.exchange = deployment.NewExchange(n.state, n.followers...)
 	n.fleet = placement.NewFleet(n.planner, placement.OwnerName(self), n.links.exchange)
 	n.links.fleet = n.fleet
+	signals := upstreamSignals{n.links.exchange, n.fleet}
+	if o.ObserveSignals != nil {
+		o.ObserveSignals(signals.Observe)
+	}
 	n.handler = passthrough.New(passthrough.Options{
 		State:       n.state,
 		Codec:       o.Codec,
 		Placer:      n.fleet,
+		Signals:     signals.Observe,
 		Reserver:    o.Reserver,
 		Retries:     passthrough.RetryBudget{Ratio: s.RetryRatio, Extra: s.RetryBurst, Window: s.RetryWindow},
 		Instances:   n.links.instances,
@@ -114,6 +122,22 @@
 	return n
 }
 
+// upstreamSignals passes on what answers of upstreams say of the upstreams themselves.
+type upstreamSignals struct {
+	exchange *deployment.Exchange
+	fleet    *placement.Fleet
+}
+
+// Observe records the signals in an answer.
+func (u upstreamSignals) Observe(up deployment.Upstream, s deployment.Signals) {
+	if s.Leaving {
+		u.exchange.UpstreamLeaves(up)
+	}
+	if s.Pause > 0 {
+		u.fleet.PauseObserved(up, s.Pause)
+	}
+}
+
 // assumedInstances is the number of live instances that is assumed until it is
 // known.
 const assumedInstances = 8
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -25,6 +25,8 @@
 	// job is the ID of the placed job.
 	job      string
 	upstream deployment.Upstream
+	// helpers are the engines that prefill parts of the prompt.
+	helpers  []deployment.Upstream
 	decision placement.Decision
 	header   http.Header
 	// holds reports whether engine memory is reserved for the attempt; release releases
@@ -159,6 +161,19 @@
 	return a, nil
 }
 
+// maySend reports whether the upstream of an attempt and its helpers still take work.
+func (h *Handler) maySend(a *attempt) bool {
+	view := h.opts.State.View()
+	return !slices.ContainsFunc(a.engines(), func(up deployment.Upstream) bool {
+		return !isUsable(view, up) || h.opts.Placer.Paused(up)
+	})
+}
+
+// engines returns the upstream of an attempt and its helpers.
+func (a *attempt) engines() []deployment.Upstream {
+	return append([]deployment.Upstream{a.upstream}, a.helpers...)
+}
+
 // isUsable reports whether an upstream is still listed as the one that was chosen and takes
 // work.
 func isUsable(v *deployment.View, chosen deployment.Upstream) bool {
@@ -271,12 +286,13 @@
 		target:  rq.r.RequestURI,
 		header:  a.header,
 		body:    rq.body,
-		maySend: func() bool { return isUsable(h.opts.State.View(), a.upstream) },
+		maySend: func() bool { return h.maySend(a) },
 	})
 	if err != nil {
 		return nil, UpstreamReply{}, err
 	}
 	reply := h.opts.Codec.ReadReply(res.StatusCode, res.Header)
+	h.opts.Signals(a.upstream, reply.Signals)
 	if reply.CallID != "" && reply.CallID != rq.call.ID || reply.Encoded {
 		res.Body.Close()
 		return nil, UpstreamReply{}, errNotAnswer
--- a/internal/passthrough/attempt_test.go
+++ b/internal/passthrough/attempt_test.go
@@ -27,6 +27,8 @@
 
 func (*refusingPlacer) LimitObserved(deployment.Upstream, upstreamlimit.Limit) {}
 
+func (*refusingPlacer) Paused(deployment.Upstream) bool { return false }
+
 func (*refusingPlacer) Ended(string, string, placement.End) {}
 
 // TestFinalRefusalIsNotHeld checks that a request that waiting cannot help is refused at
--- a/internal/passthrough/codec.go
+++ b/internal/passthrough/codec.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/upstreamlimit"
 )
 
@@ -63,6 +64,8 @@
 	NotRun bool
 	// Limit is the rate of requests that the upstream takes from all instances.
 	Limit upstreamlimit.Limit
+	// Signals is what the answer says of the upstream itself.
+	Signals deployment.Signals
 	// Encoded reports whether the body has a content encoding and so is not the
 	// upstream's own bytes.
 	Encoded bool
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -25,6 +25,8 @@
 	TrialPassed(service, id string)
 	// LimitObserved reports what an answer of an upstream says of its limit.
 	LimitObserved(up deployment.Upstream, l upstreamlimit.Limit)
+	// Paused reports whether an upstream wants no requests now.
+	Paused(up deployment.Upstream) bool
 	// Ended reports how the attempt ended; it must be called once for every placed job.
 	Ended(service, id string, e placement.End)
 }
@@ -34,6 +36,9 @@
 	State  *deployment.State
 	Codec  Codec
 	Placer Placer
+	// Signals is told what the answers of upstreams say of the upstreams themselves; it must
+	// not block. Nil ignores it.
+	Signals func(deployment.Upstream, deployment.Signals)
 	// Reserver reserves engine memory for prompts that several engines prefill.
 	Reserver Reserver
 	Retries  RetryBudget
@@ -58,6 +63,9 @@
 
 // New returns a Handler.
 func New(o Options) *Handler {
+	if o.Signals == nil {
+		o.Signals = func(deployment.Upstream, deployment.Signals) {}
+	}
 	if o.Ending == nil {
 		o.Ending = context.Background()
 	}
--- a/internal/passthrough/helpers.go
+++ b/internal/passthrough/helpers.go
@@ -13,8 +13,8 @@
 type Reserver interface {
 	// Reserve reserves memory under a name, or renews the reservation, for a lease
 	// that starts when the call arrives.
-	Reserve(ctx context.Context, address, name string, tokens int, lease time.Duration) error
-	Release(ctx context.Context, address, name string) error
+	Reserve(ctx context.Context, engine deployment.Upstream, name string, tokens int, lease time.Duration) error
+	Release(ctx context.Context, engine deployment.Upstream, name string) error
 }
 
 // prepareHelpers adds the helpers of an attempt to out and reserves memory at them.
@@ -22,13 +22,14 @@
 	var holds []hold
 	for i, part := range a.decision.Helpers {
 		up, known := view.Upstream(part.Upstream)
-		if !known || up.Leaving {
-			return result.New(result.NoUpstream, "engine %s has left", part.Upstream).WithRetryAfter(transientRetryAfter)
+		if !known || up.Leaving || h.opts.Placer.Paused(up) {
+			return result.New(result.NoUpstream, "engine %s has left or takes no requests now", part.Upstream).WithRetryAfter(transientRetryAfter)
 		}
+		a.helpers = append(a.helpers, up)
 		helper := Helper{Address: up.Address}
 		if part.ReservedTokens > 0 {
 			helper.Reservation = a.job + "-" + strconv.Itoa(i)
-			holds = append(holds, hold{upstream: up.ID, address: up.Address, name: helper.Reservation, tokens: part.ReservedTokens})
+			holds = append(holds, hold{engine: up, name: helper.Reservation, tokens: part.ReservedTokens})
 		}
 		out.Helpers = append(out.Helpers, helper)
 	}
--- a/internal/passthrough/hold.go
+++ b/internal/passthrough/hold.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/sleep"
 )
@@ -27,10 +28,9 @@
 
 // hold is reserved memory at one engine.
 type hold struct {
-	upstream string
-	address  string
-	name     string
-	tokens   int
+	engine deployment.Upstream
+	name   string
+	tokens int
 }
 
 // reserveError lists the engines that did not reserve memory.
@@ -71,14 +71,14 @@
 	for i, one := range l.holds {
 		wait.Go(func() {
 			defer panics.RecoverError(log, &errs[i])
-			errs[i] = l.reserver.Reserve(ctx, one.address, one.name, one.tokens, holdLease)
+			errs[i] = l.reserver.Reserve(ctx, one.engine, one.name, one.tokens, holdLease)
 		})
 	}
 	wait.Wait()
 	refused := &reserveError{cause: errors.Join(errs...)}
 	for i, err := range errs {
 		if err != nil {
-			refused.upstreams = append(refused.upstreams, l.holds[i].upstream)
+			refused.upstreams = append(refused.upstreams, l.holds[i].engine.ID)
 		}
 	}
 	if refused.cause == nil {
@@ -112,7 +112,7 @@
 			var err error
 			for range maxReleaseAttempts {
 				ctx, cancel := context.WithTimeout(context.Background(), engineCallTimeout)
-				err = l.reserver.Release(ctx, one.address, one.name)
+				err = l.reserver.Release(ctx, one.engine, one.name)
 				cancel()
 				if err == nil {
 					return
--- a/internal/passthrough/leaving_test.go
+++ b/internal/passthrough/leaving_test.go
@@ -18,12 +18,12 @@
 // reserverFunc is a Reserver that calls a function for each reservation.
 type reserverFunc func()
 
-func (f reserverFunc) Reserve(context.Context, string, string, int, time.Duration) error {
+func (f reserverFunc) Reserve(context.Context, deployment.Upstream, string, int, time.Duration) error {
 	f()
 	return nil
 }
 
-func (reserverFunc) Release(context.Context, string, string) error { return nil }
+func (reserverFunc) Release(context.Context, deployment.Upstream, string) error { return nil }
 
 // TestUpstreamThatLeavesBeforeTheSendGetsNothing checks that a request goes elsewhere if its
 // upstream leaves after it was chosen and before the first byte is sent: while memory is
--- a/internal/passthrough/panic_test.go
+++ b/internal/passthrough/panic_test.go
@@ -65,6 +65,8 @@
 
 func (*panickingPlacer) LimitObserved(deployment.Upstream, upstreamlimit.Limit) {}
 
+func (*panickingPlacer) Paused(deployment.Upstream) bool { return false }
+
 func (p *panickingPlacer) Ended(_, id string, _ placement.End) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/passthrough/serve_test.go
+++ b/internal/passthrough/serve_test.go
@@ -57,6 +57,8 @@
 
 func (*scriptedPlacer) LimitObserved(deployment.Upstream, upstreamlimit.Limit) {}
 
+func (*scriptedPlacer) Paused(deployment.Upstream) bool { return false }
+
 func (*scriptedPlacer) Ended(string, string, placement.End) {}
 
 // countingReserver counts the reservations that are held.
@@ -65,14 +67,14 @@
 	held map[string]bool
 }
 
-func (r *countingReserver) Reserve(_ context.Context, _, name string, _ int, _ time.Duration) error {
+func (r *countingReserver) Reserve(_ context.Context, _ deployment.Upstream, name string, _ int, _ time.Duration) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.held[name] = true
 	return nil
 }
 
-func (r *countingReserver) Release(_ context.Context, _, name string) error {
+func (r *countingReserver) Release(_ context.Context, _ deployment.Upstream, name string) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.held, name)
--- a/internal/passthrough/transport.go
+++ b/internal/passthrough/transport.go
@@ -40,8 +40,9 @@
 	return t
 }
 
-// errLeft is returned if the upstream left before a byte of the request was written.
-var errLeft = errors.New("upstream left before the request was sent")
+// errLeft is returned if the upstream or a helper left, or asked for a pause, before a byte of
+// the request was written.
+var errLeft = errors.New("upstream left or paused before the request was sent")
 
 // dialFunc opens connections.
 type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
--- a/internal/placement/dump.go
+++ b/internal/placement/dump.go
@@ -17,6 +17,9 @@
 	// may be sent now as far as this instance knows.
 	Limit     *float64 `json:"limit_per_second,omitempty"`
 	Allowance *float64 `json:"limit_allowance,omitempty"`
+	// Pause is for how many seconds the upstream wants no requests, as far as this instance
+	// knows.
+	Pause float64 `json:"pause_seconds,omitempty"`
 	// Down reports whether the upstream was lost; it then gets no work until a
 	// probe succeeds or its pause ends.
 	Down bool `json:"down"`
@@ -37,6 +40,7 @@
 			if perSecond, tokens, named := p.limits.State(limitKey(m.upstream)); named {
 				s.Limit, s.Allowance = &perSecond, &tokens
 			}
+			s.Pause = p.limits.Paused(limitKey(m.upstream), now).Seconds()
 			list = append(list, s)
 		}
 	}
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -183,7 +183,7 @@
 	if notices := p.knownSuspects(); len(notices) > 0 {
 		list = append(list, event{Kind: eventSuspects, Owner: owner, Notices: notices})
 	}
-	if limits := p.limits.Known(service); len(limits) > 0 {
+	if limits := p.limits.Known(service, now); len(limits) > 0 {
 		list = append(list, event{Kind: eventLimits, Service: service, Limits: limits})
 	}
 	for _, pj := range p.jobs {
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
@@ -37,7 +38,8 @@
 	// adoptedSpendTime is how old a job may be that another instance reports, to count
 	// against the limit of its upstream. Older ones are told again, to a new home.
 	adoptedSpendTime = time.Second
-	// maxReturnDelay bounds the time that callers refused for limits are told to wait.
+	// maxReturnDelay bounds the time that callers refused for limits are told to wait, unless
+	// all upstreams pause for longer.
 	maxReturnDelay = 10 * time.Second
 )
 
@@ -51,7 +53,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, o := range list {
-		if !o.Limit.Valid() {
+		if o.Pause == 0 && !o.Limit.Valid() {
 			log.WithField("upstream", o.Key.ID).WithField("limit", o.Limit.PerSecond).Warn("limit of an upstream ignored: not a rate")
 			continue
 		}
@@ -81,6 +83,8 @@
 	wait time.Duration
 	// perSecond is the number of requests that this instance may send to all of them.
 	perSecond float64
+	// pause is the time until the first of them ends its pause; 0 if one has none.
+	pause time.Duration
 }
 
 // withinLimits returns the candidates that may get the job within the limits that they name,
@@ -91,7 +95,7 @@
 		return candidates, limitRefusal{}
 	}
 	draw := float64(xxhash.Sum64String(j.ID)) / math.MaxUint64
-	refusal := limitRefusal{wait: math.MaxInt64}
+	refusal := limitRefusal{wait: math.MaxInt64, pause: math.MaxInt64}
 	within := make([]*member, 0, len(candidates))
 	for _, m := range candidates {
 		k := limitKey(m.upstream)
@@ -101,6 +105,7 @@
 			continue
 		}
 		refusal.wait = min(refusal.wait, wait)
+		refusal.pause = min(refusal.pause, p.limits.Paused(k, now))
 		refusal.perSecond += p.limits.Rate(k, now) * share
 	}
 	return within, refusal
@@ -111,10 +116,10 @@
 // that plans alone has the home again soon.
 func (pl *pool) refuseForLimits(r limitRefusal, s scope, now time.Time) Decision {
 	if s == alone {
-		return Decision{Reason: Limited, RetryAfter: min(r.wait, homeAvoidTime)}
+		return Decision{Reason: Limited, RetryAfter: max(min(r.wait, homeAvoidTime), r.pause)}
 	}
 	next := latest(now.Add(r.wait), pl.nextReturn)
-	if limit := now.Add(maxReturnDelay); next.After(limit) {
+	if limit := now.Add(max(maxReturnDelay, r.wait)); next.After(limit) {
 		next = limit
 	}
 	pl.nextReturn = next.Add(time.Duration(float64(time.Second) / r.perSecond))
@@ -129,6 +134,25 @@
 	f.report(up.Service, event{Kind: eventLimits, Service: up.Service, Limits: []upstreamlimit.Observation{{Key: limitKey(up), Limit: l}}})
 }
 
+// PauseObserved records that an upstream has told this instance to send nothing for some
+// time, and tells the home, which places nothing there for any instance.
+func (f *Fleet) PauseObserved(up deployment.Upstream, pause time.Duration) {
+	metrics.GetOrCreateCounter(`banyanroute_upstream_pauses_total`).Inc()
+	o := upstreamlimit.Observation{Key: limitKey(up), Pause: pause}
+	f.planner.ObserveLimits([]upstreamlimit.Observation{o}, time.Now())
+	f.report(up.Service, event{Kind: eventLimits, Service: up.Service, Limits: []upstreamlimit.Observation{o}})
+}
+
+// Paused implements passthrough.Placer.
+func (f *Fleet) Paused(up deployment.Upstream) bool { return f.planner.paused(up, time.Now()) }
+
+// paused reports whether an upstream wants no requests.
+func (p *Planner) paused(up deployment.Upstream, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limits.Paused(limitKey(up), now) > 0
+}
+
 // observeOwn records an answer that this instance has received. It reports whether the home
 // must be told.
 func (p *Planner) observeOwn(o upstreamlimit.Observation, now time.Time) bool {
--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -112,6 +112,17 @@
 	return min(mean*math.Exp(sigma*r.NormFloat64()-sigma*sigma/2), limit)
 }
 
+// earned returns the value of the answer that the caller got.
+func (j *simJob) earned(k class) float64 {
+	switch {
+	case !j.ended || j.left:
+		return 0
+	case j.first.Sub(j.at) <= k.first && j.worst <= 1:
+		return j.value
+	}
+	return j.value * k.late / k.value
+}
+
 // arrivals draws the requests of a day.
 func (d day) arrivals(seed uint64, start time.Time) []*simJob {
 	r := rand.New(rand.NewPCG(seed, 7))
@@ -155,6 +166,7 @@
 	pauseLate, firstLate, bothLate [3]int
 	decisions                      time.Duration
 	placed                         int
+	worth                          worth
 }
 
 // earnedShare is the earned fraction of the owed value.
@@ -328,25 +340,22 @@
 	for _, j := range jobs {
 		k := d.classes[j.class]
 		o.owed += j.value
+		o.earned += j.earned(k)
 		o.all[j.class]++
-		took := j.first.Sub(j.at)
+		late, paused := j.first.Sub(j.at) > k.first, j.worst > 1
 		switch {
 		case !j.ended || j.left:
-		case took <= k.first && j.worst <= 1:
-			o.onTime[j.class]++
-			o.earned += j.value
+		case late && paused:
+			o.bothLate[j.class]++
+		case late:
+			o.firstLate[j.class]++
+		case paused:
+			o.pauseLate[j.class]++
 		default:
-			switch {
-			case took > k.first && j.worst > 1:
-				o.bothLate[j.class]++
-			case took > k.first:
-				o.firstLate[j.class]++
-			default:
-				o.pauseLate[j.class]++
-			}
-			o.earned += j.value * k.late / k.value
+			o.onTime[j.class]++
 		}
 	}
+	o.worth = d.worth(jobs, now)
 	return o
 }
 
--- /dev/null
+++ b/internal/placement/replay_test.go
@@ -0,0 +1,100 @@
+package placement
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+)
+
+// largeDay returns a day of the users' largest deployment, whose mix turns every ten seconds:
+// from long prompts to short ones, starting with the given phase, 0 for long.
+func largeDay(phase int) day {
+	m := usersModel()
+	m.Slots, m.Stride = 10, 68
+	classes := []class{
+		{"short", 159, 4960, 0.9, 23_800, 22.6 * 68, 0.7, 400 * time.Millisecond, 250 * time.Millisecond, 10 * time.Second, 1.3, 0.33},
+		{"medium", 12.5, 45_000, 0.5, 110_000, 13.6 * 68, 0.6, 1500 * time.Millisecond, 600 * time.Millisecond, 10 * time.Second, 2.9, 0.73},
+		{"long", 5.98, 190_000, 0.55, 600_000, 11.3 * 68, 0.5, 3 * time.Second, time.Second, 15 * time.Second, 18, 4.5},
+	}
+	long, short := []float64{0.33, 1.3, 2.9}, []float64{2.5, 0.5, 0.05}
+	d := day{112, m, classes, nil, 34 * time.Second, 1.1}
+	for i := range 3 {
+		b := burst{time.Duration(1700+i*10650) * time.Millisecond, time.Duration(11200+i*10650) * time.Millisecond, long}
+		if (i+phase)%2 == 1 {
+			b.factors = short
+		}
+		d.bursts = append(d.bursts, b)
+	}
+	return d
+}
+
+// worth is what a day is worth to the users: the earned share of the whole, of the kind and
+// size that is served worst, and of the worst time.
+type worth struct {
+	whole, worstGroup, worstTime float64
+	// groups holds the earned share of each kind, of its largest tenth and of the fifth below.
+	groups map[string]float64
+}
+
+func (w worth) total() float64 { return 0.6*w.whole + 0.3*w.worstGroup + 0.1*w.worstTime }
+
+func (w worth) String() string {
+	text := fmt.Sprintf("worth %.3f, whole %.3f, worst group %.3f, worst time %.3f", w.total(), w.whole, w.worstGroup, w.worstTime)
+	for _, name := range slices.Sorted(maps.Keys(w.groups)) {
+		text += fmt.Sprintf(", %s %.2f", name, w.groups[name])
+	}
+	return text
+}
+
+// worthWindow is the time over which the worst time is taken.
+const worthWindow = 2 * time.Second
+
+func (d day) worth(jobs []*simJob, start time.Time) worth {
+	share := func(list []*simJob) float64 {
+		earned, owed := 0.0, 0.0
+		for _, j := range list {
+			earned += j.earned(d.classes[j.class])
+			owed += j.value
+		}
+		return earned / max(owed, 1e-9)
+	}
+	w := worth{whole: share(jobs), worstGroup: 1, worstTime: 1, groups: map[string]float64{}}
+	for c, k := range d.classes {
+		list := slices.DeleteFunc(slices.Clone(jobs), func(j *simJob) bool { return j.class != c })
+		slices.SortFunc(list, func(a, b *simJob) int { return cmp.Compare(b.job.Prompt, a.job.Prompt) })
+		n := len(list)
+		w.groups[k.name], w.groups[k.name+" tenth"], w.groups[k.name+" fifth"] = share(list), share(list[:n/10]), share(list[n/10:3*n/10])
+	}
+	for _, s := range w.groups {
+		w.worstGroup = min(w.worstGroup, s)
+	}
+	windows := map[time.Duration][]*simJob{}
+	for _, j := range jobs {
+		at := j.at.Sub(start) / worthWindow
+		windows[at] = append(windows[at], j)
+	}
+	for at, list := range windows {
+		if (at+1)*worthWindow <= d.length {
+			w.worstTime = min(w.worstTime, share(list))
+		}
+	}
+	return w
+}
+
+// BenchmarkLargeDay reports what simulated days of the largest deployment are worth.
+func BenchmarkLargeDay(b *testing.B) {
+	for phase, name := range []string{"long first", "short first"} {
+		b.Run(name, func(b *testing.B) {
+			sum := 0.0
+			for i := range b.N {
+				o := largeDay(phase).run(uint64(i))
+				b.Logf("seed %d: %s; %s; late by pause %v, start %v, both %v", i, o.worth, o, o.pauseLate, o.firstLate, o.bothLate)
+				sum += o.worth.total()
+			}
+			b.ReportMetric(sum/float64(b.N), "worth")
+		})
+	}
+}
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -53,6 +53,7 @@
 
 // DueForProbe returns the upstreams that are due for a probe: those that are down and
 // whose pause ends soon, and those on which a loss is unexplained.
+// An upstream that wants no requests gets no probes either.
 func (p *Planner) DueForProbe(now time.Time) []deployment.Upstream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -63,11 +64,13 @@
 			lossLog(l.upstream).Info("lost attempts unexplained; it is not known whether the upstream crashed")
 			continue
 		}
-		list = append(list, l.upstream)
+		if p.limits.Paused(limitKey(l.upstream), now) == 0 {
+			list = append(list, l.upstream)
+		}
 	}
 	for _, pl := range p.pools {
 		for _, m := range pl.order {
-			if !m.health.down || !m.health.usable(now.Add(firstPause)) {
+			if !m.health.down || !m.health.usable(now.Add(firstPause)) || p.limits.Paused(limitKey(m.upstream), now) > 0 {
 				continue
 			}
 			if _, listed := p.unexplained[incarnationOf(m.upstream)]; !listed {
--- a/internal/upstreamlimit/table.go
+++ b/internal/upstreamlimit/table.go
@@ -1,6 +1,7 @@
 package upstreamlimit
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -59,16 +60,21 @@
 // Valid reports whether the limit is a rate: not negative and finite.
 func (l Limit) Valid() bool { return l.PerSecond >= 0 && !math.IsInf(l.PerSecond, 1) }
 
-// Observation is what is known of one upstream's limit.
+// Observation is what is known of one upstream's limit, or of its pause if that is set.
 type Observation struct {
 	_     struct{} `cbor:",toarray"`
 	Key   Key
 	Limit Limit
+	// Pause is how long the upstream wants no requests from now on.
+	Pause time.Duration
 }
 
-// Table holds the limits that upstreams name, and what is left of each. It is not safe for
-// concurrent use.
-type Table struct{ limits map[Key]*limit }
+// Table holds the limits and pauses that upstreams name, and what is left of each. It is not
+// safe for concurrent use.
+type Table struct {
+	limits map[Key]*limit
+	pauses map[Key]*pause
+}
 
 // limit is the state of one upstream that names a limit, a token bucket.
 type limit struct {
@@ -86,10 +92,14 @@
 }
 
 // NewTable returns an empty Table.
-func NewTable() *Table { return &Table{limits: map[Key]*limit{}} }
+func NewTable() *Table { return &Table{limits: map[Key]*limit{}, pauses: map[Key]*pause{}} }
 
 // Observe records what an answer of an upstream says, or another instance says of it.
 func (t *Table) Observe(o Observation, now time.Time) {
+	if o.Pause > 0 {
+		t.observePause(o.Key, o.Pause, now)
+		return
+	}
 	l := t.limits[o.Key]
 	entry := log.WithField("upstream", o.Key.ID).WithField("service", o.Key.Service).WithField("limit", o.Limit.PerSecond)
 	switch {
@@ -118,6 +128,9 @@
 // chance to send a whole one, which draw, from 0 to 1, decides, and it is spent either way.
 // Together the callers use as much as they may on average.
 func (t *Table) Wait(k Key, share, draw float64, now time.Time) time.Duration {
+	if left := t.Paused(k, now); left > 0 {
+		return left
+	}
 	l := t.limits[k]
 	if l == nil {
 		return 0
@@ -155,8 +168,8 @@
 	return math.Inf(1)
 }
 
-// Empty reports whether no upstream names a limit.
-func (t *Table) Empty() bool { return len(t.limits) == 0 }
+// Empty reports whether no upstream names a limit or a pause.
+func (t *Table) Empty() bool { return len(t.limits) == 0 && len(t.pauses) == 0 }
 
 // rate returns the requests a second that the upstream takes now; infinite once its limit
 // is over.
@@ -198,7 +211,7 @@
 // News returns what other instances must be told of the limits of a service, and counts it
 // as told.
 func (t *Table) News(service string, now time.Time) []Observation {
-	var list []Observation
+	list := t.pausesOf(service, false, now)
 	for k, l := range t.limits {
 		if k.Service != service || !l.dirty {
 			continue
@@ -209,17 +222,20 @@
 	return list
 }
 
+// named reports whether the last answer named a limit.
+func (l *limit) named() bool { return l.endedAt.IsZero() }
+
 // observation returns what the last answer said.
 func (l *limit) observation() Limit {
-	if !l.endedAt.IsZero() {
+	if !l.named() {
 		return Limit{}
 	}
 	return Limit{Named: true, PerSecond: l.perSecond}
 }
 
-// Known returns the limits of a service that are in force.
-func (t *Table) Known(service string) []Observation {
-	var list []Observation
+// Known returns the limits and pauses of a service that are in force.
+func (t *Table) Known(service string, now time.Time) []Observation {
+	list := t.pausesOf(service, true, now)
 	for k, l := range t.limits {
 		if o := l.observation(); k.Service == service && o.Named {
 			list = append(list, Observation{Key: k, Limit: o})
@@ -228,26 +244,27 @@
 	return list
 }
 
-// Retell has News return all limits of a service that are in force.
+// Retell has News return all limits and pauses of a service that are in force.
 func (t *Table) Retell(service string) {
+	for k, p := range t.pauses {
+		p.dirty = p.dirty || k.Service == service
+	}
 	for k, l := range t.limits {
-		l.dirty = l.dirty || k.Service == service && l.endedAt.IsZero()
+		l.dirty = l.dirty || k.Service == service && l.named()
 	}
 }
 
-// Keep drops the limits of upstreams that are not listed any more.
+// Keep drops the limits and pauses of upstreams that are not listed any more.
 func (t *Table) Keep(listed func(Key) bool) {
-	for k := range t.limits {
-		if !listed(k) {
-			delete(t.limits, k)
-		}
-	}
+	gone := func(k Key) bool { return !listed(k) }
+	maps.DeleteFunc(t.limits, func(k Key, _ *limit) bool { return gone(k) })
+	maps.DeleteFunc(t.pauses, func(k Key, _ *pause) bool { return gone(k) })
 }
 
 // State returns the limit that an upstream names, and what is left of it.
 func (t *Table) State(k Key) (perSecond, tokens float64, named bool) {
 	l := t.limits[k]
-	if l == nil || !l.endedAt.IsZero() {
+	if l == nil || !l.named() {
 		return 0, 0, false
 	}
 	return l.perSecond, l.tokens, true
