Homes of services are strong instances; fewer calls to the store in large fleets

Cause: a home plans for all instances, and was drawn from all of them, although most of the large deployment have a fifth of a core. Change: instances tell their processor time in the gossip and the directory; homes are those with at least half of the largest while there are any. In fleets of 30 and more, instances that are not watchers retry with growing pauses up to 2.5 s, and a watcher tells them when the store answers again. A call for changes waits 25 s, the list of instances is read every 0.25 s in the whole fleet at most, and the link secret is not read twice more by an instance with three links. The first list of upstreams is one log line, not one for each upstream.

--- a/internal/deployment/exchange.go
+++ b/internal/deployment/exchange.go
@@ -16,6 +16,9 @@
 // source.
 const topicUpdate = "deployment"
 
+// topicStoreBack is the topic of broadcasts of watchers that the store answers again.
+const topicStoreBack = "store answers again"
+
 // Timing of the exchange between instances.
 const (
 	// catchUpDelay is how long after a batch an instance may be behind another before it
@@ -48,11 +51,26 @@
 func (e *Exchange) SetBus(bus peer.Bus) {
 	bus.HandleCall(topicUpdate, e.handleFetch)
 	bus.HandleBroadcast(topicLeaving, e.handleLeaving)
+	bus.HandleBroadcast(topicStoreBack, func(string, []byte) {
+		for _, f := range e.followers {
+			f.retryNow()
+		}
+	})
 	e.mu.Lock()
 	e.bus = bus
 	e.mu.Unlock()
 }
 
+// StoreBack tells the other instances that the store answers again.
+func (e *Exchange) StoreBack() {
+	e.mu.Lock()
+	bus := e.bus
+	e.mu.Unlock()
+	if bus != nil {
+		bus.Broadcast(topicStoreBack, nil)
+	}
+}
+
 // Seen returns the version of the newest known change of each source.
 func (e *Exchange) Seen() []Revision {
 	seen := make([]Revision, len(e.followers))
--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -74,7 +74,7 @@
 	// longPollWait is how long one call waits for changes. Calls are priced; a
 	// connection that no longer delivers data is noticed sooner by keep-alive probes or
 	// by the revisions that other instances have seen.
-	longPollWait = 12 * time.Second
+	longPollWait = 25 * time.Second
 	// watcherPollWait is how long a call of a watcher waits. Watchers notice within it
 	// that their connection delivers no data; the other instances learn of changes from
 	// them, also if their own connections are silent all at once.
@@ -93,6 +93,12 @@
 	maxRetryPause         = 400 * time.Millisecond
 	retryPausePerInstance = 10 * time.Millisecond
 	maxFleetRetryPause    = 1200 * time.Millisecond
+	// idleRetryPause and idleRetryGrowth replace maxRetryPause and the usual growth for
+	// instances that are not watchers, in fleets of largeFleet instances or more: a watcher
+	// tells them when the store answers again.
+	idleRetryPause  = 2500 * time.Millisecond
+	idleRetryGrowth = 4
+	largeFleet      = 30
 )
 
 // Batching of changes: calls are priced, and each change would wake all instances.
@@ -118,6 +124,9 @@
 	// OnEra, if set, is called when the store has come back from an older copy. It must
 	// not block.
 	OnEra func(era int64)
+	// OnStoreBack, if set, is called on a watcher when the store answers again after failed
+	// calls. It must not block.
+	OnStoreBack func()
 }
 
 // batchDelay returns how long to wait for further changes after a change.
@@ -141,6 +150,8 @@
 	catchingUp atomic.Bool
 	// fetched receives updates from other instances.
 	fetched chan Update
+	// storeBack ends the pause after a failed call.
+	storeBack chan struct{}
 	// eraKnownAt is when the era of complete became known.
 	eraKnownAt time.Time
 	// mu guards the fields below.
@@ -165,7 +176,7 @@
 // NewFollower returns a Follower; Run starts it.
 func NewFollower(state *State, source Source, options FollowerOptions) *Follower {
 	return &Follower{
-		state: state, source: source, options: options, fetched: make(chan Update, 1),
+		state: state, source: source, options: options, fetched: make(chan Update, 1), storeBack: make(chan struct{}, 1),
 		outage:          outage{heartbeat: options.UpstreamHeartbeat},
 		pendingRemovals: map[string]time.Time{}, removed: map[string]removedUpstream{}, distrusted: map[string]distrustedUpstream{},
 	}
@@ -195,7 +206,7 @@
 		if err != nil {
 			snapshot = snapshot || isUnusable(err)
 			f.recordFailure(ctx, err, now)
-			sleep.For(ctx, pause.NextBackOff())
+			f.waitToRetry(ctx, pause.NextBackOff())
 			continue
 		}
 		f.recordAnswer(now)
@@ -228,12 +239,39 @@
 	return time.Until(f.batchEnds)
 }
 
+// waitToRetry waits before a failed call is made again, but not longer than until another
+// instance tells that the store answers.
+func (f *Follower) waitToRetry(ctx context.Context, pause time.Duration) {
+	select {
+	case <-f.storeBack:
+	case <-time.After(pause):
+	case <-ctx.Done():
+	}
+}
+
+// retryNow ends the pause after a failed call.
+func (f *Follower) retryNow() {
+	f.mu.Lock()
+	failing := !f.outage.failingSince.IsZero()
+	f.mu.Unlock()
+	if !failing {
+		return
+	}
+	select {
+	case f.storeBack <- struct{}{}:
+	default: // it is told already
+	}
+}
+
 // newBackoff returns a backoff with jitter, so that the instances do not all retry at
 // the same time.
 func (f *Follower) newBackoff() *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = initialRetryPause
 	b.MaxInterval = min(maxRetryPause+time.Duration(f.options.Instances())*retryPausePerInstance, maxFleetRetryPause)
+	if f.options.Instances() >= largeFleet && !f.options.IsWatcher() {
+		b.MaxInterval, b.Multiplier = idleRetryPause, idleRetryGrowth
+	}
 	b.Reset()
 	return b
 }
@@ -340,6 +378,9 @@
 	f.mu.Unlock()
 	if again {
 		log.WithField("table", f.source.Name()).WithField("revision", f.complete.load()).Info("platform store available again")
+		if f.options.OnStoreBack != nil && f.options.IsWatcher() {
+			f.options.OnStoreBack()
+		}
 	}
 }
 
@@ -405,6 +446,10 @@
 
 func (f *Follower) logUpstreams(changed []Upstream, removed []string, revision Revision) {
 	view := f.state.View()
+	if view.Count() == 0 && len(changed) > 0 {
+		log.WithField("upstreams", len(changed)).WithField("revision", revision).Info("upstreams listed for the first time")
+		return
+	}
 	for _, up := range changed {
 		if old, known := view.Upstream(up.ID); known && old.Leaving == up.Leaving && old.SameIncarnation(up) {
 			continue
--- /dev/null
+++ b/internal/deployment/retry_test.go
@@ -0,0 +1,79 @@
+package deployment
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/peer/peertest"
+)
+
+// countingSource counts the calls to a source.
+type countingSource struct {
+	*fakeSource
+	calls int
+}
+
+func (s *countingSource) Read(ctx context.Context) (Update, error) {
+	s.calls++
+	return s.fakeSource.Read(ctx)
+}
+
+func (s *countingSource) Changes(ctx context.Context, after Revision, wait time.Duration) (Update, error) {
+	s.calls++
+	return s.fakeSource.Changes(ctx, after, wait)
+}
+
+// TestOutageCostsFewCallsInLargeFleets checks that an instance of a large fleet, unless it is a
+// watcher, makes few calls while the store is away, that it notices without being told that
+// the store is back, and at once if a watcher tells it.
+func TestOutageCostsFewCallsInLargeFleets(t *testing.T) {
+	const outageTime = 8 * time.Second
+	for _, c := range []struct {
+		name          string
+		watcher, told bool
+		maxCalls      int
+		maxWait       time.Duration
+	}{
+		{"watcher", true, false, 20, 2 * time.Second},
+		{"not told", false, false, 8, 4 * time.Second},
+		{"told", false, true, 8, 50 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &countingSource{fakeSource: &fakeSource{changes: make(chan Update), snapshot: Update{Complete: true, Revision: rev(10), Upstreams: upstreams("a")}}}
+				options := oneInstance
+				options.Instances, options.IsWatcher = func() int { return 195 }, func() bool { return c.watcher }
+				state := NewState()
+				f := NewFollower(state, s, options)
+				net := peertest.NewNet(time.Millisecond)
+				own, other := NewExchange(state, f), NewExchange(NewState())
+				own.SetBus(net.Join(peer.Member{ID: "own"}))
+				other.SetBus(net.Join(peer.Member{ID: "other"}))
+				ctx, cancel := context.WithCancel(t.Context())
+				go func() { _ = f.Run(ctx) }()
+				time.Sleep(3 * time.Second)
+				before := s.calls
+				s.set(Update{}, errors.New("store is away"))
+				f.refresh() // the call in progress breaks
+				time.Sleep(outageTime)
+				if calls := s.calls - before; calls > c.maxCalls {
+					t.Errorf("%d calls in an outage of %s, want %d at most", calls, outageTime, c.maxCalls)
+				}
+				s.set(Update{Complete: true, Revision: rev(11), Upstreams: upstreams("b")}, nil)
+				if c.told {
+					other.StoreBack()
+				}
+				time.Sleep(c.maxWait)
+				if _, known := state.View().Upstream("b"); !known {
+					t.Errorf("the store's return is not noticed within %s", c.maxWait)
+				}
+				cancel()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -88,6 +88,7 @@
 		Address:     s.LinksAddress,
 		DataCentre:  s.DataCentre,
 		Region:      s.Region,
+		Capacity:    s.Capacity,
 	}
 	n.quarantines = newQuarantines(o.Quarantines, n.planner)
 	n.links = &links{directory: o.Directory, self: self}
@@ -96,6 +97,7 @@
 		options := deployment.FollowerOptions{
 			Instances: n.links.instances, ApplyTimeout: s.ApplyTimeout, UpstreamHeartbeat: s.UpstreamHeartbeat,
 			IsWatcher: n.links.isWatcher, OnEra: n.restorer.enter,
+			OnStoreBack: func() { n.links.exchange.StoreBack() },
 		}
 		n.followers = append(n.followers, deployment.NewFollower(n.state, source, options))
 	}
--- a/internal/hosted/links.go
+++ b/internal/hosted/links.go
@@ -104,14 +104,21 @@
 // secretChecks are the pauses before the secret is read again after the start.
 var secretChecks = []time.Duration{time.Second, time.Second, 2 * time.Second}
 
+// provenLinks is the number of links from which on the secret is taken to be that of the others
+// until the last check.
+const provenLinks = 3
+
 // checkSecret reads the secret and the list again some times. If this instance started just
 // after the store had come back from an older copy, it may have created a secret, and read
 // the list, before the others restored their entries.
 func (l *links) checkSecret(ctx context.Context, overlay *member.Overlay) {
-	for _, pause := range secretChecks {
+	for i, pause := range secretChecks {
 		if !sleep.For(ctx, pause) {
 			return
 		}
+		if i < len(secretChecks)-1 && len(overlay.Neighbours()) >= provenLinks {
+			continue
+		}
 		secret, err := l.directory.Secret(ctx)
 		if err != nil {
 			log.WithError(err).Debug("reading the link secret again failed")
--- a/internal/hosted/settings.go
+++ b/internal/hosted/settings.go
@@ -18,6 +18,9 @@
 	OperatorsAddress string
 	// StoreAddress is the address of the platform's metadata store, as host:port.
 	StoreAddress string
+	// Capacity is the processor time that the process may use, in thousandths of a core; 0 if
+	// unknown.
+	Capacity uint32
 	// MemoryBytes is the limit above which the process is killed.
 	MemoryBytes int64
 	// StopGrace is the time between SIGTERM and SIGKILL.
--- a/internal/member/maintenance.go
+++ b/internal/member/maintenance.go
@@ -263,5 +263,5 @@
 }
 
 func listedMember(item platform.LiveListEntry) peer.Member {
-	return peer.Member{ID: item.ID, Address: item.Address, DataCentre: item.DataCentre, Region: item.Region}
+	return peer.Member{ID: item.ID, Address: item.Address, DataCentre: item.DataCentre, Region: item.Region, Capacity: item.Capacity}
 }
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -31,6 +31,7 @@
 	Address    string
 	DataCentre string
 	Region     string
+	Capacity   uint32
 }
 
 func recordOf(m peer.Member) record {
@@ -41,6 +42,7 @@
 		Address:     m.Address,
 		DataCentre:  m.DataCentre,
 		Region:      m.Region,
+		Capacity:    m.Capacity,
 	}
 }
 
@@ -57,6 +59,7 @@
 		DataCentre:  r.DataCentre,
 		Region:      r.Region,
 		Leaving:     r.Leaving,
+		Capacity:    r.Capacity,
 	}
 }
 
--- a/internal/member/timing.go
+++ b/internal/member/timing.go
@@ -68,7 +68,7 @@
 	// listIntervalPerMember, multiplied by the number of members, is a lower bound
 	// of the list interval, so that the total rate of list reads does not grow
 	// with the fleet.
-	listIntervalPerMember = 50 * time.Millisecond
+	listIntervalPerMember = 250 * time.Millisecond
 	// leaveTimeout bounds the sending of the last messages at shutdown.
 	leaveTimeout = 500 * time.Millisecond
 	// writeTimeout bounds one write; a link on which it expires is closed.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -28,6 +28,9 @@
 	// Leaving reports whether the instance finishes its work and takes no new
 	// work.
 	Leaving bool
+	// Capacity is the processor time that the instance may use, in thousandths of a core;
+	// 0 if unknown.
+	Capacity uint32
 }
 
 // BroadcastHandler handles one broadcast. It must not block.
--- a/internal/peer/rendezvous.go
+++ b/internal/peer/rendezvous.go
@@ -47,5 +47,26 @@
 	return best
 }
 
+// strongShare is the fraction of the largest capacity from which on an instance is strong.
+const strongShare = 0.5
+
+// Strong returns the members that are strong compared with the others. Tasks that one instance
+// does for all go to them while there are any.
+func Strong(members []Member) []Member {
+	largest := uint32(0)
+	for _, m := range members {
+		if !m.Leaving {
+			largest = max(largest, m.Capacity)
+		}
+	}
+	strong := make([]Member, 0, len(members))
+	for _, m := range members {
+		if float64(m.Capacity) >= strongShare*float64(largest) {
+			strong = append(strong, m)
+		}
+	}
+	return strong
+}
+
 // rendezvous returns the hash of key and member.
 func rendezvous(key, id string) uint64 { return xxhash.Sum64String(key + "\x00" + id) }
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -185,7 +185,7 @@
 		return "", false
 	}
 	now := time.Now()
-	home = peer.Owner(f.bus.Members(), service, func(m peer.Member) bool {
+	home = homeAmong(f.bus.Members(), service, func(m peer.Member) bool {
 		until, avoided := f.avoided[m.ID]
 		return !avoided || now.After(until)
 	})
@@ -204,6 +204,16 @@
 	return home, true
 }
 
+// homeAmong returns the ID of the member that plans a service, of those for which accept
+// returns true; a nil accept allows all. A home plans for all instances, which takes more
+// processor time than a weak instance has, so those are homes only if no other is left.
+func homeAmong(members []peer.Member, service string, accept func(peer.Member) bool) string {
+	if home := peer.Owner(peer.Strong(members), service, accept); home != "" {
+		return home
+	}
+	return peer.Owner(members, service, accept)
+}
+
 // avoid excludes a home that did not answer from use for homeAvoidTime.
 func (f *Fleet) avoid(home string, j Job, err error) {
 	metrics.GetOrCreateCounter(`banyanroute_home_timeouts_total`).Inc()
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -460,3 +461,35 @@
 		t.Errorf("the first token is predicted after %s, want 12.3 ms", took)
 	}
 }
+
+// TestHomeIsStrong checks that a service's home is one of the instances with much processor
+// time while there is one that is accepted, and another one otherwise.
+func TestHomeIsStrong(t *testing.T) {
+	var members []peer.Member
+	for i := range 195 {
+		m := peer.Member{ID: fmt.Sprint("i", i), Capacity: 192}
+		if i%13 == 0 {
+			m.Capacity = 800
+		}
+		members = append(members, m)
+	}
+	strong := func(id string) bool {
+		i := slices.IndexFunc(members, func(m peer.Member) bool { return m.ID == id })
+		return i >= 0 && members[i].Capacity == 800
+	}
+	for i := range 50 {
+		service := fmt.Sprint("s", i)
+		if home := homeAmong(members, service, nil); !strong(home) {
+			t.Errorf("the home of %s is %q, a weak instance", service, home)
+		}
+		if home := homeAmong(members, service, func(m peer.Member) bool { return m.Capacity < 800 }); home == "" || strong(home) {
+			t.Errorf("without the strong instances the home of %s is %q, want a weak one", service, home)
+		}
+	}
+	for i := range members {
+		members[i].Capacity = 0 // unknown
+	}
+	if homeAmong(members, "s", nil) != peer.Owner(members, "s", nil) {
+		t.Error("instances of unknown capacity are not treated alike")
+	}
+}
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -10,7 +10,6 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/banyanroute/banyanroute/internal/deployment"
-	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/upstreamlimit"
 )
 
@@ -190,7 +189,7 @@
 		return loneShare / unlinkedInstances
 	}
 	members := f.bus.Members()
-	if peer.Owner(members, service, nil) == f.bus.Self().ID {
+	if homeAmong(members, service, nil) == f.bus.Self().ID {
 		return 1
 	}
 	callers := f.callers[service]
@@ -230,7 +229,7 @@
 	}
 	members := bus.Members()
 	for _, service := range f.planner.services() {
-		if peer.Owner(members, service, nil) != bus.Self().ID {
+		if homeAmong(members, service, nil) != bus.Self().ID {
 			continue
 		}
 		if news := f.planner.limitNews(service, now); len(news) > 0 {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -110,6 +110,8 @@
 	DataCentre string `json:"data_centre"`
 	Region     string `json:"region"`
 	Phase      Phase  `json:"phase"`
+	// Capacity is the processor time of an instance in thousandths of a core; 0 if unknown.
+	Capacity uint32 `json:"capacity,omitempty"`
 }
 
 // LiveList is the platform's eventually consistent list of live and leaving
