--- a/internal/hosted/links.go
+++ b/internal/hosted/links.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cenkalti/backoff/v5"
 
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/member"
@@ -38,8 +39,10 @@
 const (
 	// directoryTimeout bounds one call.
 	directoryTimeout = 2 * time.Second
-	// directoryRetryInterval is the pause after a failed call.
-	directoryRetryInterval = 300 * time.Millisecond
+	// directoryRetryPause is the pause after the first failed call; it grows up to
+	// maxDirectoryRetryPause, because refused calls are priced too.
+	directoryRetryPause    = 300 * time.Millisecond
+	maxDirectoryRetryPause = 1200 * time.Millisecond
 	// listInterval is the interval of reads of the list. It can be long, since
 	// instances also learn of each other by gossip.
 	listInterval = 20 * time.Second
@@ -201,6 +204,8 @@
 // retryUntilDone retries a call to the store until it succeeds or ctx ends.
 // Only the first failure is logged as a warning.
 func retryUntilDone[T any](ctx context.Context, operation string, call func(context.Context) (T, error)) (T, error) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = directoryRetryPause, maxDirectoryRetryPause
 	for first := true; ; first = false {
 		attempt, cancel := context.WithTimeout(ctx, directoryTimeout)
 		value, err := contained(attempt, call)
@@ -211,7 +216,7 @@
 		if first {
 			log.WithError(err).Warn("platform store failed while " + operation + "; retrying")
 		}
-		if !sleep.For(ctx, directoryRetryInterval) {
+		if !sleep.For(ctx, pause.NextBackOff()) {
 			return value, ctx.Err()
 		}
 	}
