--- a/tools/faults/soak.go
+++ b/tools/faults/soak.go
@@ -108,6 +108,7 @@
 	load.Go(func() { s.crashUpstreams(drillCtx, rand.New(rand.NewPCG(o.seed, 4))) })
 	load.Go(func() { s.returnStore(drillCtx, rand.New(rand.NewPCG(o.seed, 5))) })
 	load.Go(func() { s.limitUpstreams(drillCtx, rand.New(rand.NewPCG(o.seed, 6))) })
+	load.Go(func() { s.pauseUpstreams(drillCtx, rand.New(rand.NewPCG(o.seed, 7))) })
 	s.runFaults(ctx, rand.New(rand.NewPCG(o.seed, 1)))
 	stopDrills()
 	sleep.For(ctx, soakRecoveryTime)
