--- a/internal/upstreamlimit/doc.go
+++ b/internal/upstreamlimit/doc.go
@@ -1,3 +1,4 @@
-// Package upstreamlimit keeps track of the rates that upstreams name: how many requests a
-// second one takes from all instances together, for as long as its answers say so.
+// Package upstreamlimit keeps track of what upstreams ask of all instances together: how many
+// requests a second one takes, for as long as its answers say so, and for how long one wants
+// none.
 package upstreamlimit
