deployment: a call that the store dropped in an outage ends after a second

The store was silent from 8.5 to 15.1 s; an instance with little traffic had a call fail at 13.96 s and its next one dropped. Ruled out: the growing pauses after failed calls (the instance made its next call at once). Change: while calls fail, a call waits one second, as those of watchers; calls for changes wait 12 s again, which saves less but bounds what a silent connection can hide.

--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -74,7 +74,7 @@
 	// longPollWait is how long one call waits for changes. Calls are priced; a
 	// connection that no longer delivers data is noticed sooner by keep-alive probes or
 	// by the revisions that other instances have seen.
-	longPollWait = 25 * time.Second
+	longPollWait = 12 * time.Second
 	// watcherPollWait is how long a call of a watcher waits. Watchers notice within it
 	// that their connection delivers no data; the other instances learn of changes from
 	// them, also if their own connections are silent all at once.
@@ -249,12 +249,16 @@
 	}
 }
 
+// isFailing reports whether calls have failed since the store last answered.
+func (f *Follower) isFailing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.outage.failingSince.IsZero()
+}
+
 // retryNow ends the pause after a failed call.
 func (f *Follower) retryNow() {
-	f.mu.Lock()
-	failing := !f.outage.failingSince.IsZero()
-	f.mu.Unlock()
-	if !failing {
+	if !f.isFailing() {
 		return
 	}
 	select {
@@ -285,7 +289,8 @@
 		return f.source.Read(ctx)
 	}
 	wait, slack := longPollWait, longPollSlack
-	if f.options.IsWatcher() {
+	if f.options.IsWatcher() || f.isFailing() {
+		// A store that is silent may drop the call and never answer it, also once it is back.
 		wait, slack = watcherPollWait, watcherPollSlack
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+slack)
--- a/internal/deployment/retry_test.go
+++ b/internal/deployment/retry_test.go
@@ -77,3 +77,47 @@
 		})
 	}
 }
+
+// silentSource is a source that drops the calls that arrive while it is silent.
+type silentSource struct {
+	*fakeSource
+	silent bool
+}
+
+func (s *silentSource) Changes(ctx context.Context, after Revision, wait time.Duration) (Update, error) {
+	if s.silent {
+		<-ctx.Done()
+		return Update{}, ctx.Err()
+	}
+	return s.fakeSource.Changes(ctx, after, wait)
+}
+
+// TestCallDroppedInOutageEndsSoon checks that an instance whose call the store has dropped in an
+// outage knows of a change soon after the outage, also if no other instance tells it.
+func TestCallDroppedInOutageEndsSoon(t *testing.T) {
+	const applyTimeout = 4 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		s := &silentSource{fakeSource: &fakeSource{changes: make(chan Update), snapshot: Update{Complete: true, Revision: rev(10), Upstreams: upstreams("a")}}}
+		options := oneInstance
+		options.Instances = func() int { return 195 }
+		state := NewState()
+		f := NewFollower(state, s, options)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = f.Run(ctx) }()
+		time.Sleep(5 * time.Second)
+		s.set(Update{}, errors.New("connection lost"))
+		s.changes <- Update{} // the call in progress fails
+		time.Sleep(20 * time.Millisecond)
+		s.set(Update{Complete: true, Revision: rev(10), Upstreams: upstreams("a")}, nil)
+		s.silent = true
+		time.Sleep(200 * time.Millisecond) // the next call is dropped
+		s.silent = false
+		go func() { s.changes <- Update{Revision: rev(11), Changed: rev(11), Upstreams: upstreams("b")} }()
+		time.Sleep(applyTimeout)
+		if _, known := state.View().Upstream("b"); !known {
+			t.Errorf("a change is not known %s after the outage", applyTimeout)
+		}
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
