Pauses after failed calls fit the time to leave; very long prompts use the front for memory

Change: pauses grow faster but not longer than before; they double only once calls have failed for longer than a change may take. If the engines behind the front lack memory for a very long prompt, all are considered. The tests count with atomics.

--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -93,12 +93,13 @@
 	maxRetryPause         = 400 * time.Millisecond
 	retryPausePerInstance = 10 * time.Millisecond
 	maxFleetRetryPause    = 1200 * time.Millisecond
-	// idleRetryPause and idleRetryGrowth replace maxRetryPause and the usual growth for
-	// instances that are not watchers, in fleets of largeFleet instances or more: a watcher
-	// tells them when the store answers again.
-	idleRetryPause  = 2500 * time.Millisecond
-	idleRetryGrowth = 4
-	largeFleet      = 30
+	// idleRetryGrowth replaces the usual growth of the pauses for instances that are not
+	// watchers, in fleets of largeFleet instances or more. Once their calls have failed for
+	// as long as a change may take, their pauses are longOutageFactor times longer: the store
+	// is away for all, and a watcher tells them when it answers again.
+	idleRetryGrowth  = 4
+	longOutageFactor = 2
+	largeFleet       = 30
 )
 
 // Batching of changes: calls are priced, and each change would wake all instances.
@@ -242,6 +243,9 @@
 // waitToRetry waits before a failed call is made again, but not longer than until another
 // instance tells that the store answers.
 func (f *Follower) waitToRetry(ctx context.Context, pause time.Duration) {
+	if f.isIdle() && f.failingFor(time.Now()) > f.options.ApplyTimeout {
+		pause *= longOutageFactor
+	}
 	select {
 	case <-f.storeBack:
 	case <-time.After(pause):
@@ -249,6 +253,22 @@
 	}
 }
 
+// isIdle reports whether the instance leaves it to the watchers of a large fleet to notice that
+// the store is back.
+func (f *Follower) isIdle() bool {
+	return f.options.Instances() >= largeFleet && !f.options.IsWatcher()
+}
+
+// failingFor returns for how long calls have failed; 0 if the last one was answered.
+func (f *Follower) failingFor(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.outage.failingSince.IsZero() {
+		return 0
+	}
+	return now.Sub(f.outage.failingSince)
+}
+
 // isFailing reports whether calls have failed since the store last answered.
 func (f *Follower) isFailing() bool {
 	f.mu.Lock()
@@ -273,8 +293,8 @@
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = initialRetryPause
 	b.MaxInterval = min(maxRetryPause+time.Duration(f.options.Instances())*retryPausePerInstance, maxFleetRetryPause)
-	if f.options.Instances() >= largeFleet && !f.options.IsWatcher() {
-		b.MaxInterval, b.Multiplier = idleRetryPause, idleRetryGrowth
+	if f.isIdle() {
+		b.Multiplier = idleRetryGrowth
 	}
 	b.Reset()
 	return b
--- a/internal/deployment/retry_test.go
+++ b/internal/deployment/retry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,16 +15,16 @@
 // countingSource counts the calls to a source.
 type countingSource struct {
 	*fakeSource
-	calls int
+	calls atomic.Int64
 }
 
 func (s *countingSource) Read(ctx context.Context) (Update, error) {
-	s.calls++
+	s.calls.Add(1)
 	return s.fakeSource.Read(ctx)
 }
 
 func (s *countingSource) Changes(ctx context.Context, after Revision, wait time.Duration) (Update, error) {
-	s.calls++
+	s.calls.Add(1)
 	return s.fakeSource.Changes(ctx, after, wait)
 }
 
@@ -35,7 +36,7 @@
 	for _, c := range []struct {
 		name          string
 		watcher, told bool
-		maxCalls      int
+		maxCalls      int64
 		maxWait       time.Duration
 	}{
 		{"watcher", true, false, 20, 2 * time.Second},
@@ -56,11 +57,11 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				go func() { _ = f.Run(ctx) }()
 				time.Sleep(3 * time.Second)
-				before := s.calls
+				before := s.calls.Load()
 				s.set(Update{}, errors.New("store is away"))
 				f.refresh() // the call in progress breaks
 				time.Sleep(outageTime)
-				if calls := s.calls - before; calls > c.maxCalls {
+				if calls := s.calls.Load() - before; calls > c.maxCalls {
 					t.Errorf("%d calls in an outage of %s, want %d at most", calls, outageTime, c.maxCalls)
 				}
 				s.set(Update{Complete: true, Revision: rev(11), Upstreams: upstreams("b")}, nil)
@@ -81,11 +82,11 @@
 // silentSource is a source that drops the calls that arrive while it is silent.
 type silentSource struct {
 	*fakeSource
-	silent bool
+	silent atomic.Bool
 }
 
 func (s *silentSource) Changes(ctx context.Context, after Revision, wait time.Duration) (Update, error) {
-	if s.silent {
+	if s.silent.Load() {
 		<-ctx.Done()
 		return Update{}, ctx.Err()
 	}
@@ -109,9 +110,9 @@
 		s.changes <- Update{} // the call in progress fails
 		time.Sleep(20 * time.Millisecond)
 		s.set(Update{Complete: true, Revision: rev(10), Upstreams: upstreams("a")}, nil)
-		s.silent = true
+		s.silent.Store(true)
 		time.Sleep(200 * time.Millisecond) // the next call is dropped
-		s.silent = false
+		s.silent.Store(false)
 		go func() { s.changes <- Update{Revision: rev(11), Changed: rev(11), Upstreams: upstreams("b")} }()
 		time.Sleep(applyTimeout)
 		if _, known := state.View().Upstream("b"); !known {
--- a/internal/placement/generation.go
+++ b/internal/placement/generation.go
@@ -66,7 +66,13 @@
 			return Decision{Reason: Full, RetryAfter: refusalPause}
 		}
 	}
-	best, found := p.search(pl, candidates, j, now).propose()
+	s := p.search(pl, candidates, j, now)
+	best, found := s.propose()
+	if !found && len(s.candidates) < len(candidates) {
+		// The memory behind the front does not suffice.
+		s.candidates = candidates
+		best, found = s.propose()
+	}
 	if !found {
 		if j.MayDefer && j.tokens() > model.MemoryTokens {
 			return Decision{Reason: Deferred, RetryAfter: refusalPause}
