--- a/internal/placement/limits_test.go
+++ b/internal/placement/limits_test.go
@@ -302,10 +302,12 @@
 // that plan alone send together stays within the users' bound, over thousands of draws, while
 // each of them has more work than it may send.
 func TestPartsOfLimitsFitTheBound(t *testing.T) {
+	t.Parallel()
 	const instances, requests = 65, 1000
 	for _, perSecond := range []float64{1.5, 10, 100} {
 		for _, substitutes := range []int{1, 3} {
 			t.Run(fmt.Sprintf("%v a second, %d substitutes", perSecond, substitutes), func(t *testing.T) {
+				t.Parallel()
 				shares := []float64{1}
 				for range substitutes {
 					shares = append(shares, substituteShare/float64(substitutes))
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -104,6 +104,7 @@
 // until far into the burst of short ones. What the days are worth must reach the users'
 // target, and no kind or size of requests may be given up.
 func TestLongPromptsLeaveStreamsAlone(t *testing.T) {
+	t.Parallel()
 	const seeds, target, minGroup = 2, 0.62, 1.0 / 3
 	sum := 0.0
 	for seed := range uint64(seeds) {
