placement, poison: crashes of one listed incarnation count one by one, trials of lone instances prove

While the store is away, upstreams that crash and restart remain listed as the incarnation that they were. (1) All crashes of one incarnation had one ID and counted once, so with two upstreams a request never reached three crashes: orders-6 crashed at 34.587 and 37.507, "crashes": 2 both times. (2) A plain service that restarted before its probe counted as never crashed (orders-7, 35.616). (3) Trials of prompt parts by an instance that plans alone never proved anything. Ruled out: the store that forgets (quarantines are kept in memory), notices lost between instances (an instance alone is enough, as the test shows). Change: an attempt that was sent after its upstream's crash and lost too is of another run of it, whose crash has an ID of its own; three losses in 15 s that were dismissed as broken connections make a request wait like one whose losses are pending; a part whose lone trials crashed four upstreams, none answered, is proved, as by two trials that the home saw.

--- a/internal/admit/grant.go
+++ b/internal/admit/grant.go
@@ -163,7 +163,11 @@
 	s.poison.Lost(st.upstream.ID, st.boot, g.request.Fingerprint, g.alone, now)
 	// An upstream that has fallen silent may have crashed long before its connection broke.
 	if g.firstTokenAt.IsZero() || time.Unix(0, g.lastTokenAt.Load()).Sub(g.firstTokenAt) < poison.TrialTime {
-		s.parts.Lost(st.upstream.ID, st.boot, g.request.Parts, len(g.trial) > 0, now)
+		trial := poison.NoTrial
+		if len(g.trial) > 0 {
+			trial = poison.FullTrial
+		}
+		s.parts.Lost(st.upstream.ID, st.boot, g.request.Parts, trial, now)
 	}
 	if now.Sub(st.probeFailedAt) < probeFailureLifetime {
 		s.crashed(st, now)
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -28,7 +28,7 @@
 	if first == nil {
 		return
 	}
-	pj.upstream = first.upstream
+	pj.run = first.run
 	if spend {
 		p.limits.Sent(limitKey(first.upstream))
 	}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -57,14 +57,15 @@
 type placed struct {
 	job      Job
 	decision Decision
-	// upstream is the incarnation on which the job was placed; its ID is empty if it was
-	// not listed.
-	upstream deployment.Upstream
+	// run is the run of the upstream on which the job was placed; the upstream's ID is empty
+	// if it was not listed.
+	run
 	// leaving reports whether that incarnation has left as planned.
 	leaving bool
-	// planned reports whether this planner placed the job, knowing the jobs of all
-	// instances.
+	// planned reports whether this planner placed the job, alone whether it did so without
+	// knowing the jobs of the other instances.
 	planned  bool
+	alone    bool
 	at       time.Time
 	deadline time.Time
 	// answered reports whether the first token has arrived, answeredAt when.
@@ -99,8 +100,11 @@
 
 // member is one upstream of a pool.
 type member struct {
-	upstream deployment.Upstream
-	health   health
+	run
+	// crashedAt is when the run was found to have crashed with a job in flight; zero if it
+	// was not.
+	crashedAt time.Time
+	health    health
 	// engine predicts a model engine; nil for a plain service.
 	engine *enginemodel.Engine
 	// jobs is the number of jobs placed here that have not ended, suspects the number of
@@ -142,8 +146,8 @@
 			p.pools[name] = pl
 		}
 		restarted, removed := pl.set(service, v.Upstreams(name))
-		for _, up := range restarted {
-			p.crashed(up, time.Now())
+		for _, r := range restarted {
+			p.crashed(r, time.Now())
 		}
 		for _, up := range removed {
 			if listed, known := v.Upstream(up.ID); known && listed.Leaving {
@@ -166,9 +170,9 @@
 	return slices.Collect(maps.Keys(p.pools))
 }
 
-// set replaces the members. It returns the old incarnations of those that restarted,
-// and those that are leaving or no longer listed.
-func (pl *pool) set(service deployment.Service, upstreams []deployment.Upstream) (restarted, removed []deployment.Upstream) {
+// set replaces the members. It returns the old runs of those that restarted, and the
+// upstreams that are leaving or no longer listed.
+func (pl *pool) set(service deployment.Service, upstreams []deployment.Upstream) (restarted []run, removed []deployment.Upstream) {
 	pl.service = service
 	next := make(map[string]*member, len(upstreams))
 	pl.order = pl.order[:0]
@@ -176,7 +180,7 @@
 		m := pl.members[up.ID]
 		if m == nil || !m.upstream.SameIncarnation(up) {
 			if m != nil {
-				restarted = append(restarted, m.upstream)
+				restarted = append(restarted, m.run)
 			}
 			m = &member{}
 			if service.Engine != nil {
@@ -260,7 +264,7 @@
 		// An instance that plans alone does not know the suspects of the others.
 		d.Suspect, d.Apart, d.Trial = suspect, apart && s == fleetwide, trial
 		p.adopt(pl, j, d, true, now)
-		p.jobs[j.ID].planned = s == fleetwide
+		p.jobs[j.ID].planned, p.jobs[j.ID].alone = true, s == alone
 	}
 	countPlacement(j.Service, d)
 	metrics.GetOrCreateHistogram(`banyanroute_placement_seconds`).UpdateDuration(now)
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -15,8 +15,25 @@
 // unexplainedLoss is an upstream on which an attempt was lost, with the time of the
 // last loss.
 type unexplainedLoss struct {
+	run
+	at time.Time
+}
+
+// run is one run of an upstream's process. An upstream that crashes and restarts at the same
+// address remains listed as the same incarnation until the store has its new entry, which takes
+// long while the store is away. Its crashes in the meantime are counted apart.
+type run struct {
 	upstream deployment.Upstream
-	at       time.Time
+	// restarts is how often the upstream crashed and ran again as this incarnation.
+	restarts int
+}
+
+// key identifies the run in the tables of crashes, on all instances.
+func (r run) key() string {
+	if r.restarts == 0 {
+		return incarnationOf(r.upstream)
+	}
+	return incarnationOf(r.upstream) + "#" + strconv.Itoa(r.restarts)
 }
 
 // minRestartTime is the minimum time that an upstream needs to restart; one that
@@ -92,7 +109,7 @@
 	// An instance that is cut off from an upstream gets no answer either. Only if the
 	// upstream is not listed any more does that show that it ended.
 	if result == deployment.Ended || result == deployment.Unreachable && m == nil {
-		p.crashed(up, now)
+		p.crashed(p.currentRun(up), now)
 		return
 	}
 	if result == deployment.Unreachable {
@@ -100,13 +117,30 @@
 	}
 	l, unexplained := p.unexplained[incarnationOf(up)]
 	if seen := began.Add(-minRestartTime); unexplained && seen.After(l.at) {
-		p.poison.Dismiss(incarnationOf(up), seen)
-		p.parts.Dismiss(incarnationOf(up), seen)
+		p.poison.Dismiss(l.key(), seen)
+		p.parts.Dismiss(l.key(), seen)
 		delete(p.unexplained, incarnationOf(up))
 		lossLog(up).Info("lost attempts explained: the upstream did not crash")
 	}
 }
 
+// isUnexplained reports whether an attempt was lost on the incarnation, perhaps in a crash.
+func (p *Planner) isUnexplained(up deployment.Upstream) bool {
+	_, lost := p.unexplained[incarnationOf(up)]
+	return lost
+}
+
+// currentRun returns the run of an incarnation that is listed or on which an attempt was lost.
+func (p *Planner) currentRun(up deployment.Upstream) run {
+	if m := p.current(up); m != nil {
+		return m.run
+	}
+	if l, unexplained := p.unexplained[incarnationOf(up)]; unexplained {
+		return l.run
+	}
+	return run{upstream: up}
+}
+
 // recordPoison updates the poison table with the outcome of an attempt.
 func (p *Planner) recordPoison(pj *placed, e End, now time.Time) {
 	o := e.Outcome
@@ -132,20 +166,32 @@
 // upstream crashed.
 func (p *Planner) recordLoss(pj *placed, e End, now time.Time) {
 	up, fingerprint := pj.upstream, pj.job.Fingerprint
+	m := p.current(up)
+	if m != nil && e.Outcome == Lost && !m.crashedAt.IsZero() && pj.at.After(m.crashedAt) {
+		// The job was sent after the crash, so the upstream had restarted.
+		m.restarts, m.crashedAt = m.restarts+1, time.Time{}
+		pj.run = m.run
+	}
 	metrics.GetOrCreateCounter(`banyanroute_poison_losses_total`).Inc()
 	lossLog(up).WithField("request", pj.job.ID).WithField("fingerprint", fingerprint).WithField("parts", pj.job.Parts).
 		WithField("answered", pj.answered).Info("attempt lost; its request is a suspect if the upstream crashed")
 	if fingerprint != 0 {
-		p.poison.Lost(incarnationOf(up), "", fingerprint, pj.decision.Apart, now)
+		p.poison.Lost(pj.key(), "", fingerprint, pj.decision.Apart, now)
 	}
 	if e.Outcome == Stalled || !pj.answered || now.Add(-e.Silence).Sub(pj.answeredAt) < poison.TrialTime {
-		// Only the home knows what else ran on the upstream.
-		trial := pj.planned && len(pj.decision.Trial) > 0
-		p.parts.Lost(incarnationOf(up), "", pj.job.Parts, trial, now)
+		trial := poison.NoTrial
+		switch {
+		case len(pj.decision.Trial) == 0 || !pj.planned:
+		case pj.alone:
+			trial = poison.PartialTrial
+		default:
+			trial = poison.FullTrial
+		}
+		p.parts.Lost(pj.key(), "", pj.job.Parts, trial, now)
 	}
-	p.unexplained[incarnationOf(up)] = unexplainedLoss{upstream: up, at: now}
-	if p.isReplaced(up) {
-		p.crashed(up, now)
+	p.unexplained[incarnationOf(up)] = unexplainedLoss{run: pj.run, at: now}
+	if p.isReplaced(up) || m != nil && m.restarts > pj.restarts {
+		p.crashed(pj.run, now)
 	}
 }
 
@@ -159,19 +205,23 @@
 	}
 }
 
-// crashed records that an incarnation of an upstream crashed: the requests lost there
-// may have crashed it.
-func (p *Planner) crashed(up deployment.Upstream, now time.Time) {
+// crashed records that a run of an upstream crashed: the requests lost there may have
+// crashed it.
+func (p *Planner) crashed(r run, now time.Time) {
+	up := r.upstream
+	if m := p.current(up); m != nil && m.restarts == r.restarts && p.isUnexplained(up) {
+		m.crashedAt = now
+	}
 	delete(p.unexplained, incarnationOf(up))
 	p.recordUnstable(up, now)
-	effects, explained := p.parts.Confirm(incarnationOf(up), now)
+	effects, explained := p.parts.Confirm(r.key(), now)
 	p.apply(effects)
 	if explained {
-		p.poison.DropLosses(incarnationOf(up))
+		p.poison.DropLosses(r.key())
 		lossLog(up).Warn("upstream crashed with a quarantined prompt part in flight")
 		return
 	}
-	notices := p.poison.Confirm(incarnationOf(up), now)
+	notices := p.poison.Confirm(r.key(), now)
 	p.notify(notices)
 	for _, notice := range notices {
 		metrics.GetOrCreateCounter(`banyanroute_poison_crashes_total`).Inc()
--- a/internal/placement/suspects_test.go
+++ b/internal/placement/suspects_test.go
@@ -157,6 +157,85 @@
 	}
 }
 
+// TestCrashesOfOneListedIncarnationCount checks that a request, and a part of a prompt, that
+// crash upstreams are contained also while the store is away: upstreams restart without new
+// entries, and an instance that has started anew plans alone. The users allow three sends
+// later than 3 s after the third crash, for a part after the fifth.
+func TestCrashesOfOneListedIncarnationCount(t *testing.T) {
+	const (
+		engines         = 2
+		outage          = 20 * time.Second
+		interval        = 100 * time.Millisecond
+		containmentTime = 3 * time.Second
+		maxLateSends    = 3
+	)
+	part := func(i int) Job {
+		j := shortJob(fmt.Sprint("bad", i))
+		j.Fingerprint, j.Parts = uint64(1000+i), []uint64{uint64(2000 + i), 666}
+		return j
+	}
+	for _, c := range []struct {
+		name    string
+		job     func(i int) Job
+		bounded int
+		// after is what probes show of an upstream that has restarted: engines name their
+		// start, plain services don't.
+		after    deployment.ProbeResult
+		downtime time.Duration
+	}{
+		{"request, plain service", crashingJob, 3, deployment.Healthy, time.Second},
+		{"request, plain service that restarts at once", crashingJob, 3, deployment.Healthy, 200 * time.Millisecond},
+		{"request, engine", crashingJob, 3, deployment.Ended, time.Second},
+		{"request, engine that restarts at once", crashingJob, 3, deployment.Ended, 200 * time.Millisecond},
+		{"part, engine", part, 5, deployment.Ended, time.Second},
+		{"part, engine that restarts at once", part, 5, deployment.Ended, 200 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(engines)
+			start := time.Now()
+			crashedAt := map[string]time.Time{}
+			var sends []time.Time
+			for step := range int(outage / interval) {
+				now := start.Add(time.Duration(step) * interval)
+				isDown := func(id string) bool { return now.Before(crashedAt[id].Add(c.downtime)) }
+				j := c.job(step)
+				switch d := f.planner.PlaceAlone(j, 1, now); {
+				case d.Upstream == "":
+				case isDown(d.Upstream):
+					f.planner.Ended(j.ID, End{Outcome: Unreached}, now)
+				default:
+					sends = append(sends, now)
+					crashedAt[d.Upstream] = now
+					f.planner.Ended(j.ID, End{Outcome: Lost}, now)
+				}
+				if step%5 != 0 {
+					continue
+				}
+				for _, up := range f.planner.DueForProbe(now) {
+					result := deployment.Healthy
+					switch _, crashed := crashedAt[up.ID]; {
+					case isDown(up.ID):
+						result = deployment.Ended
+					case crashed:
+						result = c.after
+					}
+					f.planner.Probed(up, result, now, now)
+				}
+			}
+			late := 0
+			for _, at := range sends {
+				if len(sends) >= c.bounded && at.Sub(sends[c.bounded-1]) > containmentTime {
+					late++
+				}
+			}
+			if late > maxLateSends {
+				t.Errorf("sent %d times, %d of them later than %s after crash %d, want %d at most", len(sends), late, containmentTime, c.bounded, maxLateSends)
+			}
+			t.Logf("sent %d times, %d late", len(sends), late)
+		})
+	}
+}
+
 // crashEngines has node n lose the crashing request on engines until it is refused. All
 // nodes probe the upstreams that are due for it, which are down.
 func crashEngines(t *testing.T, nodes []*node, n *node) {
--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -11,9 +11,11 @@
 const (
 	// suspectPartCrashes is the number of crashes after which a part is a suspect.
 	suspectPartCrashes = 2
-	// provingTrials is the number of trials of a part that must crash their upstreams for
-	// a proof. One may have been beside the first request with another crashing part.
-	provingTrials = 2
+	// provingTrials is the number of full trials of a part that must crash their upstreams
+	// for a proof, or twice as many partial ones. One may have been beside the first
+	// request with another crashing part.
+	provingTrials   = 2
+	provingEvidence = provingTrials * int(FullTrial)
 	// excessAnswers is by how many the requests with a part that were answered since
 	// its first crash must exceed its crashes for it to be no suspect. A part that
 	// crashes each upstream has no more answers than crashes and requests in flight.
@@ -32,6 +34,25 @@
 	TrialTime = time.Second
 )
 
+// Trial is whether a request was sent as a trial of its suspect parts, and how much its crash
+// then proves.
+type Trial int
+
+// Kinds of trials.
+const (
+	NoTrial Trial = 0
+	// PartialTrial: it is not known which requests of other instances ran beside it.
+	PartialTrial Trial = 1
+	// FullTrial: all requests that ran beside it are known.
+	FullTrial Trial = 2
+)
+
+// trialOf is the trial of a request with the parts.
+type trialOf struct {
+	parts []uint64
+	kind  Trial
+}
+
 // PartTable finds prompt parts that crash the upstreams on which a request with them
 // begins to be answered. Many sound requests share their other parts with such requests
 // or run beside them, so being in flight in crashes makes a part only a suspect. Requests
@@ -58,8 +79,8 @@
 	// answered counts the requests with the part whose first answer arrived since the
 	// first crash.
 	answered int
-	// failedTrials counts the crashes in which a trial of the part ran.
-	failedTrials int
+	// evidence sums up the trials of the part that crashed their upstreams.
+	evidence int
 }
 
 // partCrash is one crash in which a request with the part was in flight, or a loss that
@@ -76,8 +97,8 @@
 	crash  uint64
 	lastAt time.Time
 	parts  map[uint64]bool
-	// trials lists the parts of each trial among the requests.
-	trials [][]uint64
+	// trials lists the trials among the requests.
+	trials []trialOf
 }
 
 // Effects are the consequences of a change of a PartTable.
@@ -184,7 +205,7 @@
 func (t *PartTable) trialPending(part uint64) bool {
 	for _, l := range t.pending {
 		for _, trial := range l.trials {
-			if slices.Contains(trial, part) {
+			if slices.Contains(trial.parts, part) {
 				return true
 			}
 		}
@@ -193,8 +214,8 @@
 }
 
 // Lost records the parts of a request that was lost on an upstream, and whether it was a
-// trial. boot identifies the upstream's incarnation at that time; it is empty if unknown.
-func (t *PartTable) Lost(upstreamID, boot string, parts []uint64, trial bool, now time.Time) {
+// trial of them. boot identifies the upstream's incarnation at that time; it is empty if unknown.
+func (t *PartTable) Lost(upstreamID, boot string, parts []uint64, trial Trial, now time.Time) {
 	t.expire(now)
 	l := t.pending[upstreamID]
 	if l == nil {
@@ -212,8 +233,8 @@
 		l.parts[part] = true
 		t.addCrash(part, partCrash{id: l.crash, at: now})
 	}
-	if trial {
-		l.trials = append(l.trials, parts)
+	if trial != NoTrial {
+		l.trials = append(l.trials, trialOf{parts: parts, kind: trial})
 	}
 }
 
--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -21,9 +21,17 @@
 	return func() string { n++; return fmt.Sprint("e", n) }
 }
 
+// fullIf returns a full trial if trial is true, else none.
+func fullIf(trial bool) Trial {
+	if trial {
+		return FullTrial
+	}
+	return NoTrial
+}
+
 // crash records that a request with the parts was lost on an upstream that crashed.
 func crash(x *PartTable, incarnation string, at time.Time, trial bool, parts ...uint64) Effects {
-	x.Lost(incarnation, "", parts, trial, at)
+	x.Lost(incarnation, "", parts, fullIf(trial), at)
 	e, _ := x.Confirm(incarnation, at)
 	return e
 }
@@ -51,7 +59,7 @@
 		t.Errorf("verdict %d after one trial, want suspect", v)
 	}
 	trial := next()
-	x.Lost(trial, "", []uint64{bad, 99}, true, epoch)
+	x.Lost(trial, "", []uint64{bad, 99}, FullTrial, epoch)
 	if v := verdict(x, epoch, bad); v != Pending {
 		t.Errorf("verdict %d while it is unknown why the trial was lost, want pending", v)
 	}
@@ -66,7 +74,7 @@
 		t.Errorf("verdict %d on a part in two of the crashes, want clear", v)
 	}
 	last := next()
-	x.Lost(last, "", []uint64{bad, first, second}, false, epoch)
+	x.Lost(last, "", []uint64{bad, first, second}, NoTrial, epoch)
 	if _, explained := x.Confirm(last, epoch); !explained {
 		t.Error("a crash with the quarantined part in flight isn't explained")
 	}
@@ -131,8 +139,8 @@
 // not crash are dropped, also those whose cause is never known.
 func TestBrokenConnectionsDoNotCountAgainstParts(t *testing.T) {
 	x := NewPartTable()
-	x.Lost("a", "", []uint64{first}, false, epoch)
-	x.Lost("b", "", []uint64{first}, false, epoch)
+	x.Lost("a", "", []uint64{first}, NoTrial, epoch)
+	x.Lost("b", "", []uint64{first}, NoTrial, epoch)
 	if v := verdict(x, epoch, first); v != Suspect {
 		t.Errorf("verdict %d while two losses are unexplained, want suspect", v)
 	}
@@ -140,7 +148,7 @@
 	if v := verdict(x, epoch, first); v != Clear {
 		t.Errorf("verdict %d after one was a broken connection, want clear", v)
 	}
-	x.Lost("c", "", []uint64{first}, false, epoch)
+	x.Lost("c", "", []uint64{first}, NoTrial, epoch)
 	if v := verdict(x, epoch.Add(PendingTimeout+1), first); v != Clear {
 		t.Errorf("verdict %d after the time for an explanation, want clear", v)
 	}
@@ -170,8 +178,8 @@
 	crash(x, next(), epoch, false, first)
 	crash(x, next(), epoch, false, bad)
 	both := next()
-	x.Lost(both, "", []uint64{first}, true, epoch)
-	x.Lost(both, "", []uint64{bad}, false, epoch)
+	x.Lost(both, "", []uint64{first}, FullTrial, epoch)
+	x.Lost(both, "", []uint64{bad}, NoTrial, epoch)
 	x.Confirm(both, epoch)
 	if v := verdict(x, epoch, first); v != Suspect {
 		t.Errorf("verdict %d, want suspect", v)
@@ -206,8 +214,8 @@
 	}
 	for range provingTrials {
 		up := next()
-		x.Lost(up, "", []uint64{bad}, true, epoch)
-		x.Lost(up, "", []uint64{first}, false, epoch)
+		x.Lost(up, "", []uint64{bad}, FullTrial, epoch)
+		x.Lost(up, "", []uint64{first}, NoTrial, epoch)
 		x.Confirm(up, epoch)
 	}
 	if v := verdict(x, epoch, bad); v != Quarantined {
@@ -330,9 +338,9 @@
 			up := next()
 			bystander := uint64(rapid.IntRange(0, soundParts).Draw(t, "bystander"))
 			if bystander > 0 && verdict(x, now, bystander) == Clear { // else it would be a trial, on another upstream
-				x.Lost(up, "", []uint64{bystander}, false, now)
+				x.Lost(up, "", []uint64{bystander}, NoTrial, now)
 			}
-			x.Lost(up, "", parts, a.Verdict == Suspect, now)
+			x.Lost(up, "", parts, fullIf(a.Verdict == Suspect), now)
 			x.Confirm(up, now)
 		}
 		for part := range uint64(soundParts) {
--- a/internal/poison/proofs.go
+++ b/internal/poison/proofs.go
@@ -19,24 +19,24 @@
 // provedBy returns the suspect parts of a trial, one of which is proved to be the cause of a
 // crash. There are none if a part of another request on the upstream may be the cause as
 // well, or if no earlier trial of one of them has failed.
-func (t *PartTable) provedBy(trial []uint64, l *partLosses, now time.Time) []uint64 {
+func (t *PartTable) provedBy(trial trialOf, l *partLosses, now time.Time) []uint64 {
 	// Parts that were cleared since the trial began are not the cause.
-	suspects := slices.DeleteFunc(slices.Clone(trial), func(part uint64) bool {
+	suspects := slices.DeleteFunc(slices.Clone(trial.parts), func(part uint64) bool {
 		r, known := t.records.Peek(part)
 		return !known || len(r.crashes) < suspectPartCrashes || !r.wasIn(l.crash)
 	})
 	for part := range l.parts {
-		if !slices.Contains(trial, part) && t.isSuspect(part, 0, now) && !t.explainedBy(part, suspects) {
+		if !slices.Contains(trial.parts, part) && t.isSuspect(part, 0, now) && !t.explainedBy(part, suspects) {
 			return nil
 		}
 	}
-	failed := 0
+	evidence := 0
 	for _, part := range suspects {
 		r, _ := t.records.Peek(part)
-		r.failedTrials++
-		failed = max(failed, r.failedTrials)
+		r.evidence += int(trial.kind)
+		evidence = max(evidence, r.evidence)
 	}
-	if failed < provingTrials {
+	if evidence < provingEvidence {
 		return nil
 	}
 	return suspects
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -36,6 +36,10 @@
 	// crash nor dismissed as a broken connection: some seconds longer than an upstream
 	// that crashed silently takes to restart or to leave the list.
 	PendingTimeout = 15 * time.Second
+	// maxDismissed is the number of losses within PendingTimeout that may be dismissed as
+	// broken connections before a fingerprint must wait: an upstream that crashed and
+	// restarted faster than it was probed looks as if it had never crashed.
+	maxDismissed = 3
 	// maxSuspects bounds the suspects; the least recently used are evicted.
 	maxSuspects = 8192
 	// maxPendingUpstreams bounds the upstreams with pending losses, and
@@ -106,7 +110,10 @@
 	pending  map[string]*pendingLosses
 	// pendingCounts holds the number of pending losses of each fingerprint that has any.
 	pendingCounts map[uint64]int
-	outage        outage
+	// dismissed holds the times of the last maxDismissed losses of a fingerprint that were
+	// dismissed since it last completed, the earliest first.
+	dismissed *simplelru.LRU[uint64, []time.Time]
+	outage    outage
 }
 
 // NewTable returns an empty table.
@@ -115,7 +122,11 @@
 	if err != nil {
 		panic(err) // only for a size of zero or less
 	}
-	return &Table{suspects: suspects, pending: map[string]*pendingLosses{}, pendingCounts: map[uint64]int{}, outage: newOutage()}
+	dismissed, err := simplelru.NewLRU[uint64, []time.Time](maxSuspects, nil)
+	if err != nil {
+		panic(err) // only for a size of zero or less
+	}
+	return &Table{suspects: suspects, pending: map[string]*pendingLosses{}, pendingCounts: map[uint64]int{}, dismissed: dismissed, outage: newOutage()}
 }
 
 // Lost records an attempt whose connection to an upstream was lost. boot identifies
@@ -169,9 +180,23 @@
 // Dismiss records that the upstream was alive at the time seen, with the same boot.
 // Losses before that time were broken connections and are dropped.
 func (t *Table) Dismiss(upstreamID string, seen time.Time) {
-	if p := t.pending[upstreamID]; p != nil && seen.After(p.lastAt) {
-		t.dropPending(upstreamID)
+	p := t.pending[upstreamID]
+	if p == nil || !seen.After(p.lastAt) {
+		return
 	}
+	for _, l := range p.losses {
+		times, _ := t.dismissed.Peek(l.fingerprint)
+		times = append(slices.Clip(times), p.lastAt)
+		t.dismissed.Add(l.fingerprint, times[max(0, len(times)-maxDismissed):])
+	}
+	t.dropPending(upstreamID)
+}
+
+// oftenDismissed reports whether maxDismissed losses of the fingerprint within
+// PendingTimeout were dismissed.
+func (t *Table) oftenDismissed(fingerprint uint64, now time.Time) bool {
+	times, known := t.dismissed.Peek(fingerprint)
+	return known && len(times) >= maxDismissed && now.Sub(times[0]) <= PendingTimeout
 }
 
 // Explain records that the crashes have another cause than a request as a whole. Requests
@@ -207,6 +232,7 @@
 // suspect.
 func (t *Table) Completed(fingerprint uint64) (Notice, bool) {
 	t.dropPendingLosses(fingerprint)
+	t.dismissed.Remove(fingerprint)
 	if _, known := t.suspects.Peek(fingerprint); !known {
 		return Notice{}, false
 	}
@@ -226,7 +252,7 @@
 	switch {
 	case known && s.quarantined():
 		return Quarantined, s.lastCrash.Add(quarantineTime).Sub(now)
-	case known && pending > 0 || pending >= quarantineCrashes:
+	case known && pending > 0 || pending >= quarantineCrashes || t.oftenDismissed(fingerprint, now):
 		return Pending, 0
 	case known || pending > 0:
 		return Suspect, 0
