deployment: in large fleets a few instances follow the store, and the others follow them

Cause: each instance followed the store by itself, so calls grew with the fleet. An instance whose relay fails asks a second one, then the store. Watchers wait 0.1 s for further changes, since only few calls follow. Measured in virtual time, 195 instances: 1,059 calls in 48 s with six changes became 94; around an outage of 8 s 1,477 became 430 (TestRelaysSaveCallsToTheStore). An upstream that leaves is used for 0.65 s at worst beside failed calls at 65 and 410 instances (1.8 s and more before), 1.65 s with both relays frozen at the moment (3 s allowed; TestInstancesLearnInTimeWithoutTheirRelay). go test -race of deployment and hosted passes.

--- a/internal/deployment/era.go
+++ b/internal/deployment/era.go
@@ -161,6 +161,9 @@
 	if len(list) > 0 {
 		f.logUpstreams(list, nil, f.state.View().Revision)
 		f.state.AddUpstreams(list, now)
+		f.mu.Lock()
+		f.publish()
+		f.mu.Unlock()
 	}
 }
 
--- a/internal/deployment/exchange.go
+++ b/internal/deployment/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -28,6 +29,12 @@
 	fetchTimeout = 500 * time.Millisecond
 )
 
+// Errors of calls between instances.
+var (
+	errNoLinks  = errors.New("no links to other instances yet")
+	errNoSource = errors.New("no source has this number")
+)
+
 // Exchange lets instances detect that they are behind. Messages between instances carry
 // the newest change that the sender knows of each source. An instance that receives a
 // newer version and does not get the change from the store, because its connection
@@ -43,13 +50,18 @@
 // NewExchange returns an Exchange for the followers of a state. All instances must list them in
 // the same order.
 func NewExchange(state *State, followers ...*Follower) *Exchange {
-	return &Exchange{state: state, followers: followers}
+	e := &Exchange{state: state, followers: followers}
+	for i, f := range followers {
+		f.exchange, f.index = e, i
+	}
+	return e
 }
 
 // SetBus connects the Exchange to the other instances. It must be called before the bus
 // is started.
 func (e *Exchange) SetBus(bus peer.Bus) {
 	bus.HandleCall(topicUpdate, e.handleFetch)
+	bus.HandleCall(topicFollow, e.handleFollow)
 	bus.HandleBroadcast(topicLeaving, e.handleLeaving)
 	bus.HandleBroadcast(topicStoreBack, func(string, []byte) {
 		for _, f := range e.followers {
@@ -61,12 +73,16 @@
 	e.mu.Unlock()
 }
 
+// currentBus returns the bus; nil if there are no links to other instances yet.
+func (e *Exchange) currentBus() peer.Bus {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.bus
+}
+
 // StoreBack tells the other instances that the store answers again.
 func (e *Exchange) StoreBack() {
-	e.mu.Lock()
-	bus := e.bus
-	e.mu.Unlock()
-	if bus != nil {
+	if bus := e.currentBus(); bus != nil {
 		bus.Broadcast(topicStoreBack, nil)
 	}
 }
@@ -111,11 +127,9 @@
 
 // fetch returns another instance's snapshot of a source.
 func (e *Exchange) fetch(from string, index int) (Update, error) {
-	e.mu.Lock()
-	bus := e.bus
-	e.mu.Unlock()
+	bus := e.currentBus()
 	if bus == nil {
-		return Update{}, trace.NotFound("fetching an update: no links to other instances yet")
+		return Update{}, errNoLinks
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
@@ -135,7 +149,7 @@
 func (e *Exchange) handleFetch(_ context.Context, _ string, payload []byte) ([]byte, error) {
 	var index int
 	if err := cbor.Unmarshal(payload, &index); err != nil || index < 0 || index >= len(e.followers) {
-		return nil, trace.BadParameter("no source has this number")
+		return nil, errNoSource
 	}
 	return cbor.Marshal(e.followers[index].snapshot())
 }
--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -113,6 +113,9 @@
 	batchDelayPerInstance = 15 * time.Millisecond
 	// maxBatchShare bounds the delay as a fraction of ApplyTimeout.
 	maxBatchShare = 0.33
+	// maxWatcherBatchDelay bounds the delay of watchers, which are few and relay changes to
+	// the others.
+	maxWatcherBatchDelay = 100 * time.Millisecond
 )
 
 // FollowerOptions configures a Follower.
@@ -126,6 +129,9 @@
 	// IsWatcher reports whether this instance is one of the few that check often that the
 	// store's answers still arrive.
 	IsWatcher func() bool
+	// Relays, if set, returns the instances through which this one follows the store, in the
+	// order in which they are asked; none if it follows the store by itself.
+	Relays func() []string
 	// OnEra, if set, is called when the store has come back from an older copy. It must
 	// not block.
 	OnEra func(era int64)
@@ -145,6 +151,11 @@
 	state   *State
 	source  Source
 	options FollowerOptions
+	// exchange calls other instances, for which this follower has the number index; nil
+	// without any.
+	exchange *Exchange
+	index    int
+	relay    relayed
 
 	// complete is the store's version up to which all changes are known, changed the
 	// version of the newest change.
@@ -161,6 +172,12 @@
 	eraKnownAt time.Time
 	// mu guards the fields below.
 	mu sync.Mutex
+	// version counts the changes of what is known here, from the start of the process on,
+	// so that no other process has the same; news is closed and replaced at each.
+	version uint64
+	news    chan struct{}
+	// answeredAt is when the store last answered this instance itself.
+	answeredAt time.Time
 	// interrupt cancels the current call for changes.
 	interrupt context.CancelFunc
 	// batchEnds is when the last wait for further changes ends or has ended.
@@ -181,7 +198,9 @@
 // NewFollower returns a Follower; Run starts it.
 func NewFollower(state *State, source Source, options FollowerOptions) *Follower {
 	return &Follower{
-		state: state, source: source, options: options, fetched: make(chan Update, 1), storeBack: make(chan struct{}, 1),
+		state: state, source: source, options: options,
+		version: uint64(time.Now().UnixNano()), news: make(chan struct{}),
+		fetched: make(chan Update, 1), storeBack: make(chan struct{}, 1),
 		outage:          outage{heartbeat: options.UpstreamHeartbeat},
 		pendingRemovals: map[string]time.Time{}, removed: map[string]removedUpstream{}, distrusted: map[string]distrustedUpstream{},
 	}
@@ -193,6 +212,19 @@
 	snapshot := true
 	for ctx.Err() == nil {
 		f.applyFetched()
+		if !snapshot || !f.failingSince().IsZero() {
+			switch f.followRelay(ctx) {
+			case relayAnswered:
+				pause, snapshot = f.newBackoff(), false
+				continue
+			case relayInterrupted:
+				snapshot = true
+				continue
+			case relayKnowsStoreAway:
+				f.waitToRetry(ctx, relayRetryPause)
+				continue
+			}
+		}
 		began := time.Now()
 		update, err := f.next(ctx, snapshot)
 		if err == nil {
@@ -211,7 +243,7 @@
 		if err != nil {
 			snapshot = snapshot || isUnusable(err)
 			f.recordFailure(ctx, err, now)
-			f.waitToRetry(ctx, pause.NextBackOff())
+			f.waitToRetry(ctx, f.retryPause(pause.NextBackOff()))
 			continue
 		}
 		f.recordAnswer(now)
@@ -230,6 +262,9 @@
 // waitForBatch waits for further changes, which the next call then reads together.
 func (f *Follower) waitForBatch(ctx context.Context) {
 	delay := f.options.batchDelay()
+	if f.options.IsWatcher() {
+		delay = min(delay, maxWatcherBatchDelay)
+	}
 	f.mu.Lock()
 	f.batchEnds = time.Now().Add(delay)
 	f.mu.Unlock()
@@ -244,15 +279,21 @@
 	return time.Until(f.batchEnds)
 }
 
-// waitToRetry waits before a failed call is made again, but not longer than until another
-// instance tells that the store answers.
-func (f *Follower) waitToRetry(ctx context.Context, pause time.Duration) {
+// retryPause returns the pause after a failed call to the store, given the usual one.
+func (f *Follower) retryPause(usual time.Duration) time.Duration {
 	longOutage := time.Duration(longOutageShare * float64(f.options.ApplyTimeout))
 	if f.isIdle() && time.Since(f.failingSince()) > longOutage {
-		pause *= longOutageFactor
+		return usual * longOutageFactor
 	}
+	return usual
+}
+
+// waitToRetry waits before a failed call is made again, but not longer than until another
+// instance tells that the store answers.
+func (f *Follower) waitToRetry(ctx context.Context, pause time.Duration) {
 	select {
 	case <-f.storeBack:
+		f.relay.avoided = nil
 	case <-time.After(pause):
 	case <-ctx.Done():
 	}
@@ -385,6 +426,7 @@
 	}
 	f.mu.Lock()
 	first := f.outage.failed(now)
+	f.wake()
 	f.mu.Unlock()
 	if first {
 		metrics.GetOrCreateCounter(fmt.Sprintf(`banyanroute_store_lost_total{table=%q}`, f.source.Name())).Inc()
@@ -396,6 +438,7 @@
 func (f *Follower) recordAnswer(now time.Time) {
 	f.mu.Lock()
 	again := f.outage.answered(f.state.View(), now)
+	f.answeredAt = now
 	f.mu.Unlock()
 	if again {
 		log.WithField("table", f.source.Name()).WithField("revision", f.complete.load()).Info("platform store available again")
@@ -409,6 +452,11 @@
 func (f *Follower) applyContained(u Update, now time.Time) (err error) {
 	defer panics.RecoverError(log.WithField("table", f.source.Name()), &err)
 	f.apply(u, now)
+	if u.Complete || u.Config != nil || len(u.Upstreams)+len(u.Removed) > 0 {
+		f.mu.Lock()
+		f.publish()
+		f.mu.Unlock()
+	}
 	return nil
 }
 
@@ -416,6 +464,8 @@
 type FollowerState struct {
 	Source   string   `json:"source"`
 	Revision Revision `json:"revision"`
+	// Relay is the instance through which the source is followed; empty for the store itself.
+	Relay string `json:"relay,omitempty"`
 	// PendingRemovals lists the upstreams whose removal is deferred.
 	PendingRemovals []string `json:"pending_removals,omitempty"`
 }
@@ -425,7 +475,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return FollowerState{
-		Source: f.source.Name(), Revision: f.complete.load(),
+		Source: f.source.Name(), Revision: f.complete.load(), Relay: f.relay.id,
 		PendingRemovals: slices.Sorted(maps.Keys(f.pendingRemovals)),
 	}
 }
--- a/internal/deployment/leaving.go
+++ b/internal/deployment/leaving.go
@@ -86,9 +86,7 @@
 	}
 	metrics.GetOrCreateCounter(`banyanroute_leaving_answers_total`).Inc()
 	log.WithField("upstream", up.ID).WithField("service", up.Service).Info("upstream said in an answer that it leaves; it gets no new work")
-	e.mu.Lock()
-	bus := e.bus
-	e.mu.Unlock()
+	bus := e.currentBus()
 	if bus == nil {
 		return
 	}
--- a/internal/deployment/leaving_test.go
+++ b/internal/deployment/leaving_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -95,6 +96,9 @@
 type storeLink struct {
 	store *logStore
 
+	// calls counts the calls.
+	calls atomic.Int64
+
 	mu sync.Mutex
 	// failsUntil is the time until which all calls fail immediately.
 	failsUntil time.Time
@@ -142,6 +146,7 @@
 // begin waits for the time of a call. It returns the channel that is closed when the
 // call's connection goes silent.
 func (l *storeLink) begin() (<-chan struct{}, error) {
+	l.calls.Add(1)
 	time.Sleep(callTime)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -203,10 +208,16 @@
 	states    []*State
 	exchanges []*Exchange
 	ids       []string
+	net       *peertest.Net
 }
 
-// leavingWatchers is the number of instances that poll the store often.
-const leavingWatchers = 2
+const (
+	// leavingWatchers is the number of instances that poll the store often.
+	leavingWatchers = 2
+	// relayedFleet is the number of instances from which on the others follow the store
+	// through them.
+	relayedFleet = 30
+)
 
 // withLeavingFleet starts n instances in a bubble of virtual time and calls play in it.
 // bound is the time within which an upstream that leaves must get no more work.
@@ -223,14 +234,25 @@
 }
 
 func newLeavingFleet(ctx context.Context, n int, bound time.Duration) *leavingFleet {
-	f := &leavingFleet{store: newLogStore(upstreams("a", "b", "c", "d", "leaves"))}
+	return newRelayedFleet(ctx, n, bound, n >= relayedFleet)
+}
+
+// newRelayedFleet starts n instances, of which those that are not watchers follow the store
+// through these if isRelayed is true.
+func newRelayedFleet(ctx context.Context, n int, bound time.Duration, isRelayed bool) *leavingFleet {
 	net := peertest.NewNet(time.Millisecond)
+	f := &leavingFleet{store: newLogStore(upstreams("a", "b", "c", "d", "leaves")), net: net}
 	for i := range n {
 		options := FollowerOptions{
 			Instances:    func() int { return n },
 			ApplyTimeout: min(bound, 2*time.Second), UpstreamHeartbeat: time.Second,
 			IsWatcher: func() bool { return i < leavingWatchers },
 		}
+		if isRelayed && i >= leavingWatchers {
+			options.Relays = func() []string {
+				return []string{fmt.Sprintf("i%d", i%leavingWatchers), fmt.Sprintf("i%d", (i+1)%leavingWatchers)}
+			}
+		}
 		link, state, id := newStoreLink(f.store), NewState(), fmt.Sprintf("i%d", i)
 		follower := NewFollower(state, link, options)
 		exchange := NewExchange(follower.state, follower)
--- a/internal/deployment/outage.go
+++ b/internal/deployment/outage.go
@@ -66,6 +66,12 @@
 	return true
 }
 
+// relayed records that the store answered another instance, which judges by itself which
+// entries may have expired.
+func (o *outage) relayed(now time.Time) {
+	o.answeredAt, o.failingSince, o.failedAt = now, time.Time{}, time.Time{}
+}
+
 // returned records that the store came back without some of its entries.
 func (o *outage) returned(now time.Time) { o.provenUntil = now.Add(reappearTimeout) }
 
--- a/internal/deployment/removals.go
+++ b/internal/deployment/removals.go
@@ -134,5 +134,6 @@
 		f.logUpstreams(nil, removed, f.state.View().Revision)
 		f.forgetLocked(nil, removed, now)
 		f.state.RemoveUpstreams(removed, now)
+		f.publish()
 	}
 }
--- a/internal/hosted/links.go
+++ b/internal/hosted/links.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -176,23 +177,62 @@
 	return max(len(overlay.Members()), overlay.Listed())
 }
 
-// storeWatchers is the number of instances that check often that the store's answers
-// still arrive; with two, one can fail.
-const storeWatchers = 2
+// Instances that check often that the store's answers still arrive, and follow it for the
+// others in large fleets.
+const (
+	// minWatchers is the least number of watchers; with two, one can fail.
+	minWatchers = 2
+	// instancesPerWatcher bounds the calls that wait at one watcher: one for each source and
+	// instance.
+	instancesPerWatcher = 64
+	// relayedFleet is the number of instances from which on those that are not watchers
+	// follow the store through them.
+	relayedFleet = 30
+)
+
+// watchers returns the watchers among the members. Strong instances answer in time.
+func watchers(members []peer.Member) []peer.Member {
+	ranked := peer.Ranked(peer.Strong(members), "store watchers")
+	n := max(minWatchers, (len(members)+instancesPerWatcher-1)/instancesPerWatcher)
+	return ranked[:min(n, len(ranked))]
+}
 
-// isWatcher reports whether this instance is one of the storeWatchers, or is not linked.
+// isWatcher reports whether this instance is a watcher, or is not linked.
 func (l *links) isWatcher() bool {
 	overlay := l.overlay.Load()
 	if overlay == nil {
 		return true
 	}
-	ranked := peer.Ranked(overlay.Members(), "store watchers")
-	for _, m := range ranked[:min(len(ranked), storeWatchers)] {
-		if m.ID == l.self.ID {
-			return true
+	return slices.ContainsFunc(watchers(overlay.Members()), l.isSelf)
+}
+
+// isSelf reports whether a member is this instance.
+func (l *links) isSelf(m peer.Member) bool { return m.ID == l.self.ID }
+
+// relays returns the instances through which this one follows the store; none if it
+// follows the store by itself.
+func (l *links) relays() []string {
+	overlay := l.overlay.Load()
+	if overlay == nil {
+		return nil
+	}
+	return relaysOf(l.self.ID, overlay.Members())
+}
+
+// relaysOf returns the relays of one of the members, in an order that spreads the members
+// over them.
+func relaysOf(id string, members []peer.Member) []string {
+	if len(members) < relayedFleet {
+		return nil
+	}
+	var ids []string
+	for _, m := range peer.Ranked(watchers(members), id) {
+		if m.ID == id {
+			return nil
 		}
+		ids = append(ids, m.ID)
 	}
-	return false
+	return ids
 }
 
 // contained makes a call and returns its panic as an error: the store may hold anything.
