--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -88,8 +88,10 @@
 	// initialRetryPause and maxRetryPause bound the pauses after failed calls: a store
 	// that is available again must be noticed well within the seconds in which a
 	// configuration must be applied. Refused calls are priced too, so instances of large
-	// fleets pause longer, by retryPausePerInstance for each instance.
+	// fleets pause longer, by retryPausePerInstance for each instance. An instance that has
+	// no data yet begins with startRetryPause: others may start with it, all at once.
 	initialRetryPause     = 50 * time.Millisecond
+	startRetryPause       = 300 * time.Millisecond
 	maxRetryPause         = 400 * time.Millisecond
 	retryPausePerInstance = 10 * time.Millisecond
 	maxFleetRetryPause    = 1200 * time.Millisecond
@@ -113,9 +115,12 @@
 	batchDelayPerInstance = 15 * time.Millisecond
 	// maxBatchShare bounds the delay as a fraction of ApplyTimeout.
 	maxBatchShare = 0.33
-	// maxWatcherBatchDelay bounds the delay of watchers, which are few and relay changes to
-	// the others.
-	maxWatcherBatchDelay = 100 * time.Millisecond
+	// maxRelayBatchDelay bounds the delay of relays, which are few and pass changes on to the
+	// others.
+	maxRelayBatchDelay = 100 * time.Millisecond
+	// unlinkedBatchDelay is the delay of an instance that has just started. Within it most
+	// are linked and need not wait for changes at the store themselves.
+	unlinkedBatchDelay = time.Second
 )
 
 // FollowerOptions configures a Follower.
@@ -129,6 +134,10 @@
 	// IsWatcher reports whether this instance is one of the few that check often that the
 	// store's answers still arrive.
 	IsWatcher func() bool
+	// IsLinked, if set, reports whether this instance has links to the others.
+	IsLinked func() bool
+	// IsRelay, if set, reports whether others follow the store through this instance.
+	IsRelay func() bool
 	// Relays, if set, returns the instances through which this one follows the store, in the
 	// order in which they are asked; none if it follows the store by itself.
 	Relays func() []string
@@ -143,7 +152,14 @@
 // batchDelay returns how long to wait for further changes after a change.
 func (o FollowerOptions) batchDelay() time.Duration {
 	limit := time.Duration(maxBatchShare * float64(o.ApplyTimeout))
-	return min(time.Duration(o.Instances())*batchDelayPerInstance, limit)
+	delay := time.Duration(o.Instances()) * batchDelayPerInstance
+	switch {
+	case o.IsLinked != nil && !o.IsLinked():
+		delay = unlinkedBatchDelay
+	case o.IsRelay != nil && o.IsRelay():
+		delay = min(delay, maxRelayBatchDelay)
+	}
+	return min(delay, limit)
 }
 
 // Follower keeps a State up to date from one source.
@@ -262,9 +278,6 @@
 // waitForBatch waits for further changes, which the next call then reads together.
 func (f *Follower) waitForBatch(ctx context.Context) {
 	delay := f.options.batchDelay()
-	if f.options.IsWatcher() {
-		delay = min(delay, maxWatcherBatchDelay)
-	}
 	f.mu.Lock()
 	f.batchEnds = time.Now().Add(delay)
 	f.mu.Unlock()
@@ -330,6 +343,9 @@
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = initialRetryPause
 	b.MaxInterval = min(maxRetryPause+time.Duration(f.options.Instances())*retryPausePerInstance, maxFleetRetryPause)
+	if f.complete.load() == (Revision{}) {
+		b.InitialInterval = startRetryPause
+	}
 	if f.isIdle() {
 		b.Multiplier, b.RandomizationFactor = idleRetryGrowth, idleRetryJitter
 	}
--- a/internal/deployment/leaving_test.go
+++ b/internal/deployment/leaving_test.go
@@ -248,6 +248,7 @@
 			ApplyTimeout: min(bound, 2*time.Second), UpstreamHeartbeat: time.Second,
 			IsWatcher: func() bool { return i < leavingWatchers },
 		}
+		options.IsRelay = func() bool { return isRelayed && i < leavingWatchers }
 		if isRelayed && i >= leavingWatchers {
 			options.Relays = func() []string {
 				return []string{fmt.Sprintf("i%d", i%leavingWatchers), fmt.Sprintf("i%d", (i+1)%leavingWatchers)}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -96,7 +96,7 @@
 	for _, source := range o.Sources {
 		options := deployment.FollowerOptions{
 			Instances: n.links.instances, ApplyTimeout: s.ApplyTimeout, UpstreamHeartbeat: s.UpstreamHeartbeat,
-			IsWatcher: n.links.isWatcher, Relays: n.links.relays, OnEra: n.restorer.enter,
+			IsWatcher: n.links.isWatcher, IsLinked: n.links.isLinked, IsRelay: n.links.isRelay, Relays: n.links.relays, OnEra: n.restorer.enter,
 			OnStoreBack: func() { n.links.exchange.StoreBack() },
 		}
 		n.followers = append(n.followers, deployment.NewFollower(n.state, source, options))
--- a/internal/hosted/links.go
+++ b/internal/hosted/links.go
@@ -206,6 +206,18 @@
 	return slices.ContainsFunc(watchers(overlay.Members()), l.isSelf)
 }
 
+// isLinked reports whether this instance has links to others, or is the only one.
+func (l *links) isLinked() bool {
+	overlay := l.overlay.Load()
+	return overlay != nil && (len(overlay.Neighbours()) > 0 || overlay.Listed() == 1)
+}
+
+// isRelay reports whether others follow the store through this instance.
+func (l *links) isRelay() bool {
+	overlay := l.overlay.Load()
+	return overlay != nil && len(overlay.Members()) >= relayedFleet && l.isWatcher()
+}
+
 // isSelf reports whether a member is this instance.
 func (l *links) isSelf(m peer.Member) bool { return m.ID == l.self.ID }
 
