placement: late prompts that harm others are refused; the largest weigh more; callers return later

Cause, from replays of the large site, prompt by prompt: in a burst of long prompts the largest were deferred for 4.8 s (48 times), and then placed at any cost, late themselves: 27 engine seconds for a quarter of their value, which made the prompts and streams after them late. Short ones that no engine could answer in time were told to return after 0.67 s, into the same burst. Change: a long prompt that cannot be deferred any more is refused, with the time after which its caller can come back, if it would be late and cost others more than its late answer is worth. Prompts above 200,000 tokens weigh more in proportion to their size, as the engine time of a token does, or they would be those that are refused. Callers refused for lateness return after a third of the time that they have left. For a stream that has begun the wait counts from its last event, so that its resumption isn't refused for its age.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -61,7 +61,7 @@
 		MaxOutput:   rq.call.MaxOutputTokens,
 		FirstAnswer: rq.route.FirstAnswer,
 		MaxPause:    rq.route.MaxPause,
-		Waited:      time.Since(rq.arrived),
+		Waited:      rq.waited(),
 		Remaining:   rq.remainingPatience(),
 		Lifetime:    time.Until(rq.deadline),
 		Avoid:       rq.tried,
@@ -237,7 +237,7 @@
 		if !wait || !sleep.For(ctx, pause) {
 			return d
 		}
-		job.Waited, job.Remaining, job.Lifetime = time.Since(rq.arrived), rq.remainingPatience(), time.Until(rq.deadline)
+		job.Waited, job.Remaining, job.Lifetime = rq.waited(), rq.remainingPatience(), time.Until(rq.deadline)
 	}
 }
 
@@ -253,6 +253,15 @@
 	callerGapMaxPauseFactor    = 8
 )
 
+// waited returns for how long the caller has waited for the first or, if a stream has begun,
+// the next byte.
+func (rq *request) waited() time.Duration {
+	if rq.begun() && !rq.record.last.IsZero() {
+		return time.Since(rq.record.last)
+	}
+	return time.Since(rq.arrived)
+}
+
 // remainingPatience returns how long the caller still waits for the next byte.
 func (rq *request) remainingPatience() time.Duration {
 	left := time.Until(rq.deadline)
--- a/internal/placement/generation.go
+++ b/internal/placement/generation.go
@@ -37,6 +37,10 @@
 	// caller has left. It bounds what the job may cost other jobs in order to be ready
 	// earlier; without this bound short prompts lost more than that.
 	lastAttemptCost = 2
+	// maxReturnsInTime is the number by which callers divide the time that they have left for
+	// the longest pause before they return. Engines that cannot answer in time stay full
+	// for as long as a burst lasts, and a caller that returns into it is refused again.
+	maxReturnsInTime = 3
 	// reserveSlackTokens is added to a reservation for memory blocks that are not full.
 	reserveSlackTokens = 64
 )
@@ -83,8 +87,8 @@
 		return Decision{Reason: Deferred, RetryAfter: refusalPause}
 	}
 	expect := best.ready.Sub(now)
-	if expect > j.Remaining {
-		return Decision{Reason: TooLate, RetryAfter: min(expect-j.Remaining+firstPause, j.Remaining/3)}
+	if expect > j.Remaining || j.Prompt >= longPromptTokens && best.isHarmful(j, now) {
+		return Decision{Reason: TooLate, RetryAfter: max(expect-j.Remaining+firstPause, j.Lifetime/maxReturnsInTime)}
 	}
 	best.decision.Expect = expect
 	return best.decision
@@ -181,6 +185,15 @@
 	return b.cost-own > gain+deferMinCost*j.value()
 }
 
+// lateShare is what an answer that is late is worth to the users, as a fraction of its value.
+const lateShare = 0.25
+
+// isHarmful reports whether the job will be late although it is placed now, and costs other
+// jobs more than its late answer is worth.
+func (b *proposal) isHarmful(j *Job, now time.Time) bool {
+	return j.lateness(b.ready, now) > 1 && b.cost-j.latenessCost(b.ready, now) > lateShare*j.value()
+}
+
 // single finds the best engine for w, the work of the whole job.
 func (s *search) single(candidates []*member, w enginemodel.Work, urgency int) (proposal, bool) {
 	w.Urgency = urgency
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -31,6 +31,20 @@
 	return d
 }
 
+// grownDay returns a day of the users' grown deployment with 78 engines, with the same turns.
+func grownDay(phase int) day {
+	m := usersModel()
+	m.Slots, m.Stride, m.MemoryTokens = 12, 48, 197_200
+	d := largeDay(phase)
+	d.engines, d.model = 78, m
+	d.classes = []class{
+		{"short", 130, 4960, 0.9, 23_800, 31 * 48, 0.7, 300 * time.Millisecond, 250 * time.Millisecond, 10 * time.Second, 1.3, 0.33},
+		{"medium", 8.84, 45_000, 0.5, 110_000, 18 * 48, 0.6, 1500 * time.Millisecond, 600 * time.Millisecond, 10 * time.Second, 3.3, 0.83},
+		{"long", 5.45, 190_000, 0.55, 600_000, 15 * 48, 0.5, 3 * time.Second, time.Second, 15 * time.Second, 20, 5.1},
+	}
+	return d
+}
+
 // worth is what a day is worth to the users: the earned share of the whole, of the kind and
 // size that is served worst, and of the worst time.
 type worth struct {
@@ -123,3 +137,26 @@
 		t.Errorf("the days are worth %.3f on average, want %.2f", mean, target)
 	}
 }
+
+// TestLatePromptsDoNotHarmOthers replays bursts of long prompts that ask for more than all
+// engines on a grown deployment. Prompts that had waited in vain for a place in time were
+// placed at any cost, late themselves, and made those after them late too. What the days are
+// worth must reach the users' target for that deployment, and no kind or size of requests may be given up.
+func TestLatePromptsDoNotHarmOthers(t *testing.T) {
+	t.Parallel()
+	const seeds, target, minGroup = 2, 0.63, 1.0 / 3
+	sum := 0.0
+	for seed := range uint64(seeds) {
+		o := grownDay(1).run(seed)
+		t.Logf("seed %d: %s; %s", seed, o.worth, o)
+		sum += o.worth.total()
+		for name, share := range o.worth.groups {
+			if share < minGroup {
+				t.Errorf("seed %d: %s earned %.2f of their value, want %.2f", seed, name, share, minGroup)
+			}
+		}
+	}
+	if mean := sum / seeds; mean < target {
+		t.Errorf("the days are worth %.3f on average, want %.2f", mean, target)
+	}
+}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -49,9 +49,12 @@
 }
 
 // value returns the value of the job if it is answered in time: a fixed part, and the
-// size of the job, in which the users count an output token as ten prompt tokens.
+// size of the job, in which the users count an output token as ten prompt tokens. The time
+// that engines need for a token grows with its prompt, so without a weight that grows alike the
+// largest prompts would always be those that wait.
 func (j *Job) value() float64 {
-	return valuePerJob + (float64(j.Prompt)+outputValue*float64(j.Output))/valueUnit
+	value := valuePerJob + (float64(j.Prompt)+outputValue*float64(j.Output))/valueUnit
+	return value * max(1, float64(j.Prompt)/evenTokens)
 }
 
 const (
@@ -59,6 +62,8 @@
 	outputValue = 10
 	// valueUnit scales values to about 1 for a short prompt.
 	valueUnit = 20_000.0
+	// evenTokens is the size up to which prompts are weighted alike.
+	evenTokens = 200_000.0
 	// valuePerJob is the value of a request apart from its size.
 	valuePerJob = 0.3
 )
