--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -28,7 +28,7 @@
 	if first == nil {
 		return
 	}
-	pj.run = first.run
+	pj.run, pj.pool = first.run, pl
 	if spend {
 		p.limits.Sent(limitKey(first.upstream))
 	}
@@ -111,7 +111,7 @@
 	if pl == nil {
 		return
 	}
-	if pj.upstream.ID != "" && !pj.job.isVeryLong() {
+	if pj.pool == pl && !pj.job.isVeryLong() {
 		pl.frontJobs--
 	}
 	for i, up := range pj.decision.upstreams() {
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -60,6 +60,9 @@
 	// run is the run of the upstream on which the job was placed; the upstream's ID is empty
 	// if it was not listed.
 	run
+	// pool is the pool in which the job is counted; nil if its upstream was not listed. A
+	// service that is configured anew has another one.
+	pool *pool
 	// leaving reports whether that incarnation has left as planned.
 	leaving bool
 	// planned reports whether this planner placed the job, alone whether it did so without
