poison: a stall on an upstream that answers others counts only once it is found to have crashed

Change: the parts of an attempt that got no answer, while its upstream answered another one after it was sent, are suspects only if the upstream is then found to have crashed; the evidence is kept until then. Measured: TestStallsInOverloadAreNoSuspects failed before (a trial of the part). go test -race of poison, admit and of placement's tests of crashes passes, TestCrashingPartIsContainedAtSize included.

--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -69,6 +69,9 @@
 		pj.answered, pj.answeredAt = true, now
 		p.parts.Answered(pj.job.Parts)
 	}
+	if m := p.current(pj.upstream); m != nil {
+		m.answeredAt = now
+	}
 	pl := p.pools[pj.job.Service]
 	if pl == nil {
 		return
@@ -97,6 +100,9 @@
 	if m == nil {
 		return
 	}
+	if e.Outcome == Completed {
+		m.answeredAt = now
+	}
 	if m.health.record(e.Outcome, now) {
 		log.WithField("upstream", m.upstream.ID).WithField("outcome", e.Outcome.String()).WithField("request", id).
 			WithField("pause", m.health.pause).Warn("upstream marked as down and paused; a successful probe ends the pause early")
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -110,6 +110,8 @@
 	health    health
 	// engine predicts a model engine; nil for a plain service.
 	engine *enginemodel.Engine
+	// answeredAt is when the upstream last began or ended an answer.
+	answeredAt time.Time
 	// jobs is the number of jobs placed here that have not ended, suspects the number of
 	// those whose request is a suspect.
 	jobs     int
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -178,15 +178,14 @@
 	if fingerprint != 0 {
 		p.poison.Lost(pj.key(), "", fingerprint, pj.decision.Apart, now)
 	}
-	if e.Outcome == Stalled || !pj.answered || now.Add(-e.Silence).Sub(pj.answeredAt) < poison.TrialTime {
-		trial := poison.NoTrial
-		switch {
-		case len(pj.decision.Trial) == 0 || !pj.planned:
-		case pj.alone:
-			trial = poison.PartialTrial
-		default:
-			trial = poison.FullTrial
-		}
+	silentSince := now.Add(-e.Silence)
+	if !pj.answered {
+		silentSince = pj.at
+	}
+	switch trial := pj.trial(); {
+	case e.Outcome == Stalled && trial == poison.NoTrial && m != nil && m.answeredAt.After(silentSince):
+		p.parts.Stalled(pj.key(), "", pj.job.Parts, now)
+	case e.Outcome == Stalled || !pj.answered || silentSince.Sub(pj.answeredAt) < poison.TrialTime:
 		p.parts.Lost(pj.key(), "", pj.job.Parts, trial, now)
 	}
 	p.unexplained[incarnationOf(up)] = unexplainedLoss{run: pj.run, at: now}
@@ -195,6 +194,18 @@
 	}
 }
 
+// trial returns whether the job is a trial of suspect parts, and what this planner knew when it
+// placed it.
+func (pj *placed) trial() poison.Trial {
+	switch {
+	case len(pj.decision.Trial) == 0 || !pj.planned:
+		return poison.NoTrial
+	case pj.alone:
+		return poison.PartialTrial
+	}
+	return poison.FullTrial
+}
+
 // markLeaving records that an upstream leaves as planned: jobs that are lost there from
 // now on did not crash it.
 func (p *Planner) markLeaving(up deployment.Upstream) {
--- a/internal/placement/suspects_test.go
+++ b/internal/placement/suspects_test.go
@@ -236,6 +236,43 @@
 	}
 }
 
+// TestStallsInOverloadAreNoSuspects checks that requests with a part are neither refused nor
+// sent as trials because others with it stalled on upstreams that went on answering, and that
+// the stalls count once the upstreams are found to have crashed.
+func TestStallsInOverloadAreNoSuspects(t *testing.T) {
+	const shared, stalls = 777, 4
+	f := newFixture(8)
+	now := time.Now()
+	place := func(id string) Decision {
+		j := shortJob(id)
+		j.Parts = []uint64{shared}
+		return f.planner.Place(j, 1, now)
+	}
+	stalled := map[string]string{} // by upstream
+	for i := range 4 * len(f.upstreams) {
+		id := fmt.Sprint("r", i)
+		up := place(id).Upstream
+		if _, known := stalled[up]; !known && len(stalled) < stalls {
+			stalled[up] = id
+			continue
+		}
+		now = now.Add(50 * time.Millisecond)
+		f.planner.FirstAnswer(id, now)
+	}
+	for _, id := range stalled {
+		f.planner.Ended(id, End{Outcome: Stalled}, now)
+	}
+	if d := place("beside"); d.Upstream == "" || len(d.Trial) > 0 {
+		t.Errorf("a request beside stalls on upstreams that answer: refused for reason %s, trial of %v", d.Reason, d.Trial)
+	}
+	for up := range stalled {
+		f.planner.Probed(f.upstreams[up], deployment.Ended, now, now)
+	}
+	if d := place("after"); d.Upstream != "" && len(d.Trial) == 0 {
+		t.Errorf("a request after %d crashes with its part was sent as if nothing had happened", stalls)
+	}
+}
+
 // crashEngines has node n lose the crashing request on engines until it is refused. All
 // nodes probe the upstreams that are due for it, which are down.
 func crashEngines(t *testing.T, nodes []*node, n *node) {
--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -96,7 +96,9 @@
 type partLosses struct {
 	crash  uint64
 	lastAt time.Time
-	parts  map[uint64]bool
+	// parts holds whether the loss of a part counts already, or only if the upstream is
+	// found to have crashed.
+	parts map[uint64]bool
 	// trials lists the trials among the requests.
 	trials []trialOf
 }
@@ -216,26 +218,49 @@
 // Lost records the parts of a request that was lost on an upstream, and whether it was a
 // trial of them. boot identifies the upstream's incarnation at that time; it is empty if unknown.
 func (t *PartTable) Lost(upstreamID, boot string, parts []uint64, trial Trial, now time.Time) {
+	l := t.losses(upstreamID, boot, now)
+	if l == nil {
+		return
+	}
+	for _, part := range parts {
+		l.parts[part] = true
+		t.addCrash(part, partCrash{id: l.crash, at: now})
+	}
+	if trial != NoTrial {
+		l.trials = append(l.trials, trialOf{parts: parts, kind: trial})
+	}
+}
+
+// Stalled records the parts of a request that got no answer from an upstream that answered
+// others meanwhile. They count as lost only once the upstream is found to have crashed, since an
+// overload makes many requests stall at once.
+func (t *PartTable) Stalled(upstreamID, boot string, parts []uint64, now time.Time) {
+	l := t.losses(upstreamID, boot, now)
+	if l == nil {
+		return
+	}
+	for _, part := range parts {
+		l.parts[part] = l.parts[part]
+	}
+}
+
+// losses returns the pending losses on an upstream, to which those of one more request are
+// added now; nil if there are too many.
+func (t *PartTable) losses(upstreamID, boot string, now time.Time) *partLosses {
 	t.expire(now)
 	l := t.pending[upstreamID]
 	if l == nil {
 		if len(t.pending) >= maxPendingUpstreams {
-			return
+			return nil
 		}
 		l = &partLosses{crash: CrashID(upstreamID, boot), parts: map[uint64]bool{}}
 		t.pending[upstreamID] = l
 	}
 	l.lastAt = now
 	if len(l.parts) >= maxPendingLosses {
-		return
-	}
-	for _, part := range parts {
-		l.parts[part] = true
-		t.addCrash(part, partCrash{id: l.crash, at: now})
-	}
-	if trial != NoTrial {
-		l.trials = append(l.trials, trialOf{parts: parts, kind: trial})
+		return nil
 	}
+	return l
 }
 
 // addCrash adds a crash to the record of a part; each crash counts once.
@@ -278,7 +303,10 @@
 	}
 	delete(t.pending, upstreamID)
 	id := l.crash
-	for part := range l.parts {
+	for part, counts := range l.parts {
+		if !counts {
+			t.addCrash(part, partCrash{id: id, at: l.lastAt})
+		}
 		if t.isProved(part) {
 			explained = true
 		}
