--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -40,6 +40,9 @@
 	bursts  []burst
 	length  time.Duration
 	rate    float64
+	// maxReturn, if set, is when callers return at the latest after a refusal, whatever they
+	// were told.
+	maxReturn time.Duration
 }
 
 func usersModel() enginemodel.Model {
@@ -75,11 +78,11 @@
 // trinacriaDay and pinakidaDay return days of two deployments of the users; rate
 // multiplies the requests per second.
 func trinacriaDay(rate float64) day {
-	return day{14, usersModel(), usersClasses(29.8, 1.62, 1.37), tenfoldBursts(), 30 * time.Second, rate}
+	return day{engines: 14, model: usersModel(), classes: usersClasses(29.8, 1.62, 1.37), bursts: tenfoldBursts(), length: 30 * time.Second, rate: rate}
 }
 
 func pinakidaDay(rate float64) day {
-	return day{23, usersModel(), usersClasses(48.9, 2.67, 2.24), tenfoldBursts(), 30 * time.Second, rate}
+	return day{engines: 23, model: usersModel(), classes: usersClasses(48.9, 2.67, 2.24), bursts: tenfoldBursts(), length: 30 * time.Second, rate: rate}
 }
 
 // simJob is a request of the simulation.
@@ -327,6 +330,9 @@
 				// Callers come back once, after a third of the time that they have left at most.
 				j.returned = true
 				j.job.ID += "-again"
+				if d.maxReturn > 0 {
+					after = min(after, d.maxReturn)
+				}
 				j.due = j.due.Add(min(after, left/3))
 				j.sent = j.due
 				waiting = append(waiting, j)
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -20,7 +20,7 @@
 		{"long", 5.98, 190_000, 0.55, 600_000, 11.3 * 68, 0.5, 3 * time.Second, time.Second, 15 * time.Second, 18, 4.5},
 	}
 	long, short := []float64{0.33, 1.3, 2.9}, []float64{2.5, 0.5, 0.05}
-	d := day{112, m, classes, nil, 34 * time.Second, 1.1}
+	d := day{engines: 112, model: m, classes: classes, length: 34 * time.Second, rate: 1.1}
 	for i := range 3 {
 		b := burst{time.Duration(1700+i*10650) * time.Millisecond, time.Duration(11200+i*10650) * time.Millisecond, long}
 		if (i+phase)%2 == 1 {
@@ -151,3 +151,26 @@
 	t.Parallel()
 	checkReplays(t, grownDay(1), 2, 0.63)
 }
+
+// TestCallersReturnAfterTheBurst replays a burst of short prompts of ten seconds. Of the callers
+// that no engine could answer in time, fewer must be refused again, and the day be worth more,
+// if they return when they are told to than after 0.7 s, into the same burst.
+func TestCallersReturnAfterTheBurst(t *testing.T) {
+	t.Parallel()
+	const seeds, early = 2, 700 * time.Millisecond
+	var refused [2]int
+	var worth [2]float64
+	for i, maxReturn := range []time.Duration{0, early} {
+		for seed := range uint64(seeds) {
+			d := largeDay(0)
+			d.rate, d.length, d.maxReturn = 1.25, 22*time.Second, maxReturn
+			o := d.run(seed)
+			refused[i] += o.refused
+			worth[i] += o.worth.whole / seeds
+		}
+	}
+	t.Logf("refused again %d, worth %.3f; returning after %s %d, %.3f", refused[0], worth[0], early, refused[1], worth[1])
+	if refused[0] >= refused[1] || worth[0] <= worth[1] {
+		t.Errorf("%d are refused again and the days are worth %.3f, but %d and %.3f if callers return after %s", refused[0], worth[0], refused[1], worth[1], early)
+	}
+}
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -178,6 +178,16 @@
 	if fingerprint != 0 {
 		p.poison.Lost(pj.key(), "", fingerprint, pj.decision.Apart, now)
 	}
+	p.recordLostParts(pj, m, e, now)
+	p.unexplained[incarnationOf(up)] = unexplainedLoss{run: pj.run, at: now}
+	if p.isReplaced(up) || m != nil && m.restarts > pj.restarts {
+		p.crashed(pj.run, now)
+	}
+}
+
+// recordLostParts records the parts of the prompt of an attempt that was lost or got no answer.
+// m is its upstream, nil if it is not listed any more.
+func (p *Planner) recordLostParts(pj *placed, m *member, e End, now time.Time) {
 	silentSince := now.Add(-e.Silence)
 	if !pj.answered {
 		silentSince = pj.at
@@ -188,10 +198,6 @@
 	case e.Outcome == Stalled || !pj.answered || silentSince.Sub(pj.answeredAt) < poison.TrialTime:
 		p.parts.Lost(pj.key(), "", pj.job.Parts, trial, now)
 	}
-	p.unexplained[incarnationOf(up)] = unexplainedLoss{run: pj.run, at: now}
-	if p.isReplaced(up) || m != nil && m.restarts > pj.restarts {
-		p.crashed(pj.run, now)
-	}
 }
 
 // trial returns whether the job is a trial of suspect parts, and what this planner knew when it
--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -240,7 +240,9 @@
 		return
 	}
 	for _, part := range parts {
-		l.parts[part] = l.parts[part]
+		if _, lost := l.parts[part]; !lost {
+			l.parts[part] = false
+		}
 	}
 }
 
