--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -17,6 +17,7 @@
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/placement"
 	"github.com/banyanroute/banyanroute/internal/sleep"
+	"github.com/banyanroute/banyanroute/internal/sockets"
 )
 
 var log = logging.For("hosted")
@@ -41,6 +42,10 @@
 	// ObserveSignals, if set, registers a function that is told what answers to orders and
 	// probes say of their upstreams.
 	ObserveSignals func(observe func(deployment.Upstream, deployment.Signals))
+	// Dial opens connections to upstreams; nil selects a plain dialer.
+	Dial sockets.DialFunc
+	// SetDial, if set, gets the function with which orders and probes open connections.
+	SetDial func(sockets.DialFunc)
 	// Directory lists the instances.
 	Directory Directory
 	// Quarantines keeps the quarantined requests.
@@ -108,11 +113,18 @@
 	if o.ObserveSignals != nil {
 		o.ObserveSignals(signals.Observe)
 	}
+	if o.Dial == nil {
+		o.Dial = sockets.NewDialer(sockets.Upstream).DialContext
+	}
+	if o.SetDial != nil {
+		o.SetDial(o.Dial)
+	}
 	n.handler = passthrough.New(passthrough.Options{
 		State:       n.state,
 		Codec:       o.Codec,
 		Placer:      n.fleet,
 		Signals:     signals.Observe,
+		Dial:        o.Dial,
 		Reserver:    o.Reserver,
 		Retries:     passthrough.RetryBudget{Ratio: s.RetryRatio, Extra: s.RetryBurst, Window: s.RetryWindow},
 		Instances:   n.links.instances,
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -11,6 +11,7 @@
 	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/placement"
 	"github.com/banyanroute/banyanroute/internal/result"
+	"github.com/banyanroute/banyanroute/internal/sockets"
 	"github.com/banyanroute/banyanroute/internal/upstreamlimit"
 )
 
@@ -39,6 +40,8 @@
 	// Signals is told what the answers of upstreams say of the upstreams themselves; it must
 	// not block. Nil ignores it.
 	Signals func(deployment.Upstream, deployment.Signals)
+	// Dial opens connections to upstreams; nil selects a plain dialer.
+	Dial sockets.DialFunc
 	// Reserver reserves engine memory for prompts that several engines prefill.
 	Reserver Reserver
 	Retries  RetryBudget
@@ -71,7 +74,7 @@
 	}
 	return &Handler{
 		opts:      o,
-		transport: newTransport(),
+		transport: newTransport(o.Dial),
 		budgets:   newRetryBudgets(o.Retries, o.Instances),
 		requests:  newRequestLog(),
 	}
--- a/internal/passthrough/leaving_test.go
+++ b/internal/passthrough/leaving_test.go
@@ -54,7 +54,7 @@
 				}
 				h = newTestHandler(kind, plainCodec{}, placer, reserver, first.URL, second.URL, second.URL)
 				if duringDial {
-					transport := sockets.NewTransport(sockets.Options{DialTimeout: time.Second, UserTimeout: time.Second})
+					transport := sockets.NewTransport(sockets.NewDialer(sockets.Options{DialTimeout: time.Second, UserTimeout: time.Second}).DialContext)
 					dial := transport.DialContext
 					transport.DialContext = dialChecked(func(ctx context.Context, network, address string) (net.Conn, error) {
 						conn, err := dial(ctx, network, address)
--- a/internal/passthrough/transport.go
+++ b/internal/passthrough/transport.go
@@ -10,7 +10,6 @@
 	"net/url"
 	"strings"
 	"sync/atomic"
-	"time"
 
 	"github.com/banyanroute/banyanroute/internal/sockets"
 )
@@ -21,22 +20,15 @@
 // errNotAnswer is returned if the received bytes are not an answer to the request.
 var errNotAnswer = errors.New("received bytes are not an answer to this request")
 
-// Bounds of connections to upstreams.
-const (
-	// upstreamDialTimeout bounds connecting; another upstream must be found while the
-	// caller still waits.
-	upstreamDialTimeout = 400 * time.Millisecond
-	// upstreamUserTimeout is the TCP user timeout: how long sent bytes may stay
-	// unacknowledged.
-	upstreamUserTimeout = time.Second
-	// maxUpstreamHeaderBytes bounds the header of an answer.
-	maxUpstreamHeaderBytes = 64 << 10
-)
+// maxUpstreamHeaderBytes bounds the header of an answer.
+const maxUpstreamHeaderBytes = 64 << 10
 
-func newTransport() *http.Transport {
-	t := sockets.NewTransport(sockets.Options{DialTimeout: upstreamDialTimeout, UserTimeout: upstreamUserTimeout})
+func newTransport(dial sockets.DialFunc) *http.Transport {
+	if dial == nil {
+		dial = sockets.NewDialer(sockets.Upstream).DialContext
+	}
+	t := sockets.NewTransport(dialChecked(dial))
 	t.MaxResponseHeaderBytes = maxUpstreamHeaderBytes
-	t.DialContext = dialChecked(t.DialContext)
 	return t
 }
 
@@ -44,16 +36,13 @@
 // the request was written.
 var errLeft = errors.New("upstream left or paused before the request was sent")
 
-// dialFunc opens connections.
-type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
-
 // maySendKey is the key of the check that dialChecked makes, in the context of a request.
 type maySendKey struct{}
 
-// dialChecked returns a dialFunc that checks, once the connection is open, whether the
+// dialChecked returns a function that checks, once the connection is open, whether the
 // request may still be sent. Each connection serves one request, so this is the last moment
 // before its first byte.
-func dialChecked(dial dialFunc) dialFunc {
+func dialChecked(dial sockets.DialFunc) sockets.DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -2,6 +2,7 @@
 package sockets
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"syscall"
@@ -23,6 +24,13 @@
 	KeepAliveProbes int
 }
 
+// Upstream is the options of connections to upstreams: another upstream must be found
+// while the caller still waits.
+var Upstream = Options{DialTimeout: 400 * time.Millisecond, UserTimeout: time.Second}
+
+// DialFunc opens connections, as net.Dialer.DialContext does.
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // keepAliveProbes returns KeepAliveProbes or its default.
 func (o Options) keepAliveProbes() int {
 	if o.KeepAliveProbes == 0 {
@@ -40,9 +48,9 @@
 // NewTransport returns a transport that opens a connection for each request. A
 // connection that is used only once cannot deliver the answer to an earlier request,
 // and the peer does not close it as idle while a request is in transit.
-func NewTransport(o Options) *http.Transport {
+func NewTransport(dial DialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:        NewDialer(o).DialContext,
+		DialContext:        dial,
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 	}
