tunnel: instances without a path to an upstream connect to it through another instance

Cause: a request reached its upstream over the paths of the caller's instance and in no other way. Each failed dial took 400 ms and ended in code 3002. Ruled out: lost links between the instances (all seven saw one another throughout), homes that changed (none did).

Change: connections to upstreams, of requests, orders and probes alike, are opened by tunnel.Dialer. A connection that fails, or takes over 100 ms, is tried through another instance beside it, which connects to listed upstreams only. If that succeeds, the path counts as broken, and further connections go through others at once; every 300 ms one beside a request tries the direct way again. Refusals on one path are no sign of a crash until another instance confirms them. An instance that reaches nothing refuses at once. What passes a tunnel is a connection's bytes, so at most once, streams, back pressure, IDs and the callers' leaving are as they were.

--- a/internal/deployment/view.go
+++ b/internal/deployment/view.go
@@ -42,6 +42,16 @@
 	return u, ok
 }
 
+// UpstreamAt returns the upstream with an address, leaving ones included.
+func (v *View) UpstreamAt(address string) (Upstream, bool) {
+	for _, u := range v.upstreams {
+		if u.Address == address {
+			return u, true
+		}
+	}
+	return Upstream{}, false
+}
+
 // Upstreams returns the upstreams of a service that are not leaving, sorted by ID. The
 // slice must not be changed.
 func (v *View) Upstreams(service string) []Upstream { return v.services[service] }
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -18,6 +18,7 @@
 	"github.com/banyanroute/banyanroute/internal/placement"
 	"github.com/banyanroute/banyanroute/internal/sleep"
 	"github.com/banyanroute/banyanroute/internal/sockets"
+	"github.com/banyanroute/banyanroute/internal/tunnel"
 )
 
 var log = logging.For("hosted")
@@ -42,7 +43,7 @@
 	// ObserveSignals, if set, registers a function that is told what answers to orders and
 	// probes say of their upstreams.
 	ObserveSignals func(observe func(deployment.Upstream, deployment.Signals))
-	// Dial opens connections to upstreams; nil selects a plain dialer.
+	// Dial opens direct connections to upstreams; nil selects a plain dialer.
 	Dial sockets.DialFunc
 	// SetDial, if set, gets the function with which orders and probes open connections.
 	SetDial func(sockets.DialFunc)
@@ -64,6 +65,8 @@
 	planner  *placement.Planner
 	fleet    *placement.Fleet
 	links    *links
+	// tunnels opens connections to upstreams.
+	tunnels *tunnel.Dialer
 	// quarantines is read before the instance is ready.
 	quarantines *quarantines
 	restorer    *restorer
@@ -113,18 +116,17 @@
 	if o.ObserveSignals != nil {
 		o.ObserveSignals(signals.Observe)
 	}
-	if o.Dial == nil {
-		o.Dial = sockets.NewDialer(sockets.Upstream).DialContext
-	}
+	n.tunnels = newTunnels(o.Dial, n)
+	n.links.tunnels = n.tunnels
 	if o.SetDial != nil {
-		o.SetDial(o.Dial)
+		o.SetDial(n.tunnels.DialContext)
 	}
 	n.handler = passthrough.New(passthrough.Options{
 		State:       n.state,
 		Codec:       o.Codec,
 		Placer:      n.fleet,
 		Signals:     signals.Observe,
-		Dial:        o.Dial,
+		Dial:        n.tunnels.DialContext,
 		Reserver:    o.Reserver,
 		Retries:     passthrough.RetryBudget{Ratio: s.RetryRatio, Extra: s.RetryBurst, Window: s.RetryWindow},
 		Instances:   n.links.instances,
@@ -136,6 +138,19 @@
 	return n
 }
 
+// newTunnels returns what opens connections to upstreams; direct is as in Options.
+func newTunnels(direct sockets.DialFunc, n *Instance) *tunnel.Dialer {
+	if direct == nil {
+		direct = sockets.NewDialer(sockets.Upstream).DialContext
+	}
+	return tunnel.NewDialer(tunnel.Options{
+		Direct:     direct,
+		Upstream:   func(address string) (deployment.Upstream, bool) { return n.state.View().UpstreamAt(address) },
+		DataCentre: n.settings.DataCentre,
+		Draining:   n.draining.Load,
+	})
+}
+
 // upstreamSignals passes on what answers of upstreams say of the upstreams themselves.
 type upstreamSignals struct {
 	exchange *deployment.Exchange
--- a/internal/hosted/links.go
+++ b/internal/hosted/links.go
@@ -18,6 +18,7 @@
 	"github.com/banyanroute/banyanroute/internal/placement"
 	"github.com/banyanroute/banyanroute/internal/platform"
 	"github.com/banyanroute/banyanroute/internal/sleep"
+	"github.com/banyanroute/banyanroute/internal/tunnel"
 )
 
 // Directory is the list of instances in the platform's store.
@@ -59,6 +60,7 @@
 	self      peer.Member
 	fleet     *placement.Fleet
 	exchange  *deployment.Exchange
+	tunnels   *tunnel.Dialer
 	overlay   atomic.Pointer[member.Overlay]
 	// secret is the shared secret that the overlay uses; nil before there is an overlay.
 	secret atomic.Pointer[[]byte]
@@ -92,6 +94,7 @@
 	l.secret.Store(&secret)
 	l.fleet.SetBus(overlay)
 	l.exchange.SetBus(overlay)
+	l.tunnels.SetStreams(overlay)
 	l.overlay.Store(overlay)
 	metrics.RegisterSet(overlay.Metrics())
 	_, err = retryUntilDone(ctx, "registering the instance", func(ctx context.Context) (struct{}, error) {
--- a/internal/hosted/shutdown.go
+++ b/internal/hosted/shutdown.go
@@ -64,6 +64,7 @@
 	go panics.Run(log, func() { n.links.leave(context.WithoutCancel(ctx)) })
 	sleep.For(ctx, min(notReadyPeriod, grace/2))
 	n.shutdownCallers(grace - exitReserve - time.Since(started))
+	n.tunnels.WaitServed(ctx, grace-exitReserve-time.Since(started))
 }
 
 // reload reloads the settings. Those that a running process can adopt are applied
--- a/internal/member/links.go
+++ b/internal/member/links.go
@@ -33,6 +33,10 @@
 		log.WithError(err).Debug("link rejected")
 		return
 	}
+	if first.Kind == linkStream {
+		o.streamHandler(ctx, first.From.ID, conn)
+		return
+	}
 	o.serveLink(ctx, newLink(conn, first.Kind, false, first.From.member()))
 }
 
@@ -47,27 +51,38 @@
 		return "the same instance ID"
 	case first.Kind == linkOverlay && len(o.links.Load().links) >= maxOverlayLinks:
 		return "too many links"
-	case first.Kind != linkOverlay && first.Kind != linkDirect:
+	case first.Kind == linkStream && o.streamHandler == nil:
+		return "no streams are served"
+	case first.Kind < linkOverlay || first.Kind > linkStream:
 		return "unknown kind of link"
 	}
 	return ""
 }
 
-// openLink dials m and runs the handshake.
+// openLink opens a link to m.
 func (o *Overlay) openLink(ctx context.Context, m peer.Member, kind linkKind) (*link, error) {
+	conn, other, err := o.connect(ctx, m, kind)
+	if err != nil {
+		return nil, err
+	}
+	return newLink(conn, kind, true, other.member()), nil
+}
+
+// connect dials m and runs the handshake. It returns m's record.
+func (o *Overlay) connect(ctx context.Context, m peer.Member, kind linkKind) (Conn, record, error) {
 	ctx, cancel := context.WithTimeout(ctx, o.timing.DialTimeout)
 	defer cancel()
 	conn, err := o.dialer.Dial(ctx, m.Address)
 	if err != nil {
-		return nil, err
+		return nil, record{}, err
 	}
 	first := hello{Kind: kind, To: m.ID, From: recordOf(o.Self())}
 	other, err := dialHandshake(ctx, conn, *o.secret.Load(), first)
 	if err != nil {
 		conn.Close()
-		return nil, err
+		return nil, record{}, err
 	}
-	return newLink(conn, kind, true, other.member()), nil
+	return conn, other, nil
 }
 
 // serveLink runs a link until it is closed.
--- a/internal/member/message.go
+++ b/internal/member/message.go
@@ -18,6 +18,8 @@
 	linkOverlay linkKind = iota + 1
 	// linkDirect carries calls only.
 	linkDirect
+	// linkStream carries the messages of one peer.Stream.
+	linkStream
 )
 
 // hello is the first message of the handshake, sent by the dialler.
--- a/internal/member/overlay.go
+++ b/internal/member/overlay.go
@@ -61,6 +61,7 @@
 
 	broadcastHandlers map[peer.Topic]peer.BroadcastHandler
 	callHandlers      map[peer.Topic]peer.CallHandler
+	streamHandler     peer.StreamHandler
 
 	events  chan event
 	members atomic.Pointer[memberView]
@@ -72,7 +73,10 @@
 	workers    sync.WaitGroup
 }
 
-var _ peer.Bus = (*Overlay)(nil)
+var (
+	_ peer.Bus     = (*Overlay)(nil)
+	_ peer.Streams = (*Overlay)(nil)
+)
 
 // memberView is an immutable list of members.
 type memberView struct {
--- a/internal/member/transport.go
+++ b/internal/member/transport.go
@@ -4,21 +4,17 @@
 	"context"
 	"crypto/tls"
 	"net/http"
+	"time"
 
 	"github.com/coder/websocket"
 	"github.com/gravitational/trace"
+
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/sockets"
 )
 
-// Conn is a connection between two instances that carries whole messages in
-// order.
-type Conn interface {
-	// Read waits for the next message.
-	Read(ctx context.Context) ([]byte, error)
-	// Write sends one message. It is not called concurrently.
-	Write(ctx context.Context, data []byte) error
-	// Close ends the connection immediately and unblocks Read and Write.
-	Close()
-}
+// Conn is a connection between two instances.
+type Conn = peer.Stream
 
 // Dialer opens connections to the link listeners of other instances.
 type Dialer interface {
@@ -33,6 +29,10 @@
 	maxMessageBytes = 16 << 20
 )
 
+// linkSockets is the options of links. Heartbeats detect a lost link sooner; the timeouts
+// matter for streams, which have none.
+var linkSockets = sockets.Options{UserTimeout: 6 * time.Second, KeepAliveProbes: 5}
+
 // webSocketDialer dials over WebSocket.
 type webSocketDialer struct {
 	scheme string
@@ -46,7 +46,7 @@
 	if config != nil {
 		scheme = "wss"
 	}
-	transport := &http.Transport{TLSClientConfig: config, DisableKeepAlives: true}
+	transport := &http.Transport{DialContext: sockets.NewDialer(linkSockets).DialContext, TLSClientConfig: config, DisableKeepAlives: true}
 	return &webSocketDialer{scheme: scheme, client: &http.Client{Transport: transport}}
 }
 
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -296,6 +296,7 @@
 		header:  a.header,
 		body:    rq.body,
 		maySend: func() bool { return h.maySend(a) },
+		onVia:   rq.record.sentVia,
 	})
 	if err != nil {
 		return nil, UpstreamReply{}, err
--- a/internal/passthrough/requestlog.go
+++ b/internal/passthrough/requestlog.go
@@ -40,6 +40,8 @@
 	list deployment.Revision
 	// waited is how long the request had waited until it was placed.
 	waited time.Duration
+	// via is the instance through which the request was sent; empty if it was sent directly.
+	via string
 }
 
 // placed records the start of an attempt.
@@ -51,6 +53,9 @@
 	})
 }
 
+// sentVia records the instance through which the last attempt was sent.
+func (r *requestRecord) sentVia(instance string) { r.attempts[len(r.attempts)-1].via = instance }
+
 // event records an event of a stream.
 func (r *requestRecord) event(now time.Time) {
 	if !r.last.IsZero() {
@@ -162,6 +167,10 @@
 // String returns the attempt's upstream, outcome, time of placement, revision of the list,
 // predicted time, helpers, and status for the log.
 func (t attemptRecord) String() string {
-	return fmt.Sprintf("%s %s at_ms=%d list=%s expect_ms=%d helpers=%d status=%d",
+	text := fmt.Sprintf("%s %s at_ms=%d list=%s expect_ms=%d helpers=%d status=%d",
 		t.upstream, t.outcome, t.waited.Milliseconds(), t.list, t.expect.Milliseconds(), t.helpers, t.status)
+	if t.via != "" {
+		text += " via=" + t.via
+	}
+	return text
 }
--- a/internal/passthrough/transport.go
+++ b/internal/passthrough/transport.go
@@ -67,6 +67,15 @@
 	body   []byte
 	// maySend reports whether the upstream may still get the request.
 	maySend func() bool
+	// onVia is told the instance through which the connection was opened, if it was not opened
+	// directly.
+	onVia func(instance string)
+}
+
+// tunnelled is a connection through another instance.
+type tunnelled interface {
+	// Via returns the ID of that instance.
+	Via() string
 }
 
 // roundTrip sends the request and returns the answer, whose body is still to be read.
@@ -75,7 +84,12 @@
 	var connected atomic.Bool
 	ctx = context.WithValue(ctx, maySendKey{}, o.maySend)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			connected.Store(true)
+			if c, ok := info.Conn.(tunnelled); ok {
+				o.onVia(c.Via())
+			}
+		},
 	})
 	path, query, _ := strings.Cut(o.target, "?")
 	req := &http.Request{
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -39,6 +39,34 @@
 // CallHandler answers one call. It may block until ctx ends.
 type CallHandler func(ctx context.Context, from string, payload []byte) ([]byte, error)
 
+// Stream carries whole messages in order between two instances. Read and Write may run at the
+// same time. An error of Read after the last message does not tell whether the other side has
+// closed the stream or was lost.
+type Stream interface {
+	// Read waits for the next message.
+	Read(ctx context.Context) ([]byte, error)
+	// Write sends one message. It is not called concurrently.
+	Write(ctx context.Context, data []byte) error
+	// Close ends the stream immediately and unblocks Read and Write.
+	Close()
+}
+
+// StreamHandler serves a stream that another instance has opened, until it returns. It must
+// return soon after ctx has ended.
+type StreamHandler func(ctx context.Context, from string, s Stream)
+
+// Streams opens streams between instances. Each has a connection of its own, so that it delays
+// no messages.
+type Streams interface {
+	// Self and Members are those of Bus.
+	Self() Member
+	Members() []Member
+	// OpenStream opens a stream to a member.
+	OpenStream(ctx context.Context, to string) (Stream, error)
+	// HandleStreams sets the handler; it must be called before the instance is linked.
+	HandleStreams(h StreamHandler)
+}
+
 // Bus connects this instance to the others. Payloads are CBOR, encoded by the
 // package that owns the topic. All methods are safe for concurrent use.
 type Bus interface {
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"syscall"
@@ -28,6 +29,10 @@
 // while the caller still waits.
 var Upstream = Options{DialTimeout: 400 * time.Millisecond, UserTimeout: time.Second}
 
+// ErrIsolated is returned if no connection was tried because this instance reaches no upstream
+// in any way.
+var ErrIsolated = errors.New("this instance reaches no upstream")
+
 // DialFunc opens connections, as net.Dialer.DialContext does.
 type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
--- /dev/null
+++ b/internal/tunnel/dialer.go
@@ -0,0 +1,356 @@
+package tunnel
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+
+	"github.com/banyanroute/banyanroute/internal/deployment"
+	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/panics"
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/sockets"
+)
+
+var log = logging.For("tunnel")
+
+// Timing of a connection that is opened.
+const (
+	// dialTimeout bounds all ways together.
+	dialTimeout = 500 * time.Millisecond
+	// headStart is how long a connection may take before another way is tried beside it.
+	headStart = 100 * time.Millisecond
+	// maxTunnelTries bounds the instances that are asked for one connection.
+	maxTunnelTries = 4
+	// conclusiveReports is the number of other instances whose failure to connect shows that
+	// the upstream itself is down.
+	conclusiveReports = 2
+)
+
+// Options configures a Dialer.
+type Options struct {
+	// Direct opens a connection over this instance's own path.
+	Direct sockets.DialFunc
+	// Upstream returns the listed upstream with an address.
+	Upstream func(address string) (deployment.Upstream, bool)
+	// DataCentre is this instance's.
+	DataCentre string
+	// Draining reports whether a graceful shutdown has begun; no tunnels are served then.
+	Draining func() bool
+}
+
+// Dialer opens connections to upstreams, and serves tunnels for other instances. It is safe
+// for concurrent use.
+type Dialer struct {
+	opts    Options
+	paths   *paths
+	streams atomic.Pointer[peer.Streams]
+	served  atomic.Int64
+	// changes bounds the log lines about paths; omitted counts those left out.
+	changes *rate.Limiter
+	omitted atomic.Int64
+}
+
+// Rate limit of the log lines about paths: hundreds may change at once.
+const (
+	changesPerSecond = 2
+	changesBurst     = 10
+)
+
+// NewDialer returns a Dialer that connects directly until it has streams.
+func NewDialer(o Options) *Dialer {
+	return &Dialer{opts: o, paths: newPaths(), changes: rate.NewLimiter(changesPerSecond, changesBurst)}
+}
+
+// SetStreams connects the Dialer to the other instances. It must be called before the streams
+// are started.
+func (d *Dialer) SetStreams(s peer.Streams) {
+	s.HandleStreams(d.ServeStream)
+	d.streams.Store(&s)
+}
+
+// Broken returns the broken paths.
+func (d *Dialer) Broken() []PathState { return d.paths.dump(time.Now()) }
+
+// errUnconfirmed is the error of a direct connection that was refused, if no other instance
+// has confirmed that the upstream refuses connections.
+var errUnconfirmed = errors.New("connection refused on this instance's path; no other instance confirms it")
+
+// DialContext opens a connection to an upstream, over the first way that succeeds. Its error
+// is syscall.ECONNREFUSED only if the upstream itself refuses connections, and
+// sockets.ErrIsolated if this instance reaches nothing and did not try.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	if !d.paths.mayConnect(time.Now()) {
+		return nil, dialError(network, sockets.ErrIsolated)
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	r := &race{d: d, ctx: ctx, network: network, address: address, results: make(chan way, maxTunnelTries+1), candidates: d.candidates(address)}
+	conn, err := r.run()
+	cancel()
+	go panics.Run(log, r.closeLate)
+	return conn, err
+}
+
+func dialError(network string, err error) error {
+	return &net.OpError{Op: "dial", Net: network, Err: err}
+}
+
+// connected records a direct connection.
+func (d *Dialer) connected(address string) {
+	if d.paths.connected(address, time.Now()) {
+		d.logChange(address, "path to upstream whole again", "")
+	}
+}
+
+// logChange logs a change of a path.
+func (d *Dialer) logChange(address, text, cause string) {
+	metrics.GetOrCreateCounter(`banyanroute_path_changes_total`).Inc()
+	if !d.changes.Allow() {
+		d.omitted.Add(1)
+		return
+	}
+	entry := log.WithField("address", address)
+	if up, listed := d.opts.Upstream(address); listed {
+		entry = entry.WithFields(logrus.Fields{"upstream": up.ID, "service": up.Service})
+	}
+	if cause != "" {
+		entry = entry.WithField("cause", cause)
+	}
+	if n := d.omitted.Swap(0); n > 0 {
+		entry = entry.WithField("left_out", n)
+	}
+	entry.Warn(text)
+}
+
+// way is one way to an upstream that was tried, with its result.
+type way struct {
+	// via is the other instance; empty for the direct way.
+	via  string
+	conn net.Conn
+	err  error
+	// code is the other instance's answer; zero if there was none.
+	code openCode
+}
+
+// race is the attempt to open one connection over several ways.
+type race struct {
+	d       *Dialer
+	ctx     context.Context
+	network string
+	address string
+	// candidates are the instances that may be asked, the best first.
+	candidates []string
+	results    chan way
+	// pending counts the ways that are tried now.
+	pending int
+	// directTried and directDone report whether the direct way was tried and has failed.
+	directTried bool
+	directDone  bool
+	directErr   error
+	// reports counts the other instances that could not connect; failed are their IDs.
+	reports int
+	failed  []string
+	refused bool
+	// closed tells late direct results that nobody waits for them.
+	mu     sync.Mutex
+	closed bool
+}
+
+// run tries the ways until one succeeds, and returns its connection.
+func (r *race) run() (net.Conn, error) {
+	direct, broken := r.d.paths.use(r.address, time.Now())
+	if direct {
+		r.tryDirect()
+	}
+	next := time.NewTimer(headStart)
+	defer next.Stop()
+	if broken {
+		r.tryNext()
+	}
+	for {
+		for r.pending == 0 {
+			if r.isDown() || !r.tryNext() {
+				return nil, r.fail()
+			}
+		}
+		select {
+		case w := <-r.results:
+			r.pending--
+			if w.err == nil {
+				r.won(w)
+				return w.conn, nil
+			}
+			r.lost(w)
+			if w.via != "" && !r.isDown() {
+				r.tryNext()
+				next.Reset(headStart)
+			}
+		case <-next.C:
+			r.tryNext()
+			next.Reset(headStart)
+		case <-r.ctx.Done():
+			return nil, r.fail()
+		}
+	}
+}
+
+// tryDirect starts the direct way. It goes on after the race, since its result shows whether
+// the path is whole.
+func (r *race) tryDirect() {
+	r.pending++
+	r.directTried = true
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), dialTimeout)
+	go panics.Run(log, func() {
+		defer cancel()
+		conn, err := r.d.opts.Direct(ctx, r.network, r.address)
+		if err == nil {
+			r.d.connected(r.address)
+		}
+		r.report(way{conn: conn, err: err})
+	})
+}
+
+// tryNext starts the next way: through another instance, or, if no instance is left, directly.
+// It reports whether there was one.
+func (r *race) tryNext() bool {
+	if len(r.candidates) == 0 {
+		if r.directTried {
+			return false
+		}
+		r.tryDirect()
+		return true
+	}
+	via := r.candidates[0]
+	r.candidates = r.candidates[1:]
+	r.pending++
+	go panics.Run(log, func() {
+		conn, code, err := r.d.open(r.ctx, via, r.address)
+		r.report(way{via: via, conn: conn, err: err, code: code})
+	})
+	return true
+}
+
+// report passes a result to the race, or closes its connection if the race is over.
+func (r *race) report(w way) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.closed {
+		r.results <- w
+		return
+	}
+	if w.conn != nil {
+		w.conn.Close() //nolint:errcheck // nothing was written
+	}
+}
+
+// closeLate closes the connections that the race has not used.
+func (r *race) closeLate() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	for {
+		select {
+		case w := <-r.results:
+			if w.conn != nil {
+				w.conn.Close() //nolint:errcheck // nothing was written
+			}
+		default:
+			return
+		}
+	}
+}
+
+// won records the way that has succeeded.
+func (r *race) won(w way) {
+	if w.via == "" {
+		return // tryDirect has recorded it
+	}
+	metrics.GetOrCreateCounter(`banyanroute_tunnels_opened_total`).Inc()
+	if !r.directTried {
+		r.d.paths.reached()
+		return
+	}
+	cause := "no connection within " + headStart.String()
+	if r.directDone {
+		cause = r.directErr.Error()
+	}
+	if r.d.paths.tunnelled(r.address, cause, r.failed, time.Now()) {
+		r.d.logChange(r.address, "path to upstream broken; requests go through other instances", cause)
+	}
+}
+
+// lost records a way that has failed.
+func (r *race) lost(w way) {
+	if w.via == "" {
+		r.directDone, r.directErr = true, w.err
+		return
+	}
+	switch w.code {
+	case dialRefused, dialFailed:
+		r.reports++
+		r.refused = r.refused || w.code == dialRefused
+		r.failed = append(r.failed, w.via)
+	case noPath:
+		r.d.paths.avoid(w.via, noPathTime, time.Now())
+	case busy, notListed:
+		r.d.paths.avoid(w.via, busyTime, time.Now())
+	default:
+		r.d.paths.avoid(w.via, silentTime, time.Now())
+	}
+}
+
+// isDown reports whether the upstream itself cannot be reached.
+func (r *race) isDown() bool { return r.directDone && r.reports >= conclusiveReports }
+
+// fail records that no way has succeeded and returns the error.
+func (r *race) fail() error {
+	if r.ctx.Err() == nil || errors.Is(r.ctx.Err(), context.DeadlineExceeded) {
+		r.d.paths.failed(r.address)
+	}
+	switch {
+	case r.directErr == nil:
+		return dialError(r.network, context.DeadlineExceeded)
+	case isRefused(r.directErr) && !r.refused && r.d.hasPeers():
+		return dialError(r.network, errUnconfirmed)
+	}
+	return r.directErr
+}
+
+// hasPeers reports whether there are other instances.
+func (d *Dialer) hasPeers() bool {
+	s := d.streams.Load()
+	return s != nil && len((*s).Members()) > 1
+}
+
+// open asks another instance for a connection.
+func (d *Dialer) open(ctx context.Context, via, address string) (net.Conn, openCode, error) {
+	streams := d.streams.Load()
+	s, err := (*streams).OpenStream(ctx, via)
+	if err != nil {
+		return nil, 0, trace.Wrap(err, "opening a tunnel through %s", via)
+	}
+	deadline, _ := ctx.Deadline()
+	request := openRequest{Address: address, TimeoutMillis: uint32(max(0, time.Until(deadline).Milliseconds()))}
+	var answer openAnswer
+	err = send(ctx, s, request)
+	if err == nil {
+		err = receive(ctx, s, &answer)
+	}
+	if err == nil && answer.Code != opened {
+		err = fmt.Errorf("opening a tunnel through %s: %s", via, answer.Code)
+	}
+	if err != nil {
+		s.Close()
+		return nil, answer.Code, err
+	}
+	return &Conn{stream: s, via: via, address: address}, opened, nil
+}
