passthrough: attempts that reached no upstream spend no retry budget, and none follow where none can succeed

Cause: the retry budget bounds what arrives at upstreams beyond each request's first send, but attempts that opened no connection spent it too, so it was empty within the first second. Ruled out: the bound of four sends (these requests had one). Now such attempts spend none; their number stays bounded by maxSends.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -18,6 +18,7 @@
 	"github.com/banyanroute/banyanroute/internal/poison"
 	"github.com/banyanroute/banyanroute/internal/result"
 	"github.com/banyanroute/banyanroute/internal/sleep"
+	"github.com/banyanroute/banyanroute/internal/sockets"
 )
 
 // attempt is one send of a request to an upstream.
@@ -337,17 +338,23 @@
 
 // mayRetry reports whether the request may be sent to another upstream, and spends
 // retry budget if so. For a stream that has begun it waits for retry budget as long as the
-// caller does. mayHaveRun is whether the last attempt may have run.
-func (h *Handler) mayRetry(ctx context.Context, rq *request, mayHaveRun bool) bool {
+// caller does. cause is the error of the last attempt, mayHaveRun whether it may have run.
+func (h *Handler) mayRetry(ctx context.Context, rq *request, cause error, mayHaveRun bool) bool {
 	if mayHaveRun {
 		rq.lastMayHaveRun()
 	}
 	if ctx.Err() != nil || len(rq.mayHaveRun) >= rq.route.MaxAttempts {
 		return false
 	}
+	if errors.Is(cause, sockets.ErrIsolated) && !rq.begun() {
+		return false // no other upstream can be reached either
+	}
 	if rq.sends >= maxSends && (!rq.begun() || !sleep.For(ctx, resumeInterval)) {
 		return false
 	}
+	if errors.Is(cause, errNotSent) {
+		return true // the budget bounds what arrives at upstreams
+	}
 	for !h.budgets.spend(rq.service, time.Now()) {
 		if !rq.begun() || !sleep.For(ctx, resumeInterval) {
 			return false
--- a/internal/passthrough/buffered.go
+++ b/internal/passthrough/buffered.go
@@ -28,7 +28,7 @@
 		if answer.err == nil && !answer.retryable(rq) {
 			return h.deliver(rq, answer)
 		}
-		if !answer.retryable(rq) || !h.mayRetry(ctx, rq, !answer.notRun) || rq.triedAll(h.opts.State.View()) {
+		if !answer.retryable(rq) || !h.mayRetry(ctx, rq, answer.err, !answer.notRun) || rq.triedAll(h.opts.State.View()) {
 			if answer.err == nil && !answer.reply.NotRun {
 				return h.deliver(rq, answer)
 			}
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -11,6 +11,7 @@
 	"github.com/banyanroute/banyanroute/internal/placement"
 	"github.com/banyanroute/banyanroute/internal/poison"
 	"github.com/banyanroute/banyanroute/internal/result"
+	"github.com/banyanroute/banyanroute/internal/sockets"
 )
 
 // Timeouts for a stream without data, after which it is taken to be stuck and resumed
@@ -66,7 +67,7 @@
 		case s.next != nil:
 			rq.lastMayHaveRun() // the watchdog has spent the retry budget
 		case !end.notRun && !rq.route.Resumable,
-			!h.mayRetry(ctx, rq, !end.notRun):
+			!h.mayRetry(ctx, rq, end.err, !end.notRun):
 			if end.answer != nil && !end.notRun && !s.begun {
 				return h.deliver(rq, end.answer)
 			}
@@ -206,7 +207,7 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errStalled), errors.Is(context.Cause(ctx), errIdleHold):
 		return placement.Stalled
-	case rq.r.Context().Err() != nil || ctx.Err() != nil, errors.Is(err, errLeft):
+	case rq.r.Context().Err() != nil || ctx.Err() != nil, errors.Is(err, errLeft), errors.Is(err, sockets.ErrIsolated):
 		return placement.Abandoned
 	case errors.Is(err, errNotSent):
 		return placement.Unreached
