placement: an upstream that answers others is not paused because one instance cannot reach it

Cause: an attempt that opened no connection was held against its upstream, whatever the upstream's other callers saw. Now it is not if the upstream has begun or ended an answer since the attempt was placed; without such an answer it is paused and probed as before (TestLostUpstreamsGetNoWork).

--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
 
 // Adopt records a job that another instance placed.
 func (p *Planner) Adopt(a Adoption, now time.Time) {
@@ -103,6 +107,11 @@
 	if e.Outcome == Completed {
 		m.answeredAt = now
 	}
+	if e.Outcome == Unreached && m.answeredAt.After(pj.at) {
+		// It has answered another instance meanwhile, so the path has failed.
+		metrics.GetOrCreateCounter(`banyanroute_path_failures_total`).Inc()
+		return
+	}
 	if m.health.record(e.Outcome, now) {
 		log.WithField("upstream", m.upstream.ID).WithField("outcome", e.Outcome.String()).WithField("request", id).
 			WithField("pause", m.health.pause).Warn("upstream marked as down and paused; a successful probe ends the pause early")
