passthrough: an answer of another type than the stream's is no part of it

Another operator's report: a stream had begun and broke off, the next engine answered with an error, and clients found the error's text in the middle of their stream, or the stream ended as if it were complete. Played here with eight answers to a resumption. Errors with an error status, with events or a whole head as their text, broke the connection after the delivered events, as they should; that part is ruled out. An error with status 200 was relayed and the stream ended as complete. Cause: any answer of status 200 at a resumption was read as events. Now it must have the type of the answer that has begun the stream; otherwise it counts as no answer, and another engine is tried.

--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -35,6 +35,8 @@
 type streamState struct {
 	// begun reports whether the header was sent to the caller.
 	begun bool
+	// contentType is that header's type.
+	contentType string
 	// lastEventID is the ID of the last relayed event.
 	lastEventID string
 	// events counts the relayed events.
@@ -44,6 +46,12 @@
 	next *placedJob
 }
 
+// continues reports whether an answer of status 200 can be a part of the stream: it has the
+// type of the answer that has begun it.
+func (s *streamState) continues(res *http.Response) bool {
+	return !s.begun || res.Header.Get("Content-Type") == s.contentType
+}
+
 // serveStream relays events as they arrive. If an engine is lost, the stream is resumed
 // at another after the last complete event, if the route allows it.
 func (h *Handler) serveStream(ctx context.Context, rq *request) *result.Error {
@@ -123,7 +131,7 @@
 		return streamEnd{outcome: outcomeOfError(ctx, rq, err), err: err, notRun: errors.Is(err, errNotSent)}
 	}
 	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK || !reply.Signed {
+	if res.StatusCode != http.StatusOK || !reply.Signed || !s.continues(res) {
 		return h.notStream(ctx, rq, res, reply, s)
 	}
 	return h.relayEvents(ctx, rq, a, res, wd, s)
@@ -243,7 +251,7 @@
 		rq.record.status = res.StatusCode
 		rq.record.first = time.Since(rq.arrived)
 		rq.w.WriteHeader(res.StatusCode)
-		s.begun = true
+		s.begun, s.contentType = true, res.Header.Get("Content-Type")
 	}
 	if _, err := rq.w.Write(e.raw); err != nil {
 		return err
