passthrough: a refusal without the call's ID proves nothing

Another operator's report: a faulty engine wrote an earlier refusal once more, and clients were told 'not run, try again' for requests that an engine ran. Cause: an answer without an ID was taken for the call's own, whatever it claimed. Now only a refusal with the call's ID promises that it was not run; one without counts as an answer that proves nothing, so a call that must not run twice is neither refused nor sent again. No connection serves two calls, so the second copy on a kept connection itself stays ruled out (TestLateSecondAnswerReachesNoOtherCaller).

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -304,7 +304,7 @@
 	}
 	reply := h.opts.Codec.ReadReply(res.StatusCode, res.Header)
 	h.opts.Signals(a.upstream, reply.Signals)
-	if reply.CallID != "" && reply.CallID != rq.call.ID || reply.Encoded {
+	if !reply.answers(rq.call.ID) || reply.Encoded {
 		res.Body.Close()
 		return nil, UpstreamReply{}, errNotAnswer
 	}
--- a/internal/passthrough/codec.go
+++ b/internal/passthrough/codec.go
@@ -71,6 +71,12 @@
 	Encoded bool
 }
 
+// answers reports whether the reply is to a call. One without an ID may be, but it proves
+// nothing: a faulty upstream may have written it for an earlier call.
+func (r UpstreamReply) answers(callID string) bool {
+	return r.CallID == callID || r.CallID == "" && !r.NotRun
+}
+
 // Codec translates between HTTP headers and the information in them.
 type Codec interface {
 	ReadCall(h http.Header) CallerInfo
