tunnel: instances tell when they are cut off; a report of one without paths proves little

Cause: each path was learned by itself, and an instance did not know that another one, which it asked, had no path. Change: three upstreams in a row without a direct connection make an instance cut off; it opens tunnels beside direct connections at once, serves none, and tells the others when that begins, every 5 s while it lasts, and when it ends. Reports of instances that have connected to nothing within half a second don't show that an upstream is down.

--- a/internal/hosted/links.go
+++ b/internal/hosted/links.go
@@ -94,7 +94,7 @@
 	l.secret.Store(&secret)
 	l.fleet.SetBus(overlay)
 	l.exchange.SetBus(overlay)
-	l.tunnels.SetStreams(overlay)
+	l.tunnels.SetBus(overlay)
 	l.overlay.Store(overlay)
 	metrics.RegisterSet(overlay.Metrics())
 	_, err = retryUntilDone(ctx, "registering the instance", func(ctx context.Context) (struct{}, error) {
--- a/internal/member/overlay.go
+++ b/internal/member/overlay.go
@@ -73,10 +73,7 @@
 	workers    sync.WaitGroup
 }
 
-var (
-	_ peer.Bus     = (*Overlay)(nil)
-	_ peer.Streams = (*Overlay)(nil)
-)
+var _ peer.StreamBus = (*Overlay)(nil)
 
 // memberView is an immutable list of members.
 type memberView struct {
--- a/internal/member/streams.go
+++ b/internal/member/streams.go
@@ -7,7 +7,7 @@
 	"github.com/banyanroute/banyanroute/internal/peer"
 )
 
-// OpenStream implements peer.Streams.
+// OpenStream implements peer.StreamBus.
 func (o *Overlay) OpenStream(ctx context.Context, to string) (peer.Stream, error) {
 	m, known := o.members.Load().byID[to]
 	if !known {
@@ -17,7 +17,7 @@
 	return conn, err
 }
 
-// HandleStreams implements peer.Streams.
+// HandleStreams implements peer.StreamBus.
 func (o *Overlay) HandleStreams(h peer.StreamHandler) {
 	o.streamHandler = func(ctx context.Context, from string, s peer.Stream) {
 		panics.Run(log.WithField("peer", from), func() { h(ctx, from, s) })
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -55,12 +55,10 @@
 // return soon after ctx has ended.
 type StreamHandler func(ctx context.Context, from string, s Stream)
 
-// Streams opens streams between instances. Each has a connection of its own, so that it delays
-// no messages.
-type Streams interface {
-	// Self and Members are those of Bus.
-	Self() Member
-	Members() []Member
+// StreamBus is a Bus that also opens streams. Each has a connection of its own, so that it
+// delays no messages.
+type StreamBus interface {
+	Bus
 	// OpenStream opens a stream to a member.
 	OpenStream(ctx context.Context, to string) (Stream, error)
 	// HandleStreams sets the handler; it must be called before the instance is linked.
--- a/internal/tunnel/candidates.go
+++ b/internal/tunnel/candidates.go
@@ -22,20 +22,20 @@
 // first. They are drawn at random by capacity and distance, so that the work of many instances
 // without a path spreads over all that have one. If none is fit, one that is not is asked.
 func (d *Dialer) candidates(address string) []string {
-	streams := d.streams.Load()
-	if streams == nil {
+	bus := d.bus.Load()
+	if bus == nil {
 		return nil
 	}
 	up, _ := d.opts.Upstream(address)
 	now := time.Now()
-	self := (*streams).Self().ID
+	self := (*bus).Self().ID
 	type drawn struct {
 		id   string
 		key  float64
 		isOK bool
 	}
 	var list []drawn
-	for _, m := range (*streams).Members() {
+	for _, m := range (*bus).Members() {
 		if m.ID == self || m.Leaving {
 			continue
 		}
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -30,9 +30,9 @@
 	// headStart is how long a connection may take before another way is tried beside it.
 	headStart = 100 * time.Millisecond
 	// maxTunnelTries bounds the instances that are asked for one connection.
-	maxTunnelTries = 4
-	// conclusiveReports is the number of other instances whose failure to connect shows that
-	// the upstream itself is down.
+	maxTunnelTries = 6
+	// conclusiveReports is the number of other instances, with paths of their own, whose
+	// failure to connect shows that the upstream itself is down.
 	conclusiveReports = 2
 )
 
@@ -53,8 +53,9 @@
 type Dialer struct {
 	opts    Options
 	paths   *paths
-	streams atomic.Pointer[peer.Streams]
+	bus     atomic.Pointer[peer.StreamBus]
 	served  atomic.Int64
+	notices notices
 	// changes bounds the log lines about paths; omitted counts those left out.
 	changes *rate.Limiter
 	omitted atomic.Int64
@@ -66,16 +67,17 @@
 	changesBurst     = 10
 )
 
-// NewDialer returns a Dialer that connects directly until it has streams.
+// NewDialer returns a Dialer that connects directly until it has a bus.
 func NewDialer(o Options) *Dialer {
 	return &Dialer{opts: o, paths: newPaths(), changes: rate.NewLimiter(changesPerSecond, changesBurst)}
 }
 
-// SetStreams connects the Dialer to the other instances. It must be called before the streams
-// are started.
-func (d *Dialer) SetStreams(s peer.Streams) {
-	s.HandleStreams(d.ServeStream)
-	d.streams.Store(&s)
+// SetBus connects the Dialer to the other instances. It must be called before the bus is
+// started.
+func (d *Dialer) SetBus(bus peer.StreamBus) {
+	bus.HandleStreams(d.ServeStream)
+	bus.HandleBroadcast(topicPaths, d.handleNotice)
+	d.bus.Store(&bus)
 }
 
 // Broken returns the broken paths.
@@ -104,11 +106,21 @@
 	return &net.OpError{Op: "dial", Net: network, Err: err}
 }
 
-// connected records a direct connection.
-func (d *Dialer) connected(address string) {
-	if d.paths.connected(address, time.Now()) {
-		d.logChange(address, "path to upstream whole again", "")
+// dialDirect opens a direct connection and records what it shows of the path.
+func (d *Dialer) dialDirect(ctx context.Context, network, address string) (net.Conn, error) {
+	began := time.Now()
+	conn, err := d.opts.Direct(ctx, network, address)
+	now := time.Now()
+	switch {
+	case err == nil:
+		if d.paths.connected(address, now) {
+			d.logChange(address, "path to upstream whole again", "")
+		}
+	case isRefused(err) || now.Sub(began) >= headStart:
+		d.paths.directFailed(address)
 	}
+	d.tellCutOff(now)
+	return conn, err
 }
 
 // logChange logs a change of a path.
@@ -137,8 +149,8 @@
 	via  string
 	conn net.Conn
 	err  error
-	// code is the other instance's answer; zero if there was none.
-	code openCode
+	// answer is the other instance's; its code is zero if there was none.
+	answer openAnswer
 }
 
 // race is the attempt to open one connection over several ways.
@@ -156,7 +168,8 @@
 	directTried bool
 	directDone  bool
 	directErr   error
-	// reports counts the other instances that could not connect; failed are their IDs.
+	// reports counts the other instances with paths of their own that could not connect;
+	// failed are the IDs of all that could not.
 	reports int
 	failed  []string
 	refused bool
@@ -167,13 +180,13 @@
 
 // run tries the ways until one succeeds, and returns its connection.
 func (r *race) run() (net.Conn, error) {
-	direct, broken := r.d.paths.use(r.address, time.Now())
+	direct, doubtful := r.d.paths.use(r.address, time.Now())
 	if direct {
 		r.tryDirect()
 	}
 	next := time.NewTimer(headStart)
 	defer next.Stop()
-	if broken {
+	if doubtful {
 		r.tryNext()
 	}
 	for {
@@ -211,10 +224,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), dialTimeout)
 	go panics.Run(log, func() {
 		defer cancel()
-		conn, err := r.d.opts.Direct(ctx, r.network, r.address)
-		if err == nil {
-			r.d.connected(r.address)
-		}
+		conn, err := r.d.dialDirect(ctx, r.network, r.address)
 		r.report(way{conn: conn, err: err})
 	})
 }
@@ -233,8 +243,8 @@
 	r.candidates = r.candidates[1:]
 	r.pending++
 	go panics.Run(log, func() {
-		conn, code, err := r.d.open(r.ctx, via, r.address)
-		r.report(way{via: via, conn: conn, err: err, code: code})
+		conn, answer, err := r.d.open(r.ctx, via, r.address)
+		r.report(way{via: via, conn: conn, err: err, answer: answer})
 	})
 	return true
 }
@@ -294,10 +304,12 @@
 		r.directDone, r.directErr = true, w.err
 		return
 	}
-	switch w.code {
+	switch w.answer.Code {
 	case dialRefused, dialFailed:
-		r.reports++
-		r.refused = r.refused || w.code == dialRefused
+		if w.answer.Reaches {
+			r.reports++
+		}
+		r.refused = r.refused || w.answer.Code == dialRefused
 		r.failed = append(r.failed, w.via)
 	case noPath:
 		r.d.paths.avoid(w.via, noPathTime, time.Now())
@@ -327,16 +339,15 @@
 
 // hasPeers reports whether there are other instances.
 func (d *Dialer) hasPeers() bool {
-	s := d.streams.Load()
-	return s != nil && len((*s).Members()) > 1
+	bus := d.bus.Load()
+	return bus != nil && len((*bus).Members()) > 1
 }
 
 // open asks another instance for a connection.
-func (d *Dialer) open(ctx context.Context, via, address string) (net.Conn, openCode, error) {
-	streams := d.streams.Load()
-	s, err := (*streams).OpenStream(ctx, via)
+func (d *Dialer) open(ctx context.Context, via, address string) (net.Conn, openAnswer, error) {
+	s, err := (*d.bus.Load()).OpenStream(ctx, via)
 	if err != nil {
-		return nil, 0, trace.Wrap(err, "opening a tunnel through %s", via)
+		return nil, openAnswer{}, trace.Wrap(err, "opening a tunnel through %s", via)
 	}
 	deadline, _ := ctx.Deadline()
 	request := openRequest{Address: address, TimeoutMillis: uint32(max(0, time.Until(deadline).Milliseconds()))}
@@ -350,7 +361,7 @@
 	}
 	if err != nil {
 		s.Close()
-		return nil, answer.Code, err
+		return nil, answer, err
 	}
-	return &Conn{stream: s, via: via, address: address}, opened, nil
+	return &Conn{stream: s, via: via, address: address}, answer, nil
 }
--- a/internal/tunnel/fleet_test.go
+++ b/internal/tunnel/fleet_test.go
@@ -26,6 +26,8 @@
 	down map[string]bool
 	// streams counts the streams that were opened between instances.
 	streams atomic.Int64
+	// broadcasts counts the notices.
+	broadcasts atomic.Int64
 	// latency is the time of a message between instances.
 	latency time.Duration
 }
@@ -36,13 +38,14 @@
 	refused bool
 }
 
-// fakeInstance is one instance of a fleet; it implements peer.Streams.
+// fakeInstance is one instance of a fleet; it implements peer.StreamBus.
 type fakeInstance struct {
 	*Dialer
-	f       *fleet
-	index   int
-	handler peer.StreamHandler
-	dials   atomic.Int64
+	f        *fleet
+	index    int
+	handler  peer.StreamHandler
+	onNotice peer.BroadcastHandler
+	dials    atomic.Int64
 	// frozen instances answer nothing.
 	frozen   atomic.Bool
 	draining atomic.Bool
@@ -73,7 +76,7 @@
 		f.instances = append(f.instances, n)
 	}
 	for _, n := range f.instances {
-		n.SetStreams(n)
+		n.SetBus(n)
 	}
 	return f
 }
@@ -106,16 +109,42 @@
 	return here, nil
 }
 
-// Self implements peer.Streams.
+// Self implements peer.Bus.
 func (n *fakeInstance) Self() peer.Member { return n.f.members[n.index] }
 
-// Members implements peer.Streams.
+// Members implements peer.Bus.
 func (n *fakeInstance) Members() []peer.Member { return n.f.members }
 
-// HandleStreams implements peer.Streams.
+// Neighbours implements peer.Bus.
+func (n *fakeInstance) Neighbours() []string { return nil }
+
+// Call implements peer.Bus.
+func (n *fakeInstance) Call(context.Context, string, peer.Topic, []byte) ([]byte, error) {
+	return nil, peer.ErrUnreachable
+}
+
+// HandleCall implements peer.Bus.
+func (n *fakeInstance) HandleCall(peer.Topic, peer.CallHandler) {}
+
+// HandleBroadcast implements peer.Bus.
+func (n *fakeInstance) HandleBroadcast(_ peer.Topic, h peer.BroadcastHandler) { n.onNotice = h }
+
+// Broadcast implements peer.Bus. It reaches distant instances over others.
+func (n *fakeInstance) Broadcast(_ peer.Topic, payload []byte) {
+	n.f.broadcasts.Add(1)
+	time.AfterFunc(3*n.f.latency, func() {
+		for _, other := range n.f.instances {
+			if other != n {
+				other.onNotice(n.Self().ID, payload)
+			}
+		}
+	})
+}
+
+// HandleStreams implements peer.StreamBus.
 func (n *fakeInstance) HandleStreams(h peer.StreamHandler) { n.handler = h }
 
-// OpenStream implements peer.Streams.
+// OpenStream implements peer.StreamBus.
 func (n *fakeInstance) OpenStream(ctx context.Context, to string) (peer.Stream, error) {
 	var index int
 	if _, err := fmt.Sscanf(to, "front-%d", &index); err != nil {
--- a/internal/tunnel/message.go
+++ b/internal/tunnel/message.go
@@ -54,6 +54,9 @@
 type openAnswer struct {
 	_    struct{} `cbor:",toarray"`
 	Code openCode
+	// Reaches reports whether the instance has connected to any upstream lately. If it has not,
+	// its own paths may be the cause of dialRefused and dialFailed.
+	Reaches bool
 }
 
 // errBroken is returned if a tunnel ends without the end of the upstream's bytes.
--- a/internal/tunnel/paths.go
+++ b/internal/tunnel/paths.go
@@ -11,10 +11,15 @@
 	trialInterval = 300 * time.Millisecond
 	// forgetTime is how long a broken path without requests is remembered.
 	forgetTime = 10 * time.Second
-	// cutOffPaths is the number of broken paths from which on an instance without recent
-	// direct connections counts as cut off from all upstreams; cutOffTime is how recent.
-	cutOffPaths = 3
-	cutOffTime  = time.Second
+	// cutOffFailures is the number of upstreams in a row to which no direct connection was
+	// established from which on the instance counts as cut off from all upstreams.
+	cutOffFailures = 3
+	// latelyTime is how long after a direct connection an instance that cannot connect to one
+	// upstream still counts as one with paths of its own.
+	latelyTime = 500 * time.Millisecond
+	// recoveryTime is how long an instance that has just connected directly does not count as
+	// isolated.
+	recoveryTime = time.Second
 	// isolatedFailures is the number of upstreams in a row that could not be reached in any
 	// way from which on the instance counts as isolated.
 	isolatedFailures = 3
@@ -42,6 +47,9 @@
 	unfit map[string]time.Time
 	// connectedAt is when a direct connection was last established.
 	connectedAt time.Time
+	// unconnected holds the upstreams to which direct connections have failed since one was
+	// last established.
+	unconnected map[string]bool
 	// unreached holds the upstreams that could not be reached in any way since a connection
 	// was last established.
 	unreached map[string]bool
@@ -58,21 +66,22 @@
 }
 
 func newPaths() *paths {
-	return &paths{broken: map[string]*brokenPath{}, unfit: map[string]time.Time{}, unreached: map[string]bool{}}
+	return &paths{broken: map[string]*brokenPath{}, unfit: map[string]time.Time{}, unconnected: map[string]bool{}, unreached: map[string]bool{}}
 }
 
 // use reports whether a connection to an upstream is to be opened directly, and whether the
-// path is broken. Over a broken path it is opened directly only as a trial.
-func (p *paths) use(address string, now time.Time) (direct, broken bool) {
+// path is doubtful, so that another way is tried at the same time. Over a broken path it is
+// opened directly only as a trial.
+func (p *paths) use(address string, now time.Time) (direct, doubtful bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := p.broken[address]
 	if b == nil {
-		return true, false
+		return true, p.isCutOff()
 	}
 	if now.Sub(b.usedAt) > forgetTime {
 		delete(p.broken, address)
-		return true, false
+		return true, p.isCutOff()
 	}
 	b.usedAt = now
 	if now.Before(b.trialAt) {
@@ -88,11 +97,33 @@
 	defer p.mu.Unlock()
 	p.connectedAt = now
 	clear(p.unreached)
+	clear(p.unconnected)
 	broken := p.broken[address] != nil
 	delete(p.broken, address)
+	for _, b := range p.broken {
+		b.trialAt = now // others may be whole again too
+	}
 	return broken
 }
 
+// directFailed records that no direct connection to an upstream could be established.
+func (p *paths) directFailed(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unconnected[address] = true
+}
+
+// isCutOff reports whether this instance seems to have no path to any upstream. The caller
+// holds mu.
+func (p *paths) isCutOff() bool { return len(p.unconnected) >= cutOffFailures }
+
+// cutOff is isCutOff for callers that do not hold mu.
+func (p *paths) cutOff() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.isCutOff()
+}
+
 // reached records that another instance has connected to an upstream.
 func (p *paths) reached() {
 	p.mu.Lock()
@@ -108,7 +139,7 @@
 	defer p.mu.Unlock()
 	clear(p.unreached)
 	for _, instance := range failed {
-		p.unfit[instance] = now.Add(noPathTime)
+		p.avoidLocked(instance, noPathTime, now)
 	}
 	if p.broken[address] != nil {
 		return false
@@ -124,12 +155,19 @@
 	p.unreached[address] = true
 }
 
+// connectedLately reports whether a direct connection was established lately.
+func (p *paths) connectedLately(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.connectedAt) < latelyTime
+}
+
 // mayConnect reports whether a connection may be tried. An isolated instance tries few, since
 // a caller that is refused at once can go elsewhere in time.
 func (p *paths) mayConnect(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.unreached) < isolatedFailures || now.Sub(p.connectedAt) < cutOffTime {
+	if len(p.unreached) < isolatedFailures || now.Sub(p.connectedAt) < recoveryTime {
 		return true
 	}
 	if now.Before(p.isolatedTrialAt) {
@@ -146,14 +184,28 @@
 	if b := p.broken[address]; b != nil && now.Sub(b.usedAt) <= forgetTime {
 		return false
 	}
-	return len(p.broken) < cutOffPaths || now.Sub(p.connectedAt) < cutOffTime
+	return !p.isCutOff()
 }
 
 // avoid records that an instance is not to be asked for some time.
 func (p *paths) avoid(instance string, d time.Duration, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.unfit[instance] = now.Add(d)
+	p.avoidLocked(instance, d, now)
+}
+
+// avoidLocked is avoid for callers that hold mu. It ends no longer time.
+func (p *paths) avoidLocked(instance string, d time.Duration, now time.Time) {
+	if until := now.Add(d); until.After(p.unfit[instance]) {
+		p.unfit[instance] = until
+	}
+}
+
+// fitAgain records that an instance may be asked.
+func (p *paths) fitAgain(instance string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.unfit, instance)
 }
 
 // isFit reports whether an instance may be asked.
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -48,7 +48,7 @@
 	if conn != nil {
 		defer conn.Close() //nolint:errcheck // both ends of the tunnel have ended
 	}
-	if err := send(opening, s, openAnswer{Code: code}); err != nil || conn == nil {
+	if err := send(opening, s, openAnswer{Code: code, Reaches: d.paths.connectedLately(time.Now())}); err != nil || conn == nil {
 		return
 	}
 	join(ctx, s, conn)
@@ -68,10 +68,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.TimeoutMillis)*time.Millisecond)
 	defer cancel()
-	conn, err := d.opts.Direct(ctx, "tcp", r.Address)
+	conn, err := d.dialDirect(ctx, "tcp", r.Address)
 	switch {
 	case err == nil:
-		d.connected(r.Address)
 		return conn, opened
 	case isRefused(err):
 		return nil, dialRefused
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -173,8 +173,8 @@
 		f := newFleet(2, 1, time.Millisecond)
 		n := f.instances[1]
 		open := func(address string) openCode {
-			_, code, _ := f.instances[0].open(t.Context(), "front-1", address)
-			return code
+			_, answer, _ := f.instances[0].open(t.Context(), "front-1", address)
+			return answer.Code
 		}
 		if code := open("elsewhere"); code != notListed {
 			t.Errorf("an address that is not listed: got %s", code)
@@ -246,9 +246,16 @@
 // as such, after few tries, and that its paths count as whole.
 func TestDownUpstreamBreaksNoPath(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
-		f := newFleet(20, 1, time.Millisecond)
+		f := newFleet(20, 2, time.Millisecond)
 		f.down["u0"] = true
 		n := f.instances[0]
+		for _, other := range f.instances {
+			conn, _, err := other.dial(t, "u1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			conn.Close()
+		}
 		if _, _, err := n.dial(t, "u0"); !errors.Is(err, syscall.ECONNREFUSED) {
 			t.Errorf("got %v, want a refusal", err)
 		}
