sockets: connections to upstreams bear a silence of two seconds

A sound upstream may fall silent for a second or so and go on. The user timeout of connections to upstreams was 1 s, so requests whose bytes were in transit were given up (all three cases, 1.3 s of silence), an idle connection that had been quiet for 0.95 s before the silence too, and so was a request to an upstream that stopped reading a long body for 1.7 s. What ran was then lost to its caller, and its upstream a suspect.

Cause: a user timeout bounds unacknowledged bytes, bytes that a full peer doesn't take, and, as on Linux, replaces the number of keep-alive probes. The last was unknown to SilenceTimeout: 3 s by its account, 2 s by the kernel.

Change: 2.5 s for upstreams, so silences of 2 s are borne and a dead peer is found after 3 s (streams are moved sooner by their watchdog). The store's 1.5 s stay: its calls are repeated. Found: it bears 1 s at worst.

--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -17,17 +17,17 @@
 type Options struct {
 	// DialTimeout bounds the TCP handshake.
 	DialTimeout time.Duration
-	// UserTimeout bounds how long written bytes may stay unacknowledged
-	// (TCP_USER_TIMEOUT).
+	// UserTimeout bounds how long written bytes may stay unacknowledged, or unread by a peer
+	// whose buffer is full (TCP_USER_TIMEOUT).
 	UserTimeout time.Duration
 	// KeepAliveProbes is the number of unanswered keep-alive probes after which an idle
-	// connection is closed; zero selects defaultKeepAliveProbes.
+	// connection is closed if there is no UserTimeout; zero selects defaultKeepAliveProbes.
 	KeepAliveProbes int
 }
 
 // Upstream is the options of connections to upstreams: another upstream must be found
-// while the caller still waits.
-var Upstream = Options{DialTimeout: 400 * time.Millisecond, UserTimeout: time.Second}
+// while the caller still waits, but a sound one may be silent for a second or so.
+var Upstream = Options{DialTimeout: 400 * time.Millisecond, UserTimeout: 2500 * time.Millisecond}
 
 // ErrIsolated is returned if no connection was tried because this instance reaches no upstream
 // in any way.
@@ -45,9 +45,17 @@
 }
 
 // SilenceTimeout returns how long after the last received byte an idle connection is
-// closed if the peer does not answer probes.
+// closed if the peer does not answer probes. As in Linux, a user timeout replaces the number of
+// probes: the connection is closed when the first probe after it would be due.
 func (o Options) SilenceTimeout() time.Duration {
-	return keepAliveIdle + time.Duration(o.keepAliveProbes())*keepAliveInterval
+	if o.UserTimeout == 0 {
+		return keepAliveIdle + time.Duration(o.keepAliveProbes())*keepAliveInterval
+	}
+	timeout := keepAliveIdle + keepAliveInterval
+	for timeout < o.UserTimeout {
+		timeout += keepAliveInterval
+	}
+	return timeout
 }
 
 // NewTransport returns a transport that opens a connection for each request. A
