banyanctl: explain collects the lines about one request from the logs of several instances

With tunnels a request's story lies in the logs of its caller's instance, of the home and of the instance that sent it. explain ID reads logs from files or standard input, whatever a collector put before each object, and prints the lines that name the request or one of its attempts, with those about its upstreams and about the paths of its instance within two seconds, in the order of time, as a table, JSON or YAML.

--- a/cmd/banyanctl/exit.go
+++ b/cmd/banyanctl/exit.go
@@ -78,6 +78,8 @@
 		}
 	case errors.As(err, &fields):
 		return exitInvalid
+	case errors.Is(err, errNotInLogs):
+		return exitNotFound
 	case errors.Is(err, errDifferent):
 		return exitDifferent
 	case errors.Is(err, errUnreachable), errors.Is(err, errNoAnswer):
--- a/cmd/banyanctl/main.go
+++ b/cmd/banyanctl/main.go
@@ -95,6 +95,7 @@
 		{"diff", "Show differences", "Shows what changed between two revisions, or how files differ from the catalogue. Exit code 8 means that there are differences.\n\nExamples: banyanctl diff 1200 1284; banyanctl diff -f entries.yaml", &diffCommand{app: a}},
 		{"dump", "Show the state of an instance", "Shows the state of the addressed instance, or of one part of it, as JSON.\n\nExample: banyanctl dump catalogue", &dumpCommand{app: a}},
 		{"drain", "Shut down an instance gracefully", "Starts a graceful shutdown of the addressed instance.\n\nExample: banyanctl drain --address http://127.0.0.1:8002", &drainCommand{app: a}},
+		{"explain", "Explain one request from logs", "Collects the lines about one request from the logs of several instances, with those about its upstreams and the paths of its instance around that time, in order.\n\nExample: banyanctl explain 9c41d07be2a35f68 -f front-1.log -f front-2.log", &explainCommand{app: a}},
 		{"status", "Show the fleet", "Shows all instances with their phase and catalogue revision.", &statusCommand{app: a}},
 		{"completion", "Print a shell completion script", "Prints a completion script.\n\nExample: banyanctl completion bash > /etc/bash_completion.d/banyanctl", &completionCommand{app: a}},
 	}
