--- a/cmd/banyanctl/explain.go
+++ b/cmd/banyanctl/explain.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -149,47 +148,71 @@
 	return request == id || strings.HasPrefix(request, id+"-")
 }
 
+// span is when a request was served, and by what.
+type span struct {
+	first, last          time.Time
+	upstreams, instances map[string]bool
+}
+
+// spanOf returns the span of a request.
+func spanOf(lines []logLine, id string) span {
+	s := span{upstreams: map[string]bool{}, instances: map[string]bool{}}
+	for _, l := range lines {
+		if l.names(id) {
+			s.add(&l)
+		}
+	}
+	return s
+}
+
+// add extends the span by a line that names the request.
+func (s *span) add(l *logLine) {
+	began := l.At
+	if ms, ok := l.Fields["ms"].(float64); ok {
+		began = began.Add(-time.Duration(ms) * time.Millisecond)
+	}
+	if s.first.IsZero() || began.Before(s.first) {
+		s.first = began
+	}
+	if l.At.After(s.last) {
+		s.last = l.At
+	}
+	if up := l.text("upstream"); up != "" {
+		s.upstreams[up] = true
+	}
+	attempts, _ := l.Fields["attempts"].([]any)
+	for _, attempt := range attempts {
+		text, _ := attempt.(string)
+		up, _, _ := strings.Cut(text, " ")
+		s.upstreams[up] = true
+	}
+	if l.Part == "passthrough" {
+		s.instances[l.Instance] = true
+	}
+}
+
+// covers reports whether a line that does not name the request is about its upstreams, or about
+// the paths of its instance, at that time.
+func (s *span) covers(l *logLine) bool {
+	if s.first.IsZero() || l.At.Before(s.first.Add(-explainMargin)) || l.At.After(s.last.Add(explainMargin)) {
+		return false
+	}
+	if l.Part == "tunnel" {
+		return s.instances[l.Instance]
+	}
+	return l.Fields["request"] == nil && s.upstreams[l.text("upstream")]
+}
+
 // accountOf returns the lines about a request in the order of time: those that name it, and,
-// around them, those about the upstreams of its attempts and the paths of its instance.
+// around them, those about its upstreams and the paths of its instance.
 func accountOf(lines []logLine, id string) []logLine {
-	var first, last time.Time
-	upstreams, instances := map[string]bool{}, map[string]bool{}
+	s := spanOf(lines, id)
+	var account []logLine
 	for _, l := range lines {
-		if !l.names(id) {
-			continue
-		}
-		if first.IsZero() || l.At.Before(first) {
-			first = l.At
-		}
-		if l.At.After(last) {
-			last = l.At
-		}
-		if up := l.text("upstream"); up != "" {
-			upstreams[up] = true
-		}
-		attempts, _ := l.Fields["attempts"].([]any)
-		for _, attempt := range attempts {
-			text, _ := attempt.(string)
-			up, _, _ := strings.Cut(text, " ")
-			upstreams[up] = true
-		}
-		if l.Part == "passthrough" {
-			instances[l.Instance] = true
-			if ms, ok := l.Fields["ms"].(float64); ok {
-				if began := l.At.Add(-time.Duration(ms) * time.Millisecond); began.Before(first) {
-					first = began
-				}
-			}
+		if l.names(id) || s.covers(&l) {
+			account = append(account, l)
 		}
 	}
-	account := slices.DeleteFunc(slices.Clone(lines), func(l logLine) bool {
-		if l.names(id) {
-			return false
-		}
-		near := !first.IsZero() && l.At.After(first.Add(-explainMargin)) && l.At.Before(last.Add(explainMargin))
-		about := l.Fields["request"] == nil && upstreams[l.text("upstream")] || l.Part == "tunnel" && instances[l.Instance]
-		return !near || !about
-	})
-	slices.SortStableFunc(account, func(a, b logLine) int { return cmp.Compare(a.At.UnixNano(), b.At.UnixNano()) })
+	slices.SortStableFunc(account, func(a, b logLine) int { return a.At.Compare(b.At) })
 	return account
 }
