daemon: instances on the own interface connect through others, too

The same cause on the own interface: an instance without paths to upstreams failed all its requests. Change: its client of upstreams opens connections with tunnel.Dialer; /dump has the paths, and a graceful shutdown waits for the connections that are served for others. The stand-in of an instance's paths moved to internal/standin/paths, since both tests use it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,8 @@
 	"github.com/banyanroute/banyanroute/internal/reclaim"
 	"github.com/banyanroute/banyanroute/internal/result"
 	"github.com/banyanroute/banyanroute/internal/settings"
+	"github.com/banyanroute/banyanroute/internal/sockets"
+	"github.com/banyanroute/banyanroute/internal/tunnel"
 	"github.com/banyanroute/banyanroute/internal/upstream"
 )
 
@@ -40,6 +42,7 @@
 	incarnation uint64
 
 	platform   *httpclient.Client
+	tunnels    *tunnel.Dialer
 	upstreams  *upstream.Client
 	overlay    *member.Overlay
 	store      *catalogue.Store
@@ -67,10 +70,16 @@
 
 // New builds an instance from validated settings. Nothing runs or listens yet.
 func New(s settings.Settings) (*Daemon, error) {
+	return newDaemon(s, upstream.DirectDial(upstream.DefaultDialTimeout))
+}
+
+// newDaemon is New with the function that opens direct connections to upstreams.
+func newDaemon(s settings.Settings, direct sockets.DialFunc) (*Daemon, error) {
 	d := &Daemon{settings: s, incarnation: uint64(time.Now().UnixNano()), drainRequested: make(chan struct{})}
 	d.endpoints = newEndpoints()
 	d.platform = httpclient.New(httpclient.Options{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout.Std()})
-	d.upstreams = upstream.NewClient(upstream.Options{Owner: s.Instance})
+	d.tunnels = tunnel.NewDialer(tunnel.Options{Direct: direct, Upstream: d.endpoints.at, DataCentre: s.DataCentre, Draining: d.draining.Load})
+	d.upstreams = upstream.NewClient(upstream.Options{Owner: s.Instance, Dial: d.tunnels.DialContext})
 	if err := d.buildSharedState(); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -114,6 +123,7 @@
 		return err
 	}
 	d.overlay = overlay
+	d.tunnels.SetBus(overlay)
 	d.store = catalogue.NewStore(d.platform)
 	d.replica = catalogue.NewReplica(d.store, overlay, catalogue.Options{Seed: d.incarnation})
 	d.limiter = quota.New(overlay, quota.Options{Listed: func() int { return d.controller.ListedInstances() }})
@@ -271,6 +281,7 @@
 	dumps.Register("limits", d.limiter.Dump)
 	dumps.Register("claims", d.ledger.Dump)
 	dumps.Register("members", d.overlay.Dump)
+	dumps.Register("paths", d.tunnels.Dump)
 	return admin.NewHandler(admin.Options{
 		Store:                d.store,
 		Replica:              d.replica,
--- a/internal/daemon/endpoints.go
+++ b/internal/daemon/endpoints.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
+	"net/url"
 	"sync/atomic"
 
 	"github.com/gravitational/trace"
 
 	"github.com/banyanroute/banyanroute/internal/admit"
+	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/gang"
 	"github.com/banyanroute/banyanroute/internal/reclaim"
 	"github.com/banyanroute/banyanroute/internal/upstream"
@@ -38,6 +41,27 @@
 // all returns the current set by ID; the caller must not change it.
 func (e *endpoints) all() map[string]admit.Upstream { return *e.current.Load() }
 
+// at returns the upstream with an address, host:port.
+func (e *endpoints) at(address string) (deployment.Upstream, bool) {
+	for _, up := range e.all() {
+		if u, err := url.Parse(up.URL); err == nil && addressOf(u) == address {
+			return deployment.Upstream{ID: up.ID, Service: up.Service, Address: address, DataCentre: up.DataCentre}, true
+		}
+	}
+	return deployment.Upstream{}, false
+}
+
+// addressOf returns the address, host:port, to which connections for a URL are opened.
+func addressOf(u *url.URL) string {
+	if u.Port() != "" {
+		return u.Host
+	}
+	if u.Scheme == "https" {
+		return net.JoinHostPort(u.Hostname(), "443")
+	}
+	return net.JoinHostPort(u.Hostname(), "80")
+}
+
 // engines returns the engines, without plain services.
 func (e *endpoints) engines() []reclaim.Engine {
 	var list []reclaim.Engine
@@ -66,11 +90,11 @@
 
 // Reserve implements gang.Reserver.
 func (r *reserver) Reserve(ctx context.Context, upstreamID string, req upstream.ReserveRequest) error {
-	url, err := r.endpoints.url(upstreamID)
+	base, err := r.endpoints.url(upstreamID)
 	if err != nil {
 		return err
 	}
-	err = r.client.Reserve(ctx, url, req)
+	err = r.client.Reserve(ctx, base, req)
 	if errors.Is(err, upstream.ErrConflict) {
 		return fmt.Errorf("%w: %w", gang.ErrNoMemory, err)
 	}
@@ -79,11 +103,11 @@
 
 // Release implements gang.Reserver.
 func (r *reserver) Release(ctx context.Context, upstreamID, name string) error {
-	url, err := r.endpoints.url(upstreamID)
+	base, err := r.endpoints.url(upstreamID)
 	if err != nil {
 		return err
 	}
-	return r.client.ReleaseHold(ctx, url, name)
+	return r.client.ReleaseHold(ctx, base, name)
 }
 
 // holdClient adapts the upstream client to reclaim.HoldClient.
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -13,6 +13,9 @@
 // the last request has ended.
 const claimDrainTimeout = 10 * time.Second
 
+// tunnelDrainTimeout bounds the wait for the connections that this instance serves for others.
+const tunnelDrainTimeout = 10 * time.Second
+
 // addStop adds the actor that waits for a signal or a drain request and then shuts
 // the instance down gracefully. A second signal ends the process immediately.
 func (d *Daemon) addStop(ctx context.Context, group *run.Group) {
@@ -42,6 +45,7 @@
 		log.Warnf("callers' server not stopped cleanly: %v", err)
 	}
 	d.dispatcher.Wait()
+	d.tunnels.WaitServed(context.Background(), tunnelDrainTimeout)
 	ctx, cancel := context.WithTimeout(context.Background(), claimDrainTimeout)
 	defer cancel()
 	if left := d.ledger.Drain(ctx); left > 0 {
--- a/internal/hosted/dump.go
+++ b/internal/hosted/dump.go
@@ -5,7 +5,6 @@
 
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/placement"
-	"github.com/banyanroute/banyanroute/internal/tunnel"
 )
 
 // stateDump is an instance's view of the deployment, with the age of each part.
@@ -23,17 +22,18 @@
 	// Members are the live instances in this instance's view.
 	Members   []string                  `json:"members"`
 	Upstreams []placement.UpstreamState `json:"upstreams"`
-	// BrokenPaths are the upstreams that this instance reaches through other instances only.
-	BrokenPaths []tunnel.PathState `json:"broken_paths"`
-	// TunnelsServed is the number of connections that this instance serves for others.
-	TunnelsServed int `json:"tunnels_served"`
+	// Paths are the upstreams that this instance reaches through other instances only, and the
+	// connections that it serves for others.
+	Paths any `json:"paths"`
 }
 
 // dump returns the current state.
 func (n *Instance) dump() stateDump {
 	v := n.state.View()
-	s := stateDump{Instance: n.settings.Instance, Draining: n.draining.Load(), ListRevision: v.Revision, Upstreams: n.planner.Dump(time.Now())}
-	s.BrokenPaths, s.TunnelsServed = n.tunnels.Broken(), n.tunnels.Served()
+	s := stateDump{
+		Instance: n.settings.Instance, Draining: n.draining.Load(), ListRevision: v.Revision,
+		Upstreams: n.planner.Dump(time.Now()), Paths: n.tunnels.Dump(),
+	}
 	if !v.ListedAt.IsZero() {
 		s.ListAge = time.Since(v.ListedAt).Seconds()
 	}
--- a/internal/standin/paths/paths.go
+++ b/internal/standin/paths/paths.go
@@ -1,4 +1,5 @@
-package platformtest
+// Package paths is a stand-in of the paths of one instance to upstreams, which can be cut.
+package paths
 
 import (
 	"context"
@@ -15,14 +16,14 @@
 
 // Kinds of cuts.
 const (
-	// CutSilent: new connections get no answer, and nothing passes on open ones.
-	CutSilent Cut = iota
-	// CutRefused: new connections are refused, open ones live on.
-	CutRefused
-	// CutReset: new connections are refused and open ones reset.
-	CutReset
-	// CutSilentForNew: new connections get no answer, open ones live on.
-	CutSilentForNew
+	// Silent: new connections get no answer, and nothing passes on open ones.
+	Silent Cut = iota
+	// Refused: new connections are refused, open ones live on.
+	Refused
+	// Reset: new connections are refused and open ones reset.
+	Reset
+	// SilentForNew: new connections get no answer, open ones live on.
+	SilentForNew
 )
 
 // String returns the name of a kind of cut.
@@ -42,8 +43,8 @@
 	dials     int
 }
 
-// NewPaths returns paths that are whole.
-func NewPaths() *Paths { return &Paths{conns: map[*pathConn]bool{}} }
+// New returns paths that are whole.
+func New() *Paths { return &Paths{conns: map[*pathConn]bool{}} }
 
 // Cut cuts the paths to all addresses but the spared ones.
 func (p *Paths) Cut(how Cut, spared ...string) {
@@ -51,7 +52,7 @@
 	defer p.mu.Unlock()
 	p.healed, p.cut, p.reachable = make(chan struct{}), how, spared
 	for c := range p.conns {
-		if how == CutReset && p.isCutLocked(c.address) {
+		if how == Reset && p.isCutLocked(c.address) {
 			_ = c.SetLinger(0)
 			_ = c.TCPConn.Close()
 		}
@@ -100,7 +101,7 @@
 		p.dials++
 		p.mu.Unlock()
 		err := error(syscall.ECONNREFUSED)
-		if how == CutSilent || how == CutSilentForNew {
+		if how == Silent || how == SilentForNew {
 			err = os.ErrDeadlineExceeded
 			select {
 			case <-ctx.Done():
@@ -134,7 +135,7 @@
 // wait waits while the path is silent.
 func (c *pathConn) wait() error {
 	how, healed := c.paths.state(c.address)
-	if healed == nil || how != CutSilent {
+	if healed == nil || how != Silent {
 		return nil
 	}
 	select {
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -80,8 +80,20 @@
 	d.bus.Store(&bus)
 }
 
-// Broken returns the broken paths.
-func (d *Dialer) Broken() []PathState { return d.paths.dump(time.Now()) }
+// State is the state of a Dialer in a state dump.
+type State struct {
+	// CutOff reports whether the instance seems to have no path to any upstream.
+	CutOff bool `json:"cut_off"`
+	// Broken lists the broken paths.
+	Broken []PathState `json:"broken"`
+	// Served is the number of tunnels that the instance serves for others.
+	Served int `json:"tunnels_served"`
+}
+
+// Dump returns the current state; its type is State.
+func (d *Dialer) Dump() any {
+	return State{CutOff: d.paths.cutOff(), Broken: d.paths.dump(time.Now()), Served: d.Served()}
+}
 
 // errUnconfirmed is the error of a direct connection that was refused, if no other instance
 // has confirmed that the upstream refuses connections.
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -235,8 +235,8 @@
 			f.cutOff(refused)
 			time.Sleep(trialInterval)
 			connect() // may still go through another instance beside the trial
-			if via, _ := connect(); via != "" || len(n.Broken()) != 0 {
-				t.Errorf("refused %v: after the cut: through %q, broken %v", refused, via, n.Broken())
+			if via, _ := connect(); via != "" || len(n.paths.dump(time.Now())) != 0 {
+				t.Errorf("refused %v: after the cut: through %q, broken %v", refused, via, n.paths.dump(time.Now()))
 			}
 		})
 	}
@@ -259,8 +259,8 @@
 		if _, _, err := n.dial(t, "u0"); !errors.Is(err, syscall.ECONNREFUSED) {
 			t.Errorf("got %v, want a refusal", err)
 		}
-		if len(n.Broken()) != 0 || f.streams.Load() > conclusiveReports {
-			t.Errorf("%v broken, %d instances asked; want none and %d", n.Broken(), f.streams.Load(), conclusiveReports)
+		if len(n.paths.dump(time.Now())) != 0 || f.streams.Load() > conclusiveReports {
+			t.Errorf("%v broken, %d instances asked; want none and %d", n.paths.dump(time.Now()), f.streams.Load(), conclusiveReports)
 		}
 	})
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/banyanroute/banyanroute/internal/sockets"
 )
 
 // Errors of calls to upstreams.
@@ -43,7 +45,9 @@
 
 // Options configures a Client.
 type Options struct {
-	// DialTimeout bounds the time to open a connection. Default 1 s.
+	// Dial opens connections. The default opens them directly, in DialTimeout at most.
+	Dial sockets.DialFunc
+	// DialTimeout bounds the time to open a connection. Default DefaultDialTimeout.
 	DialTimeout time.Duration
 	// ControlTimeout bounds a control call (load, holds, orders). Default 2 s.
 	ControlTimeout time.Duration
@@ -51,8 +55,11 @@
 	Owner string
 }
 
+// DefaultDialTimeout bounds the time to open a connection unless the options set another bound.
+const DefaultDialTimeout = time.Second
+
 func (o *Options) setDefaults() {
-	setDefault(&o.DialTimeout, time.Second)
+	setDefault(&o.DialTimeout, DefaultDialTimeout)
 	setDefault(&o.ControlTimeout, 2*time.Second)
 }
 
@@ -83,10 +90,17 @@
 // maxHeaderBytes bounds the header of an upstream's answer.
 const maxHeaderBytes = 64 << 10
 
+// DirectDial returns a function that opens direct connections.
+func DirectDial(timeout time.Duration) sockets.DialFunc {
+	return (&net.Dialer{Timeout: timeout, KeepAlive: keepAliveInterval}).DialContext
+}
+
 func newTransport(opts Options) *http.Transport {
-	dialer := &net.Dialer{Timeout: opts.DialTimeout, KeepAlive: keepAliveInterval}
+	if opts.Dial == nil {
+		opts.Dial = DirectDial(opts.DialTimeout)
+	}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            opts.Dial,
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableCompression:     true,
