--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -107,7 +107,7 @@
 		return nil, dialError(network, sockets.ErrIsolated)
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	r := &race{d: d, ctx: ctx, network: network, address: address, results: make(chan way, maxTunnelTries+1), candidates: d.candidates(address)}
+	r := &race{d: d, ctx: ctx, network: network, address: address, results: make(chan way, maxTunnelTries+1), asked: map[string]time.Time{}, candidates: d.candidates(address)}
 	conn, err := r.run()
 	cancel()
 	go panics.Run(log, r.closeLate)
@@ -174,8 +174,10 @@
 	// candidates are the instances that may be asked, the best first.
 	candidates []string
 	results    chan way
-	// pending counts the ways that are tried now.
+	// pending counts the ways that are tried now; asked holds when the instances among them
+	// were asked.
 	pending int
+	asked   map[string]time.Time
 	// directTried and directDone report whether the direct way was tried and has failed.
 	directTried bool
 	directDone  bool
@@ -210,6 +212,7 @@
 		select {
 		case w := <-r.results:
 			r.pending--
+			delete(r.asked, w.via)
 			if w.err == nil {
 				r.won(w)
 				return w.conn, nil
@@ -254,6 +257,7 @@
 	via := r.candidates[0]
 	r.candidates = r.candidates[1:]
 	r.pending++
+	r.asked[via] = time.Now()
 	go panics.Run(log, func() {
 		conn, answer, err := r.d.open(r.ctx, via, r.address)
 		r.report(way{via: via, conn: conn, err: err, answer: answer})
@@ -291,8 +295,14 @@
 	}
 }
 
-// won records the way that has succeeded.
+// won records the way that has succeeded, and the instances that would have taken long.
 func (r *race) won(w way) {
+	now := time.Now()
+	for via, at := range r.asked {
+		if now.Sub(at) >= headStart {
+			r.d.paths.avoid(via, silentTime, now)
+		}
+	}
 	if w.via == "" {
 		return // tryDirect has recorded it
 	}
@@ -305,7 +315,7 @@
 	if r.directDone {
 		cause = r.directErr.Error()
 	}
-	if r.d.paths.tunnelled(r.address, cause, r.failed, time.Now()) {
+	if r.d.paths.tunnelled(r.address, cause, r.failed, now) {
 		r.d.logChange(r.address, "path to upstream broken; requests go through other instances", cause)
 	}
 }
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -286,16 +286,24 @@
 		f.cutOff(true, 0)
 		f.instances[1].frozen.Store(true)
 		f.instances[2].frozen.Store(true)
+		slow := 0
 		for i := range 20 {
 			began := time.Now()
 			conn, via, err := f.instances[0].dial(t, "u0")
-			if err != nil || via != "front-3" || time.Since(began) > 2*headStart+20*time.Millisecond {
-				t.Errorf("%d: got %v through %q after %v", i, err, via, time.Since(began))
+			took := time.Since(began)
+			if err != nil || via != "front-3" || took > 2*headStart+20*time.Millisecond {
+				t.Errorf("%d: got %v through %q after %v", i, err, via, took)
+			}
+			if took > 20*time.Millisecond {
+				slow++
 			}
 			if conn != nil {
 				conn.Close()
 			}
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(50 * time.Millisecond)
+		}
+		if slow > 2 {
+			t.Errorf("%d of 20 connections waited for a frozen instance, want 2", slow)
 		}
 	})
 }
