--- a/internal/tunnel/paths.go
+++ b/internal/tunnel/paths.go
@@ -1,6 +1,7 @@
 package tunnel
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -144,6 +145,7 @@
 	if p.broken[address] != nil {
 		return false
 	}
+	maps.DeleteFunc(p.broken, func(_ string, b *brokenPath) bool { return now.Sub(b.usedAt) > forgetTime })
 	p.broken[address] = &brokenPath{since: now, usedAt: now, trialAt: now.Add(trialInterval), cause: cause}
 	return true
 }
