tunnel: test of reports by instances without paths; mutation checks

Of 21 mutations of single guards (scratch copy, go test of the package) 19 failed a test; that one report shows an upstream to be down, and that reports of instances which have connected to nothing lately count, survived. TestReportsOfOthersWithoutPathsProveLittle fails with either. A third was caught by the compiler only and is caught by TestFrozenInstancesDelayLittle in a form that builds.

--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -278,6 +278,44 @@
 	})
 }
 
+// TestReportsOfOthersWithoutPathsProveLittle checks that an upstream is reached although others
+// that were asked could not connect: two that have connected to nothing lately, or one that has,
+// to another upstream.
+func TestReportsOfOthersWithoutPathsProveLittle(t *testing.T) {
+	for name, reach := range map[string]bool{"cut off from all": false, "cut off from one": true} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				f := newFleet(4, 2, time.Millisecond)
+				lost := map[int]bool{0: true, 1: true, 2: !reach}
+				f.cut = func(instance int, address string) *cutPath {
+					if lost[instance] && (address == "u0" || !reach) {
+						return &cutPath{refused: true}
+					}
+					return nil
+				}
+				for i := range 30 {
+					for _, n := range f.instances {
+						n.paths = newPaths()
+						if !reach {
+							continue
+						}
+						conn, _, err := n.dial(t, "u1")
+						if err != nil {
+							t.Fatal(err)
+						}
+						conn.Close()
+					}
+					conn, _, err := f.instances[0].dial(t, "u0")
+					if err != nil {
+						t.Fatalf("round %d: %v", i, err)
+					}
+					conn.Close()
+				}
+			})
+		})
+	}
+}
+
 // TestFrozenInstancesDelayLittle checks that connections succeed although instances that are
 // asked do not answer.
 func TestFrozenInstancesDelayLittle(t *testing.T) {
