tunnel: the instances to ask are drawn when the first is needed

Read again: each connection ranked all members and looked its upstream up, although nearly all are direct and need no other instance. Behaviour is unchanged.

--- a/internal/tunnel/race.go
+++ b/internal/tunnel/race.go
@@ -46,8 +46,10 @@
 	network string
 	address string
 	began   time.Time
-	// candidates are the instances that may be asked, the best first.
+	// candidates are the instances that may be asked, the best first. They are drawn when the
+	// first is needed, since most connections are direct.
 	candidates []string
+	drawn      bool
 	results    chan way
 	// pending counts the ways that are tried now; asked holds when the instances among them
 	// were asked.
@@ -69,7 +71,7 @@
 
 func newRace(ctx context.Context, d *Dialer, network, address string) *race {
 	return &race{
-		d: d, ctx: ctx, network: network, address: address, began: time.Now(), candidates: d.candidates(address),
+		d: d, ctx: ctx, network: network, address: address, began: time.Now(),
 		results: make(chan way, maxTunnelTries+1), asked: map[string]time.Time{},
 	}
 }
@@ -129,6 +131,9 @@
 // tryNext starts the next way: through another instance, or, if no instance is left, directly.
 // It reports whether there was one.
 func (r *race) tryNext() bool {
+	if !r.drawn {
+		r.drawn, r.candidates = true, r.d.candidates(r.address)
+	}
 	if len(r.candidates) == 0 {
 		if r.directTried {
 			return false
