passthrough: request lines in a stop tell when requests were read, chosen, sent and ended

In the users' record a stream that was cut at the end of a stop could not be placed: neither SIGTERM nor the moments at which its request arrived, was read, got an upstream and was sent were in the logs, so ages of the configuration and counts of events had to be divided.

Change: lines about requests that end after SIGTERM have stop_arrived_ms, stop_read_ms, stop_chosen_ms, stop_sent_ms, stop_ended_ms and stop_grace_ms; the end of a stop has one line with the number of requests answered, refused, cut and failed; a counter has the same. No logic changes.

--- a/internal/hosted/shutdown.go
+++ b/internal/hosted/shutdown.go
@@ -61,12 +61,16 @@
 		grace = defaultStopGrace
 	}
 	notReady := min(notReadyPeriod, grace/2)
-	n.stop.Store(&passthrough.Stop{NewUntil: started.Add(notReady), End: started.Add(grace - exitReserve)})
+	n.stop.Store(&passthrough.Stop{
+		Began: started, Grace: grace, NewUntil: started.Add(notReady), End: started.Add(grace - exitReserve),
+	})
 	log.WithField("grace", grace).Info("graceful shutdown started; instance no longer ready")
 	go panics.Run(log, func() { n.links.leave(context.WithoutCancel(ctx)) })
 	sleep.For(ctx, notReady)
 	n.shutdownCallers(grace - exitReserve - time.Since(started))
 	n.tunnels.WaitServed(ctx, grace-exitReserve-time.Since(started))
+	log.WithField("ms", time.Since(started).Milliseconds()).WithField("grace_ms", grace.Milliseconds()).
+		WithFields(n.handler.StopOutcomes()).Info("graceful shutdown ended")
 }
 
 // reload reloads the settings. Those that a running process can adopt are applied
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -307,7 +307,7 @@
 		header:      a.header,
 		body:        rq.body,
 		maySend:     func() bool { return h.maySend(rq, a) },
-		onConnected: heard.now,
+		onConnected: heard.sending,
 		onVia:       rq.record.sentVia,
 	})
 	if err != nil {
@@ -331,6 +331,22 @@
 	start time.Time
 	// after is the time from start, in nanoseconds; 0 before the request was sent.
 	after atomic.Int64
+	// sent is the time from start at which the request was sent, in nanoseconds; 0 before that.
+	sent atomic.Int64
+}
+
+// sending records that the request is about to be sent.
+func (l *lastHeard) sending() {
+	l.now()
+	l.sent.Store(l.after.Load())
+}
+
+// sentAt returns when the request was sent; zero before that, and on a nil lastHeard.
+func (l *lastHeard) sentAt() time.Time {
+	if l == nil || l.sent.Load() == 0 {
+		return time.Time{}
+	}
+	return l.start.Add(time.Duration(l.sent.Load()))
 }
 
 func (l *lastHeard) now() { l.after.Store(int64(time.Since(l.start))) }
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -67,6 +67,8 @@
 	requests  *requestLog
 	bodies    *bodies.Budget
 	durations durations
+	// inStop counts the requests that have ended since a graceful shutdown began.
+	inStop stopOutcomes
 }
 
 // New returns a Handler.
@@ -155,7 +157,7 @@
 	if err == nil {
 		err = h.serve(rq)
 	}
-	h.requests.write(rq, err)
+	h.record(rq, err)
 	if err != nil {
 		h.writeFailure(rq, err)
 		return
@@ -202,10 +204,19 @@
 	if rq.sends == 0 {
 		err = err.WithExecution(result.NotRun)
 	}
-	h.requests.write(rq, err)
+	h.record(rq, err)
 	h.writeFailure(rq, err)
 }
 
+// record counts and logs a request that has ended.
+func (h *Handler) record(rq *request, err *result.Error) {
+	rq.record.stop = h.opts.Stop()
+	if rq.record.stop != nil {
+		h.inStop.count(err)
+	}
+	h.requests.write(rq, err)
+}
+
 // ended reports how the attempt of a placed job ended.
 func (h *Handler) ended(rq *request, job string, o placement.Outcome) {
 	rq.placed = ""
--- a/internal/passthrough/requestlog.go
+++ b/internal/passthrough/requestlog.go
@@ -18,6 +18,10 @@
 type requestRecord struct {
 	// status is the status sent to the caller; zero before that.
 	status int
+	// read is when the whole request had been read.
+	read time.Time
+	// stop is the graceful shutdown that had begun when the request ended; nil if there was none.
+	stop *Stop
 	// first is the time to a stream's first event.
 	first time.Duration
 	// last is when the last event was received; pause is the longest time between two
@@ -100,6 +104,9 @@
 		return
 	}
 	entry := log.WithFields(l.fields(rq))
+	if stop := rq.record.stop; stop != nil {
+		entry = entry.WithFields(stopFields(rq, stop, time.Now()))
+	}
 	if n := l.omitted.Swap(0); n > 0 {
 		entry = entry.WithField("left_out", n)
 	}
--- a/internal/passthrough/route.go
+++ b/internal/passthrough/route.go
@@ -38,6 +38,9 @@
 	_ = controller.SetReadDeadline(rq.deadline) // only a writer of a test does not support it
 	body, err := h.readBody(rq, limit)
 	_ = controller.SetReadDeadline(time.Time{})
+	if err == nil {
+		rq.record.read = time.Now()
+	}
 	rq.body = body
 	rq.fingerprint = fingerprintOf(rq)
 	rq.parts = sharedParts(rq.service, rq.call.PromptParts)
--- a/internal/passthrough/stopping.go
+++ b/internal/passthrough/stopping.go
@@ -1,14 +1,22 @@
 package passthrough
 
 import (
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
 	"github.com/banyanroute/banyanroute/internal/result"
 )
 
 // Stop is a graceful shutdown that has begun.
 type Stop struct {
+	// Began is when the process was told to stop, Grace how long after that it is killed.
+	Began time.Time
+	Grace time.Duration
 	// NewUntil is when the load balancer has noticed it. Later requests arrive only on
 	// connections that were open before.
 	NewUntil time.Time
@@ -35,6 +43,52 @@
 		WithRetryAfter(elsewhereRetryAfter)
 }
 
+// stopOutcomes counts requests by how they ended during a graceful shutdown.
+type stopOutcomes struct{ answered, refused, cut, failed atomic.Int64 }
+
+// count counts a request that has ended with err, which is nil if it was answered.
+func (o *stopOutcomes) count(err *result.Error) {
+	outcome, counter := "failed", &o.failed
+	switch {
+	case err == nil:
+		outcome, counter = "answered", &o.answered
+	case err.Execution == result.NotRun:
+		outcome, counter = "refused", &o.refused
+	case err.Code == result.Draining:
+		outcome, counter = "cut", &o.cut
+	}
+	counter.Add(1)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`banyanroute_shutdown_requests_total{outcome=%q}`, outcome)).Inc()
+}
+
+// StopOutcomes returns, as log fields, how many requests have ended in each way since the graceful
+// shutdown began. Cut ones were ended because the grace period did.
+func (h *Handler) StopOutcomes() logrus.Fields {
+	o := &h.inStop
+	return logrus.Fields{
+		"answered": o.answered.Load(), "refused": o.refused.Load(), "cut": o.cut.Load(), "failed": o.failed.Load(),
+	}
+}
+
+// stopFields returns the log fields that place a request's steps in a graceful shutdown, in
+// milliseconds after its beginning; negative ones came before. Steps that were not reached have none.
+func stopFields(rq *request, stop *Stop, now time.Time) logrus.Fields {
+	since := func(t time.Time) int64 { return t.Sub(stop.Began).Milliseconds() }
+	f := logrus.Fields{
+		"stop_grace_ms": stop.Grace.Milliseconds(), "stop_arrived_ms": since(rq.arrived), "stop_ended_ms": since(now),
+	}
+	if !rq.record.read.IsZero() {
+		f["stop_read_ms"] = since(rq.record.read)
+	}
+	if n := len(rq.record.attempts); n > 0 {
+		f["stop_chosen_ms"] = since(rq.record.attempts[n-1].began)
+	}
+	if sent := rq.heard.sentAt(); !sent.IsZero() {
+		f["stop_sent_ms"] = since(sent)
+	}
+	return f
+}
+
 // durations estimates how long the requests of a route take.
 type durations struct {
 	mu      sync.Mutex
