passthrough: a stopping instance refuses waiting requests once it has no time for them

What callers saw: a request that waited for a place when its instance got SIGTERM was held until a place was free or its deadline passed, and only then refused, although the instance knew since 2.5 s after SIGTERM that it would not begin it. In the test it was refused 4.9 s late, with 3002 at its deadline.

Cause: whether a shutdown leaves time for a request was checked when it was placed first and before its first byte, not while it waited between the two.

Change: it is checked at each try. The answer is 503, not run, with a Retry-After that leads to another instance.

Test: TestWaitingRequestIsRefusedOnceAStopLeavesNoTime (failed before: status 503 after 4.9 s, result 3002).

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -109,7 +109,10 @@
 		}
 		job := h.job(rq)
 		job.Avoid = append(slices.Clone(rq.tried), skip...)
-		d := h.placeWithRetry(ctx, rq, job)
+		d, late := h.placeWithRetry(ctx, rq, job)
+		if late != nil {
+			return nil, late
+		}
 		if d.Upstream == "" {
 			return nil, refusalOf(d)
 		}
@@ -216,15 +219,15 @@
 )
 
 // placeWithRetry places a job and retries for a limited time if no upstream can take
-// it now.
-func (h *Handler) placeWithRetry(ctx context.Context, rq *request, job placement.Job) placement.Decision {
+// it now. An error means that a shutdown leaves no time for it.
+func (h *Handler) placeWithRetry(ctx context.Context, rq *request, job placement.Job) (placement.Decision, *result.Error) {
 	objective := float64(rq.route.FirstAnswer)
 	for {
 		job.MayWait = float64(job.Waited+slotRetryInterval) < maxSlotWaitShare*objective
 		job.MayDefer = float64(job.Waited+deferRetryInterval) < maxDeferShare*float64(job.Waited+job.Remaining)
 		d := h.opts.Placer.Place(ctx, job)
 		if d.Upstream != "" {
-			return d
+			return d, nil
 		}
 		pause, wait := memoryRetryInterval, float64(job.Waited+memoryRetryInterval) < maxMemoryWaitShare*objective
 		switch d.Reason {
@@ -245,7 +248,10 @@
 			job.Avoid = rq.mayHaveRun
 		}
 		if !wait || !sleep.For(ctx, pause) {
-			return d
+			return d, nil
+		}
+		if err := h.mayBegin(rq, time.Now()); err != nil {
+			return d, err
 		}
 		job.Waited, job.Remaining, job.Lifetime = rq.waited(), rq.remainingPatience(), time.Until(rq.deadline)
 	}
--- a/internal/passthrough/stopping.go
+++ b/internal/passthrough/stopping.go
@@ -39,6 +39,11 @@
 	if now.Before(stop.NewUntil) && !now.Add(h.durations.expected(rq.route.Name)).After(stop.End) {
 		return nil
 	}
+	return noTimeLeft()
+}
+
+// noTimeLeft returns the refusal of a request that a shutdown leaves no time for.
+func noTimeLeft() *result.Error {
 	return result.New(result.Draining, "the instance stops and may not have the time that the request takes").
 		WithRetryAfter(elsewhereRetryAfter)
 }
