passthrough: a request whose body is not whole at the end of a stop is refused

What callers saw: a connection that closed without an answer, which promises nothing, if the body of a request was still arriving when the grace period ended.

Cause: the end of the grace period ended attempts at upstreams, not the reading of bodies. The read deadline was also lifted after it had passed, so that the server waited for the rest of the body before it sent the answer.

Change: reading ends with the grace period, and the request gets 503, not run. The read deadline stays if the body did not arrive.

Test: TestHalfABodyAtTheEndOfAStopIsRefused (failed before, no answer in 3 s, with a length and in chunks).

--- a/internal/passthrough/route.go
+++ b/internal/passthrough/route.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"strings"
@@ -36,8 +37,14 @@
 	}
 	controller := http.NewResponseController(rq.w)
 	_ = controller.SetReadDeadline(rq.deadline) // only a writer of a test does not support it
+	unlink := context.AfterFunc(h.opts.Ending, func() { _ = controller.SetReadDeadline(time.Now()) })
 	body, err := h.readBody(rq, limit)
-	_ = controller.SetReadDeadline(time.Time{})
+	unlink()
+	if err == nil { // else the server waits no longer for the rest of the body
+		_ = controller.SetReadDeadline(time.Time{})
+	} else if h.opts.Ending.Err() != nil {
+		err = noTimeLeft()
+	}
 	if err == nil {
 		rq.record.read = time.Now()
 	}
