hosted: SIGTERM is not lost among reloads

What callers saw: nothing in the users' record. An instance that misses SIGTERM goes on taking requests until SIGKILL cuts all of them.

Cause: SIGTERM and SIGHUP shared a channel of four, and os/signal drops what does not fit. One reload that hangs (a file system that does not answer) and four more SIGHUPs fill it.

Change: each kind has its own channel; reloads are an actor of their own, and a shutdown uses the settings in force without reading the file. Reloads go through the follower of the settings file.

Test: TestStopSignalIsNotLostAmongReloads (before: SIGTERM had no effect for 5 s).

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -45,7 +45,9 @@
 		log.Warnf("callers' server not stopped cleanly: %v", err)
 	}
 	d.dispatcher.Wait()
-	d.tunnels.WaitServed(context.Background(), tunnelDrainTimeout)
+	tunnels, cancel := context.WithTimeout(context.Background(), tunnelDrainTimeout)
+	defer cancel()
+	d.tunnels.WaitServed(tunnels)
 	ctx, cancel := context.WithTimeout(context.Background(), claimDrainTimeout)
 	defer cancel()
 	if left := d.ledger.Drain(ctx); left > 0 {
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -33,8 +33,8 @@
 // Options configures an Instance; it holds what the platform's adapter provides.
 type Options struct {
 	Settings Settings
-	// Reload reads the settings again.
-	Reload func() (Settings, error)
+	// SettingsFile is followed while the instance runs.
+	SettingsFile SettingsFile
 	// Sources provide the configuration and the list of upstreams.
 	Sources  []deployment.Source
 	Codec    passthrough.Codec
@@ -59,8 +59,10 @@
 
 // Instance is one instance on a platform.
 type Instance struct {
-	opts     Options
+	opts Options
+	// settings are those at the start, follower has those in force.
 	settings Settings
+	follower *settingsFollower
 	state    *deployment.State
 	planner  *placement.Planner
 	fleet    *placement.Fleet
@@ -90,6 +92,7 @@
 	s := o.Settings
 	n := &Instance{opts: o, settings: s, state: deployment.NewState(), planner: placement.NewPlanner(s.DataCentre)}
 	n.state.Subscribe(n.planner.SetView)
+	n.follower = newSettingsFollower(s, o.SettingsFile)
 	n.ending, n.endRequests = context.WithCancel(context.Background())
 	self := peer.Member{
 		ID:          s.Instance,
@@ -189,6 +192,7 @@
 	addActor(&group, n.links.run)
 	addActor(&group, n.quarantines.run)
 	addActor(&group, n.restorer.run)
+	addActor(&group, n.follower.Run)
 	for _, s := range []struct {
 		name, address string
 		server        *http.Server
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -96,20 +96,19 @@
 	return nil
 }
 
-// shutdownCallers stops the callers' server and waits for its requests until the timeout.
-// Those that still run then get an error.
-func (n *Instance) shutdownCallers(timeout time.Duration) {
-	stop := func(timeout time.Duration) error {
-		ctx, cancel := context.WithTimeout(context.Background(), timeout)
-		defer cancel()
-		return n.callers.Stop(ctx)
-	}
-	if stop(timeout) == nil {
+// shutdownCallers stops the callers' server and waits for its requests until running ends. Those that
+// still run then get an error.
+func (n *Instance) shutdownCallers(running context.Context) {
+	if n.callers.Stop(running) == nil {
 		return
 	}
 	log.Warn("requests still running at the end of the graceful shutdown are ended with an error")
 	n.endRequests()
-	if err := stop(endTimeout); err != nil {
+	stop := n.stop.Load()
+	exit := stop.Began.Add(stop.Grace)
+	ctx, cancel := context.WithTimeout(context.Background(), exit.Sub(stop.End)/2)
+	defer cancel()
+	if err := n.callers.Stop(ctx); err != nil {
 		log.WithError(err).Warn("connections left at the end of the graceful shutdown are closed")
 	}
 }
--- a/internal/hosted/shutdown.go
+++ b/internal/hosted/shutdown.go
@@ -21,66 +21,85 @@
 	// instance after two failed checks.
 	notReadyPeriod = 2500 * time.Millisecond
 	// exitReserve is the part of the grace period that is reserved for errors to requests
-	// that still run, for up to endTimeout, and for the exit of the process.
+	// that still run, for half of it, and for the exit of the process.
 	exitReserve = 400 * time.Millisecond
-	endTimeout  = 200 * time.Millisecond
 	// defaultStopGrace is the grace period if the settings have none.
 	defaultStopGrace = 8 * time.Second
+	// graceCheckInterval is the longest wait without a look at the shutdown's moments.
+	graceCheckInterval = 100 * time.Millisecond
 )
 
-// addSignalHandler adds the actor that handles signals: SIGTERM and SIGINT
-// start a graceful shutdown, SIGHUP reloads the settings.
+// addSignalHandler adds the actors that handle signals: SIGTERM and SIGINT
+// start a graceful shutdown, SIGHUP reloads the settings. Each has a channel of its own, so that
+// none is lost among signals of the other kind.
 func (n *Instance) addSignalHandler(ctx context.Context, group *run.Group) {
 	ctx, cancel := context.WithCancel(ctx)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
 	group.Add(func() error {
+		select {
+		case <-ctx.Done():
+		case <-stops:
+			n.stopGracefully(ctx)
+		}
+		return nil
+	}, func(error) { cancel() })
+	addActor(group, func(ctx context.Context) error {
 		for {
 			select {
 			case <-ctx.Done():
-				return nil
-			case s := <-signals:
-				if s == syscall.SIGHUP {
-					panics.Run(log, n.reload)
-					continue
-				}
-				n.stopGracefully(ctx)
-				return nil
+				return ctx.Err()
+			case <-reloads:
+				panics.Run(log, func() { n.follower.Refresh() })
 			}
 		}
-	}, func(error) { cancel() })
+	})
+}
+
+// planStop returns the graceful shutdown that began at the given time, if the process is killed at
+// the end of the grace period; 0 selects a default.
+func planStop(began time.Time, grace time.Duration) *passthrough.Stop {
+	if grace <= 0 {
+		grace = defaultStopGrace
+	}
+	return &passthrough.Stop{
+		Began:    began,
+		Grace:    grace,
+		NewUntil: began.Add(min(notReadyPeriod, grace/2)),
+		End:      began.Add(grace - exitReserve),
+	}
 }
 
 // stopGracefully makes the instance report that it is not ready, keeps serving
 // until the load balancer has detected that, and then waits for the running
 // requests.
 func (n *Instance) stopGracefully(ctx context.Context) {
-	started := time.Now()
-	grace := n.settings.StopGrace
-	if grace <= 0 {
-		grace = defaultStopGrace
-	}
-	notReady := min(notReadyPeriod, grace/2)
-	n.stop.Store(&passthrough.Stop{
-		Began: started, Grace: grace, NewUntil: started.Add(notReady), End: started.Add(grace - exitReserve),
+	n.stop.Store(planStop(time.Now(), n.follower.Current().StopGrace))
+	log.WithField("grace", n.stop.Load().Grace).Info("graceful shutdown started; instance no longer ready")
+	leaving := context.WithoutCancel(ctx)
+	go panics.Run(log, func() { n.links.leave(leaving) })
+	n.sleepUntil(ctx, func(s *passthrough.Stop) time.Time { return s.NewUntil })
+	running, end := context.WithCancel(ctx)
+	defer end()
+	go panics.Run(log, func() {
+		n.sleepUntil(running, func(s *passthrough.Stop) time.Time { return s.End })
+		end()
 	})
-	log.WithField("grace", grace).Info("graceful shutdown started; instance no longer ready")
-	go panics.Run(log, func() { n.links.leave(context.WithoutCancel(ctx)) })
-	sleep.For(ctx, notReady)
-	n.shutdownCallers(grace - exitReserve - time.Since(started))
-	n.tunnels.WaitServed(ctx, grace-exitReserve-time.Since(started))
-	log.WithField("ms", time.Since(started).Milliseconds()).WithField("grace_ms", grace.Milliseconds()).
+	n.shutdownCallers(running)
+	n.tunnels.WaitServed(running)
+	stop := n.stop.Load()
+	log.WithField("ms", time.Since(stop.Began).Milliseconds()).WithField("grace_ms", stop.Grace.Milliseconds()).
 		WithFields(n.handler.StopOutcomes()).Info("graceful shutdown ended")
 }
 
-// reload reloads the settings. Those that a running process can adopt are applied
-// immediately; settings that cannot be read change nothing.
-func (n *Instance) reload() {
-	s, err := n.opts.Reload()
-	if err != nil {
-		log.WithError(err).Error("reloading settings failed; active settings unchanged")
-		return
+// sleepUntil waits for a moment of the graceful shutdown, which may come closer meanwhile, or until
+// ctx ends.
+func (n *Instance) sleepUntil(ctx context.Context, moment func(*passthrough.Stop) time.Time) {
+	for {
+		left := time.Until(moment(n.stop.Load()))
+		if left <= 0 || !sleep.For(ctx, min(left, graceCheckInterval)) {
+			return
+		}
 	}
-	n.settings.StopGrace = s.StopGrace
-	log.WithField("stop_grace", s.StopGrace).Info("settings reloaded")
 }
--- /dev/null
+++ b/internal/hosted/shutdown_test.go
@@ -0,0 +1,56 @@
+package hosted
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/oklog/run"
+)
+
+// TestStopSignalIsNotLostAmongReloads guards against a SIGTERM that is dropped because reloads that
+// have not been handled fill the queue of signals.
+func TestStopSignalIsNotLostAmongReloads(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings.yaml")
+	if err := os.WriteFile(file, []byte("changed"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	blocked := make(chan struct{})
+	n := New(Options{
+		Settings:      Settings{Instance: "i", StopGrace: time.Second, CallersAddress: "127.0.0.1:0"},
+		ReadinessPath: "/ready",
+		SettingsFile: SettingsFile{Path: file, Parse: func([]byte) (Settings, error) {
+			<-blocked // a file system that does not answer
+			return Settings{}, context.Canceled
+		}},
+	})
+	var group run.Group
+	if err := n.addCallersServer(&group); err != nil {
+		t.Fatal(err)
+	}
+	n.addSignalHandler(t.Context(), &group)
+	ended := make(chan error, 1)
+	go func() { ended <- group.Run() }()
+	for range 10 {
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Millisecond) // signals of one kind that follow at once are merged
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(5 * time.Second); !n.draining(); {
+		if time.Now().After(deadline) {
+			t.Fatal("SIGTERM had no effect for 5 s")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	close(blocked)
+	if err := <-ended; err != nil {
+		t.Errorf("the shutdown ended with %v", err)
+	}
+}
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -86,12 +86,9 @@
 // Served returns the number of tunnels that are served now.
 func (d *Dialer) Served() int { return int(d.served.Load()) }
 
-// WaitServed waits until no tunnel is served, or the timeout.
-func (d *Dialer) WaitServed(ctx context.Context, timeout time.Duration) {
-	for deadline := time.Now().Add(timeout); d.Served() > 0 && time.Now().Before(deadline); {
-		if !sleep.For(ctx, idleCheckInterval) {
-			return
-		}
+// WaitServed waits until no tunnel is served, or ctx ends.
+func (d *Dialer) WaitServed(ctx context.Context) {
+	for d.Served() > 0 && sleep.For(ctx, idleCheckInterval) {
 	}
 }
 
