hosted: a shutdown uses the grace period that is in force at SIGTERM

What callers saw: status 200, then a cut stream, if the platform had changed grace_s in the settings file without a signal: shorter, and SIGKILL came while the instance still took requests for the old period; longer, and it cut streams that had the time.

Cause: the grace period was read at the start and at SIGHUP, and was fixed once a shutdown had begun.

Change: the file is read when SIGTERM comes, and then ten times a second. A shorter period brings the end of the shutdown closer; a longer one is adopted at SIGTERM only, since the platform may have decided afterwards when it kills. A file system that does not answer holds nothing up.

--- a/internal/hosted/shutdown.go
+++ b/internal/hosted/shutdown.go
@@ -25,7 +25,8 @@
 	exitReserve = 400 * time.Millisecond
 	// defaultStopGrace is the grace period if the settings have none.
 	defaultStopGrace = 8 * time.Second
-	// graceCheckInterval is the longest wait without a look at the shutdown's moments.
+	// graceCheckInterval is the interval at which a shutdown checks whether the settings have
+	// another grace period.
 	graceCheckInterval = 100 * time.Millisecond
 )
 
@@ -79,6 +80,9 @@
 	log.WithField("grace", n.stop.Load().Grace).Info("graceful shutdown started; instance no longer ready")
 	leaving := context.WithoutCancel(ctx)
 	go panics.Run(log, func() { n.links.leave(leaving) })
+	following, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go panics.Run(log, func() { n.followGrace(following) })
 	n.sleepUntil(ctx, func(s *passthrough.Stop) time.Time { return s.NewUntil })
 	running, end := context.WithCancel(ctx)
 	defer end()
@@ -93,6 +97,24 @@
 		WithFields(n.handler.StopOutcomes()).Info("graceful shutdown ended")
 }
 
+// followGrace adopts the grace period that the settings file has when the shutdown begins and, until
+// ctx ends, each shorter one. A longer one comes too late: the platform may have decided already when
+// it kills the process.
+func (n *Instance) followGrace(ctx context.Context) {
+	adopt := func(isAllowed func(next, now time.Duration) bool) {
+		stop := n.stop.Load()
+		next := planStop(stop.Began, n.follower.Refresh().StopGrace)
+		if next.Grace != stop.Grace && isAllowed(next.Grace, stop.Grace) {
+			n.stop.Store(next)
+			log.WithField("grace", next.Grace).WithField("before", stop.Grace).Info("grace period of the graceful shutdown changed")
+		}
+	}
+	adopt(func(_, _ time.Duration) bool { return true })
+	_ = sleep.Every(ctx, graceCheckInterval, func() { // returns only when ctx ends
+		adopt(func(next, now time.Duration) bool { return next < now })
+	})
+}
+
 // sleepUntil waits for a moment of the graceful shutdown, which may come closer meanwhile, or until
 // ctx ends.
 func (n *Instance) sleepUntil(ctx context.Context, moment func(*passthrough.Stop) time.Time) {
