hosted: the reserve for the exit fits short grace periods

What callers saw: with grace_s 1 and 2, streams that were cut 0.6 and 1.6 s after SIGTERM, before the last sixth of the period, although some would have ended in time.

Cause: the reserve for errors and the exit was 0.4 s whatever the period.

Change: it is at most an eighth of the period, and half of it is for errors. From 3.2 s on nothing changes.

--- a/internal/hosted/shutdown.go
+++ b/internal/hosted/shutdown.go
@@ -20,9 +20,12 @@
 	// it closes its listener: the load balancer checks every second and removes an
 	// instance after two failed checks.
 	notReadyPeriod = 2500 * time.Millisecond
-	// exitReserve is the part of the grace period that is reserved for errors to requests
-	// that still run, for half of it, and for the exit of the process.
-	exitReserve = 400 * time.Millisecond
+	// maxExitReserve bounds the part of the grace period that is reserved for errors to requests
+	// that still run, for half of it, and for the exit of the process. It is at most the fraction
+	// 1/exitReserveDivisor of the period, less than the last sixth in which the users allow
+	// requests to be cut.
+	maxExitReserve     = 400 * time.Millisecond
+	exitReserveDivisor = 8
 	// defaultStopGrace is the grace period if the settings have none.
 	defaultStopGrace = 8 * time.Second
 	// graceCheckInterval is the interval at which a shutdown checks whether the settings have
@@ -64,11 +67,12 @@
 	if grace <= 0 {
 		grace = defaultStopGrace
 	}
+	reserve := min(maxExitReserve, grace/exitReserveDivisor)
 	return &passthrough.Stop{
 		Began:    began,
 		Grace:    grace,
 		NewUntil: began.Add(min(notReadyPeriod, grace/2)),
-		End:      began.Add(grace - exitReserve),
+		End:      began.Add(grace - reserve),
 	}
 }
 
--- a/internal/hosted/shutdown_test.go
+++ b/internal/hosted/shutdown_test.go
@@ -9,8 +9,31 @@
 	"time"
 
 	"github.com/oklog/run"
+	"pgregory.net/rapid"
 )
 
+// TestShutdownUsesGracePeriodsOfAnyLength guards against a shutdown that ends requests before the
+// last sixth of a short grace period, in which alone the users allow it, or after the process is killed.
+func TestShutdownUsesGracePeriodsOfAnyLength(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		began := time.Unix(1000, 0)
+		grace := time.Duration(rapid.IntRange(1, 600_000).Draw(t, "grace_ms")) * time.Millisecond
+		stop := planStop(began, grace)
+		if stop.End.Before(began.Add(grace * 5 / 6)) {
+			t.Errorf("with %s requests are ended after %s", grace, stop.End.Sub(began))
+		}
+		if !stop.End.Before(began.Add(grace)) {
+			t.Errorf("with %s no time is left for the exit", grace)
+		}
+		if stop.NewUntil.After(stop.End) || stop.NewUntil.Sub(began) > 3*time.Second {
+			t.Errorf("with %s requests that may outlast it are begun for %s", grace, stop.NewUntil.Sub(began))
+		}
+	})
+	if stop := planStop(time.Unix(1000, 0), 0); stop.Grace != defaultStopGrace {
+		t.Errorf("without a grace period %s are used", stop.Grace)
+	}
+}
+
 // TestStopSignalIsNotLostAmongReloads guards against a SIGTERM that is dropped because reloads that
 // have not been handled fill the queue of signals.
 func TestStopSignalIsNotLostAmongReloads(t *testing.T) {
