faults: the soak stops instances that callers go on using

Change: a drill with random numbers of its own stops one instance after another. The settings file gets another grace period (1 to 8 s) without a signal up to 1.5 s before SIGTERM; twelve callers send requests of all kinds, streams of 3.6 s among them, at drawn moments of the whole period on connections that were open before; further SIGTERM and SIGHUP follow. The instance's own lines (stop_*_ms) are held to the users' rule: nothing that arrived later than 3 s after SIGTERM is cut, nothing before the last sixth, and the instance counts with the period of the file.

--- a/tools/faults/soak.go
+++ b/tools/faults/soak.go
@@ -110,6 +110,7 @@
 	load.Go(func() { s.returnStore(drillCtx, rand.New(rand.NewPCG(o.seed, 5))) })
 	load.Go(func() { s.limitUpstreams(drillCtx, rand.New(rand.NewPCG(o.seed, 6))) })
 	load.Go(func() { s.pauseUpstreams(drillCtx, rand.New(rand.NewPCG(o.seed, 7))) })
+	load.Go(func() { s.stopUnderUse(drillCtx, rand.New(rand.NewPCG(o.seed, 9))) })
 	s.runFaults(ctx, rand.New(rand.NewPCG(o.seed, 1)))
 	stopDrills()
 	sleep.For(ctx, soakRecoveryTime)
@@ -158,6 +159,7 @@
 		return trace.Wrap(err)
 	}
 	up.Events, up.EventInterval, up.RequestDuration = 12, 20*time.Millisecond, 10*time.Millisecond
+	up.SlowPath, up.SlowEventInterval = slowPath, slowEventInterval
 	r, err := relay.New("127.0.0.1:0", up.Address())
 	if err != nil {
 		return trace.Wrap(err)
