hosted: retry budget and bound of unused memory follow the settings file

Callers and engines: after a change of the settings file without a signal, or with SIGHUP, the instance retried with the budget, and held unused engine memory for as long as, the settings had allowed at its start, until it was restarted.

Cause: passthrough.New took values, and SIGHUP adopted the grace period only.

Change: the Instance runs a settingsFollower, and the Handler asks for the values when it needs them. A budget is adopted as a whole; tokens above a smaller capacity are dropped.

--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -132,9 +132,9 @@
 		Signals:     signals.Observe,
 		Dial:        n.tunnels.DialContext,
 		Reserver:    o.Reserver,
-		Retries:     passthrough.RetryBudget{Ratio: s.RetryRatio, Extra: s.RetryBurst, Window: s.RetryWindow},
+		Retries:     n.retryBudget,
 		Instances:   n.links.instances,
-		MaxIdleHold: s.MaxIdleHold,
+		MaxIdleHold: func() time.Duration { return n.follower.Current().MaxIdleHold },
 		BodiesBytes: s.MemoryBytes / bodiesShare,
 		Stop:        n.stop.Load,
 		Ending:      n.ending,
@@ -143,6 +143,12 @@
 	return n
 }
 
+// retryBudget returns the retry budget in force.
+func (n *Instance) retryBudget() passthrough.RetryBudget {
+	s := n.follower.Current()
+	return passthrough.RetryBudget{Ratio: s.RetryRatio, Extra: s.RetryBurst, Window: s.RetryWindow}
+}
+
 // bodiesShare is the part of the process's memory that bodies of requests and answers may take,
 // as a divisor. The garbage of those that have ended takes as much again.
 const bodiesShare = 6
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -45,12 +45,13 @@
 	Dial sockets.DialFunc
 	// Reserver reserves engine memory for prompts that several engines prefill.
 	Reserver Reserver
-	Retries  RetryBudget
+	// Retries returns the retry budget in force.
+	Retries func() RetryBudget
 	// Instances returns the number of live instances.
 	Instances func() int
-	// MaxIdleHold is how long reserved engine memory may stay unused until the first
-	// event; zero selects a default.
-	MaxIdleHold time.Duration
+	// MaxIdleHold returns how long reserved engine memory may stay unused until the first
+	// event; a nil function, and zero, select a default.
+	MaxIdleHold func() time.Duration
 	// BodiesBytes bounds the bodies that are held at once; zero selects a default.
 	BodiesBytes int64
 	// Stop returns the graceful shutdown that has begun, or nil. A nil function is never.
@@ -82,6 +83,9 @@
 	if o.BodiesBytes <= 0 {
 		o.BodiesBytes = defaultBodiesBytes
 	}
+	if o.MaxIdleHold == nil {
+		o.MaxIdleHold = func() time.Duration { return 0 }
+	}
 	if o.Ending == nil {
 		o.Ending = context.Background()
 	}
--- a/internal/passthrough/passthrough_test.go
+++ b/internal/passthrough/passthrough_test.go
@@ -86,7 +86,7 @@
 		n := rapid.IntRange(1, 80).Draw(t, "instances")
 		var all []*retryBudgets
 		for range n {
-			all = append(all, newRetryBudgets(limit, func() int { return n }))
+			all = append(all, newRetryBudgets(func() RetryBudget { return limit }, func() int { return n }))
 		}
 		type second struct{ at, requests, retries int }
 		var seconds []second
--- a/internal/passthrough/retrybudget.go
+++ b/internal/passthrough/retrybudget.go
@@ -30,7 +30,8 @@
 // retryBudgets holds this instance's share of the retry budget of each service as
 // token buckets.
 type retryBudgets struct {
-	limit RetryBudget
+	// limit returns the budget in force.
+	limit func() RetryBudget
 	// instances returns the number of live instances.
 	instances func() int
 
@@ -45,13 +46,13 @@
 	refilledAt time.Time
 }
 
-func newRetryBudgets(limit RetryBudget, instances func() int) *retryBudgets {
+func newRetryBudgets(limit func() RetryBudget, instances func() int) *retryBudgets {
 	return &retryBudgets{limit: limit, instances: instances, buckets: map[string]*tokenBucket{}}
 }
 
 // capacity returns the maximum number of tokens in a bucket.
 func (b *retryBudgets) capacity() float64 {
-	return max(extraUsedShare*b.limit.Extra/float64(max(b.instances(), 1)), 1)
+	return max(extraUsedShare*b.limit().Extra/float64(max(b.instances(), 1)), 1)
 }
 
 // bucket returns the service's bucket, after adding the fixed part for the time since
@@ -62,8 +63,8 @@
 		k = &tokenBucket{tokens: b.capacity() / 2, refilledAt: now}
 		b.buckets[service] = k
 	}
-	if b.limit.Window > 0 {
-		k.tokens += b.capacity() / 2 * float64(now.Sub(k.refilledAt)) / float64(b.limit.Window)
+	if window := b.limit().Window; window > 0 {
+		k.tokens += b.capacity() / 2 * float64(now.Sub(k.refilledAt)) / float64(window)
 	}
 	k.refilledAt = now
 	k.tokens = min(k.tokens, b.capacity())
@@ -75,7 +76,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	k := b.bucket(service, now)
-	k.tokens = min(k.tokens+ratioUsedShare*b.limit.Ratio, b.capacity())
+	k.tokens = min(k.tokens+ratioUsedShare*b.limit().Ratio, b.capacity())
 }
 
 // allows reports whether a retry could be made now.
--- a/internal/passthrough/secondanswer_test.go
+++ b/internal/passthrough/secondanswer_test.go
@@ -55,7 +55,7 @@
 				state.ReplaceUpstreams([]deployment.Upstream{up}, deployment.Revision{Number: 1}, time.Now())
 				h := New(Options{
 					State: state, Codec: plainCodec{}, Placer: &oneUpstream{id: up.ID},
-					Retries:   RetryBudget{Ratio: 1, Extra: 100, Window: time.Second},
+					Retries:   func() RetryBudget { return RetryBudget{Ratio: 1, Extra: 100, Window: time.Second} },
 					Instances: func() int { return 1 },
 				})
 				for i := range 5 {
--- a/internal/passthrough/serve_test.go
+++ b/internal/passthrough/serve_test.go
@@ -130,7 +130,7 @@
 	state.ReplaceUpstreams(ups, deployment.Revision{Number: 1}, now)
 	return New(Options{
 		State: state, Codec: codec, Placer: placer, Reserver: reserver,
-		Retries:   RetryBudget{Ratio: 1, Extra: 100, Window: time.Second},
+		Retries:   func() RetryBudget { return RetryBudget{Ratio: 1, Extra: 100, Window: time.Second} },
 		Instances: func() int { return 1 },
 	})
 }
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -200,7 +200,7 @@
 
 // idleHoldTimeout returns how long memory remains reserved without a first event.
 func (h *Handler) idleHoldTimeout() time.Duration {
-	limit := h.opts.MaxIdleHold
+	limit := h.opts.MaxIdleHold()
 	if limit <= 0 {
 		limit = defaultMaxIdleHold
 	}
--- a/internal/passthrough/unsent_test.go
+++ b/internal/passthrough/unsent_test.go
@@ -34,7 +34,7 @@
 	defer server.Close()
 	for _, kind := range []deployment.Kind{deployment.Stream, deployment.Idempotent, deployment.AtMostOnce} {
 		h := newTestHandler(kind, plainCodec{}, &scriptedPlacer{}, nil, closedAddress(t), closedAddress(t), server.URL)
-		h.budgets = newRetryBudgets(RetryBudget{Window: time.Hour}, func() int { return 1 })
+		h.budgets = newRetryBudgets(func() RetryBudget { return RetryBudget{Window: time.Hour} }, func() int { return 1 })
 		w := httptest.NewRecorder()
 		r := httptest.NewRequest(http.MethodPost, "/x", strings.NewReader("body"))
 		r.Host = "app.example"
