deployment: times of followers follow the settings file

Callers: after a change of heartbeat_interval_ms in the settings file without a signal, entries of upstreams were judged by the interval of the start of the process: after the store's return from an older copy, with an interval of 250 ms where it had been 1 s, an upstream that was there got no work for 4.06 s. With a longer interval it is the other way round: an entry that can still expire is used. The time to apply a change (drain_ms, config_apply_ms), which bounds the waits for further changes and at a relay, had the same cause; no test of its own shows it.

Change: FollowerOptions holds functions instead of values, outage too. The time for which an entry is distrusted is read once for the entry and its timer.

--- a/internal/deployment/era.go
+++ b/internal/deployment/era.go
@@ -28,10 +28,11 @@
 // distrustTime returns how long entries of upstreams that were removed since the copy was
 // made are not used.
 func (o FollowerOptions) distrustTime() time.Duration {
-	if o.UpstreamHeartbeat <= 0 {
+	heartbeat := o.UpstreamHeartbeat()
+	if heartbeat <= 0 {
 		return defaultDistrustTime
 	}
-	return distrustedHeartbeats * o.UpstreamHeartbeat
+	return distrustedHeartbeats * heartbeat
 }
 
 // Reasons why an update is not applied.
@@ -117,6 +118,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	distrust := f.options.distrustTime()
 	kept := list[:0:0]
 	for _, u := range list {
 		old, listed := known[u.ID]
@@ -126,7 +128,7 @@
 		case listed && u.Born == old.Born && old.Leaving:
 			u = old
 		case !listed && f.wasRemoved(u, now):
-			f.distrusted[u.ID] = distrustedUpstream{upstream: u, until: now.Add(f.options.distrustTime())}
+			f.distrusted[u.ID] = distrustedUpstream{upstream: u, until: now.Add(distrust)}
 			continue
 		case !listed && u.Born < byAddress[u.Address].Born:
 			continue
@@ -134,7 +136,7 @@
 		kept = append(kept, u)
 	}
 	if len(f.distrusted) > 0 {
-		panics.AfterFunc(log, f.options.distrustTime(), f.useDistrusted)
+		panics.AfterFunc(log, distrust, f.useDistrusted)
 	}
 	return kept
 }
--- a/internal/deployment/era_test.go
+++ b/internal/deployment/era_test.go
@@ -219,7 +219,7 @@
 	for _, heartbeat := range []time.Duration{500 * time.Millisecond, 3 * time.Second} {
 		s := &fakeSource{snapshot: Update{Complete: true, Revision: rev(100), Upstreams: upstreams("a", "left")}}
 		options := oneInstance
-		options.UpstreamHeartbeat = heartbeat
+		options.UpstreamHeartbeat = always(heartbeat)
 		followWith(t, s, options, func(state *State) {
 			s.changes <- Update{Revision: rev(101), Changed: rev(101), Removed: []string{"left"}}
 			time.Sleep(time.Second)
--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -113,7 +113,7 @@
 	// batchDelayPerInstance is how long an instance waits for further changes after a
 	// change, for each instance of the deployment.
 	batchDelayPerInstance = 15 * time.Millisecond
-	// maxBatchShare bounds the delay as a fraction of ApplyTimeout.
+	// maxBatchShare bounds the delay as a fraction of the time to apply a change.
 	maxBatchShare = 0.33
 	// maxRelayBatchDelay bounds the delay of relays, which are few and pass changes on to the
 	// others.
@@ -127,10 +127,10 @@
 type FollowerOptions struct {
 	// Instances returns the number of live instances.
 	Instances func() int
-	// ApplyTimeout is the time within which a change must be applied.
-	ApplyTimeout time.Duration
-	// UpstreamHeartbeat is the interval at which upstreams renew their entries.
-	UpstreamHeartbeat time.Duration
+	// ApplyTimeout returns the time within which a change must be applied.
+	ApplyTimeout func() time.Duration
+	// UpstreamHeartbeat returns the interval at which upstreams renew their entries.
+	UpstreamHeartbeat func() time.Duration
 	// IsWatcher reports whether this instance is one of the few that check often that the
 	// store's answers still arrive.
 	IsWatcher func() bool
@@ -151,7 +151,7 @@
 
 // batchDelay returns how long to wait for further changes after a change.
 func (o FollowerOptions) batchDelay() time.Duration {
-	limit := time.Duration(maxBatchShare * float64(o.ApplyTimeout))
+	limit := time.Duration(maxBatchShare * float64(o.ApplyTimeout()))
 	delay := time.Duration(o.Instances()) * batchDelayPerInstance
 	switch {
 	case o.IsLinked != nil && !o.IsLinked():
@@ -307,7 +307,7 @@
 
 // retryPause returns the pause after a failed call to the store, given the usual one.
 func (f *Follower) retryPause(usual time.Duration) time.Duration {
-	longOutage := time.Duration(longOutageShare * float64(f.options.ApplyTimeout))
+	longOutage := time.Duration(longOutageShare * float64(f.options.ApplyTimeout()))
 	if f.isIdle() && time.Since(f.failingSince()) > longOutage {
 		return usual * longOutageFactor
 	}
--- a/internal/deployment/follower_test.go
+++ b/internal/deployment/follower_test.go
@@ -69,8 +69,11 @@
 	return list
 }
 
+// always returns a function that returns d.
+func always(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
 // oneInstance holds the options of a deployment with one instance.
-var oneInstance = FollowerOptions{Instances: func() int { return 1 }, ApplyTimeout: 2 * time.Second, UpstreamHeartbeat: time.Second, IsWatcher: func() bool { return false }}
+var oneInstance = FollowerOptions{Instances: func() int { return 1 }, ApplyTimeout: always(2 * time.Second), UpstreamHeartbeat: always(time.Second), IsWatcher: func() bool { return false }}
 
 // follow runs a Follower of a source in a bubble of virtual time and calls f in it.
 func follow(t *testing.T, s *fakeSource, f func(state *State)) {
--- a/internal/deployment/leaving_test.go
+++ b/internal/deployment/leaving_test.go
@@ -245,7 +245,7 @@
 	for i := range n {
 		options := FollowerOptions{
 			Instances:    func() int { return n },
-			ApplyTimeout: min(bound, 2*time.Second), UpstreamHeartbeat: time.Second,
+			ApplyTimeout: always(min(bound, 2*time.Second)), UpstreamHeartbeat: always(time.Second),
 			IsWatcher: func() bool { return i < leavingWatchers },
 		}
 		options.IsRelay = func() bool { return isRelayed && i < leavingWatchers }
--- a/internal/deployment/outage.go
+++ b/internal/deployment/outage.go
@@ -22,9 +22,9 @@
 // store was unavailable. A call that fails alone proves nothing: its connection may have
 // been the cause, and one missed heartbeat makes no entry expire.
 type outage struct {
-	// heartbeat is the interval at which upstreams renew their entries. They expire after
+	// heartbeat returns the interval at which upstreams renew their entries. They expire after
 	// several intervals.
-	heartbeat time.Duration
+	heartbeat func() time.Duration
 	// answeredAt is when the store last answered a call.
 	answeredAt time.Time
 	// failingSince and failedAt are when the first and the last call failed after that; zero
@@ -58,9 +58,9 @@
 	switch {
 	case !failed:
 		return false
-	case failing >= o.heartbeat:
+	case failing >= o.heartbeat():
 		o.provenUntil = now.Add(reappearTimeout)
-	case silent >= o.heartbeat:
+	case silent >= o.heartbeat():
 		o.possibleUntil, o.listed = now.Add(reappearTimeout), v.services
 	}
 	return true
--- a/internal/deployment/outage_test.go
+++ b/internal/deployment/outage_test.go
@@ -31,7 +31,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := NewState()
 			s.ReplaceUpstreams(append(upstreams("a", "b", "c", "d"), leaving...), rev(1), start)
-			o := outage{heartbeat: heartbeat}
+			o := outage{heartbeat: always(heartbeat)}
 			o.answered(s.View(), start)
 			for _, at := range c.failures {
 				o.failed(start.Add(at))
@@ -58,7 +58,7 @@
 	start := time.Unix(1000, 0)
 	s := NewState()
 	s.ReplaceUpstreams(upstreams("a", "b", "c", "d"), rev(1), start)
-	o := outage{heartbeat: time.Second}
+	o := outage{heartbeat: always(time.Second)}
 	o.answered(s.View(), start)
 	now := start.Add(3 * time.Second)
 	o.failed(now)
--- a/internal/deployment/relay.go
+++ b/internal/deployment/relay.go
@@ -189,7 +189,7 @@
 	known := id == f.relay.id
 	if known {
 		request.Version = f.relay.version
-		request.Wait = min(maxFollowWait, time.Duration(followWaitShare*float64(f.options.ApplyTimeout)))
+		request.Wait = min(maxFollowWait, time.Duration(followWaitShare*float64(f.options.ApplyTimeout())))
 	}
 	callCtx, cancel := context.WithTimeout(ctx, request.Wait+followSlack)
 	defer cancel()
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -107,8 +107,10 @@
 	n.restorer = newRestorer(n.links.restore, n.quarantines.restore)
 	for _, source := range o.Sources {
 		options := deployment.FollowerOptions{
-			Instances: n.links.instances, ApplyTimeout: s.ApplyTimeout, UpstreamHeartbeat: s.UpstreamHeartbeat,
-			IsWatcher: n.links.isWatcher, IsLinked: n.links.isLinked, IsRelay: n.links.isRelay, Relays: n.links.relays, OnEra: n.restorer.enter,
+			Instances:         n.links.instances,
+			ApplyTimeout:      func() time.Duration { return n.follower.Current().ApplyTimeout },
+			UpstreamHeartbeat: func() time.Duration { return n.follower.Current().UpstreamHeartbeat },
+			IsWatcher:         n.links.isWatcher, IsLinked: n.links.isLinked, IsRelay: n.links.isRelay, Relays: n.links.relays, OnEra: n.restorer.enter,
 			OnStoreBack: func() { n.links.exchange.StoreBack() },
 		}
 		n.followers = append(n.followers, deployment.NewFollower(n.state, source, options))
--- a/internal/hosted/settingsfollower.go
+++ b/internal/hosted/settingsfollower.go
@@ -100,6 +100,8 @@
 // that the newer file does not state is kept.
 func (s Settings) adopting(newer Settings) Settings {
 	s.StopGrace = cmp.Or(newer.StopGrace, s.StopGrace)
+	s.ApplyTimeout = cmp.Or(newer.ApplyTimeout, s.ApplyTimeout)
+	s.UpstreamHeartbeat = cmp.Or(newer.UpstreamHeartbeat, s.UpstreamHeartbeat)
 	s.MaxIdleHold = cmp.Or(newer.MaxIdleHold, s.MaxIdleHold)
 	if newer.RetryWindow > 0 {
 		s.RetryRatio, s.RetryWindow, s.RetryBurst = newer.RetryRatio, newer.RetryWindow, newer.RetryBurst
