hosted: a failed actor lets running requests end

Callers saw status 200 and then a closed connection, without a stop that anyone had planned: when one actor of the run group failed, for example because the operators' or the links' listener could not accept any more, the group interrupted all others at once, and the callers' server closed its connections. The same happened when an actor failed during a planned stop.

Cause: the end of the process came without the code that serves requests knowing of it.

Evidence: TestFailedListenerCutsNoRequest makes a listener fail (shutdown of its socket) while a stream of 2 s runs. Before: the stream was cut after its first event (operators).

Change: a failure is logged and starts a graceful shutdown; the actor that failed stays until it is interrupted. During a shutdown it changes nothing more. Not changed: an error of the callers' listener itself still ends the group at once; there is no test that makes it fail.

Ruled out: panics of sources, calls to the directory and periodic tasks don't get here; they are contained where they happen (a source that panics leaves the instance ready).

--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -80,6 +80,9 @@
 	ending      context.Context
 	endRequests context.CancelFunc
 
+	// failures holds the error of an actor that has failed.
+	failures chan error
+
 	// callers is opened by Run.
 	callers    *graceful.Server
 	readiness  *http.Server
@@ -90,7 +93,7 @@
 // New returns an instance that is neither running nor listening.
 func New(o Options) *Instance {
 	s := o.Settings
-	n := &Instance{opts: o, settings: s, state: deployment.NewState(), planner: placement.NewPlanner(s.DataCentre)}
+	n := &Instance{opts: o, settings: s, state: deployment.NewState(), planner: placement.NewPlanner(s.DataCentre), failures: make(chan error, 1)}
 	n.state.Subscribe(n.planner.SetView)
 	n.follower = newSettingsFollower(s, o.SettingsFile)
 	n.ending, n.endRequests = context.WithCancel(context.Background())
@@ -188,19 +191,18 @@
 // known.
 const assumedInstances = 8
 
-// Run runs the instance until ctx ends, a signal has shut it down, or an actor has
-// failed.
+// Run runs the instance until ctx ends or it has been shut down, by a signal or because an actor
+// has failed.
 func (n *Instance) Run(ctx context.Context) error {
 	var group run.Group
+	actors := []func(context.Context) error{n.probeLost, n.fleet.Run, n.links.run, n.quarantines.run, n.restorer.run, n.follower.Run}
 	for _, f := range n.followers {
-		addActor(&group, f.Run)
+		actors = append(actors, f.Run)
+	}
+	for _, f := range actors {
+		addActor(&group, n.reportingFailure(f))
 	}
-	addActor(&group, n.probeLost)
-	addActor(&group, n.fleet.Run)
-	addActor(&group, n.links.run)
-	addActor(&group, n.quarantines.run)
-	addActor(&group, n.restorer.run)
-	addActor(&group, n.follower.Run)
+	addActor(&group, n.stopOnFailure)
 	for _, s := range []struct {
 		name, address string
 		server        *http.Server
@@ -209,7 +211,7 @@
 		{"readiness", n.settings.ReadinessAddress, n.readiness},
 		{"links", n.settings.LinksAddress, n.linkServer},
 	} {
-		if err := addServer(&group, s.name, s.address, s.server); err != nil {
+		if err := n.addServer(&group, s.name, s.address, s.server); err != nil {
 			return trace.Wrap(err)
 		}
 	}
@@ -241,6 +243,46 @@
 	}, func(error) { cancel() })
 }
 
+// reportingFailure returns an actor that runs f and, if it fails, lets the instance finish the
+// running requests before the other actors are interrupted.
+func (n *Instance) reportingFailure(f func(context.Context) error) func(context.Context) error {
+	return func(ctx context.Context) error {
+		err := func() (err error) {
+			defer panics.RecoverError(log, &err)
+			return f(ctx)
+		}()
+		if ctx.Err() == nil {
+			n.fail(err)
+			<-ctx.Done()
+		}
+		return err
+	}
+}
+
+// fail records that an actor has failed.
+func (n *Instance) fail(err error) {
+	log.WithError(err).Error("part of the instance failed")
+	select {
+	case n.failures <- err:
+	default: // one failure is enough to stop
+	}
+}
+
+// stopOnFailure shuts the instance down gracefully when an actor has failed.
+func (n *Instance) stopOnFailure(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case err := <-n.failures:
+		if n.draining() {
+			<-ctx.Done()
+			return err
+		}
+		n.stopGracefully(ctx)
+		return err
+	}
+}
+
 // draining reports whether a graceful shutdown has begun.
 func (n *Instance) draining() bool { return n.stop.Load() != nil }
 
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -63,7 +63,7 @@
 
 // addServer starts to listen immediately, so that a port in use fails the
 // start, and adds the actor that serves.
-func addServer(group *run.Group, name, address string, server *http.Server) error {
+func (n *Instance) addServer(group *run.Group, name, address string, server *http.Server) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return trace.Wrap(err, "listening for %s", name)
@@ -72,9 +72,9 @@
 	group.Add(func() error {
 		err := server.Serve(listener)
 		if !errors.Is(err, http.ErrServerClosed) {
-			return trace.Wrap(err, "serving %s", name)
+			n.fail(trace.Wrap(err, "serving %s", name))
 		}
-		<-stopped // a graceful shutdown closes the callers' server first
+		<-stopped // the first actor that returns ends the running requests
 		return nil
 	}, func(error) {
 		close(stopped)
