hosted: one graceful shutdown at a time

A SIGTERM during the shutdown that a failed actor had begun started a second one, which moved the end that requests had been begun for. Found by reading, no test shows it: the two would have to overlap within one period. The second now waits for the first.

--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -274,10 +274,6 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	case err := <-n.failures:
-		if n.draining() {
-			<-ctx.Done()
-			return err
-		}
 		n.stopGracefully(ctx)
 		return err
 	}
--- a/internal/hosted/shutdown.go
+++ b/internal/hosted/shutdown.go
@@ -78,9 +78,12 @@
 
 // stopGracefully makes the instance report that it is not ready, keeps serving
 // until the load balancer has detected that, and then waits for the running
-// requests.
+// requests. If a shutdown has begun already, it waits for ctx, which ends with that one.
 func (n *Instance) stopGracefully(ctx context.Context) {
-	n.stop.Store(planStop(time.Now(), n.follower.Current().StopGrace))
+	if !n.stop.CompareAndSwap(nil, planStop(time.Now(), n.follower.Current().StopGrace)) {
+		<-ctx.Done()
+		return
+	}
 	log.WithField("grace", n.stop.Load().Grace).Info("graceful shutdown started; instance no longer ready")
 	leaving := context.WithoutCancel(ctx)
 	go panics.Run(log, func() { n.links.leave(leaving) })
