daemon: a failed actor lets running requests end

The own interface had the fault that hosted had: one actor that failed ended the run group, and the callers' server cut every request that took longer than closeTimeout (2 s).

Evidence: TestFailedListenerCutsNoRequest (real connections): the operators' listener fails while a call of 4 s runs. Before: EOF without an answer. Now the caller gets its answer and Run returns the listener's error.

Change: a failure is logged and begins the graceful shutdown, whose actor returns it.

--- a/internal/daemon/cutoff_test.go
+++ b/internal/daemon/cutoff_test.go
@@ -58,13 +58,27 @@
 	callers []string
 	daemons []*Daemon
 	paths   []*paths.Paths
+	// workTime is the duration of a call of a service.
+	workTime time.Duration
+	// ended get the results of the instances' runs; they must be nil unless mayFail is set.
+	ended   []chan error
+	mayFail bool
 }
 
 // newFleet starts a platform, two engines, two processes of a service and instances, and waits
 // until the instances are linked and ready.
 func newFleet(t *testing.T, instances int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, platform: httptest.NewServer(platformd.New(platformd.Settings{}))}
+	f := &fleet{t: t}
+	f.start(instances)
+	return f
+}
+
+// start is newFleet for a fleet with other settings.
+func (f *fleet) start(instances int) {
+	t := f.t
+	t.Helper()
+	f.platform = httptest.NewServer(platformd.New(platformd.Settings{}))
 	t.Cleanup(f.platform.Close)
 	sum := sha256.Sum256([]byte(callerKey))
 	entries := fmt.Sprintf(catalogueYAML, hex.EncodeToString(sum[:]))
@@ -92,7 +106,6 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 	}
-	return f
 }
 
 // list adds an entry to the platform's live list.
@@ -129,7 +142,7 @@
 
 func (f *fleet) startService(i int) (url string) {
 	name := fmt.Sprint("s", i)
-	s := service.New(service.Settings{Name: name}, fault.New(func(int) {}))
+	s := service.New(service.Settings{Name: name, WorkTime: f.workTime}, fault.New(func(int) {}))
 	server := httptest.NewServer(s)
 	f.t.Cleanup(server.Close)
 	f.services = append(f.services, s)
@@ -169,18 +182,16 @@
 		f.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		if err := d.Run(ctx); err != nil {
-			f.t.Errorf("%s ended: %v", name, err)
-		}
-	}()
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx) }()
 	f.t.Cleanup(func() {
 		p.Heal()
 		cancel()
-		<-done
+		if err := <-ended; err != nil && !f.mayFail {
+			f.t.Errorf("%s ended: %v", name, err)
+		}
 	})
+	f.ended = append(f.ended, ended)
 	f.list(platform.LiveListEntry{ID: name, Role: "instance", Address: links})
 	f.daemons, f.callers, f.paths = append(f.daemons, d), append(f.callers, callers), append(f.paths, p)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -66,6 +66,8 @@
 	drainOnce sync.Once
 	// drainRequested is closed by Drain.
 	drainRequested chan struct{}
+	// failures holds the error of an actor that has failed.
+	failures chan error
 }
 
 // New builds an instance from validated settings. Nothing runs or listens yet.
@@ -75,7 +77,7 @@
 
 // newDaemon is New with the function that opens direct connections to upstreams.
 func newDaemon(s settings.Settings, direct sockets.DialFunc) (*Daemon, error) {
-	d := &Daemon{settings: s, incarnation: uint64(time.Now().UnixNano()), drainRequested: make(chan struct{})}
+	d := &Daemon{settings: s, incarnation: uint64(time.Now().UnixNano()), drainRequested: make(chan struct{}), failures: make(chan error, 1)}
 	d.endpoints = newEndpoints()
 	d.platform = httpclient.New(httpclient.Options{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout.Std()})
 	d.tunnels = tunnel.NewDialer(tunnel.Options{Direct: direct, Upstream: d.endpoints.at, DataCentre: s.DataCentre, Draining: d.draining.Load})
@@ -210,7 +212,7 @@
 	return len(members) > 0 && members[0].ID == d.settings.Instance
 }
 
-// Run runs the instance until a signal or a drain request has stopped it.
+// Run runs the instance until a signal, a drain request or the failure of an actor has stopped it.
 func (d *Daemon) Run(ctx context.Context) error {
 	var group run.Group
 	d.addActor(&group, "member", d.overlay.Run)
@@ -247,16 +249,30 @@
 // stops.
 func (d *Daemon) addActor(group *run.Group, name string, f func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	group.Add(func() (err error) {
-		defer panics.RecoverError(log.WithField("actor", name), &err)
-		err = f(ctx)
-		if ctx.Err() != nil {
-			return nil
+	group.Add(func() error {
+		err := func() (err error) {
+			defer panics.RecoverError(log.WithField("actor", name), &err)
+			return f(ctx)
+		}()
+		if ctx.Err() == nil {
+			d.fail(trace.Wrap(err, "running %s", name))
+			<-ctx.Done()
 		}
-		return trace.Wrap(err, "running %s", name)
+		return nil
 	}, func(error) { cancel() })
 }
 
+// fail records that an actor has failed, and begins a graceful shutdown. The actor must not return
+// before it is interrupted: the first one that returns ends the running requests.
+func (d *Daemon) fail(err error) {
+	log.WithError(err).Error("part of the instance failed")
+	select {
+	case d.failures <- err:
+	default: // one failure is enough to stop
+	}
+	d.Drain()
+}
+
 // Drain begins a graceful shutdown. It returns immediately.
 func (d *Daemon) Drain() {
 	d.drainOnce.Do(func() { close(d.drainRequested) })
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -113,7 +113,7 @@
 	group.Add(func() error {
 		err := server.Serve(listener)
 		if !errors.Is(err, http.ErrServerClosed) {
-			return trace.Wrap(err, "serving %s", name)
+			d.fail(trace.Wrap(err, "serving %s", name))
 		}
 		// A graceful shutdown closes the callers' server first. The first actor
 		// that returns ends the whole group, so this one waits until the group
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -17,7 +17,8 @@
 const tunnelDrainTimeout = 10 * time.Second
 
 // addStop adds the actor that waits for a signal or a drain request and then shuts
-// the instance down gracefully. A second signal ends the process immediately.
+// the instance down gracefully. A second signal ends the process immediately. It returns the error
+// of an actor that has failed.
 func (d *Daemon) addStop(ctx context.Context, group *run.Group) {
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	group.Add(func() error {
@@ -27,7 +28,12 @@
 		}
 		cancel()
 		d.stopGracefully()
-		return nil
+		select {
+		case err := <-d.failures:
+			return err
+		default:
+			return nil
+		}
 	}, func(error) { cancel() })
 }
 
--- a/internal/standin/rawtcp/rawtcp.go
+++ b/internal/standin/rawtcp/rawtcp.go
@@ -1,4 +1,5 @@
-// Package rawtcp is a server for tests that write the bytes of a connection themselves.
+// Package rawtcp is a server for tests that write the bytes of a connection themselves, and a way
+// to make a listener fail.
 package rawtcp
 
 import (
