wire: messages and rows of other builds may have more or fewer fields

Callers saw nothing: this prepares for builds whose types have grown. An instance that got a message with one field more refused it ("different number of elements") and closed the link.

Cause: fxamacker/cbor 2.10.0 refuses an array whose length is not the number of fields (parseArrayToStruct); none of its decode options changes that. Ruled out: UnmarshalCBOR on each of the 35 types (a type that forgets it is refused again, and each nested value is cut out twice); fitting each message before it is decoded (its cost is paid without need).

Change: package wire decodes all messages and rows, in one place. The library decodes first; if it reports a type mismatch or an unknown key, the message is copied with the fields that the type has and decoded again. Unknown fields are counted by sender.

Evidence: with the library in place of wire.Unmarshal, 19 golden messages could not be read with a field more in each struct; all are read now. The golden check finds the types that are encoded as arrays in the source and fails for one that is in no message; TestOneDecoder fails for a decoder elsewhere. FuzzUnmarshal ran 275279 inputs in 20 s without a finding.

Tests that call DecodeHint, Decode of poison, decodeFetchAnswer and decoding.Unmarshal name a sender now; they check what they did.

--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -11,6 +11,7 @@
 	"github.com/banyanroute/banyanroute/internal/catalogue"
 	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 // topicStatus is the topic of calls for the status of an instance.
@@ -93,7 +94,7 @@
 		return status
 	}
 	var answer InstanceStatus
-	if err := cbor.Unmarshal(data, &answer); err != nil {
+	if err := wire.Unmarshal(data, &answer, m.ID); err != nil {
 		return status
 	}
 	return answer
--- a/internal/admit/observe.go
+++ b/internal/admit/observe.go
@@ -146,7 +146,7 @@
 
 // ObservePeerHint applies the PeerHint of another instance.
 func (s *Scheduler) ObservePeerHint(from string, payload []byte) {
-	hint, err := load.DecodeHint(payload)
+	hint, err := load.DecodeHint(from, payload)
 	if err != nil {
 		log.WithError(err).WithField("instance", from).Warn("peer hint rejected: payload cannot be decoded")
 		return
@@ -249,7 +249,7 @@
 // ObservePoison applies a payload that another instance passed to its
 // Options.OnPoison.
 func (s *Scheduler) ObservePoison(from string, payload []byte) {
-	notices, err := poison.Decode(payload)
+	notices, err := poison.Decode(from, payload)
 	if err != nil {
 		log.WithError(err).WithField("instance", from).Warn("poison notices rejected: payload cannot be decoded")
 		return
--- a/internal/catalogue/exchange.go
+++ b/internal/catalogue/exchange.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return fetchAnswer{}, err
 	}
-	return decodeFetchAnswer(data)
+	return decodeFetchAnswer(id, data)
 }
 
 // fetchCatalogue installs a peer's whole catalogue.
@@ -176,7 +176,7 @@
 		if err != nil {
 			return first, err
 		}
-		page, err := decodePageAnswer(data)
+		page, err := decodePageAnswer(id, data)
 		if err != nil {
 			return first, err
 		}
--- a/internal/catalogue/fuzz_test.go
+++ b/internal/catalogue/fuzz_test.go
@@ -73,12 +73,12 @@
 		r := NewReplica(NewStore(nil), peertest.NewNet(0).Join(peer.Member{ID: "i"}), Options{Seed: 1})
 		r.current.Store(base)
 		r.handleOffer("p", data)
-		if answer, err := decodeFetchAnswer(data); err == nil {
+		if answer, err := decodeFetchAnswer("peer", data); err == nil {
 			if next, err := r.Snapshot().withChanges(answer.Changes); err == nil {
 				r.install(next, sourceFetch)
 			}
 		}
-		decodePageAnswer(data)
+		decodePageAnswer("peer", data)
 		r.handleFetch(t.Context(), "p", data)
 		r.handlePage(t.Context(), "p", data)
 		snap := r.Snapshot()
--- a/internal/catalogue/message.go
+++ b/internal/catalogue/message.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 // Topics of the messages about the catalogue between instances.
@@ -68,12 +69,12 @@
 // encoder and decoder are the CBOR modes of all messages.
 var (
 	encoder = mustBuildMode(cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode())
-	decoder = mustBuildMode(cbor.DecOptions{
+	decoder = wire.New(cbor.DecOptions{
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		MaxNestedLevels:  16,
 		MaxArrayElements: 1 << 16,
 		MaxMapPairs:      1 << 10,
-	}.DecMode())
+	})
 )
 
 func mustBuildMode[M any](mode M, err error) M {
@@ -105,9 +106,9 @@
 }
 
 // decodeOffer decodes and checks an offer.
-func decodeOffer(data []byte) (offer, error) {
+func decodeOffer(from string, data []byte) (offer, error) {
 	var o offer
-	if err := decoder.Unmarshal(data, &o); err != nil {
+	if err := decoder.Unmarshal(data, &o, from); err != nil {
 		return o, err
 	}
 	if o.Change == nil {
@@ -120,9 +121,9 @@
 }
 
 // decodeFetchAnswer decodes and checks an answer.
-func decodeFetchAnswer(data []byte) (fetchAnswer, error) {
+func decodeFetchAnswer(from string, data []byte) (fetchAnswer, error) {
 	var a fetchAnswer
-	if err := decoder.Unmarshal(data, &a); err != nil {
+	if err := decoder.Unmarshal(data, &a, from); err != nil {
 		return a, err
 	}
 	for i := range a.Changes {
@@ -134,9 +135,9 @@
 }
 
 // decodePageAnswer decodes and checks a page.
-func decodePageAnswer(data []byte) (pageAnswer, error) {
+func decodePageAnswer(from string, data []byte) (pageAnswer, error) {
 	var a pageAnswer
-	if err := decoder.Unmarshal(data, &a); err != nil {
+	if err := decoder.Unmarshal(data, &a, from); err != nil {
 		return a, err
 	}
 	for i := range a.Records {
--- a/internal/catalogue/serve.go
+++ b/internal/catalogue/serve.go
@@ -14,7 +14,7 @@
 // if the offer holds the next one, else it records the revision for the fetch
 // loop.
 func (r *Replica) handleOffer(from string, payload []byte) {
-	o, err := decodeOffer(payload)
+	o, err := decodeOffer(from, payload)
 	if err != nil {
 		r.reportRejected("offer", from, err)
 		return
@@ -43,7 +43,7 @@
 // has a higher revision, this instance fetches it in turn.
 func (r *Replica) handleFetch(_ context.Context, from string, payload []byte) ([]byte, error) {
 	var req fetchRequest
-	if err := decoder.Unmarshal(payload, &req); err != nil {
+	if err := decoder.Unmarshal(payload, &req, from); err != nil {
 		return nil, err
 	}
 	snap := r.Snapshot()
@@ -94,9 +94,9 @@
 }
 
 // handlePage answers with one page of the whole catalogue.
-func (r *Replica) handlePage(_ context.Context, _ string, payload []byte) ([]byte, error) {
+func (r *Replica) handlePage(_ context.Context, from string, payload []byte) ([]byte, error) {
 	var req pageRequest
-	if err := decoder.Unmarshal(payload, &req); err != nil {
+	if err := decoder.Unmarshal(payload, &req, from); err != nil {
 		return nil, err
 	}
 	snap := r.Snapshot()
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -23,6 +23,7 @@
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/platform"
 	"github.com/banyanroute/banyanroute/internal/upstream"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 var log = logging.For("control")
@@ -164,9 +165,9 @@
 
 // onLeavingNotice handles a peer's notice that an upstream is leaving. The
 // notice is dropped if the queue is full.
-func (c *Controller) onLeavingNotice(_ string, payload []byte) {
+func (c *Controller) onLeavingNotice(from string, payload []byte) {
 	var id string
-	if cbor.Unmarshal(payload, &id) != nil {
+	if wire.Unmarshal(payload, &id, from) != nil {
 		return
 	}
 	select {
--- a/internal/deployment/exchange.go
+++ b/internal/deployment/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 // topicUpdate is the topic of calls that fetch another instance's snapshot of one
@@ -97,7 +98,7 @@
 // handleSeen receives the versions that a watcher has seen.
 func (e *Exchange) handleSeen(from string, payload []byte) {
 	var seen []Revision
-	if err := cbor.Unmarshal(payload, &seen); err != nil {
+	if err := wire.Unmarshal(payload, &seen, from); err != nil {
 		log.WithError(err).WithField("instance", from).Warn("versions of another instance rejected: payload cannot be decoded")
 		return
 	}
@@ -173,13 +174,13 @@
 		return Update{}, trace.Wrap(err)
 	}
 	var u Update
-	return u, trace.Wrap(cbor.Unmarshal(answer, &u))
+	return u, trace.Wrap(wire.Unmarshal(answer, &u, from))
 }
 
 // handleFetch returns this instance's snapshot of a source.
-func (e *Exchange) handleFetch(_ context.Context, _ string, payload []byte) ([]byte, error) {
+func (e *Exchange) handleFetch(_ context.Context, from string, payload []byte) ([]byte, error) {
 	var index int
-	if err := cbor.Unmarshal(payload, &index); err != nil || index < 0 || index >= len(e.followers) {
+	if err := wire.Unmarshal(payload, &index, from); err != nil || index < 0 || index >= len(e.followers) {
 		return nil, errNoSource
 	}
 	return cbor.Marshal(e.followers[index].snapshot())
--- a/internal/deployment/leaving.go
+++ b/internal/deployment/leaving.go
@@ -5,6 +5,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 // Signals is what an answer of an upstream says of the upstream itself.
@@ -101,7 +103,7 @@
 // handleLeaving records what another instance has read in an answer.
 func (e *Exchange) handleLeaving(from string, payload []byte) {
 	var n leavingNotice
-	if err := cbor.Unmarshal(payload, &n); err != nil {
+	if err := wire.Unmarshal(payload, &n, from); err != nil {
 		log.WithError(err).WithField("instance", from).Warn("notice of an upstream that leaves rejected: payload cannot be decoded")
 		return
 	}
--- a/internal/deployment/relay.go
+++ b/internal/deployment/relay.go
@@ -8,6 +8,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
+
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 // Calls to the store are priced, so in large fleets only a few instances, the relays, follow
@@ -275,13 +277,13 @@
 	if err != nil {
 		return a, trace.Wrap(err)
 	}
-	return a, trace.Wrap(cbor.Unmarshal(answer, &a))
+	return a, trace.Wrap(wire.Unmarshal(answer, &a, id))
 }
 
 // handleFollow answers a call that waits for news of a source.
-func (e *Exchange) handleFollow(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+func (e *Exchange) handleFollow(ctx context.Context, from string, payload []byte) ([]byte, error) {
 	var r followRequest
-	if err := cbor.Unmarshal(payload, &r); err != nil {
+	if err := wire.Unmarshal(payload, &r, from); err != nil {
 		return nil, trace.BadParameter("decoding the request: %v", err)
 	}
 	if r.Source < 0 || r.Source >= len(e.followers) {
--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -29,6 +29,8 @@
 	Encode func() ([]byte, error)
 	// Decode decodes bytes and returns their encoding.
 	Decode func(data []byte) ([]byte, error)
+	// Type is that of the value, if it is read by package wire; else nil.
+	Type reflect.Type
 }
 
 // Of returns the Message of type T with the given functions.
@@ -49,6 +51,7 @@
 // production, or can't read what that one writes.
 func Check(t *testing.T, messages map[string]Message) {
 	t.Helper()
+	checkListed(t, messages)
 	for name, m := range messages {
 		t.Run(name, func(t *testing.T) {
 			file := filepath.Join("testdata", "golden", name+".hex")
@@ -81,6 +84,7 @@
 			if !bytes.Equal(ours, theirs) {
 				t.Errorf("this build writes %x, the one in production %x and may not read that; see docs/operators/upgrades.md", ours, theirs)
 			}
+			checkGrown(t, m, theirs)
 		})
 	}
 }
@@ -137,7 +141,9 @@
 
 // CBOR returns the Message of a type that is encoded as CBOR with the library's defaults.
 func CBOR[T any]() Message {
-	return Of(func(v T) ([]byte, error) { return cbor.Marshal(v) }, func(data []byte, v *T) error { return cbor.Unmarshal(data, v) })
+	m := Of(func(v T) ([]byte, error) { return cbor.Marshal(v) }, func(data []byte, v *T) error { return cbor.Unmarshal(data, v) })
+	m.Type = reflect.TypeFor[T]()
+	return m
 }
 
 // JSON returns the Message of a type that is encoded as JSON.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -24,6 +24,7 @@
 
 	"github.com/banyanroute/banyanroute/internal/logging"
 	"github.com/banyanroute/banyanroute/internal/platform"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 var log = logging.For("lease")
@@ -151,7 +152,7 @@
 func (l *Lease) observe(current platform.Row) error {
 	var r row
 	if current.Version != 0 {
-		if err := cbor.Unmarshal(current.Value, &r); err != nil {
+		if err := wire.Unmarshal(current.Value, &r, wire.Store); err != nil {
 			return trace.Wrap(err, "decoding lease row %q", current.Key)
 		}
 	}
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -11,6 +11,7 @@
 
 	"github.com/banyanroute/banyanroute/internal/chart"
 	"github.com/banyanroute/banyanroute/internal/platform"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 // rowPrefix starts the key of each claim row.
@@ -70,7 +71,7 @@
 
 func decodeRecord(data []byte) (record, error) {
 	var r record
-	if err := cbor.Unmarshal(data, &r); err != nil {
+	if err := wire.Unmarshal(data, &r, wire.Store); err != nil {
 		return record{}, trace.Wrap(err, "decoding claim row")
 	}
 	switch r.State {
@@ -96,7 +97,7 @@
 // decodeAnswer decodes an answer from the object store.
 func decodeAnswer(data []byte) (*Answer, error) {
 	var a Answer
-	if err := cbor.Unmarshal(data, &a); err != nil {
+	if err := wire.Unmarshal(data, &a, wire.Store); err != nil {
 		return nil, trace.Wrap(err, "decoding stored answer")
 	}
 	return &a, nil
--- a/internal/ledger/relay.go
+++ b/internal/ledger/relay.go
@@ -13,6 +13,7 @@
 	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/platform"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 // topicWrite is the topic of calls that have a batching instance commit a claim
@@ -147,7 +148,7 @@
 		return opResult{err: err}, true
 	}
 	var o relayOutcome
-	if err := cbor.Unmarshal(data, &o); err != nil {
+	if err := wire.Unmarshal(data, &o, to); err != nil {
 		return opResult{err: err}, true
 	}
 	switch o.Status {
@@ -161,9 +162,9 @@
 }
 
 // handle commits a write that another instance sent.
-func (r *relay) handle(_ context.Context, _ string, payload []byte) ([]byte, error) {
+func (r *relay) handle(_ context.Context, from string, payload []byte) ([]byte, error) {
 	var w relayWrite
-	if err := cbor.Unmarshal(payload, &w); err != nil {
+	if err := wire.Unmarshal(payload, &w, from); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	if !strings.HasPrefix(w.Key, rowPrefix) {
--- a/internal/load/hint.go
+++ b/internal/load/hint.go
@@ -7,6 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
+
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 // MaxHintEntries bounds the upstreams in one hint; the least busy ones are omitted.
@@ -56,12 +58,12 @@
 }
 
 // DecodeHint decodes and validates a peer's hint.
-func DecodeHint(payload []byte) (Hint, error) {
+func DecodeHint(from string, payload []byte) (Hint, error) {
 	var h Hint
 	if len(payload) > maxHintBytes {
 		return h, trace.LimitExceeded("hint of %d bytes exceeds the limit", len(payload))
 	}
-	if err := cbor.Unmarshal(payload, &h); err != nil {
+	if err := wire.Unmarshal(payload, &h, from); err != nil {
 		return h, trace.Wrap(err)
 	}
 	if len(h.Entries) > MaxHintEntries {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -119,11 +119,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h, err := DecodeHint(data)
+	h, err := DecodeHint("peer", data)
 	if err != nil || len(h.Entries) != MaxHintEntries || h.Entries[0].Key != 0 || h.Entries[1].Key != 99 {
 		t.Fatalf("got %d entries, %v", len(h.Entries), err)
 	}
-	if _, err := DecodeHint([]byte{0xff}); err == nil {
+	if _, err := DecodeHint("peer", []byte{0xff}); err == nil {
 		t.Error("an invalid payload was accepted")
 	}
 	t.Logf("%d entries take %d bytes", MaxHintEntries, len(data))
--- a/internal/member/bench_test.go
+++ b/internal/member/bench_test.go
@@ -38,7 +38,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		var m message
-		if err := decoding.Unmarshal(frame, &m); err != nil {
+		if err := decoding.Unmarshal(frame, &m, "peer"); err != nil {
 			b.Fatal(err)
 		}
 		c.receive(l, m, now)
@@ -67,7 +67,7 @@
 		seq++
 		frame := encode(message{Broadcast: &broadcast{Origin: fmt.Sprint("n", seq%400), Incarnation: 1, Seq: seq, Topic: "t", Payload: payload}})
 		var m message
-		if err := decoding.Unmarshal(frame, &m); err != nil {
+		if err := decoding.Unmarshal(frame, &m, "peer"); err != nil {
 			b.Fatal(err)
 		}
 		c.o.receiveBroadcast(nil, m.Broadcast, frame)
--- a/internal/member/handshake.go
+++ b/internal/member/handshake.go
@@ -9,6 +9,10 @@
 	"github.com/gravitational/trace"
 )
 
+// handshakeSource is the source of handshake messages in metrics: their sender is not yet
+// known to be the instance that they name.
+const handshakeSource = "handshake"
+
 // nonceBytes is the size of the random part of a challenge.
 const nonceBytes = 16
 
@@ -41,7 +45,7 @@
 	if err != nil {
 		return trace.Wrap(err, "reading handshake")
 	}
-	return trace.Wrap(decoding.Unmarshal(data, v), "decoding handshake")
+	return trace.Wrap(decoding.Unmarshal(data, v, handshakeSource), "decoding handshake")
 }
 
 // dialHandshake runs the dialler's side of the handshake and returns the acceptor's
--- a/internal/member/links.go
+++ b/internal/member/links.go
@@ -114,7 +114,7 @@
 func (o *Overlay) receive(ctx context.Context, l *link, frame []byte) error {
 	started := time.Now()
 	var m message
-	if err := decoding.Unmarshal(frame, &m); err != nil {
+	if err := decoding.Unmarshal(frame, &m, l.peer.ID); err != nil {
 		return trace.Wrap(err, "decoding message")
 	}
 	l.markReceived()
--- a/internal/member/message.go
+++ b/internal/member/message.go
@@ -4,6 +4,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 // protocolVersion is the version of the link protocol; an instance refuses any
@@ -124,18 +125,10 @@
 // maxCollectionElements bounds arrays and maps of a received message.
 const maxCollectionElements = 1 << 16
 
-var decoding = newDecoding()
-
-func newDecoding() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		MaxArrayElements: maxCollectionElements,
-		MaxMapPairs:      maxCollectionElements,
-	}.DecMode()
-	if err != nil {
-		panic(err) // the options are constants
-	}
-	return mode
-}
+var decoding = wire.New(cbor.DecOptions{
+	MaxArrayElements: maxCollectionElements,
+	MaxMapPairs:      maxCollectionElements,
+})
 
 // encode returns the CBOR encoding of v. It cannot fail: all message types are
 // plain data.
--- a/internal/order/weights.go
+++ b/internal/order/weights.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/banyanroute/banyanroute/internal/platform"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 // loadRateKey is the key of the row that holds the weight store's shared rate
@@ -43,7 +44,7 @@
 	}
 	var r loadRateRow
 	if rows[0].Version != 0 {
-		if err := cbor.Unmarshal(rows[0].Value, &r); err != nil {
+		if err := wire.Unmarshal(rows[0].Value, &r, wire.Store); err != nil {
 			return 0, trace.Wrap(err)
 		}
 	}
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -113,7 +113,7 @@
 
 // handleNotices applies the poison notices of another instance.
 func (f *Fleet) handleNotices(from string, payload []byte) {
-	notices, err := poison.Decode(payload)
+	notices, err := poison.Decode(from, payload)
 	if err != nil {
 		log.WithError(err).WithField("instance", from).Warn("poison notices rejected: payload cannot be decoded")
 		return
@@ -251,7 +251,7 @@
 	var a placeAnswer
 	answer, err := bus.Call(ctx, home, topicPlace, encode(r))
 	if err == nil {
-		err = decode(answer, &a)
+		err = decode(answer, &a, home)
 	}
 	if err == nil {
 		f.revisions.Receive(home, a.Seen)
@@ -320,7 +320,7 @@
 // handleCall handles a call of another instance to this one as home.
 func (f *Fleet) handleCall(_ context.Context, from string, payload []byte) ([]byte, error) {
 	var request placeRequest
-	if err := decode(payload, &request); err != nil {
+	if err := decode(payload, &request, from); err != nil {
 		return nil, err
 	}
 	f.revisions.Receive(from, request.Seen)
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -7,10 +7,10 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
 
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/upstreamlimit"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 // The home of a service keeps the limits that its upstreams name, since it places the jobs
@@ -250,7 +250,7 @@
 // handleLimits records the limits that the home of a service has told.
 func (f *Fleet) handleLimits(from string, payload []byte) {
 	var news []upstreamlimit.Observation
-	if err := cbor.Unmarshal(payload, &news); err != nil {
+	if err := wire.Unmarshal(payload, &news, from); err != nil {
 		log.WithError(err).WithField("instance", from).Warn("limits of upstreams rejected: payload cannot be decoded")
 		return
 	}
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -9,6 +9,7 @@
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/poison"
 	"github.com/banyanroute/banyanroute/internal/upstreamlimit"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 const (
@@ -94,6 +95,6 @@
 	return data
 }
 
-func decode(data []byte, v any) error {
-	return trace.Wrap(cbor.Unmarshal(data, v), "decoding a message about placement")
+func decode(data []byte, v any, from string) error {
+	return trace.Wrap(wire.Unmarshal(data, v, from), "decoding a message about placement")
 }
--- a/internal/poison/notice.go
+++ b/internal/poison/notice.go
@@ -5,6 +5,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
+
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 // MaxNotices bounds the notices in one message.
@@ -53,13 +55,13 @@
 	return data, trace.Wrap(err)
 }
 
-// Decode decodes and validates a message.
-func Decode(payload []byte) ([]Notice, error) {
+// Decode decodes and validates a message of another instance.
+func Decode(from string, payload []byte) ([]Notice, error) {
 	if len(payload) > maxMessageBytes {
 		return nil, trace.LimitExceeded("message of %d bytes exceeds the limit", len(payload))
 	}
 	var notices []Notice
-	if err := cbor.Unmarshal(payload, &notices); err != nil {
+	if err := wire.Unmarshal(payload, &notices, from); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	if len(notices) > MaxNotices {
--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -265,7 +265,7 @@
 			t.Fatal(err)
 		}
 		for _, payload := range messages {
-			decoded, err := Decode(payload)
+			decoded, err := Decode("peer", payload)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -84,7 +84,7 @@
 		t.Fatal(err)
 	}
 	for range 2 { // a repeated notice counts once
-		notices, err := Decode(data)
+		notices, err := Decode("peer", data)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -103,7 +103,7 @@
 	if v, _ := y.Verdict(7, epoch); v != Clear {
 		t.Errorf("verdict %d after the notice that the suspect is cleared, want clear", v)
 	}
-	if _, err := Decode([]byte{0x1b}); err == nil {
+	if _, err := Decode("peer", []byte{0x1b}); err == nil {
 		t.Error("an invalid payload was accepted")
 	}
 }
--- a/internal/quota/control.go
+++ b/internal/quota/control.go
@@ -5,10 +5,10 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 
 	"github.com/banyanroute/banyanroute/internal/panics"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 // control is the state of the limiter's control goroutine.
@@ -314,7 +314,7 @@
 		return nil, err
 	}
 	var grants []grant
-	return grants, trace.Wrap(cbor.Unmarshal(answer, &grants), "decoding lease grants")
+	return grants, trace.Wrap(wire.Unmarshal(answer, &grants, owner), "decoding lease grants")
 }
 
 // finish installs the granted leases. The lifetime of a lease counts from before
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -15,6 +15,7 @@
 	"github.com/banyanroute/banyanroute/internal/logging"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/result"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 var log = logging.For("quota")
@@ -197,7 +198,7 @@
 // handleRequests answers the lease requests of another instance, as the owner.
 func (l *Limiter) handleRequests(ctx context.Context, from string, payload []byte) ([]byte, error) {
 	var requests []leaseRequest
-	if err := cbor.Unmarshal(payload, &requests); err != nil {
+	if err := wire.Unmarshal(payload, &requests, from); err != nil {
 		return nil, trace.Wrap(err, "decoding asks for leases")
 	}
 	reply := make(chan []grant, 1)
--- a/internal/reclaim/owner.go
+++ b/internal/reclaim/owner.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 // topicQuery is the topic of queries about a hold.
@@ -110,16 +111,16 @@
 		return answerUnreachable
 	}
 	var r reply
-	if err := cbor.Unmarshal(data, &r); err != nil {
+	if err := wire.Unmarshal(data, &r, to); err != nil {
 		return answerNeeded
 	}
 	return r.Answer
 }
 
 // handle answers a query, or forwards it to the owner.
-func (c *ownerClient) handle(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+func (c *ownerClient) handle(ctx context.Context, from string, payload []byte) ([]byte, error) {
 	var q query
-	if err := cbor.Unmarshal(payload, &q); err != nil {
+	if err := wire.Unmarshal(payload, &q, from); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	parsed, ok := parseName(q.Name)
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -153,7 +153,7 @@
 	var answer openAnswer
 	err = send(ctx, s, request)
 	if err == nil {
-		err = receive(ctx, s, &answer)
+		err = receive(ctx, s, via, &answer)
 	}
 	if err == nil && answer.Code != opened {
 		err = fmt.Errorf("opening a tunnel through %s: %s", via, answer.Code)
--- a/internal/tunnel/message.go
+++ b/internal/tunnel/message.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 // openRequest is the first message on a stream: it asks for a connection to an upstream.
@@ -63,11 +64,11 @@
 	return s.Write(ctx, data)
 }
 
-// receive reads a message.
-func receive(ctx context.Context, s peer.Stream, message any) error {
+// receive reads a message of another instance.
+func receive(ctx context.Context, s peer.Stream, from string, message any) error {
 	data, err := s.Read(ctx)
 	if err != nil {
 		return err
 	}
-	return trace.Wrap(cbor.Unmarshal(data, message), "decoding a message of a tunnel")
+	return trace.Wrap(wire.Unmarshal(data, message, from), "decoding a message of a tunnel")
 }
--- a/internal/tunnel/notice.go
+++ b/internal/tunnel/notice.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 // topicPaths is the topic of broadcasts of instances that are cut off from all upstreams.
@@ -67,7 +68,7 @@
 // handleNotice records the notice of another instance.
 func (d *Dialer) handleNotice(from string, payload []byte) {
 	var n notice
-	if err := cbor.Unmarshal(payload, &n); err != nil {
+	if err := wire.Unmarshal(payload, &n, from); err != nil {
 		log.WithError(err).WithField("peer", from).Warn("notice about paths rejected: it cannot be decoded")
 		return
 	}
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -38,7 +38,7 @@
 	opening, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
 	var request openRequest
-	if err := receive(opening, s, &request); err != nil {
+	if err := receive(opening, s, from, &request); err != nil {
 		log.WithError(err).WithField("peer", from).Debug("request for a tunnel not received")
 		return
 	}
