Unknown kinds, values and versions have a stated meaning and are counted

Callers saw nothing: this prepares for builds that add kinds of messages and values.

Cause: what an instance did with a broadcast, call, event, status, outcome, reason or answer that it didn't know was left to chance, and nothing showed it. A frame of an unknown kind counted as "bye". A refusal said neither which version was sent nor which is known.

Change: unknown broadcasts are passed on unchanged, unknown calls and kinds of links refused, unknown events and statuses ignored, an unknown outcome is evidence of nothing, an unknown reason a refusal, an unknown answer about a hold keeps it and its grace period starts anew, an unknown result of a relayed write may have taken effect. All are counted by sender (banyanroute_unknown_kinds_total).

--- a/internal/ledger/relay.go
+++ b/internal/ledger/relay.go
@@ -157,6 +157,9 @@
 		return opResult{row: row, wrote: o.Status == relayWrote}, false
 	case relayUnavailable:
 		return opResult{err: platform.ErrUnavailable}, false
+	case relayUnknown:
+	default:
+		wire.CountUnknownKind(to, "write")
 	}
 	return opResult{err: platform.ErrUnknownOutcome}, true
 }
--- a/internal/member/broadcast.go
+++ b/internal/member/broadcast.go
@@ -1,6 +1,9 @@
 package member
 
-import "github.com/banyanroute/banyanroute/internal/peer"
+import (
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/wire"
+)
 
 // Broadcast implements peer.Bus.
 func (o *Overlay) Broadcast(topic peer.Topic, payload []byte) {
@@ -56,9 +59,12 @@
 		return
 	}
 	o.forward(b, frame, l)
-	if h := o.broadcastHandlers[b.Topic]; h != nil {
-		h(b.Origin, b.Payload)
+	h := o.broadcastHandlers[b.Topic]
+	if h == nil {
+		wire.CountUnknownKind(b.Origin, "broadcast")
+		return
 	}
+	h(b.Origin, b.Payload)
 }
 
 // receiveAnnounced requests the announced broadcasts that were missed and makes
--- a/internal/member/calls.go
+++ b/internal/member/calls.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 const (
@@ -101,6 +102,7 @@
 	l.lastCall.Store(time.Now().UnixNano())
 	h := o.callHandlers[request.Topic]
 	if h == nil {
+		wire.CountUnknownKind(l.peer.ID, "call")
 		o.sendAnswer(l, request.ID, nil, errors.New("no handler for topic "+string(request.Topic)))
 		return
 	}
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -9,6 +9,7 @@
 	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/platform"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 // event is an input of the control goroutine.
@@ -211,9 +212,9 @@
 	case m.Heartbeat != nil:
 		c.receiveHeartbeat(l, m.Heartbeat, now)
 	case m.Gossip != nil:
-		c.merge(m.Gossip, now)
+		c.merge(l, m.Gossip, now)
 	case m.Sync != nil:
-		c.merge(m.Sync.Records, now)
+		c.merge(l, m.Sync.Records, now)
 		if m.Sync.Reply {
 			c.o.sendOn(l, message{Sync: &tableSync{Records: c.table.all()}})
 		}
@@ -222,8 +223,13 @@
 	}
 }
 
-func (c *control) merge(records []record, now time.Time) {
+// merge adds the records that the other instance of a link has sent. Those whose status is
+// unknown are ignored.
+func (c *control) merge(l *link, records []record, now time.Time) {
 	for _, r := range records {
+		if r.Status > statusDead {
+			wire.CountUnknownKind(l.peer.ID, "status")
+		}
 		c.table.merge(r, now)
 	}
 }
--- a/internal/member/handshake_test.go
+++ b/internal/member/handshake_test.go
@@ -165,7 +165,7 @@
 // later is the handshake of a build that sends more fields.
 var later = side{
 	dial: func(ctx context.Context, conn Conn, secret []byte, first hello) (record, error) {
-		h := laterHello{Version: 1, Kind: first.Kind, To: first.To, From: laterRecordOf(first.From), Nonce: newNonce(), Highest: 2}
+		h := laterHello{Version: 2, Kind: first.Kind, To: first.To, From: laterRecordOf(first.From), Nonce: newNonce(), Highest: 2}
 		_ = conn.Write(ctx, encode(h))
 		var c challenge
 		if err := readStrict(ctx, conn, &c); err != nil {
@@ -282,6 +282,9 @@
 	if o.dialErr != nil || o.acceptErr != nil {
 		t.Fatal(o.dialErr, o.acceptErr)
 	}
+	if o.accepted.Version != 1 {
+		t.Errorf("version %d is sent, 361f2d3 refuses all but 1", o.accepted.Version)
+	}
 	for i, v := range []any{new(hello), new(proof), new(challenge)} {
 		if err := cbor.Unmarshal(o.sent[i], v); err != nil {
 			t.Errorf("%T: %v", v, err)
--- a/internal/member/links.go
+++ b/internal/member/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -43,8 +44,8 @@
 // refusal returns the reason for refusing a link, or "".
 func (o *Overlay) refusal(first hello) string {
 	switch {
-	case first.Version != protocolVersion:
-		return "unknown protocol version"
+	case first.Version < lowestVersion || first.Version > highestVersion:
+		return fmt.Sprintf("protocol version %d is unknown to instance %s, which knows %d to %d", first.Version, o.self.ID, lowestVersion, highestVersion)
 	case first.To != "" && first.To != o.self.ID:
 		return "this is instance " + o.self.ID
 	case first.From.ID == o.self.ID:
@@ -54,7 +55,7 @@
 	case first.Kind == linkStream && o.streamHandler == nil:
 		return "no streams are served"
 	case first.Kind < linkOverlay || first.Kind > linkStream:
-		return "unknown kind of link"
+		return fmt.Sprintf("kind of link %d is unknown to instance %s, which knows %d to %d", first.Kind, o.self.ID, linkOverlay, linkStream)
 	}
 	return ""
 }
@@ -159,8 +160,10 @@
 		return "prune"
 	case m.Graft != nil:
 		return "graft"
+	case m.Bye:
+		return "bye"
 	}
-	return "bye"
+	return "unknown"
 }
 
 // sendOn encodes and queues a message; a full queue closes the link.
--- a/internal/member/message.go
+++ b/internal/member/message.go
@@ -7,9 +7,13 @@
 	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
-// protocolVersion is the version of the link protocol; an instance refuses any
-// other.
-const protocolVersion = 1
+// Versions of the link protocol that an instance accepts: its own, which it sends, and those of
+// the builds before and after. Fields that the build after has added are ignored.
+const (
+	protocolVersion = 1
+	lowestVersion   = max(protocolVersion-1, 1)
+	highestVersion  = protocolVersion + 1
+)
 
 // linkKind determines which messages a link carries.
 type linkKind uint8
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/poison"
 	"github.com/banyanroute/banyanroute/internal/sleep"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 // Timing of calls to homes.
@@ -254,6 +255,9 @@
 		err = decode(answer, &a, home)
 	}
 	if err == nil {
+		if a.Decision != nil && !a.Decision.Reason.known() {
+			wire.CountUnknownKind(home, "reason")
+		}
 		f.revisions.Receive(home, a.Seen)
 	}
 	return a, err
@@ -326,6 +330,12 @@
 	f.revisions.Receive(from, request.Seen)
 	now := time.Now()
 	for _, e := range request.Events {
+		switch {
+		case !e.Kind.known():
+			wire.CountUnknownKind(from, "event")
+		case e.Kind == eventEnd && !e.End.Outcome.known():
+			wire.CountUnknownKind(from, "outcome")
+		}
 		f.planner.applyEvent(e, now)
 	}
 	a := placeAnswer{Seen: f.revisions.Seen()}
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -40,6 +40,9 @@
 	eventLimits
 )
 
+// known reports whether this build knows the kind. Events of other kinds are ignored.
+func (k eventKind) known() bool { return k >= eventAdopt && k <= eventLimits }
+
 // event reports a change of a job to the home of its service.
 type event struct {
 	_    struct{} `cbor:",toarray"`
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -131,6 +131,10 @@
 	Limited
 )
 
+// known reports whether this build knows the reason. A refusal for another one counts as
+// NoUpstream.
+func (r Reason) known() bool { return r <= Limited }
+
 // String returns the reason's name in metrics.
 func (r Reason) String() string {
 	names := [...]string{"placed", "no-upstream", "too-late", "too-large", "full", "poisoned", "deferred", "suspected", "part-poisoned", "part-suspected", "limited"}
@@ -171,6 +175,10 @@
 	Silence time.Duration
 }
 
+// known reports whether this build knows the outcome. An attempt with another one has ended, and
+// is evidence of nothing.
+func (o Outcome) known() bool { return o >= Completed && o <= Stalled }
+
 // String returns the outcome's name in logs.
 func (o Outcome) String() string {
 	names := [...]string{"none", "completed", "abandoned", "unreached", "refused", "failed", "lost", "stalled"}
--- a/internal/reclaim/owner.go
+++ b/internal/reclaim/owner.go
@@ -94,7 +94,8 @@
 	return answerUnreachable
 }
 
-// call sends one query. A reply that cannot be decoded counts as needed.
+// call sends one query. A reply that cannot be decoded, or whose
+// answer is unknown, counts as needed.
 func (c *ownerClient) call(ctx context.Context, to string, q query) answer {
 	payload, err := cbor.Marshal(q)
 	if err != nil {
@@ -114,6 +115,10 @@
 	if err := wire.Unmarshal(data, &r, to); err != nil {
 		return answerNeeded
 	}
+	if r.Answer > answerNotNeeded {
+		wire.CountUnknownKind(to, "hold")
+		return answerNeeded
+	}
 	return r.Answer
 }
 
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -17,6 +17,7 @@
 	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/sockets"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 var log = logging.For("tunnel")
@@ -155,6 +156,9 @@
 	if err == nil {
 		err = receive(ctx, s, via, &answer)
 	}
+	if err == nil && !answer.Code.known() {
+		wire.CountUnknownKind(via, "tunnel")
+	}
 	if err == nil && answer.Code != opened {
 		err = fmt.Errorf("opening a tunnel through %s: %s", via, answer.Code)
 	}
--- a/internal/tunnel/message.go
+++ b/internal/tunnel/message.go
@@ -37,6 +37,10 @@
 	notListed
 )
 
+// known reports whether this build knows the code. An instance that answers with another one is
+// avoided for some time, like one that does not answer.
+func (c openCode) known() bool { return c >= opened && c <= notListed }
+
 // String returns the code's name in metrics and errors.
 func (c openCode) String() string {
 	names := [...]string{"none", "opened", "no-path", "refused", "failed", "busy", "not-listed"}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -11,8 +11,9 @@
 	"strings"
 	"testing"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/banyanroute/banyanroute/internal/wire/wiretest"
 )
 
 // part, message and row are types of this build.
@@ -78,10 +79,6 @@
 	return data
 }
 
-func counted(source string) uint64 {
-	return metrics.GetOrCreateCounter(fmt.Sprintf(`banyanroute_unknown_fields_total{peer=%q}`, source)).Get()
-}
-
 // TestUnknownFieldsAreIgnored guards against messages of a later build that cut the link.
 func TestUnknownFieldsAreIgnored(t *testing.T) {
 	for name, added := range map[string][]any{
@@ -95,7 +92,7 @@
 		"a long text":     {strings.Repeat("x", 70_000)},
 	} {
 		t.Run(name, func(t *testing.T) {
-			before := counted("later")
+			before := wiretest.UnknownFields("later")
 			var m message
 			if err := Unmarshal(marshal(t, later(added...)), &m, "later"); err != nil {
 				t.Fatal(err)
@@ -104,7 +101,7 @@
 				t.Errorf("read as %+v, want %+v", m, filled)
 			}
 			// Eight arrays have added elements; three keys are unknown.
-			if got, want := counted("later")-before, uint64(8*len(added)+3); got != want {
+			if got, want := wiretest.UnknownFields("later")-before, uint64(8*len(added)+3); got != want {
 				t.Errorf("%d unknown fields counted, want %d", got, want)
 			}
 		})
@@ -205,7 +202,7 @@
 	if n := len(sources.known); n > maxSources {
 		t.Errorf("%d sources counted apart, at most %d allowed", n, maxSources)
 	}
-	if counted(otherSources) == 0 {
+	if wiretest.UnknownFields(otherSources) == 0 {
 		t.Error("sources beyond the limit are not counted")
 	}
 }
