--- a/internal/member/message.go
+++ b/internal/member/message.go
@@ -4,11 +4,16 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
-// protocolVersion is the version of the link protocol; an instance refuses any
-// other.
-const protocolVersion = 1
+// Versions of the link protocol that an instance accepts: its own, which it sends, and those of
+// the builds before and after. Fields that the build after has added are ignored.
+const (
+	protocolVersion = 1
+	lowestVersion   = max(protocolVersion-1, 1)
+	highestVersion  = protocolVersion + 1
+)
 
 // linkKind determines which messages a link carries.
 type linkKind uint8
@@ -124,18 +129,10 @@
 // maxCollectionElements bounds arrays and maps of a received message.
 const maxCollectionElements = 1 << 16
 
-var decoding = newDecoding()
-
-func newDecoding() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		MaxArrayElements: maxCollectionElements,
-		MaxMapPairs:      maxCollectionElements,
-	}.DecMode()
-	if err != nil {
-		panic(err) // the options are constants
-	}
-	return mode
-}
+var decoding = wire.New(cbor.DecOptions{
+	MaxArrayElements: maxCollectionElements,
+	MaxMapPairs:      maxCollectionElements,
+})
 
 // encode returns the CBOR encoding of v. It cannot fail: all message types are
 // plain data.
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/poison"
 	"github.com/banyanroute/banyanroute/internal/sleep"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 // Timing of calls to homes.
@@ -113,7 +114,7 @@
 
 // handleNotices applies the poison notices of another instance.
 func (f *Fleet) handleNotices(from string, payload []byte) {
-	notices, err := poison.Decode(payload)
+	notices, err := poison.Decode(from, payload)
 	if err != nil {
 		log.WithError(err).WithField("instance", from).Warn("poison notices rejected: payload cannot be decoded")
 		return
@@ -251,9 +252,12 @@
 	var a placeAnswer
 	answer, err := bus.Call(ctx, home, topicPlace, encode(r))
 	if err == nil {
-		err = decode(answer, &a)
+		err = decode(answer, &a, home)
 	}
 	if err == nil {
+		if a.Decision != nil && !a.Decision.Reason.known() {
+			wire.CountUnknownKind(home, "reason")
+		}
 		f.revisions.Receive(home, a.Seen)
 	}
 	return a, err
@@ -320,12 +324,18 @@
 // handleCall handles a call of another instance to this one as home.
 func (f *Fleet) handleCall(_ context.Context, from string, payload []byte) ([]byte, error) {
 	var request placeRequest
-	if err := decode(payload, &request); err != nil {
+	if err := decode(payload, &request, from); err != nil {
 		return nil, err
 	}
 	f.revisions.Receive(from, request.Seen)
 	now := time.Now()
 	for _, e := range request.Events {
+		switch {
+		case !e.Kind.known():
+			wire.CountUnknownKind(from, "event")
+		case e.Kind == eventEnd && !e.End.Outcome.known():
+			wire.CountUnknownKind(from, "outcome")
+		}
 		f.planner.applyEvent(e, now)
 	}
 	a := placeAnswer{Seen: f.revisions.Seen()}
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -9,6 +9,7 @@
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/poison"
 	"github.com/banyanroute/banyanroute/internal/upstreamlimit"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 const (
@@ -39,6 +40,9 @@
 	eventLimits
 )
 
+// known reports whether this build knows the kind. Events of other kinds are ignored.
+func (k eventKind) known() bool { return k >= eventAdopt && k <= eventLimits }
+
 // event reports a change of a job to the home of its service.
 type event struct {
 	_    struct{} `cbor:",toarray"`
@@ -94,6 +98,6 @@
 	return data
 }
 
-func decode(data []byte, v any) error {
-	return trace.Wrap(cbor.Unmarshal(data, v), "decoding a message about placement")
+func decode(data []byte, v any, from string) error {
+	return trace.Wrap(wire.Unmarshal(data, v, from), "decoding a message about placement")
 }
--- a/internal/reclaim/owner.go
+++ b/internal/reclaim/owner.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 // topicQuery is the topic of queries about a hold.
@@ -93,7 +94,8 @@
 	return answerUnreachable
 }
 
-// call sends one query. A reply that cannot be decoded counts as needed.
+// call sends one query. A reply that cannot be decoded, or whose
+// answer is unknown, counts as needed.
 func (c *ownerClient) call(ctx context.Context, to string, q query) answer {
 	payload, err := cbor.Marshal(q)
 	if err != nil {
@@ -110,16 +112,20 @@
 		return answerUnreachable
 	}
 	var r reply
-	if err := cbor.Unmarshal(data, &r); err != nil {
+	if err := wire.Unmarshal(data, &r, to); err != nil {
+		return answerNeeded
+	}
+	if r.Answer > answerNotNeeded {
+		wire.CountUnknownKind(to, "hold")
 		return answerNeeded
 	}
 	return r.Answer
 }
 
 // handle answers a query, or forwards it to the owner.
-func (c *ownerClient) handle(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+func (c *ownerClient) handle(ctx context.Context, from string, payload []byte) ([]byte, error) {
 	var q query
-	if err := cbor.Unmarshal(payload, &q); err != nil {
+	if err := wire.Unmarshal(payload, &q, from); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	parsed, ok := parseName(q.Name)
--- a/internal/tunnel/message.go
+++ b/internal/tunnel/message.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
 // openRequest is the first message on a stream: it asks for a connection to an upstream.
@@ -36,6 +37,10 @@
 	notListed
 )
 
+// known reports whether this build knows the code. An instance that answers with another one is
+// avoided for some time, like one that does not answer.
+func (c openCode) known() bool { return c >= opened && c <= notListed }
+
 // String returns the code's name in metrics and errors.
 func (c openCode) String() string {
 	names := [...]string{"none", "opened", "no-path", "refused", "failed", "busy", "not-listed"}
@@ -63,11 +68,11 @@
 	return s.Write(ctx, data)
 }
 
-// receive reads a message.
-func receive(ctx context.Context, s peer.Stream, message any) error {
+// receive reads a message of another instance.
+func receive(ctx context.Context, s peer.Stream, from string, message any) error {
 	data, err := s.Read(ctx)
 	if err != nil {
 		return err
 	}
-	return trace.Wrap(cbor.Unmarshal(data, message), "decoding a message of a tunnel")
+	return trace.Wrap(wire.Unmarshal(data, message, from), "decoding a message of a tunnel")
 }
