daemon: calls that a stop would cut are refused if the grace period is known

Callers of the own interface saw connections end without an answer, some after their call had run, when a supervisor killed a stopping instance: SIGTERM waits for every request to its own deadline, and the time of SIGKILL was nowhere in the settings. Calls that arrived in the notice or late on connections that were open were begun whatever was left.

TestLongCallsGetAnErrorBeforeTheProcessIsKilled: a call that outlasts the grace period gets 503 draining, may have run, and the process exits by itself.

Change: drain.grace (default none: as before) is the time from the signal to SIGKILL. passthrough.Gate applies the rule of the platform's path to requests of the own interface. At seven eighths of the period requests that still run are ended with an error, and the waits for tunnels, claims and calls are bounded by it.

Not covered: a call that waits for a place at an upstream when SIGTERM comes is refused only at the end of the period (not run); streams that are ended there were not tried.

--- a/internal/daemon/cutoff_test.go
+++ b/internal/daemon/cutoff_test.go
@@ -161,21 +161,29 @@
 	return l.Addr().String()
 }
 
-func (f *fleet) startInstance(i int) {
+// settings returns the settings of an instance and the file with them; more is added to the file.
+func (f *fleet) settings(name, more string) (settings.Settings, []byte) {
 	f.t.Helper()
-	name := fmt.Sprint("i", i+1)
-	callers, operators, links := freeAddress(f.t), freeAddress(f.t), freeAddress(f.t)
-	s, err := settings.Parse("test", fmt.Appendf(nil, `
+	text := fmt.Appendf(nil, `
 instance: %s
 region: r
 data_centre: dc
 listen: {callers: {address: %q}, operators: {address: %q}, links: {address: %q}}
 platform: {url: %q}
 secrets: {links: link-secret-0123456789, orders: order-key-0123456789, bootstrap_token_sha256: %s}
-`, name, callers, operators, links, f.platform.URL, strings.Repeat("0", 64)))
+%s
+`, name, freeAddress(f.t), freeAddress(f.t), freeAddress(f.t), f.platform.URL, strings.Repeat("0", 64), more)
+	s, err := settings.Parse("test", text)
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	return s, text
+}
+
+func (f *fleet) startInstance(i int) {
+	f.t.Helper()
+	name := fmt.Sprint("i", i+1)
+	s, _ := f.settings(name, "")
 	p := paths.New()
 	d, err := newDaemon(s, p.Dial)
 	if err != nil {
@@ -192,8 +200,8 @@
 		}
 	})
 	f.ended = append(f.ended, ended)
-	f.list(platform.LiveListEntry{ID: name, Role: "instance", Address: links})
-	f.daemons, f.callers, f.paths = append(f.daemons, d), append(f.callers, callers), append(f.paths, p)
+	f.list(platform.LiveListEntry{ID: name, Role: "instance", Address: s.Listen.Links.Address})
+	f.daemons, f.callers, f.paths = append(f.daemons, d), append(f.callers, s.Listen.Callers.Address), append(f.paths, p)
 }
 
 // send sends a request to an instance and returns the status and the body.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/banyanroute/banyanroute/internal/member"
 	"github.com/banyanroute/banyanroute/internal/order"
 	"github.com/banyanroute/banyanroute/internal/panics"
+	"github.com/banyanroute/banyanroute/internal/passthrough"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/platform/httpclient"
 	"github.com/banyanroute/banyanroute/internal/quota"
@@ -62,8 +63,13 @@
 	operatorServer *http.Server
 	linkServer     *http.Server
 
-	draining  atomic.Bool
-	drainOnce sync.Once
+	draining atomic.Bool
+	// stop is the graceful shutdown that has begun if its end is known.
+	stop atomic.Pointer[passthrough.Stop]
+	// ending ends when the requests that still run must end, because the process does.
+	ending      context.Context
+	endRequests context.CancelFunc
+	drainOnce   sync.Once
 	// drainRequested is closed by Drain.
 	drainRequested chan struct{}
 	// failures holds the error of an actor that has failed.
@@ -79,6 +85,7 @@
 func newDaemon(s settings.Settings, direct sockets.DialFunc) (*Daemon, error) {
 	d := &Daemon{settings: s, incarnation: uint64(time.Now().UnixNano()), drainRequested: make(chan struct{}), failures: make(chan error, 1)}
 	d.endpoints = newEndpoints()
+	d.ending, d.endRequests = context.WithCancel(context.Background())
 	d.platform = httpclient.New(httpclient.Options{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout.Std()})
 	d.tunnels = tunnel.NewDialer(tunnel.Options{Direct: direct, Upstream: d.endpoints.at, DataCentre: s.DataCentre, Draining: d.draining.Load})
 	d.upstreams = upstream.NewClient(upstream.Options{Owner: s.Instance, Dial: d.tunnels.DialContext})
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -46,6 +46,8 @@
 		BodyTimeout:    bounds.BodyTimeout.Std(),
 		RequestTimeout: bounds.RequestTimeout.Std(),
 		Draining:       d.draining.Load,
+		Stop:           d.stop.Load,
+		Ending:         d.ending,
 	})
 	d.operatorServer = newServer(d.operatorHandler(), bounds.HeaderBytes)
 	d.linkServer = newServer(d.overlay.Handler(), bounds.HeaderBytes)
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"github.com/oklog/run"
+
+	"github.com/banyanroute/banyanroute/internal/panics"
+	"github.com/banyanroute/banyanroute/internal/passthrough"
 )
 
 // claimDrainTimeout bounds the wait for the outcomes of claims to be stored after
@@ -37,27 +40,64 @@
 	}, func(error) { cancel() })
 }
 
+// Parts of the grace period that are reserved for errors to requests that still run, and then for
+// the outcomes of their claims and the exit of the process, as divisors.
+const (
+	endReserveDivisor  = 8
+	exitReserveDivisor = 16
+)
+
 // stopGracefully stops the instance without interrupting a request: it first
 // reports "not ready", so that the load balancer and the peers send no new
 // requests, then stops listening, and then waits for all requests to end, each at
-// its own deadline at the latest.
+// its own deadline or the end of the grace period at the latest.
 func (d *Daemon) stopGracefully() {
-	notice := d.settings.Drain.Notice.Std()
-	log.Infof("graceful shutdown started, notice %s", notice)
+	notice, grace := d.settings.Drain.Notice.Std(), d.settings.Drain.Grace.Std()
+	log.Infof("graceful shutdown started, notice %s, grace %s", notice, grace)
+	running, exiting := context.Background(), context.Background()
+	if grace > 0 {
+		began := time.Now()
+		stop := &passthrough.Stop{Began: began, Grace: grace, NewUntil: began.Add(notice), End: began.Add(grace - grace/endReserveDivisor)}
+		d.stop.Store(stop)
+		var cancel context.CancelFunc
+		running, cancel = context.WithDeadline(running, stop.End)
+		defer cancel()
+		exiting, cancel = context.WithDeadline(exiting, began.Add(grace-grace/exitReserveDivisor))
+		defer cancel()
+	}
 	d.draining.Store(true)
 	d.overlay.SetLeaving()
 	time.Sleep(notice)
-	if err := d.callerServer.Stop(context.Background()); err != nil {
-		log.Warnf("callers' server not stopped cleanly: %v", err)
-	}
-	d.dispatcher.Wait()
-	tunnels, cancel := context.WithTimeout(context.Background(), tunnelDrainTimeout)
+	d.stopCallers(running, exiting)
+	tunnels, cancel := context.WithTimeout(running, tunnelDrainTimeout)
 	defer cancel()
 	d.tunnels.WaitServed(tunnels)
-	ctx, cancel := context.WithTimeout(context.Background(), claimDrainTimeout)
+	ctx, cancel := context.WithTimeout(exiting, claimDrainTimeout)
 	defer cancel()
 	if left := d.ledger.Drain(ctx); left > 0 {
 		log.Warnf("outcomes of claims not stored: %d", left)
 	}
-	log.Info("all requests ended")
+	log.Info("graceful shutdown ended")
+}
+
+// stopCallers stops the callers' server and waits for all requests until running ends. Those that
+// still run then get an error, until exiting ends.
+func (d *Daemon) stopCallers(running, exiting context.Context) {
+	if err := d.callerServer.Stop(running); err != nil {
+		log.Warn("requests still running at the end of the grace period are ended with an error")
+		d.endRequests()
+		if err := d.callerServer.Stop(exiting); err != nil {
+			log.WithError(err).Warn("callers' server not stopped cleanly")
+		}
+	}
+	ended := make(chan struct{})
+	go panics.Run(log, func() {
+		defer close(ended)
+		d.dispatcher.Wait()
+	})
+	select {
+	case <-ended:
+	case <-exiting.Done():
+		log.Warn("calls still running at the end of the grace period are left to their claims")
+	}
 }
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -30,6 +30,9 @@
 	if rerr != nil {
 		return rerr
 	}
+	if rerr := h.begin(x, "model "+model.Name, x.started.Add(limit)); rerr != nil {
+		return rerr
+	}
 	permit, rerr := h.opts.Limiter.Take(x.workspace.Name, req.promptTokens+req.outputTokens)
 	if rerr != nil {
 		return rerr
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/banyanroute/banyanroute/internal/dispatch"
 	"github.com/banyanroute/banyanroute/internal/logging"
 	"github.com/banyanroute/banyanroute/internal/panics"
+	"github.com/banyanroute/banyanroute/internal/passthrough"
 	"github.com/banyanroute/banyanroute/internal/result"
 )
 
@@ -71,6 +73,11 @@
 	// Draining reports whether the instance is draining; connections are then
 	// closed after the answer.
 	Draining func() bool
+	// Stop returns the graceful shutdown that has begun if its end is known, or nil. A nil
+	// function is never.
+	Stop func() *passthrough.Stop
+	// Ending ends when the requests that still run must end; nil is never.
+	Ending context.Context
 }
 
 // Handler serves the callers' HTTP API.
@@ -78,13 +85,20 @@
 	opts   Options
 	bodies *bodies.Budget
 	mux    *http.ServeMux
+	gate   passthrough.Gate
 }
 
 var log = logging.For("entry")
 
 // NewHandler returns the callers' handler.
 func NewHandler(opts Options) *Handler {
-	h := &Handler{opts: opts, bodies: bodies.NewBudget(opts.BodiesBytes), mux: http.NewServeMux()}
+	if opts.Stop == nil {
+		opts.Stop = func() *passthrough.Stop { return nil }
+	}
+	if opts.Ending == nil {
+		opts.Ending = context.Background()
+	}
+	h := &Handler{opts: opts, bodies: bodies.NewBudget(opts.BodiesBytes), mux: http.NewServeMux(), gate: passthrough.Gate{Stop: opts.Stop}}
 	h.mux.HandleFunc("POST /v1/chat/completions", h.serve(h.generate))
 	h.mux.HandleFunc("POST /v1/completions", h.serve(h.generate))
 	h.mux.HandleFunc("GET /v1/models", h.serve(h.listModels))
@@ -104,24 +118,50 @@
 	snapshot  *catalogue.Snapshot
 	workspace *catalogue.Entry
 	started   time.Time
+	// route names what the request calls, for the estimate of its duration; empty until it is
+	// begun.
+	route string
+}
+
+// begin returns an error if a graceful shutdown leaves no time for the request.
+func (h *Handler) begin(x *exchange, route string, deadline time.Time) *result.Error {
+	if err := h.gate.MayBegin(route, deadline, time.Now()); err != nil {
+		return err
+	}
+	x.route = route
+	return nil
+}
+
+// end returns the error of a request with err, and records the duration of one that was answered.
+func (h *Handler) end(x *exchange, err *result.Error) *result.Error {
+	if err == nil && x.route != "" {
+		h.gate.Observe(x.route, time.Since(x.started))
+	}
+	if err != nil && err.Code == result.CallerGone && h.opts.Ending.Err() != nil {
+		return result.Wrap(err, result.Draining, "the instance ended before the answer was complete").WithExecution(err.Execution)
+	}
+	return err
 }
 
 // serve wraps a handler: it assigns the request ID, authenticates the caller,
 // writes the handler's error and counts the request.
 func (h *Handler) serve(f func(*exchange) *result.Error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		x := &exchange{w: w, r: r, id: h.opts.Dispatcher.NewRequestID(), started: time.Now()}
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		defer context.AfterFunc(h.opts.Ending, cancel)()
+		x := &exchange{w: w, r: r.WithContext(ctx), id: h.opts.Dispatcher.NewRequestID(), started: time.Now()}
 		w.Header().Set(HeaderRequestID, x.id)
 		if h.opts.Draining() {
 			w.Header().Set("Connection", "close")
 		}
 		x.limitWrites(x.started.Add(h.opts.RequestTimeout))
-		err := x.run(func() *result.Error {
+		err := h.end(x, x.run(func() *result.Error {
 			if err := h.authenticate(x); err != nil {
 				return err
 			}
 			return f(x)
-		})
+		}))
 		code := result.OK
 		if err != nil {
 			code = err.Code
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -36,6 +36,9 @@
 		return rerr
 	}
 	defer release()
+	if rerr := h.begin(x, "service "+service.Name+" "+route.Method+" "+route.Prefix, x.started.Add(limit)); rerr != nil {
+		return rerr
+	}
 	permit, rerr := h.opts.Limiter.Take(x.workspace.Name, 0)
 	if rerr != nil {
 		return rerr
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -164,6 +164,9 @@
 // minSecretBytes is the minimum length of a secret.
 const minSecretBytes = 16
 
+// minAfterNotice is the least part of the grace period that is left after the notice.
+const minAfterNotice = time.Second
+
 func (c *checker) check(s *Settings) {
 	c.name("instance", s.Instance)
 	c.name("region", s.Region)
@@ -181,6 +184,9 @@
 	}
 	c.limits(&s.Limits)
 	c.duration("drain.notice", s.Drain.Notice, 0, 10*time.Minute)
+	if s.Drain.Grace != 0 {
+		c.duration("drain.grace", s.Drain.Grace, s.Drain.Notice.Std()+minAfterNotice, 2*time.Hour)
+	}
 	switch s.Log.Level {
 	case "debug", "info", "warning", "error":
 	default:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -97,6 +97,9 @@
 	// Notice is the time for which the instance reports "not ready" before it
 	// refuses new requests, so that the load balancer stops sending first.
 	Notice Duration `yaml:"notice"`
+	// Grace is the time after which the process is killed; zero if it never is. No request is
+	// begun that may not end before.
+	Grace Duration `yaml:"grace"`
 }
 
 // Log configures logging.
