--- a/internal/passthrough/stopping.go
+++ b/internal/passthrough/stopping.go
@@ -28,15 +28,12 @@
 // of a shutdown: its new connection reaches another instance.
 const elsewhereRetryAfter = 10 * time.Millisecond
 
-// mayBegin returns an error if a shutdown would cut the request off. A request whose own time
-// limit ends before the shutdown does is always begun. Until callers can reach other instances
-// with certainty, so is one that probably ends in time.
+// mayBegin returns an error if a shutdown would cut the request off. One that may have run, or whose
+// answer has begun, goes on.
 func (h *Handler) mayBegin(rq *request, now time.Time) *result.Error {
 	stop := h.opts.Stop()
-	if stop == nil || !rq.deadline.After(stop.End) || len(rq.mayHaveRun) > 0 || rq.begun() {
-		return nil
-	}
-	if now.Before(stop.NewUntil) && !now.Add(h.durations.expected(rq.route.Name)).After(stop.End) {
+	if stop == nil || len(rq.mayHaveRun) > 0 || rq.begun() ||
+		stop.leavesTime(rq.deadline, now, h.durations.expected(rq.route.Name)) {
 		return nil
 	}
 	return noTimeLeft()
