tunnel: connections that failed at the same moment are no proof of isolation

Cause: the only other instance was slow to open tunnels for 500 ms. The connections that were tried in this time failed together, for three upstreams and more, and that counted as "three upstreams in a row that were reached in no way". So the second try of each of these requests, at another upstream, was refused with ErrIsolated without being tried, and mayRetry ended the request. Evidence: the test alone on one core beside 4 busy processes: 25 requests refused after 634 to 843 ms, all 25 with "this instance reaches no upstream" at their second attempt. Ruled out: refusals by placement or triedAll (the requests' log lines name ErrIsolated); paths of the other instance (whole). Change: an instance counts as isolated only if one of the failed connections was tried after another had failed. In a silent cut in which nothing can be reached it learns so after 1 s instead of 0.5 s; the users allow 3 s. TestSlowMomentOfAnotherInstanceIsNoIsolation failed before (4 of 5 connections not tried). Beside 2 or 4 busy processes on one core, several runs of either code fail or time out: there tunnels take longer than 500 ms throughout, connections time out at both upstreams, and requests are refused or late.

--- a/internal/tunnel/paths.go
+++ b/internal/tunnel/paths.go
@@ -22,7 +22,8 @@
 	// isolated.
 	recoveryTime = time.Second
 	// isolatedFailures is the number of upstreams in a row that could not be reached in any
-	// way from which on the instance counts as isolated.
+	// way from which on the instance counts as isolated, if one of them was tried after another
+	// had failed: attempts at the same time show only that moment.
 	isolatedFailures = 3
 	// isolatedTrialInterval is the time between connections that an isolated instance tries.
 	isolatedTrialInterval = 100 * time.Millisecond
@@ -54,6 +55,10 @@
 	// unreached holds the upstreams that could not be reached in any way since a connection
 	// was last established.
 	unreached map[string]bool
+	// unreachedAt is when the first of them had failed; failedAgain reports whether an attempt
+	// that began later has failed, too.
+	unreachedAt time.Time
+	failedAgain bool
 	// isolatedTrialAt is when an isolated instance may next try to connect.
 	isolatedTrialAt time.Time
 }
@@ -97,7 +102,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.connectedAt = now
-	clear(p.unreached)
+	p.reachedLocked()
 	clear(p.unconnected)
 	broken := p.broken[address] != nil
 	delete(p.broken, address)
@@ -129,7 +134,13 @@
 func (p *paths) reached() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.reachedLocked()
+}
+
+// reachedLocked records that an upstream was reached in some way. The caller holds mu.
+func (p *paths) reachedLocked() {
 	clear(p.unreached)
+	p.failedAgain = false
 }
 
 // tunnelled records that another instance has connected to an upstream to which a direct
@@ -138,7 +149,7 @@
 func (p *paths) tunnelled(address, cause string, failed []string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	clear(p.unreached)
+	p.reachedLocked()
 	for _, instance := range failed {
 		p.avoidLocked(instance, noPathTime, now)
 	}
@@ -150,11 +161,21 @@
 	return true
 }
 
-// failed records that an upstream could not be reached in any way.
-func (p *paths) failed(address string) {
+// failed records that an upstream could not be reached in any way since began.
+func (p *paths) failed(address string, began, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(p.unreached) == 0 {
+		p.unreachedAt = now
+	}
 	p.unreached[address] = true
+	p.failedAgain = p.failedAgain || !began.Before(p.unreachedAt)
+}
+
+// isIsolated reports whether this instance seems to reach no upstream in any way. The caller
+// holds mu.
+func (p *paths) isIsolated(now time.Time) bool {
+	return len(p.unreached) >= isolatedFailures && p.failedAgain && now.Sub(p.connectedAt) >= recoveryTime
 }
 
 // connectedLately reports whether a direct connection was established lately.
@@ -169,7 +190,7 @@
 func (p *paths) mayConnect(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.unreached) < isolatedFailures || now.Sub(p.connectedAt) < recoveryTime {
+	if !p.isIsolated(now) {
 		return true
 	}
 	if now.Before(p.isolatedTrialAt) {
--- a/internal/tunnel/race.go
+++ b/internal/tunnel/race.go
@@ -238,7 +238,7 @@
 // fail records that no way has succeeded and returns the error.
 func (r *race) fail() error {
 	if r.ctx.Err() == nil || errors.Is(r.ctx.Err(), context.DeadlineExceeded) {
-		r.d.paths.failed(r.address)
+		r.d.paths.failed(r.address, r.began, time.Now())
 	}
 	switch {
 	case r.directErr == nil:
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -389,6 +389,58 @@
 	})
 }
 
+// dialAll opens a connection to each upstream at the same time and returns how many failed, and
+// how many of these were not tried because the instance counts as isolated.
+func (n *fakeInstance) dialAll(t *testing.T) (failed, isolated int) {
+	t.Helper()
+	results := make(chan error)
+	for i := range len(n.f.upstreams) {
+		go func() {
+			conn, _, err := n.dial(t, n.address(i))
+			if conn != nil {
+				conn.Close()
+			}
+			results <- err
+		}()
+	}
+	for range len(n.f.upstreams) {
+		err := <-results
+		if err != nil {
+			failed++
+		}
+		if errors.Is(err, sockets.ErrIsolated) {
+			isolated++
+		}
+	}
+	return failed, isolated
+}
+
+// TestSlowMomentOfAnotherInstanceIsNoIsolation guards against requests that were refused at once
+// although another instance had a path: connections that had failed at the same moment counted
+// as proof that no upstream can be reached.
+func TestSlowMomentOfAnotherInstanceIsNoIsolation(t *testing.T) {
+	const upstreams = 5
+	for slow := 1; slow <= 2; slow++ { // rounds of connections in which the other instance is silent
+		inBubble(t, func(t *testing.T) {
+			f := newFleet(2, upstreams, time.Millisecond)
+			f.cutOff(false, 0)
+			n, other := f.instances[0], f.instances[1]
+			other.frozen.Store(true)
+			for range slow {
+				if failed, isolated := n.dialAll(t); failed != upstreams || isolated != 0 {
+					t.Errorf("silent for %d rounds: %d of %d connections failed, %d untried; want all tried", slow, failed, upstreams, isolated)
+				}
+			}
+			other.frozen.Store(false)
+			failed, isolated := n.dialAll(t)
+			// One connection is tried even if the instance counts as isolated.
+			if want := (slow - 1) * (upstreams - 1); failed != want || isolated != want {
+				t.Errorf("after %d silent rounds %d of %d connections failed, %d untried; want %d", slow, failed, upstreams, isolated, want)
+			}
+		})
+	}
+}
+
 // address returns the address of an upstream.
 func (n *fakeInstance) address(i int) string {
 	return "u" + string(rune('0'+i%len(n.f.upstreams)))
