entry: answers without end are checked in virtual time

No caller saw it. Cause: the check counted time in which the test's process did not run. Ruled out: timers of the handler (virtual time). Change: the check was wrong to count that time. The handler and its HTTP client run in a synctest bubble with upstreams in memory. The second for the machine goes: the answer has to come within 2 s. Fast messages are sent in batches each virtual millisecond, so that the deadline is checked with them, too. The bubble fails if an upstream's connection stays open. Not checked here any more: the sockets of loopback; TestBytesWithoutEndAreBounded and the platform's test use them. A header without bound survives, as it ends by the deadline.

--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -133,6 +133,12 @@
 }
 
 func newHandler(t *testing.T, snapshot *catalogue.Snapshot, engineURL, serviceURL string) *Handler {
+	t.Helper()
+	return newHandlerWith(t, snapshot, engineURL, serviceURL, upstream.Options{})
+}
+
+// newHandlerWith is newHandler with options of the connections to upstreams.
+func newHandlerWith(t *testing.T, snapshot *catalogue.Snapshot, engineURL, serviceURL string, o upstream.Options) *Handler {
 	t.Helper()
 	scheduler := admit.New(admit.Options{Instance: "i1", Incarnation: 1, Seed: 1})
 	scheduler.SetUpstreams([]admit.Upstream{
@@ -142,7 +148,7 @@
 	store := memstore.New()
 	d, err := dispatch.New(dispatch.Options{
 		Instance: "i1", Incarnation: 1, Scheduler: scheduler,
-		Upstreams: upstream.NewClient(upstream.Options{}), Claims: ledger.New(store, store, ledger.Options{Instance: "i1", Incarnation: 1}),
+		Upstreams: upstream.NewClient(o), Claims: ledger.New(store, store, ledger.Options{Instance: "i1", Incarnation: 1}),
 		SilenceTimeout: 5 * time.Second,
 	})
 	if err != nil {
