member: instances name their build, and see when a fleet is mixed

During an upgrade or a rollback nothing said which build an instance was of: no line, no metric, no dump, no flag; an operator could not tell a replacement that was left half-way from one that had ended.

Links carry the name in a header of the WebSocket handshake in both directions; it counts once the authenticated handshake has ended. An instance logs one line when its linked members begin to run more than one build and one when they run one again, looked for every 5 s.

Ruled out: a broadcast topic of its own (messages while nothing changes), a field of the handshake's messages or member records (arrays of fixed length, covered by a MAC). Restriction: an instance knows the builds of members that it has had a link to since they started, and says so (not_linked).

Tests: each of the new ones failed with the line that it guards taken out (header of the request, header of the answer, either end's record, the check in the control loop, incarnations, the interval).

--- a/cmd/banyanload/commands.go
+++ b/cmd/banyanload/commands.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 
+	"github.com/banyanroute/banyanroute/internal/build"
 	"github.com/banyanroute/banyanroute/internal/loadtest/report"
 	"github.com/banyanroute/banyanroute/internal/loadtest/runner"
 	"github.com/banyanroute/banyanroute/internal/loadtest/scenario"
@@ -222,6 +223,6 @@
 
 // Execute implements flags.Commander.
 func (c *versionCommand) Execute([]string) error {
-	_, err := fmt.Println(runner.Version())
+	_, err := fmt.Println(build.ID())
 	return trace.Wrap(err)
 }
--- a/cmd/banyanrouted/main.go
+++ b/cmd/banyanrouted/main.go
@@ -13,9 +13,11 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/banyanroute/banyanroute/internal/build"
 	"github.com/banyanroute/banyanroute/internal/daemon"
 	"github.com/banyanroute/banyanroute/internal/hosted"
 	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/member"
 	"github.com/banyanroute/banyanroute/internal/settings"
 	"github.com/banyanroute/banyanroute/platform"
 )
@@ -25,6 +27,7 @@
 	Config      string `long:"config" value-name:"FILE" description:"YAML settings; docs/operators/settings.md lists the fields"`
 	Platform    bool   `long:"platform" description:"run on the users' platform with the settings that it provides, instead of --config"`
 	CheckConfig bool   `long:"check-config" description:"check the settings and exit without starting"`
+	Version     bool   `long:"version" description:"print the build and the version of the protocol between instances, and exit"`
 }
 
 // Exit codes.
@@ -46,6 +49,10 @@
 		}
 		return exitBadUsage
 	}
+	if opts.Version {
+		fmt.Printf("banyanrouted %s, protocol version %d\n", build.ID(), member.ProtocolVersion)
+		return exitOK
+	}
 	if opts.Platform {
 		return runHosted(opts.CheckConfig)
 	}
--- a/docs/metrics_test.go
+++ b/docs/metrics_test.go
@@ -18,7 +18,7 @@
 		listed[m[1]] = true
 	}
 	inCode := map[string]bool{}
-	for _, dir := range []string{"passthrough", "placement", "deployment", "hosted", "panics", "tunnel", "upstreamlimit"} {
+	for _, dir := range []string{"build", "passthrough", "placement", "deployment", "hosted", "panics", "tunnel", "upstreamlimit"} {
 		err := filepath.WalkDir(filepath.Join(root, "internal", dir), func(path string, _ fs.DirEntry, err error) error {
 			if err != nil || !strings.HasSuffix(path, ".go") {
 				return err
--- a/internal/admin/wire.go
+++ b/internal/admin/wire.go
@@ -18,6 +18,9 @@
 	PathDump    = "/v1/dump"
 	PathDrain   = "/v1/drain"
 	PathStatus  = "/v1/status"
+	// PathHostedDump is the state dump of an instance on a platform, which has no other path
+	// of this API.
+	PathHostedDump = "/dump"
 )
 
 // Entries is the answer to GET /v1/catalogue.
@@ -84,6 +87,8 @@
 	Revision    catalogue.Revision `json:"revision" cbor:"7,keyasint"`
 	Digest      string             `json:"digest" cbor:"8,keyasint"`
 	Started     time.Time          `json:"started" cbor:"9,keyasint"`
+	// Build is empty for an instance whose build does not say it.
+	Build string `json:"build,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
 // Status is the answer to GET /v1/status.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/banyanroute/banyanroute/internal/admin"
 	"github.com/banyanroute/banyanroute/internal/admit"
+	"github.com/banyanroute/banyanroute/internal/build"
 	"github.com/banyanroute/banyanroute/internal/catalogue"
 	"github.com/banyanroute/banyanroute/internal/control"
 	"github.com/banyanroute/banyanroute/internal/dispatch"
@@ -87,6 +88,7 @@
 		return nil, trace.Wrap(err)
 	}
 	d.buildServers()
+	build.RegisterMetric()
 	for _, set := range []*metrics.Set{
 		d.overlay.Metrics(), d.limiter.Metrics(), d.ledger.Metrics(), d.sweeper.Metrics(), d.orders.Metrics(),
 	} {
@@ -237,7 +239,8 @@
 		return trace.Wrap(err)
 	}
 	d.addStop(ctx, &group)
-	log.Infof("instance starting: %s in data centre %s, incarnation %d", d.settings.Instance, d.settings.DataCentre, d.incarnation)
+	log.Infof("instance starting: %s in data centre %s, incarnation %d, build %s, protocol version %d",
+		d.settings.Instance, d.settings.DataCentre, d.incarnation, build.ID(), member.ProtocolVersion)
 	err := group.Run()
 	log.Info("instance stopped")
 	return err
--- a/internal/hosted/dump.go
+++ b/internal/hosted/dump.go
@@ -3,14 +3,16 @@
 import (
 	"time"
 
+	"github.com/banyanroute/banyanroute/internal/build"
 	"github.com/banyanroute/banyanroute/internal/deployment"
+	"github.com/banyanroute/banyanroute/internal/member"
 	"github.com/banyanroute/banyanroute/internal/placement"
 )
 
 // stateDump is an instance's view of the deployment, with the age of each part.
 type stateDump struct {
-	Instance string `json:"instance"`
-	Draining bool   `json:"draining"`
+	build.View
+	Draining bool `json:"draining"`
 	// ConfigVersion is 0 before the first configuration.
 	ConfigVersion int64   `json:"config_version"`
 	ConfigAge     float64 `json:"config_age_seconds"`
@@ -31,7 +33,8 @@
 func (n *Instance) dump() stateDump {
 	v := n.state.View()
 	s := stateDump{
-		Instance: n.settings.Instance, Draining: n.draining(), ListRevision: v.Revision,
+		View:     build.View{Instance: n.settings.Instance, Build: build.ID(), ProtocolVersion: member.ProtocolVersion},
+		Draining: n.draining(), ListRevision: v.Revision,
 		Upstreams: n.planner.Dump(time.Now()), Paths: n.tunnels.Dump(),
 	}
 	if !v.ListedAt.IsZero() {
@@ -44,6 +47,7 @@
 		s.Sources = append(s.Sources, f.Dump())
 	}
 	if overlay := n.links.overlay.Load(); overlay != nil {
+		s.Builds = overlay.Builds()
 		for _, m := range overlay.Members() {
 			s.Members = append(s.Members, m.ID)
 		}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -9,9 +9,11 @@
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 
+	"github.com/banyanroute/banyanroute/internal/build"
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/graceful"
 	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/member"
 	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/passthrough"
 	"github.com/banyanroute/banyanroute/internal/peer"
@@ -137,6 +139,7 @@
 		Ending:      n.ending,
 	})
 	n.buildServers()
+	build.RegisterMetric()
 	return n
 }
 
@@ -209,7 +212,8 @@
 	}
 	n.addSignalHandler(ctx, &group)
 	log.WithField("instance", n.settings.Instance).WithField("data_centre", n.settings.DataCentre).
-		WithField("callers", n.settings.CallersAddress).Info("instance starting")
+		WithField("callers", n.settings.CallersAddress).WithField("build", build.ID()).
+		WithField("protocol_version", member.ProtocolVersion).Info("instance starting")
 	err := group.Run()
 	log.WithField("instance", n.settings.Instance).Info("instance stopped")
 	return err
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 
+	"github.com/banyanroute/banyanroute/internal/admin"
 	"github.com/banyanroute/banyanroute/internal/graceful"
 	"github.com/banyanroute/banyanroute/internal/panics"
 )
@@ -42,7 +43,7 @@
 	operators.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		metrics.WritePrometheus(w, true)
 	})
-	operators.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) {
+	operators.HandleFunc("GET "+admin.PathHostedDump, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		if err := json.NewEncoder(w).Encode(n.dump()); err != nil {
 			log.WithError(err).Debug("writing state dump failed")
--- a/internal/loadtest/runner/machine.go
+++ b/internal/loadtest/runner/machine.go
@@ -3,36 +3,11 @@
 import (
 	"os"
 	"runtime"
-	"runtime/debug"
 	"strings"
 
 	"github.com/banyanroute/banyanroute/internal/loadtest/report"
 )
 
-// maxRevisionDigits is the number of digits of a Git revision that a version shows.
-const maxRevisionDigits = 12
-
-// Version returns the Git revision that the program was built from, with the
-// suffix "+changes" if the checkout had uncommitted changes.
-func Version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	revision, modified := "unknown", ""
-	for _, s := range info.Settings {
-		switch s.Key {
-		case "vcs.revision":
-			revision = s.Value[:min(maxRevisionDigits, len(s.Value))]
-		case "vcs.modified":
-			if s.Value == "true" {
-				modified = "+changes"
-			}
-		}
-	}
-	return revision + modified
-}
-
 // describeMachine describes the machine that the program runs on. The host name is
 // omitted.
 func describeMachine() report.Machine {
--- a/internal/loadtest/runner/overhead.go
+++ b/internal/loadtest/runner/overhead.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/banyanroute/banyanroute/internal/build"
 	"github.com/banyanroute/banyanroute/internal/loadtest/client"
 	"github.com/banyanroute/banyanroute/internal/loadtest/report"
 	"github.com/banyanroute/banyanroute/internal/loadtest/workload"
@@ -164,7 +165,7 @@
 	}
 	slices.Sort(added)
 	res := &Overhead{
-		Version: Version(), Machine: describeMachine(), Seed: m.options.Seed, Rate: m.options.Rate,
+		Version: build.ID(), Machine: describeMachine(), Seed: m.options.Seed, Rate: m.options.Rate,
 		Direct: direct.Quantiles(), Through: through.Quantiles(),
 		PairP50: quantile(added, 0.50), PairP99: quantile(added, 0.99),
 		Failed: m.failed, FirstFailure: m.firstFailure,
--- a/internal/loadtest/runner/runner.go
+++ b/internal/loadtest/runner/runner.go
@@ -14,6 +14,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/banyanroute/banyanroute/internal/build"
 	"github.com/banyanroute/banyanroute/internal/loadtest/client"
 	"github.com/banyanroute/banyanroute/internal/loadtest/report"
 	"github.com/banyanroute/banyanroute/internal/loadtest/scenario"
@@ -71,7 +72,7 @@
 	collectors := r.runPhases(ctx)
 	r.requests.Wait()
 	res := &report.Result{
-		Version:    Version(),
+		Version:    build.ID(),
 		Command:    options.Command,
 		Started:    start,
 		Machine:    describeMachine(),
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -154,6 +154,7 @@
 	c.probe(now)
 	c.heartbeat(now)
 	c.gossip(now)
+	c.o.builds.check(c.o.Members(), now)
 	c.o.direct.closeIdle(now, c.timing.DirectIdleTimeout)
 }
 
--- a/internal/member/handshake.go
+++ b/internal/member/handshake.go
@@ -47,7 +47,7 @@
 // dialHandshake runs the dialler's side of the handshake and returns the acceptor's
 // record.
 func dialHandshake(ctx context.Context, conn Conn, secret []byte, first hello) (record, error) {
-	first.Version = protocolVersion
+	first.Version = ProtocolVersion
 	first.Nonce = newNonce()
 	if err := conn.Write(ctx, encode(first)); err != nil {
 		return record{}, trace.Wrap(err, "sending hello")
--- a/internal/member/links.go
+++ b/internal/member/links.go
@@ -33,6 +33,7 @@
 		log.WithError(err).Debug("link rejected")
 		return
 	}
+	o.builds.noteConn(first.From.member(), conn, time.Now())
 	if first.Kind == linkStream {
 		o.streamHandler(ctx, first.From.ID, conn)
 		return
@@ -43,7 +44,7 @@
 // refusal returns the reason for refusing a link, or "".
 func (o *Overlay) refusal(first hello) string {
 	switch {
-	case first.Version != protocolVersion:
+	case first.Version != ProtocolVersion:
 		return "unknown protocol version"
 	case first.To != "" && first.To != o.self.ID:
 		return "this is instance " + o.self.ID
@@ -82,6 +83,7 @@
 		conn.Close()
 		return nil, record{}, err
 	}
+	o.builds.noteConn(other.member(), conn, time.Now())
 	return conn, other, nil
 }
 
--- a/internal/member/memnet_test.go
+++ b/internal/member/memnet_test.go
@@ -151,6 +151,15 @@
 	}
 }
 
+func (c *memConn) peerBuild() string {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	if o := c.net.nodes[c.peer]; o != nil {
+		return o.build
+	}
+	return ""
+}
+
 // Close closes the other side too, unless there is a partition between the two.
 func (c *memConn) Close() {
 	c.once.Do(func() { close(c.closed) })
@@ -176,6 +185,8 @@
 	starts uint64
 	// onMessage, if set, is called with the payload of each call and broadcast.
 	onMessage func(payload string)
+	// build, if set, names the build of instances that are started.
+	build string
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -193,6 +204,9 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	if c.build != "" {
+		o.build, o.builds = c.build, newBuilds(self, c.build, time.Now())
+	}
 	n := &node{Overlay: o, stopped: make(chan struct{})}
 	onMessage := c.onMessage
 	if onMessage == nil {
--- a/internal/member/message.go
+++ b/internal/member/message.go
@@ -6,9 +6,9 @@
 	"github.com/banyanroute/banyanroute/internal/peer"
 )
 
-// protocolVersion is the version of the link protocol; an instance refuses any
+// ProtocolVersion is the version of the link protocol; an instance refuses any
 // other.
-const protocolVersion = 1
+const ProtocolVersion = 1
 
 // linkKind determines which messages a link carries.
 type linkKind uint8
--- a/internal/member/overlay.go
+++ b/internal/member/overlay.go
@@ -9,6 +9,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/banyanroute/banyanroute/internal/build"
 	"github.com/banyanroute/banyanroute/internal/logging"
 	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/peer"
@@ -47,11 +48,14 @@
 	// refreshList has the list read before its interval has passed.
 	refreshList chan struct{}
 	// secret authenticates new links.
-	secret           atomic.Pointer[[]byte]
-	liveList         platform.LiveList
-	dialer           Dialer
-	timing           Timing
-	counters         *counters
+	secret   atomic.Pointer[[]byte]
+	liveList platform.LiveList
+	dialer   Dialer
+	timing   Timing
+	counters *counters
+	// build names the build of this instance.
+	build            string
+	builds           *builds
 	filter           *filter
 	direct           *directLinks
 	lastCallID       atomic.Uint64
@@ -102,6 +106,8 @@
 		dialer:            opts.Dialer,
 		timing:            opts.Timing.withDefaults(),
 		counters:          newCounters(),
+		build:             build.ID(),
+		builds:            newBuilds(opts.Self, build.ID(), time.Now()),
 		filter:            newFilter(),
 		callSlots:         make(chan struct{}, maxConcurrentCalls),
 		broadcastHandlers: map[peer.Topic]peer.BroadcastHandler{},
--- a/internal/member/transport.go
+++ b/internal/member/transport.go
@@ -9,6 +9,7 @@
 	"github.com/coder/websocket"
 	"github.com/gravitational/trace"
 
+	"github.com/banyanroute/banyanroute/internal/build"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/sockets"
 )
@@ -37,6 +38,8 @@
 type webSocketDialer struct {
 	scheme string
 	client *http.Client
+	// build names the build of this instance.
+	build string
 }
 
 // NewWebSocketDialer returns the production Dialer. With a nil config links
@@ -47,22 +50,28 @@
 		scheme = "wss"
 	}
 	transport := &http.Transport{DialContext: sockets.NewDialer(linkSockets).DialContext, TLSClientConfig: config, DisableKeepAlives: true}
-	return &webSocketDialer{scheme: scheme, client: &http.Client{Transport: transport}}
+	return &webSocketDialer{scheme: scheme, client: &http.Client{Transport: transport}, build: build.ID()}
 }
 
 // Dial implements Dialer.
 func (d *webSocketDialer) Dial(ctx context.Context, address string) (Conn, error) {
-	opts := &websocket.DialOptions{HTTPClient: d.client}
-	conn, _, err := websocket.Dial(ctx, d.scheme+"://"+address+LinkPath, opts)
+	opts := &websocket.DialOptions{HTTPClient: d.client, HTTPHeader: http.Header{buildHeader: {d.build}}}
+	conn, resp, err := websocket.Dial(ctx, d.scheme+"://"+address+LinkPath, opts)
 	if err != nil {
 		return nil, trace.Wrap(err, "dialling %s", address)
 	}
 	conn.SetReadLimit(maxMessageBytes)
-	return webSocketConn{conn}, nil
+	return webSocketConn{conn, resp.Header.Get(buildHeader)}, nil
 }
 
 // webSocketConn adapts a WebSocket connection to Conn.
-type webSocketConn struct{ ws *websocket.Conn }
+type webSocketConn struct {
+	ws *websocket.Conn
+	// build is what the other end named in buildHeader.
+	build string
+}
+
+func (c webSocketConn) peerBuild() string { return c.build }
 
 func (c webSocketConn) Read(ctx context.Context) ([]byte, error) {
 	kind, data, err := c.ws.Read(ctx)
@@ -84,11 +93,12 @@
 // Handler returns the link endpoint, to be mounted at LinkPath.
 func (o *Overlay) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(buildHeader, o.build)
 		ws, err := websocket.Accept(w, r, nil)
 		if err != nil {
 			return // Accept has sent the error response
 		}
 		ws.SetReadLimit(maxMessageBytes)
-		o.Accept(webSocketConn{ws})
+		o.Accept(webSocketConn{ws, r.Header.Get(buildHeader)})
 	})
 }
--- a/internal/member/websocket_test.go
+++ b/internal/member/websocket_test.go
@@ -8,7 +8,9 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
+	"github.com/banyanroute/banyanroute/internal/build"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/platform"
 )
@@ -33,6 +35,12 @@
 
 // serve starts an overlay on a loopback port and stops it with the test.
 func serve(t *testing.T, id, secret string, list *growingList) *Overlay {
+	t.Helper()
+	return serveBuild(t, id, secret, build.ID(), list)
+}
+
+// serveBuild is serve with the name of the overlay's build; "" sends none.
+func serveBuild(t *testing.T, id, secret, name string, list *growingList) *Overlay {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -44,6 +52,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	o.build, o.builds = name, newBuilds(self, name, time.Now())
+	o.dialer.(*webSocketDialer).build = name
 	o.HandleCall(testTopic, func(_ context.Context, from string, _ []byte) ([]byte, error) {
 		return []byte(from), nil
 	})
