--- a/cmd/banyanctl/client.go
+++ b/cmd/banyanctl/client.go
@@ -79,18 +79,25 @@
 // counts as an answer.
 func (c *client) call(ctx context.Context, method, path string, body []byte, answer any) error {
 	var errs []error
-	kind := errUnreachable
 	for _, base := range c.bases {
 		err := c.callOne(ctx, base, method, path, body, answer)
 		var server *serverError
 		if err == nil || errors.As(err, &server) {
 			return err
 		}
+		errs = append(errs, err)
+	}
+	return unanswered(errs)
+}
+
+// unanswered returns the error of a call that all addresses failed to answer, with their errors.
+func unanswered(errs []error) error {
+	kind := errUnreachable
+	for _, err := range errs {
 		var op *net.OpError
 		if !errors.As(err, &op) || op.Op != "dial" {
 			kind = errNoAnswer
 		}
-		errs = append(errs, err)
 	}
 	return fmt.Errorf("%w: %w", kind, errors.Join(errs...))
 }
--- a/cmd/banyanctl/main.go
+++ b/cmd/banyanctl/main.go
@@ -29,6 +29,7 @@
 	Timeout    time.Duration `long:"timeout" default:"15s" description:"Timeout of one call"`
 	RetryPause time.Duration `long:"retry-pause" default:"200ms" description:"Pause before the first retry of an edit whose outcome is unknown; it doubles with each retry"`
 	Output     string        `short:"o" long:"output" default:"table" choice:"table" choice:"json" choice:"yaml" description:"Output format"`
+	Version    func() error  `long:"version" description:"Print the build and exit"`
 }
 
 // app holds what the commands share.
@@ -60,6 +61,7 @@
 // run executes one command and returns the exit code.
 func run(ctx context.Context, args []string, out, errOut io.Writer) int {
 	a := &app{ctx: ctx, out: out, errOut: errOut}
+	a.Version = func() error { return &flags.Error{Type: flags.ErrHelp, Message: versionText()} }
 	parser := newParser(a)
 	_, err := parser.ParseArgs(args)
 	var flagErr *flags.Error
@@ -96,7 +98,8 @@
 		{"dump", "Show the state of an instance", "Shows the state of the addressed instance, or of one part of it, as JSON.\n\nExample: banyanctl dump catalogue", &dumpCommand{app: a}},
 		{"drain", "Shut down an instance gracefully", "Starts a graceful shutdown of the addressed instance.\n\nExample: banyanctl drain --address http://127.0.0.1:8002", &drainCommand{app: a}},
 		{"explain", "Explain one request from logs", "Collects the lines about one request from the logs of several instances, with those about its upstreams and the paths of its instance around that time, in order.\n\nExample: banyanctl explain 9c41d07be2a35f68 -f front-1.log -f front-2.log", &explainCommand{app: a}},
-		{"status", "Show the fleet", "Shows all instances with their phase and catalogue revision.", &statusCommand{app: a}},
+		{"status", "Show the fleet", "Shows all instances with their phase, catalogue revision and build.", &statusCommand{app: a}},
+		{"builds", "Show the builds that instances on the platform see", "Shows the builds of the instances that --address names and of those that they have had links to. It asks all addresses and needs no token.\n\nExample: banyanctl builds --address http://10.0.0.1:8002,http://10.0.0.2:8002", &buildsCommand{app: a}},
 		{"completion", "Print a shell completion script", "Prints a completion script.\n\nExample: banyanctl completion bash > /etc/bash_completion.d/banyanctl", &completionCommand{app: a}},
 	}
 	for _, c := range commands {
--- a/cmd/banyanctl/main_test.go
+++ b/cmd/banyanctl/main_test.go
@@ -15,6 +15,7 @@
 	"testing"
 
 	"github.com/banyanroute/banyanroute/internal/admin"
+	"github.com/banyanroute/banyanroute/internal/build"
 	"github.com/banyanroute/banyanroute/internal/catalogue"
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/peer/peertest"
@@ -128,6 +129,7 @@
 	d.want(exitNotFound, "no workspace/beta", 0, "get", "workspace/beta")
 	d.want(exitOK, "undo revision 2", 0, "history")
 	d.want(exitOK, "i2", 0, "status")
+	d.want(exitOK, build.ID(), 0, "status")
 	d.want(exitOK, `"x": 1`, 0, "dump", "part")
 	d.want(exitOK, `"revision": 3`, 0, "dump", "catalogue")
 	d.want(exitOK, "graceful shutdown started", 0, "drain")
--- a/cmd/banyanctl/print.go
+++ b/cmd/banyanctl/print.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -155,13 +156,13 @@
 
 func (a *app) printStatus(status admin.Status) error {
 	w := newTable(a.out)
-	fmt.Fprintln(w, "INSTANCE\tPHASE\tREVISION\tDIGEST\tREGION\tDATA CENTRE\tADDRESS\tSTARTED")
+	fmt.Fprintln(w, "INSTANCE\tPHASE\tREVISION\tDIGEST\tREGION\tDATA CENTRE\tADDRESS\tSTARTED\tBUILD")
 	for _, s := range status.Instances {
 		started := "-"
 		if !s.Started.IsZero() {
 			started = s.Started.UTC().Format(time.RFC3339)
 		}
-		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\n", s.ID, s.Phase, s.Revision, s.Digest, s.Region, s.DataCentre, s.Address, started)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\n", s.ID, s.Phase, s.Revision, s.Digest, s.Region, s.DataCentre, s.Address, started, cmp.Or(s.Build, "-"))
 	}
 	return w.Flush()
 }
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/banyanroute/banyanroute/internal/build"
 	"github.com/banyanroute/banyanroute/internal/catalogue"
 	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/peer"
@@ -28,6 +29,7 @@
 func (a *api) ownStatus() InstanceStatus {
 	s := a.describe(a.Bus.Self())
 	s.Started = a.started
+	s.Build = build.ID()
 	s.Phase = PhaseReady
 	switch {
 	case a.Draining != nil && a.Draining():
