placement: what is known of an upstream outlasts the absence of its entry

What callers would see: work for an upstream that was down a moment ago; new work beside all the old that still runs there; and a request that crashes upstreams served for ever, since its crashes count as one if the upstream restarts under one start time (store away or behind) and its entry flickers between the crashes.

Cause: pool.set made a new member for an entry that was not in the list before. Health, jobs and the count of runs hang on the member.

Change: a member that is not listed is kept until a later incarnation is listed, for 10 min at most (as the mark of leaving). Jobs that end meanwhile, and losses, are recorded there. Probes judge by the list as before.

Ruled out for this change: a service that leaves the configuration for a moment still loses its pool.

--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -28,7 +28,7 @@
 	pj := &placed{job: j, decision: d, at: now, deadline: now.Add(j.Lifetime)}
 	p.jobs[j.ID] = pj
 	p.parts.BeginTrial(d.Trial)
-	first := pl.members[d.Upstream]
+	first := pl.member(d.Upstream)
 	if first == nil {
 		return
 	}
@@ -50,7 +50,7 @@
 		return
 	}
 	for _, w := range pl.works(&j, d, now) {
-		if m := pl.members[w.upstream]; m != nil {
+		if m := pl.member(w.upstream); m != nil {
 			m.engine.Add(w.work, now)
 		}
 	}
@@ -73,7 +73,7 @@
 		pj.answered, pj.answeredAt = true, now
 		p.parts.Answered(pj.job.Parts)
 	}
-	if m := p.current(pj.upstream); m != nil {
+	if m := p.known(pj.upstream); m != nil {
 		m.answeredAt = now
 	}
 	pl := p.pools[pj.job.Service]
@@ -81,7 +81,7 @@
 		return
 	}
 	for _, up := range pj.decision.upstreams() {
-		if m := pl.members[up]; m != nil && m.engine != nil {
+		if m := pl.member(up); m != nil && m.engine != nil {
 			predicted := m.engine.FirstToken(id, now)
 			if up == pj.decision.Upstream {
 				m.updateSpeedFactor(pj, predicted, now)
@@ -100,7 +100,7 @@
 	}
 	p.drop(pj, now)
 	p.recordPoison(pj, e, now)
-	m := p.current(pj.upstream)
+	m := p.known(pj.upstream)
 	if m == nil {
 		return
 	}
@@ -130,11 +130,11 @@
 		pl.frontJobs--
 	}
 	for i, up := range pj.decision.upstreams() {
-		m := pl.members[up]
+		m := pl.member(up)
 		if m == nil {
 			continue
 		}
-		if i == 0 && m == p.current(pj.upstream) {
+		if i == 0 && m == p.known(pj.upstream) {
 			m.jobs = max(m.jobs-1, 0)
 			if pj.decision.Suspect {
 				m.suspects = max(m.suspects-1, 0)
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -80,6 +80,9 @@
 type pool struct {
 	service deployment.Service
 	members map[string]*member
+	// absent holds members that are not listed, by ID. An entry may be away for a moment only;
+	// what is known of the upstream and runs there outlasts that.
+	absent map[string]absentMember
 	// order lists the members by ID, so that decisions are deterministic.
 	order []*member
 	// nextReturn is when the next caller that is refused for limits is told to return.
@@ -90,6 +93,24 @@
 	frontJobs int
 }
 
+// absentMemory is how long a member is kept that is not listed, as long as the mark of an upstream
+// that leaves.
+const absentMemory = 10 * time.Minute
+
+// absentMember is a member that is not listed.
+type absentMember struct {
+	*member
+	since time.Time
+}
+
+// member returns the member with an ID, listed or not; nil if there is none.
+func (pl *pool) member(id string) *member {
+	if m := pl.members[id]; m != nil {
+		return m
+	}
+	return pl.absent[id].member
+}
+
 // scope is the set of instances whose jobs a planner knows when it decides.
 type scope uint8
 
@@ -147,10 +168,10 @@
 	for name, service := range v.Config.Services {
 		pl := p.pools[name]
 		if pl == nil {
-			pl = &pool{members: map[string]*member{}}
+			pl = &pool{members: map[string]*member{}, absent: map[string]absentMember{}}
 			p.pools[name] = pl
 		}
-		restarted, removed := pl.set(service, v.Upstreams(name))
+		restarted, removed := pl.set(service, v.Upstreams(name), time.Now())
 		for _, r := range restarted {
 			p.crashed(r, time.Now())
 		}
@@ -177,7 +198,7 @@
 
 // set replaces the members. It returns the old runs of those that restarted, and the
 // upstreams that are leaving or no longer listed.
-func (pl *pool) set(service deployment.Service, upstreams []deployment.Upstream) (restarted []run, removed []deployment.Upstream) {
+func (pl *pool) set(service deployment.Service, upstreams []deployment.Upstream, now time.Time) (restarted []run, removed []deployment.Upstream) {
 	pl.service = service
 	next := make(map[string]*member, len(upstreams))
 	pl.order = pl.order[:0]
@@ -187,10 +208,7 @@
 			if m != nil {
 				restarted = append(restarted, m.run)
 			}
-			m = &member{}
-			if service.Engine != nil {
-				m.engine = enginemodel.NewEngine(service.Engine)
-			}
+			m = pl.returned(up, service)
 		}
 		m.upstream = up
 		if m.engine != nil && service.Engine != nil {
@@ -202,13 +220,32 @@
 	for id, m := range pl.members {
 		if next[id] == nil {
 			removed = append(removed, m.upstream)
+			pl.absent[id] = absentMember{m, now}
 		}
 	}
+	maps.DeleteFunc(pl.absent, func(_ string, m absentMember) bool { return now.Sub(m.since) > absentMemory })
 	pl.members = next
 	slices.SortFunc(pl.order, func(a, b *member) int { return cmp.Compare(a.upstream.ID, b.upstream.ID) })
 	return restarted, removed
 }
 
+// returned returns the member of an incarnation that is listed again, or a new one. What is known
+// of earlier incarnations ends.
+func (pl *pool) returned(up deployment.Upstream, service deployment.Service) *member {
+	absent := pl.absent[up.ID].member
+	if absent != nil && up.Born >= absent.upstream.Born {
+		delete(pl.absent, up.ID)
+		if absent.upstream.SameIncarnation(up) {
+			return absent
+		}
+	}
+	m := &member{}
+	if service.Engine != nil {
+		m.engine = enginemodel.NewEngine(service.Engine)
+	}
+	return m
+}
+
 // Place chooses an upstream for the job and records the job there. limitShare is the part of
 // the limits that upstreams name that this instance may use.
 func (p *Planner) Place(j Job, limitShare float64, now time.Time) Decision {
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -48,7 +48,7 @@
 	return up.ID + "/" + strconv.FormatInt(up.Born, 10) + "/" + up.Address
 }
 
-// current returns the member that is the same incarnation, or nil.
+// current returns the listed member that is the same incarnation, or nil.
 func (p *Planner) current(up deployment.Upstream) *member {
 	pl := p.pools[up.Service]
 	if pl == nil {
@@ -61,6 +61,16 @@
 	return m
 }
 
+// known returns the member that is the same incarnation, listed or not; nil if there is none.
+func (p *Planner) known(up deployment.Upstream) *member {
+	if pl := p.pools[up.Service]; pl != nil {
+		if m := pl.member(up.ID); m != nil && m.upstream.SameIncarnation(up) {
+			return m
+		}
+	}
+	return nil
+}
+
 // isReplaced reports whether a later incarnation of the upstream is listed.
 func (p *Planner) isReplaced(up deployment.Upstream) bool {
 	pl := p.pools[up.Service]
@@ -148,9 +158,9 @@
 	return lost
 }
 
-// currentRun returns the run of an incarnation that is listed or on which an attempt was lost.
+// currentRun returns the run of an incarnation that is known or on which an attempt was lost.
 func (p *Planner) currentRun(up deployment.Upstream) run {
-	if m := p.current(up); m != nil {
+	if m := p.known(up); m != nil {
 		return m.run
 	}
 	if l, unexplained := p.unexplained[incarnationOf(up)]; unexplained {
@@ -194,7 +204,7 @@
 // upstream crashed.
 func (p *Planner) recordLoss(pj *placed, e End, now time.Time) {
 	up, fingerprint := pj.upstream, pj.job.Fingerprint
-	m := p.current(up)
+	m := p.known(up)
 	if m != nil && e.Outcome == Lost && !m.crashedAt.IsZero() && pj.at.After(m.crashedAt) {
 		// The job was sent after the crash, so the upstream had restarted.
 		m.restarts, m.crashedAt = m.restarts+1, time.Time{}
@@ -211,7 +221,7 @@
 	case fingerprint != 0:
 		p.poison.Lost(pj.key(), "", fingerprint, pj.decision.Apart, now)
 	}
-	p.recordLostParts(pj, m, e, now)
+	p.recordLostParts(pj, p.current(up), e, now)
 	before, unexplained := p.unexplained[incarnationOf(up)]
 	p.unexplained[incarnationOf(up)] = unexplainedLoss{run: pj.run, at: now, abandoned: abandoned && (!unexplained || before.abandoned), dark: before.dark}
 	if p.isReplaced(up) || m != nil && m.restarts > pj.restarts {
@@ -264,7 +274,7 @@
 // crashed it.
 func (p *Planner) crashed(r run, now time.Time) {
 	up := r.upstream
-	if m := p.current(up); m != nil && m.restarts == r.restarts && p.isUnexplained(up) {
+	if m := p.known(up); m != nil && m.restarts == r.restarts && p.isUnexplained(up) {
 		m.crashedAt = now
 	}
 	delete(p.unexplained, incarnationOf(up))
