--- a/internal/member/handshake.go
+++ b/internal/member/handshake.go
@@ -58,7 +58,7 @@
 // dialHandshake runs the dialler's side of the handshake and returns the acceptor's
 // record.
 func dialHandshake(ctx context.Context, conn Conn, secret []byte, first hello) (record, error) {
-	first.Version = protocolVersion
+	first.Version = ProtocolVersion
 	first.Nonce = newNonce()
 	sent := encode(first)
 	if err := conn.Write(ctx, sent); err != nil {
--- a/internal/member/links.go
+++ b/internal/member/links.go
@@ -34,6 +34,7 @@
 		log.WithError(err).Debug("link rejected")
 		return
 	}
+	o.builds.noteConn(first.From.member(), conn, time.Now())
 	if first.Kind == linkStream {
 		o.streamHandler(ctx, first.From.ID, conn)
 		return
@@ -83,6 +84,7 @@
 		conn.Close()
 		return nil, record{}, err
 	}
+	o.builds.noteConn(other.member(), conn, time.Now())
 	return conn, other, nil
 }
 
--- a/internal/member/message.go
+++ b/internal/member/message.go
@@ -7,12 +7,12 @@
 	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
-// Versions of the link protocol that an instance accepts: its own, which it sends, and those of
-// the builds before and after. Fields that the build after has added are ignored.
+// ProtocolVersion is the version of the link protocol that an instance sends. It accepts its own and
+// those of the builds before and after; fields that the build after has added are ignored.
 const (
-	protocolVersion = 1
-	lowestVersion   = max(protocolVersion-1, 1)
-	highestVersion  = protocolVersion + 1
+	ProtocolVersion = 1
+	lowestVersion   = max(ProtocolVersion-1, 1)
+	highestVersion  = ProtocolVersion + 1
 )
 
 // linkKind determines which messages a link carries.
