--- a/tools/faults/soakfaults.go
+++ b/tools/faults/soakfaults.go
@@ -165,18 +165,24 @@
 		return
 	}
 	p.signal(syscall.SIGTERM)
+	s.awaitStop(p, soakShutdownTimeout)
+	sleep.For(ctx, minFaultDuration)
+	s.restart(p)
+}
+
+// awaitStop checks that a process that was told to stop exits within the grace period, with slack for
+// a busy machine, and kills it otherwise.
+func (s *soakRun) awaitStop(p *process, grace time.Duration) {
 	select {
 	case <-p.exited:
 		s.report.check(gracefulShutdown, "")
-	case <-time.After(soakShutdownTimeout + s.options.slack):
+	case <-time.After(grace + s.options.slack):
 		s.report.check(gracefulShutdown, p.name+" still runs after the grace of a planned stop")
 		p.disturb()
 		p.signal(syscall.SIGKILL)
 		<-p.exited
 		p.disturb()
 	}
-	sleep.For(ctx, minFaultDuration)
-	s.restart(p)
 }
 
 func (s *soakRun) pause(ctx context.Context, r *rand.Rand, duration time.Duration) {
--- a/tools/faults/soakstop.go
+++ b/tools/faults/soakstop.go
@@ -94,16 +94,7 @@
 			}
 		})
 	}
-	select {
-	case <-p.exited:
-		s.report.check(gracefulShutdown, "")
-	case <-time.After(grace + s.options.slack):
-		s.report.check(gracefulShutdown, p.name+" still runs after the grace of a planned stop")
-		p.disturb()
-		p.signal(syscall.SIGKILL)
-		<-p.exited
-		p.disturb()
-	}
+	s.awaitStop(p, grace)
 	return s.checkStopLog(logFile, begin.Size(), grace)
 }
 
