passthrough: a body that is complete when the grace period ends is refused

What callers saw: a closed connection without an answer, if the last byte of the body arrived at the moment at which the requests that still run are ended.

Cause: the end of the period sets a read deadline in the past from a goroutine of its own. If the body was complete by then, the handler removed the deadline before that goroutine set it, the server's read ahead failed, and the cancelled context of the request looked like a caller that left.

Change: once that goroutine has been started, the request is refused, whatever was read.

--- a/internal/passthrough/route.go
+++ b/internal/passthrough/route.go
@@ -39,11 +39,10 @@
 	_ = controller.SetReadDeadline(rq.deadline) // only a writer of a test does not support it
 	unlink := context.AfterFunc(h.opts.Ending, func() { _ = controller.SetReadDeadline(time.Now()) })
 	body, err := h.readBody(rq, limit)
-	unlink()
-	if err == nil { // else the server waits no longer for the rest of the body
-		_ = controller.SetReadDeadline(time.Time{})
-	} else if h.opts.Ending.Err() != nil {
+	if !unlink() { // the read deadline passes, or has passed, and ends the request's context
 		err = noTimeLeft()
+	} else if err == nil { // else the server waits no longer for the rest of the body
+		_ = controller.SetReadDeadline(time.Time{})
 	}
 	if err == nil {
 		rq.record.read = time.Now()
--- /dev/null
+++ b/internal/passthrough/stopping_race_test.go
@@ -0,0 +1,52 @@
+package passthrough
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/banyanroute/banyanroute/internal/deployment"
+)
+
+// TestBodyCompleteAtTheEndOfAStopIsAnswered guards against connections that are closed without an
+// answer because the body of their request is complete at the moment at which the grace period ends.
+func TestBodyCompleteAtTheEndOfAStopIsAnswered(t *testing.T) {
+	const rounds = 2000
+	unanswered := 0
+	for i := range rounds {
+		h := newTestHandler(deployment.Stream, plainCodec{}, &scriptedPlacer{}, nil, "http://127.0.0.1:1")
+		now := time.Now()
+		h.opts.Stop = func() *Stop { return &Stop{Began: now, NewUntil: now, End: now} }
+		ending, end := context.WithCancel(t.Context())
+		h.opts.Ending = ending
+		server := httptest.NewServer(h)
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+		fmt.Fprintf(conn, "POST /x HTTP/1.1\r\nHost: app.example\r\nContent-Length: 8\r\n\r\nhalf")
+		time.Sleep(time.Millisecond)
+		go func() {
+			time.Sleep(time.Duration(i%50) * time.Microsecond)
+			end()
+		}()
+		fmt.Fprint(conn, "half")
+		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			unanswered++
+		} else if res.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("status %d, want a refusal", res.StatusCode)
+		}
+		conn.Close()
+		server.Close()
+	}
+	if unanswered > 0 {
+		t.Errorf("%d of %d requests got no answer", unanswered, rounds)
+	}
+}
