banyanrouted: a log that nobody reads any more does not end the process

What callers saw: status 200, then a cut stream, at once and without the end of a grace period, when the reader of the standard output had gone, for example because it was restarted or stopped before the instance.

Cause: a write to a broken pipe on standard output or standard error ends a Go process by SIGPIPE.

Change: SIGPIPE is ignored; the write fails and the lines are lost.

--- a/cmd/banyanrouted/main.go
+++ b/cmd/banyanrouted/main.go
@@ -9,7 +9,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/jessevdk/go-flags"
 
@@ -41,6 +43,8 @@
 
 // mainCode runs the program and returns the exit code.
 func mainCode() int {
+	// Without this, a write to a standard output that nobody reads any more ends the process.
+	signal.Ignore(syscall.SIGPIPE)
 	var opts options
 	if _, err := flags.Parse(&opts); err != nil {
 		var flagErr *flags.Error
