logging: an output that accepts nothing does not hold the exit

What callers saw: nothing; their connections are closed by then. An instance that had shut down stayed until SIGKILL if the reader of its log did not read.

Cause: BoundedWriter.Close waited for the output without a bound.

Change: it waits for 1 s at most. The buffered lines are lost then, as they were before.

--- a/cmd/banyanrouted/stdout_test.go
+++ b/cmd/banyanrouted/stdout_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -96,3 +100,36 @@
 		t.Errorf("the process ended with %v", err)
 	}
 }
+
+// TestUnreadLogDoesNotHoldTheExit guards against a process that has shut down and waits for a reader
+// of its log until it is killed.
+func TestUnreadLogDoesNotHoldTheExit(t *testing.T) {
+	rig := platformtest.NewRig(t, 1, 0)
+	rig.GraceS = 4
+	p := startHosted(t, rig)
+	for i := range 900 { // each line has 0.5 KB or more; a pipe holds 64 KB
+		conn, err := net.Dial("tcp", p.callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(conn, "GET /nowhere/%d HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", i)
+		_, err = io.Copy(io.Discard, conn)
+		conn.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if r := p.ask(t, "after"); r.Status != http.StatusOK || !strings.Contains(r.Body, "data") {
+		t.Errorf("status %d, error %v; want the whole stream", r.Status, r.Err)
+	}
+	began := time.Now()
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-p.ended:
+		t.Logf("the process ended after %s with %v", time.Since(began), err)
+	case <-time.After(4 * time.Second):
+		t.Error("the process still runs at the end of its grace period")
+	}
+}
--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -5,12 +5,15 @@
 	"fmt"
 	"io"
 	"sync"
+	"time"
 )
 
 // Limits of a BoundedWriter.
 const (
 	// maxPendingBytes bounds the buffered lines while the output is slow.
 	maxPendingBytes = 256 << 10
+	// closeTimeout bounds the wait of Close for an output that accepts nothing.
+	closeTimeout = time.Second
 )
 
 // BoundedWriter writes lines to out from a separate goroutine. Write never blocks:
@@ -52,13 +55,17 @@
 	return len(line), nil
 }
 
-// Close writes the buffered lines and stops the writer.
+// Close writes the buffered lines and stops the writer. Lines that out does not accept within
+// closeTimeout are lost.
 func (b *BoundedWriter) Close() {
 	b.mu.Lock()
 	b.closed = true
 	b.ready.Signal()
 	b.mu.Unlock()
-	<-b.done
+	select {
+	case <-b.done:
+	case <-time.After(closeTimeout):
+	}
 }
 
 // run writes all buffered lines in one call whenever there are any, until Close.
