hosted: a settings file being written at SIGTERM counts once it is whole

What callers saw: requests ended before the last sixth of the grace period, if the platform was writing a longer one into the settings file without a signal when SIGTERM came.

Cause: the shutdown read the file once at its beginning for any period and afterwards for shorter ones only. A file that was half written or missing at the first read left the shorter period for good.

Change: a longer period is adopted until the file has been read whole once.

Measured, TestGracePeriodOfAFileBeingWrittenIsAdopted (virtual time): before, 3 s stayed where the file got 6 s; passes now, also with -race.

--- a/internal/hosted/settingsfollower.go
+++ b/internal/hosted/settingsfollower.go
@@ -37,6 +37,8 @@
 	// content is what the file held when it was last read, readError why it was not.
 	content   []byte
 	readError string
+	// valid reports whether the settings in content are in force.
+	valid bool
 }
 
 // newSettingsFollower returns a follower that starts with s, the settings at the start of the
@@ -75,9 +77,17 @@
 	return f.Current()
 }
 
+// FollowsFile reports whether the file was there and valid when it was last read.
+func (f *settingsFollower) FollowsFile() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.valid && f.readError == ""
+}
+
 // adopt puts the settings in content into force.
 func (f *settingsFollower) adopt(content []byte) {
 	read, err := f.file.Parse(content)
+	f.valid = err == nil
 	if err != nil {
 		log.WithError(err).WithField("path", f.file.Path).Error("settings file invalid; active settings unchanged")
 		return
--- a/internal/hosted/shutdown.go
+++ b/internal/hosted/shutdown.go
@@ -106,20 +106,20 @@
 
 // followGrace adopts the grace period that the settings file has when the shutdown begins and, until
 // ctx ends, each shorter one. A longer one comes too late: the platform may have decided already when
-// it kills the process.
+// it kills the process. A file that is being written when the shutdown begins counts once it is whole.
 func (n *Instance) followGrace(ctx context.Context) {
-	adopt := func(isAllowed func(next, now time.Duration) bool) {
+	known := false
+	adopt := func() {
 		stop := n.stop.Load()
 		next := planStop(stop.Began, n.follower.Refresh().StopGrace)
-		if next.Grace != stop.Grace && isAllowed(next.Grace, stop.Grace) {
+		if next.Grace < stop.Grace || !known && next.Grace > stop.Grace {
 			n.stop.Store(next)
 			log.WithField("grace", next.Grace).WithField("before", stop.Grace).Info("grace period of the graceful shutdown changed")
 		}
+		known = known || n.follower.FollowsFile()
 	}
-	adopt(func(_, _ time.Duration) bool { return true })
-	_ = sleep.Every(ctx, graceCheckInterval, func() { // returns only when ctx ends
-		adopt(func(next, now time.Duration) bool { return next < now })
-	})
+	adopt()
+	_ = sleep.Every(ctx, graceCheckInterval, adopt) // returns only when ctx ends
 }
 
 // sleepUntil waits for a moment of the graceful shutdown, which may come closer meanwhile, or until
--- a/internal/hosted/shutdown_test.go
+++ b/internal/hosted/shutdown_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/oklog/run"
@@ -77,3 +78,32 @@
 		t.Errorf("the shutdown ended with %v", err)
 	}
 }
+
+// TestGracePeriodOfAFileBeingWrittenIsAdopted guards against a shutdown that ends requests early because
+// the settings file was being written when it began.
+func TestGracePeriodOfAFileBeingWrittenIsAdopted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		file := newSettingsFile(t)
+		file.write(t, "3s")
+		n := &Instance{follower: newSettingsFollower(Settings{StopGrace: 3 * time.Second}, SettingsFile{file.path, file.parse})}
+		n.follower.Refresh()
+		file.write(t, "half")
+		n.stop.Store(planStop(time.Now(), n.follower.Current().StopGrace))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { n.followGrace(ctx); close(done) }()
+		time.Sleep(graceCheckInterval / 2)
+		file.write(t, "6s")
+		time.Sleep(3 * graceCheckInterval)
+		if got := n.stop.Load().Grace; got != 6*time.Second {
+			t.Errorf("grace %s, want 6s, which the file was to hold when the shutdown began", got)
+		}
+		file.write(t, "9s")
+		time.Sleep(3 * graceCheckInterval)
+		if got := n.stop.Load().Grace; got > 6*time.Second {
+			t.Errorf("grace %s: a longer one comes too late", got)
+		}
+		cancel()
+		<-done
+	})
+}
