hosted: the line about the end of a shutdown does not claim requests that there are not

With a grace period of about 5 s or less, a connection on which nothing was ever sent is open until its end, and the log said that requests were still running.

--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -103,7 +103,7 @@
 	if n.callers.Stop(running) == nil {
 		return
 	}
-	log.Warn("requests still running at the end of the graceful shutdown are ended with an error")
+	log.Warn("requests or connections left at the end of the graceful shutdown; requests get an error")
 	n.endRequests()
 	stop := n.stop.Load()
 	exit := stop.Began.Add(stop.Grace)
