graceful: a failed callers' listener ends the instance gracefully

What callers saw: nothing in production; by injection, an instance whose callers' listening socket had failed stayed ready without accepting a connection, and after any other accept error Serve returned, which ends the run group and cuts all running requests. Cause: Accept took EINVAL for the sign of its own stop, and Serve returned while requests were running. Change: Accept takes a shut socket for a stop only after one has begun. Serve reports the failure and returns only after Close; hosted and daemon then shut down gracefully as for their other listeners. Not done: the listener isn't opened again.

--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -86,7 +86,10 @@
 		return trace.Wrap(err, "listening for callers on %s", l.Address)
 	}
 	d.callerServer = server
-	group.Add(server.Serve, func(error) {
+	group.Add(func() error {
+		server.Serve(func(err error) { d.fail(trace.Wrap(err, "serving callers")) })
+		return nil
+	}, func(error) {
 		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 		defer cancel()
 		if err := server.Stop(ctx); err != nil {
--- a/internal/graceful/listener.go
+++ b/internal/graceful/listener.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 
 	"golang.org/x/sys/unix"
 )
@@ -15,8 +16,9 @@
 	*net.TCPListener
 
 	// pending holds the connections that stop has accepted; it is closed after them.
-	pending chan net.Conn
-	once    sync.Once
+	pending  chan net.Conn
+	once     sync.Once
+	stopping atomic.Bool
 }
 
 // maxPending bounds the connections that stop accepts; the kernel's queue is shorter on
@@ -31,7 +33,8 @@
 // then net.ErrClosed.
 func (l *listener) Accept() (net.Conn, error) {
 	conn, err := l.TCPListener.Accept()
-	if !errors.Is(err, net.ErrClosed) && !errors.Is(err, unix.EINVAL) { // EINVAL: shut down, not closed yet
+	isShut := errors.Is(err, net.ErrClosed) || errors.Is(err, unix.EINVAL) // EINVAL: shut down, not closed yet
+	if !isShut || !l.stopping.Load() {
 		return conn, err
 	}
 	if conn, ok := <-l.pending; ok {
@@ -44,6 +47,7 @@
 // connections are refused.
 func (l *listener) stop() {
 	l.once.Do(func() {
+		l.stopping.Store(true)
 		if raw, err := l.SyscallConn(); err == nil {
 			_ = raw.Control(l.acceptPending) // fails if the listener is closed already
 		}
--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -64,20 +63,20 @@
 	return g, nil
 }
 
-// Serve serves until Stop or Close. After a Stop it returns only once Close is called, since
-// the end of an actor ends its whole run group.
-func (g *Server) Serve() error {
+// Serve serves until Close; it does not return after a Stop, since the end of an actor ends its
+// whole run group. If connections can't be accepted any more, it calls onFailure and goes on with
+// those that there are.
+func (g *Server) Serve(onFailure func(error)) {
 	var l net.Listener = trackedListener{g}
 	if g.tls != nil {
 		l = tls.NewListener(l, g.tls)
 	}
 	err := g.server.Serve(l)
 	g.acceptOnce.Do(func() { close(g.acceptEnded) })
-	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
-		<-g.closed
-		return nil
+	if !g.listener.stopping.Load() {
+		onFailure(trace.Wrap(err))
 	}
-	return trace.Wrap(err)
+	<-g.closed
 }
 
 // Stop refuses new connections, answers the requests on those that there are, each with
--- a/internal/graceful/server_test.go
+++ b/internal/graceful/server_test.go
@@ -101,8 +101,11 @@
 	for _, withTLS := range []bool{false, true} {
 		t.Run(fmt.Sprintf("TLS %t", withTLS), func(t *testing.T) {
 			s := newTestServer(t, withTLS)
-			served := make(chan error, 1)
-			go func() { served <- s.Serve() }()
+			served := make(chan struct{})
+			go func() {
+				defer close(served)
+				s.Serve(func(err error) { t.Errorf("Serve failed with %v", err) })
+			}()
 			running, halfNew, halfKept, idle := s.dial(t), s.dial(t), s.dial(t), s.dial(t)
 			running.send(t, "GET /wait HTTP/1.1\r\n"+rest)
 			halfNew.send(t, line)
@@ -142,9 +145,7 @@
 				t.Errorf("the stop ended with %v", err)
 			}
 			s.Close()
-			if err := <-served; err != nil {
-				t.Errorf("Serve returned %v", err)
-			}
+			<-served
 		})
 	}
 }
@@ -160,7 +161,7 @@
 		clients = append(clients, c)
 	}
 	s.listener.stop()
-	go func() { _ = s.Serve() }()
+	go s.Serve(func(err error) { t.Errorf("Serve failed with %v", err) })
 	for _, c := range clients {
 		c.expectAnswer(t)
 	}
@@ -173,7 +174,7 @@
 // one goes on, and that Close ends the rest.
 func TestStopEndsWithItsContext(t *testing.T) {
 	s := newTestServer(t, false)
-	go func() { _ = s.Serve() }()
+	go s.Serve(func(err error) { t.Errorf("Serve failed with %v", err) })
 	c := s.dial(t)
 	c.send(t, "GET /wait HTTP/1.1\r\n"+rest)
 	time.Sleep(50 * time.Millisecond)
@@ -203,7 +204,11 @@
 func TestStopAfterServeFailed(t *testing.T) {
 	s := newTestServer(t, false)
 	s.server.Close()
-	go func() { _ = s.Serve() }()
+	failed := make(chan error, 1)
+	go s.Serve(func(err error) { failed <- err })
+	if err := <-failed; !errors.Is(err, http.ErrServerClosed) {
+		t.Errorf("Serve failed with %v, want %v", err, http.ErrServerClosed)
+	}
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	if err := s.Stop(ctx); err != nil {
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -92,7 +92,10 @@
 		return trace.Wrap(err, "listening for callers")
 	}
 	n.callers = server
-	group.Add(server.Serve, func(error) { server.Close() })
+	group.Add(func() error {
+		server.Serve(func(err error) { n.fail(trace.Wrap(err, "serving callers")) })
+		return nil
+	}, func(error) { server.Close() })
 	return nil
 }
 
