--- a/tools/faults/soakstop.go
+++ b/tools/faults/soakstop.go
@@ -114,7 +114,7 @@
 
 // callInStop sends a request on an open connection, after the delay.
 func (s *soakRun) callInStop(ctx context.Context, p *process, conn net.Conn, id string, k int, delay time.Duration) {
-	defer conn.Close()
+	defer conn.Close() //nolint:errcheck // the caller has its answer or its error
 	if !sleep.For(ctx, delay) {
 		return
 	}
