banyanrouted: requests of the own interface do not wait for a reader of the log

What callers saw: no answer, from the moment at which the pipe behind standard error was full; also at the end of a stop.

Cause: the own interface wrote its log directly, under the logger's lock; the platform's path has written through logging.BoundedWriter for long.

Change: both use it. Lines that do not fit are dropped and counted.

--- a/cmd/banyanrouted/main.go
+++ b/cmd/banyanrouted/main.go
@@ -112,7 +112,9 @@
 
 // run runs an instance with settings from a file until it stops.
 func run(s settings.Settings) error {
-	if err := logging.Setup(os.Stderr, s.Log.Level); err != nil {
+	out := logging.NewBoundedWriter(os.Stderr)
+	defer out.Close()
+	if err := logging.Setup(out, s.Log.Level); err != nil {
 		return err
 	}
 	debug.SetMemoryLimit(s.Limits.MemoryBytes)
--- a/cmd/banyanrouted/stdout_test.go
+++ b/cmd/banyanrouted/stdout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -18,11 +19,19 @@
 	"github.com/banyanroute/banyanroute/platform/platformtest"
 )
 
+// ownSettings is the environment variable with the settings file of a process that runs an
+// instance with its own interface instead of the tests.
+const ownSettings = "BANYANROUTE_TEST_SETTINGS"
+
 func TestMain(m *testing.M) {
-	if os.Getenv(platform.BootVariable) == "" {
+	switch path := os.Getenv(ownSettings); {
+	case path != "":
+		os.Args = []string{os.Args[0], "--config", path}
+	case os.Getenv(platform.BootVariable) != "":
+		os.Args = []string{os.Args[0], "--platform"}
+	default:
 		os.Exit(m.Run())
 	}
-	os.Args = []string{os.Args[0], "--platform"}
 	os.Exit(mainCode())
 }
 
@@ -133,3 +142,59 @@
 		t.Error("the process still runs at the end of its grace period")
 	}
 }
+
+// TestUnreadLogHoldsNoRequest guards against requests that wait for a reader of the log of an instance
+// with its own interface.
+func TestUnreadLogHoldsNoRequest(t *testing.T) {
+	callers, operators := platformtest.FreeAddress(t), platformtest.FreeAddress(t)
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	text := fmt.Appendf(nil, `
+instance: front-1
+region: r
+data_centre: dc
+listen: {callers: {address: %q}, operators: {address: %q}, links: {address: %q}}
+platform: {url: "http://%s"}
+secrets: {links: link-secret-0123456789, orders: order-key-0123456789, bootstrap_token_sha256: %s}
+`, callers, operators, platformtest.FreeAddress(t), platformtest.FreeAddress(t), strings.Repeat("0", 64))
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	output, input, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer output.Close()
+	_ = input.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+	if _, err := io.Copy(input, neverEnding('x')); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), ownSettings+"="+path)
+	cmd.Stderr = input
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	input.Close()
+	defer func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait() // fails: it was killed
+	}()
+	client := &http.Client{Timeout: time.Second}
+	platformtest.WaitFor(t, "an answer", func() bool {
+		res, err := client.Get("http://" + callers + "/v1/chat/completions")
+		if err == nil {
+			res.Body.Close()
+		}
+		return err == nil
+	})
+}
+
+// neverEnding reads as one byte without end.
+type neverEnding byte
+
+func (b neverEnding) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = byte(b)
+	}
+	return len(p), nil
+}
