banyanrouted: the test of the exit leaves time for the race detector's own exit

Under -race a process sleeps 1 s at its exit (atexit_sleep_ms): the test failed in 2 of 2 runs with -race at its bound of 4 s, and passed with GORACE=atexit_sleep_ms=0 (3.01 s).

--- a/cmd/banyanrouted/stdout_test.go
+++ b/cmd/banyanrouted/stdout_test.go
@@ -113,8 +113,9 @@
 // TestUnreadLogDoesNotHoldTheExit guards against a process that has shut down and waits for a reader
 // of its log until it is killed.
 func TestUnreadLogDoesNotHoldTheExit(t *testing.T) {
+	const grace = 6 * time.Second
 	rig := platformtest.NewRig(t, 1, 0)
-	rig.GraceS = 4
+	rig.GraceS = grace.Seconds()
 	p := startHosted(t, rig)
 	for i := range 900 { // each line has 0.5 KB or more; a pipe holds 64 KB
 		conn, err := net.Dial("tcp", p.callers)
@@ -138,7 +139,7 @@
 	select {
 	case err := <-p.ended:
 		t.Logf("the process ended after %s with %v", time.Since(began), err)
-	case <-time.After(4 * time.Second):
+	case <-time.After(grace):
 		t.Error("the process still runs at the end of its grace period")
 	}
 }
