passthrough: a request that waits when its instance ends is told so

What callers saw: a request that still waited for a place at the end of the grace period got 3002, "the upstreams that were tried did not run the request", with a Retry-After of 0.2 s. It was not run, but no upstream had been tried, and another instance takes it at once.

Change: it gets the refusal of a stop, 2005, with the Retry-After that leads to another instance.

Test: TestWaitingRequestLearnsThatItsInstanceEnds (before: 503, 3002, 0.20).

--- a/internal/passthrough/buffered.go
+++ b/internal/passthrough/buffered.go
@@ -169,6 +169,8 @@
 	switch {
 	case errors.Is(rq.r.Context().Err(), context.Canceled):
 		return result.Wrap(cause, result.CallerGone, "the caller left")
+	case notRun && h.opts.Ending.Err() != nil:
+		return noTimeLeft()
 	case notRun:
 		return result.Wrap(cause, result.UpstreamRefused, "the upstreams that were tried did not run the request").WithRetryAfter(transientRetryAfter)
 	case h.opts.Ending.Err() != nil:
--- a/internal/passthrough/stopping_wait_test.go
+++ b/internal/passthrough/stopping_wait_test.go
@@ -44,6 +44,22 @@
 	}
 }
 
+// TestWaitingRequestLearnsThatItsInstanceEnds guards against a refusal at the end of the grace period
+// that blames upstreams and keeps the caller from returning at once.
+func TestWaitingRequestLearnsThatItsInstanceEnds(t *testing.T) {
+	h := newTestHandler(deployment.Stream, plainCodec{}, &fullPlacer{}, nil, "http://127.0.0.1:1")
+	ending, end := context.WithCancel(t.Context())
+	h.opts.Ending = ending
+	time.AfterFunc(50*time.Millisecond, end)
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodPost, "/x", nil)
+	r.Host = "app.example"
+	h.ServeHTTP(w, r)
+	if got := w.Header(); w.Code != http.StatusServiceUnavailable || got.Get("X-Result-Code") != "2005" || got.Get("Retry-After") != "0.01" {
+		t.Errorf("status %d, result %s, Retry-After %s", w.Code, got.Get("X-Result-Code"), got.Get("Retry-After"))
+	}
+}
+
 // TestHalfABodyAtTheEndOfAStopIsRefused guards against connections that are closed without an answer
 // because the body of their request has not arrived when the grace period ends.
 func TestHalfABodyAtTheEndOfAStopIsRefused(t *testing.T) {
