hosted: the configured timeouts apply to callers' connections

What callers saw: connections closed after 60 s idle whatever idle_timeout_ms says; with more than 75 s callers still reuse such connections (four fifths of the limit). Half a header was ended after 10 s whatever header_timeout_ms says. The configurations of our tests have 15 s and 3 s, with which no caller is cut. Cause: both were decoded and used nowhere; http.Server's timeouts are fixed. Ruled out: read deadlines set in the ConnState hook, since net/http sets its own after the hook. Change: graceful.Server checks its connections every 100 ms against the limits in force, which replace the http.Server's, and closes only those on which the kernel holds nothing unread. Connections of running requests are not looked at. A longer limit applies at once, a shorter one when the connection becomes idle next, since its caller may rely on the longer one. Idle connections stay for a quarter longer than configured. A connection that has sent nothing is idle; it was closed 10 s after it was accepted. Not done: max_header_bytes is still not applied (fixed 64 KiB).

--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -18,10 +18,12 @@
 	// state is the connection's state in the server, and since the time of its last change.
 	state http.ConnState
 	since time.Time
-	// received reports whether bytes have been read since the connection was opened or
-	// became idle.
-	received bool
-	closed   bool
+	// receivedAt is the time when the first bytes were read since the connection was opened or
+	// became idle; zero if there were none.
+	receivedAt time.Time
+	// limits are the longest in force since the connection was opened or became idle.
+	limits Limits
+	closed bool
 }
 
 // Read implements net.Conn.
@@ -32,7 +34,9 @@
 	if c.closed {
 		return 0, net.ErrClosed
 	}
-	c.received = c.received || n > 0
+	if n > 0 && c.receivedAt.IsZero() {
+		c.receivedAt = time.Now()
+	}
 	return n, err
 }
 
@@ -42,7 +46,7 @@
 	defer c.mu.Unlock()
 	c.state, c.since = s, now
 	if s == http.StateIdle {
-		c.received = false
+		c.receivedAt, c.limits = time.Time{}, Limits{}
 	}
 }
 
@@ -55,14 +59,38 @@
 		return true
 	}
 	idle := c.state == http.StateIdle || c.state == http.StateNew && now.Sub(c.since) >= newConnTimeout
-	if !idle || c.received || c.hasUnread() {
+	if !idle || !c.receivedAt.IsZero() || c.hasUnread() {
 		return false
 	}
-	c.closed = true
-	c.Close() //nolint:errcheck // nothing was sent
+	c.close()
 	return true
 }
 
+// closeIfLate closes the connection if it has waited for a request, or for the rest of its header,
+// longer than allowed. Limits that have become shorter apply from the next time that it becomes
+// idle: the caller may rely on the longer ones until then.
+func (c *conn) closeIfLate(now time.Time, limits Limits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.state != http.StateNew && c.state != http.StateIdle {
+		return
+	}
+	c.limits = Limits{Header: max(c.limits.Header, limits.Header), Idle: max(c.limits.Idle, limits.Idle)}
+	isLate := now.Sub(c.since) > c.limits.Idle
+	if !c.receivedAt.IsZero() {
+		isLate = now.Sub(c.receivedAt) > c.limits.Header
+	}
+	if isLate && !c.hasUnread() {
+		c.close()
+	}
+}
+
+// close closes the connection; c.mu must be held.
+func (c *conn) close() {
+	c.closed = true
+	c.Close() //nolint:errcheck // no answer was sent on it
+}
+
 // hasUnread reports whether the kernel holds bytes that have not been read.
 func (c *conn) hasUnread() bool {
 	raw, err := c.SyscallConn()
--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/banyanroute/banyanroute/internal/logging"
+	"github.com/banyanroute/banyanroute/internal/panics"
 	"github.com/banyanroute/banyanroute/internal/sleep"
 )
 
@@ -22,14 +23,26 @@
 	newConnTimeout = 5 * time.Second
 	// stopPollInterval is the interval at which a stop checks whether requests remain.
 	stopPollInterval = 5 * time.Millisecond
+	// limitCheckInterval is the interval at which connections are checked against their limits.
+	limitCheckInterval = 100 * time.Millisecond
 )
 
+// Limits bound how long a connection may wait for its client.
+type Limits struct {
+	// Header is the time from a request's first byte until its header must have arrived.
+	Header time.Duration
+	// Idle is the time that a connection may wait for the first byte of a request.
+	Idle time.Duration
+}
+
 // Server serves HTTP on one listener and can stop without cutting off a request.
 type Server struct {
 	server   *http.Server
 	listener *listener
 	tls      *tls.Config
 	stopping atomic.Bool
+	// limits returns the limits in force; nil leaves them to server.
+	limits func() Limits
 	// acceptEnded is closed when the last connection has been accepted.
 	acceptEnded chan struct{}
 	acceptOnce  sync.Once
@@ -63,6 +76,13 @@
 	return g, nil
 }
 
+// SetLimits replaces the server's fixed timeouts of connections by limits that may change while it
+// serves. It must be called before Serve.
+func (g *Server) SetLimits(limits func() Limits) {
+	g.server.ReadTimeout, g.server.ReadHeaderTimeout, g.server.IdleTimeout = 0, 0, 0
+	g.limits = limits
+}
+
 // Serve serves until Close; it does not return after a Stop, since the end of an actor ends its
 // whole run group. If connections can't be accepted any more, it calls onFailure and goes on with
 // those that there are.
@@ -71,6 +91,11 @@
 	if g.tls != nil {
 		l = tls.NewListener(l, g.tls)
 	}
+	if g.limits != nil {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go sleep.Every(ctx, limitCheckInterval, panics.Guard(log, g.closeLate)) //nolint:errcheck // it ends with ctx
+	}
 	err := g.server.Serve(l)
 	g.acceptOnce.Do(func() { close(g.acceptEnded) })
 	if !g.listener.stopping.Load() {
@@ -118,6 +143,16 @@
 	return len(g.conns) == 0
 }
 
+// closeLate closes the connections that exceed their limits.
+func (g *Server) closeLate() {
+	limits, now := g.limits(), time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.conns {
+		c.closeIfLate(now, limits)
+	}
+}
+
 // onState follows the states of connections.
 func (g *Server) onState(nc net.Conn, s http.ConnState) {
 	c := connOf(nc)
--- a/internal/graceful/server_test.go
+++ b/internal/graceful/server_test.go
@@ -6,10 +6,12 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -215,3 +217,39 @@
 		t.Error(err)
 	}
 }
+
+// TestLimitsReplaceFixedTimeouts guards against connections that are closed within their limits, by
+// fixed timeouts, by limits that become shorter, or because the time of a running request counts.
+func TestLimitsReplaceFixedTimeouts(t *testing.T) {
+	const fixed = 100 * time.Millisecond
+	for _, withTLS := range []bool{false, true} {
+		t.Run(fmt.Sprintf("TLS %t", withTLS), func(t *testing.T) {
+			s := newTestServer(t, withTLS)
+			s.server.ReadHeaderTimeout, s.server.IdleTimeout = fixed, fixed
+			var limits atomic.Pointer[Limits]
+			limits.Store(&Limits{Header: time.Minute, Idle: time.Minute})
+			s.SetLimits(func() Limits { return *limits.Load() })
+			go s.Serve(func(err error) { t.Errorf("Serve failed with %v", err) })
+			half, idle, running := s.dial(t), s.dial(t), s.dial(t)
+			half.send(t, line)
+			idle.send(t, line+rest)
+			idle.expectAnswer(t)
+			running.send(t, "GET /wait HTTP/1.1\r\n"+rest)
+			time.Sleep(3 * fixed)
+			limits.Store(&Limits{Header: fixed, Idle: fixed})
+			time.Sleep(3 * fixed)
+			half.send(t, rest)
+			half.expectAnswer(t)
+			half.send(t, line)
+			idle.send(t, line+rest)
+			idle.expectAnswer(t)
+			for _, c := range []*client{half, idle} {
+				if _, err := c.reader.ReadByte(); !errors.Is(err, io.EOF) {
+					t.Errorf("the shorter limit does not end the connection: %v", err)
+				}
+			}
+			close(s.release)
+			running.expectAnswer(t)
+		})
+	}
+}
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -16,15 +16,16 @@
 	"github.com/banyanroute/banyanroute/internal/panics"
 )
 
-// Bounds of the listeners. The configuration sets tighter bounds for callers,
-// but is not known yet when the listeners start.
+// Bounds of the listeners. Callers' connections have the limits of the configuration once it is
+// known.
 const (
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 10 * time.Second
-	// idleTimeout is the time after which an idle connection is closed. It exceeds
-	// the idle time that the configuration allows, since callers may reuse a
-	// connection until shortly before the end of that time.
+	// idleTimeout is the time after which an idle connection is closed.
 	idleTimeout = 60 * time.Second
+	// idleMarginDivisor is the fraction of the configured idle timeout, as a divisor, by which
+	// connections stay open longer: callers may reuse them until shortly before its end.
+	idleMarginDivisor = 4
 	// maxHeaderBytes bounds the size of a request's header.
 	maxHeaderBytes = 64 << 10
 )
@@ -91,6 +92,7 @@
 	if err != nil {
 		return trace.Wrap(err, "listening for callers")
 	}
+	server.SetLimits(n.connectionLimits)
 	n.callers = server
 	group.Add(func() error {
 		server.Serve(func(err error) { n.fail(trace.Wrap(err, "serving callers")) })
@@ -99,6 +101,22 @@
 	return nil
 }
 
+// connectionLimits returns the limits of callers' connections in force.
+func (n *Instance) connectionLimits() graceful.Limits {
+	limits := graceful.Limits{Header: headerTimeout, Idle: idleTimeout}
+	config := n.state.View().Config
+	if config == nil {
+		return limits
+	}
+	if header := config.Limits.HeaderTimeout; header > 0 {
+		limits.Header = header
+	}
+	if idle := config.Limits.IdleTimeout; idle > 0 {
+		limits.Idle = idle + idle/idleMarginDivisor
+	}
+	return limits
+}
+
 // shutdownCallers stops the callers' server and waits for its requests until running ends. Those that
 // still run then get an error.
 func (n *Instance) shutdownCallers(running context.Context) {
