--- a/internal/daemon/grace_test.go
+++ b/internal/daemon/grace_test.go
@@ -54,7 +54,7 @@
 		f.t.Fatal(err)
 	}
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), processSettings+"="+path)
+	cmd.Env = append(os.Environ(), processSettings+"="+path, "GORACE=atexit_sleep_ms=0") // the race detector delays the exit
 	cmd.Stderr = os.Stderr
 	if err := cmd.Start(); err != nil {
 		f.t.Fatal(err)
