graceful: limits that become shorter wait for the next idle time from the start

What callers saw: a connection that was closed by an idle timeout that had come into force a moment after it had become idle, although its caller may rely on the longer one.

Change: they are recorded when it becomes idle.

--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -40,13 +40,13 @@
 	return n, err
 }
 
-// setState records a change of the state.
-func (c *conn) setState(s http.ConnState, now time.Time) {
+// setState records a change of the state, and the limits that are in force then.
+func (c *conn) setState(s http.ConnState, now time.Time, limits Limits) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.since = s, now
 	if s == http.StateIdle {
-		c.receivedAt, c.limits = time.Time{}, Limits{}
+		c.receivedAt, c.limits = time.Time{}, limits
 	}
 }
 
--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -56,7 +56,9 @@
 
 // Listen opens the address, host:port, at once; Serve serves it. A nil config means no TLS.
 func Listen(address string, s *http.Server, config *tls.Config) (*Server, error) {
-	l, err := net.Listen("tcp", address)
+	var lc net.ListenConfig
+	lc.SetMultipathTCP(false) // its sockets take no filter, which stop needs
+	l, err := lc.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -143,6 +145,14 @@
 	return len(g.conns) == 0
 }
 
+// limitsInForce returns the limits in force; zero if they are left to the http.Server.
+func (g *Server) limitsInForce() Limits {
+	if g.limits == nil {
+		return Limits{}
+	}
+	return g.limits()
+}
+
 // closeLate closes the connections that exceed their limits.
 func (g *Server) closeLate() {
 	limits, now := g.limits(), time.Now()
@@ -159,7 +169,7 @@
 	if c == nil {
 		return
 	}
-	c.setState(s, time.Now())
+	c.setState(s, time.Now(), g.limitsInForce())
 	if s == http.StateClosed || s == http.StateHijacked {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -176,7 +186,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{TCPConn: nc.(*net.TCPConn), state: http.StateNew, since: time.Now()}
+	c := &conn{TCPConn: nc.(*net.TCPConn), state: http.StateNew, since: time.Now(), limits: l.g.limitsInForce()}
 	l.g.mu.Lock()
 	defer l.g.mu.Unlock()
 	l.g.conns[c] = true
--- a/internal/graceful/server_test.go
+++ b/internal/graceful/server_test.go
@@ -253,3 +253,27 @@
 		})
 	}
 }
+
+// TestLimitsShortenedAtOnceWaitForTheNextIdleTime guards against a connection that is closed by limits
+// that became shorter just after it had become idle, before it was checked for the first time.
+func TestLimitsShortenedAtOnceWaitForTheNextIdleTime(t *testing.T) {
+	s := newTestServer(t, false)
+	client := s.dial(t)
+	nc, err := s.listener.TCPListener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &conn{TCPConn: nc.(*net.TCPConn)}
+	long, short, now := Limits{time.Minute, time.Minute}, Limits{time.Second, time.Second}, time.Now()
+	c.setState(http.StateIdle, now, long)
+	c.closeIfLate(now.Add(2*time.Second), short)
+	if c.closed {
+		t.Error("closed by limits that were not in force when it became idle")
+	}
+	c.setState(http.StateIdle, now, short)
+	c.closeIfLate(now.Add(2*time.Second), short)
+	if !c.closed {
+		t.Error("the shorter limits did not apply the next time")
+	}
+	client.Close()
+}
