graceful: no connection is reset while the listener closes

What callers saw: a connection that was opened just when a stopping instance closed its listener was reset, in place of served or refused.

Cause: the kernel resets connections that are established between the last accept and the shutdown of the socket.

Evidence: TestStopResetsNoConnection opens connections throughout 96 stops. Now it passes, also with -race.

Change: before the last accept a filter on the socket drops the first packet of each new connection, and handshakes that have begun get 20 ms. A caller whose packet was dropped sends it again after about 1 s and is refused; before, the window was served or reset. The listener is plain TCP: multipath sockets take no filter. Where the filter is refused, a line says so and the old way is used.

--- a/internal/graceful/listener.go
+++ b/internal/graceful/listener.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"math"
 	"net"
 	"os"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -43,21 +45,54 @@
 	return nil, net.ErrClosed
 }
 
-// stop closes the listener after it has accepted all pending connections. From then on new
-// connections are refused.
+// handshakeTime is how long a stop waits for handshakes that have begun, a few round trips.
+const handshakeTime = 20 * time.Millisecond
+
+// stop closes the listener after it has accepted all connections whose handshake has begun. From then
+// on new connections are refused.
 func (l *listener) stop() {
 	l.once.Do(func() {
-		l.stopping.Store(true)
 		if raw, err := l.SyscallConn(); err == nil {
-			_ = raw.Control(l.acceptPending) // fails if the listener is closed already
+			var filterErr error
+			// Control fails if the listener is closed already.
+			if raw.Control(func(fd uintptr) { filterErr = dropNew(int(fd)) }) == nil && filterErr == nil {
+				time.Sleep(handshakeTime)
+			} else if filterErr != nil {
+				log.WithError(filterErr).Warn("connections that are opened while the listener closes may be reset")
+			}
+			l.stopping.Store(true)
+			_ = raw.Control(l.acceptPending)
 		}
+		l.stopping.Store(true)
 		l.Close() //nolint:errcheck // it may be closed already
 		close(l.pending)
 	})
 }
 
+// Flags of a TCP header.
+const (
+	flagsOffset = 13
+	flagSYN     = 0x02
+	flagACK     = 0x10
+)
+
+// dropNew makes the kernel drop the first packet of each new connection to a listening socket. The
+// kernel resets connections that are established while the socket closes; a packet that was dropped is
+// sent again, and refused then.
+func dropNew(fd int) error {
+	filter := []unix.SockFilter{
+		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: flagsOffset},
+		{Code: unix.BPF_ALU | unix.BPF_AND | unix.BPF_K, K: flagSYN | flagACK},
+		{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, K: flagSYN, Jf: 1},
+		{Code: unix.BPF_RET | unix.BPF_K, K: 0},
+		{Code: unix.BPF_RET | unix.BPF_K, K: math.MaxUint32},
+	}
+	program := unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]}
+	return os.NewSyscallError("setsockopt", unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program))
+}
+
 // acceptPending accepts until no connection is pending and shuts the socket down in the next
-// system call: the kernel resets connections that come in between.
+// system call.
 func (l *listener) acceptPending(fd uintptr) {
 	var accepted []int
 	for len(accepted) < maxPending {
