--- a/internal/passthrough/stopping_body_test.go
+++ b/internal/passthrough/stopping_body_test.go
@@ -13,19 +13,26 @@
 	"github.com/banyanroute/banyanroute/internal/deployment"
 )
 
+// serveUntilEnd serves h, opens a connection to it, and returns both with a function that ends the
+// grace period.
+func serveUntilEnd(t *testing.T, h *Handler) (server *httptest.Server, conn net.Conn, end context.CancelFunc) {
+	t.Helper()
+	h.opts.Ending, end = context.WithCancel(t.Context())
+	server = httptest.NewServer(h)
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+	return server, conn, end
+}
+
 // TestHalfABodyAtTheEndOfAStopIsRefused guards against connections that are closed without an answer
 // because the body of their request has not arrived when the grace period ends.
 func TestHalfABodyAtTheEndOfAStopIsRefused(t *testing.T) {
 	for _, head := range []string{"Content-Length: 10\r\n\r\nhalf", "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"} {
 		h := newTestHandler(deployment.Stream, plainCodec{}, &scriptedPlacer{}, nil, "http://127.0.0.1:1")
-		ending, end := context.WithCancel(t.Context())
-		h.opts.Ending = ending
-		server := httptest.NewServer(h)
-		conn, err := net.Dial("tcp", server.Listener.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+		server, conn, end := serveUntilEnd(t, h)
 		fmt.Fprintf(conn, "POST /x HTTP/1.1\r\nHost: app.example\r\n%s", head)
 		time.AfterFunc(50*time.Millisecond, end)
 		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -49,14 +56,7 @@
 		h := newTestHandler(deployment.Stream, plainCodec{}, &scriptedPlacer{}, nil, "http://127.0.0.1:1")
 		now := time.Now()
 		h.opts.Stop = func() *Stop { return &Stop{Began: now, NewUntil: now, End: now} }
-		ending, end := context.WithCancel(t.Context())
-		h.opts.Ending = ending
-		server := httptest.NewServer(h)
-		conn, err := net.Dial("tcp", server.Listener.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+		server, conn, end := serveUntilEnd(t, h)
 		fmt.Fprintf(conn, "POST /x HTTP/1.1\r\nHost: app.example\r\nContent-Length: 8\r\n\r\nhalf")
 		time.Sleep(time.Millisecond)
 		go func() {
