--- a/internal/deployment/types.go
+++ b/internal/deployment/types.go
@@ -79,10 +79,14 @@
 
 // Workspace is a customer of the deployment.
 type Workspace struct {
-	Name     string
+	Name string
+	// Priority takes precedence over that of the route, unless it is NoPriority.
 	Priority int
 }
 
+// NoPriority is the priority of a workspace to which that of the route applies.
+const NoPriority = -1
+
 // Limits bound the requests and connections of callers.
 type Limits struct {
 	HeaderBytes   int
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -70,6 +70,9 @@
 		Avoid:       rq.tried,
 		Fingerprint: rq.fingerprint,
 		Parts:       rq.parts,
+		Workspace:   rq.workspace,
+		Route:       rq.route.Name,
+		Rank:        rq.priority + 1,
 	}
 }
 
@@ -142,6 +145,7 @@
 func (h *Handler) prepare(ctx context.Context, rq *request, c placedJob, lastEvent string) (*attempt, *result.Error) {
 	job, d := c.job, c.decision
 	rq.placed, rq.heard = job.ID, &lastHeard{start: rq.arrived}
+	rq.placedAt, rq.events = time.Now(), 0
 	// The view may have changed since the request arrived; an upstream that has left
 	// meanwhile must not be used.
 	view := h.opts.State.View()
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -109,7 +109,9 @@
 	route     *deployment.Route
 	service   string
 	workspace string
-	body      []byte
+	// priority is that of the workspace or else of the route; 0 is the most urgent.
+	priority int
+	body     []byte
 	// heldBytes are reserved for the body.
 	heldBytes int64
 	// answer holds the last answer that was read whole.
@@ -124,6 +126,10 @@
 	mayHaveRun []string
 	// sends counts all sends.
 	sends int
+	// placedAt is when the job of the current attempt was placed, and events the number of events
+	// that it has received.
+	placedAt time.Time
+	events   int
 	// placed is the ID of the job that was placed and has not ended; empty if there is none.
 	placed string
 	// heard is when the upstream of the current attempt was last heard.
@@ -224,7 +230,7 @@
 // ended reports how the attempt of a placed job ended.
 func (h *Handler) ended(rq *request, job string, o placement.Outcome) {
 	rq.placed = ""
-	e := placement.End{Outcome: o}
+	e := placement.End{Outcome: o, Duration: time.Since(rq.placedAt), Events: rq.events}
 	if last := rq.record.last; o == placement.Abandoned {
 		e.Silence = rq.heard.silence()
 	} else if !last.IsZero() {
--- a/internal/passthrough/route.go
+++ b/internal/passthrough/route.go
@@ -29,6 +29,10 @@
 		return result.New(result.Unauthenticated, "the API key is missing or unknown")
 	}
 	rq.workspace = workspace.Name
+	rq.priority = rq.route.Priority
+	if known && workspace.Priority != deployment.NoPriority {
+		rq.priority = workspace.Priority
+	}
 	rq.service = pickTarget(rq.route, rq.call.ID)
 	rq.deadline = rq.arrived.Add(rq.timeout())
 	limit := c.Limits.BodyBytes
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -171,6 +171,7 @@
 		wd.reset(pauseTimeout)
 		wd.first()
 		rq.record.event(time.Now())
+		rq.events++
 		if answeredAt.IsZero() {
 			h.opts.Placer.FirstAnswer(rq.service, a.job)
 			answeredAt = time.Now()
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -46,6 +46,13 @@
 	// answered, perhaps late. It is then deferred while it would cost other jobs more
 	// than its gain justifies.
 	MayDefer bool
+	// Workspace and Route are the names of the caller's workspace and of the request's route;
+	// empty if unknown.
+	Workspace string `wire:"added"`
+	Route     string `wire:"added"`
+	// Rank is one more than the configured priority of the workspace or else of the route, so
+	// that 1 is the most urgent; 0 if unknown.
+	Rank int `wire:"added"`
 }
 
 // value returns the value of the job if it is answered in time: a fixed part, and the
@@ -173,6 +180,10 @@
 	// abandoned attempt it is the time since the upstream sent anything at all, or, if it has
 	// not, since the request was sent; 0 if it was not sent.
 	Silence time.Duration
+	// Duration is the time from the placement to the end, and Events the number of events of the
+	// answer; 0 if unknown.
+	Duration time.Duration `wire:"added"`
+	Events   int           `wire:"added"`
 }
 
 // known reports whether this build knows the outcome. An attempt with another one has ended, and
