placement: a fleet that starts as a whole plans through one home within half a second

After a loss of power of all instances, the home of a service was called before it was up. Each early instance then avoided it for 1.5 s and used another one, so two homes and some instances that planned alone filled the same engines at the front of the order without knowing each other's jobs; the first tokens of most short prompts of that second were late.

A home that has never answered is avoided for 250 ms. A substitute of the home starts at another upstream in the order, as instances that plan alone do, so that it does not fill the engines that the home fills.

--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -25,6 +25,10 @@
 	placeTimeout = 80 * time.Millisecond
 	// homeAvoidTime is how long a home is not used after it did not answer.
 	homeAvoidTime = 1500 * time.Millisecond
+	// startingHomeAvoidTime is the same for a home that has never answered this instance. When
+	// all instances start at once, the home may be the last that is up, and until all use it
+	// several plan the same upstreams without knowing each other's jobs.
+	startingHomeAvoidTime = 250 * time.Millisecond
 	// flushDelay is how long events wait for a placement call that can carry them.
 	flushDelay = 15 * time.Millisecond
 	// flushTimeout bounds a call that carries only events.
@@ -62,6 +66,8 @@
 	homes map[string]string
 	// avoided holds instances that did not answer and until when they are not used.
 	avoided map[string]time.Time
+	// answered holds the instances that have answered as a home.
+	answered map[string]bool
 	// pending holds events that are not sent yet, by home.
 	pending map[string][]event
 	// flushes holds the timers that send them, by home.
@@ -81,6 +87,7 @@
 		revisions: revisions,
 		homes:     map[string]string{},
 		avoided:   map[string]time.Time{},
+		answered:  map[string]bool{},
 		pending:   map[string][]event{},
 		flushes:   map[string]*time.Timer{},
 		callers:   map[string]map[string]time.Time{},
@@ -133,7 +140,7 @@
 		return f.planner.PlaceAlone(j, f.aloneShare(), time.Now())
 	}
 	if home == "" {
-		return f.planner.Place(j, f.limitShare(j.Service, time.Now()), time.Now())
+		return f.placeHere(j, time.Now())
 	}
 	d, err := f.placeAt(ctx, home, j)
 	if err == nil {
@@ -151,6 +158,16 @@
 	return d
 }
 
+// placeHere places a job as the home of its service, or as a substitute while the home does not
+// answer.
+func (f *Fleet) placeHere(j Job, now time.Time) Decision {
+	share := f.limitShare(j.Service, now)
+	if share < 1 {
+		return f.planner.PlaceAsSubstitute(j, f.owner, share, now)
+	}
+	return f.planner.Place(j, share, now)
+}
+
 // FirstAnswer implements passthrough.Placer.
 func (f *Fleet) FirstAnswer(service, id string) {
 	f.planner.FirstAnswer(id, time.Now())
@@ -219,7 +236,11 @@
 func (f *Fleet) avoid(home string, j Job, err error) {
 	metrics.GetOrCreateCounter(`banyanroute_home_timeouts_total`).Inc()
 	f.mu.Lock()
-	f.avoided[home] = time.Now().Add(homeAvoidTime)
+	avoidTime := startingHomeAvoidTime
+	if f.answered[home] {
+		avoidTime = homeAvoidTime
+	}
+	f.avoided[home] = time.Now().Add(avoidTime)
 	f.mu.Unlock()
 	log.WithField("home", home).WithField("request", j.ID).WithError(err).
 		Warn("home of service does not answer; this instance plans alone")
@@ -243,6 +264,9 @@
 		f.markOutOfSync(home)
 		return Decision{}, err
 	}
+	f.mu.Lock()
+	f.answered[home] = true
+	f.mu.Unlock()
 	return *a.Decision, nil
 }
 
@@ -342,7 +366,7 @@
 	if request.Job != nil {
 		service := request.Job.Service
 		f.recordCaller(service, from, now)
-		d := f.planner.Place(*request.Job, f.limitShare(service, now), now)
+		d := f.placeHere(*request.Job, now)
 		a.Decision = &d
 	}
 	return encode(a), nil
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -117,8 +117,7 @@
 const (
 	// fleetwide plans for all instances: the work of all of them is known.
 	fleetwide scope = iota
-	// alone plans for this instance only. Others may do the same, so each starts at
-	// a different upstream in the order.
+	// alone plans for this instance only. Others may do the same.
 	alone
 )
 
@@ -249,16 +248,24 @@
 // Place chooses an upstream for the job and records the job there. limitShare is the part of
 // the limits that upstreams name that this instance may use.
 func (p *Planner) Place(j Job, limitShare float64, now time.Time) Decision {
-	return p.place(j, fleetwide, limitShare, now)
+	return p.place(j, fleetwide, "", limitShare, now)
+}
+
+// PlaceAsSubstitute is Place for an instance that stands in for the home. The home may be planning
+// for other instances at the same time, so the substitute, named by planner, starts at another
+// upstream in the order.
+func (p *Planner) PlaceAsSubstitute(j Job, planner string, limitShare float64, now time.Time) Decision {
+	return p.place(j, fleetwide, planner, limitShare, now)
 }
 
 // PlaceAlone chooses an upstream for a job of this instance without a home that
 // knows the work of the other instances.
 func (p *Planner) PlaceAlone(j Job, limitShare float64, now time.Time) Decision {
-	return p.place(j, alone, limitShare, now)
+	return p.place(j, alone, j.Owner, limitShare, now)
 }
 
-func (p *Planner) place(j Job, s scope, limitShare float64, now time.Time) Decision {
+// place places a job. start selects the upstream at which the order starts; empty is the first.
+func (p *Planner) place(j Job, s scope, start string, limitShare float64, now time.Time) Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweep(now)
@@ -274,7 +281,7 @@
 	if refused {
 		return d
 	}
-	candidates := pl.candidates(&j, s, now)
+	candidates := pl.candidates(&j, start, now)
 	if len(candidates) > 0 {
 		within, refusal := p.withinLimits(candidates, &j, limitShare, now)
 		if len(within) == 0 {
@@ -319,13 +326,13 @@
 }
 
 // candidates returns the members that may get the job, in the order of the
-// decision. If more than half of the untried ones are unusable, the health state
+// decision, which starts where the text start selects. If more than half of the untried ones are unusable, the health state
 // itself is taken to be wrong, and all untried ones are returned.
-func (pl *pool) candidates(j *Job, s scope, now time.Time) []*member {
+func (pl *pool) candidates(j *Job, start string, now time.Time) []*member {
 	n := len(pl.order)
 	first := 0
-	if s == alone {
-		first = int(xxhash.Sum64String(j.Owner) % uint64(n))
+	if start != "" {
+		first = int(xxhash.Sum64String(start) % uint64(n))
 	}
 	usable, untried := make([]*member, 0, n), make([]*member, 0, n)
 	for i := range n {
