--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -67,7 +67,7 @@
 		Waited:      rq.waited(),
 		Remaining:   rq.remainingPatience(),
 		Lifetime:    time.Until(rq.deadline),
-		Avoid:       rq.tried,
+		Avoid:       slices.Concat(rq.tried, rq.atFault),
 		Fingerprint: rq.fingerprint,
 		Parts:       rq.parts,
 		Workspace:   rq.workspace,
@@ -111,7 +111,7 @@
 			return nil, err
 		}
 		job := h.job(rq)
-		job.Avoid = append(slices.Clone(rq.tried), skip...)
+		job.Avoid = slices.Concat(rq.tried, rq.atFault, skip)
 		d, late := h.placeWithRetry(ctx, rq, job)
 		if late != nil {
 			return nil, late
@@ -123,14 +123,14 @@
 		if err == nil || len(skip) >= maxSkipped {
 			return a, err
 		}
-		// The home does not know yet that the upstream has left, or that engines have
-		// no free memory.
-		var full *reserveError
+		// The home does not know yet that the upstream or a helper has left, or that engines
+		// have no free memory.
+		var unfit *helperError
 		switch {
+		case errors.As(err, &unfit):
+			skip = append(skip, unfit.upstreams...)
 		case err.Code == result.NoUpstream:
 			skip = append(skip, d.Upstream)
-		case errors.As(err, &full):
-			skip = append(skip, full.upstreams...)
 		default:
 			return a, err
 		}
@@ -145,7 +145,7 @@
 func (h *Handler) prepare(ctx context.Context, rq *request, c placedJob, lastEvent string) (*attempt, *result.Error) {
 	job, d := c.job, c.decision
 	rq.placed, rq.heard = job.ID, &lastHeard{start: rq.arrived}
-	rq.placedAt, rq.events = time.Now(), 0
+	rq.placedAt, rq.events, rq.blamed = time.Now(), 0, ""
 	// The view may have changed since the request arrived; an upstream that has left
 	// meanwhile must not be used.
 	view := h.opts.State.View()
--- a/internal/passthrough/codec.go
+++ b/internal/passthrough/codec.go
@@ -62,6 +62,9 @@
 	Signed bool
 	// NotRun reports whether the upstream did not run the request and never will.
 	NotRun bool
+	// AtFault is the address of the upstream that a refusal names as its cause; empty if it
+	// names none.
+	AtFault string
 	// Limit is the rate of requests that the upstream takes from all instances.
 	Limit upstreamlimit.Limit
 	// Signals is what the answer says of the upstream itself.
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -124,6 +124,10 @@
 	// request.
 	tried      []string
 	mayHaveRun []string
+	// atFault lists the helpers that refusals have named as their cause, blamed is the one that the
+	// refusal of the current attempt names.
+	atFault []string
+	blamed  string
 	// sends counts all sends.
 	sends int
 	// placedAt is when the job of the current attempt was placed, and events the number of events
@@ -230,7 +234,7 @@
 // ended reports how the attempt of a placed job ended.
 func (h *Handler) ended(rq *request, job string, o placement.Outcome) {
 	rq.placed = ""
-	e := placement.End{Outcome: o, Duration: time.Since(rq.placedAt), Events: rq.events}
+	e := placement.End{Outcome: o, Duration: time.Since(rq.placedAt), Events: rq.events, AtFault: rq.blamed}
 	if last := rq.record.last; o == placement.Abandoned {
 		e.Silence = rq.heard.silence()
 	} else if !last.IsZero() {
--- a/internal/passthrough/helpers.go
+++ b/internal/passthrough/helpers.go
@@ -20,10 +20,12 @@
 // prepareHelpers adds the helpers of an attempt to out and reserves memory at them.
 func (h *Handler) prepareHelpers(ctx context.Context, rq *request, a *attempt, view *deployment.View, out *UpstreamCall) *result.Error {
 	var holds []hold
+	var left []string
 	for i, part := range a.decision.Helpers {
 		up, known := view.Upstream(part.Upstream)
 		if !known || up.Leaving || h.opts.Placer.Paused(up) {
-			return result.New(result.NoUpstream, "engine %s has left or takes no requests now", part.Upstream).WithRetryAfter(transientRetryAfter)
+			left = append(left, part.Upstream)
+			continue
 		}
 		a.helpers = append(a.helpers, up)
 		helper := Helper{Address: up.Address}
@@ -33,6 +35,10 @@
 		}
 		out.Helpers = append(out.Helpers, helper)
 	}
+	if len(left) > 0 {
+		err := &helperError{upstreams: left, cause: errLeft}
+		return result.Wrap(err, result.NoUpstream, "engines %v have left or take no requests now", left).WithRetryAfter(transientRetryAfter)
+	}
 	// Reserved memory is filled in the order of the helpers, so those with a reservation
 	// go first.
 	sortReservedFirst(out.Helpers)
@@ -46,3 +52,13 @@
 	a.holds, a.release = true, lease.release
 	return nil
 }
+
+// blameHelper records the helper with the address that a refusal names as its cause, so that the next
+// attempt does without it. The engine that refused may be sound.
+func (rq *request) blameHelper(a *attempt, address string) {
+	for _, up := range a.helpers {
+		if up.Address == address {
+			rq.atFault, rq.blamed = append(rq.atFault, up.ID), up.ID
+		}
+	}
+}
--- a/internal/passthrough/hold.go
+++ b/internal/passthrough/hold.go
@@ -33,13 +33,13 @@
 	tokens int
 }
 
-// reserveError lists the engines that did not reserve memory.
-type reserveError struct {
+// helperError lists the engines that cannot take part in an attempt.
+type helperError struct {
 	upstreams []string
 	cause     error
 }
 
-func (e *reserveError) Error() string { return e.cause.Error() }
+func (e *helperError) Error() string { return e.cause.Error() }
 
 // memoryLease renews holds until it is released.
 type memoryLease struct {
@@ -75,7 +75,7 @@
 		})
 	}
 	wait.Wait()
-	refused := &reserveError{cause: errors.Join(errs...)}
+	refused := &helperError{cause: errors.Join(errs...)}
 	for i, err := range errs {
 		if err != nil {
 			refused.upstreams = append(refused.upstreams, l.holds[i].engine.ID)
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -132,7 +132,7 @@
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK || !reply.Signed || !s.continues(res) {
-		return h.notStream(ctx, rq, res, reply, s)
+		return h.notStream(ctx, rq, a, res, reply, s)
 	}
 	return h.relayEvents(ctx, rq, a, res, wd, s)
 }
@@ -227,10 +227,11 @@
 }
 
 // notStream handles an answer that is not a stream of events.
-func (h *Handler) notStream(ctx context.Context, rq *request, res *http.Response, reply UpstreamReply, s *streamState) streamEnd {
+func (h *Handler) notStream(ctx context.Context, rq *request, a *attempt, res *http.Response, reply UpstreamReply, s *streamState) streamEnd {
 	end := streamEnd{outcome: placement.Failed, status: res.StatusCode, notRun: reply.NotRun, err: errNotAnswer}
 	if reply.NotRun {
 		end.outcome, end.err = placement.Refused, errRefused
+		rq.blameHelper(a, reply.AtFault)
 		return end
 	}
 	body, err := h.readAnswer(ctx, rq, res)
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -100,6 +100,10 @@
 	}
 	p.drop(pj, now)
 	p.recordPoison(pj, e, now)
+	if e.AtFault != "" {
+		p.helperFailed(pj, e.AtFault, now)
+		return
+	}
 	m := p.known(pj.upstream)
 	if m == nil {
 		return
@@ -118,6 +122,21 @@
 	}
 }
 
+// helperFailed records that an engine has refused a job because of a helper. The helper gets no work
+// until a probe shows that it runs; the engine that refused is sound.
+func (p *Planner) helperFailed(pj *placed, id string, now time.Time) {
+	pl := p.pools[pj.job.Service]
+	if pl == nil {
+		return
+	}
+	m := pl.member(id)
+	if m == nil || !m.health.record(Unreached, now) {
+		return
+	}
+	log.WithField("upstream", id).WithField("request", pj.job.ID).WithField("pause", m.health.pause).
+		Warn("helper named as the cause of a refusal; it is paused until a probe succeeds")
+}
+
 // drop removes a job from its upstreams.
 func (p *Planner) drop(pj *placed, now time.Time) {
 	delete(p.jobs, pj.job.ID)
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -184,6 +184,8 @@
 	// answer; 0 if unknown.
 	Duration time.Duration `wire:"added"`
 	Events   int           `wire:"added"`
+	// AtFault is the ID of the helper that a refusal names as its cause; empty if there is none.
+	AtFault string `wire:"added"`
 }
 
 // known reports whether this build knows the outcome. An attempt with another one has ended, and
