--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -184,6 +184,9 @@
 	fetched chan Update
 	// storeBack ends the pause after a failed call.
 	storeBack chan struct{}
+	// packing guards packed, the last snapshot that was compressed for other instances.
+	packing sync.Mutex
+	packed  packedUpdate
 	// eraKnownAt is when the era of complete became known.
 	eraKnownAt time.Time
 	// mu guards the fields below.
--- a/internal/deployment/relay.go
+++ b/internal/deployment/relay.go
@@ -51,6 +51,8 @@
 	// Version is the relay's version that the caller knows; 0 if none.
 	Version uint64
 	Wait    time.Duration
+	// AcceptsPacked reports whether the caller reads followAnswer.Packed.
+	AcceptsPacked bool `wire:"added"`
 }
 
 // followAnswer is the answer of a relay.
@@ -64,6 +66,8 @@
 	Revision Revision
 	// News is a snapshot of the source; nil if the caller knows it.
 	News *Update
+	// Packed holds the snapshot in compressed form, in place of News, if the caller reads it.
+	Packed []byte `wire:"added"`
 }
 
 // relayed is what a Follower knows of its relay. Only Run changes it.
@@ -123,9 +127,7 @@
 			a.Unfit = true
 			return a
 		case a.Version != r.Version:
-			snapshot := f.snapshot()
-			a.News = &snapshot
-			return a
+			return f.withNews(a, r.AcceptsPacked)
 		case !now.Before(deadline):
 			return a
 		}
@@ -138,6 +140,21 @@
 	}
 }
 
+// withNews returns the answer with a snapshot of the source.
+func (f *Follower) withNews(a followAnswer, packed bool) followAnswer {
+	if packed {
+		data, err := f.packedSnapshot(a.Version)
+		if err == nil {
+			a.Packed = data
+			return a
+		}
+		log.WithError(err).WithField("table", f.source.Name()).Error("snapshot for another instance not compressed")
+	}
+	snapshot := f.snapshot()
+	a.News = &snapshot
+	return a
+}
+
 // followRelay waits for news from a relay and applies it.
 func (f *Follower) followRelay(ctx context.Context) relayResult {
 	if f.exchange == nil || f.options.Relays == nil {
@@ -187,7 +204,7 @@
 
 // askRelay waits for news from one relay and applies it.
 func (f *Follower) askRelay(ctx context.Context, id string) error {
-	request := followRequest{Source: f.index}
+	request := followRequest{Source: f.index, AcceptsPacked: true}
 	known := id == f.relay.id
 	if known {
 		request.Version = f.relay.version
@@ -277,7 +294,17 @@
 	if err != nil {
 		return a, trace.Wrap(err)
 	}
-	return a, trace.Wrap(wire.Unmarshal(answer, &a, id))
+	if err := wire.Unmarshal(answer, &a, id); err != nil {
+		return a, trace.Wrap(err)
+	}
+	if len(a.Packed) > 0 {
+		news, err := unpack(a.Packed, id)
+		if err != nil {
+			return a, err
+		}
+		a.News, a.Packed = &news, nil
+	}
+	return a, nil
 }
 
 // handleFollow answers a call that waits for news of a source.
--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -137,10 +137,15 @@
 		v.Set(reflect.MakeMap(v.Type()))
 		v.SetMapIndex(key, value)
 	case reflect.Struct:
-		for i := range v.NumField() {
-			if !isAdded(v.Type().Field(i)) { // the build in production sends none
-				fill(v.Field(i), n, depth+1)
-			}
+		fillStruct(v, n, depth)
+	}
+}
+
+// fillStruct fills the fields of a struct that the build in production has.
+func fillStruct(v reflect.Value, n *int, depth int) {
+	for i := range v.NumField() {
+		if !isAdded(v.Type().Field(i)) {
+			fill(v.Field(i), n, depth+1)
 		}
 	}
 }
