member: an attempt to connect from before an instance's start does not hold calls

After a loss of power of all instances, calls to the home of a service timed out for up to 1.1 s although the home was up: the first packet of the connection had been sent before that, was lost without an error, and is repeated after a second. All calls to the instance shared that attempt.

A call now starts another attempt if one has been pending for 200 ms; the first that succeeds is used.

The test failed before (deadline exceeded).

--- a/internal/member/calls.go
+++ b/internal/member/calls.go
@@ -15,6 +15,10 @@
 	maxDirectLinks = 2048
 	// defaultCallTimeout applies to calls without a deadline.
 	defaultCallTimeout = 30 * time.Second
+	// redialDelay is how long an attempt to open a direct link may be pending before a call starts
+	// another one. The first packet to an instance that is not up yet is lost without an error and
+	// repeated after a second only.
+	redialDelay = 200 * time.Millisecond
 )
 
 // Call implements peer.Bus.
@@ -153,8 +157,9 @@
 // directEntry is one member's dialled link, or the pending attempt to open it.
 // ready is closed when the attempt has ended.
 type directEntry struct {
-	ready chan struct{}
-	link  *link
+	ready     chan struct{}
+	link      *link
+	startedAt time.Time
 }
 
 func newDirectLinks(o *Overlay) *directLinks {
@@ -178,15 +183,16 @@
 	return entry.link, nil
 }
 
-// entryFor returns the current entry of m, or starts a new dial attempt. It returns
-// nil if the overlay is not running.
+// entryFor returns the current entry of m, or starts a new dial attempt if there is none or it has
+// been pending for redialDelay. It returns nil if the overlay is not running.
 func (d *directLinks) entryFor(m peer.Member) *directEntry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if e, ok := d.dialled[m.ID]; ok && !e.failed() {
+	now := time.Now()
+	if e, ok := d.dialled[m.ID]; ok && !e.failed() && (e.isReady() || now.Sub(e.startedAt) < redialDelay) {
 		return e
 	}
-	e := &directEntry{ready: make(chan struct{})}
+	e := &directEntry{ready: make(chan struct{}), startedAt: now}
 	if !d.overlay.spawn(func(ctx context.Context) { d.dial(ctx, m, e) }) {
 		return nil
 	}
@@ -207,11 +213,24 @@
 // dial opens the link of an entry and serves it.
 func (d *directLinks) dial(ctx context.Context, m peer.Member, e *directEntry) {
 	d.openEntry(ctx, m, e)
-	if e.link != nil {
+	if e.link != nil && d.keep(m.ID, e) {
 		d.overlay.serveLink(ctx, e.link)
 	}
 }
 
+// keep makes an entry whose attempt has succeeded the current one of its member. It closes the link
+// and returns false if a later attempt has succeeded before.
+func (d *directLinks) keep(id string, e *directEntry) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if current := d.dialled[id]; current != nil && current != e && current.isReady() && !current.failed() {
+		e.link.close()
+		return false
+	}
+	d.dialled[id] = e
+	return true
+}
+
 // openEntry opens the link of an entry. Calls wait for ready, so it is closed in any case.
 func (d *directLinks) openEntry(ctx context.Context, m peer.Member, e *directEntry) {
 	defer close(e.ready)
--- a/internal/member/overlay_test.go
+++ b/internal/member/overlay_test.go
@@ -226,6 +226,38 @@
 	})
 }
 
+// TestPendingDialDoesNotDelayCalls guards against calls to an instance that has just started which
+// wait for an attempt to connect from before its start: its packets were lost without an error.
+func TestPendingDialDoesNotDelayCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.stopAll()
+		c.startAll(30, "r1/a")
+		c.converge(joinBound, all)
+		caller := c.nodes[c.ids()[0]]
+		target := nonNeighbour(c, caller)
+		call := func() error {
+			ctx, cancel := context.WithTimeout(t.Context(), 80*time.Millisecond)
+			defer cancel()
+			_, err := caller.Call(ctx, target, testTopic, nil)
+			return err
+		}
+		c.net.setPartition(caller.self.ID, target, true)
+		if err := call(); !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("call while packets are lost: %v", err)
+		}
+		c.net.setPartition(caller.self.ID, target, false)
+		time.Sleep(redialDelay)
+		if err := call(); err != nil {
+			t.Errorf("call once the instance is up: %v", err)
+		}
+		time.Sleep(caller.timing.DialTimeout)
+		if err := call(); err != nil {
+			t.Errorf("call after the first attempt has ended: %v", err)
+		}
+	})
+}
+
 func nonNeighbour(c *cluster, n *node) string {
 	for _, id := range c.ids() {
 		if id != n.self.ID && n.links.Load().byID[id] == nil {
