Evacuate data centres: rows of the store, the state, and the last check before a send

A row evacuate/ZONE of the table op hides the upstreams of that data centre from placement; they stay known for the work that runs there.

Before a request is sent, and before memory is reserved, an upstream of an evacuated data centre counts as one that takes no work. If none is left, the request is refused at once with Retry-After. A process that was stopped for a time reads the evacuations again before it sends anything.

Not yet tested: hosted/suspension.go, the planner's members, reading the rows, and instances as a whole.

--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -25,7 +25,7 @@
 
 // Update is a snapshot of a source at a revision, or the changes up to it.
 type Update struct {
-	// Complete reports whether Upstreams is the complete list.
+	// Complete reports whether Upstreams and Evacuations are complete.
 	Complete bool `cbor:"Whole"`
 	// Revision is the store's version up to which the update is complete.
 	Revision Revision
@@ -42,6 +42,9 @@
 	// Fresh reports whether the other instance has followed the store for so short a time
 	// that entries which had expired before may still be missing.
 	Fresh bool
+	// Evacuations is nil if the update says nothing of evacuations. d3ebc58 neither writes nor
+	// reads it.
+	Evacuations *Evacuations `cbor:",omitempty" wire:"added"`
 	// fetched reports whether the update is from another instance.
 	fetched bool
 }
@@ -131,6 +134,10 @@
 	ApplyTimeout func() time.Duration
 	// UpstreamHeartbeat returns the interval at which upstreams renew their entries.
 	UpstreamHeartbeat func() time.Duration
+	// EvacuationBound, if set, returns the time within which an evacuation must be in force; 0
+	// if the settings do not state it. While they do, the configurations of instances that say
+	// nothing of evacuations are not used.
+	EvacuationBound func() time.Duration
 	// IsWatcher reports whether this instance is one of the few that check often that the
 	// store's answers still arrive.
 	IsWatcher func() bool
@@ -200,6 +207,8 @@
 	batchEnds time.Time
 	// startedAt is when the first snapshot was applied; zero before that.
 	startedAt time.Time
+	// confirm is the progress of the calls.
+	confirm confirmation
 	// outage judges whether missing entries may have expired.
 	outage outage
 	// pendingRemovals holds upstreams whose entries may have expired, with the time at
@@ -217,6 +226,7 @@
 		state: state, source: source, options: options,
 		version: uint64(time.Now().UnixNano()), news: make(chan struct{}),
 		fetched: make(chan Update, 1), storeBack: make(chan struct{}, 1),
+		confirm:         confirmation{hurry: make(chan struct{}, 1), changed: make(chan struct{})},
 		outage:          outage{heartbeat: options.UpstreamHeartbeat},
 		pendingRemovals: map[string]time.Time{}, removed: map[string]removedUpstream{}, distrusted: map[string]distrustedUpstream{},
 	}
@@ -228,6 +238,7 @@
 	snapshot := true
 	for ctx.Err() == nil {
 		f.applyFetched()
+		snapshot = f.takeConfirmation() || snapshot
 		if !snapshot || !f.failingSince().IsZero() {
 			switch f.followRelay(ctx) {
 			case relayAnswered:
@@ -259,6 +270,7 @@
 		if err != nil {
 			snapshot = snapshot || isUnusable(err)
 			f.recordFailure(ctx, err, now)
+			f.recordCall(began, true)
 			f.waitToRetry(ctx, f.retryPause(pause.NextBackOff()))
 			continue
 		}
@@ -266,9 +278,11 @@
 		before := f.changed.load()
 		if err := f.applyContained(update, now); err != nil {
 			snapshot = true
+			f.recordCall(began, true)
 			sleep.For(ctx, pause.NextBackOff())
 			continue
 		}
+		f.recordCall(began, false)
 		if before.Before(f.changed.load()) {
 			f.announce()
 		}
@@ -294,7 +308,7 @@
 	f.mu.Lock()
 	f.batchEnds = time.Now().Add(delay)
 	f.mu.Unlock()
-	sleep.For(ctx, delay)
+	f.pause(ctx, delay)
 }
 
 // untilBatchEnds returns how long the follower waits before its next call; not positive if
@@ -320,6 +334,7 @@
 	select {
 	case <-f.storeBack:
 		f.relay.avoided = nil
+	case <-f.confirm.hurry:
 	case <-time.After(pause):
 	case <-ctx.Done():
 	}
@@ -382,12 +397,14 @@
 		// A store that is silent may drop the call and never answer it, also once it is back. An
 		// instance that calls it because its relays do not follow it returns to them soon.
 		wait, slack = watcherPollWait, watcherPollSlack
+		if time.Now().Before(f.relay.olderUntil) && f.failingSince().IsZero() && !f.options.IsWatcher() {
+			// Its relays cannot be used for some time, and in a large fleet short calls cost much.
+			wait, slack = max(f.evacuationBound()/2, wait), longPollSlack
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
-	f.mu.Lock()
-	f.interrupt = cancel
-	f.mu.Unlock()
+	f.setInterrupt(cancel)
 	return f.source.Changes(ctx, f.complete.load(), wait)
 }
 
@@ -414,6 +431,11 @@
 func (f *Follower) applyFetched() {
 	select {
 	case u := <-f.fetched:
+		if u.Evacuations == nil && f.needsEvacuations() {
+			log.WithField("table", f.source.Name()).WithField("revision", u.Revision).
+				Info("update from another instance ignored; it says nothing of evacuations")
+			return
+		}
 		if f.complete.load().Before(u.Revision) {
 			log.WithField("table", f.source.Name()).WithField("revision", u.Revision).
 				Info("update from another instance applied")
@@ -432,6 +454,7 @@
 	v := f.state.View()
 	if f.source.Content() == Configurations {
 		u.Config = v.Config
+		u.Evacuations = &Evacuations{Set: v.Evacuations()}
 		return u
 	}
 	for _, up := range v.upstreams {
@@ -486,7 +509,7 @@
 func (f *Follower) applyContained(u Update, now time.Time) (err error) {
 	defer panics.RecoverError(log.WithField("table", f.source.Name()), &err)
 	f.apply(u, now)
-	if u.Complete || u.Config != nil || len(u.Upstreams)+len(u.Removed) > 0 {
+	if u.Complete || u.Config != nil || u.Evacuations != nil || len(u.Upstreams)+len(u.Removed) > 0 {
 		f.mu.Lock()
 		f.publish()
 		f.mu.Unlock()
@@ -529,6 +552,8 @@
 
 // applyContent applies the content of an update to the state.
 func (f *Follower) applyContent(u Update, newEra bool, now time.Time) {
+	// The evacuations first: no request may be placed by a configuration without them.
+	f.applyEvacuations(u, now)
 	if u.Config != nil && f.state.SetConfiguration(u.Config, now) {
 		metrics.GetOrCreateCounter(`banyanroute_configurations_total`).Inc()
 		log.WithField("version", u.Config.Version).WithField("revision", u.Revision).
--- a/internal/deployment/outage.go
+++ b/internal/deployment/outage.go
@@ -61,7 +61,7 @@
 	case failing >= o.heartbeat():
 		o.provenUntil = now.Add(reappearTimeout)
 	case silent >= o.heartbeat():
-		o.possibleUntil, o.listed = now.Add(reappearTimeout), v.services
+		o.possibleUntil, o.listed = now.Add(reappearTimeout), v.listed
 	}
 	return true
 }
--- a/internal/deployment/relay.go
+++ b/internal/deployment/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -34,8 +35,11 @@
 	relayMaxAge = watcherPollWait + watcherPollSlack
 	// relayAvoidTime is how long a relay that failed is not asked, relayRetryPause how long
 	// one is not asked that the store does not answer.
-	relayAvoidTime  = 3 * time.Second
-	relayRetryPause = time.Second
+	relayAvoidTime = 3 * time.Second
+	// olderRelayAvoidTime is how long a relay is not asked that says nothing of evacuations:
+	// only a restart with another build changes that.
+	olderRelayAvoidTime = 15 * time.Second
+	relayRetryPause     = time.Second
 	// awayCallPause is the mean time between calls of an instance to a store that answers
 	// neither it nor a relay. The store may be back for this instance alone.
 	awayCallPause = 4 * time.Second
@@ -66,16 +70,25 @@
 	News *Update
 }
 
+// errNoEvacuations is returned if a relay says nothing of evacuations, because its build doesn't
+// know them, and this instance must know them.
+var errNoEvacuations = errors.New("the relay says nothing of evacuations")
+
 // relayed is what a Follower knows of its relay. Only Run changes it.
 type relayed struct {
 	// id names the relay; empty if the last call was to the store. It is changed with mu held.
 	id string
 	// version is the relay's version that is known here.
 	version uint64
+	// statesEvacuations reports whether the last news of a relay said which data centres are
+	// evacuated. The first answer of a relay always has news.
+	statesEvacuations bool
 	// avoided holds the relays that failed, and until when they are not asked.
 	avoided map[string]time.Time
 	// storeAwayAt is when a relay last said that the store does not answer it.
 	storeAwayAt time.Time
+	// olderUntil is until when a relay is avoided that says nothing of evacuations.
+	olderUntil time.Time
 	// ownCallAt is when this instance calls the store next if a relay says so.
 	ownCallAt time.Time
 }
@@ -145,9 +158,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	f.mu.Lock()
-	f.interrupt = cancel
-	f.mu.Unlock()
+	f.setInterrupt(cancel)
 	tries := 0
 	for _, id := range f.options.Relays() {
 		if time.Now().Before(f.relay.avoided[id]) {
@@ -187,6 +198,7 @@
 
 // askRelay waits for news from one relay and applies it.
 func (f *Follower) askRelay(ctx context.Context, id string) error {
+	began := time.Now()
 	request := followRequest{Source: f.index}
 	known := id == f.relay.id
 	if known {
@@ -208,6 +220,12 @@
 	case a.Revision.Before(changed):
 		return trace.CompareFailed("the relay knows the store up to %s only, this instance a change of %s", a.Revision, changed)
 	}
+	if a.News != nil {
+		f.relay.statesEvacuations = a.News.Evacuations != nil
+	}
+	if !f.relay.statesEvacuations && f.needsEvacuations() {
+		return errNoEvacuations
+	}
 	now := time.Now()
 	f.recordRelayed(now)
 	complete := f.complete.load()
@@ -225,6 +243,7 @@
 	}
 	f.setRelay(id)
 	f.relay.version = a.Version
+	f.recordCall(began, false)
 	if a.News != nil {
 		f.waitForBatch(ctx)
 	}
@@ -237,7 +256,11 @@
 		f.relay.avoided = map[string]time.Time{}
 	}
 	now, avoidTime := time.Now(), relayAvoidTime
-	if f.relay.isStoreAway(now) {
+	switch {
+	case errors.Is(err, errNoEvacuations):
+		avoidTime = olderRelayAvoidTime
+		f.relay.olderUntil = now.Add(avoidTime)
+	case f.relay.isStoreAway(now):
 		avoidTime = relayRetryPause / 2
 	}
 	for other, until := range f.relay.avoided {
--- a/internal/deployment/view.go
+++ b/internal/deployment/view.go
@@ -23,7 +23,12 @@
 
 	hosts     map[string][]*Route
 	upstreams map[string]Upstream
-	services  map[string][]Upstream
+	// listed holds the upstreams of each service that are not leaving, services those of them
+	// that are not in an evacuated data centre.
+	listed   map[string][]Upstream
+	services map[string][]Upstream
+	// evacuated holds the evacuated data centres and when each became known.
+	evacuated map[string]time.Time
 }
 
 // RouteOf returns the route of a host, in lower case, with the longest prefix of path, or nil.
@@ -52,10 +57,14 @@
 	return Upstream{}, false
 }
 
-// Upstreams returns the upstreams of a service that are not leaving, sorted by ID. The
-// slice must not be changed.
+// Upstreams returns the upstreams of a service that may get new work: those that are not
+// leaving and not in an evacuated data centre, sorted by ID. The slice must not be changed.
 func (v *View) Upstreams(service string) []Upstream { return v.services[service] }
 
+// Listed returns the upstreams of a service that are not leaving, those in evacuated data
+// centres included, sorted by ID. The slice must not be changed.
+func (v *View) Listed(service string) []Upstream { return v.listed[service] }
+
 // Count returns the number of upstreams, leaving ones included.
 func (v *View) Count() int { return len(v.upstreams) }
 
@@ -177,16 +186,29 @@
 	s.applyLeaving(byID, now)
 	next := *old
 	next.Revision, next.ListedAt, next.upstreams = revision, now, byID
-	next.services = map[string][]Upstream{}
-	for _, u := range byID {
+	next.indexUpstreams()
+	s.publish(&next)
+}
+
+// indexUpstreams lists the upstreams of each service.
+func (v *View) indexUpstreams() {
+	v.listed = map[string][]Upstream{}
+	for _, u := range v.upstreams {
 		if !u.Leaving {
-			next.services[u.Service] = append(next.services[u.Service], u)
+			v.listed[u.Service] = append(v.listed[u.Service], u)
 		}
 	}
-	for _, list := range next.services {
+	for _, list := range v.listed {
 		slices.SortFunc(list, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
 	}
-	s.publish(&next)
+	v.services = v.listed
+	if len(v.evacuated) == 0 {
+		return
+	}
+	v.services = make(map[string][]Upstream, len(v.listed))
+	for name, list := range v.listed {
+		v.services[name] = slices.DeleteFunc(slices.Clone(list), func(u Upstream) bool { return v.Evacuated(u.DataCentre) })
+	}
 }
 
 func (s *State) publish(v *View) {
--- a/internal/hosted/dump.go
+++ b/internal/hosted/dump.go
@@ -24,11 +24,21 @@
 	// Members are the live instances in this instance's view.
 	Members   []string                  `json:"members"`
 	Upstreams []placement.UpstreamState `json:"upstreams"`
+	// Evacuations are the evacuated data centres.
+	Evacuations []evacuation `json:"evacuations,omitempty"`
 	// Paths are the upstreams that this instance reaches through other instances only, and the
 	// connections that it serves for others.
 	Paths any `json:"paths"`
 }
 
+// evacuation is an evacuated data centre.
+type evacuation struct {
+	DataCentre string    `json:"data_centre"`
+	Since      time.Time `json:"since"`
+	// Jobs is the number of jobs that still run there, as far as this instance knows.
+	Jobs int `json:"jobs"`
+}
+
 // dump returns the current state.
 func (n *Instance) dump() stateDump {
 	v := n.state.View()
@@ -43,6 +53,9 @@
 	if v.Config != nil {
 		s.ConfigVersion, s.ConfigAge = v.Config.Version, time.Since(v.ConfigAt).Seconds()
 	}
+	for _, e := range v.Evacuations() {
+		s.Evacuations = append(s.Evacuations, evacuation{e.DataCentre, time.UnixMilli(e.Since).UTC(), n.planner.JobsIn(e.DataCentre)})
+	}
 	for _, f := range n.followers {
 		s.Sources = append(s.Sources, f.Dump())
 	}
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -75,6 +75,7 @@
 	quarantines *quarantines
 	restorer    *restorer
 	followers   []*deployment.Follower
+	suspension  *suspension
 	handler     *passthrough.Handler
 	// stop is the graceful shutdown that has begun; nil if there is none.
 	stop atomic.Pointer[passthrough.Stop]
@@ -114,6 +115,7 @@
 		options := deployment.FollowerOptions{
 			Instances:         n.links.instances,
 			ApplyTimeout:      func() time.Duration { return n.follower.Current().ApplyTimeout },
+			EvacuationBound:   func() time.Duration { return n.follower.Current().EvacuationBound },
 			UpstreamHeartbeat: func() time.Duration { return n.follower.Current().UpstreamHeartbeat },
 			IsWatcher:         n.links.isWatcher, IsLinked: n.links.isLinked, IsRelay: n.links.isRelay, Relays: n.links.relays, OnEra: n.restorer.enter,
 			OnStoreBack: func() { n.links.exchange.StoreBack() },
@@ -132,6 +134,10 @@
 	if o.SetDial != nil {
 		o.SetDial(n.tunnels.DialContext)
 	}
+	n.suspension = &suspension{
+		bound:   func() time.Duration { return n.follower.Current().EvacuationBound },
+		confirm: n.confirmConfigurations,
+	}
 	n.handler = passthrough.New(passthrough.Options{
 		State:       n.state,
 		Codec:       o.Codec,
@@ -145,12 +151,26 @@
 		BodiesBytes: s.MemoryBytes / bodiesShare,
 		Stop:        n.stop.Load,
 		Ending:      n.ending,
+
+		AwaitCurrent: n.suspension.awaitCurrent,
 	})
 	n.buildServers()
 	build.RegisterMetric()
 	return n
 }
 
+// confirmConfigurations waits until the evacuations are as new as the store.
+func (n *Instance) confirmConfigurations(ctx context.Context, patience time.Duration) error {
+	for i, source := range n.opts.Sources {
+		if source.Content() == deployment.Configurations {
+			if err := n.followers[i].Confirm(ctx, patience); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 // retryBudget returns the retry budget in force.
 func (n *Instance) retryBudget() passthrough.RetryBudget {
 	s := n.follower.Current()
@@ -198,7 +218,7 @@
 // has failed.
 func (n *Instance) Run(ctx context.Context) error {
 	var group run.Group
-	actors := []func(context.Context) error{n.probeLost, n.fleet.Run, n.links.run, n.quarantines.run, n.restorer.run, n.follower.Run}
+	actors := []func(context.Context) error{n.probeLost, n.fleet.Run, n.links.run, n.quarantines.run, n.restorer.run, n.follower.Run, n.suspension.run}
 	for _, f := range n.followers {
 		actors = append(actors, f.Run)
 	}
@@ -318,6 +338,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	if n.state.View().Evacuated(up.DataCentre) && config.Services[up.Service].Engine == nil {
+		return // a plain service's health path is a request; an engine's report is not
+	}
 	began := time.Now()
 	result, err := n.opts.Prober.Probe(ctx, up, config.Services[up.Service])
 	n.planner.Probed(up, result, began, time.Now())
--- a/internal/hosted/settings.go
+++ b/internal/hosted/settings.go
@@ -28,6 +28,9 @@
 	// ApplyTimeout is the time within which a change of the configuration or of the
 	// list of upstreams must be applied.
 	ApplyTimeout time.Duration
+	// EvacuationBound is the time within which the evacuation of a data centre must be in force;
+	// 0 if not stated.
+	EvacuationBound time.Duration
 	// UpstreamHeartbeat is the interval at which upstreams renew their entries.
 	UpstreamHeartbeat time.Duration
 	// MaxIdleHold is how long reserved engine memory may remain unused.
--- a/internal/hosted/settingsfollower.go
+++ b/internal/hosted/settingsfollower.go
@@ -111,6 +111,7 @@
 func (s Settings) adopting(newer Settings) Settings {
 	s.StopGrace = cmp.Or(newer.StopGrace, s.StopGrace)
 	s.ApplyTimeout = cmp.Or(newer.ApplyTimeout, s.ApplyTimeout)
+	s.EvacuationBound = cmp.Or(newer.EvacuationBound, s.EvacuationBound)
 	s.UpstreamHeartbeat = cmp.Or(newer.UpstreamHeartbeat, s.UpstreamHeartbeat)
 	s.MaxIdleHold = cmp.Or(newer.MaxIdleHold, s.MaxIdleHold)
 	if newer.RetryWindow > 0 {
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -105,13 +105,16 @@
 // place requests an upstream from the placer and prepares the attempt. An error means
 // that nothing was sent.
 func (h *Handler) place(ctx context.Context, rq *request, lastEvent string) (*attempt, *result.Error) {
-	var skip []string
+	var skip, evacuated []string
 	for {
 		if err := h.mayBegin(rq, time.Now()); err != nil {
 			return nil, err
 		}
+		if err := h.evacuatedFor(rq); err != nil {
+			return nil, err
+		}
 		job := h.job(rq)
-		job.Avoid = append(slices.Clone(rq.tried), skip...)
+		job.Avoid = slices.Concat(rq.tried, skip, evacuated)
 		d, late := h.placeWithRetry(ctx, rq, job)
 		if late != nil {
 			return nil, late
@@ -120,6 +123,11 @@
 			return nil, refusalOf(d)
 		}
 		a, err := h.prepare(ctx, rq, placedJob{job, d}, lastEvent)
+		if err != nil && errors.Is(err, errEvacuated) && len(evacuated) == 0 {
+			// The home does not know of the evacuation yet, or is of d3ebc58 and never will.
+			evacuated = h.opts.State.View().EvacuatedUpstreams(rq.service)
+			continue
+		}
 		if err == nil || len(skip) >= maxSkipped {
 			return a, err
 		}
@@ -150,6 +158,10 @@
 	// meanwhile must not be used.
 	view := h.opts.State.View()
 	up, known := view.Upstream(d.Upstream)
+	if known && view.Evacuated(up.DataCentre) {
+		h.ended(rq, job.ID, placement.Abandoned)
+		return nil, refusedEvacuated(up)
+	}
 	if !known || up.Leaving || up.Service != rq.service {
 		h.ended(rq, job.ID, placement.Abandoned)
 		return nil, result.New(result.NoUpstream, "upstream %s has left", d.Upstream).WithRetryAfter(transientRetryAfter)
@@ -191,11 +203,11 @@
 	return append([]deployment.Upstream{a.upstream}, a.helpers...)
 }
 
-// isUsable reports whether an upstream is still listed as the one that was chosen and takes
-// work.
+// isUsable reports whether an upstream is still listed as the one that was chosen, takes work
+// and is not in an evacuated data centre.
 func isUsable(v *deployment.View, chosen deployment.Upstream) bool {
 	up, known := v.Upstream(chosen.ID)
-	return known && !up.Leaving && up.SameIncarnation(chosen)
+	return known && !up.Leaving && up.SameIncarnation(chosen) && !v.Evacuated(up.DataCentre)
 }
 
 // Retries of a placement while no upstream can take the job.
@@ -257,6 +269,9 @@
 		if err := h.mayBegin(rq, time.Now()); err != nil {
 			return d, err
 		}
+		if err := h.evacuatedFor(rq); err != nil {
+			return d, err
+		}
 		job.Waited, job.Remaining, job.Lifetime = rq.waited(), rq.remainingPatience(), time.Until(rq.deadline)
 	}
 }
@@ -316,7 +331,7 @@
 		target:      rq.r.RequestURI,
 		header:      a.header,
 		body:        rq.body,
-		maySend:     func() bool { return h.maySend(rq, a) },
+		maySend:     func() bool { return h.opts.AwaitCurrent(ctx) && h.maySend(rq, a) },
 		onConnected: heard.sending,
 		onVia:       rq.record.sentVia,
 	})
--- a/internal/passthrough/attempt_test.go
+++ b/internal/passthrough/attempt_test.go
@@ -41,7 +41,7 @@
 		t.Run(reason.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				placer := &refusingPlacer{reason: reason}
-				h := New(Options{Placer: placer})
+				h := New(Options{State: deployment.NewState(), Placer: placer})
 				rq := &request{arrived: time.Now(), deadline: time.Now().Add(10 * time.Second), route: &deployment.Route{FirstAnswer: 300 * time.Millisecond}}
 				began := time.Now()
 				h.placeWithRetry(t.Context(), rq, placement.Job{Remaining: 10 * time.Second})
@@ -61,7 +61,7 @@
 	} {
 		t.Run(reason.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				h := New(Options{Placer: &refusingPlacer{reason: reason}})
+				h := New(Options{State: deployment.NewState(), Placer: &refusingPlacer{reason: reason}})
 				rq := &request{arrived: time.Now(), deadline: time.Now().Add(10 * time.Second), route: &deployment.Route{Kind: deployment.Stream, FirstAnswer: 300 * time.Millisecond}}
 				rq.record.status = 200
 				const leavesAfter = 4 * time.Second
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -52,6 +52,9 @@
 	// MaxIdleHold returns how long reserved engine memory may stay unused until the first
 	// event; a nil function, and zero, select a default.
 	MaxIdleHold func() time.Duration
+	// AwaitCurrent waits until the state is as new as the store if the process may have been
+	// stopped for a time, and reports whether it is before ctx ends. Nil is always.
+	AwaitCurrent func(ctx context.Context) bool
 	// BodiesBytes bounds the bodies that are held at once; zero selects a default.
 	BodiesBytes int64
 	// Stop returns the graceful shutdown that has begun, or nil. A nil function is never.
@@ -86,6 +89,9 @@
 	if o.MaxIdleHold == nil {
 		o.MaxIdleHold = func() time.Duration { return 0 }
 	}
+	if o.AwaitCurrent == nil {
+		o.AwaitCurrent = func(context.Context) bool { return true }
+	}
 	if o.Ending == nil {
 		o.Ending = context.Background()
 	}
--- a/internal/passthrough/helpers.go
+++ b/internal/passthrough/helpers.go
@@ -22,6 +22,9 @@
 	var holds []hold
 	for i, part := range a.decision.Helpers {
 		up, known := view.Upstream(part.Upstream)
+		if known && view.Evacuated(up.DataCentre) {
+			return refusedEvacuated(up)
+		}
 		if !known || up.Leaving || h.opts.Placer.Paused(up) {
 			return result.New(result.NoUpstream, "engine %s has left or takes no requests now", part.Upstream).WithRetryAfter(transientRetryAfter)
 		}
@@ -39,6 +42,16 @@
 	if len(holds) == 0 {
 		return nil
 	}
+	// The instance may have been stopped since the view was read.
+	if !h.opts.AwaitCurrent(ctx) {
+		return result.New(result.UpstreamRefused, "the request ended before engine memory was reserved").WithRetryAfter(transientRetryAfter)
+	}
+	view = h.opts.State.View()
+	for _, one := range holds {
+		if view.Evacuated(one.engine.DataCentre) {
+			return refusedEvacuated(one.engine)
+		}
+	}
 	lease, err := h.reserve(ctx, holds, time.Until(rq.deadline))
 	if err != nil {
 		return result.Wrap(err, result.Overloaded, "the engines have no memory for the prompt now").WithRetryAfter(transientRetryAfter)
--- a/internal/passthrough/watchdog.go
+++ b/internal/passthrough/watchdog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,6 +76,7 @@
 	job.Waited, job.Lifetime = now.Sub(w.rq.arrived), w.rq.deadline.Sub(now)
 	job.Remaining = job.Lifetime
 	job.Stalled = true
+	job.Avoid = slices.Concat(job.Avoid, w.h.opts.State.View().EvacuatedUpstreams(job.Service))
 	d := w.h.opts.Placer.Place(w.ctx, job)
 	if d.Upstream == "" {
 		w.timer.Reset(watchdogRetryInterval)
--- a/internal/placement/absence_test.go
+++ b/internal/placement/absence_test.go
@@ -135,7 +135,7 @@
 	}
 	delete(f.upstreams, "e0")
 	f.list()
-	pl.set(pl.service, nil, now.Add(absentMemory+time.Minute))
+	pl.set(pl.service, nil, (&deployment.View{}).Evacuated, now.Add(absentMemory+time.Minute))
 	if _, kept := pl.absent["e0"]; kept {
 		t.Error("an upstream that has left is kept for ever")
 	}
--- a/internal/placement/dump.go
+++ b/internal/placement/dump.go
@@ -1,6 +1,11 @@
 package placement
 
-import "time"
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
 
 // UpstreamState is a planner's view of one upstream.
 type UpstreamState struct {
@@ -25,13 +30,31 @@
 	Down bool `json:"down"`
 }
 
+// JobsIn returns the number of known jobs, placed here or reported by other instances, whose
+// upstream or helpers are in a data centre.
+func (p *Planner) JobsIn(dataCentre string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, pj := range p.jobs {
+		pl := p.pools[pj.job.Service]
+		if pl != nil && slices.ContainsFunc(pj.decision.upstreams(), func(id string) bool {
+			m := pl.member(id)
+			return m != nil && m.upstream.DataCentre == dataCentre
+		}) {
+			n++
+		}
+	}
+	return n
+}
+
 // Dump returns the state of all upstreams.
 func (p *Planner) Dump(now time.Time) []UpstreamState {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var list []UpstreamState
 	for _, pl := range p.pools {
-		for _, m := range pl.order {
+		for _, m := range slices.SortedFunc(maps.Values(pl.members), func(a, b *member) int { return cmp.Compare(a.upstream.ID, b.upstream.ID) }) {
 			s := UpstreamState{ID: m.upstream.ID, Service: m.upstream.Service, Jobs: m.jobs, ErrorRate: m.health.errorRate(now), Down: m.health.down}
 			if m.engine != nil {
 				m.engine.Advance(now)
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -83,7 +83,7 @@
 	// absent holds members that are not listed, by ID. An entry may be away for a moment only;
 	// what is known of the upstream and runs there outlasts that.
 	absent map[string]absentMember
-	// order lists the members by ID, so that decisions are deterministic.
+	// order lists the members that may get jobs by ID, so that decisions are deterministic.
 	order []*member
 	// nextReturn is when the next caller that is refused for limits is told to return.
 	nextReturn time.Time
@@ -158,7 +158,9 @@
 }
 
 // SetView installs the current configuration and upstreams. Upstreams that remain
-// keep their work; those that are leaving are dropped like those that are gone.
+// keep their work; those that are leaving are dropped like those that are gone. Those of
+// evacuated data centres remain members, so that their jobs, crashes and restarts are seen, but
+// get no jobs.
 func (p *Planner) SetView(v *deployment.View) {
 	if v.Config == nil {
 		return
@@ -171,7 +173,7 @@
 			pl = &pool{members: map[string]*member{}, absent: map[string]absentMember{}}
 			p.pools[name] = pl
 		}
-		restarted, removed := pl.set(service, v.Upstreams(name), time.Now())
+		restarted, removed := pl.set(service, v.Listed(name), v.Evacuated, time.Now())
 		for _, r := range restarted {
 			p.crashed(r, time.Now())
 		}
@@ -196,9 +198,10 @@
 	return slices.Collect(maps.Keys(p.pools))
 }
 
-// set replaces the members. It returns the old runs of those that restarted, and the
+// set replaces the members. Those in data centres for which evacuated returns true get no
+// jobs. It returns the old runs of those that restarted, and the
 // upstreams that are leaving or no longer listed.
-func (pl *pool) set(service deployment.Service, upstreams []deployment.Upstream, now time.Time) (restarted []run, removed []deployment.Upstream) {
+func (pl *pool) set(service deployment.Service, upstreams []deployment.Upstream, evacuated func(dataCentre string) bool, now time.Time) (restarted []run, removed []deployment.Upstream) {
 	pl.service = service
 	next := make(map[string]*member, len(upstreams))
 	pl.order = pl.order[:0]
@@ -215,7 +218,9 @@
 			m.engine.SetModel(service.Engine)
 		}
 		next[up.ID] = m
-		pl.order = append(pl.order, m)
+		if !evacuated(up.DataCentre) {
+			pl.order = append(pl.order, m)
+		}
 	}
 	for id, m := range pl.members {
 		if next[id] == nil {
