placement: an instance that does not know the others yet plans alone

Before it had read the list of instances, an instance that had just started had itself as the only member and took itself for the home of each service. After a loss of power 25 of 87 instances did so for up to 0.5 s: all filled the engines at the front of the order, and each would have used the whole limits that upstreams name.

--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -124,6 +124,7 @@
 	}
 	n.links.exchange = deployment.NewExchange(n.state, n.followers...)
 	n.fleet = placement.NewFleet(n.planner, placement.OwnerName(self), n.links.exchange)
+	n.fleet.SetJoined(n.links.hasJoined)
 	n.links.fleet = n.fleet
 	signals := upstreamSignals{n.links.exchange, n.fleet}
 	if o.ObserveSignals != nil {
--- a/internal/hosted/links.go
+++ b/internal/hosted/links.go
@@ -215,6 +215,12 @@
 	return overlay != nil && (len(overlay.Neighbours()) > 0 || overlay.Listed() == 1)
 }
 
+// hasJoined reports whether this instance has read the list of instances or has a link to one.
+func (l *links) hasJoined() bool {
+	overlay := l.overlay.Load()
+	return overlay != nil && (overlay.Listed() > 0 || len(overlay.Neighbours()) > 0)
+}
+
 // isRelay reports whether others follow the store through this instance.
 func (l *links) isRelay() bool {
 	overlay := l.overlay.Load()
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -60,6 +60,9 @@
 	owner     string
 	revisions RevisionExchange
 
+	// joined reports whether this instance knows the others that there are; nil is always.
+	joined func() bool
+
 	mu  sync.Mutex
 	bus peer.Bus
 	// homes holds the last used home of each service.
@@ -107,6 +110,14 @@
 	f.mu.Unlock()
 }
 
+// SetJoined sets the function that reports whether this instance knows the others. Until then it plans
+// alone: with itself as the only member it would take itself for the home. It must be called before the
+// first job.
+func (f *Fleet) SetJoined(joined func() bool) { f.joined = joined }
+
+// isLinked reports whether this instance can tell which one is the home. The caller must hold mu.
+func (f *Fleet) isLinked() bool { return f.bus != nil && (f.joined == nil || f.joined()) }
+
 // broadcastNotices sends poison notices to all other instances.
 func broadcastNotices(bus peer.Bus, notices []poison.Notice) {
 	messages, err := poison.Messages(notices)
@@ -199,7 +210,7 @@
 func (f *Fleet) home(service string) (home string, linked bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.bus == nil {
+	if !f.isLinked() {
 		return "", false
 	}
 	now := time.Now()
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -27,7 +27,7 @@
 	// allow beyond the limit. Jobs placed alone are left to chance, so their part is small.
 	substituteShare = 0.2
 	loneShare       = 0.04
-	// unlinkedInstances is the number of instances that one without links assumes.
+	// unlinkedInstances is the number of instances that one assumes that does not know the others.
 	unlinkedInstances = 100
 	// shareLifetime is how long a share is used before it is computed again, from all members.
 	shareLifetime = 200 * time.Millisecond
@@ -194,7 +194,7 @@
 
 // computeShare computes limitShare. The caller must hold mu.
 func (f *Fleet) computeShare(service string, now time.Time) float64 {
-	if f.bus == nil {
+	if !f.isLinked() {
 		return loneShare / unlinkedInstances
 	}
 	members := f.bus.Members()
@@ -211,7 +211,7 @@
 func (f *Fleet) aloneShare() float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.bus == nil {
+	if !f.isLinked() {
 		return loneShare / unlinkedInstances
 	}
 	return loneShare / float64(max(len(f.bus.Members()), 1))
