--- a/internal/deployment/confirm.go
+++ b/internal/deployment/confirm.go
@@ -51,6 +51,12 @@
 	}
 }
 
+// beforeCall applies what another instance has sent, and reports whether a snapshot is asked for.
+func (f *Follower) beforeCall() bool {
+	f.applyFetched()
+	return f.takeConfirmation()
+}
+
 // takeConfirmation reports whether a snapshot was asked for since the last call.
 func (f *Follower) takeConfirmation() bool {
 	f.mu.Lock()
--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -237,8 +237,7 @@
 	pause := f.newBackoff()
 	snapshot := true
 	for ctx.Err() == nil {
-		f.applyFetched()
-		snapshot = f.takeConfirmation() || snapshot
+		snapshot = f.beforeCall() || snapshot
 		if !snapshot || !f.failingSince().IsZero() {
 			switch f.followRelay(ctx) {
 			case relayAnswered:
@@ -269,8 +268,7 @@
 		}
 		if err != nil {
 			snapshot = snapshot || isUnusable(err)
-			f.recordFailure(ctx, err, now)
-			f.recordCall(began, true)
+			f.recordFailure(ctx, err, began, now)
 			f.waitToRetry(ctx, f.retryPause(pause.NextBackOff()))
 			continue
 		}
@@ -470,8 +468,10 @@
 	return errors.Is(err, ErrHistoryLost) || errors.Is(err, errStale) || errors.Is(err, errLateEra)
 }
 
-// recordFailure records that a call to the store failed or got an unusable answer.
-func (f *Follower) recordFailure(ctx context.Context, err error, now time.Time) {
+// recordFailure records that a call to the store, which began at the given time, failed or got an
+// unusable answer.
+func (f *Follower) recordFailure(ctx context.Context, err error, began, now time.Time) {
+	f.recordCall(began, true)
 	entry := log.WithField("table", f.source.Name()).WithField("revision", f.complete.load()).WithError(err)
 	if isUnusable(err) {
 		f.recordAnswer(now)
--- a/internal/deployment/relay.go
+++ b/internal/deployment/relay.go
@@ -179,6 +179,7 @@
 	f.setRelay("")
 	now := time.Now()
 	if f.relay.isStoreAway(now) && !f.failingSince().IsZero() && now.Before(f.relay.ownCallAt) {
+		f.recordCall(now, true)
 		return relayKnowsStoreAway
 	}
 	jitter := 1 + idleRetryJitter*(2*rand.Float64()-1)
