--- a/internal/deployment/evacuation_test.go
+++ b/internal/deployment/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -129,9 +130,9 @@
 		if s := f.snapshot(); s.Evacuations == nil || len(s.Evacuations.Set) != 1 || s.Evacuations.Set[0].Since == 0 {
 			t.Errorf("snapshot for other instances: %+v", s.Evacuations)
 		}
-		f.offer(snapshot(rev(10), evacuating("z4")))
+		source.set(Update{}, errors.New("store rejects this instance"))
 		f.refresh()
-		source.set(snapshot(rev(10), evacuating("z4")), nil)
+		f.offer(snapshot(rev(10), evacuating("z4")))
 		expect("snapshot of another instance", "z4")
 		source.set(snapshot(Revision{Era: 1, Number: 5}, evacuating()), nil)
 		f.refresh()
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -132,7 +132,7 @@
 	n.tunnels = newTunnels(o.Dial, n)
 	n.links.tunnels = n.tunnels
 	if o.SetDial != nil {
-		o.SetDial(n.tunnels.DialContext)
+		o.SetDial(passthrough.CheckedDial(n.tunnels.DialContext))
 	}
 	n.suspension = &suspension{
 		bound:   func() time.Duration { return n.follower.Current().EvacuationBound },
--- a/internal/passthrough/evacuation_test.go
+++ b/internal/passthrough/evacuation_test.go
@@ -116,6 +116,50 @@
 	}
 }
 
+// dialingReserver is a Reserver that opens a connection for each reservation.
+type dialingReserver struct {
+	dial     sockets.DialFunc
+	reserved atomic.Int32
+}
+
+func (r *dialingReserver) Reserve(ctx context.Context, up deployment.Upstream, _ string, _ int, _ time.Duration) error {
+	conn, err := r.dial(ctx, "tcp", up.Address)
+	if err != nil {
+		return err
+	}
+	r.reserved.Add(1)
+	return conn.Close()
+}
+
+func (*dialingReserver) Release(context.Context, deployment.Upstream, string) error { return nil }
+
+// TestEvacuationWhileAReservationConnects guards against reservations in a data centre that is evacuated
+// while their connections open, and against reservations that are not renewed after that.
+func TestEvacuationWhileAReservationConnects(t *testing.T) {
+	ok := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("answer")) }))
+	defer ok.Close()
+	var evacuate func()
+	dial := sockets.NewDialer(sockets.Upstream).DialContext
+	reserver := &dialingReserver{dial: CheckedDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		evacuate()
+		return conn, err
+	})}
+	placer := &scriptedPlacer{single: true}
+	var h *Handler
+	h, evacuate = evacuatingHandler(deployment.AtMostOnce, helpedBy{placer, "u1", 1}, reserver, 0, ok.URL, ok.URL)
+	u, _ := h.opts.State.View().Upstream("u1")
+	u.DataCentre = "z1"
+	h.opts.State.AddUpstreams([]deployment.Upstream{u}, time.Now())
+	if w := askHandler(h); w.Code != http.StatusOK || reserver.reserved.Load() != 0 {
+		t.Errorf("status %d, %d reservations, want 200 and none", w.Code, reserver.reserved.Load())
+	}
+	l := memoryLease{reserver: reserver, holds: []hold{{engine: u, name: "x", tokens: 1}}}
+	if err := l.reserveAll(t.Context()); err != nil || reserver.reserved.Load() != 1 {
+		t.Errorf("renewal in an evacuated data centre: %v", err)
+	}
+}
+
 // helpedBy is a placer that gives a helper with reserved memory to jobs that do not avoid it.
 type helpedBy struct {
 	*scriptedPlacer
--- a/internal/passthrough/helpers.go
+++ b/internal/passthrough/helpers.go
@@ -42,20 +42,29 @@
 	if len(holds) == 0 {
 		return nil
 	}
-	// The instance may have been stopped since the view was read.
+	if refused := h.evacuatedHold(ctx, holds); refused != nil {
+		return refused
+	}
+	checked := context.WithValue(ctx, maySendKey{}, func() bool { return h.evacuatedHold(ctx, holds) == nil })
+	lease, err := h.reserve(checked, holds, time.Until(rq.deadline))
+	if err != nil {
+		return result.Wrap(err, result.Overloaded, "the engines have no memory for the prompt now").WithRetryAfter(transientRetryAfter)
+	}
+	a.holds, a.release = true, lease.release
+	return nil
+}
+
+// evacuatedHold returns the refusal of holds of which one is in an evacuated data centre; nil if none is.
+// The instance may have been stopped since the engines were chosen.
+func (h *Handler) evacuatedHold(ctx context.Context, holds []hold) *result.Error {
 	if !h.opts.AwaitCurrent(ctx) {
 		return result.New(result.UpstreamRefused, "the request ended before engine memory was reserved").WithRetryAfter(transientRetryAfter)
 	}
-	view = h.opts.State.View()
+	view := h.opts.State.View()
 	for _, one := range holds {
 		if view.Evacuated(one.engine.DataCentre) {
 			return refusedEvacuated(one.engine)
 		}
 	}
-	lease, err := h.reserve(ctx, holds, time.Until(rq.deadline))
-	if err != nil {
-		return result.Wrap(err, result.Overloaded, "the engines have no memory for the prompt now").WithRetryAfter(transientRetryAfter)
-	}
-	a.holds, a.release = true, lease.release
 	return nil
 }
--- a/internal/passthrough/transport.go
+++ b/internal/passthrough/transport.go
@@ -54,6 +54,10 @@
 	}
 }
 
+// CheckedDial returns the function with which a Reserver must open its connections: if the memory is
+// reserved for a request that is not sent yet, it fails once the engine may get no new work.
+func CheckedDial(dial sockets.DialFunc) sockets.DialFunc { return dialChecked(dial) }
+
 // outbound is a request as sent to an upstream.
 type outbound struct {
 	method  string
