Keep the rate of requests to cold upstreams below the users' bound

The home of a service and the next instance in the order of homes have fixed rates for each cold upstream; all others place nothing there. A role counts once it has lasted 1.25 s, and only while more than half of the most members seen within the last hour are seen. The freshest of entry, health answer and request answer says whether an upstream is cold; one that joins after the first list counts as cold until a later entry says otherwise. The instance that sends checks again: a request that was not counted against the rate, or longer than 150 ms ago, is placed again.

Entries keep when they were learned, locally. TestUnknownEventIsIgnored takes the next kind as the unknown one, since eventLimits + 1 is known now.

--- a/internal/deployment/leaving.go
+++ b/internal/deployment/leaving.go
@@ -15,6 +15,10 @@
 	Leaving bool
 	// Pause is how long the upstream wants no requests; 0 if it names no time.
 	Pause time.Duration
+	// ColdStated reports whether the answer says for how much longer the upstream is cold, and
+	// Cold what it says; 0 if the upstream is not cold.
+	ColdStated bool
+	Cold       time.Duration
 }
 
 // topicLeaving is the topic of broadcasts of upstreams that said that they leave.
--- a/internal/deployment/types.go
+++ b/internal/deployment/types.go
@@ -75,6 +75,11 @@
 	ConnectionLimit int
 	// Engine is the cost model of model engines; nil for a plain service.
 	Engine *enginemodel.Model
+	// ColdStart is for how long an upstream is cold after a start; 0 if that is not stated.
+	ColdStart time.Duration `wire:"added"`
+	// ColdPerSecond is the number of requests a second that a cold upstream takes from all
+	// instances together; 0 for no limit.
+	ColdPerSecond float64 `wire:"added"`
 }
 
 // Workspace is a customer of the deployment.
@@ -116,14 +121,19 @@
 	Slots      int
 	// Leaving reports whether the upstream gets no new work.
 	Leaving bool
-	// Warming is how much longer the upstream stays slow after its start, as of its
-	// last update.
+	// Warming is how much longer the upstream is cold, as of its entry.
 	Warming time.Duration
 	// Born is the start of the upstream in Unix milliseconds; 0 if unknown. An upstream
 	// that restarts with the same ID has a later one.
 	Born int64
+	// learnedAt is when this instance learned of the entry. It is not sent to other instances,
+	// whose clocks differ.
+	learnedAt time.Time
 }
 
+// LearnedAt returns when this instance learned of the entry; zero if it is not from a View.
+func (u Upstream) LearnedAt() time.Time { return u.learnedAt }
+
 // SameIncarnation reports whether two entries are of the same start of an upstream.
 func (u Upstream) SameIncarnation(other Upstream) bool {
 	return u.ID == other.ID && u.Born == other.Born && u.Address == other.Address
--- a/internal/deployment/view.go
+++ b/internal/deployment/view.go
@@ -125,6 +125,12 @@
 	}
 	byID := make(map[string]Upstream, len(list))
 	for _, u := range list {
+		// A complete list repeats entries that are known.
+		known := old.upstreams[u.ID]
+		u.learnedAt = known.learnedAt
+		if u != known {
+			u.learnedAt = now
+		}
 		byID[u.ID] = u
 	}
 	s.setUpstreams(old, byID, revision, now)
@@ -165,6 +171,7 @@
 		byID = map[string]Upstream{}
 	}
 	for _, u := range changed {
+		u.learnedAt = now
 		byID[u.ID] = u
 	}
 	for _, id := range gone {
--- a/internal/golden/grow.go
+++ b/internal/golden/grow.go
@@ -102,7 +102,7 @@
 		}
 		return encodedWith(v.Elem(), form)
 	case reflect.Slice, reflect.Array:
-		if v.Type().Elem().Kind() == reflect.Uint8 {
+		if v.Type().Elem().Kind() == reflect.Uint8 || v.Kind() == reflect.Slice && v.IsNil() {
 			return encoded()
 		}
 		items := make([]any, v.Len())
@@ -174,6 +174,10 @@
 	if err := cbor.Unmarshal(encoded().(cbor.RawMessage), &pairs); err != nil {
 		return encoded()
 	}
+	items := make(map[any]any, len(pairs))
+	for key, value := range pairs {
+		items[key] = value
+	}
 	for i := range v.NumField() {
 		f := v.Type().Field(i)
 		name := strings.Split(f.Tag.Get("cbor"), ",")[0]
@@ -181,10 +185,12 @@
 			name = f.Name
 		}
 		if isAdded(f) {
-			delete(pairs, name)
+			delete(items, name)
+		} else if _, encoded := pairs[name]; encoded && hasAdded(f.Type, map[reflect.Type]bool{}) {
+			items[name] = encodedWith(v.Field(i), productionStruct)
 		}
 	}
-	return pairs
+	return items
 }
 
 // checkListed fails the test if the package in the current directory has a type that is encoded
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -21,6 +21,7 @@
 	"github.com/banyanroute/banyanroute/internal/sleep"
 	"github.com/banyanroute/banyanroute/internal/sockets"
 	"github.com/banyanroute/banyanroute/internal/tunnel"
+	"github.com/banyanroute/banyanroute/internal/upstreamlimit"
 )
 
 var log = logging.For("hosted")
@@ -98,6 +99,7 @@
 	n := &Instance{opts: o, settings: s, state: deployment.NewState(), planner: placement.NewPlanner(s.DataCentre), failures: make(chan error, 1)}
 	n.state.Subscribe(n.planner.SetView)
 	n.follower = newSettingsFollower(s, o.SettingsFile)
+	n.planner.SetColdBounds(n.coldBounds)
 	n.ending, n.endRequests = context.WithCancel(context.Background())
 	self := peer.Member{
 		ID:          s.Instance,
@@ -157,6 +159,12 @@
 	return passthrough.RetryBudget{Ratio: s.RetryRatio, Extra: s.RetryBurst, Window: s.RetryWindow}
 }
 
+// coldBounds returns the bounds for cold upstreams in force.
+func (n *Instance) coldBounds() upstreamlimit.ColdBounds {
+	s := n.follower.Current()
+	return upstreamlimit.ColdBounds{Overage: s.ColdOverage, Slack: s.ColdSlack, Heartbeat: s.UpstreamHeartbeat}
+}
+
 // bodiesShare is the part of the process's memory that bodies of requests and answers may take,
 // as a divisor. The garbage of those that have ended takes as much again.
 const bodiesShare = 6
@@ -188,6 +196,9 @@
 	if s.Pause > 0 {
 		u.fleet.PauseObserved(up, s.Pause)
 	}
+	if s.ColdStated {
+		u.fleet.ColdObserved(up, s.Cold)
+	}
 }
 
 // assumedInstances is the number of live instances that is assumed until it is
--- a/internal/hosted/settings.go
+++ b/internal/hosted/settings.go
@@ -38,4 +38,8 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetryBurst  float64
+	// ColdOverage and ColdSlack bound the requests that a cold upstream gets in any second:
+	// its rate times ColdOverage, plus ColdSlack.
+	ColdOverage float64
+	ColdSlack   float64
 }
--- a/internal/hosted/settingsfollower.go
+++ b/internal/hosted/settingsfollower.go
@@ -113,6 +113,9 @@
 	s.ApplyTimeout = cmp.Or(newer.ApplyTimeout, s.ApplyTimeout)
 	s.UpstreamHeartbeat = cmp.Or(newer.UpstreamHeartbeat, s.UpstreamHeartbeat)
 	s.MaxIdleHold = cmp.Or(newer.MaxIdleHold, s.MaxIdleHold)
+	if newer.ColdOverage > 0 {
+		s.ColdOverage, s.ColdSlack = newer.ColdOverage, newer.ColdSlack
+	}
 	if newer.RetryWindow > 0 {
 		s.RetryRatio, s.RetryWindow, s.RetryBurst = newer.RetryRatio, newer.RetryWindow, newer.RetryBurst
 	}
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -154,6 +154,10 @@
 		h.ended(rq, job.ID, placement.Abandoned)
 		return nil, result.New(result.NoUpstream, "upstream %s has left", d.Upstream).WithRetryAfter(transientRetryAfter)
 	}
+	if err := h.checkWithheld(d, up); err != nil {
+		h.ended(rq, job.ID, placement.Abandoned)
+		return nil, err
+	}
 	a := &attempt{job: job.ID, upstream: up, decision: d, release: func() {}}
 	out := UpstreamCall{
 		Remaining:   time.Until(rq.deadline),
@@ -174,6 +178,20 @@
 	return a, nil
 }
 
+// checkWithheld returns an error that lists the upstreams to avoid if a decision's job must not be
+// sent to an upstream now.
+func (h *Handler) checkWithheld(d placement.Decision, up deployment.Upstream) *result.Error {
+	avoid := h.opts.Placer.Withheld(d, up)
+	if len(avoid) == 0 {
+		return nil
+	}
+	cause := &reserveError{upstreams: avoid, cause: errWithheld}
+	return result.Wrap(cause, result.Overloaded, "upstream %s is cold", up.ID).WithRetryAfter(transientRetryAfter)
+}
+
+// errWithheld is the cause of an error about an upstream that is cold.
+var errWithheld = errors.New("too many requests for a cold upstream")
+
 // maySend reports whether the upstream of an attempt and its helpers still take work, and the
 // instance has the time for it.
 func (h *Handler) maySend(rq *request, a *attempt) bool {
@@ -182,7 +200,7 @@
 	}
 	view := h.opts.State.View()
 	return !slices.ContainsFunc(a.engines(), func(up deployment.Upstream) bool {
-		return !isUsable(view, up) || h.opts.Placer.Paused(up)
+		return !isUsable(view, up) || h.opts.Placer.Paused(up) || len(h.opts.Placer.Withheld(a.decision, up)) > 0
 	})
 }
 
--- a/internal/passthrough/attempt_test.go
+++ b/internal/passthrough/attempt_test.go
@@ -29,6 +29,8 @@
 
 func (*refusingPlacer) Paused(deployment.Upstream) bool { return false }
 
+func (*refusingPlacer) Withheld(placement.Decision, deployment.Upstream) []string { return nil }
+
 func (*refusingPlacer) Ended(string, string, placement.End) {}
 
 // TestFinalRefusalIsNotHeld checks that a request that waiting cannot help is refused at
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -29,6 +29,9 @@
 	LimitObserved(up deployment.Upstream, l upstreamlimit.Limit)
 	// Paused reports whether an upstream wants no requests now.
 	Paused(up deployment.Upstream) bool
+	// Withheld returns the upstreams to avoid if the decision's job must not be sent to an upstream
+	// now; none if it may.
+	Withheld(d placement.Decision, up deployment.Upstream) []string
 	// Ended reports how the attempt ended; it must be called once for every placed job.
 	Ended(service, id string, e placement.End)
 }
--- a/internal/passthrough/helpers.go
+++ b/internal/passthrough/helpers.go
@@ -25,6 +25,9 @@
 		if !known || up.Leaving || h.opts.Placer.Paused(up) {
 			return result.New(result.NoUpstream, "engine %s has left or takes no requests now", part.Upstream).WithRetryAfter(transientRetryAfter)
 		}
+		if err := h.checkWithheld(a.decision, up); err != nil {
+			return err
+		}
 		a.helpers = append(a.helpers, up)
 		helper := Helper{Address: up.Address}
 		if part.ReservedTokens > 0 {
--- a/internal/passthrough/panic_test.go
+++ b/internal/passthrough/panic_test.go
@@ -67,6 +67,8 @@
 
 func (*panickingPlacer) Paused(deployment.Upstream) bool { return false }
 
+func (*panickingPlacer) Withheld(placement.Decision, deployment.Upstream) []string { return nil }
+
 func (p *panickingPlacer) Ended(_, id string, _ placement.End) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/passthrough/serve_test.go
+++ b/internal/passthrough/serve_test.go
@@ -59,6 +59,8 @@
 
 func (*scriptedPlacer) Paused(deployment.Upstream) bool { return false }
 
+func (*scriptedPlacer) Withheld(placement.Decision, deployment.Upstream) []string { return nil }
+
 func (*scriptedPlacer) Ended(string, string, placement.End) {}
 
 // countingReserver counts the reservations that are held.
--- a/internal/placement/dump.go
+++ b/internal/placement/dump.go
@@ -20,6 +20,10 @@
 	// Pause is for how many seconds the upstream wants no requests, as far as this instance
 	// knows.
 	Pause float64 `json:"pause_seconds,omitempty"`
+	// Cold is for how many seconds the upstream still counts as cold, ColdAllowance how many
+	// requests this instance may place there now.
+	Cold          float64 `json:"cold_seconds,omitempty"`
+	ColdAllowance float64 `json:"cold_allowance,omitempty"`
 	// Down reports whether the upstream was lost; it then gets no work until a
 	// probe succeeds or its pause ends.
 	Down bool `json:"down"`
@@ -41,6 +45,7 @@
 				s.Limit, s.Allowance = &perSecond, &tokens
 			}
 			s.Pause = p.limits.Paused(limitKey(m.upstream), now).Seconds()
+			s.Cold, s.ColdAllowance = p.cold.Left(limitKey(m.upstream), now).Seconds(), p.cold.Allowance(limitKey(m.upstream))
 			list = append(list, s)
 		}
 	}
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -70,6 +70,8 @@
 	callers map[string]map[string]time.Time
 	// shares holds the last limitShare of each service.
 	shares map[string]shareAt
+	// cold holds the roles in which this instance places jobs on cold upstreams.
+	cold coldRoles
 }
 
 // NewFleet returns a Fleet that plans alone until it has a bus. owner names this
@@ -85,6 +87,7 @@
 		flushes:   map[string]*time.Timer{},
 		callers:   map[string]map[string]time.Time{},
 		shares:    map[string]shareAt{},
+		cold:      coldRoles{roles: map[string]roleSince{}},
 	}
 }
 
@@ -94,6 +97,7 @@
 	bus.HandleCall(topicPlace, f.handleCall)
 	bus.HandleBroadcast(topicPoison, f.handleNotices)
 	bus.HandleBroadcast(topicLimits, f.handleLimits)
+	bus.HandleBroadcast(topicCold, f.handleCold)
 	f.planner.setNoticeHandler(func(notices []poison.Notice) { broadcastNotices(bus, notices) })
 	f.mu.Lock()
 	f.bus = bus
@@ -132,11 +136,13 @@
 	if !linked {
 		return f.planner.PlaceAlone(j, f.aloneShare(), time.Now())
 	}
+	began := time.Now()
 	if home == "" {
-		return f.planner.Place(j, f.limitShare(j.Service, time.Now()), time.Now())
+		return f.planner.PlaceAs(f.coldRole(j.Service, began), j, f.limitShare(j.Service, began), time.Now())
 	}
 	d, err := f.placeAt(ctx, home, j)
 	if err == nil {
+		d.decidedAt = began
 		f.planner.Adopt(Adoption{Job: j, Decision: d}, time.Now())
 		return d
 	}
@@ -342,7 +348,7 @@
 	if request.Job != nil {
 		service := request.Job.Service
 		f.recordCaller(service, from, now)
-		d := f.planner.Place(*request.Job, f.limitShare(service, now), now)
+		d := f.planner.PlaceAs(f.coldRole(service, now), *request.Job, f.limitShare(service, now), now)
 		a.Decision = &d
 	}
 	return encode(a), nil
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -20,21 +20,23 @@
 	}
 }
 
-// adopt records a placed job. spend reports whether it counts against its upstream's limit.
-func (p *Planner) adopt(pl *pool, j Job, d Decision, spend bool, now time.Time) {
+// adopt records a placed job. spend reports whether it counts against its upstream's limit. adopt
+// reports whether it was counted against the rate of a cold upstream.
+func (p *Planner) adopt(pl *pool, j Job, d Decision, spend bool, now time.Time) (cold bool) {
 	if _, known := p.jobs[j.ID]; known {
-		return
+		return false
 	}
 	pj := &placed{job: j, decision: d, at: now, deadline: now.Add(j.Lifetime)}
 	p.jobs[j.ID] = pj
 	p.parts.BeginTrial(d.Trial)
 	first := pl.member(d.Upstream)
 	if first == nil {
-		return
+		return false
 	}
 	pj.run, pj.pool = first.run, pl
 	if spend {
 		p.limits.Sent(limitKey(first.upstream))
+		cold = p.cold.Sent(limitKey(first.upstream), now)
 	}
 	first.jobs++
 	if !j.isVeryLong() {
@@ -47,13 +49,14 @@
 		first.trials++
 	}
 	if first.engine == nil {
-		return
+		return cold
 	}
 	for _, w := range pl.works(&j, d, now) {
 		if m := pl.member(w.upstream); m != nil {
 			m.engine.Add(w.work, now)
 		}
 	}
+	return cold
 }
 
 // FirstAnswer records that the job's first token or answer arrived at the instance
@@ -164,6 +167,8 @@
 		p.TrialPassed(e.ID)
 	case eventLimits:
 		p.ObserveLimits(e.Limits, now)
+	case eventCold:
+		p.observeColdNotices(e.Cold, now)
 	case eventSuspects:
 		p.observeNotices(e.Owner, e.Notices, now)
 	case eventReset:
@@ -207,6 +212,9 @@
 	if limits := p.limits.Known(service, now); len(limits) > 0 {
 		list = append(list, event{Kind: eventLimits, Service: service, Limits: limits})
 	}
+	if cold := p.cold.Known(service, now); len(cold) > 0 {
+		list = append(list, event{Kind: eventCold, Service: service, Cold: coldNotices(cold)})
+	}
 	for _, pj := range p.jobs {
 		if pj.job.Owner != owner || pj.job.Service != service {
 			continue
--- a/internal/placement/kinds_test.go
+++ b/internal/placement/kinds_test.go
@@ -20,7 +20,7 @@
 		n.fleet.Place(t.Context(), j)
 		before := wiretest.UnknownKinds("kinds-event", "event")
 		answer, err := n.fleet.handleCall(t.Context(), "kinds-event", encode(placeRequest{Events: []event{
-			{Kind: eventLimits + 1, ID: "j"}, {Kind: 0, ID: "j"}, {Kind: eventEnd, ID: "j", End: End{Outcome: Completed}},
+			{Kind: eventCold + 1, ID: "j"}, {Kind: 0, ID: "j"}, {Kind: eventEnd, ID: "j", End: End{Outcome: Completed}},
 		}}))
 		var a placeAnswer
 		if err != nil || decode(answer, &a, "peer") != nil {
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -70,7 +70,7 @@
 // pruneLimits drops the limits of incarnations that can't return to the list, or that are over.
 // The caller must hold mu.
 func (p *Planner) pruneLimits(now time.Time) {
-	p.limits.Prune(func(k upstreamlimit.Key) upstreamlimit.Listing {
+	listing := func(k upstreamlimit.Key) upstreamlimit.Listing {
 		pl := p.pools[k.Service]
 		if pl == nil || pl.members[k.ID] == nil {
 			return upstreamlimit.Unlisted
@@ -82,7 +82,9 @@
 			return upstreamlimit.Replaced
 		}
 		return upstreamlimit.Unlisted // the list is from before its start
-	}, now)
+	}
+	p.limits.Prune(listing, now)
+	p.cold.Expire(listing, now)
 }
 
 // limitRefusal is when requests are taken again.
@@ -238,12 +240,14 @@
 	}
 	members := bus.Members()
 	for _, service := range f.planner.services() {
+		f.coldRole(service, now) // has the role settle before the first job
 		if homeAmong(members, service, nil) != bus.Self().ID {
 			continue
 		}
 		if news := f.planner.limitNews(service, now); len(news) > 0 {
 			bus.Broadcast(topicLimits, encode(news))
 		}
+		f.tellCold(bus, service, now)
 	}
 }
 
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -38,10 +38,12 @@
 	eventSuspects
 	// eventLimits reports the limits that answers of upstreams have named.
 	eventLimits
+	// eventCold reports the upstreams that are cold.
+	eventCold
 )
 
 // known reports whether this build knows the kind. Events of other kinds are ignored.
-func (k eventKind) known() bool { return k >= eventAdopt && k <= eventLimits }
+func (k eventKind) known() bool { return k >= eventAdopt && k <= eventCold }
 
 // event reports a change of a job to the home of its service.
 type event struct {
@@ -52,13 +54,15 @@
 	End End
 	// Adopted is set for eventAdopt.
 	Adopted *Adoption
-	// Owner and Service are set for eventReset, Service for eventLimits.
+	// Owner and Service are set for eventReset, Service for eventLimits and eventCold.
 	Owner   string
 	Service string
 	// Notices is set for eventSuspects.
 	Notices []poison.Notice
 	// Limits is set for eventLimits.
 	Limits []upstreamlimit.Observation
+	// Cold is set for eventCold.
+	Cold []coldNotice `wire:"added"`
 }
 
 // Adoption is a job that another instance placed, with the decision.
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -39,6 +40,11 @@
 	parts *poison.PartTable
 	// limits holds the limits that upstreams name.
 	limits *upstreamlimit.Table
+	// cold holds the cold upstreams; coldBounds, if set, returns the bounds for them.
+	cold *upstreamlimit.ColdTable
+	// limitsCold reports whether a service has a rate for cold upstreams.
+	limitsCold atomic.Bool
+	coldBounds func() upstreamlimit.ColdBounds
 	// crashedAt holds when an upstream last crashed, by address, for unstableTime.
 	crashedAt map[string]time.Time
 	// unexplained holds the upstreams, by incarnation, on which an attempt was lost and
@@ -85,6 +91,8 @@
 	absent map[string]absentMember
 	// order lists the members by ID, so that decisions are deterministic.
 	order []*member
+	// listed reports whether upstreams have been listed.
+	listed bool
 	// nextReturn is when the next caller that is refused for limits is told to return.
 	nextReturn time.Time
 	// nextStart is where the next plain job starts in the order (round robin).
@@ -125,6 +133,7 @@
 // member is one upstream of a pool.
 type member struct {
 	run
+	listing listing
 	// crashedAt is when the run was found to have crashed with a job in flight; zero if it
 	// was not.
 	crashedAt time.Time
@@ -153,7 +162,7 @@
 func NewPlanner(dataCentre string) *Planner {
 	return &Planner{
 		dataCentre: dataCentre, pools: map[string]*pool{}, jobs: map[string]*placed{},
-		poison: poison.NewTable(), parts: poison.NewPartTable(), limits: upstreamlimit.NewTable(), crashedAt: map[string]time.Time{}, unexplained: map[string]unexplainedLoss{},
+		poison: poison.NewTable(), parts: poison.NewPartTable(), limits: upstreamlimit.NewTable(), cold: upstreamlimit.NewColdTable(), crashedAt: map[string]time.Time{}, unexplained: map[string]unexplainedLoss{},
 	}
 }
 
@@ -165,13 +174,17 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	limitsCold := false
 	for name, service := range v.Config.Services {
+		limitsCold = limitsCold || service.ColdPerSecond > 0
 		pl := p.pools[name]
 		if pl == nil {
 			pl = &pool{members: map[string]*member{}, absent: map[string]absentMember{}}
 			p.pools[name] = pl
 		}
-		restarted, removed := pl.set(service, v.Upstreams(name), time.Now())
+		now := time.Now()
+		restarted, removed := pl.set(service, v.Upstreams(name), now)
+		p.observeEntries(pl, now)
 		for _, r := range restarted {
 			p.crashed(r, time.Now())
 		}
@@ -186,6 +199,7 @@
 			delete(p.pools, name)
 		}
 	}
+	p.limitsCold.Store(limitsCold)
 	p.pruneLimits(time.Now())
 }
 
@@ -209,6 +223,9 @@
 				restarted = append(restarted, m.run)
 			}
 			m = pl.returned(up, service)
+			if pl.listed {
+				m.listing.joinedAt = now
+			}
 		}
 		m.upstream = up
 		if m.engine != nil && service.Engine != nil {
@@ -249,16 +266,21 @@
 // Place chooses an upstream for the job and records the job there. limitShare is the part of
 // the limits that upstreams name that this instance may use.
 func (p *Planner) Place(j Job, limitShare float64, now time.Time) Decision {
-	return p.place(j, fleetwide, limitShare, now)
+	return p.PlaceAs(upstreamlimit.Home, j, limitShare, now)
+}
+
+// PlaceAs is Place by an instance with a role.
+func (p *Planner) PlaceAs(role upstreamlimit.Role, j Job, limitShare float64, now time.Time) Decision {
+	return p.place(j, fleetwide, role, limitShare, now)
 }
 
 // PlaceAlone chooses an upstream for a job of this instance without a home that
 // knows the work of the other instances.
 func (p *Planner) PlaceAlone(j Job, limitShare float64, now time.Time) Decision {
-	return p.place(j, alone, limitShare, now)
+	return p.place(j, alone, upstreamlimit.Outsider, limitShare, now)
 }
 
-func (p *Planner) place(j Job, s scope, limitShare float64, now time.Time) Decision {
+func (p *Planner) place(j Job, s scope, role upstreamlimit.Role, limitShare float64, now time.Time) Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweep(now)
@@ -276,9 +298,10 @@
 	}
 	candidates := pl.candidates(&j, s, now)
 	if len(candidates) > 0 {
-		within, refusal := p.withinLimits(candidates, &j, limitShare, now)
+		warm, cold := p.withinCold(pl, candidates, &j, role, now)
+		within, refusal := p.withinLimits(warm, &j, limitShare, now)
 		if len(within) == 0 {
-			d = pl.refuseForLimits(refusal, s, now)
+			d = pl.refuseForLimits(refusal.or(cold), s, now)
 			countPlacement(j.Service, d)
 			return d
 		}
@@ -305,7 +328,7 @@
 	if d.Upstream != "" {
 		// An instance that plans alone does not know the suspects of the others.
 		d.Suspect, d.Apart, d.Trial = suspect, apart && s == fleetwide, trial
-		p.adopt(pl, j, d, true, now)
+		d.Cold, d.decidedAt = p.adopt(pl, j, d, true, now), now
 		p.jobs[j.ID].planned, p.jobs[j.ID].alone = true, s == alone
 	}
 	countPlacement(j.Service, d)
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -104,6 +104,11 @@
 	Apart bool
 	// Trial lists the suspect prompt parts of which the job is a trial.
 	Trial []uint64
+	// Cold reports whether the job was counted against the rate of a cold upstream.
+	Cold bool `wire:"added"`
+	// decidedAt is when the job was placed, as known to the instance that sends it; not later
+	// than it was counted.
+	decidedAt time.Time
 }
 
 // Reason is the reason why a job is refused.
--- a/internal/upstreamlimit/cold.go
+++ b/internal/upstreamlimit/cold.go
@@ -172,7 +172,7 @@
 // Assume records that an upstream counts as cold for some time, until an entry that is learned
 // later or an answer says that it is not.
 func (t *ColdTable) Assume(k Key, coldStart time.Duration, now time.Time) {
-	until := now.Add(coldStart + 2*t.Bounds.heartbeat())
+	until := now.Add(min(coldStart, maxCold) + 2*t.Bounds.heartbeat())
 	if s := t.states[k]; s != nil {
 		until = latest(until, s.until)
 	}
--- a/internal/upstreamlimit/cold_test.go
+++ b/internal/upstreamlimit/cold_test.go
@@ -40,7 +40,7 @@
 			}
 			start, k := time.Unix(1000, 0), Key{Service: "s", ID: "u", Born: 1}
 			replaced := start.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "home replaced, ms")) * time.Millisecond)
-			overlap := time.Duration(rapid.IntRange(0, 2000).Draw(t, "both homes, ms")) * time.Millisecond
+			overlap := time.Duration(rapid.IntRange(0, 3000).Draw(t, "both homes, ms")) * time.Millisecond
 			// Instances 0 and 1 are the homes before and after, 2 and 3 their substitutes.
 			role := func(i int, now time.Time) Role {
 				active := !now.After(replaced.Add(overlap))
@@ -63,7 +63,7 @@
 			}
 			// Those that are decided before this time are delayed as long as they may be, so that
 			// they arrive with the later ones.
-			delayed := start.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "delays end, ms")) * time.Millisecond)
+			delayed := replaced.Add(time.Duration(rapid.IntRange(-500, 2500).Draw(t, "delays end, ms")) * time.Millisecond)
 			step := time.Duration(rapid.IntRange(1, 30).Draw(t, "step, ms")) * time.Millisecond
 			quiet := rapid.IntRange(0, 40).Draw(t, "quiet steps of 50")
 			var arrivals []time.Time
