--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -79,6 +79,18 @@
 	pl.listed = pl.listed || len(pl.order) > 0
 }
 
+// joined records that an upstream joins the pool. Of the first list, only those that are cold are
+// taken for just started.
+func (pl *pool) joined(m *member, up deployment.Upstream, now time.Time) {
+	isNew := m.upstream.ID == ""
+	if pl.listed {
+		m.listing.joinedAt = now
+	}
+	if isNew && (pl.listed || up.Warming > 0) {
+		pl.beginStart(m, now)
+	}
+}
+
 // withinCold returns the candidates that are not cold, or to which the rate of cold upstreams lets
 // this instance send a request now; and, of the others, when one may get the job. Engines that are
 // cold take no part in a prompt that several engines may prefill: its parts and the reservations
--- a/internal/placement/cold_test.go
+++ b/internal/placement/cold_test.go
@@ -625,3 +625,53 @@
 		})
 	}
 }
+
+// TestColdEnginesTakeNoPartOfAPrompt guards against parts of large prompts and reservations for them,
+// which other engines and instances send and nobody counts, at cold engines.
+func TestColdEnginesTakeNoPartOfAPrompt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, state := NewPlanner(""), deployment.NewState()
+		p.SetColdBounds(usersColdBounds)
+		state.Subscribe(p.SetView)
+		model := usersModel()
+		state.SetConfiguration(&deployment.Configuration{Version: 1, Services: map[string]deployment.Service{
+			"llm": {Name: "llm", Engine: &model, ColdStart: coldStart, ColdPerSecond: coldPerSecond},
+		}}, time.Now())
+		var list []deployment.Upstream
+		for i := range 16 {
+			up := deployment.Upstream{ID: fmt.Sprint("e", i), Service: "llm", Address: fmt.Sprint("e", i), Slots: 16, Born: 1, Warming: coldStart}
+			if i < 8 {
+				up.Warming = 0
+			}
+			list = append(list, up)
+		}
+		state.ReplaceUpstreams(list, deployment.Revision{Number: 1}, time.Now())
+		time.Sleep(time.Second)
+		long := shortJob("long")
+		long.Prompt, long.FirstAnswer = 150_000, 2*time.Second
+		d := p.Place(long, 1, time.Now())
+		if len(d.Helpers) == 0 {
+			t.Fatalf("no helpers: %+v", d)
+		}
+		for _, id := range d.upstreams() {
+			if up, _ := state.View().Upstream(id); up.Warming > 0 {
+				t.Errorf("%s is cold and has a part of the prompt", id)
+			}
+		}
+		for i := range list {
+			list[i].Warming = coldStart
+		}
+		state.UpdateUpstreams(list, nil, deployment.Revision{Number: 2}, time.Now())
+		time.Sleep(time.Second)
+		long.ID = "all cold"
+		if d := p.Place(long, 1, time.Now()); d.Reason != Limited || d.RetryAfter > coldStart+entryHeartbeat {
+			t.Errorf("all engines are cold: %+v", d)
+		}
+		if d := p.Place(shortJob("short"), 1, time.Now()); d.Upstream == "" || !d.Cold {
+			t.Errorf("a short prompt while all engines are cold: %+v", d)
+		}
+		if up := p.Dump(time.Now())[0]; up.Cold <= 0 || up.Cold > (coldStart+entryHeartbeat).Seconds() {
+			t.Errorf("the state dump says that the upstream is cold for %v s", up.Cold)
+		}
+	})
+}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -93,6 +93,8 @@
 	order []*member
 	// listed reports whether upstreams have been listed.
 	listed bool
+	// starting holds the engines that have just started.
+	starting []*member
 	// nextReturn is when the next caller that is refused for limits is told to return.
 	nextReturn time.Time
 	// nextStart is where the next plain job starts in the order (round robin).
@@ -134,6 +136,7 @@
 type member struct {
 	run
 	listing listing
+	start   start
 	// crashedAt is when the run was found to have crashed with a job in flight; zero if it
 	// was not.
 	crashedAt time.Time
@@ -223,9 +226,7 @@
 				restarted = append(restarted, m.run)
 			}
 			m = pl.returned(up, service)
-			if pl.listed {
-				m.listing.joinedAt = now
-			}
+			pl.joined(m, up, now)
 		}
 		m.upstream = up
 		if m.engine != nil && service.Engine != nil {
@@ -296,6 +297,7 @@
 	if refused {
 		return d
 	}
+	pl.fadeStarts(now)
 	candidates := pl.candidates(&j, s, now)
 	if len(candidates) > 0 {
 		warm, cold := p.withinCold(pl, candidates, &j, role, now)
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -23,19 +23,26 @@
 // takes work that was placed later into account. If the token arrives before the
 // prediction has reached it (predicted is zero), the factor moves towards 1.
 func (m *member) updateSpeedFactor(pj *placed, predicted, now time.Time) {
+	gain, least := speedFactorGain, minSpeedSample
+	if m.starting(now) {
+		gain, least = startSpeedGain, minStartSample
+	}
 	factor := m.engine.SpeedFactor()
 	ratio := 1 / factor
+	if predicted.IsZero() && m.starting(now) {
+		ratio = max(ratio, pj.earlyRatio(now))
+	}
 	if !predicted.IsZero() {
 		span := predicted.Sub(pj.at)
-		if span < minSpeedSample || len(pj.decision.Helpers) > 0 {
+		if span < least || len(pj.decision.Helpers) > 0 {
 			return
 		}
 		ratio = float64(now.Sub(pj.at)-reportDelay) / float64(span)
 	}
 	// With this factor the prediction would have been exact.
 	target := factor * ratio
-	if target < slowRatio {
+	if target < slowRatio && !m.starting(now) {
 		target = 1
 	}
-	m.engine.SetSpeedFactor(min(max(factor+speedFactorGain*(target-factor), 1), maxSpeedFactor))
+	m.engine.SetSpeedFactor(min(max(factor+gain*(target-factor), 1), maxSpeedFactor))
 }
