--- a/internal/passthrough/helpers.go
+++ b/internal/passthrough/helpers.go
@@ -30,6 +30,9 @@
 			left = append(left, part.Upstream)
 			continue
 		}
+		if err := h.checkWithheld(a.decision, up); err != nil {
+			return err
+		}
 		a.helpers = append(a.helpers, up)
 		helper := Helper{Address: up.Address}
 		if part.ReservedTokens > 0 {
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -79,6 +79,8 @@
 	callers map[string]map[string]time.Time
 	// shares holds the last limitShare of each service.
 	shares map[string]shareAt
+	// cold holds the roles in which this instance places jobs on cold upstreams.
+	cold coldRoles
 }
 
 // NewFleet returns a Fleet that plans alone until it has a bus. owner names this
@@ -95,6 +97,7 @@
 		flushes:   map[string]*time.Timer{},
 		callers:   map[string]map[string]time.Time{},
 		shares:    map[string]shareAt{},
+		cold:      coldRoles{roles: map[string]roleSince{}},
 	}
 }
 
@@ -104,6 +107,7 @@
 	bus.HandleCall(topicPlace, f.handleCall)
 	bus.HandleBroadcast(topicPoison, f.handleNotices)
 	bus.HandleBroadcast(topicLimits, f.handleLimits)
+	bus.HandleBroadcast(topicCold, f.handleCold)
 	f.planner.setNoticeHandler(func(notices []poison.Notice) { broadcastNotices(bus, notices) })
 	f.mu.Lock()
 	f.bus = bus
@@ -150,11 +154,13 @@
 	if !linked {
 		return f.planner.PlaceAlone(j, f.aloneShare(), time.Now())
 	}
+	began := time.Now()
 	if home == "" {
-		return f.placeHere(j, time.Now())
+		return f.placeHere(j, began)
 	}
 	d, err := f.placeAt(ctx, home, j)
 	if err == nil {
+		d.decidedAt = began
 		f.planner.Adopt(Adoption{Job: j, Decision: d}, time.Now())
 		return d
 	}
@@ -172,11 +178,11 @@
 // placeHere places a job as the home of its service, or as a substitute while the home does not
 // answer.
 func (f *Fleet) placeHere(j Job, now time.Time) Decision {
-	share := f.limitShare(j.Service, now)
+	share, role := f.limitShare(j.Service, now), f.coldRole(j.Service, now)
 	if share < 1 {
-		return f.planner.PlaceAsSubstitute(j, f.owner, share, now)
+		return f.planner.PlaceAsSubstitute(role, j, f.owner, share, now)
 	}
-	return f.planner.Place(j, share, now)
+	return f.planner.PlaceAs(role, j, share, now)
 }
 
 // FirstAnswer implements passthrough.Placer.
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -39,6 +40,11 @@
 	parts *poison.PartTable
 	// limits holds the limits that upstreams name.
 	limits *upstreamlimit.Table
+	// cold holds the cold upstreams; coldBounds, if set, returns the bounds for them.
+	cold *upstreamlimit.ColdTable
+	// limitsCold reports whether a service has a rate for cold upstreams.
+	limitsCold atomic.Bool
+	coldBounds func() upstreamlimit.ColdBounds
 	// crashedAt holds when an upstream last crashed, by address, for unstableTime.
 	crashedAt map[string]time.Time
 	// unexplained holds the upstreams, by incarnation, on which an attempt was lost and
@@ -85,6 +91,10 @@
 	absent map[string]absentMember
 	// order lists the members that may get jobs by ID, so that decisions are deterministic.
 	order []*member
+	// listed reports whether upstreams have been listed.
+	listed bool
+	// starting holds the engines that have just started.
+	starting []*member
 	// nextReturn is when the next caller that is refused for limits is told to return.
 	nextReturn time.Time
 	// nextStart is where the next plain job starts in the order (round robin).
@@ -124,6 +134,10 @@
 // member is one upstream of a pool.
 type member struct {
 	run
+	listing listing
+	start   start
+	// hidden reports whether the upstream gets no jobs because its data centre is evacuated.
+	hidden bool
 	// crashedAt is when the run was found to have crashed with a job in flight; zero if it
 	// was not.
 	crashedAt time.Time
@@ -152,7 +166,7 @@
 func NewPlanner(dataCentre string) *Planner {
 	return &Planner{
 		dataCentre: dataCentre, pools: map[string]*pool{}, jobs: map[string]*placed{},
-		poison: poison.NewTable(), parts: poison.NewPartTable(), limits: upstreamlimit.NewTable(), crashedAt: map[string]time.Time{}, unexplained: map[string]unexplainedLoss{},
+		poison: poison.NewTable(), parts: poison.NewPartTable(), limits: upstreamlimit.NewTable(), cold: upstreamlimit.NewColdTable(), crashedAt: map[string]time.Time{}, unexplained: map[string]unexplainedLoss{},
 	}
 }
 
@@ -166,13 +180,17 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	limitsCold := false
 	for name, service := range v.Config.Services {
+		limitsCold = limitsCold || service.ColdPerSecond > 0
 		pl := p.pools[name]
 		if pl == nil {
 			pl = &pool{members: map[string]*member{}, absent: map[string]absentMember{}}
 			p.pools[name] = pl
 		}
-		restarted, removed := pl.set(service, v.Listed(name), v.Evacuated, time.Now())
+		now := time.Now()
+		restarted, removed := pl.set(service, v.Listed(name), v.Evacuated, now)
+		p.observeEntries(pl, now)
 		for _, r := range restarted {
 			p.crashed(r, time.Now())
 		}
@@ -187,6 +205,7 @@
 			delete(p.pools, name)
 		}
 	}
+	p.limitsCold.Store(limitsCold)
 	p.pruneLimits(time.Now())
 }
 
@@ -211,13 +230,19 @@
 				restarted = append(restarted, m.run)
 			}
 			m = pl.returned(up, service)
+			pl.joined(m, up, now)
 		}
+		hidden := evacuated(up.DataCentre)
+		if m.hidden && !hidden {
+			pl.joined(m, up, now)
+		}
+		m.hidden = hidden
 		m.upstream = up
 		if m.engine != nil && service.Engine != nil {
 			m.engine.SetModel(service.Engine)
 		}
 		next[up.ID] = m
-		if !evacuated(up.DataCentre) {
+		if !hidden {
 			pl.order = append(pl.order, m)
 		}
 	}
@@ -253,24 +278,39 @@
 // Place chooses an upstream for the job and records the job there. limitShare is the part of
 // the limits that upstreams name that this instance may use.
 func (p *Planner) Place(j Job, limitShare float64, now time.Time) Decision {
-	return p.place(j, fleetwide, "", limitShare, now)
+	return p.PlaceAs(upstreamlimit.Home, j, limitShare, now)
+}
+
+// PlaceAs is Place by an instance with a role for cold upstreams.
+func (p *Planner) PlaceAs(role upstreamlimit.Role, j Job, limitShare float64, now time.Time) Decision {
+	return p.place(j, capacity{scope: fleetwide, role: role, limitShare: limitShare}, now)
 }
 
-// PlaceAsSubstitute is Place for an instance that stands in for the home. The home may be planning
+// PlaceAsSubstitute is PlaceAs for an instance that stands in for the home. The home may be planning
 // for other instances at the same time, so the substitute, named by planner, starts at another
 // upstream in the order.
-func (p *Planner) PlaceAsSubstitute(j Job, planner string, limitShare float64, now time.Time) Decision {
-	return p.place(j, fleetwide, planner, limitShare, now)
+func (p *Planner) PlaceAsSubstitute(role upstreamlimit.Role, j Job, planner string, limitShare float64, now time.Time) Decision {
+	return p.place(j, capacity{scope: fleetwide, role: role, start: planner, limitShare: limitShare}, now)
 }
 
 // PlaceAlone chooses an upstream for a job of this instance without a home that
 // knows the work of the other instances.
 func (p *Planner) PlaceAlone(j Job, limitShare float64, now time.Time) Decision {
-	return p.place(j, alone, j.Owner, limitShare, now)
+	return p.place(j, capacity{scope: alone, role: upstreamlimit.Outsider, start: j.Owner, limitShare: limitShare}, now)
+}
+
+// capacity is in what capacity an instance places a job.
+type capacity struct {
+	scope scope
+	// role is the role for cold upstreams.
+	role upstreamlimit.Role
+	// start selects the upstream at which the order starts; empty is the first.
+	start string
+	// limitShare is the part of the limits that upstreams name that this instance may use.
+	limitShare float64
 }
 
-// place places a job. start selects the upstream at which the order starts; empty is the first.
-func (p *Planner) place(j Job, s scope, start string, limitShare float64, now time.Time) Decision {
+func (p *Planner) place(j Job, c capacity, now time.Time) Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweep(now)
@@ -286,11 +326,13 @@
 	if refused {
 		return d
 	}
-	candidates := pl.candidates(&j, start, now)
+	pl.fadeStarts(now)
+	candidates := pl.candidates(&j, c.start, now)
 	if len(candidates) > 0 {
-		within, refusal := p.withinLimits(candidates, &j, limitShare, now)
+		warm, cold := p.withinCold(pl, candidates, &j, c.role, now)
+		within, refusal := p.withinLimits(warm, &j, c.limitShare, now)
 		if len(within) == 0 {
-			d = pl.refuseForLimits(refusal, s, now)
+			d = pl.refuseForLimits(refusal.or(cold), c.scope, now)
 			countPlacement(j.Service, d)
 			return d
 		}
@@ -316,9 +358,9 @@
 	}
 	if d.Upstream != "" {
 		// An instance that plans alone does not know the suspects of the others.
-		d.Suspect, d.Apart, d.Trial = suspect, apart && s == fleetwide, trial
-		p.adopt(pl, j, d, true, now)
-		p.jobs[j.ID].planned, p.jobs[j.ID].alone = true, s == alone
+		d.Suspect, d.Apart, d.Trial = suspect, apart && c.scope == fleetwide, trial
+		d.Cold, d.decidedAt = p.adopt(pl, j, d, true, now), now
+		p.jobs[j.ID].planned, p.jobs[j.ID].alone = true, c.scope == alone
 	}
 	countPlacement(j.Service, d)
 	metrics.GetOrCreateHistogram(`banyanroute_placement_seconds`).UpdateDuration(now)
