--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -55,13 +55,18 @@
 // view is set.
 func (p *Planner) SetColdBounds(bounds func() upstreamlimit.ColdBounds) { p.coldBounds = bounds }
 
+// adoptColdBounds applies the bounds in force. The caller must hold mu.
+func (p *Planner) adoptColdBounds() {
+	if p.coldBounds != nil {
+		p.cold.Bounds = p.coldBounds()
+	}
+}
+
 // observeEntries records what the entries of a pool say of cold upstreams. One that joins after
 // the first list counts as cold until an entry that is learned later says otherwise: it may have
 // been hidden or absent for any time, and become cold meanwhile. The caller must hold mu.
 func (p *Planner) observeEntries(pl *pool, now time.Time) {
-	if p.coldBounds != nil {
-		p.cold.Bounds = p.coldBounds()
-	}
+	p.adoptColdBounds()
 	for _, m := range pl.order {
 		learned := m.upstream.LearnedAt()
 		isNews := learned.After(m.listing.learnedAt)
@@ -100,6 +105,7 @@
 	if p.cold.Empty() || perSecond <= 0 {
 		return candidates, limitRefusal{}
 	}
+	p.adoptColdBounds()
 	rate := p.cold.Bounds.Rate(role, perSecond)
 	if e := pl.service.Engine; e != nil && e.Joint && j.Prompt >= longPromptTokens {
 		rate = 0
