--- a/cmd/banyanrouted/stdout_test.go
+++ b/cmd/banyanrouted/stdout_test.go
@@ -30,25 +30,31 @@
 	case os.Getenv(platform.BootVariable) != "":
 		os.Args = []string{os.Args[0], "--platform"}
 	default:
-		os.Exit(m.Run())
+		code := m.Run()
+		_ = os.RemoveAll(daemonDir) // empty if no test has built the daemon
+		os.Exit(code)
 	}
 	os.Exit(mainCode())
 }
 
 // hostedProcess is an instance that runs in a process of its own.
 type hostedProcess struct {
-	cmd     *exec.Cmd
-	callers string
+	cmd *exec.Cmd
+	// settings is its settings file.
+	settings []byte
+	callers  string
 	// output is the reading end of the standard output.
 	output *os.File
 	ended  chan error
 }
 
-// startHosted starts an instance and waits until it is ready.
-func startHosted(t *testing.T, rig *platformtest.Rig) *hostedProcess {
+// startHosted starts an instance of a program, which is this one or the daemon, and waits until it is
+// ready.
+func startHosted(t *testing.T, rig *platformtest.Rig, program string) *hostedProcess {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "settings.yaml")
-	if err := os.WriteFile(path, rig.Settings(t, "front-1"), 0o600); err != nil {
+	settings := rig.Settings(t, "front-1")
+	if err := os.WriteFile(path, settings, 0o600); err != nil {
 		t.Fatal(err)
 	}
 	s, err := platform.LoadSettings(path)
@@ -59,7 +65,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &hostedProcess{cmd: exec.Command(os.Args[0]), callers: s.CallersAddress, output: output, ended: make(chan error, 1)}
+	p := &hostedProcess{cmd: exec.Command(program, "--platform"), settings: settings, callers: s.CallersAddress, output: output, ended: make(chan error, 1)}
 	p.cmd.Env = append(os.Environ(), platform.BootVariable+"="+path)
 	p.cmd.Stdout, p.cmd.Stderr = input, os.Stderr
 	if err := p.cmd.Start(); err != nil {
@@ -94,7 +100,7 @@
 func TestClosedLogCutsNoRequest(t *testing.T) {
 	rig := platformtest.NewRig(t, 1, 0)
 	rig.Engines[0].EventInterval = 300 * time.Millisecond
-	p := startHosted(t, rig)
+	p := startHosted(t, rig, os.Args[0])
 	replies := make(chan platformtest.Reply, 1)
 	go func() { replies <- p.ask(t, "running") }()
 	platformtest.WaitFor(t, "the stream", func() bool { return len(rig.Engines[0].Runs()) == 1 })
@@ -116,7 +122,7 @@
 	const grace = 6 * time.Second
 	rig := platformtest.NewRig(t, 1, 0)
 	rig.GraceS = grace.Seconds()
-	p := startHosted(t, rig)
+	p := startHosted(t, rig, os.Args[0])
 	for i := range 900 { // each line has 0.5 KB or more; a pipe holds 64 KB
 		conn, err := net.Dial("tcp", p.callers)
 		if err != nil {
