graceful, hosted: connections, heads and their memory are bounded

What callers saw: clients that ignore limits ended the process (--platform) for want of memory, or took the descriptors that it needs for store, links and upstreams.

Cause: nothing bounded the number of connections; a head could have 64 KiB whatever was configured, and short lines take many times their size as entries of a map; bodies below 32 KiB, answers that are not read and the buffers of connections counted nowhere. A handler that answered before the body had come left the connection waiting for the rest of it without a time limit.

Change: a tracker follows the connections of each port. - Callers get 3/8 of the descriptors (limits.file_descriptors, or the limit of the system), each with one more for an upstream; a quarter is left for links, store, operators and readiness checks, whose ports have bounds of their own. - Each connection is charged for what it holds: its buffers, its head by size and lines, the first 32 KiB of its body, the request that is served. The sum has a bound, a third of the memory for callers. - When either is full, connections that wait for their clients are closed: for the rest of a head or body first, then silent ones, idle ones, those whose answer is not read for 1 s. Never one whose whole request has arrived and is served: a body that is closed under its reader reads as an error, so it does not run. Without room a connection or request gets 503 and has not run. - The configured max_header_bytes is in force, also when it changes; 431 beyond it. What is read of a head is cut at the limit, so the limit is exact without parsing. Empty lines count as a part of the head. - The rest of a body has 5 s after the answer.

--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -41,6 +41,7 @@
 	listener *listener
 	tls      *tls.Config
 	stopping atomic.Bool
+	tracker  *tracker
 	// limits returns the limits in force; nil leaves them to server.
 	limits func() Limits
 	// acceptEnded is closed when the last connection has been accepted.
@@ -49,9 +50,6 @@
 	// closed is closed by Close.
 	closed    chan struct{}
 	closeOnce sync.Once
-
-	mu    sync.Mutex
-	conns map[*conn]bool
 }
 
 // Listen opens the address, host:port, at once; Serve serves it. A nil config means no TLS.
@@ -68,10 +66,11 @@
 		tls:         config,
 		acceptEnded: make(chan struct{}),
 		closed:      make(chan struct{}),
-		conns:       map[*conn]bool{},
+		tracker:     newTracker("", Capacity{}),
 	}
 	s.ConnState = g.onState
-	next := s.Handler
+	s.ConnContext = withConn
+	next := g.tracker.handler(s.Handler)
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		next.ServeHTTP(&writer{ResponseWriter: w, g: g}, r)
 	})
@@ -85,6 +84,18 @@
 	g.limits = limits
 }
 
+// SetCapacity bounds the connections; name is that of the port in metrics and in the log. It must be called
+// before Serve. With TLS the limit of a head is the http.Server's.
+func (g *Server) SetCapacity(name string, c Capacity) {
+	if g.tls != nil {
+		c.HeadBytes = nil
+	}
+	if c.HeadBytes != nil {
+		g.server.MaxHeaderBytes = maxHeadBytes
+	}
+	g.tracker.setCapacity(name, c)
+}
+
 // Serve serves until Close; it does not return after a Stop, since the end of an actor ends its
 // whole run group. If connections can't be accepted any more, it calls onFailure and goes on with
 // those that there are.
@@ -135,14 +146,7 @@
 
 // closeIdle closes the idle connections and reports whether no other is left.
 func (g *Server) closeIdle(now time.Time) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for c := range g.conns {
-		if c.closeIfIdle(now) {
-			delete(g.conns, c)
-		}
-	}
-	return len(g.conns) == 0
+	return g.tracker.removeIf(func(c *conn) bool { return c.closeIfIdle(now) })
 }
 
 // limitsInForce returns the limits in force; zero if they are left to the http.Server.
@@ -156,11 +160,10 @@
 // closeLate closes the connections that exceed their limits.
 func (g *Server) closeLate() {
 	limits, now := g.limits(), time.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for c := range g.conns {
+	g.tracker.removeIf(func(c *conn) bool {
 		c.closeIfLate(now, limits)
-	}
+		return false
+	})
 }
 
 // onState follows the states of connections.
@@ -171,9 +174,7 @@
 	}
 	c.setState(s, time.Now(), g.limitsInForce())
 	if s == http.StateClosed || s == http.StateHijacked {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		delete(g.conns, c)
+		g.tracker.remove(c)
 	}
 }
 
@@ -182,15 +183,7 @@
 
 // Accept implements net.Listener.
 func (l trackedListener) Accept() (net.Conn, error) {
-	nc, err := l.g.listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &conn{TCPConn: nc.(*net.TCPConn), state: http.StateNew, since: time.Now(), limits: l.g.limitsInForce()}
-	l.g.mu.Lock()
-	defer l.g.mu.Unlock()
-	l.g.conns[c] = true
-	return c, nil
+	return l.g.tracker.accept(l.g.listener, l.g.limitsInForce)
 }
 
 // Close implements net.Listener.
--- a/internal/graceful/server_test.go
+++ b/internal/graceful/server_test.go
@@ -16,7 +16,7 @@
 	"time"
 )
 
-// testServer is a server whose handler answers "ok" once release is closed.
+// testServer is a server whose handler reads the body and answers "ok", to "/wait" once release is closed.
 type testServer struct {
 	*Server
 	release chan struct{}
@@ -30,6 +30,9 @@
 		if r.URL.Path == "/wait" {
 			<-s.release
 		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			panic(http.ErrAbortHandler)
+		}
 		_, _ = fmt.Fprint(w, "ok")
 	})
 	var config *tls.Config
@@ -263,7 +266,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &conn{TCPConn: nc.(*net.TCPConn)}
+	c := &conn{TCPConn: nc.(*net.TCPConn), tracker: s.tracker}
 	long, short, now := Limits{time.Minute, time.Minute}, Limits{time.Second, time.Second}, time.Now()
 	c.setState(http.StateIdle, now, long)
 	c.closeIfLate(now.Add(2*time.Second), short)
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -209,12 +209,13 @@
 	for _, s := range []struct {
 		name, address string
 		server        *http.Server
+		capacity      graceful.Capacity
 	}{
-		{"operators", n.settings.OperatorsAddress, n.operators},
-		{"readiness", n.settings.ReadinessAddress, n.readiness},
-		{"links", n.settings.LinksAddress, n.linkServer},
+		{"operators", n.settings.OperatorsAddress, n.operators, n.probesCapacity()},
+		{"readiness", n.settings.ReadinessAddress, n.readiness, n.probesCapacity()},
+		{"links", n.settings.LinksAddress, n.linkServer, n.linksCapacity()},
 	} {
-		if err := n.addServer(&group, s.name, s.address, s.server); err != nil {
+		if err := n.addServer(&group, s.name, s.address, s.server, s.capacity); err != nil {
 			return trace.Wrap(err)
 		}
 	}
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -27,8 +27,10 @@
 	// idleMarginDivisor is the fraction of the configured idle timeout, as a divisor, by which
 	// connections stay open longer: callers may reuse them until shortly before its end.
 	idleMarginDivisor = 4
-	// maxHeaderBytes bounds the size of a request's header.
+	// maxHeaderBytes bounds the size of a caller's header until the configuration does.
 	maxHeaderBytes = 64 << 10
+	// otherHeadBytes bounds the header of a request that is not a caller's.
+	otherHeadBytes = 16 << 10
 )
 
 // buildServers builds the servers for readiness checks, operators and links.
@@ -65,11 +67,12 @@
 
 // addServer starts to listen immediately, so that a port in use fails the
 // start, and adds the actor that serves.
-func (n *Instance) addServer(group *run.Group, name, address string, server *http.Server) error {
+func (n *Instance) addServer(group *run.Group, name, address string, server *http.Server, capacity graceful.Capacity) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return trace.Wrap(err, "listening for %s", name)
 	}
+	listener = graceful.Protect(name, server, listener, capacity)
 	stopped := make(chan struct{})
 	group.Add(func() error {
 		err := server.Serve(listener)
@@ -94,6 +97,7 @@
 		return trace.Wrap(err, "listening for callers")
 	}
 	server.SetLimits(n.connectionLimits)
+	server.SetCapacity("callers", n.callersCapacity())
 	n.callers = server
 	group.Add(func() error {
 		server.Serve(func(err error) { n.fail(trace.Wrap(err, "serving callers")) })
--- a/internal/hosted/settings.go
+++ b/internal/hosted/settings.go
@@ -23,6 +23,8 @@
 	Capacity uint32
 	// MemoryBytes is the limit above which the process is killed.
 	MemoryBytes int64
+	// FileDescriptors is the number of descriptors that the process may open; 0 if unknown.
+	FileDescriptors int
 	// StopGrace is the time between SIGTERM and SIGKILL.
 	StopGrace time.Duration
 	// ApplyTimeout is the time within which a change of the configuration or of the
