bodies: slow bodies lose their memory when others need it

What callers saw: bodies that stopped just short of their end held all memory for bodies, up to the time limits of their requests, and ordinary large bodies got 503 meanwhile.

Cause: memory was given to whoever came first and stayed theirs however slowly the body came. Chunked bodies grow piece by piece, so many of them left no room for a body that is taken whole. The first 32 KiB were taken at once for a body or answer of any size.

Small bodies and answers take what they need, from 2 KiB on.

TestSlowBodiesLoseTheirMemory does not compile before.

--- a/docs/metrics_test.go
+++ b/docs/metrics_test.go
@@ -18,7 +18,7 @@
 		listed[m[1]] = true
 	}
 	inCode := map[string]bool{}
-	for _, dir := range []string{"build", "graceful", "passthrough", "placement", "deployment", "hosted", "panics", "tunnel", "upstreamlimit", "wire"} {
+	for _, dir := range []string{"bodies", "build", "graceful", "passthrough", "placement", "deployment", "hosted", "panics", "tunnel", "upstreamlimit", "wire"} {
 		err := filepath.WalkDir(filepath.Join(root, "internal", dir), func(path string, _ fs.DirEntry, err error) error {
 			if err != nil || !strings.HasSuffix(path, ".go") {
 				return err
--- a/internal/bodies/bodies.go
+++ b/internal/bodies/bodies.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,14 +20,21 @@
 	// overdraft is the body that may grow although there is no room, so that bodies that wait
 	// for one another don't wait for ever. It is bounded by the longest body.
 	overdraft atomic.Pointer[Buffer]
+
+	mu sync.Mutex
+	// receiving are the bodies that lose their memory if they are slow.
+	receiving map[*Receipt]bool
 }
 
 // NewBudget returns a Budget of limit bytes.
 func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
 
 // Reserve reserves n bytes. It returns false, and reserves nothing, if fewer are free.
-func (b *Budget) Reserve(n int64) bool {
-	if b.used.Add(n) > b.limit {
+func (b *Budget) Reserve(n int64) bool { return b.reserveLeaving(n, 0) }
+
+// reserveLeaving is Reserve that leaves some bytes free.
+func (b *Budget) reserveLeaving(n, spare int64) bool {
+	if b.used.Add(n) > b.limit-spare {
 		b.used.Add(-n)
 		return false
 	}
@@ -43,6 +51,9 @@
 	// FreeBytes is the size up to which a body is held outside the budget, so that small ones
 	// never wait for large ones.
 	FreeBytes = 32 << 10
+	// firstBytes is the first size of the piece that is held outside the budget; it doubles up to
+	// FreeBytes, so that small bodies take little.
+	firstBytes = 2 << 10
 	// pieceBytes is the size of the further pieces of a Buffer.
 	pieceBytes = 128 << 10
 	// roomInterval is the time between two looks for room.
@@ -72,22 +83,25 @@
 	return b.fill(r, most, func() bool { return b.waitForRoom(ctx) })
 }
 
-// FillAtOnce is Fill for a body that doesn't wait for room: it gets ErrNoRoom.
-func (b *Buffer) FillAtOnce(r io.Reader, most int64) error {
-	return b.fill(r, most, func() bool { return b.budget.Reserve(pieceBytes) })
+// FillAtOnce is Fill for a body with a Receipt that doesn't wait for room, except for that of slow bodies:
+// it gets ErrNoRoom.
+func (b *Buffer) FillAtOnce(r io.Reader, most int64, receipt *Receipt) error {
+	return b.fill(r, most, func() bool { return receipt.reserve(pieceBytes, b.budget.limit/spareDivisor) })
 }
 
 func (b *Buffer) fill(r io.Reader, most int64, reserve func() bool) error {
 	for {
 		switch n := len(b.pieces); {
 		case n == 0:
-			b.pieces = append(b.pieces, make([]byte, 0, FreeBytes))
+			b.pieces = append(b.pieces, make([]byte, 0, firstBytes))
 		case len(b.pieces[n-1]) < cap(b.pieces[n-1]):
+		case n == 1 && cap(b.pieces[0]) < FreeBytes:
+			b.pieces[0] = append(make([]byte, 0, 2*cap(b.pieces[0])), b.pieces[0]...)
 		case !reserve():
 			return ErrNoRoom
 		default:
 			b.held += pieceBytes
-			b.pieces = append(b.pieces, make([]byte, 0, pieceBytes))
+			b.pieces = append(b.pieces, newPiece())
 		}
 		last := &b.pieces[len(b.pieces)-1]
 		n, err := r.Read((*last)[len(*last):cap(*last)])
@@ -139,12 +153,24 @@
 	return slices.Concat(b.pieces...)
 }
 
+// freePieces holds pieces of bodies that have ended. Under a crowd of bodies that are refused, their garbage
+// would take more than the bodies that are held.
+var freePieces = sync.Pool{New: func() any { return new([pieceBytes]byte) }}
+
+// newPiece returns an empty piece of pieceBytes.
+func newPiece() []byte { return freePieces.Get().(*[pieceBytes]byte)[:0] }
+
 // Free drops the body and returns its bytes to the budget.
 func (b *Buffer) Free() { b.budget.Release(b.Detach()) }
 
 // Detach drops the body and returns the number of bytes that stay reserved.
 func (b *Buffer) Detach() int64 {
 	held := b.held
+	for _, piece := range b.pieces {
+		if cap(piece) == pieceBytes {
+			freePieces.Put((*[pieceBytes]byte)(piece[:pieceBytes]))
+		}
+	}
 	b.pieces, b.size, b.held = nil, 0, 0
 	b.budget.overdraft.CompareAndSwap(b, nil)
 	return held
--- a/internal/bodies/bodies_test.go
+++ b/internal/bodies/bodies_test.go
@@ -85,7 +85,7 @@
 		work.Wait()
 		full := NewBudget(limit)
 		full.Reserve(limit)
-		if err := NewBuffer(full).FillAtOnce(slow(pieceBytes), limit); !errors.Is(err, ErrNoRoom) {
+		if err := NewBuffer(full).FillAtOnce(slow(pieceBytes), limit, full.Receive(func() {})); !errors.Is(err, ErrNoRoom) {
 			t.Errorf("a body that doesn't wait got %v", err)
 		}
 		if budget.Used() != 0 || total.Load() < 20*limit/2 {
@@ -98,3 +98,51 @@
 type readerFunc func(p []byte) (int, error)
 
 func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// TestSlowBodiesLoseTheirMemory guards against bodies that stop before their end and keep all others from
+// being read. One that arrives at an ordinary pace keeps its memory, and so does one that has arrived.
+func TestSlowBodiesLoseTheirMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 4 * pieceBytes
+		budget := NewBudget(limit)
+		receive := func(stopped *bool) *Receipt {
+			r := budget.Receive(func() { *stopped = true })
+			if !r.Reserve(pieceBytes) {
+				t.Fatal("no room at the beginning")
+			}
+			return r
+		}
+		var slow, trickling, fast, ended bool
+		stopping := receive(&slow)
+		trickle, steady, whole := receive(&trickling), receive(&fast), receive(&ended)
+		if whole.End() {
+			t.Error("stopped before its end")
+		}
+		late := budget.Receive(func() {})
+		if late.Reserve(pieceBytes) || slow || trickling {
+			t.Error("bodies lost their memory at once")
+		}
+		for range 10 {
+			time.Sleep(stalledAfter / 3)
+			_, _ = trickle.Reader(bytes.NewReader(make([]byte, 1))).Read(make([]byte, 1))
+			_, _ = steady.Reader(bytes.NewReader(make([]byte, 8<<10))).Read(make([]byte, 8<<10))
+		}
+		go func() {
+			time.Sleep(reclaimTimeout / 2) // the handlers of stopped bodies return
+			for _, r := range []*Receipt{stopping, trickle} {
+				if r.End() {
+					budget.Release(pieceBytes)
+				}
+			}
+		}()
+		if !late.Reserve(2*pieceBytes) || !slow || !trickling {
+			t.Errorf("no room; the body that stalls was stopped: %t, the one that trickles: %t", slow, trickling)
+		}
+		if fast || ended {
+			t.Error("a body that arrives, or has arrived, was stopped")
+		}
+		if late.Reserve(pieceBytes) {
+			t.Error("got memory that no slow body holds")
+		}
+	})
+}
--- a/internal/passthrough/body.go
+++ b/internal/passthrough/body.go
@@ -27,11 +27,23 @@
 	if r.ContentLength > limit {
 		return nil, result.New(result.BodyTooLarge, "the body has %d bytes; the limit is %d", r.ContentLength, limit)
 	}
-	reader := http.MaxBytesReader(rq.w, r.Body, limit)
+	controller := http.NewResponseController(rq.w)
+	receipt := h.bodies.Receive(func() { _ = controller.SetReadDeadline(time.Now()) }) // a writer of a test may not support it
+	body, err := h.receiveBody(rq, limit, receipt)
+	if receipt.End() { // the read deadline has passed and ends the request's context
+		err = bodyError(bodies.ErrNoRoom, limit)
+	}
+	return body, err
+}
+
+// receiveBody reads a body with a receipt.
+func (h *Handler) receiveBody(rq *request, limit int64, receipt *bodies.Receipt) ([]byte, *result.Error) {
+	r := rq.r
+	reader := receipt.Reader(http.MaxBytesReader(rq.w, r.Body, limit))
 	if r.ContentLength < 0 {
 		buffer := bodies.NewBuffer(h.bodies)
 		defer buffer.Free()
-		if err := buffer.FillAtOnce(reader, limit); err != nil {
+		if err := buffer.FillAtOnce(reader, limit, receipt); err != nil {
 			return nil, bodyError(err, limit)
 		}
 		body := buffer.Bytes()
@@ -40,7 +52,7 @@
 	}
 	n := r.ContentLength
 	if n > bodies.FreeBytes {
-		if !h.bodies.Reserve(n) {
+		if !receipt.Reserve(n) {
 			return nil, bodyError(bodies.ErrNoRoom, n)
 		}
 		rq.heldBytes = n
