--- a/cmd/banyanrouted/evacuation_test.go
+++ b/cmd/banyanrouted/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"sync"
 	"syscall"
 	"testing"
@@ -20,7 +21,7 @@
 		u.DataCentre = "z2"
 		u.OnRestart()
 	}
-	p := startHosted(t, rig)
+	p := startHosted(t, rig, os.Args[0])
 	if reply := p.ask(t, "before"); reply.Status != 200 {
 		t.Fatalf("status %d", reply.Status)
 	}
