costmodel: outputs, work times and paces are learned from what has ended

Placement took the callers' hints, which are off by up to five times, and counted jobs on plain upstreams, whose work differs by ten times.

internal/costmodel learns the ratio of outputs to the callers' figures by route, prompt size, hint and workspace, the work times of plain services by route without the wait for a slot, and the pace of each plain upstream by a cumulative sum. Its observations age with a half-life of 20 s, its groups are bounded.

--- a/internal/hosted/dump.go
+++ b/internal/hosted/dump.go
@@ -27,6 +27,8 @@
 	// Paths are the upstreams that this instance reaches through other instances only, and the
 	// connections that it serves for others.
 	Paths any `json:"paths"`
+	// Costs is what this instance has learned of what requests cost; absent if it does not learn.
+	Costs *placement.CostState `json:"costs,omitempty"`
 }
 
 // dump returns the current state.
@@ -36,6 +38,7 @@
 		View:     build.View{Instance: n.settings.Instance, Build: build.ID(), ProtocolVersion: member.ProtocolVersion},
 		Draining: n.draining(), ListRevision: v.Revision,
 		Upstreams: n.planner.Dump(time.Now()), Paths: n.tunnels.Dump(),
+		Costs: n.planner.Costs(time.Now()),
 	}
 	if !v.ListedAt.IsZero() {
 		s.ListAge = time.Since(v.ListedAt).Seconds()
--- a/internal/hosted/hosted.go
+++ b/internal/hosted/hosted.go
@@ -96,6 +96,9 @@
 func New(o Options) *Instance {
 	s := o.Settings
 	n := &Instance{opts: o, settings: s, state: deployment.NewState(), planner: placement.NewPlanner(s.DataCentre), failures: make(chan error, 1)}
+	if s.LearnCosts {
+		n.planner.LearnCosts()
+	}
 	n.state.Subscribe(n.planner.SetView)
 	n.follower = newSettingsFollower(s, o.SettingsFile)
 	n.ending, n.endRequests = context.WithCancel(context.Background())
--- a/internal/hosted/settings.go
+++ b/internal/hosted/settings.go
@@ -38,4 +38,7 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetryBurst  float64
+	// LearnCosts reports whether placement learns what requests cost from those that have ended.
+	// It applies from the start of the process.
+	LearnCosts bool
 }
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -141,11 +141,14 @@
 // free memory.
 const maxSkipped = 3
 
+// lastEventHeader is the standard header with which a caller resumes a stream of events.
+const lastEventHeader = "Last-Event-ID"
+
 // prepare turns a placed job into an attempt.
 func (h *Handler) prepare(ctx context.Context, rq *request, c placedJob, lastEvent string) (*attempt, *result.Error) {
 	job, d := c.job, c.decision
 	rq.placed, rq.heard = job.ID, &lastHeard{start: rq.arrived}
-	rq.placedAt, rq.events = time.Now(), 0
+	rq.placedAt, rq.events, rq.resumed = time.Now(), 0, lastEvent != "" || rq.r.Header.Get(lastEventHeader) != ""
 	// The view may have changed since the request arrived; an upstream that has left
 	// meanwhile must not be used.
 	view := h.opts.State.View()
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -130,6 +130,9 @@
 	// that it has received.
 	placedAt time.Time
 	events   int
+	// resumed reports whether the current attempt continues an answer that another began, so that
+	// its events are not all of the answer.
+	resumed bool
 	// placed is the ID of the job that was placed and has not ended; empty if there is none.
 	placed string
 	// heard is when the upstream of the current attempt was last heard.
@@ -231,6 +234,9 @@
 func (h *Handler) ended(rq *request, job string, o placement.Outcome) {
 	rq.placed = ""
 	e := placement.End{Outcome: o, Duration: time.Since(rq.placedAt), Events: rq.events}
+	if rq.resumed {
+		e.Events = 0
+	}
 	if last := rq.record.last; o == placement.Abandoned {
 		e.Silence = rq.heard.silence()
 	} else if !last.IsZero() {
--- a/internal/placement/dump.go
+++ b/internal/placement/dump.go
@@ -13,6 +13,8 @@
 	SpeedFactor    float64 `json:"pace,omitempty"`
 	PendingPrefill float64 `json:"pending_prefill_seconds,omitempty"`
 	ErrorRate      float64 `json:"error_rate"`
+	// WorkPace is the pace of a slow plain upstream, as a multiple of the usual work time.
+	WorkPace float64 `json:"work_pace,omitempty"`
 	// Limit is the number of requests a second that the upstream names, Allowance how many
 	// may be sent now as far as this instance knows.
 	Limit     *float64 `json:"limit_per_second,omitempty"`
@@ -37,6 +39,9 @@
 				m.engine.Advance(now)
 				s.UsedTokens, s.SpeedFactor, s.PendingPrefill = m.engine.UsedTokens(), m.engine.SpeedFactor(), m.engine.PendingPrefill().Seconds()
 			}
+			if pace := m.pace.Factor(now); pace > 1 {
+				s.WorkPace = pace
+			}
 			if perSecond, tokens, named := p.limits.State(limitKey(m.upstream)); named {
 				s.Limit, s.Allowance = &perSecond, &tokens
 			}
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -25,6 +25,9 @@
 	if _, known := p.jobs[j.ID]; known {
 		return
 	}
+	if j.expect == 0 {
+		p.estimate(pl, &j, now)
+	}
 	pj := &placed{job: j, decision: d, at: now, deadline: now.Add(j.Lifetime)}
 	p.jobs[j.ID] = pj
 	p.parts.BeginTrial(d.Trial)
@@ -47,6 +50,7 @@
 		first.trials++
 	}
 	if first.engine == nil {
+		first.enter(pl, pj, now)
 		return
 	}
 	for _, w := range pl.works(&j, d, now) {
@@ -98,6 +102,7 @@
 	if pj == nil {
 		return
 	}
+	p.learn(pj, e, now)
 	p.drop(pj, now)
 	p.recordPoison(pj, e, now)
 	m := p.known(pj.upstream)
@@ -136,6 +141,7 @@
 		}
 		if i == 0 && m == p.known(pj.upstream) {
 			m.jobs = max(m.jobs-1, 0)
+			m.leave(pj, now)
 			if pj.decision.Suspect {
 				m.suspects = max(m.suspects-1, 0)
 			}
--- a/internal/placement/plain.go
+++ b/internal/placement/plain.go
@@ -7,15 +7,16 @@
 // errorRateJobs is the number of queued jobs that an error rate of 1 counts as.
 const errorRateJobs = 20
 
-// placePlain chooses a process of a plain service: the one with the fewest jobs
-// per slot, counting recent errors as jobs. Ties are broken round robin.
-func (p *Planner) placePlain(pl *pool, candidates []*member, now time.Time) Decision {
+// placePlain chooses a process of a plain service: the one with the least load per slot, see
+// plainLoad, counting recent errors as jobs. Ties are broken round robin.
+func (p *Planner) placePlain(pl *pool, candidates []*member, j *Job, now time.Time) Decision {
 	pl.nextStart++
 	var best *member
 	var lowest float64
+	work := p.workOf(j, now)
 	for i := range candidates {
 		m := candidates[(pl.nextStart+i)%len(candidates)]
-		cost := (float64(m.jobs) + errorRateJobs*m.health.errorRate(now)) / float64(max(m.upstream.Slots, 1))
+		cost := p.plainLoad(pl, m, work, now)
 		if m.upstream.DataCentre != p.dataCentre {
 			cost += remoteJobs
 		}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/banyanroute/banyanroute/internal/costmodel"
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/enginemodel"
 	"github.com/banyanroute/banyanroute/internal/logging"
@@ -39,6 +40,8 @@
 	parts *poison.PartTable
 	// limits holds the limits that upstreams name.
 	limits *upstreamlimit.Table
+	// costs predicts what jobs cost; nil if that is not to be learned.
+	costs *costs
 	// crashedAt holds when an upstream last crashed, by address, for unstableTime.
 	crashedAt map[string]time.Time
 	// unexplained holds the upstreams, by incarnation, on which an attempt was lost and
@@ -74,6 +77,8 @@
 	// answered reports whether the first token has arrived, answeredAt when.
 	answered   bool
 	answeredAt time.Time
+	// begunAt is when the job got a slot of a plain upstream, as far as is known.
+	begunAt time.Time
 }
 
 // pool holds the upstreams of one service.
@@ -147,6 +152,13 @@
 	cachedCost  float64
 	costAt      time.Time
 	costVersion uint64
+	// line holds the jobs on a plain upstream in the order of their placement, pace is its pace.
+	line []*placed
+	pace costmodel.Pace
+	// placedAt is when the last job was placed on a plain upstream, placedTurn the pool's
+	// nextStart then.
+	placedAt   time.Time
+	placedTurn int
 }
 
 // NewPlanner returns a Planner without upstreams.
@@ -266,6 +278,7 @@
 	if pl == nil || len(pl.order) == 0 {
 		return Decision{Reason: NoUpstream, RetryAfter: firstPause}
 	}
+	p.estimate(pl, &j, now)
 	verdict := p.verdict(&j, now)
 	if d, refused := p.refuseSuspect(&j, verdict, now); refused {
 		return d
@@ -300,7 +313,7 @@
 	if pl.service.Engine != nil {
 		d = p.placeGeneration(pl, candidates, &j, now)
 	} else {
-		d = p.placePlain(pl, candidates, now)
+		d = p.placePlain(pl, candidates, &j, now)
 	}
 	if d.Upstream != "" {
 		// An instance that plans alone does not know the suspects of the others.
--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -43,6 +43,10 @@
 	// maxReturn, if set, is when callers return at the latest after a refusal, whatever they
 	// were told.
 	maxReturn time.Duration
+	// learn reports whether the planner learns what jobs cost; alter, if set, changes the
+	// requests that were drawn.
+	learn bool
+	alter func(jobs []*simJob, start time.Time)
 }
 
 func usersModel() enginemodel.Model {
@@ -196,6 +200,9 @@
 
 func newSimulation(d day, now time.Time) *simulation {
 	s := &simulation{day: d, planner: NewPlanner(""), engines: map[string]*enginemodel.Engine{}, jobs: map[string]*simJob{}}
+	if d.learn {
+		s.planner.LearnCosts()
+	}
 	state := deployment.NewState()
 	state.Subscribe(s.planner.SetView)
 	state.SetConfiguration(&deployment.Configuration{Version: 1, Services: map[string]deployment.Service{"llm": {Name: "llm", Engine: &s.day.model}}}, now)
@@ -286,7 +293,7 @@
 		for _, other := range s.engines {
 			other.Remove(id, now)
 		}
-		s.planner.Ended(id, End{Outcome: Completed}, now)
+		s.planner.Ended(id, End{Outcome: Completed, Events: (j.output + s.day.model.Stride - 1) / s.day.model.Stride}, now)
 		delete(s.jobs, id)
 		return
 	}
@@ -303,6 +310,9 @@
 	now := time.Unix(1_000_000, 0)
 	s := newSimulation(d, now)
 	jobs := d.arrivals(seed, now)
+	if d.alter != nil {
+		d.alter(jobs, now)
+	}
 	o := outcomeOfDay{onTime: make([]int, len(d.classes)), all: make([]int, len(d.classes))}
 	var waiting []*simJob // by due time
 	for i := 0; ; {
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -53,6 +53,9 @@
 	// Rank is one more than the configured priority of the workspace or else of the route, so
 	// that 1 is the most urgent; 0 if unknown.
 	Rank int `wire:"added"`
+	// expect is the output in tokens that this planner has learned to expect; 0 if it has not. It
+	// is not sent.
+	expect int
 }
 
 // value returns the value of the job if it is answered in time: a fixed part, and the
@@ -181,7 +184,7 @@
 	// not, since the request was sent; 0 if it was not sent.
 	Silence time.Duration
 	// Duration is the time from the placement to the end, and Events the number of events of the
-	// answer; 0 if unknown.
+	// answer; 0 if unknown. Events is unknown if the attempt resumed an answer.
 	Duration time.Duration `wire:"added"`
 	Events   int           `wire:"added"`
 }
