placement: engines' work and memory are planned with learned mean outputs

The median underestimates the sums that an engine holds, since outputs have a long tail.

A resumed attempt reports no number of events, since its events are only the rest of the answer.

--- a/internal/costmodel/histogram.go
+++ b/internal/costmodel/histogram.go
@@ -54,6 +54,19 @@
 	return lowerBound(buckets)
 }
 
+// mean returns the mean of the values; 0 without any weight.
+func (d *distribution) mean() float64 {
+	total, sum := 0.0, 0.0
+	for i, w := range d {
+		total += w
+		sum += w * middle(i)
+	}
+	if total <= 0 {
+		return 0
+	}
+	return sum / total
+}
+
 // add adds a histogram's weights, multiplied by scale.
 func (d *distribution) add(h *histogram, scale float64) {
 	for i, w := range h.weights {
--- a/internal/costmodel/outputs.go
+++ b/internal/costmodel/outputs.go
@@ -32,6 +32,8 @@
 // Estimate is a prediction of output tokens.
 type Estimate struct {
 	Median int
+	// Mean is what many such answers are long on average.
+	Mean int
 	// High is exceeded by one answer in ten.
 	High int
 	// Samples is the number of observations of the route by their present weight; 0 if the
@@ -179,7 +181,7 @@
 		if route.basis == byNothing {
 			return Estimate{}
 		}
-		return Estimate{Median: int(tokens), High: int(tokens)}
+		return Estimate{Median: int(tokens), Mean: int(tokens), High: int(tokens)}
 	}
 	own, known := l.groups.Get(workspace)
 	if q.Workspace != "" && known {
@@ -192,11 +194,12 @@
 	r, _ := l.groups.Get(route)
 	estimate := Estimate{
 		Median:  int(min(math.Round(tokens*d.quantile(0.5)), maxTokens)),
+		Mean:    int(min(math.Round(tokens*d.mean()), maxTokens)),
 		High:    int(min(math.Round(tokens*d.quantile(highQuantile)), maxTokens)),
 		Samples: r.count(now),
 	}
 	if q.Most > 0 {
-		estimate.Median, estimate.High = min(estimate.Median, q.Most), min(estimate.High, q.Most)
+		estimate.Median, estimate.Mean, estimate.High = min(estimate.Median, q.Most), min(estimate.Mean, q.Most), min(estimate.High, q.Most)
 	}
 	return estimate
 }
--- a/internal/costmodel/outputs_test.go
+++ b/internal/costmodel/outputs_test.go
@@ -41,7 +41,7 @@
 	l := NewLearner()
 	for _, c := range []struct{ hint, most, want int }{{400, 1000, 400}, {400, 0, 400}, {0, 1000, 1000}, {2000, 1000, 1000}, {0, 0, 0}} {
 		e := l.Predict(Query{Service: "llm", Route: "ask", Workspace: "w", Prompt: 10, Hint: c.hint, Most: c.most}, start)
-		if e != (Estimate{Median: c.want, High: c.want}) {
+		if e != (Estimate{Median: c.want, Mean: c.want, High: c.want}) {
 			t.Errorf("hint %d, maximum %d: estimate is %+v, want %d tokens without samples", c.hint, c.most, e, c.want)
 		}
 	}
@@ -93,7 +93,7 @@
 	now := answers(l, r, "w", 5, 1000, start)
 	now = answers(l, r, "w", 0.5, 1200, now)
 	wantMedian(t, l, "w", 200, 1.3, now)
-	if e := l.Predict(query("w", 400), now.Add(20*halfLife)); e != (Estimate{Median: 400, High: 400}) {
+	if e := l.Predict(query("w", 400), now.Add(20*halfLife)); e != (Estimate{Median: 400, Mean: 400, High: 400}) {
 		t.Errorf("long after the last answer the estimate is %+v, want the hint", e)
 	}
 }
--- a/internal/passthrough/progress_test.go
+++ b/internal/passthrough/progress_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/deployment"
+	"github.com/banyanroute/banyanroute/internal/placement"
 )
 
 // step is a part of an upstream's answer and the pause after it.
@@ -98,3 +99,26 @@
 		})
 	}
 }
+
+// TestResumedAnswersHaveNoLength guards against the rest of an answer that another engine began
+// being reported as the whole, from which answers would be learned to be short.
+func TestResumedAnswersHaveNoLength(t *testing.T) {
+	t.Parallel()
+	const event1, event2 = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	whole, resumed := &scriptedPlacer{}, &scriptedPlacer{}
+	streamTo(whole, answerInSteps(step{event1 + event2, 0}))
+	streamTo(resumed, answerInSteps(append([]step{{event1, 0}}, repeat(60, step{": alive\n\n", 100 * time.Millisecond})...)...), answerInSteps(step{event2, 0}))
+	for name, c := range map[string]struct {
+		placer   *scriptedPlacer
+		attempts int
+		events   int
+	}{"whole": {whole, 1, 2}, "resumed": {resumed, 2, 0}} {
+		if len(c.placer.ends) != c.attempts {
+			t.Fatalf("%s: %d attempts have ended, want %d", name, len(c.placer.ends), c.attempts)
+		}
+		last := c.placer.ends[c.attempts-1]
+		if last.Outcome != placement.Completed || last.Events != c.events || last.Duration <= 0 {
+			t.Errorf("%s: the last attempt ended as %+v, want it completed with %d events", name, last, c.events)
+		}
+	}
+}
--- a/internal/passthrough/serve_test.go
+++ b/internal/passthrough/serve_test.go
@@ -35,6 +35,7 @@
 	mu       sync.Mutex
 	placed   []string
 	answered []string
+	ends     []placement.End
 }
 
 func (p *scriptedPlacer) Place(_ context.Context, j placement.Job) placement.Decision {
@@ -59,7 +60,11 @@
 
 func (*scriptedPlacer) Paused(deployment.Upstream) bool { return false }
 
-func (*scriptedPlacer) Ended(string, string, placement.End) {}
+func (p *scriptedPlacer) Ended(_, _ string, e placement.End) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ends = append(p.ends, e)
+}
 
 // countingReserver counts the reservations that are held.
 type countingReserver struct {
--- a/internal/placement/learnedcost.go
+++ b/internal/placement/learnedcost.go
@@ -49,7 +49,7 @@
 		return
 	}
 	if e := p.costs.outputs.Predict(j.query(), now); e.Samples > 0 {
-		j.expect = max(e.Median, 1)
+		j.expect = max(e.Mean, 1)
 	}
 }
 
--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -171,6 +171,8 @@
 	earned, owed float64
 	onTime, all  []int
 	refused      int
+	// overfull counts placements on engines whose memory does not hold the answers.
+	overfull int
 	// pauseLate, firstLate and bothLate count late answers by cause.
 	pauseLate, firstLate, bothLate [3]int
 	decisions                      time.Duration
@@ -196,6 +198,8 @@
 	planner *Planner
 	engines map[string]*enginemodel.Engine
 	jobs    map[string]*simJob
+	// overfull counts placements on engines whose memory does not hold the answers.
+	overfull int
 }
 
 func newSimulation(d day, now time.Time) *simulation {
@@ -240,7 +244,11 @@
 		} else if len(d.Helpers) > 0 {
 			w.work.NotBefore = never
 		}
-		s.engines[w.upstream].Add(w.work, now)
+		e := s.engines[w.upstream]
+		e.Add(w.work, now)
+		if e.FreeTokens() < 0 {
+			s.overfull++
+		}
 	}
 	return true, false, 0
 }
@@ -383,7 +391,7 @@
 			o.onTime[j.class]++
 		}
 	}
-	o.worth = d.worth(jobs, now)
+	o.worth, o.overfull = d.worth(jobs, now), s.overfull
 	return o
 }
 
