placement: the pace of engines is learned from the ends of answers

First tokens show only an engine that takes 1.6 times as long as predicted. An answer has many passes: the output that was predicted until its end, over the actual one, shows a ratio of 1.15. Only a home learns from it, because a planner that doesn't know all jobs of an engine predicts faster passes.

TestEnginesPaceIsLearnedFromEnds and the case of slow engines in TestLearnedOutputs were seen to fail without it.

--- a/internal/placement/cost_replay_test.go
+++ b/internal/placement/cost_replay_test.go
@@ -82,11 +82,16 @@
 		"low hints":     {scaledHints(0.2), -noise, 0.75},
 		"misleading":    {misleadingHints, -noise, 1},
 		"longer in all": {longAnswers, 0.01, 0.9},
+		"slow engines":  {scaledHints(1), 0.02, 1.1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			d := trinacriaDay(1)
-			d.model.MemoryTokens = 120_000 // so that memory is scarce
+			if name == "slow engines" {
+				d.slowEngines, d.slowBy = d.engines, 1.3
+			} else {
+				d.model.MemoryTokens = 120_000 // so that memory is scarce
+			}
 			before, after := costDays(d, seeds, false, c.alter), costDays(d, seeds, true, c.alter)
 			t.Logf("by hint %.4f, learned %.4f", before, after)
 			if after.inTime < before.inTime+c.inTime {
@@ -99,6 +104,27 @@
 	}
 }
 
+// TestEnginesPaceIsLearnedFromEnds guards against engines that are somewhat slower than the model
+// says, less than first tokens can tell, and get as much work as the others, and against usual
+// ones that are taken to be slow.
+func TestEnginesPaceIsLearnedFromEnds(t *testing.T) {
+	t.Parallel()
+	const slow, by = 3, 1.3
+	d := trinacriaDay(0.85)
+	d.learn, d.slowEngines, d.slowBy, d.alter = true, slow, by, scaledHints(1)
+	d.inspect = func(s *simulation) {
+		for i, m := range s.planner.pools["llm"].order {
+			factor := m.engine.SpeedFactor()
+			if want := i < slow; want && (factor < 1.15 || factor > 1.5) || !want && factor > 1.15 {
+				t.Errorf("%s: the speed factor is %.2f, slow by %.1f: %t", m.upstream.ID, factor, by, want)
+			}
+		}
+	}
+	for seed := range uint64(3) {
+		d.run(seed)
+	}
+}
+
 // TestNoEndsNoChange guards against placements of generations that change before any answer has
 // ended, and against outputs that are learned from answers whose length is unknown.
 func TestNoEndsNoChange(t *testing.T) {
--- a/internal/placement/learnedcost.go
+++ b/internal/placement/learnedcost.go
@@ -84,6 +84,7 @@
 	if expected := pj.job.expect; expected > 0 {
 		metrics.GetOrCreateHistogram(`banyanroute_output_estimate_ratio{from="learned"}`).Update(float64(actual) / float64(expected))
 	}
+	p.learnEnginePace(pj, e.Events, now)
 	p.costs.outputs.Observe(costmodel.Sample{Query: pj.job.query(), Actual: actual}, now)
 }
 
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -152,6 +152,8 @@
 	cachedCost  float64
 	costAt      time.Time
 	costVersion uint64
+	// endAt is when the last answer of an engine ended that its speed was learned from.
+	endAt time.Time
 	// line holds the jobs on a plain upstream in the order of their placement, pace is its pace.
 	line []*placed
 	pace costmodel.Pace
--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -47,6 +47,11 @@
 	// requests that were drawn.
 	learn bool
 	alter func(jobs []*simJob, start time.Time)
+	// slowEngines is how many engines take slowBy times as long as the model says.
+	slowEngines int
+	slowBy      float64
+	// inspect, if set, is called at the end.
+	inspect func(*simulation)
 }
 
 func usersModel() enginemodel.Model {
@@ -215,6 +220,9 @@
 		id := fmt.Sprintf("e%02d", i)
 		ups = append(ups, deployment.Upstream{ID: id, Service: "llm", Address: id, Slots: d.model.Slots})
 		s.engines[id] = enginemodel.NewEngine(&s.day.model)
+		if i < d.slowEngines {
+			s.engines[id].SetSpeedFactor(d.slowBy)
+		}
 	}
 	state.ReplaceUpstreams(ups, deployment.Revision{Number: 1}, now)
 	return s
@@ -373,6 +381,9 @@
 		}
 		s.pass(e, at)
 	}
+	if d.inspect != nil {
+		d.inspect(s)
+	}
 	for _, j := range jobs {
 		k := d.classes[j.class]
 		o.owed += j.value
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -34,6 +34,9 @@
 	}
 	// With this factor the prediction would have been exact.
 	target := factor * ratio
+	if target < slowRatio && m.knowsPace(now) {
+		return
+	}
 	if target < slowRatio {
 		target = 1
 	}
