--- a/internal/placement/plaincost_test.go
+++ b/internal/placement/plaincost_test.go
@@ -35,10 +35,9 @@
 
 // plainEvent is the end of a job, or later the planner's knowledge of it.
 type plainEvent struct {
-	at       time.Time
-	id, up   string
-	reported bool
-	took     time.Duration
+	at   time.Time
+	id   string
+	took time.Duration
 }
 
 type plainEvents []plainEvent
@@ -128,7 +127,7 @@
 		slots[i] = begin.Add(time.Duration(slow * float64(work)))
 		took := slots[i].Sub(at)
 		times = append(times, took)
-		heap.Push(&events, plainEvent{at: slots[i].Add(plainReport), id: j.ID, up: dec.Upstream, took: took})
+		heap.Push(&events, plainEvent{at: slots[i].Add(plainReport), id: j.ID, took: took})
 	}
 	o := plainOutcome{}
 	slices.Sort(times)
