--- a/internal/hosted/settings.go
+++ b/internal/hosted/settings.go
@@ -47,4 +47,7 @@
 	// its rate times ColdOverage, plus ColdSlack.
 	ColdOverage float64
 	ColdSlack   float64
+	// LearnCosts reports whether placement learns what requests cost from those that have ended.
+	// It applies from the start of the process.
+	LearnCosts bool
 }
--- a/internal/passthrough/serve_test.go
+++ b/internal/passthrough/serve_test.go
@@ -35,6 +35,7 @@
 	mu       sync.Mutex
 	placed   []string
 	answered []string
+	ends     []placement.End
 }
 
 func (p *scriptedPlacer) Place(_ context.Context, j placement.Job) placement.Decision {
@@ -61,7 +62,11 @@
 
 func (*scriptedPlacer) Withheld(placement.Decision, deployment.Upstream) []string { return nil }
 
-func (*scriptedPlacer) Ended(string, string, placement.End) {}
+func (p *scriptedPlacer) Ended(_, _ string, e placement.End) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ends = append(p.ends, e)
+}
 
 // countingReserver counts the reservations that are held.
 type countingReserver struct {
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/banyanroute/banyanroute/internal/costmodel"
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/enginemodel"
 	"github.com/banyanroute/banyanroute/internal/logging"
@@ -45,6 +46,8 @@
 	// limitsCold reports whether a service has a rate for cold upstreams.
 	limitsCold atomic.Bool
 	coldBounds func() upstreamlimit.ColdBounds
+	// costs predicts what jobs cost; nil if that is not to be learned.
+	costs *costs
 	// crashedAt holds when an upstream last crashed, by address, for unstableTime.
 	crashedAt map[string]time.Time
 	// unexplained holds the upstreams, by incarnation, on which an attempt was lost and
@@ -80,6 +83,8 @@
 	// answered reports whether the first token has arrived, answeredAt when.
 	answered   bool
 	answeredAt time.Time
+	// begunAt is when the job got a slot of a plain upstream, as far as is known.
+	begunAt time.Time
 }
 
 // pool holds the upstreams of one service.
@@ -160,6 +165,15 @@
 	cachedCost  float64
 	costAt      time.Time
 	costVersion uint64
+	// endAt is when the last answer of an engine ended that its speed was learned from.
+	endAt time.Time
+	// line holds the jobs on a plain upstream in the order of their placement, pace is its pace.
+	line []*placed
+	pace costmodel.Pace
+	// placedAt is when the last job was placed on a plain upstream, placedTurn the pool's
+	// nextStart then.
+	placedAt   time.Time
+	placedTurn int
 }
 
 // NewPlanner returns a Planner without upstreams.
@@ -318,6 +332,7 @@
 	if pl == nil || len(pl.order) == 0 {
 		return Decision{Reason: NoUpstream, RetryAfter: firstPause}
 	}
+	p.estimate(pl, &j, now)
 	verdict := p.verdict(&j, now)
 	if d, refused := p.refuseSuspect(&j, verdict, now); refused {
 		return d
@@ -354,7 +369,7 @@
 	if pl.service.Engine != nil {
 		d = p.placeGeneration(pl, candidates, &j, now)
 	} else {
-		d = p.placePlain(pl, candidates, now)
+		d = p.placePlain(pl, candidates, &j, now)
 	}
 	if d.Upstream != "" {
 		// An instance that plans alone does not know the suspects of the others.
--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -43,6 +43,15 @@
 	// maxReturn, if set, is when callers return at the latest after a refusal, whatever they
 	// were told.
 	maxReturn time.Duration
+	// learn reports whether the planner learns what jobs cost; alter, if set, changes the
+	// requests that were drawn.
+	learn bool
+	alter func(jobs []*simJob, start time.Time)
+	// slowEngines is how many engines take slowBy times as long as the model says.
+	slowEngines int
+	slowBy      float64
+	// inspect, if set, is called at the end.
+	inspect func(*simulation)
 }
 
 func usersModel() enginemodel.Model {
@@ -167,6 +176,8 @@
 	earned, owed float64
 	onTime, all  []int
 	refused      int
+	// overfull counts placements on engines whose memory does not hold the answers.
+	overfull int
 	// pauseLate, firstLate and bothLate count late answers by cause.
 	pauseLate, firstLate, bothLate [3]int
 	decisions                      time.Duration
@@ -192,10 +203,15 @@
 	planner *Planner
 	engines map[string]*enginemodel.Engine
 	jobs    map[string]*simJob
+	// overfull counts placements on engines whose memory does not hold the answers.
+	overfull int
 }
 
 func newSimulation(d day, now time.Time) *simulation {
 	s := &simulation{day: d, planner: NewPlanner(""), engines: map[string]*enginemodel.Engine{}, jobs: map[string]*simJob{}}
+	if d.learn {
+		s.planner.LearnCosts()
+	}
 	state := deployment.NewState()
 	state.Subscribe(s.planner.SetView)
 	state.SetConfiguration(&deployment.Configuration{Version: 1, Services: map[string]deployment.Service{"llm": {Name: "llm", Engine: &s.day.model}}}, now)
@@ -204,6 +220,9 @@
 		id := fmt.Sprintf("e%02d", i)
 		ups = append(ups, deployment.Upstream{ID: id, Service: "llm", Address: id, Slots: d.model.Slots})
 		s.engines[id] = enginemodel.NewEngine(&s.day.model)
+		if i < d.slowEngines {
+			s.engines[id].SetSpeedFactor(d.slowBy)
+		}
 	}
 	state.ReplaceUpstreams(ups, deployment.Revision{Number: 1}, now)
 	return s
@@ -233,7 +252,11 @@
 		} else if len(d.Helpers) > 0 {
 			w.work.NotBefore = never
 		}
-		s.engines[w.upstream].Add(w.work, now)
+		e := s.engines[w.upstream]
+		e.Add(w.work, now)
+		if e.FreeTokens() < 0 {
+			s.overfull++
+		}
 	}
 	return true, false, 0
 }
@@ -286,7 +309,7 @@
 		for _, other := range s.engines {
 			other.Remove(id, now)
 		}
-		s.planner.Ended(id, End{Outcome: Completed}, now)
+		s.planner.Ended(id, End{Outcome: Completed, Events: (j.output + s.day.model.Stride - 1) / s.day.model.Stride}, now)
 		delete(s.jobs, id)
 		return
 	}
@@ -303,6 +326,9 @@
 	now := time.Unix(1_000_000, 0)
 	s := newSimulation(d, now)
 	jobs := d.arrivals(seed, now)
+	if d.alter != nil {
+		d.alter(jobs, now)
+	}
 	o := outcomeOfDay{onTime: make([]int, len(d.classes)), all: make([]int, len(d.classes))}
 	var waiting []*simJob // by due time
 	for i := 0; ; {
@@ -355,6 +381,9 @@
 		}
 		s.pass(e, at)
 	}
+	if d.inspect != nil {
+		d.inspect(s)
+	}
 	for _, j := range jobs {
 		k := d.classes[j.class]
 		o.owed += j.value
@@ -373,7 +402,7 @@
 			o.onTime[j.class]++
 		}
 	}
-	o.worth = d.worth(jobs, now)
+	o.worth, o.overfull = d.worth(jobs, now), s.overfull
 	return o
 }
 
