placement: callers that compete share the room when engines are short

A workspace that asks for more than its fair share, or less urgent work, took room from all others alike when engines were full.

Package fairshare accounts for the work of workspaces (engine time and memory, decaying with 5 s) and computes max-min fair shares, in which unused shares go to those who wait. The planner keeps such an account for each service whose workspaces have priorities or whose routes differ in theirs. A job that finds no room leaves a claim; a job that could be placed yields to claims that come before it: by rank, where a workspace loses a rank for each doubling above its share. Each rank has a floor of a twentieth of the work. A yield is answered with a reason that knows: full, deferred or too-late. Without claims nothing changes.

TestCalmFleetDecidesAsBefore and TestEqualCallersAreServedAsBefore guard the other side.

--- a/internal/hosted/dump.go
+++ b/internal/hosted/dump.go
@@ -24,6 +24,8 @@
 	// Members are the live instances in this instance's view.
 	Members   []string                  `json:"members"`
 	Upstreams []placement.UpstreamState `json:"upstreams"`
+	// Shares are the accounts of the services whose callers compete.
+	Shares []placement.ServiceShares `json:"shares"`
 	// Paths are the upstreams that this instance reaches through other instances only, and the
 	// connections that it serves for others.
 	Paths any `json:"paths"`
@@ -35,7 +37,7 @@
 	s := stateDump{
 		View:     build.View{Instance: n.settings.Instance, Build: build.ID(), ProtocolVersion: member.ProtocolVersion},
 		Draining: n.draining(), ListRevision: v.Revision,
-		Upstreams: n.planner.Dump(time.Now()), Paths: n.tunnels.Dump(),
+		Upstreams: n.planner.Dump(time.Now()), Shares: n.planner.DumpShares(time.Now()), Paths: n.tunnels.Dump(),
 	}
 	if !v.ListedAt.IsZero() {
 		s.ListAge = time.Since(v.ListedAt).Seconds()
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/banyanroute/banyanroute/internal/fairshare"
 )
 
 // Adopt records a job that another instance placed.
@@ -15,6 +17,7 @@
 		return
 	}
 	p.adopt(pl, a.Job, a.Decision, a.Since < adoptedSpendTime, now)
+	pl.chargeEarlier(p.jobs[a.Job.ID], now.Add(-a.Since), now)
 	if a.Answered {
 		p.firstAnswer(a.Job.ID, now)
 	}
@@ -33,6 +36,7 @@
 		return
 	}
 	pj.run, pj.pool = first.run, pl
+	pl.charge(pj, now)
 	if spend {
 		p.limits.Sent(limitKey(first.upstream))
 	}
@@ -98,6 +102,9 @@
 	if pj == nil {
 		return
 	}
+	if pj.pool != nil {
+		pj.pool.settle(pj, e, now)
+	}
 	p.drop(pj, now)
 	p.recordPoison(pj, e, now)
 	m := p.known(pj.upstream)
@@ -178,6 +185,9 @@
 	p.limits.Retell(service) // the owner may have started anew
 	for _, pj := range p.jobs {
 		if pj.job.Owner == owner && pj.job.Service == service {
+			if pj.pool != nil {
+				pj.pool.recharge(pj, fairshare.Work{}, now) // it is charged again if it is reported again
+			}
 			p.drop(pj, now)
 		}
 	}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -13,6 +13,7 @@
 
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/enginemodel"
+	"github.com/banyanroute/banyanroute/internal/fairshare"
 	"github.com/banyanroute/banyanroute/internal/logging"
 	"github.com/banyanroute/banyanroute/internal/poison"
 	"github.com/banyanroute/banyanroute/internal/upstreamlimit"
@@ -71,6 +72,9 @@
 	alone    bool
 	at       time.Time
 	deadline time.Time
+	// charge is the work charged to the accounts of the pool for a time.
+	charge    fairshare.Work
+	chargedAt time.Time
 	// answered reports whether the first token has arrived, answeredAt when.
 	answered   bool
 	answeredAt time.Time
@@ -91,6 +95,8 @@
 	nextStart int
 	// frontJobs is the number of jobs in flight whose prompts are not very long.
 	frontJobs int
+	// shares holds the accounts of the callers; nil if they do not compete.
+	shares *shares
 }
 
 // absentMemory is how long a member is kept that is not listed, as long as the mark of an upstream
@@ -172,6 +178,7 @@
 			p.pools[name] = pl
 		}
 		restarted, removed := pl.set(service, v.Upstreams(name), time.Now())
+		pl.setShares(v.Config, name)
 		for _, r := range restarted {
 			p.crashed(r, time.Now())
 		}
@@ -298,7 +305,7 @@
 		candidates, apart = withoutSuspects(candidates)
 	}
 	if pl.service.Engine != nil {
-		d = p.placeGeneration(pl, candidates, &j, now)
+		d = pl.share(&j, p.placeGeneration(pl, candidates, &j, now), now)
 	} else {
 		d = p.placePlain(pl, candidates, now)
 	}
--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -94,7 +94,9 @@
 	due, sent time.Time
 	// returned reports whether the caller has come back after a refusal.
 	returned bool
-	output   int
+	// impatient reports whether the caller returns at once after each refusal.
+	impatient bool
+	output    int
 	// parts is the number of helpers' parts that are not computed yet.
 	parts int
 	first time.Time
@@ -106,6 +108,9 @@
 	value float64
 }
 
+// impatientReturn is when impatient callers return.
+const impatientReturn = 50 * time.Millisecond
+
 // gap is the time without data after which the caller leaves.
 func (j *simJob) gap() time.Duration {
 	return max(2*time.Second, 4*j.job.FirstAnswer, 8*j.job.MaxPause)
@@ -301,8 +306,12 @@
 // run simulates the day and returns its result.
 func (d day) run(seed uint64) outcomeOfDay {
 	now := time.Unix(1_000_000, 0)
-	s := newSimulation(d, now)
-	jobs := d.arrivals(seed, now)
+	return newSimulation(d, now).play(d.arrivals(seed, now), now)
+}
+
+// play simulates the day with the given requests.
+func (s *simulation) play(jobs []*simJob, now time.Time) outcomeOfDay {
+	d := s.day
 	o := outcomeOfDay{onTime: make([]int, len(d.classes)), all: make([]int, len(d.classes))}
 	var waiting []*simJob // by due time
 	for i := 0; ; {
@@ -326,6 +335,12 @@
 			o.placed++
 			left := j.job.Lifetime - j.due.Sub(j.at)
 			switch {
+			case !placed && !retry && j.impatient && left > impatientReturn:
+				j.job.ID += "'"
+				j.due = j.due.Add(impatientReturn)
+				j.sent = j.due
+				waiting = append(waiting, j)
+				slices.SortStableFunc(waiting, func(a, b *simJob) int { return a.due.Compare(b.due) })
 			case !placed && !retry && !j.returned:
 				// Callers come back once, after a third of the time that they have left at most.
 				j.returned = true
