--- a/internal/fairshare/account.go
+++ b/internal/fairshare/account.go
@@ -16,7 +16,8 @@
 	// maxEntries bounds the workspaces of an account. Those that have used the least are dropped
 	// first, which at most lets them count as new.
 	maxEntries = 2048
-	// refreshTime is how long a computed fair share is used; it bounds the time for a decision.
+	// refreshTime is how long a computed fair share is used. It bounds the processor time for
+	// decisions, and is short compared with the second within which shares are reclaimed.
 	refreshTime = 50 * time.Millisecond
 	// forgetShare is the dominant share below which a workspace is dropped.
 	forgetShare = 1e-6
@@ -144,11 +145,7 @@
 
 // Wait records that a request of a workspace found no room.
 func (a *Account) Wait(workspace string, now time.Time) {
-	e := a.entry(workspace, now)
-	if !now.Before(e.waits) {
-		a.stale = true
-	}
-	e.waits = now.Add(waitTime)
+	a.entry(workspace, now).waits = now.Add(waitTime)
 }
 
 // Total returns the sum of the dominant shares of all workspaces.
--- a/internal/fairshare/account_test.go
+++ b/internal/fairshare/account_test.go
@@ -25,6 +25,7 @@
 		t.Errorf("a workspace that is alone is at %.2f of its share, want at most 1", got)
 	}
 	a.Wait("new", now)
+	now = now.Add(refreshTime)
 	if got := a.Level("new", now); got != 0 {
 		t.Errorf("a workspace without work is at %.2f of its share, want 0", got)
 	}
@@ -43,6 +44,7 @@
 	}
 	a.Charge("large", Work{Memory: 0.8}, now, now)
 	a.Wait("large", now)
+	now = now.Add(refreshTime)
 	if got := a.Level("large", now); math.Abs(got-1) > 0.01 {
 		t.Errorf("the only workspace that waits is at %.2f of its share, want 1", got)
 	}
@@ -73,7 +75,8 @@
 		a.Charge(name, Work{Time: 0.3}, start, start)
 		a.Wait(name, start)
 	}
-	if d, s := a.Level("double", start), a.Level("single", start); math.Abs(s-2*d) > 1e-9 {
+	now := start.Add(refreshTime)
+	if d, s := a.Level("double", now), a.Level("single", now); math.Abs(s-2*d) > 1e-9 {
 		t.Errorf("levels %.3f and %.3f, want half of the other", d, s)
 	}
 }
@@ -103,34 +106,31 @@
 			}
 		}
 		now = now.Add(refreshTime) // the fair share is computed again
+		states := a.States(maxEntries, now)
 		total, waiting, above, below := 0.0, 0, 0, 0
-		for _, s := range a.States(maxEntries, now) {
+		for _, s := range states {
 			if s.Share < 0 || math.IsNaN(s.Level) || s.Level < 0 {
 				t.Fatalf("account %+v", s)
 			}
 			total += s.Share
+			if s.Level > 1+1e-6 {
+				above++
+			}
 			if s.Waiting {
 				waiting++
-				if s.Level > 1+1e-6 {
-					above++
-				} else if s.Level < 1-1e-6 {
+				if s.Level < 1-1e-6 {
 					below++
 				}
-			} else if s.Share >= forgetShare && s.Level > 1+1e-6 && waiting == 0 {
-				above++
 			}
 		}
 		if math.Abs(total-a.Total(now)) > 1e-6*float64(len(names)) {
 			t.Fatalf("total %.6f, sum of all %.6f", a.Total(now), total)
 		}
-		if waiting > 0 && total > 1e-3 && below == waiting && above == 0 {
-			over := false
-			for _, s := range a.States(maxEntries, now) {
-				over = over || s.Level > 1+1e-6
-			}
-			if !over {
-				t.Fatalf("all that wait are below their shares, and nobody is above: %+v", a.States(maxEntries, now))
-			}
+		if total > 1e-3 && waiting > 0 && below == waiting && above == 0 {
+			t.Fatalf("all that wait are below their shares, and nobody is above: %+v", states)
+		}
+		if total > 1e-3 && waiting == 1 && len(states) == 1 && above > 0 {
+			t.Fatalf("a workspace that is alone is above its share: %+v", states)
 		}
 	})
 }
--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -296,15 +296,15 @@
 func (s *shares) refuse(j *Job, d Decision, need float64, now time.Time) Decision {
 	s.workspaces.Wait(j.Workspace, now)
 	key := j.callerKey()
+	order := s.order(j, now)
 	c := s.claims[key]
 	if c == nil {
-		if len(s.claims) >= maxClaims {
-			return d
-		}
 		c = &claim{}
-		s.claims[key] = c
+		if len(s.claims) < maxClaims || s.evict(order, now) {
+			s.claims[key] = c
+		}
 	}
-	c.order, c.need, c.credit = s.order(j, now), need, claimCredit*need
+	c.order, c.need, c.credit = order, need, claimCredit*need
 	c.waits = time.Time{}
 	switch {
 	case d.Reason == Full && j.MayWait:
@@ -321,6 +321,32 @@
 	return d
 }
 
+// evict drops the least claim, and reports false if all come before the order. Claims of callers
+// that were refused are less than those of jobs that wait. Otherwise a workspace with many
+// requests would leave no room for the claims of others.
+func (s *shares) evict(order int, now time.Time) bool {
+	var least uint64
+	var worst *claim
+	for key, c := range s.claims {
+		if worst == nil || c.less(worst, now) || !worst.less(c, now) && key < least {
+			least, worst = key, c
+		}
+	}
+	if now.Before(worst.waits) && worst.order < order {
+		return false
+	}
+	delete(s.claims, least)
+	return true
+}
+
+// less reports whether a claim is dropped before another one.
+func (c *claim) less(o *claim, now time.Time) bool {
+	if waits := now.Before(c.waits); waits != now.Before(o.waits) {
+		return !waits
+	}
+	return c.order > o.order
+}
+
 // sweep drops claims whose callers have not come back.
 func (s *shares) sweep(now time.Time) {
 	if now.Sub(s.sweptAt) < claimSlack {
--- a/internal/placement/shares_test.go
+++ b/internal/placement/shares_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -9,7 +10,10 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/banyanroute/banyanroute/internal/deployment"
+	"github.com/banyanroute/banyanroute/internal/fairshare"
 )
 
 // sharedDay is a day of callers that compete: each request has a workspace and a rank.
@@ -254,3 +258,221 @@
 		t.Errorf("the days are worth %.3f with accounts, %.3f without", worth[0], worth[1])
 	}
 }
+
+// competing returns a fixture of engines whose callers compete.
+func competing(engines int) (*fixture, *pool) {
+	f := newFixture(engines)
+	pl := f.planner.pools["llm"]
+	pl.shares = newShares("llm")
+	return f, pl
+}
+
+// competingJob returns a short job of a workspace and a rank.
+func competingJob(id, workspace string, rank int) Job {
+	j := shortJob(id)
+	j.Workspace, j.Rank, j.Fingerprint = workspace, rank, xxhash.Sum64String(id)
+	return j
+}
+
+// TestReturnTimesDifferByCaller guards against callers that are refused together and return
+// together, or at once although many wait.
+func TestReturnTimesDifferByCaller(t *testing.T) {
+	_, pl := competing(4)
+	now := time.Now()
+	seen := map[time.Duration]bool{}
+	for i := range 20 {
+		j := competingJob(strconv.Itoa(i), "w", 1)
+		seen[pl.share(&j, Decision{Reason: TooLarge, RetryAfter: refusalPause}, now).RetryAfter] = true
+	}
+	if len(seen) < 18 {
+		t.Errorf("20 callers are told %d different times", len(seen))
+	}
+	// Work of 0.1 s a second is placed, and work of more than 1 s waits.
+	pl.shares.workspaces.Charge("w", fairshare.Work{Time: 0.1 * fairshare.Window.Seconds()}, now, now)
+	waiting := competingJob("waiting", "w", 1)
+	waiting.Prompt, waiting.MayDefer = 600_000, true
+	pl.share(&waiting, Decision{Reason: Deferred, RetryAfter: refusalPause}, now)
+	j := competingJob("late", "w", 1)
+	if got := pl.share(&j, Decision{Reason: TooLarge, RetryAfter: refusalPause}, now.Add(refusalPause/2)).RetryAfter; got < 2*refusalPause {
+		t.Errorf("told to return after %v, want when those that wait are placed", got)
+	}
+}
+
+// TestCallerThatReturnsIsNotWorseOff guards against callers that did what they were told and are
+// refused again for the sake of new ones.
+func TestCallerThatReturnsIsNotWorseOff(t *testing.T) {
+	for _, c := range []struct {
+		name, id string
+		// after is the time of the return relative to the one that was told.
+		after float64
+		want  bool
+	}{{"too early", "first", 0.5, false}, {"new", "new", 1, false}, {"as told", "first", 1, true}} {
+		_, pl := competing(4)
+		now := time.Now()
+		pl.shares.ranks.Charge("2", fairshare.Work{Time: 1}, now, now)
+		first := competingJob("first", "a", 2)
+		d := pl.share(&first, Decision{Reason: TooLate, RetryAfter: time.Second}, now)
+		now = now.Add(time.Duration(c.after * float64(d.RetryAfter)))
+		urgent := competingJob("urgent", "b", 1)
+		urgent.MayWait = true
+		pl.share(&urgent, Decision{Reason: Full, RetryAfter: refusalPause}, now)
+		j := competingJob(c.id, "a", 2)
+		j.MayWait = true
+		if got := pl.share(&j, Decision{Upstream: "e0"}, now).Upstream != ""; got != c.want {
+			t.Errorf("%s: placed %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestFloodLeavesRoomForClaims guards against a workspace whose many requests use up all claims.
+func TestFloodLeavesRoomForClaims(t *testing.T) {
+	_, pl := competing(4)
+	now := time.Now()
+	for i := range 2 * maxClaims {
+		j := competingJob(strconv.Itoa(i), "flood", 3)
+		j.MayWait = i%2 == 0
+		pl.share(&j, Decision{Reason: Full, RetryAfter: refusalPause}, now)
+	}
+	j := competingJob("other", "other", 1)
+	j.MayWait = true
+	pl.share(&j, Decision{Reason: Full, RetryAfter: refusalPause}, now)
+	if n := len(pl.shares.claims); n > maxClaims {
+		t.Errorf("%d claims, want at most %d", n, maxClaims)
+	}
+	if pl.shares.claims[j.callerKey()] == nil {
+		t.Error("the claim of another workspace was not recorded")
+	}
+}
+
+// TestNewHomeLearnsSharesFromJobs guards against a home that does not know the work of the jobs
+// that are reported to it, or counts it twice if they are reported again.
+func TestNewHomeLearnsSharesFromJobs(t *testing.T) {
+	old, from := competing(4)
+	fresh, to := competing(4)
+	now := time.Now()
+	for i := range 8 {
+		j := competingJob(strconv.Itoa(i), "w", 1)
+		j.Owner = "i0"
+		old.planner.Place(j, 1, now)
+	}
+	now = now.Add(time.Second)
+	for range 2 {
+		for _, e := range old.planner.resetEvents("llm", "i0", now) {
+			fresh.planner.applyEvent(e, now)
+		}
+		want, got := from.shares.workspaces.Share("w", now), to.shares.workspaces.Share("w", now)
+		if want == 0 || math.Abs(got-want) > 0.01*want {
+			t.Errorf("share %.5f at the new home, %.5f at the old one", got, want)
+		}
+	}
+}
+
+// TestUnderstatedAnswersAreCharged guards against callers that gain room by stating answers shorter
+// than they are, and against charges for what did not run.
+func TestUnderstatedAnswersAreCharged(t *testing.T) {
+	f, pl := competing(4)
+	now := time.Now()
+	place := func(id string, output, events int, o Outcome) float64 {
+		j := competingJob(id, id, 1)
+		j.Output = output
+		f.planner.Place(j, 1, now)
+		f.planner.Ended(id, End{Outcome: o, Events: events}, now)
+		return pl.shares.workspaces.Share(id, now)
+	}
+	stride := max(pl.service.Engine.Stride, 1)
+	honest, liar := place("honest", 40*stride, 40, Completed), place("liar", stride, 40, Completed)
+	if honest == 0 || math.Abs(honest-liar) > 0.01*honest {
+		t.Errorf("charged %.6f for a stated answer, %.6f for the same one understated", honest, liar)
+	}
+	if got := place("refused", 40*stride, 0, Refused); got > 1e-9 {
+		t.Errorf("charged %.6f for a job that did not run", got)
+	}
+}
+
+// TestWhoCompetes guards against accounts in deployments that do not ask for them.
+func TestWhoCompetes(t *testing.T) {
+	route := func(priority int, service string) deployment.Route {
+		return deployment.Route{Priority: priority, Targets: []deployment.Target{{Service: service, Weight: 1}}}
+	}
+	keys := func(priority int) map[string]deployment.Workspace {
+		return map[string]deployment.Workspace{"k": {Name: "w", Priority: priority}}
+	}
+	for name, c := range map[string]struct {
+		config deployment.Configuration
+		want   bool
+	}{
+		"same priorities":           {deployment.Configuration{Routes: []deployment.Route{route(1, "llm"), route(1, "llm")}}, false},
+		"another service differs":   {deployment.Configuration{Routes: []deployment.Route{route(1, "llm"), route(2, "plain")}}, false},
+		"different priorities":      {deployment.Configuration{Routes: []deployment.Route{route(1, "llm"), route(2, "llm")}}, true},
+		"workspaces without any":    {deployment.Configuration{Routes: []deployment.Route{route(1, "llm")}, Keys: keys(deployment.NoPriority)}, false},
+		"workspaces with their own": {deployment.Configuration{Routes: []deployment.Route{route(1, "llm")}, Keys: keys(0)}, true},
+		"no route to the service":   {deployment.Configuration{Routes: []deployment.Route{route(1, "plain")}, Keys: keys(0)}, false},
+	} {
+		if got := competes(&c.config, "llm"); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// TestSharesAreDumped guards against accounts that operators cannot see, and dumps without bound.
+func TestSharesAreDumped(t *testing.T) {
+	f, _ := competing(4)
+	now := time.Now()
+	for i := range 2 * maxDumpedShares {
+		f.planner.Place(competingJob(strconv.Itoa(i), strconv.Itoa(i), 1), 1, now)
+	}
+	list := f.planner.DumpShares(now)
+	if len(list) != 1 || len(list[0].Workspaces) != maxDumpedShares || len(list[0].Ranks) != 1 {
+		t.Errorf("dump %+v", list)
+	}
+}
+
+// TestOnlyWaitingClaimsHoldRoom guards against room that stays unused for callers who were refused
+// and are not there, or for claims that the room would not serve.
+func TestOnlyWaitingClaimsHoldRoom(t *testing.T) {
+	for name, c := range map[string]struct {
+		prompt int
+		reason Reason
+		after  time.Duration
+		placed bool
+	}{
+		"waits":     {0, Full, 0, false},
+		"refused":   {0, TooLate, 0, true},
+		"over":      {0, Full, time.Second, true},
+		"far large": {200_000, Deferred, 0, true},
+	} {
+		_, pl := competing(4)
+		now := time.Now()
+		pl.shares.ranks.Charge("2", fairshare.Work{Time: 1}, now, now)
+		urgent := competingJob("urgent", "a", 1)
+		urgent.Prompt += c.prompt
+		urgent.MayWait, urgent.MayDefer = c.reason == Full, c.reason == Deferred
+		pl.share(&urgent, Decision{Reason: c.reason, RetryAfter: refusalPause}, now)
+		j := competingJob("later", "b", 2)
+		if got := pl.share(&j, Decision{Upstream: "e0"}, now.Add(c.after)).Upstream != ""; got != c.placed {
+			t.Errorf("%s: placed %v, want %v", name, got, c.placed)
+		}
+	}
+}
+
+// TestSharesFollowTheConfiguration guards against accounts that are lost by each change of the
+// configuration, or that outlast the priorities.
+func TestSharesFollowTheConfiguration(t *testing.T) {
+	f := newFixture(2)
+	model := usersModel()
+	configure := func(version int64, priorities ...int) *shares {
+		c := &deployment.Configuration{Version: version, Services: map[string]deployment.Service{"llm": {Name: "llm", Engine: &model}}}
+		for _, p := range priorities {
+			c.Routes = append(c.Routes, deployment.Route{Priority: p, Targets: []deployment.Target{{Service: "llm", Weight: 1}}})
+		}
+		f.state.SetConfiguration(c, time.Now())
+		return f.planner.pools["llm"].shares
+	}
+	first := configure(2, 0, 1)
+	if first == nil || configure(3, 0, 1, 2) != first {
+		t.Error("the accounts were not kept")
+	}
+	if configure(4, 1, 1) != nil {
+		t.Error("accounts are kept although all priorities are the same")
+	}
+}
