--- a/internal/hosted/dump.go
+++ b/internal/hosted/dump.go
@@ -26,6 +26,8 @@
 	Upstreams []placement.UpstreamState `json:"upstreams"`
 	// Evacuations are the evacuated data centres.
 	Evacuations []evacuation `json:"evacuations,omitempty"`
+	// Shares are the accounts of the services whose callers compete.
+	Shares []placement.ServiceShares `json:"shares"`
 	// Paths are the upstreams that this instance reaches through other instances only, and the
 	// connections that it serves for others.
 	Paths any `json:"paths"`
@@ -47,7 +49,7 @@
 	s := stateDump{
 		View:     build.View{Instance: n.settings.Instance, Build: build.ID(), ProtocolVersion: member.ProtocolVersion},
 		Draining: n.draining(), ListRevision: v.Revision,
-		Upstreams: n.planner.Dump(time.Now()), Paths: n.tunnels.Dump(),
+		Upstreams: n.planner.Dump(time.Now()), Shares: n.planner.DumpShares(time.Now()), Paths: n.tunnels.Dump(),
 		Costs: n.planner.Costs(time.Now()),
 	}
 	if !v.ListedAt.IsZero() {
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -15,6 +15,7 @@
 	"github.com/banyanroute/banyanroute/internal/costmodel"
 	"github.com/banyanroute/banyanroute/internal/deployment"
 	"github.com/banyanroute/banyanroute/internal/enginemodel"
+	"github.com/banyanroute/banyanroute/internal/fairshare"
 	"github.com/banyanroute/banyanroute/internal/logging"
 	"github.com/banyanroute/banyanroute/internal/poison"
 	"github.com/banyanroute/banyanroute/internal/upstreamlimit"
@@ -80,6 +81,9 @@
 	alone    bool
 	at       time.Time
 	deadline time.Time
+	// charge is the work charged to the accounts of the pool for a time.
+	charge    fairshare.Work
+	chargedAt time.Time
 	// answered reports whether the first token has arrived, answeredAt when.
 	answered   bool
 	answeredAt time.Time
@@ -106,6 +110,8 @@
 	nextStart int
 	// frontJobs is the number of jobs in flight whose prompts are not very long.
 	frontJobs int
+	// shares holds the accounts of the callers; nil if they do not compete.
+	shares *shares
 }
 
 // absentMemory is how long a member is kept that is not listed, as long as the mark of an upstream
@@ -205,6 +211,7 @@
 		now := time.Now()
 		restarted, removed := pl.set(service, v.Listed(name), v.Evacuated, now)
 		p.observeEntries(pl, now)
+		pl.setShares(v.Config, name)
 		for _, r := range restarted {
 			p.crashed(r, time.Now())
 		}
@@ -367,7 +374,7 @@
 		candidates, apart = withoutSuspects(candidates)
 	}
 	if pl.service.Engine != nil {
-		d = p.placeGeneration(pl, candidates, &j, now)
+		d = pl.share(&j, p.placeGeneration(pl, candidates, &j, now), now)
 	} else {
 		d = p.placePlain(pl, candidates, &j, now)
 	}
