placement: jobs beside claims come later in the engines' queues

A job that is placed while others wait that come before it, because its room would not serve them or enough has yielded, was queued at its engine in front of those placed after it. Its urgency is now one later, still before that of longer prompts; the floor of a rank is exempt.

--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -235,6 +235,9 @@
 	if d.Upstream != "" {
 		c := s.claimBefore(j, need, now)
 		if c == nil {
+			if d.Urgency <= urgencyLong && s.isPreceded(s.order(j, now), now) {
+				d.Urgency++ // in the engine's queue it also comes after them, but before longer prompts
+			}
 			delete(s.claims, j.callerKey())
 			return d
 		}
@@ -252,6 +255,16 @@
 	return d
 }
 
+// isPreceded reports whether claims wait that come before a job of an order.
+func (s *shares) isPreceded(order int, now time.Time) bool {
+	for _, c := range s.claims {
+		if now.Before(c.waits) && c.order < order {
+			return true
+		}
+	}
+	return false
+}
+
 // yield returns the refusal of a job that could be placed, and why it yields: a job that can
 // wait does so, others are refused.
 func (s *shares) yield(j *Job, now time.Time) (Decision, string) {
--- a/internal/placement/shares_test.go
+++ b/internal/placement/shares_test.go
@@ -428,18 +428,21 @@
 }
 
 // TestOnlyWaitingClaimsHoldRoom guards against room that stays unused for callers who were refused
-// and are not there, or for claims that the room would not serve.
+// and are not there, or for claims that the room would not serve. Beside the latter a job comes
+// later in the engine's queue, but not after longer prompts.
 func TestOnlyWaitingClaimsHoldRoom(t *testing.T) {
 	for name, c := range map[string]struct {
 		prompt int
 		reason Reason
 		after  time.Duration
 		placed bool
+		// urgency is that in the engine's queue, as far as the job is placed.
+		urgency int
 	}{
-		"waits":     {0, Full, 0, false},
-		"refused":   {0, TooLate, 0, true},
-		"over":      {0, Full, time.Second, true},
-		"far large": {200_000, Deferred, 0, true},
+		"waits":     {0, Full, 0, false, 0},
+		"refused":   {0, TooLate, 0, true, urgencyShort},
+		"over":      {0, Full, time.Second, true, urgencyShort},
+		"far large": {200_000, Deferred, 0, true, urgencyShort + 1},
 	} {
 		_, pl := competing(4)
 		now := time.Now()
@@ -449,8 +452,9 @@
 		urgent.MayWait, urgent.MayDefer = c.reason == Full, c.reason == Deferred
 		pl.share(&urgent, Decision{Reason: c.reason, RetryAfter: refusalPause}, now)
 		j := competingJob("later", "b", 2)
-		if got := pl.share(&j, Decision{Upstream: "e0"}, now.Add(c.after)).Upstream != ""; got != c.placed {
-			t.Errorf("%s: placed %v, want %v", name, got, c.placed)
+		d := pl.share(&j, Decision{Upstream: "e0", Urgency: urgencyShort}, now.Add(c.after))
+		if got := d.Upstream != ""; got != c.placed || got && d.Urgency != c.urgency {
+			t.Errorf("%s: placed %v with urgency %d, want %v with %d", name, got, d.Urgency, c.placed, c.urgency)
 		}
 	}
 }
