--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -85,6 +85,8 @@
 	if err != nil {
 		return trace.Wrap(err, "listening for callers on %s", l.Address)
 	}
+	// Memory is left to the limits of bodies: its limit here is a soft one.
+	server.SetCapacity("callers", graceful.Capacity{Connections: graceful.CallersConnections(graceful.Descriptors(0))})
 	d.callerServer = server
 	group.Add(func() error {
 		server.Serve(func(err error) { d.fail(trace.Wrap(err, "serving callers")) })
