graceful: a full server looks for connections to close once in 10 ms

Each new connection looked at all others while nothing could be closed: at 1,537 connections and thousands of new ones a second that would take all of the processor of a small instance (by count; not measured). A server without bounds no longer registers metrics with an empty port.

--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -66,7 +66,7 @@
 		tls:         config,
 		acceptEnded: make(chan struct{}),
 		closed:      make(chan struct{}),
-		tracker:     newTracker("", Capacity{}),
+		tracker:     newTracker(),
 	}
 	s.ConnState = g.onState
 	s.ConnContext = withConn
--- a/internal/graceful/tracker.go
+++ b/internal/graceful/tracker.go
@@ -63,6 +63,9 @@
 	stalledWrite = time.Second
 	// reliefDivisor is the fraction of a limit, as a divisor, that is freed at once.
 	reliefDivisor = 32
+	// fullInterval is the time between two looks for connections that can be closed for a new one; a look
+	// at all connections for each new one would take all of a small machine's processor.
+	fullInterval = 10 * time.Millisecond
 	// reportInterval is the interval at which closed and refused connections are logged.
 	reportInterval = 10 * time.Second
 )
@@ -78,6 +81,8 @@
 
 	mu    sync.Mutex
 	conns map[*conn]bool
+	// fullUntil is until when no connection is expected that can be closed for a new one.
+	fullUntil time.Time
 }
 
 // counters are the metrics of a tracker.
@@ -86,10 +91,9 @@
 	closed                                      map[waitKind]*metrics.Counter
 }
 
-func newTracker(name string, c Capacity) *tracker {
-	t := &tracker{conns: map[*conn]bool{}, report: rate.Sometimes{Interval: reportInterval}}
-	t.setCapacity(name, c)
-	return t
+// newTracker returns a tracker without bounds.
+func newTracker() *tracker {
+	return &tracker{conns: map[*conn]bool{}, report: rate.Sometimes{Interval: reportInterval}}
 }
 
 // setCapacity replaces the capacity, before the first connection.
@@ -142,8 +146,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if limit := t.capacity.Connections; limit > 0 && len(t.conns) >= limit {
+		now := time.Now()
+		if now.Before(t.fullUntil) {
+			return false
+		}
 		t.closeWaiting(false, func() bool { return len(t.conns) < limit-limit/reliefDivisor })
 		if len(t.conns) >= limit {
+			t.fullUntil = now.Add(fullInterval)
 			return false
 		}
 	}
@@ -412,7 +421,8 @@
 // Protect bounds the connections of a server that is not stopped gracefully, and returns the listener to
 // serve. Its name is that of the port in metrics and in the log.
 func Protect(name string, s *http.Server, l net.Listener, c Capacity) net.Listener {
-	t := newTracker(name, c)
+	t := newTracker()
+	t.setCapacity(name, c)
 	if c.HeadBytes != nil {
 		s.MaxHeaderBytes = maxHeadBytes
 	}
