placement: answers longer than learned go on in predictions

The prediction assumed 0.8 of the expected output to be left at least, one pass for an answer that was expected to be short, however long it is. With a learned estimate it assumes half of what was sent.

TestLongAnswersGoOn was seen to fail without the tail.

--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -16,6 +16,9 @@
 	Pairs float64
 	// Output is the expected number of output tokens; 0 for a helper.
 	Output int
+	// Tail is the part of the output sent so far that a prediction assumes to follow at least,
+	// once more was sent than expected; 0 if only the expected output counts.
+	Tail float64
 	// Context is the number of context tokens that each decoding step reads here.
 	Context int
 	// Part reports whether this engine is a helper and another one decodes; the work
--- a/internal/enginemodel/engine_test.go
+++ b/internal/enginemodel/engine_test.go
@@ -85,3 +85,26 @@
 		t.Errorf("a part that makes an older prompt late costs %.2f, want about %.2f", after-before, LateCost*old.Value)
 	}
 }
+
+// TestLongAnswersGoOn guards against a slot that is predicted to be free soon because its answer
+// is longer than expected: with a tail, an answer of 50 times the expected output goes on for as
+// long as a part of what it has sent.
+func TestLongAnswersGoOn(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, c := range []struct {
+		tail      float64
+		soon, far int // passes
+	}{{0, 0, 3}, {0.5, 20, 32}} {
+		m := testModel()
+		m.Slots = 1
+		e := NewEngine(m)
+		e.Add(Work{ID: "long", Tokens: 100, Output: m.Stride, Tail: c.tail}, start)
+		e.FirstToken("long", start)
+		pass := time.Duration(m.Stride) * m.Step
+		now := start.Add(50 * pass)
+		_, ready := e.Predict(&Work{ID: "next", Tokens: 100, Output: m.Stride}, now, now.Add(time.Minute))
+		if wait := int(ready.Sub(now) / pass); wait < c.soon || wait > c.far {
+			t.Errorf("tail %.1f: a slot is expected after %d passes, want %d to %d", c.tail, wait, c.soon, c.far)
+		}
+	}
+}
--- a/internal/enginemodel/prediction.go
+++ b/internal/enginemodel/prediction.go
@@ -60,7 +60,11 @@
 	defer func() { e.scratch = c.sequences[:0] }()
 	for i := range c.sequences {
 		s := &c.sequences[i]
+		sent := float64(s.Output) - s.outputLeft
 		s.outputLeft = max(s.outputLeft, minOutputLeft*float64(s.Output))
+		if sent > float64(s.Output) {
+			s.outputLeft = max(s.outputLeft, s.Tail*sent)
+		}
 	}
 	var o prediction
 	if extra != nil {
--- a/internal/placement/enginework.go
+++ b/internal/placement/enginework.go
@@ -14,7 +14,12 @@
 	if j.Prompt > 0 {
 		share = float64(tokens) / float64(j.Prompt)
 	}
+	tail := 0.0
+	if j.expect > 0 {
+		tail = learnedTail
+	}
 	return enginemodel.Work{
+		Tail:     tail,
 		ID:       j.ID,
 		Tokens:   tokens,
 		Pairs:    share * enginemodel.Pairs(j.Prompt),
--- a/internal/placement/learnedcost.go
+++ b/internal/placement/learnedcost.go
@@ -34,6 +34,10 @@
 	return j.Output
 }
 
+// learnedTail is the part of the output sent so far that is expected to follow once an answer is
+// longer than was learned. Outputs have a long tail: the longer one is, the more is left of it.
+const learnedTail = 0.5
+
 // query returns the job as package costmodel describes it.
 func (j *Job) query() costmodel.Query {
 	q := costmodel.Query{Service: j.Service, Route: j.Route, Workspace: j.Workspace, Prompt: j.Prompt, Hint: j.Output, Most: j.MaxOutput}
