Soak: evacuate a data centre and take it back

Half of the upstreams are in a second data centre. A drill evacuates it beside all faults, also returns of the store from an older copy, and checks that no request arrives for 2 s from 5 + 6 s after the row was last written.

--- a/tools/faults/report.go
+++ b/tools/faults/report.go
@@ -28,13 +28,14 @@
 	crashesContained guarantee = "a request that crashes upstreams is not sent for ever"
 	limitsKept       guarantee = "an upstream gets no more requests than it names as its limit"
 	pausesKept       guarantee = "an upstream that wants a pause gets no requests"
+	evacuationKept   guarantee = "an evacuated data centre gets no requests"
 	recovered        guarantee = "requests are served again after the faults"
 )
 
 // guarantees lists the guarantees in the order of the report.
 var guarantees = []guarantee{
 	endsInTime, correctAnswer, notRunCorrect, atMostOnce, memoryReleased,
-	editApplied, gracefulShutdown, noNewWork, crashesContained, limitsKept, pausesKept, recovered,
+	editApplied, gracefulShutdown, noNewWork, crashesContained, limitsKept, pausesKept, evacuationKept, recovered,
 }
 
 // maxExamples bounds the violations that a verdict describes.
--- a/tools/faults/soak.go
+++ b/tools/faults/soak.go
@@ -41,6 +41,8 @@
 	configuration []byte
 	// affectedUntil is the time up to which a fault may have effects.
 	affectedUntil time.Time
+	// evacuatedAt is when the row of an evacuation was last written; zero if there is none.
+	evacuatedAt time.Time
 	// assigned holds the addresses of all instances.
 	assigned map[string]bool
 	// outcomes holds the outcome of each request by its ID.
@@ -110,6 +112,7 @@
 	load.Go(func() { s.returnStore(drillCtx, rand.New(rand.NewPCG(o.seed, 5))) })
 	load.Go(func() { s.limitUpstreams(drillCtx, rand.New(rand.NewPCG(o.seed, 6))) })
 	load.Go(func() { s.pauseUpstreams(drillCtx, rand.New(rand.NewPCG(o.seed, 7))) })
+	load.Go(func() { s.evacuate(drillCtx, rand.New(rand.NewPCG(o.seed, 10))) })
 	load.Go(func() { s.stopUnderUse(drillCtx, rand.New(rand.NewPCG(o.seed, 9))) })
 	s.runFaults(ctx, rand.New(rand.NewPCG(o.seed, 1)))
 	stopDrills()
@@ -152,12 +155,15 @@
 func (s *soakRun) addUpstream(service string) error {
 	s.mu.Lock()
 	s.nextID++
-	id := fmt.Sprintf("%s-%d", service, s.nextID)
+	id, inEvacuated := fmt.Sprintf("%s-%d", service, s.nextID), s.nextID%evacuatedZoneEach == 0
 	s.mu.Unlock()
 	up, err := platformtest.NewUpstream(id, service)
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	if inEvacuated {
+		up.DataCentre = evacuatedZone
+	}
 	up.Events, up.EventInterval, up.RequestDuration = 12, 20*time.Millisecond, 10*time.Millisecond
 	up.SlowPath, up.SlowEventInterval = slowPath, slowEventInterval
 	r, err := relay.New("127.0.0.1:0", up.Address())
@@ -226,6 +232,7 @@
 	}
 	p.frontAddress, p.readinessAddress = addresses[0], addresses[1]
 	text := platformtest.SettingsText(p.name, addresses[0], addresses[1], addresses[2], port, p.relay.Addr())
+	text = platformtest.WithEvacuation(text, evacuationBound)
 	return trace.ConvertSystemError(os.WriteFile(p.settingsFile, text, 0o600))
 }
 
--- a/tools/faults/soakstore.go
+++ b/tools/faults/soakstore.go
@@ -45,6 +45,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.store.Put("op", "config", s.configuration)
+	s.evacuateAgain()
 	for _, u := range s.upstreams {
 		s.writeEntry(u)
 	}
