--- a/internal/deployment/evacuation_test.go
+++ b/internal/deployment/evacuation_test.go
@@ -209,6 +209,55 @@
 	}
 }
 
+// TestRelaysPassOnEvacuations guards against an instance of this build that learns of evacuations, or of
+// their revocation, later than its relay by more than the pauses between two calls.
+func TestRelaysPassOnEvacuations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := Update{Complete: true, Revision: rev(1), Changed: rev(1), Config: &Configuration{Version: 1}, Evacuations: evacuating("z1")}
+		net := peertest.NewNet(time.Millisecond)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var states []*State
+		var followers []*Follower
+		var sources []*configurationsSource
+		for _, id := range []string{"relay", "follower"} {
+			source := &configurationsSource{fakeSource: &fakeSource{changes: make(chan Update), snapshot: first}}
+			options := oneInstance
+			options.EvacuationBound = always(5 * time.Second)
+			options.IsWatcher = func() bool { return id == "relay" }
+			options.IsRelay = options.IsWatcher
+			if id == "follower" {
+				options.Relays = func() []string { return []string{"relay"} }
+			}
+			state := NewState()
+			f := NewFollower(state, source, options)
+			NewExchange(state, f).SetBus(net.Join(peer.Member{ID: id}))
+			go f.Run(ctx)
+			states, followers, sources = append(states, state), append(followers, f), append(sources, source)
+		}
+		time.Sleep(5 * time.Second)
+		if followers[1].Dump().Relay != "relay" {
+			t.Fatal("the relay is not followed")
+		}
+		reads := sources[1].reads.Load()
+		for i, change := range []*Evacuations{evacuating("z2"), {Revoked: []string{"z1"}}, {Revoked: []string{"z2"}}} {
+			sources[0].changes <- Update{Revision: rev(int64(2 + i)), Changed: rev(int64(2 + i)), Evacuations: change}
+			time.Sleep(200 * time.Millisecond)
+			if relay, got := evacuated(states[0]), evacuated(states[1]); !slices.Equal(relay, got) || len(got) != 2-i {
+				t.Errorf("change %d: the relay knows %v, the follower %v", i, relay, got)
+			}
+			if i == 1 && states[0].View().Evacuations()[0] != states[1].View().Evacuations()[0] {
+				t.Error("the follower does not take over the relay's time")
+			}
+		}
+		if sources[1].reads.Load() != reads {
+			t.Error("the follower asked the store")
+		}
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
 // hangingSource is a source whose open call is never answered.
 type hangingSource struct{ configurationsSource }
 
