placement: jobs are valued by their learned output

The value counted the caller's figure, so that a caller that states too much was placed as more valuable, and once memory is set aside by the learned output paid nothing for it.

Work times no longer begin before the job was placed: TestWorkBeginsAfterPlacement failed with a mean of 0.79 s in place of 50 ms.

--- a/internal/placement/learnedcost.go
+++ b/internal/placement/learnedcost.go
@@ -24,9 +24,9 @@
 	p.costs = &costs{outputs: costmodel.NewLearner(), times: costmodel.NewTimes()}
 }
 
-// expectedOutput returns the output tokens that a planner expects of the job. The median of what
-// was seen stands for its time and its memory: replays that set aside memory for a high quantile
-// were worth less.
+// expectedOutput returns the output tokens that a planner expects of the job: the mean of what was
+// seen, since an engine holds sums of outputs, or else the caller's estimate. Replays that set aside
+// memory for a high quantile were worth less.
 func (j *Job) expectedOutput() int {
 	if j.expect > 0 {
 		return j.expect
@@ -133,7 +133,7 @@
 func (m *member) begin(now time.Time) {
 	for _, pj := range m.line[:min(len(m.line), max(m.upstream.Slots, 1))] {
 		if pj.begunAt.IsZero() {
-			pj.begunAt = now
+			pj.begunAt = latest(pj.at, now)
 		}
 	}
 }
--- a/internal/placement/plaincost_test.go
+++ b/internal/placement/plaincost_test.go
@@ -270,3 +270,24 @@
 		t.Errorf("the work times are %+v, want a mean of %v", got, work)
 	}
 }
+
+// TestWorkBeginsAfterPlacement guards against work times that begin before the job was placed:
+// one placed between the end of another and the report of that end has had the slot at once.
+func TestWorkBeginsAfterPlacement(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p := NewPlanner("")
+	p.LearnCosts()
+	state := deployment.NewState()
+	state.Subscribe(p.SetView)
+	state.SetConfiguration(&deployment.Configuration{Version: 1, Services: map[string]deployment.Service{"web": {Name: "web"}}}, now)
+	state.ReplaceUpstreams([]deployment.Upstream{{ID: "u", Service: "web", Address: "u", Slots: 1}}, deployment.Revision{Number: 1}, now)
+	ms := func(n int) time.Time { return now.Add(time.Duration(n) * time.Millisecond) }
+	p.Place(Job{ID: "first", Service: "web", Lifetime: time.Minute}, 1, now)
+	p.Place(Job{ID: "second", Service: "web", Lifetime: time.Minute}, 1, ms(900))
+	p.Ended("first", End{Outcome: Abandoned, Duration: 100 * time.Millisecond}, ms(910))
+	p.Ended("second", End{Outcome: Completed, Duration: 50 * time.Millisecond}, ms(960))
+	got := p.Costs(ms(960)).Times
+	if len(got) != 1 || got[0].Mean < 0.04 || got[0].Mean > 0.06 {
+		t.Errorf("the work times are %+v, want one of 50 ms", got)
+	}
+}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -63,7 +63,7 @@
 // that engines need for a token grows with its prompt, so without a weight that grows alike the
 // largest prompts would always be those that wait.
 func (j *Job) value() float64 {
-	value := valuePerJob + (float64(j.Prompt)+outputValue*float64(j.Output))/valueUnit
+	value := valuePerJob + (float64(j.Prompt)+outputValue*float64(j.expectedOutput()))/valueUnit
 	return value * max(1, float64(j.Prompt)/evenTokens)
 }
 
