banyanrouted: tests start an instance again whose ports were taken

The process is now started again with other ports, four times at most; one that ends for another reason fails the test at once, with its standard error.

--- a/cmd/banyanrouted/stdout_test.go
+++ b/cmd/banyanrouted/stdout_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -48,9 +49,25 @@
 	ended  chan error
 }
 
+// maxStarts bounds the starts of an instance whose ports were taken by another process after they were
+// chosen.
+const maxStarts = 4
+
 // startHosted starts an instance of a program, which is this one or the daemon, and waits until it is
 // ready.
 func startHosted(t *testing.T, rig *platformtest.Rig, program string) *hostedProcess {
+	t.Helper()
+	for range maxStarts {
+		if p := startOnce(t, rig, program); p != nil {
+			return p
+		}
+	}
+	t.Fatalf("ports were taken by other processes in %d starts", maxStarts)
+	return nil
+}
+
+// startOnce is startHosted with ports that may be taken by now; it returns nil if one is.
+func startOnce(t *testing.T, rig *platformtest.Rig, program string) *hostedProcess {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "settings.yaml")
 	settings := rig.Settings(t, "front-1")
@@ -67,17 +84,36 @@
 	}
 	p := &hostedProcess{cmd: exec.Command(program, "--platform"), settings: settings, callers: s.CallersAddress, output: output, ended: make(chan error, 1)}
 	p.cmd.Env = append(os.Environ(), platform.BootVariable+"="+path)
-	p.cmd.Stdout, p.cmd.Stderr = input, os.Stderr
+	errorText := &bytes.Buffer{}
+	p.cmd.Stdout, p.cmd.Stderr = input, errorText
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
 	input.Close()
-	go func() { p.ended <- p.cmd.Wait() }()
+	exited := make(chan struct{})
+	go func() {
+		p.ended <- p.cmd.Wait()
+		close(exited)
+	}()
 	t.Cleanup(func() {
 		_ = p.cmd.Process.Kill() // fails if it has ended
+		<-exited
 		output.Close()
+		if t.Failed() {
+			t.Logf("standard error: %s", errorText)
+		}
 	})
+	portTaken := false
 	platformtest.WaitFor(t, "readiness", func() bool {
+		select {
+		case <-exited:
+			if !strings.Contains(errorText.String(), syscall.EADDRINUSE.Error()) {
+				t.Fatalf("the process ended at its start: %s", errorText)
+			}
+			portTaken = true
+			return true
+		default:
+		}
 		res, err := http.Get("http://" + s.ReadinessAddress + platform.ReadinessPath)
 		if err != nil {
 			return false
@@ -85,6 +121,9 @@
 		res.Body.Close()
 		return res.StatusCode == http.StatusOK
 	})
+	if portTaken {
+		return nil
+	}
 	return p
 }
 
