Explain where a request would go now: banyanctl where

GET /where on the operators' port describes a request and returns the decision that it would get now, the best candidates, the numbers of upstreams that are ruled out by reason, and the ages of what the home decides by. The planner that decides is asked: the instance's own, or the home's by a call on a new topic, which answers with an error.

Planner.explain runs the functions of place on a copy of what they change, so nothing is restored or duplicated.

The test compares two planners with the same events, one of which is asked. Now the lower key wins; the test passes. With the copy of limits, cold upstreams, work times, engines or shares left out it fails.

--- a/cmd/banyanctl/exit.go
+++ b/cmd/banyanctl/exit.go
@@ -82,7 +82,7 @@
 		return exitNotFound
 	case errors.Is(err, errDifferent):
 		return exitDifferent
-	case errors.Is(err, errUnreachable), errors.Is(err, errNoAnswer):
+	case errors.Is(err, errUnreachable), errors.Is(err, errNoAnswer), errors.Is(err, errNoHome):
 		return exitUnavailable
 	}
 	return exitFailure
--- a/cmd/banyanctl/main.go
+++ b/cmd/banyanctl/main.go
@@ -100,6 +100,7 @@
 		{"explain", "Explain one request from logs", "Collects the lines about one request from the logs of several instances, with those about its upstreams and the paths of its instance around that time, in order.\n\nExample: banyanctl explain 9c41d07be2a35f68 -f front-1.log -f front-2.log", &explainCommand{app: a}},
 		{"status", "Show the fleet", "Shows all instances with their phase, catalogue revision and build.", &statusCommand{app: a}},
 		{"builds", "Show the builds that instances on the platform see", "Shows the builds of the instances that --address names and of those that they have had links to. It asks all addresses and needs no token.\n\nExample: banyanctl builds --address http://10.0.0.1:8002,http://10.0.0.2:8002", &buildsCommand{app: a}},
+		{"where", "Explain where a request would go now", "Explains where a request would go now, and why, as the instance on the platform that --address names and the home of the service see it. Nothing is sent or recorded. It needs no token.\n\nExample: banyanctl where --address http://10.0.0.1:8002 --host api.example --path /v1/generate --prompt 45000 --output 800", &whereCommand{app: a}},
 		{"completion", "Print a shell completion script", "Prints a completion script.\n\nExample: banyanctl completion bash > /etc/bash_completion.d/banyanctl", &completionCommand{app: a}},
 	}
 	for _, c := range commands {
--- a/internal/admin/handler.go
+++ b/internal/admin/handler.go
@@ -202,6 +202,9 @@
 	return nil
 }
 
+// WriteError answers with an error's result code and details.
+func WriteError(w http.ResponseWriter, err error) { writeError(w, err) }
+
 // writeError answers with an error's result code and details.
 func writeError(w http.ResponseWriter, err error) {
 	coded := result.From(err)
--- a/internal/admin/wire.go
+++ b/internal/admin/wire.go
@@ -21,6 +21,8 @@
 	// PathHostedDump is the state dump of an instance on a platform, which has no other path
 	// of this API.
 	PathHostedDump = "/dump"
+	// PathHostedWhere explains where a request would go now, on the same listener.
+	PathHostedWhere = "/where"
 )
 
 // Entries is the answer to GET /v1/catalogue.
--- a/internal/deployment/view.go
+++ b/internal/deployment/view.go
@@ -65,6 +65,17 @@
 // centres included, sorted by ID. The slice must not be changed.
 func (v *View) Listed(service string) []Upstream { return v.listed[service] }
 
+// Leaving returns the number of upstreams of a service that are leaving.
+func (v *View) Leaving(service string) int {
+	n := 0
+	for _, u := range v.upstreams {
+		if u.Leaving && u.Service == service {
+			n++
+		}
+	}
+	return n
+}
+
 // Count returns the number of upstreams, leaving ones included.
 func (v *View) Count() int { return len(v.upstreams) }
 
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -52,6 +52,7 @@
 			log.WithError(err).Debug("writing state dump failed")
 		}
 	})
+	operators.HandleFunc("GET "+admin.PathHostedWhere, n.serveWhere)
 	n.operators = newServer(operators)
 	n.linkServer = newServer(n.links)
 }
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -256,13 +256,18 @@
 	maxDeferShare = 0.4
 )
 
+// setRetries sets whether the job may be placed again, given its objective.
+func setRetries(job *placement.Job, objective float64) {
+	job.MayWait = float64(job.Waited+slotRetryInterval) < maxSlotWaitShare*objective
+	job.MayDefer = float64(job.Waited+deferRetryInterval) < maxDeferShare*float64(job.Waited+job.Remaining)
+}
+
 // placeWithRetry places a job and retries for a limited time if no upstream can take
 // it now. An error means that a shutdown leaves no time for it.
 func (h *Handler) placeWithRetry(ctx context.Context, rq *request, job placement.Job) (placement.Decision, *result.Error) {
 	objective := float64(rq.route.FirstAnswer)
 	for {
-		job.MayWait = float64(job.Waited+slotRetryInterval) < maxSlotWaitShare*objective
-		job.MayDefer = float64(job.Waited+deferRetryInterval) < maxDeferShare*float64(job.Waited+job.Remaining)
+		setRetries(&job, objective)
 		d := h.opts.Placer.Place(ctx, job)
 		if d.Upstream != "" {
 			return d, nil
@@ -329,8 +334,12 @@
 	if !rq.record.last.IsZero() {
 		last = rq.record.last
 	}
-	gap := max(minCallerGap, callerGapFirstAnswerFactor*rq.route.FirstAnswer, callerGapMaxPauseFactor*rq.route.MaxPause)
-	return min(left, gap-time.Since(last))
+	return min(left, callerGap(rq.route)-time.Since(last))
+}
+
+// callerGap returns how long callers of a stream wait for its next event.
+func callerGap(route *deployment.Route) time.Duration {
+	return max(minCallerGap, callerGapFirstAnswerFactor*route.FirstAnswer, callerGapMaxPauseFactor*route.MaxPause)
 }
 
 // outputTokens returns the estimated length of the answer.
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -105,6 +105,7 @@
 // bus is started.
 func (f *Fleet) SetBus(bus peer.Bus) {
 	bus.HandleCall(topicPlace, f.handleCall)
+	bus.HandleCall(topicExplain, f.handleExplain)
 	bus.HandleBroadcast(topicPoison, f.handleNotices)
 	bus.HandleBroadcast(topicLimits, f.handleLimits)
 	bus.HandleBroadcast(topicCold, f.handleCold)
@@ -220,10 +221,7 @@
 		return "", false
 	}
 	now := time.Now()
-	home = homeAmong(f.bus.Members(), service, func(m peer.Member) bool {
-		until, avoided := f.avoided[m.ID]
-		return !avoided || now.After(until)
-	})
+	home = f.usableHome(service, now)
 	if home == f.bus.Self().ID {
 		home = ""
 	}
--- a/internal/placement/plain.go
+++ b/internal/placement/plain.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/banyanroute/banyanroute/internal/costmodel"
 )
 
 // errorRateJobs is the number of queued jobs that an error rate of 1 counts as.
@@ -16,10 +18,7 @@
 	work := p.workOf(j, now)
 	for i := range candidates {
 		m := candidates[(pl.nextStart+i)%len(candidates)]
-		cost := p.plainLoad(pl, m, work, now)
-		if m.upstream.DataCentre != p.dataCentre {
-			cost += remoteJobs
-		}
+		cost := p.plainCost(pl, m, work, now)
 		if best == nil || cost < lowest {
 			best, lowest = m, cost
 		}
@@ -30,3 +29,13 @@
 // remoteJobs is the load, in jobs per slot, added for an upstream in another data
 // centre, so that it loses ties: traffic between data centres is priced.
 const remoteJobs = 0.05
+
+// plainCost returns what a further job costs on a plain upstream: its load, and more if it is in
+// another data centre.
+func (p *Planner) plainCost(pl *pool, m *member, work *costmodel.Work, now time.Time) float64 {
+	cost := p.plainLoad(pl, m, work, now)
+	if m.upstream.DataCentre != p.dataCentre {
+		cost += remoteJobs
+	}
+	return cost
+}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -61,6 +61,8 @@
 	onQuarantine func(QuarantineChange)
 	// sweptAt is when overdue jobs were last dropped.
 	sweptAt time.Time
+	// view is the one that was last set; nil before the first.
+	view *deployment.View
 }
 
 // placed is a job and the decision that placed it.
@@ -206,6 +208,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.view = v
 	limitsCold := false
 	for name, service := range v.Config.Services {
 		limitsCold = limitsCold || service.ColdPerSecond > 0
--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -57,6 +57,8 @@
 	claims map[uint64]*claim
 	// sweptAt is when claims that are over were last dropped.
 	sweptAt time.Time
+	// uncounted reports whether decisions are not counted in the metrics.
+	uncounted bool
 }
 
 // claim is a job that found no room, by the key of its caller.
@@ -211,12 +213,14 @@
 	}
 	key, order := j.callerKey(), s.order(j, now)
 	var best *claim
+	var bestKey uint64
 	for k, c := range s.claims {
 		if k == key || c.order >= order || !now.Before(c.waits) || c.need > claimReach*need || c.credit <= 0 {
 			continue
 		}
-		if best == nil || c.credit > best.credit {
-			best = c
+		// Of equal claims the lower key wins, since the order of a map differs from run to run.
+		if best == nil || c.credit > best.credit || c.credit == best.credit && k < bestKey {
+			best, bestKey = c, k
 		}
 	}
 	return best
@@ -246,7 +250,9 @@
 		}
 		var why string
 		d, why = s.yield(j, now)
-		metrics.GetOrCreateCounter(fmt.Sprintf(`banyanroute_yields_total{service=%q,reason=%q,result=%q}`, s.service, why, d.Reason)).Inc()
+		if !s.uncounted {
+			metrics.GetOrCreateCounter(fmt.Sprintf(`banyanroute_yields_total{service=%q,reason=%q,result=%q}`, s.service, why, d.Reason)).Inc()
+		}
 	}
 	switch d.Reason {
 	case Full, TooLarge, TooLate, Deferred:
