graceful: with TLS a request that began before the last answer's end is answered

A client with TLS that sent the beginning of its next request just before the server had noted the end of the last answer lost that request if a stop came then: the server's look-ahead had read the whole record, so that neither the kernel nor the connection's state showed it, and the connection was closed as idle.

What is read while a request without a rest of its body is served now counts as the beginning of the next one.

--- a/internal/graceful/body.go
+++ b/internal/graceful/body.go
@@ -52,7 +52,7 @@
 	}
 	c.body.bytes += int64(n)
 	if ended {
-		c.body.isAwaited = false
+		c.body.isAwaited, c.bodyFollows = false, false
 	}
 	return cost, c.closed
 }
@@ -67,7 +67,7 @@
 			return
 		}
 		hasBody := r.Body != nil && r.Body != http.NoBody
-		c.beginRequest()
+		c.beginRequest(hasBody)
 		defer c.endRequest(hasBody)
 		if !t.admit(c, r.Header) {
 			refuse(w)
@@ -88,10 +88,10 @@
 }
 
 // beginRequest records that a handler serves a request.
-func (c *conn) beginRequest() {
+func (c *conn) beginRequest(hasBody bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isServed, c.body = true, bodyProgress{}
+	c.isServed, c.body, c.bodyFollows = true, bodyProgress{}, hasBody
 }
 
 // endRequest records that the handler has returned.
--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -38,6 +38,8 @@
 	lastRead time.Time
 	// body is what is known of the body of the request that is being read or served.
 	body bodyProgress
+	// bodyFollows reports whether a part of the served request's body has not been read.
+	bodyFollows bool
 	// isServed reports whether a handler serves a request, and returnedAt when the last one returned.
 	isServed   bool
 	returnedAt time.Time
@@ -91,7 +93,9 @@
 	case c.readsHead():
 		c.headRead += len(p)
 		cost = headCost(len(p), bytes.Count(p, []byte{'\n'}))
-	case bufferSize == 1: // all other reads have the size of a buffer of net/http
+	case bufferSize == 1, c.tracker.tls && !c.bodyFollows:
+		// While a request is served net/http reads one byte ahead; all other reads have the size of a
+		// buffer. With TLS the byte is that of a whole record, which is read then.
 		c.readAhead = len(p)
 	}
 	return cost, c.closed
--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -68,6 +68,7 @@
 		closed:      make(chan struct{}),
 		tracker:     newTracker(),
 	}
+	g.tracker.tls = config != nil
 	s.ConnState = g.onState
 	s.ConnContext = withConn
 	next := g.tracker.handler(s.Handler)
--- a/internal/graceful/server_test.go
+++ b/internal/graceful/server_test.go
@@ -257,6 +257,36 @@
 	}
 }
 
+// TestStopAnswersWhatArrivedBeforeTheLastAnswer guards against a connection that is closed as idle by a
+// stop although the beginning of a request has been read from it, while the one before was served. With
+// TLS the server has then read the whole record.
+func TestStopAnswersWhatArrivedBeforeTheLastAnswer(t *testing.T) {
+	for _, withTLS := range []bool{false, true} {
+		t.Run(fmt.Sprintf("TLS %t", withTLS), func(t *testing.T) {
+			s := newTestServer(t, withTLS)
+			go s.Serve(func(err error) { t.Errorf("Serve failed with %v", err) })
+			c := s.dial(t)
+			c.send(t, "GET /wait HTTP/1.1\r\n"+rest)
+			time.Sleep(50 * time.Millisecond) // the request is being served
+			c.send(t, line)
+			time.Sleep(50 * time.Millisecond) // the server reads ahead
+			close(s.release)
+			if c.expectAnswer(t) {
+				t.Fatal("the connection ended before the stop")
+			}
+			stopped := make(chan error, 1)
+			go func() { stopped <- s.Stop(t.Context()) }()
+			time.Sleep(50 * time.Millisecond) // the stop closes what is idle
+			c.send(t, rest)
+			c.expectAnswer(t)
+			if err := <-stopped; err != nil {
+				t.Errorf("the stop ended with %v", err)
+			}
+			s.Close()
+		})
+	}
+}
+
 // TestLimitsShortenedAtOnceWaitForTheNextIdleTime guards against a connection that is closed by limits
 // that became shorter just after it had become idle, before it was checked for the first time.
 func TestLimitsShortenedAtOnceWaitForTheNextIdleTime(t *testing.T) {
--- a/internal/graceful/tracker.go
+++ b/internal/graceful/tracker.go
@@ -76,6 +76,8 @@
 	name     string
 	count    counters
 	report   rate.Sometimes
+	// tls reports whether the connections carry TLS records.
+	tls bool
 	// used is the sum of the charges.
 	used atomic.Int64
 
