--- a/internal/placement/explain.go
+++ b/internal/placement/explain.go
@@ -87,7 +87,7 @@
 
 // explain returns what place would decide for a job that is no suspect and has no suspect parts. It
 // decides on a copy of all that decisions change.
-func (p *Planner) explain(j Job, c capacity, now time.Time) Explanation {
+func (p *Planner) explain(j Job, a authority, now time.Time) Explanation {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var e Explanation
@@ -109,22 +109,22 @@
 	}
 	scratch, work := p.cloneTables(now)
 	pl := original.clone(work)
-	scratch.decide(pl, &j, c, now, &e)
+	scratch.decide(pl, &j, a, now, &e)
 	return e
 }
 
 // decide fills the decision, the candidates and the counts of an explanation. It changes the
 // planner and the pool.
-func (p *Planner) decide(pl *pool, j *Job, c capacity, now time.Time, e *Explanation) {
+func (p *Planner) decide(pl *pool, j *Job, a authority, now time.Time, e *Explanation) {
 	p.estimate(pl, j, now)
 	pl.fadeStarts(now)
-	usable := pl.candidates(j, c.start, now)
+	usable := pl.candidates(j, a.start, now)
 	e.RuledOut.Paused = len(pl.order) - len(usable)
 	if len(usable) == 0 {
 		return
 	}
-	warm, cold := p.withinCold(pl, usable, j, c.role, now)
-	within, refusal := p.withinLimits(warm, j, c.limitShare, now)
+	warm, cold := p.withinCold(pl, usable, j, a.role, now)
+	within, refusal := p.withinLimits(warm, j, a.limitShare, now)
 	e.RuledOut.Cold = len(usable) - len(warm)
 	for _, m := range warm {
 		switch {
@@ -136,7 +136,7 @@
 		}
 	}
 	if len(within) == 0 {
-		e.Decision = pl.refuseForLimits(refusal.or(cold), c.scope, now)
+		e.Decision = pl.refuseForLimits(refusal.or(cold), a.scope, now)
 		return
 	}
 	if pl.service.Engine == nil {
@@ -284,7 +284,7 @@
 	}
 	f.mu.Unlock()
 	if !linked {
-		return "", f.planner.explain(j, capacity{scope: alone, role: upstreamlimit.Outsider, start: j.Owner, limitShare: f.aloneShare()}, now), nil
+		return "", f.planner.explain(j, authority{scope: alone, role: upstreamlimit.Outsider, start: j.Owner, limitShare: f.aloneShare()}, now), nil
 	}
 	if home == bus.Self().ID {
 		return home, f.explainHere(j, now), nil
@@ -318,11 +318,11 @@
 	f.mu.Lock()
 	share, role := f.computeShare(j.Service, now), f.roleNow(j.Service, now)
 	f.mu.Unlock()
-	c := capacity{scope: fleetwide, role: role, limitShare: share}
+	a := authority{scope: fleetwide, role: role, limitShare: share}
 	if share < 1 {
-		c.start = f.owner
+		a.start = f.owner
 	}
-	return f.planner.explain(j, c, now)
+	return f.planner.explain(j, a, now)
 }
 
 // roleNow returns what coldRole would, and leaves the roles as they are. The caller must hold mu.
--- a/internal/placement/explain_test.go
+++ b/internal/placement/explain_test.go
@@ -77,16 +77,16 @@
 					id := fmt.Sprint(map[string]string{"llm": "e", "plain": "p"}[c.service], 5-i)
 					limits = append(limits, upstreamlimit.Observation{Key: upstreamlimit.Key{Service: c.service, ID: id, Born: 1}, Limit: upstreamlimit.Limit{Named: true, PerSecond: c.perSecond}})
 				}
-				capacityOf := capacity{scope: c.scope, role: upstreamlimit.Home, limitShare: 1}
+				authorityOf := authority{scope: c.scope, role: upstreamlimit.Home, limitShare: 1}
 				if c.scope == alone {
-					capacityOf = capacity{scope: alone, role: upstreamlimit.Outsider, start: "me", limitShare: 0.03}
+					authorityOf = authority{scope: alone, role: upstreamlimit.Outsider, start: "me", limitShare: 0.03}
 				}
 				for i := range 1500 {
 					// Also between the placements, with another job and in another role.
 					time.Sleep(time.Duration(r.IntN(6)) * time.Millisecond)
 					o := shortJob(fmt.Sprint("o", i))
 					o.Service, o.Rank, o.Workspace, o.Route, o.Prompt, o.Fingerprint = c.service, 1, "w2", "r", r.IntN(200_000), uint64(1+r.IntN(400))
-					asked.explain(o, capacity{scope: fleetwide, role: upstreamlimit.Substitute, start: "x", limitShare: 0.03}, time.Now())
+					asked.explain(o, authority{scope: fleetwide, role: upstreamlimit.Substitute, start: "x", limitShare: 0.03}, time.Now())
 					time.Sleep(time.Duration(r.IntN(6)) * time.Millisecond)
 					now := time.Now()
 					for _, p := range []*Planner{asked, other} {
@@ -115,9 +115,9 @@
 					}
 					var e Explanation
 					for range 1 + r.IntN(2) {
-						e = asked.explain(j, capacityOf, now)
+						e = asked.explain(j, authorityOf, now)
 					}
-					got, want := asked.place(j, capacityOf, now), other.place(j, capacityOf, now)
+					got, want := asked.place(j, authorityOf, now), other.place(j, authorityOf, now)
 					if !reflect.DeepEqual(got, want) {
 						t.Fatalf("job %d: decision %+v with explanations, %+v without", i, got, want)
 					}
@@ -143,7 +143,7 @@
 // TestRuledOutUpstreamsAreCounted guards against upstreams that are counted under another reason or
 // not at all.
 func TestRuledOutUpstreamsAreCounted(t *testing.T) {
-	home := capacity{scope: fleetwide, role: upstreamlimit.Home, limitShare: 1}
+	home := authority{scope: fleetwide, role: upstreamlimit.Home, limitShare: 1}
 	plain := func(id string) upstreamlimit.Key { return upstreamlimit.Key{Service: "plain", ID: id, Born: 1} }
 	engine := func(i int) string { return fmt.Sprint("e", i) }
 	for _, c := range []struct {
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -313,24 +313,24 @@
 
 // PlaceAs is Place by an instance with a role for cold upstreams.
 func (p *Planner) PlaceAs(role upstreamlimit.Role, j Job, limitShare float64, now time.Time) Decision {
-	return p.place(j, capacity{scope: fleetwide, role: role, limitShare: limitShare}, now)
+	return p.place(j, authority{scope: fleetwide, role: role, limitShare: limitShare}, now)
 }
 
 // PlaceAsSubstitute is PlaceAs for an instance that stands in for the home. The home may be planning
 // for other instances at the same time, so the substitute, named by planner, starts at another
 // upstream in the order.
 func (p *Planner) PlaceAsSubstitute(role upstreamlimit.Role, j Job, planner string, limitShare float64, now time.Time) Decision {
-	return p.place(j, capacity{scope: fleetwide, role: role, start: planner, limitShare: limitShare}, now)
+	return p.place(j, authority{scope: fleetwide, role: role, start: planner, limitShare: limitShare}, now)
 }
 
 // PlaceAlone chooses an upstream for a job of this instance without a home that
 // knows the work of the other instances.
 func (p *Planner) PlaceAlone(j Job, limitShare float64, now time.Time) Decision {
-	return p.place(j, capacity{scope: alone, role: upstreamlimit.Outsider, start: j.Owner, limitShare: limitShare}, now)
+	return p.place(j, authority{scope: alone, role: upstreamlimit.Outsider, start: j.Owner, limitShare: limitShare}, now)
 }
 
-// capacity is in what capacity an instance places a job.
-type capacity struct {
+// authority is for whom an instance places a job, and what it may use.
+type authority struct {
 	scope scope
 	// role is the role for cold upstreams.
 	role upstreamlimit.Role
@@ -340,7 +340,7 @@
 	limitShare float64
 }
 
-func (p *Planner) place(j Job, c capacity, now time.Time) Decision {
+func (p *Planner) place(j Job, a authority, now time.Time) Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweep(now)
@@ -358,12 +358,12 @@
 		return d
 	}
 	pl.fadeStarts(now)
-	candidates := pl.candidates(&j, c.start, now)
+	candidates := pl.candidates(&j, a.start, now)
 	if len(candidates) > 0 {
-		warm, cold := p.withinCold(pl, candidates, &j, c.role, now)
-		within, refusal := p.withinLimits(warm, &j, c.limitShare, now)
+		warm, cold := p.withinCold(pl, candidates, &j, a.role, now)
+		within, refusal := p.withinLimits(warm, &j, a.limitShare, now)
 		if len(within) == 0 {
-			d = pl.refuseForLimits(refusal.or(cold), c.scope, now)
+			d = pl.refuseForLimits(refusal.or(cold), a.scope, now)
 			countPlacement(j.Service, d)
 			return d
 		}
@@ -389,9 +389,9 @@
 	}
 	if d.Upstream != "" {
 		// An instance that plans alone does not know the suspects of the others.
-		d.Suspect, d.Apart, d.Trial = suspect, apart && c.scope == fleetwide, trial
+		d.Suspect, d.Apart, d.Trial = suspect, apart && a.scope == fleetwide, trial
 		d.Cold, d.decidedAt = p.adopt(pl, j, d, true, now), now
-		p.jobs[j.ID].planned, p.jobs[j.ID].alone = true, c.scope == alone
+		p.jobs[j.ID].planned, p.jobs[j.ID].alone = true, a.scope == alone
 	}
 	countPlacement(j.Service, d)
 	metrics.GetOrCreateHistogram(`banyanroute_placement_seconds`).UpdateDuration(now)
