--- a/internal/costmodel/histogram.go
+++ b/internal/costmodel/histogram.go
@@ -82,6 +82,16 @@
 	}
 }
 
+// narrow combines the distribution, which has a weight of 1 and counts as prior observations, with the
+// observations of a narrower group.
+func (d *distribution) narrow(h *histogram, prior float64, now time.Time) {
+	n := h.count(now)
+	for i := range d {
+		d[i] *= prior / (n + prior)
+	}
+	d.add(h, h.aged(now)/(n+prior))
+}
+
 // histogram is a distribution of observations that age.
 type histogram struct {
 	weights [buckets]float32
--- a/internal/costmodel/outputs.go
+++ b/internal/costmodel/outputs.go
@@ -160,15 +160,9 @@
 	// A caller's figure is right at the median, so the prior lies on both sides of it.
 	d[unitBucket-1] += prior / 2 / (n + prior)
 	d[unitBucket] += prior / 2 / (n + prior)
-	h, known := l.groups.Get(hint)
-	if !known {
-		return d
-	}
-	n = h.count(now)
-	for i := range d {
-		d[i] *= routePrior / (n + routePrior)
+	if h, known := l.groups.Get(hint); known {
+		d.narrow(h, routePrior, now)
 	}
-	d.add(h, h.aged(now)/(n+routePrior))
 	return d
 }
 
@@ -183,13 +177,8 @@
 		}
 		return Estimate{Median: int(tokens), Mean: int(tokens), High: int(tokens)}
 	}
-	own, known := l.groups.Get(workspace)
-	if q.Workspace != "" && known {
-		n := own.count(now)
-		for i := range d {
-			d[i] *= workspacePrior / (n + workspacePrior)
-		}
-		d.add(own, own.aged(now)/(n+workspacePrior))
+	if own, known := l.groups.Get(workspace); q.Workspace != "" && known {
+		d.narrow(own, workspacePrior, now)
 	}
 	r, _ := l.groups.Get(route)
 	estimate := Estimate{
