--- a/internal/admin/handler.go
+++ b/internal/admin/handler.go
@@ -81,7 +81,7 @@
 	mux.HandleFunc("POST "+PathDrain, a.authenticated(a.drain))
 	mux.HandleFunc("GET "+PathStatus, a.authenticated(a.status))
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		writeError(w, result.New(result.UnknownRoute, "no such path or method: %s %s", r.Method, r.URL.Path))
+		WriteError(w, result.New(result.UnknownRoute, "no such path or method: %s %s", r.Method, r.URL.Path))
 	})
 	return mux
 }
@@ -99,7 +99,7 @@
 			err = next(w, r, by)
 		}
 		if err != nil {
-			writeError(w, err)
+			WriteError(w, err)
 		}
 	}
 }
@@ -203,10 +203,7 @@
 }
 
 // WriteError answers with an error's result code and details.
-func WriteError(w http.ResponseWriter, err error) { writeError(w, err) }
-
-// writeError answers with an error's result code and details.
-func writeError(w http.ResponseWriter, err error) {
+func WriteError(w http.ResponseWriter, err error) {
 	coded := result.From(err)
 	if coded.Code == result.Internal {
 		log.Errorf("call failed: %v", err)
