passthrough: an explained job is built by the function that builds jobs

HypotheticalJob listed the fields of a job a second time, with the caller's patience worked out anew. It now calls request.job, so that a new field can't be missing in explanations; the ID of an explained job has the number of the attempt. timeoutOf and callerGap existed only for that copy, and CheckedDial was a wrapper.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -55,7 +55,7 @@
 }
 
 // job returns the placer's description of the next attempt.
-func (h *Handler) job(rq *request) placement.Job {
+func (rq *request) job() placement.Job {
 	return placement.Job{
 		ID:          rq.jobID(),
 		Service:     rq.service,
@@ -113,7 +113,7 @@
 		if err := h.evacuatedFor(rq); err != nil {
 			return nil, err
 		}
-		job := h.job(rq)
+		job := rq.job()
 		job.Avoid = slices.Concat(rq.tried, rq.atFault, skip, evacuated)
 		d, late := h.placeWithRetry(ctx, rq, job)
 		if late != nil {
@@ -334,12 +334,8 @@
 	if !rq.record.last.IsZero() {
 		last = rq.record.last
 	}
-	return min(left, callerGap(rq.route)-time.Since(last))
-}
-
-// callerGap returns how long callers of a stream wait for its next event.
-func callerGap(route *deployment.Route) time.Duration {
-	return max(minCallerGap, callerGapFirstAnswerFactor*route.FirstAnswer, callerGapMaxPauseFactor*route.MaxPause)
+	gap := max(minCallerGap, callerGapFirstAnswerFactor*rq.route.FirstAnswer, callerGapMaxPauseFactor*rq.route.MaxPause)
+	return min(left, gap-time.Since(last))
 }
 
 // outputTokens returns the estimated length of the answer.
--- a/internal/passthrough/evacuation_test.go
+++ b/internal/passthrough/evacuation_test.go
@@ -72,7 +72,7 @@
 			case "connecting":
 				transport := sockets.NewTransport(nil)
 				dial := sockets.NewDialer(sockets.Upstream).DialContext
-				transport.DialContext = dialChecked(func(ctx context.Context, network, address string) (net.Conn, error) {
+				transport.DialContext = CheckedDial(func(ctx context.Context, network, address string) (net.Conn, error) {
 					conn, err := dial(ctx, network, address)
 					evacuate()
 					return conn, err
--- a/internal/passthrough/hypothetical.go
+++ b/internal/passthrough/hypothetical.go
@@ -23,15 +23,7 @@
 	now := time.Now()
 	rq := &request{call: r.Call, route: r.Route, service: service, workspace: r.Workspace, priority: r.Priority, arrived: now}
 	rq.deadline = now.Add(rq.timeout())
-	left := rq.deadline.Sub(now)
-	job := placement.Job{
-		ID: r.Call.ID, Service: service, Prompt: r.Call.PromptTokens, Output: rq.outputTokens(), MaxOutput: r.Call.MaxOutputTokens,
-		FirstAnswer: r.Route.FirstAnswer, MaxPause: r.Route.MaxPause, Remaining: left, Lifetime: left,
-		Workspace: r.Workspace, Route: r.Route.Name, Rank: r.Priority + 1,
-	}
-	if r.Route.Kind == deployment.Stream {
-		job.Remaining = min(left, callerGap(r.Route))
-	}
+	job := rq.job()
 	setRetries(&job, float64(r.Route.FirstAnswer))
 	return job
 }
--- a/internal/passthrough/leaving_test.go
+++ b/internal/passthrough/leaving_test.go
@@ -56,7 +56,7 @@
 				if duringDial {
 					transport := sockets.NewTransport(sockets.NewDialer(sockets.Options{DialTimeout: time.Second, UserTimeout: time.Second}).DialContext)
 					dial := transport.DialContext
-					transport.DialContext = dialChecked(func(ctx context.Context, network, address string) (net.Conn, error) {
+					transport.DialContext = CheckedDial(func(ctx context.Context, network, address string) (net.Conn, error) {
 						conn, err := dial(ctx, network, address)
 						leave()
 						return conn, err
--- a/internal/passthrough/route.go
+++ b/internal/passthrough/route.go
@@ -62,18 +62,12 @@
 
 // timeout returns how long the request may take.
 func (rq *request) timeout() time.Duration {
-	return timeoutOf(rq.route, rq.call.Remaining)
-}
-
-// timeoutOf returns how long a request of a route may take whose caller waits for the given time; 0 if
-// the caller does not say so.
-func timeoutOf(route *deployment.Route, remaining time.Duration) time.Duration {
 	timeout := defaultTimeout
-	if route.Timeout > 0 {
-		timeout = route.Timeout
+	if rq.route.Timeout > 0 {
+		timeout = rq.route.Timeout
 	}
-	if remaining > 0 {
-		timeout = min(timeout, remaining)
+	if rq.call.Remaining > 0 {
+		timeout = min(timeout, rq.call.Remaining)
 	}
 	return timeout
 }
--- a/internal/passthrough/transport.go
+++ b/internal/passthrough/transport.go
@@ -25,7 +25,7 @@
 	if dial == nil {
 		dial = sockets.NewDialer(sockets.Upstream).DialContext
 	}
-	t := sockets.NewTransport(dialChecked(dial))
+	t := sockets.NewTransport(CheckedDial(dial))
 	t.MaxResponseHeaderBytes = maxUpstreamHeaderBytes
 	return t
 }
@@ -34,13 +34,13 @@
 // the request was written.
 var errLeft = errors.New("upstream left or paused before the request was sent")
 
-// maySendKey is the key of the check that dialChecked makes, in the context of a request.
+// maySendKey is the key of the check that CheckedDial makes, in the context of a request.
 type maySendKey struct{}
 
-// dialChecked returns a function that checks, once the connection is open, whether the
+// CheckedDial returns a function that checks, once the connection is open, whether the
 // request may still be sent. Each connection serves one request, so this is the last moment
 // before its first byte.
-func dialChecked(dial sockets.DialFunc) sockets.DialFunc {
+func CheckedDial(dial sockets.DialFunc) sockets.DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
@@ -54,10 +54,6 @@
 	}
 }
 
-// CheckedDial returns the function with which a Reserver must open its connections: if the memory is
-// reserved for a request that is not sent yet, it fails once the engine may get no new work.
-func CheckedDial(dial sockets.DialFunc) sockets.DialFunc { return dialChecked(dial) }
-
 // outbound is a request as sent to an upstream.
 type outbound struct {
 	method  string
--- a/internal/passthrough/watchdog.go
+++ b/internal/passthrough/watchdog.go
@@ -37,7 +37,7 @@
 func (h *Handler) newWatchdog(ctx context.Context, rq *request, timeout time.Duration, cancel context.CancelCauseFunc) *watchdog {
 	w := &watchdog{h: h, ctx: ctx, cancel: cancel, rq: rq}
 	if rq.route.Resumable && len(rq.mayHaveRun)+1 < rq.route.MaxAttempts {
-		w.job = h.job(rq)
+		w.job = rq.job()
 		w.timer = panics.AfterFunc(log.WithField("request", rq.call.ID), timeout, w.fire)
 	}
 	return w
