placement: shares are decided once a configuration; one function for roles, authorities and charges each

Whether callers compete was worked out for every service over all routes with each view, which changes with every entry of an upstream; it depends on the configuration alone. placeHere and its explanation had the rule for substitutes twice, coldRole and roleNow that for the age of a role, and charges were added and taken back at both accounts in three places. Decisions are the same.

--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -237,13 +237,19 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	known := f.knownRole(service, now)
+	f.cold.roles[service] = known
+	return known.effective(now)
+}
+
+// knownRole returns the remembered role for a service, or a new one if that is too old. The caller must
+// hold mu.
+func (f *Fleet) knownRole(service string, now time.Time) roleSince {
 	known, ok := f.cold.roles[service]
 	if ok && now.Sub(known.at) < shareLifetime {
-		return known.effective(now)
+		return known
 	}
-	known = known.next(f.currentRole(service, now), now)
-	f.cold.roles[service] = known
-	return known.effective(now)
+	return known.next(f.currentRole(service, now), now)
 }
 
 // next returns the state after a role was computed anew.
--- a/internal/placement/explain.go
+++ b/internal/placement/explain.go
@@ -284,7 +284,7 @@
 	}
 	f.mu.Unlock()
 	if !linked {
-		return "", f.planner.explain(j, authority{scope: alone, role: upstreamlimit.Outsider, start: j.Owner, limitShare: f.aloneShare()}, now), nil
+		return "", f.planner.explain(j, authorityAlone(j, f.aloneShare()), now), nil
 	}
 	if home == bus.Self().ID {
 		return home, f.explainHere(j, now), nil
@@ -318,11 +318,7 @@
 	f.mu.Lock()
 	share, role := f.computeShare(j.Service, now), f.roleNow(j.Service, now)
 	f.mu.Unlock()
-	a := authority{scope: fleetwide, role: role, limitShare: share}
-	if share < 1 {
-		a.start = f.owner
-	}
-	return f.planner.explain(j, a, now)
+	return f.planner.explain(j, f.authority(share, role), now)
 }
 
 // roleNow returns what coldRole would, and leaves the roles as they are. The caller must hold mu.
@@ -332,11 +328,7 @@
 	}
 	before := f.cold
 	defer func() { f.cold = before }()
-	known, ok := f.cold.roles[service]
-	if !ok || now.Sub(known.at) >= shareLifetime {
-		known = known.next(f.currentRole(service, now), now)
-	}
-	return known.effective(now)
+	return f.knownRole(service, now).effective(now)
 }
 
 // handleExplain answers another instance that asks this one as home.
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/banyanroute/banyanroute/internal/peer"
 	"github.com/banyanroute/banyanroute/internal/poison"
 	"github.com/banyanroute/banyanroute/internal/sleep"
+	"github.com/banyanroute/banyanroute/internal/upstreamlimit"
 	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
@@ -179,11 +180,18 @@
 // placeHere places a job as the home of its service, or as a substitute while the home does not
 // answer.
 func (f *Fleet) placeHere(j Job, now time.Time) Decision {
-	share, role := f.limitShare(j.Service, now), f.coldRole(j.Service, now)
+	return f.planner.place(j, f.authority(f.limitShare(j.Service, now), f.coldRole(j.Service, now)), now)
+}
+
+// authority returns that of the home of a service, or of a substitute, which has a part of the limits.
+// The home may be planning for other instances at the same time, so a substitute starts at another
+// upstream in the order.
+func (f *Fleet) authority(share float64, role upstreamlimit.Role) authority {
+	a := authority{scope: fleetwide, role: role, limitShare: share}
 	if share < 1 {
-		return f.planner.PlaceAsSubstitute(role, j, f.owner, share, now)
+		a.start = f.owner
 	}
-	return f.planner.PlaceAs(role, j, share, now)
+	return a
 }
 
 // FirstAnswer implements passthrough.Placer.
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -208,6 +208,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	isNewConfig := p.view == nil || p.view.Config != v.Config
 	p.view = v
 	limitsCold := false
 	for name, service := range v.Config.Services {
@@ -220,7 +221,9 @@
 		now := time.Now()
 		restarted, removed := pl.set(service, v.Listed(name), v.Evacuated, now)
 		p.observeEntries(pl, now)
-		pl.setShares(v.Config, name)
+		if isNewConfig { // it looks at all routes, and views change with every entry of an upstream
+			pl.setShares(v.Config, name)
+		}
 		for _, r := range restarted {
 			p.crashed(r, time.Now())
 		}
@@ -308,25 +311,13 @@
 // Place chooses an upstream for the job and records the job there. limitShare is the part of
 // the limits that upstreams name that this instance may use.
 func (p *Planner) Place(j Job, limitShare float64, now time.Time) Decision {
-	return p.PlaceAs(upstreamlimit.Home, j, limitShare, now)
-}
-
-// PlaceAs is Place by an instance with a role for cold upstreams.
-func (p *Planner) PlaceAs(role upstreamlimit.Role, j Job, limitShare float64, now time.Time) Decision {
-	return p.place(j, authority{scope: fleetwide, role: role, limitShare: limitShare}, now)
-}
-
-// PlaceAsSubstitute is PlaceAs for an instance that stands in for the home. The home may be planning
-// for other instances at the same time, so the substitute, named by planner, starts at another
-// upstream in the order.
-func (p *Planner) PlaceAsSubstitute(role upstreamlimit.Role, j Job, planner string, limitShare float64, now time.Time) Decision {
-	return p.place(j, authority{scope: fleetwide, role: role, start: planner, limitShare: limitShare}, now)
+	return p.place(j, authority{scope: fleetwide, role: upstreamlimit.Home, limitShare: limitShare}, now)
 }
 
 // PlaceAlone chooses an upstream for a job of this instance without a home that
 // knows the work of the other instances.
 func (p *Planner) PlaceAlone(j Job, limitShare float64, now time.Time) Decision {
-	return p.place(j, authority{scope: alone, role: upstreamlimit.Outsider, start: j.Owner, limitShare: limitShare}, now)
+	return p.place(j, authorityAlone(j, limitShare), now)
 }
 
 // authority is for whom an instance places a job, and what it may use.
@@ -340,6 +331,11 @@
 	limitShare float64
 }
 
+// authorityAlone is that of an instance without a home.
+func authorityAlone(j Job, limitShare float64) authority {
+	return authority{scope: alone, role: upstreamlimit.Outsider, start: j.Owner, limitShare: limitShare}
+}
+
 func (p *Planner) place(j Job, a authority, now time.Time) Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -142,22 +142,29 @@
 		return
 	}
 	pj.charge, pj.chargedAt = jobWork(pl.service.Engine, len(pl.order), &pj.job, pj.job.Output), now
-	s.workspaces.Charge(pj.job.Workspace, pj.charge, now, now)
-	s.ranks.Charge(strconv.Itoa(pj.job.Rank), pj.charge, now, now)
+	s.add(pj, now)
+}
+
+// add adds the charge of a job to the accounts.
+func (s *shares) add(pj *placed, now time.Time) {
+	s.workspaces.Charge(pj.job.Workspace, pj.charge, pj.chargedAt, now)
+	s.ranks.Charge(strconv.Itoa(pj.job.Rank), pj.charge, pj.chargedAt, now)
+}
+
+// takeBack takes the charge of a job from the accounts.
+func (s *shares) takeBack(pj *placed, now time.Time) {
+	s.workspaces.Refund(pj.job.Workspace, pj.charge, pj.chargedAt, now)
+	s.ranks.Refund(strconv.Itoa(pj.job.Rank), pj.charge, pj.chargedAt, now)
 }
 
 // chargeEarlier moves the charge of a job, if it has one, to an earlier time.
 func (pl *pool) chargeEarlier(pj *placed, at, now time.Time) {
-	if pj == nil || !at.Before(pj.chargedAt) {
+	if pl.shares == nil || pj == nil || !at.Before(pj.chargedAt) {
 		return
 	}
-	w := pj.charge
-	pl.recharge(pj, fairshare.Work{}, now)
-	pj.chargedAt, pj.charge = at, w
-	if pl.shares != nil {
-		pl.shares.workspaces.Charge(pj.job.Workspace, w, at, now)
-		pl.shares.ranks.Charge(strconv.Itoa(pj.job.Rank), w, at, now)
-	}
+	pl.shares.takeBack(pj, now)
+	pj.chargedAt = at
+	pl.shares.add(pj, now)
 }
 
 // recharge replaces the charge of a job by another amount.
@@ -166,11 +173,9 @@
 	if s == nil || pj.charge == (fairshare.Work{}) {
 		return
 	}
-	for a, name := range map[*fairshare.Account]string{s.workspaces: pj.job.Workspace, s.ranks: strconv.Itoa(pj.job.Rank)} {
-		a.Refund(name, pj.charge, pj.chargedAt, now)
-		a.Charge(name, w, pj.chargedAt, now)
-	}
+	s.takeBack(pj, now)
 	pj.charge = w
+	s.add(pj, now)
 }
 
 // settle corrects the charge of a job that has ended by what it has received, since the
