--- /dev/null
+++ b/review/stand-2/store.go
@@ -0,0 +1,198 @@
+package main
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// row is one row of the platform's store.
+type row struct {
+	Table     string `json:"table"`
+	Part      string `json:"part"`
+	Key       string `json:"key"`
+	Value     string `json:"value,omitempty"`
+	Version   int64  `json:"version_number"`
+	Tombstone bool   `json:"tombstone,omitempty"`
+}
+
+type rowKey struct{ table, part, key string }
+
+// store plays the platform's metadata store: rows with versions, transactions, snapshots and long polls.
+type store struct {
+	start time.Time
+
+	mu      sync.Mutex
+	version int64
+	rows    map[rowKey]row
+	changes []row
+	news    chan struct{}
+}
+
+func newStore() *store {
+	return &store{start: time.Now(), rows: map[rowKey]row{}, news: make(chan struct{})}
+}
+
+// listen serves the store on a free loopback port and returns the address.
+func (s *store) listen() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/rows-get", s.get)
+	mux.HandleFunc("GET /v1/rows-feed", s.feed)
+	mux.HandleFunc("POST /v1/rows-tx", s.transact)
+	go http.Serve(l, mux) //nolint:errcheck // ends with the process
+	return l.Addr().String(), nil
+}
+
+// put writes a row as the operator or an upstream does, and returns when it is acknowledged.
+func (s *store) put(table, key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.set(row{Table: table, Key: key, Value: base64.StdEncoding.EncodeToString(data)})
+	s.wake()
+}
+
+// drop removes a row.
+func (s *store) drop(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.remove(rowKey{table, "", key})
+	s.wake()
+}
+
+func (s *store) set(r row) {
+	r.Version = s.version
+	s.rows[rowKey{r.Table, r.Part, r.Key}] = r
+	s.changes = append(s.changes, r)
+}
+
+func (s *store) remove(k rowKey) {
+	if _, known := s.rows[k]; !known {
+		return
+	}
+	delete(s.rows, k)
+	s.changes = append(s.changes, row{Table: k.table, Part: k.part, Key: k.key, Version: s.version, Tombstone: true})
+}
+
+func (s *store) wake() {
+	close(s.news)
+	s.news = make(chan struct{})
+}
+
+func (s *store) get(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, _ := strconv.Atoi(q.Get("limit"))
+	if limit <= 0 || limit > 500 {
+		limit = 500
+	}
+	s.mu.Lock()
+	found := []row{}
+	for k, one := range s.rows {
+		if k.table == q.Get("table") && k.part == q.Get("part") && k.key >= q.Get("from") && (q.Get("to") == "" || k.key < q.Get("to")) {
+			found = append(found, one)
+		}
+	}
+	version := s.version
+	s.mu.Unlock()
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	truncated := len(found) > limit
+	if truncated {
+		found = found[:limit]
+	}
+	s.answer(w, http.StatusOK, map[string]any{"rows": found, "truncated": truncated}, version)
+}
+
+func (s *store) feed(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseInt(q.Get("after_revision"), 10, 64)
+	wait, _ := strconv.Atoi(q.Get("wait_ms"))
+	until := time.After(time.Duration(min(wait, 30_000)) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		found := []row{}
+		for _, one := range s.changes {
+			if one.Table == q.Get("table") && one.Version > after {
+				found = append(found, one)
+			}
+		}
+		version, news := s.version, s.news
+		s.mu.Unlock()
+		if len(found) > 0 {
+			s.answer(w, http.StatusOK, map[string]any{"rows": found}, version)
+			return
+		}
+		select {
+		case <-news:
+		case <-until:
+			s.answer(w, http.StatusOK, map[string]any{"rows": found}, version)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *store) transact(w http.ResponseWriter, r *http.Request) {
+	var t struct {
+		Expected []row `json:"expected_revision"`
+		Writes   []row `json:"writes"`
+		Remove   []row `json:"remove"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, one := range append(t.Writes, t.Remove...) {
+		if one.Table == "op" || one.Table == "servers" {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+	}
+	current := []row{}
+	holds := true
+	for _, c := range t.Expected {
+		one := s.rows[rowKey{c.Table, c.Part, c.Key}]
+		if one.Version != c.Version {
+			holds = false
+		}
+		if one.Version > 0 {
+			current = append(current, one)
+		}
+	}
+	if !holds {
+		s.answer(w, http.StatusPreconditionFailed, map[string]any{"rows": current}, s.version)
+		return
+	}
+	s.version++
+	for _, one := range t.Writes {
+		s.set(one)
+	}
+	for _, one := range t.Remove {
+		s.remove(rowKey{one.Table, one.Part, one.Key})
+	}
+	s.wake()
+	s.answer(w, http.StatusOK, map[string]any{}, s.version)
+}
+
+func (s *store) answer(w http.ResponseWriter, status int, body map[string]any, version int64) {
+	body["version_number"], body["now_ms"] = version, time.Since(s.start).Milliseconds()
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // the caller may have left
+}
