--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -8,7 +8,8 @@
 
 // cases maps the names of the cases to what they do. A case returns an error if it couldn't run.
 var cases = map[string]func(*env) error{
-	"tenants": lastTenant,
+	"tenants":   lastTenant,
+	"darkleave": darkLeave,
 }
 
 // Exit codes.
