--- a/review/stand-2/upstream.go
+++ b/review/stand-2/upstream.go
@@ -30,13 +30,21 @@
 
 // startUpstream starts a server and registers it in the store.
 func (e *env) startUpstream(id, service string, slots int) (*upstream, error) {
+	u, err := e.listenUpstream(id, service, slots)
+	if err == nil {
+		u.register("ready")
+	}
+	return u, err
+}
+
+// listenUpstream starts a server without an entry.
+func (e *env) listenUpstream(id, service string, slots int) (*upstream, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	u := &upstream{id: id, service: service, slots: slots, env: e, listener: l, address: l.Addr().String()}
 	go http.Serve(l, u) //nolint:errcheck // ends with the listener
-	u.register("ready")
 	return u, nil
 }
 
