--- a/review/stand-2/env.go
+++ b/review/stand-2/env.go
@@ -84,13 +84,12 @@
 
 // machine is one instance of the product, a process of its own.
 type machine struct {
-	env                                *env
-	name, ip                           string
-	front, readiness, control, address string
-	ports                              [2]int
-	settings                           string
-	cmd                                *exec.Cmd
-	exited                             chan struct{}
+	env                       *env
+	name, ip                  string
+	front, readiness, control string
+	store, settings           string
+	cmd                       *exec.Cmd
+	exited                    chan struct{}
 }
 
 // freePort returns a port that is free on ip.
@@ -173,25 +172,32 @@
 func (e *env) newMachine() (*machine, error) {
 	n := len(e.machines) + 1
 	m := &machine{env: e, name: fmt.Sprintf("front-%d", n), ip: fmt.Sprintf("127.0.0.%d", 10+n)}
-	storeAddress, err := e.store.listen()
+	storeAddress, err := e.store.listen(m.name)
 	if err != nil {
 		return nil, err
 	}
+	m.store = storeAddress
+	e.machines = append(e.machines, m)
+	return m, m.startOnFreePorts()
+}
+
+// startOnFreePorts writes the settings with ports that are free now, and starts the process.
+func (m *machine) startOnFreePorts() error {
 	var ports [4]int
 	for i := range ports {
+		var err error
 		if ports[i], err = freePort(m.ip); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	at := func(port int) string { return fmt.Sprintf("%s:%d", m.ip, port) }
 	m.front, m.readiness, m.control = at(ports[0]), at(ports[1]), at(ports[2])
-	m.settings = filepath.Join(e.dir, m.name+".yaml")
-	text := fmt.Sprintf(settingsText, m.name, m.ip, m.front, m.readiness, m.control, ports[3], ports[3]+1, storeAddress)
+	m.settings = filepath.Join(m.env.dir, m.name+".yaml")
+	text := fmt.Sprintf(settingsText, m.name, m.ip, m.front, m.readiness, m.control, ports[3], ports[3]+1, m.store)
 	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
-		return nil, err
+		return err
 	}
-	e.machines = append(e.machines, m)
-	return m, m.startProcess()
+	return m.startProcess()
 }
 
 // startProcess starts the program as the deploy file says.
@@ -246,6 +252,11 @@
 func (m *machine) awaitReady() error {
 	client := http.Client{Timeout: time.Second}
 	for range 100 {
+		if m.hasEnded() { // another process may have taken a port
+			if err := m.startOnFreePorts(); err != nil {
+				return err
+			}
+		}
 		res, err := client.Get("http://" + m.readiness + "/v1/readiness")
 		if err == nil {
 			res.Body.Close()
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -32,21 +32,39 @@
 	rows    map[rowKey]row
 	changes []row
 	news    chan struct{}
+	// silentBefore is when all connections that were open went silent; zero before that.
+	silentBefore time.Time
+	// waits holds, by machine, how long its last call for changes of the configuration waits, in ms.
+	waits map[string]int
 }
 
 func newStore() *store {
-	return &store{start: time.Now(), rows: map[rowKey]row{}, news: make(chan struct{})}
+	return &store{start: time.Now(), rows: map[rowKey]row{}, news: make(chan struct{}), waits: map[string]int{}}
 }
 
-// listen serves the store on a free loopback port and returns the address.
-func (s *store) listen() (string, error) {
+// silence makes all open connections silent for good. New ones work.
+func (s *store) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silentBefore = time.Now()
+}
+
+// isSilent reports whether the connection of a call that began at that time has gone silent.
+func (s *store) isSilent(began time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return began.Before(s.silentBefore)
+}
+
+// listen serves the store for one machine on a free loopback port and returns the address.
+func (s *store) listen(machine string) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/rows-get", s.get)
-	mux.HandleFunc("GET /v1/rows-feed", s.feed)
+	mux.HandleFunc("GET /v1/rows-feed", func(w http.ResponseWriter, r *http.Request) { s.feed(w, r, machine) })
 	mux.HandleFunc("POST /v1/rows-tx", s.transact)
 	go http.Serve(l, mux) //nolint:errcheck // ends with the process
 	return l.Addr().String(), nil
@@ -116,12 +134,22 @@
 	s.answer(w, http.StatusOK, map[string]any{"rows": found, "truncated": truncated}, version)
 }
 
-func (s *store) feed(w http.ResponseWriter, r *http.Request) {
+func (s *store) feed(w http.ResponseWriter, r *http.Request, machine string) {
+	began := time.Now()
 	q := r.URL.Query()
 	after, _ := strconv.ParseInt(q.Get("after_revision"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
 	until := time.After(time.Duration(min(wait, 30_000)) * time.Millisecond)
+	if q.Get("table") == "op" {
+		s.mu.Lock()
+		s.waits[machine] = wait
+		s.mu.Unlock()
+	}
 	for {
+		if s.isSilent(began) {
+			<-r.Context().Done()
+			return
+		}
 		s.mu.Lock()
 		found := []row{}
 		for _, one := range s.changes {
@@ -138,6 +166,10 @@
 		select {
 		case <-news:
 		case <-until:
+			if s.isSilent(began) {
+				<-r.Context().Done()
+				return
+			}
 			s.answer(w, http.StatusOK, map[string]any{"rows": found}, version)
 			return
 		case <-r.Context().Done():
