review: case 7 with planned stops in place of kills

The same order of events needs no unplanned loss of machines: two planned stops after the connections have gone silent do.

--- a/review/stand-2/env.go
+++ b/review/stand-2/env.go
@@ -32,6 +32,8 @@
 	machines  []*machine
 	violation string
 	last      int
+	// restarts are the planned restarts that are under way.
+	restarts sync.WaitGroup
 }
 
 // newEnv returns a deployment without machines; its record goes to the file named out.
@@ -75,6 +77,7 @@
 
 // close ends all processes that were started.
 func (e *env) close() {
+	e.restarts.Wait()
 	for _, m := range e.machines {
 		m.kill()
 	}
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -8,10 +8,10 @@
 
 // cases maps the names of the cases to what they do. A case returns an error if it couldn't run.
 var cases = map[string]func(*env) error{
-	"tenants":      lastTenant,
-	"darkleave":    darkLeave,
-	"oddentries":   oddEntries,
-	"silentkilled": silentAndKilled,
+	"tenants":    lastTenant,
+	"darkleave":  darkLeave,
+	"oddentries": oddEntries,
+	"silentstop": silentAndStopped,
 }
 
 // Exit codes.
--- a/review/stand-2/silentkilled.go
+++ b/review/stand-2/silentstop.go
@@ -9,25 +9,26 @@
 	"time"
 )
 
-// The deployment and the disruptions.
+// The deployment, and the planned stops.
 const (
 	silentMachines = 13
-	// killedMachines are those that read the store most often: a share of 0.154.
-	killedMachines = 2
-	darkTime       = 3500 * time.Millisecond
+	// stoppedMachines are those that call the store most often: a share of 0.154.
+	stoppedMachines = 2
+	stopGap         = 1300 * time.Millisecond
+	restartDelay    = time.Second
 )
 
 // droppedPrefix is the prefix of the route that the new version drops.
 const droppedPrefix = "/cufi504/"
 
-// silentAndKilled: the open connections to the store go silent, and 4 s later the two machines that read it
-// most often lose power for 3.5 s. In that time a version takes a key away and drops a route.
-func silentAndKilled(e *env) error {
-	silent, killed := e.trouble, e.trouble
+// silentAndStopped: the open connections to the store go silent, and later two machines are stopped and
+// started in turn, those that call the store most often. Then a version takes a key away and drops a route.
+func silentAndStopped(e *env) error {
+	silent, stopped := e.trouble, e.trouble
 	switch os.Getenv("ONLY") {
 	case "silent":
-		killed = false
-	case "killed":
+		stopped = false
+	case "stopped":
 		silent = false
 	}
 	c := basicConfiguration()
@@ -43,7 +44,7 @@
 	if err := e.startMachines(silentMachines); err != nil {
 		return err
 	}
-	time.Sleep(14 * time.Second) // the links are open, and each machine has found its way to follow the store
+	time.Sleep(14 * time.Second) // the links are open, and each machine follows the store in its way
 	c.Version++
 	e.store.put("op", "config", c) // changes nothing; all machines read it and call the store anew
 	time.Sleep(800 * time.Millisecond)
@@ -55,21 +56,22 @@
 	}
 	at(4 * time.Second) // stable_window_ms is 3 s
 	readers := e.readers()
-	if len(readers) != killedMachines {
-		return fmt.Errorf("%d machines read the store most often, not %d", len(readers), killedMachines)
+	if len(readers) != stoppedMachines {
+		return fmt.Errorf("%d machines call the store most often, not %d", len(readers), stoppedMachines)
 	}
-	if killed {
-		for _, m := range readers {
-			m.signal(syscall.SIGKILL)
+	for i, m := range readers {
+		at(4*time.Second + time.Duration(i)*stopGap)
+		if stopped {
+			m.restart()
 		}
 	}
-	at(4300 * time.Millisecond)
+	at(5600 * time.Millisecond)
 	c.Version += 2
 	c.Routes = c.Routes[:1]
 	c.Tenants = []tenant{{Name: c.Tenants[0].Name, APIKeys: []string{kept}, Priority: 1}}
 	e.store.put("op", "config", c)
 	e.record("operator", "version %d acknowledged: without the key %q and without the route %s", c.Version, revoked, droppedPrefix)
-	at(6500 * time.Millisecond) // config_apply_ms is 2 s
+	at(7800 * time.Millisecond) // config_apply_ms is 2 s
 	stale := 0
 	for _, m := range e.machines {
 		if slices.Contains(readers, m) {
@@ -86,19 +88,25 @@
 			e.broken("CONFIG: %s ran %s on a route that was dropped 2.2 s before, and answered %s", m.name, id, a)
 		}
 	}
-	e.record("count", "%d of %d requests were handled as only the older version allows", stale, 2*(silentMachines-killedMachines))
-	at(4*time.Second + darkTime)
-	for _, m := range readers {
-		if killed {
-			if err := m.startProcess(); err != nil {
-				return err
-			}
-		}
-	}
-	time.Sleep(time.Second)
+	e.record("count", "%d of %d requests were handled as only the older version allows", stale, 2*(silentMachines-stoppedMachines))
 	return nil
 }
 
+// restart stops the process as planned and starts it again once it has ended. SIGKILL follows after grace_s.
+func (m *machine) restart() {
+	m.signal(syscall.SIGTERM)
+	exited, process := m.exited, m.cmd.Process
+	kill := time.AfterFunc(8*time.Second, func() { _ = process.Kill() })
+	m.env.restarts.Go(func() {
+		<-exited
+		kill.Stop()
+		time.Sleep(restartDelay)
+		if err := m.startProcess(); err != nil {
+			m.env.record("error", "%s: %v", m.name, err)
+		}
+	})
+}
+
 // readers returns the machines whose calls for changes wait the shortest time.
 func (e *env) readers() []*machine {
 	e.store.mu.Lock()
