--- a/review/stand-2/env.go
+++ b/review/stand-2/env.go
@@ -24,6 +24,8 @@
 	runs  runs
 	// trouble reports whether the disruption happens.
 	trouble bool
+	// quiet leaves runs at servers that don't leave out of the record.
+	quiet bool
 	// key is the key of the tenant in the first configuration.
 	key string
 
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -12,6 +12,7 @@
 	"darkleave":  darkLeave,
 	"oddentries": oddEntries,
 	"silentstop": silentAndStopped,
+	"oldercopy":  returnFromOlderCopy,
 }
 
 // Exit codes.
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -36,6 +38,55 @@
 	silentBefore time.Time
 	// waits holds, by machine, how long its last call for changes of the configuration waits, in ms.
 	waits map[string]int
+	// era counts the returns from an older copy; away reports whether the store answers nothing.
+	era  int64
+	away bool
+}
+
+// storeCopy is what the store held at a moment.
+type storeCopy struct {
+	version int64
+	rows    map[rowKey]row
+	changes []row
+}
+
+// copy returns what the store holds.
+func (s *store) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{version: s.version, rows: maps.Clone(s.rows), changes: slices.Clone(s.changes)}
+}
+
+// returnFrom lets the store be away for some time and come back from an older copy.
+func (s *store) returnFrom(c storeCopy, awayFor time.Duration) {
+	s.mu.Lock()
+	s.away = true
+	s.wake()
+	s.mu.Unlock()
+	time.Sleep(awayFor)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = false
+	s.era++
+	s.version, s.rows, s.changes = c.version, c.rows, c.changes
+	s.wake()
+}
+
+// isAway reports whether the store answers nothing.
+func (s *store) isAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away
+}
+
+// unlessAway breaks the connections of calls while the store is away.
+func (s *store) unlessAway(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isAway() {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func newStore() *store {
@@ -66,7 +117,7 @@
 	mux.HandleFunc("GET /v1/rows-get", s.get)
 	mux.HandleFunc("GET /v1/rows-feed", func(w http.ResponseWriter, r *http.Request) { s.feed(w, r, machine) })
 	mux.HandleFunc("POST /v1/rows-tx", s.transact)
-	go http.Serve(l, mux) //nolint:errcheck // ends with the process
+	go http.Serve(l, s.unlessAway(mux)) //nolint:errcheck // ends with the process
 	return l.Addr().String(), nil
 }
 
@@ -150,7 +201,15 @@
 			<-r.Context().Done()
 			return
 		}
+		if s.isAway() {
+			panic(http.ErrAbortHandler)
+		}
 		s.mu.Lock()
+		if after > s.version { // a version that the copy doesn't have
+			s.mu.Unlock()
+			s.answer(w, http.StatusGone, map[string]any{}, 0)
+			return
+		}
 		found := []row{}
 		for _, one := range s.changes {
 			if one.Table == q.Get("table") && one.Version > after {
@@ -208,7 +267,7 @@
 		}
 	}
 	if !holds {
-		s.answer(w, http.StatusPreconditionFailed, map[string]any{"rows": current}, s.version)
+		s.answerLocked(w, http.StatusPreconditionFailed, map[string]any{"rows": current}, s.version)
 		return
 	}
 	s.version++
@@ -219,12 +278,20 @@
 		s.remove(rowKey{one.Table, one.Part, one.Key})
 	}
 	s.wake()
-	s.answer(w, http.StatusOK, map[string]any{}, s.version)
+	s.answerLocked(w, http.StatusOK, map[string]any{}, s.version)
 }
 
 func (s *store) answer(w http.ResponseWriter, status int, body map[string]any, version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answerLocked(w, status, body, version)
+}
+
+// answerLocked is answer; mu must be held.
+func (s *store) answerLocked(w http.ResponseWriter, status int, body map[string]any, version int64) {
 	body["version_number"], body["now_ms"] = version, time.Since(s.start).Milliseconds()
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body) // the caller may have left
 }
--- a/review/stand-2/upstream.go
+++ b/review/stand-2/upstream.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,6 +23,8 @@
 	slots                int
 	env                  *env
 	listener             net.Listener
+	// leaving reports whether the server has said that it drains.
+	leaving atomic.Bool
 	// serve, if set, answers a request that runs; it may hijack.
 	serve func(u *upstream, w http.ResponseWriter, r *http.Request, body []byte)
 	// reject, if set, is asked before a request runs; it answers and returns true if it doesn't.
@@ -50,6 +53,7 @@
 
 // register writes the entry of the server.
 func (u *upstream) register(state string) {
+	u.leaving.Store(state == "draining")
 	u.env.store.put("servers", u.id, map[string]any{
 		"service": u.service, "address": u.address, "zone": "zone-a", "version": "v1", "slots": u.slots,
 		"state": state, "cold_remaining_ms": 0, "sequence": 1, "born": u.env.start.UnixMilli(),
@@ -85,7 +89,9 @@
 	if err != nil {
 		return
 	}
-	u.env.record("run", "%s at %s: %s %s, tenant %q", id, u.id, r.Method, r.RequestURI, r.Header.Get("Banyanroute-Tenant"))
+	if !u.env.quiet || u.leaving.Load() {
+		u.env.record("run", "%s at %s: %s %s, tenant %q", id, u.id, r.Method, r.RequestURI, r.Header.Get("Banyanroute-Tenant"))
+	}
 	u.env.runs.add(run{u.id, id, r.Header.Get("Banyanroute-Tenant"), r.Method, r.RequestURI, string(body), time.Now()})
 	if u.serve != nil {
 		u.serve(u, w, r, body)
