platform: a configuration whose tenants are empty lets no key in

Cause: the set of keys was made only for a list with entries; an absent set means that no request needs a key.

The line 'configuration applied' names the check of keys.

Beside: no message changes.

--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -560,7 +560,8 @@
 	if u.Config != nil && f.state.SetConfiguration(u.Config, now) {
 		metrics.GetOrCreateCounter(`banyanroute_configurations_total`).Inc()
 		log.WithField("version", u.Config.Version).WithField("revision", u.Revision).
-			WithField("routes", len(u.Config.Routes)).Info("configuration applied")
+			WithField("routes", len(u.Config.Routes)).WithField("checks_keys", u.Config.Keys != nil).
+			WithField("api_keys", len(u.Config.Keys)).Info("configuration applied")
 	}
 	if f.source.Content() == Configurations {
 		return
--- a/internal/deployment/types.go
+++ b/internal/deployment/types.go
@@ -1,6 +1,7 @@
 package deployment
 
 import (
+	"errors"
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/enginemodel"
@@ -105,12 +106,27 @@
 	Version  int64
 	Routes   []Route
 	Services map[string]Service
-	// Keys maps API keys to workspaces. It is nil if the deployment has no workspaces;
-	// then no request needs a key.
+	// Keys maps API keys to workspaces. It is nil if the configuration says nothing of
+	// workspaces; then no request needs a key. If it is empty, no key is valid.
 	Keys   map[string]Workspace
 	Limits Limits
 }
 
+// ErrUnknownKey is returned for a request whose API key is needed, and missing or unknown.
+var ErrUnknownKey = errors.New("the API key is missing or unknown")
+
+// WorkspaceOf returns the workspace of a request with an API key, "" if it has none, on a route.
+// A request that needs no key and has no known one belongs to no workspace.
+func (c *Configuration) WorkspaceOf(route *Route, key string) (Workspace, error) {
+	if workspace, known := c.Keys[key]; known && key != "" {
+		return workspace, nil
+	}
+	if c.Keys != nil && !route.Public {
+		return Workspace{}, ErrUnknownKey
+	}
+	return Workspace{Priority: NoPriority}, nil
+}
+
 // Upstream is one engine or one process of a plain service.
 type Upstream struct {
 	// ID identifies the upstream; in most cases a restarted upstream has a new one.
--- a/internal/passthrough/route.go
+++ b/internal/passthrough/route.go
@@ -24,13 +24,13 @@
 	if rq.route == nil {
 		return result.New(result.UnknownRoute, "no route has this host and path")
 	}
-	workspace, known := c.Keys[rq.call.Key]
-	if c.Keys != nil && !known && !rq.route.Public {
-		return result.New(result.Unauthenticated, "the API key is missing or unknown")
+	workspace, unknown := c.WorkspaceOf(rq.route, rq.call.Key)
+	if unknown != nil {
+		return result.New(result.Unauthenticated, "%s", unknown)
 	}
 	rq.workspace = workspace.Name
 	rq.priority = rq.route.Priority
-	if known && workspace.Priority != deployment.NoPriority {
+	if workspace.Priority != deployment.NoPriority {
 		rq.priority = workspace.Priority
 	}
 	rq.service = pickTarget(rq.route, rq.call.ID)
