sockets: an answer whose connection is lost during the upload is incomplete

Cause: the kernel reports a lost connection to one call. If the write of the request gets the error, the read of the answer gets the end of the stream. Ruled out: lengths and chunks, and the way to the caller.

Change: sockets.DetectResets keeps the error of the write; a read that ends on a connection that is gone fails with it. All transports for upstreams, stores and orders are built by sockets.NewTransport, which includes it; tunnels are broken instead of ended.

Beside: nothing changes on the wire; a tunnel that one serves still ends in order.

--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -1,11 +1,13 @@
 package daemon
 
 import (
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/catalogue"
 	"github.com/banyanroute/banyanroute/internal/order"
+	"github.com/banyanroute/banyanroute/internal/sockets"
 )
 
 // loadBurst is the number of model loads from the weight store that may start at
@@ -17,7 +19,7 @@
 	return order.NewManager(order.ManagerOptions{
 		Bus:     d.overlay,
 		Table:   d.platform,
-		Engines: order.HTTPEngines{Client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}},
+		Engines: order.HTTPEngines{Client: &http.Client{Transport: sockets.NewTransport(new(net.Dialer).DialContext)}},
 		LoadLimiter: order.WeightLoadLimiter{
 			Table:    d.platform,
 			Interval: time.Minute / time.Duration(d.settings.Platform.LoadsPerMinute),
--- a/internal/passthrough/transport.go
+++ b/internal/passthrough/transport.go
@@ -25,7 +25,7 @@
 	if dial == nil {
 		dial = sockets.NewDialer(sockets.Upstream).DialContext
 	}
-	t := sockets.NewTransport(CheckedDial(dial))
+	t := sockets.NewTransport(CheckedDial(sockets.DetectResets(dial)))
 	t.MaxResponseHeaderBytes = maxUpstreamHeaderBytes
 	return t
 }
--- a/internal/platform/httpclient/httpclient.go
+++ b/internal/platform/httpclient/httpclient.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/banyanroute/banyanroute/internal/platform"
+	"github.com/banyanroute/banyanroute/internal/sockets"
 )
 
 // Defaults and limits of the client.
@@ -76,12 +77,9 @@
 
 func newTransport(opts Options) *http.Transport {
 	dialer := &net.Dialer{Timeout: opts.Timeout}
-	return &http.Transport{
-		DialContext:     dialer.DialContext,
-		MaxConnsPerHost: opts.MaxConns,
-		// On a connection that is used once, no answer to an earlier call can arrive.
-		DisableKeepAlives: true,
-	}
+	t := sockets.NewTransport(dialer.DialContext)
+	t.MaxConnsPerHost = opts.MaxConns
+	return t
 }
 
 // readBody and scanBody are the request bodies of /table/read and /table/scan, and
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -60,10 +60,11 @@
 
 // NewTransport returns a transport that opens a connection for each request. A
 // connection that is used only once cannot deliver the answer to an earlier request,
-// and the peer does not close it as idle while a request is in transit.
+// and the peer does not close it as idle while a request is in transit. An answer without a
+// length whose connection is lost is incomplete (DetectResets).
 func NewTransport(dial DialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:        dial,
+		DialContext:        DetectResets(dial),
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 	}
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -103,7 +103,7 @@
 // dialDirect opens a direct connection and records what it shows of the path.
 func (d *Dialer) dialDirect(ctx context.Context, network, address string) (net.Conn, error) {
 	began := time.Now()
-	conn, err := d.opts.Direct(ctx, network, address)
+	conn, err := sockets.DetectResets(d.opts.Direct)(ctx, network, address) // also for tunnels that are served
 	now := time.Now()
 	switch {
 	case err == nil:
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -123,6 +123,30 @@
 	}
 }
 
+// TestResetDuringUploadBreaksTheTunnel guards against a connection that is reset while bytes are
+// written to it ending its tunnel in order: the write may be told of the reset in place of the read.
+func TestResetDuringUploadBreaksTheTunnel(t *testing.T) {
+	for range 10 {
+		conn := serveOne(t, func(c net.Conn) {
+			_, _ = io.CopyN(io.Discard, c, 1000)
+			_, _ = c.Write([]byte("part"))
+			time.Sleep(5 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		})
+		go func() {
+			for range 200 {
+				if _, err := conn.Write(make([]byte, 32<<10)); err != nil {
+					return
+				}
+			}
+		}()
+		if data, err := io.ReadAll(conn); err == nil {
+			t.Fatalf("got %q and its end; want an error", data)
+		}
+	}
+}
+
 // TestClosedTunnelClosesItsConnection checks that an upstream learns at once that its caller has
 // left.
 func TestClosedTunnelClosesItsConnection(t *testing.T) {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -99,12 +99,9 @@
 	if opts.Dial == nil {
 		opts.Dial = DirectDial(opts.DialTimeout)
 	}
-	return &http.Transport{
-		DialContext:            opts.Dial,
-		DisableKeepAlives:      true,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-		DisableCompression:     true,
-	}
+	t := sockets.NewTransport(opts.Dial)
+	t.MaxResponseHeaderBytes = maxHeaderBytes
+	return t
 }
 
 // Call is one HTTP call to an upstream.
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -11,8 +11,10 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/banyanroute/banyanroute/internal/standin/lateanswer"
+	"github.com/banyanroute/banyanroute/internal/standin/rawtcp"
 )
 
 // TestCallIsWrittenOnce checks that a call with an Idempotency-Key is sent only once:
@@ -51,6 +53,28 @@
 	}
 }
 
+// TestAnswerResetDuringUploadIsLost guards against an answer without a length counting as whole though
+// its connection was reset while the call was being written.
+func TestAnswerResetDuringUploadIsLost(t *testing.T) {
+	early := rawtcp.EarlyAnswer{Text: "HTTP/1.1 200 OK\r\n\r\npart", Read: 64 << 10, Pause: time.Millisecond}
+	for _, whole := range []bool{false, true} {
+		early.Whole = whole
+		c, address := NewClient(Options{}), early.Serve(t)
+		for range 12 {
+			call := Call{Method: "POST", URL: "http://" + address + "/x", Header: http.Header{}, Body: [][]byte{make([]byte, 6<<20)}}
+			res, err := c.Do(t.Context(), call)
+			var data []byte
+			if err == nil {
+				data, err = io.ReadAll(res.Body)
+				res.Body.Close()
+			}
+			if (err == nil) != whole {
+				t.Fatalf("ended in order %t: got %q, %v", whole, data, err)
+			}
+		}
+	}
+}
+
 // TestErrNotSentOnlyWithoutConnection checks that only a failure to connect is
 // reported as ErrNotSent; a call cancelled after it was sent is ErrLost.
 func TestErrNotSentOnlyWithoutConnection(t *testing.T) {
