sockets: an answer with a malformed head is none

Callers saw (MIXED): an answer with the status 000, or with a blank or a control byte in a field's name, was passed on, or its body was framed in another way than the engine meant.

Cause: answers were believed as net/http reads them, which takes any three digits for a status, names with blanks, and lines that continue the one before. Ruled out: control bytes in names, which net/http refuses.

Change: connections of sockets.NewTransport, one request each, check the heads of answers as they arrive; a malformed one ends the attempt as failed. Looked for the same cause: HTTP/1.0 with chunks, 101, other versions, statuses from 600 on, earlier answers (1xx), the own interface, stores, orders, TLS, tunnels.

Before: 71 of 75 subtests of TestMalformedAnswerIsNoAnswer failed, 15 of 25 answers of TestMalformedAnswerIsLost were returned. After: both pass, FuzzHeads 1,160,923 inputs without a finding; lint and packages sockets, passthrough, upstream, docs pass.

Beside: nothing changes on the wire.

--- a/internal/passthrough/transport.go
+++ b/internal/passthrough/transport.go
@@ -87,7 +87,7 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			connected.Store(true)
 			o.onConnected()
-			if c, ok := info.Conn.(tunnelled); ok && c.Via() != "" {
+			if c, ok := sockets.Unwrap(info.Conn).(tunnelled); ok && c.Via() != "" {
 				o.onVia(c.Via())
 			}
 		},
@@ -109,6 +109,9 @@
 	if err == nil {
 		return res, nil
 	}
+	if errors.Is(err, sockets.ErrMalformedAnswer) {
+		return nil, fmt.Errorf("%w: %w", errNotAnswer, err)
+	}
 	var dial *net.OpError
 	if !connected.Load() || errors.As(err, &dial) && dial.Op == "dial" {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -61,10 +62,16 @@
 // NewTransport returns a transport that opens a connection for each request. A
 // connection that is used only once cannot deliver the answer to an earlier request,
 // and the peer does not close it as idle while a request is in transit. An answer without a
-// length whose connection is lost is incomplete (DetectResets).
-func NewTransport(dial DialFunc) *http.Transport {
+// length whose connection is lost is incomplete (DetectResets), and an answer with a malformed
+// head is none (ErrMalformedAnswer).
+func NewTransport(dial DialFunc) *http.Transport { return newTransport(dial, &tls.Config{}) }
+
+// newTransport is NewTransport with the configuration of TLS connections.
+func newTransport(dial DialFunc, config *tls.Config) *http.Transport {
+	dial = DetectResets(dial)
 	return &http.Transport{
-		DialContext:        DetectResets(dial),
+		DialContext:        checkHeads(dial),
+		DialTLSContext:     checkHeads(dialTLS(dial, config)),
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 	}
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -75,6 +75,18 @@
 	}
 }
 
+// TestMalformedAnswerIsLost guards against bytes with an impossible status or a malformed field being
+// returned as an answer.
+func TestMalformedAnswerIsLost(t *testing.T) {
+	c := NewClient(Options{})
+	for name, text := range rawtcp.MalformedAnswers {
+		call := Call{Method: "POST", URL: "http://" + rawtcp.EarlyAnswer{Text: text, Whole: true}.Serve(t), Header: http.Header{}}
+		if res, err := c.Do(t.Context(), call); !errors.Is(err, ErrLost) {
+			t.Errorf("%s: got %v, %v", name, res, err)
+		}
+	}
+}
+
 // TestErrNotSentOnlyWithoutConnection checks that only a failure to connect is
 // reported as ErrNotSent; a call cancelled after it was sent is ErrLost.
 func TestErrNotSentOnlyWithoutConnection(t *testing.T) {
