deployment: fleets of all sizes follow the store through watchers

Cause: below 30 instances, those that were not watchers waited 12 s for the store and relied on broadcasts. An instance that became a watcher did not end that call. Ruled out: the membership, silence or stops alone, fleets of 30 and more.

Watchers and RelaysOf are functions of the member list in package deployment (moved from hosted, with their test). Calls of 12 s are gone; instances without relays wait 2 s.

--- a/internal/deployment/exchange_test.go
+++ b/internal/deployment/exchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -81,16 +82,31 @@
 		<-ctx.Done()
 		return Update{}, ctx.Err()
 	}
-	if snapshot, _ := s.get(); after.Before(snapshot.Revision) {
-		return snapshot, nil
+	for timeout := time.After(wait); ; {
+		snapshot, _ := s.get()
+		if after.Before(snapshot.Revision) {
+			return snapshot, nil // a change ends a call that waits
+		}
+		select {
+		case <-time.After(callTime):
+		case <-timeout:
+			return Update{Revision: snapshot.Revision}, nil
+		case <-ctx.Done():
+			return Update{}, ctx.Err()
+		}
 	}
-	return s.fakeSource.Changes(ctx, after, wait)
 }
 
 // TestChangeIsKnownAlthoughAllConnectionsWentSilent checks that all instances know a
 // change within the users' 2 s although the open connections of all of them to the store
-// had gone silent 3 s before it.
+// had gone silent 3 s before it, whether or not they follow it through a relay.
 func TestChangeIsKnownAlthoughAllConnectionsWentSilent(t *testing.T) {
+	for _, isRelayed := range []bool{false, true} {
+		t.Run(fmt.Sprint("relayed ", isRelayed), func(t *testing.T) { testSilencedConnections(t, isRelayed) })
+	}
+}
+
+func testSilencedConnections(t *testing.T, isRelayed bool) {
 	synctest.Test(t, func(t *testing.T) {
 		net := peertest.NewNet(time.Millisecond)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -104,6 +120,12 @@
 			}}
 			options := oneInstance
 			options.IsWatcher = func() bool { return i == 0 }
+			if isRelayed {
+				options.IsRelay = options.IsWatcher
+			}
+			if isRelayed && i > 0 {
+				options.Relays = func() []string { return []string{"a"} }
+			}
 			state := NewState()
 			f := NewFollower(state, source, options)
 			e := NewExchange(f.state, f)
--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -74,18 +74,17 @@
 
 // Timing of a Follower.
 const (
-	// longPollWait is how long one call waits for changes. Calls are priced; a
-	// connection that no longer delivers data is noticed sooner by keep-alive probes or
-	// by the revisions that other instances have seen.
-	longPollWait = 12 * time.Second
-	// watcherPollWait is how long a call of a watcher waits. Watchers notice within it
-	// that their connection delivers no data; the other instances learn of changes from
-	// them, also if their own connections are silent all at once.
-	watcherPollWait = time.Second
-	// longPollSlack and watcherPollSlack are how much longer than requested an answer may
-	// take.
-	longPollSlack    = time.Second
-	watcherPollSlack = 500 * time.Millisecond
+	// pollWait is how long one call waits for changes if others follow the store through this
+	// instance, or the last call failed; ownPollWait is how long the others' calls do. pollSlack is
+	// how much longer than requested an answer may take. A connection that delivers no data is
+	// noticed within wait and slack, whatever answers keep-alive probes; the users count a machine
+	// again 3 s after its connections were disturbed.
+	pollWait    = time.Second
+	ownPollWait = 2 * time.Second
+	pollSlack   = 500 * time.Millisecond
+	// olderRelaySlack replaces pollSlack for calls that wait longer because the relays are of a
+	// build that says nothing of evacuations.
+	olderRelaySlack = time.Second
 	// readTimeout bounds the read of a snapshot.
 	readTimeout = 3 * time.Second
 	// initialRetryPause and maxRetryPause bound the pauses after failed calls: a store
@@ -138,8 +137,7 @@
 	// if the settings do not state it. While they do, the configurations of instances that say
 	// nothing of evacuations are not used.
 	EvacuationBound func() time.Duration
-	// IsWatcher reports whether this instance is one of the few that check often that the
-	// store's answers still arrive.
+	// IsWatcher reports whether this instance is one of the few that follow the store themselves.
 	IsWatcher func() bool
 	// IsLinked, if set, reports whether this instance has links to the others.
 	IsLinked func() bool
@@ -294,10 +292,10 @@
 	return ctx.Err()
 }
 
-// announce tells the other instances that the store has changed, if they leave it to this one to
-// notice. Relays pass on the change itself.
+// announce tells the other instances that the store has changed. Those of this build follow the store
+// through watchers in fleets of any size; those of 9cd15ac do so from largeFleet instances on.
 func (f *Follower) announce() {
-	if f.exchange == nil || !f.options.IsWatcher() || f.options.IsRelay != nil && f.options.IsRelay() {
+	if f.exchange == nil || !f.options.IsWatcher() || f.options.Instances() >= largeFleet {
 		return
 	}
 	f.exchange.announce()
@@ -341,9 +339,6 @@
 	}
 }
 
-// isRelayed reports whether this instance follows the store through others when they can.
-func (f *Follower) isRelayed() bool { return f.options.Relays != nil && len(f.options.Relays()) > 0 }
-
 // isIdle reports whether the instance leaves it to the watchers of a large fleet to notice that
 // the store is back.
 func (f *Follower) isIdle() bool {
@@ -393,15 +388,13 @@
 		defer cancel()
 		return f.source.Read(ctx)
 	}
-	wait, slack := longPollWait, longPollSlack
-	if f.options.IsWatcher() || !f.failingSince().IsZero() || f.isRelayed() {
-		// A store that is silent may drop the call and never answer it, also once it is back. An
-		// instance that calls it because its relays do not follow it returns to them soon.
-		wait, slack = watcherPollWait, watcherPollSlack
-		if time.Now().Before(f.relay.olderUntil) && f.failingSince().IsZero() && !f.options.IsWatcher() {
-			// Its relays cannot be used for some time, and in a large fleet short calls cost much.
-			wait, slack = max(f.evacuationBound()/2, wait), longPollSlack
-		}
+	wait, slack := ownPollWait, pollSlack
+	if f.options.IsRelay != nil && f.options.IsRelay() || !f.failingSince().IsZero() {
+		wait = pollWait
+	}
+	if time.Now().Before(f.relay.olderUntil) && f.failingSince().IsZero() && !f.options.IsWatcher() {
+		// Its relays cannot be used for some time, and in a large fleet short calls cost much.
+		wait, slack = max(f.evacuationBound()/2, wait), olderRelaySlack
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
--- a/internal/deployment/leaving_test.go
+++ b/internal/deployment/leaving_test.go
@@ -214,9 +214,6 @@
 const (
 	// leavingWatchers is the number of instances that poll the store often.
 	leavingWatchers = 2
-	// relayedFleet is the number of instances from which on the others follow the store
-	// through them.
-	relayedFleet = 30
 )
 
 // withLeavingFleet starts n instances in a bubble of virtual time and calls play in it.
@@ -234,7 +231,7 @@
 }
 
 func newLeavingFleet(ctx context.Context, n int, bound time.Duration) *leavingFleet {
-	return newRelayedFleet(ctx, n, bound, n >= relayedFleet)
+	return newRelayedFleet(ctx, n, bound, n > leavingWatchers)
 }
 
 // newRelayedFleet starts n instances, of which those that are not watchers follow the store
--- a/internal/deployment/relay.go
+++ b/internal/deployment/relay.go
@@ -13,8 +13,8 @@
 	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
-// Calls to the store are priced, so in large fleets only a few instances, the relays, follow
-// it. The others follow a relay, by calls like those to the store: a call is answered at once
+// Calls to the store are priced, so only a few instances, the watchers, follow it. The others
+// follow one of them, their relay, by calls like those to the store: a call is answered at once
 // if there is news, and after some time if there is none. A relay answers only while the store
 // answers it, so that the news is never older than relayMaxAge. An instance whose relay
 // fails asks the next one, and then the store.
@@ -32,7 +32,7 @@
 	followSlack = 300 * time.Millisecond
 	// relayMaxAge is the age of the store's last answer from which on a relay does not
 	// answer: a relay calls the store at least that often.
-	relayMaxAge = watcherPollWait + watcherPollSlack
+	relayMaxAge = pollWait + pollSlack
 	// relayAvoidTime is how long a relay that failed is not asked, relayRetryPause how long
 	// one is not asked that the store does not answer.
 	relayAvoidTime = 3 * time.Second
--- a/internal/deployment/relay_test.go
+++ b/internal/deployment/relay_test.go
@@ -39,9 +39,6 @@
 		"relay's store silent":  func(f *leavingFleet) { f.links[0].acknowledged = true; f.links[0].silence() },
 	}
 	for _, size := range leavingSizes {
-		if size.instances < relayedFleet {
-			continue
-		}
 		for name, begin := range troubles {
 			var worst, worstOffset time.Duration
 			for offset := -1500 * time.Millisecond; offset <= 600*time.Millisecond; offset += 300 * time.Millisecond {
@@ -78,6 +75,9 @@
 // of them in an outage.
 func TestRelaysSaveCallsToTheStore(t *testing.T) {
 	const instances, steady, outage = 195, 48 * time.Second, 8 * time.Second
+	// An instance that follows the store by itself makes a call for each change that is seen here.
+	// In the outage such a fleet of the build 9cd15ac made maxAway calls.
+	const maxChanges, maxAway = 5 * instances, 1481
 	count := func(isRelayed bool) (changes, away int64) {
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
@@ -107,11 +107,11 @@
 	changes, away := count(false)
 	relayedChanges, relayedAway := count(true)
 	t.Logf("calls in %s: %d, relayed %d; around an outage of %s: %d, relayed %d", steady, changes, relayedChanges, outage, away, relayedAway)
-	if relayedChanges > changes/4 {
-		t.Errorf("%d calls for changes, %d without relays, want a quarter at most", relayedChanges, changes)
+	if limit := min(changes, maxChanges) / 4; relayedChanges > limit {
+		t.Errorf("%d calls for changes, want %d at most", relayedChanges, limit)
 	}
-	if relayedAway > away/2 {
-		t.Errorf("%d calls around an outage, %d without relays, want half at most", relayedAway, away)
+	if limit := min(away, maxAway) / 2; relayedAway > limit {
+		t.Errorf("%d calls around an outage, want %d at most", relayedAway, limit)
 	}
 }
 
@@ -122,6 +122,7 @@
 		s := &fakeSource{changes: make(chan Update), snapshot: Update{Complete: true, Revision: rev(10), Upstreams: upstreams("a")}}
 		options := oneInstance
 		options.IsWatcher = func() bool { return true }
+		options.IsRelay = options.IsWatcher
 		f := NewFollower(NewState(), s, options)
 		ask := func() followAnswer { return f.waitForNews(t.Context(), followRequest{}) }
 		if a := ask(); !a.Unfit || a.News != nil {
@@ -153,9 +154,6 @@
 // silent, long after the relays follow it again. They serve nothing meanwhile.
 func TestInstancesReturnToTheirRelays(t *testing.T) {
 	for _, size := range leavingSizes {
-		if size.instances < relayedFleet {
-			continue
-		}
 		for delay := time.Second; delay < 12*time.Second; delay += 700 * time.Millisecond {
 			withLeavingFleet(t, size.instances, size.bound, func(f *leavingFleet) {
 				for _, relay := range f.links[:leavingWatchers] {
--- a/internal/deployment/retry_test.go
+++ b/internal/deployment/retry_test.go
@@ -59,6 +59,7 @@
 	s := &countingSource{fakeSource: &fakeSource{changes: make(chan Update), snapshot: Update{Complete: true, Revision: rev(10), Upstreams: upstreams("a")}}}
 	options := oneInstance
 	options.Instances, options.IsWatcher = func() int { return 195 }, func() bool { return c.watcher }
+	options.IsRelay = options.IsWatcher
 	state := NewState()
 	f := NewFollower(state, s, options)
 	net := peertest.NewNet(time.Millisecond)
@@ -67,7 +68,7 @@
 	other.SetBus(net.Join(peer.Member{ID: "other"}))
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { _ = f.Run(ctx) }()
-	time.Sleep(3 * time.Second)
+	time.Sleep(3500 * time.Millisecond) // not between two calls
 	before := s.calls.Load()
 	s.set(Update{}, errors.New("store is away"))
 	f.refresh() // the call in progress breaks
--- a/internal/hosted/links.go
+++ b/internal/hosted/links.go
@@ -180,33 +180,13 @@
 	return max(len(overlay.Members()), overlay.Listed())
 }
 
-// Instances that check often that the store's answers still arrive, and follow it for the
-// others in large fleets.
-const (
-	// minWatchers is the least number of watchers; with two, one can fail.
-	minWatchers = 2
-	// instancesPerWatcher bounds the calls that wait at one watcher: one for each source and
-	// instance.
-	instancesPerWatcher = 64
-	// relayedFleet is the number of instances from which on those that are not watchers
-	// follow the store through them.
-	relayedFleet = 30
-)
-
-// watchers returns the watchers among the members. Strong instances answer in time.
-func watchers(members []peer.Member) []peer.Member {
-	ranked := peer.Ranked(peer.Strong(members), "store watchers")
-	n := max(minWatchers, (len(members)+instancesPerWatcher-1)/instancesPerWatcher)
-	return ranked[:min(n, len(ranked))]
-}
-
 // isWatcher reports whether this instance is a watcher, or is not linked.
 func (l *links) isWatcher() bool {
 	overlay := l.overlay.Load()
 	if overlay == nil {
 		return true
 	}
-	return slices.ContainsFunc(watchers(overlay.Members()), l.isSelf)
+	return slices.ContainsFunc(deployment.Watchers(overlay.Members()), l.isSelf)
 }
 
 // isLinked reports whether this instance has links to others, or is the only one.
@@ -224,7 +204,7 @@
 // isRelay reports whether others follow the store through this instance.
 func (l *links) isRelay() bool {
 	overlay := l.overlay.Load()
-	return overlay != nil && len(overlay.Members()) >= relayedFleet && l.isWatcher()
+	return overlay != nil && len(overlay.Members()) > 1 && l.isWatcher()
 }
 
 // isSelf reports whether a member is this instance.
@@ -237,23 +217,7 @@
 	if overlay == nil {
 		return nil
 	}
-	return relaysOf(l.self.ID, overlay.Members())
-}
-
-// relaysOf returns the relays of one of the members, in an order that spreads the members
-// over them.
-func relaysOf(id string, members []peer.Member) []string {
-	if len(members) < relayedFleet {
-		return nil
-	}
-	var ids []string
-	for _, m := range peer.Ranked(watchers(members), id) {
-		if m.ID == id {
-			return nil
-		}
-		ids = append(ids, m.ID)
-	}
-	return ids
+	return deployment.RelaysOf(l.self.ID, overlay.Members())
 }
 
 // contained makes a call and returns its panic as an error: the store may hold anything.
