platform: an entry of another writer that lacks a field names no upstream

Cause: entries were decoded into plain fields; absence and null read as zero, unused fields were not looked at.

Change: decodeUpstream checks an entry as a whole; an entry that turns bad names no upstream from then on. One line for each change with the reason, a counter, and the list in /dump.

Beside: no message changes (Update.Invalid isn't encoded); its relays pass bad entries on as good ones.

--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -45,6 +45,9 @@
 	// Evacuations is nil if the update says nothing of evacuations. d3ebc58 neither writes nor
 	// reads it.
 	Evacuations *Evacuations `cbor:",omitempty" wire:"added"`
+	// Invalid holds those of Removed whose entries are there and name no upstream, with the reason.
+	// It is not passed on to other instances.
+	Invalid map[string]string `cbor:"-"`
 	// fetched reports whether the update is from another instance.
 	fetched bool
 }
@@ -217,7 +220,9 @@
 	pendingRemovals map[string]time.Time
 	// removed holds the upstreams that were removed lately, and distrusted those of them
 	// that an older copy lists again.
-	removed    map[string]removedUpstream
+	removed map[string]removedUpstream
+	// invalid holds the entries that name no upstream, with the reason.
+	invalid    map[string]string
 	distrusted map[string]distrustedUpstream
 }
 
@@ -521,16 +526,23 @@
 	Relay string `json:"relay,omitempty"`
 	// PendingRemovals lists the upstreams whose removal is deferred.
 	PendingRemovals []string `json:"pending_removals,omitempty"`
+	// Invalid lists the entries that name no upstream to use, on instances that follow the store
+	// themselves.
+	Invalid []InvalidEntry `json:"invalid,omitempty"`
 }
 
 // Dump returns what the follower knows of its source.
 func (f *Follower) Dump() FollowerState {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return FollowerState{
+	s := FollowerState{
 		Source: f.source.Name(), Revision: f.complete.load(), Relay: f.relay.id,
 		PendingRemovals: slices.Sorted(maps.Keys(f.pendingRemovals)),
 	}
+	for _, id := range slices.Sorted(maps.Keys(f.invalid)) {
+		s.Invalid = append(s.Invalid, InvalidEntry{id, f.invalid[id]})
+	}
+	return s
 }
 
 // apply applies an update. What it says is in the state before its revision counts as known.
@@ -559,6 +571,7 @@
 	if f.source.Content() == Configurations {
 		return
 	}
+	f.recordInvalid(u)
 	if newEra {
 		u.Upstreams = f.reconcile(u.Upstreams, now)
 	}
