deployment: each list of a later era is compared with what was removed before

Cause: only the first list of an era was compared; an instance that had entered the era by the list of another one took the store's own list, of the copy, as it was. The same for entries that say 'draining' without a start time. Ruled out: changes in the feed, which are written after the return.

Change: removals and marks of leaving remember their era; each complete list of a later era is compared. A relay's first list is used at the same version too, since it may know what of the copy is outdated. An entry whose distrust has passed is used if the last list has it.

--- a/internal/deployment/era.go
+++ b/internal/deployment/era.go
@@ -50,6 +50,9 @@
 type removedUpstream struct {
 	upstream Upstream
 	at       time.Time
+	// era is that of the update that removed it. A list of a later era may be from a copy that is
+	// older than the removal; one of the same era lists the upstream because it has come back.
+	era int64
 }
 
 // distrustedUpstream is an entry of an older copy whose upstream was removed since.
@@ -57,6 +60,9 @@
 	upstream Upstream
 	// until is when the entry is used unless the store removes it before.
 	until time.Time
+	// listed reports whether the last complete list had the entry; era is that of the last list that had.
+	listed bool
+	era    int64
 }
 
 // check reports why an update must not be applied; nil if it may be. began is when the
@@ -107,45 +113,116 @@
 	return true
 }
 
-// reconcile returns the list of an older copy without what is known to be outdated:
-// earlier incarnations of upstreams, ones that were removed since, and ones whose address
-// another upstream has taken over. Upstreams that are known to be leaving remain so.
-func (f *Follower) reconcile(list []Upstream, now time.Time) []Upstream {
-	known := f.state.View().upstreams
-	byAddress := make(map[string]Upstream, len(known))
-	for _, u := range known {
-		byAddress[u.Address] = u
+// reconcile returns a list without what an older copy of the store may have: upstreams that were
+// removed since, and, if the store's own list of its era was not seen yet, earlier incarnations of
+// upstreams and ones whose address another upstream has taken over. Upstreams that are known to be
+// leaving remain so. An instance may enter an era by the list of another one, which has left out
+// what it knows to be outdated, and read the store's own list afterwards.
+func (f *Follower) reconcile(u Update, newEra bool, now time.Time) []Upstream {
+	c := comparison{era: u.Revision.Era, now: now, known: f.state.View().upstreams}
+	c.unsettled = newEra || u.Complete && !u.fetched && u.Revision.Era != f.settledEra
+	if u.Complete && !u.fetched {
+		f.settledEra = u.Revision.Era
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	distrust := f.options.distrustTime()
-	kept := list[:0:0]
-	for _, u := range list {
-		old, listed := known[u.ID]
-		switch {
-		case listed && u.Born < old.Born:
-			continue // the later incarnation is kept like one that the copy lacks
-		case listed && u.Born == old.Born && old.Leaving:
-			u = old
-		case !listed && f.wasRemoved(u, now):
-			f.distrusted[u.ID] = distrustedUpstream{upstream: u, until: now.Add(distrust)}
-			continue
-		case !listed && u.Born < byAddress[u.Address].Born:
-			continue
+	if !c.unsettled && !u.Complete {
+		f.recordLeaving(u.Upstreams, u)
+		return u.Upstreams
+	}
+	if c.unsettled {
+		c.byAddress = make(map[string]Upstream, len(c.known))
+		for _, up := range c.known {
+			c.byAddress[up.Address] = up
 		}
-		kept = append(kept, u)
 	}
-	if len(f.distrusted) > 0 {
-		panics.AfterFunc(log, distrust, f.useDistrusted)
+	if u.Complete {
+		for id, d := range f.distrusted {
+			d.listed = false
+			f.distrusted[id] = d
+		}
+	}
+	kept := u.Upstreams[:0:0]
+	for _, up := range u.Upstreams {
+		if up, keep := f.compare(up, c); keep {
+			kept = append(kept, up)
+		}
 	}
+	f.recordLeaving(kept, u)
 	return kept
 }
 
-// wasRemoved reports whether this incarnation of an upstream was removed lately. The caller
-// must hold mu.
-func (f *Follower) wasRemoved(u Upstream, now time.Time) bool {
+// comparison is what the entries of a list are compared with.
+type comparison struct {
+	era   int64
+	now   time.Time
+	known map[string]Upstream
+	// unsettled reports whether the store's own list of the era was not seen before this one;
+	// byAddress holds the known upstreams by address if so.
+	unsettled bool
+	byAddress map[string]Upstream
+}
+
+// compare returns an entry as it is to be used, or false if it is outdated. The caller must hold mu.
+func (f *Follower) compare(u Upstream, c comparison) (Upstream, bool) {
+	old, listed := c.known[u.ID]
+	switch {
+	case !listed && f.wasRemoved(u, c.era, c.now):
+		f.distrust(u, c.era, c.now)
+		return u, false
+	case listed && u.Born == old.Born && old.Leaving && (c.unsettled || f.leavingEra[u.ID] < c.era):
+		return old, true
+	case !c.unsettled:
+		return u, true
+	case listed:
+		return u, u.Born >= old.Born // the later incarnation is kept like one that the copy lacks
+	}
+	return u, u.Born >= c.byAddress[u.Address].Born
+}
+
+// recordLeaving records in which era the upstreams in the list of an update were first seen to be
+// leaving. The caller must hold mu.
+func (f *Follower) recordLeaving(list []Upstream, u Update) {
+	before := f.leavingEra
+	if u.Complete {
+		f.leavingEra = map[string]int64{}
+	}
+	for _, up := range list {
+		first, known := before[up.ID]
+		switch {
+		case !up.Leaving:
+			delete(f.leavingEra, up.ID)
+		case known:
+			f.leavingEra[up.ID] = first
+		default:
+			f.leavingEra[up.ID] = u.Revision.Era
+		}
+	}
+	for _, id := range u.Removed {
+		delete(f.leavingEra, id)
+	}
+}
+
+// distrust records that a list of an era has the entry of a removed upstream. The time of distrust
+// begins anew with the first such list of each era. The caller must hold mu.
+func (f *Follower) distrust(u Upstream, era int64, now time.Time) {
+	d, known := f.distrusted[u.ID]
+	if !known || d.era != era {
+		wait := f.options.distrustTime()
+		d.until = now.Add(wait)
+		panics.AfterFunc(log, wait, f.useDistrusted)
+		log.WithField("upstream", u.ID).WithField("wait_ms", wait.Milliseconds()).
+			Info("entry not used; it may be from a copy of the store that is older than the upstream's removal")
+	}
+	d.upstream, d.listed, d.era = u, true, era
+	f.distrusted[u.ID] = d
+}
+
+// wasRemoved reports whether this incarnation of an upstream was removed lately, in an earlier era.
+// The caller must hold mu.
+func (f *Follower) wasRemoved(u Upstream, era int64, now time.Time) bool {
 	r, known := f.removed[u.ID]
-	return known && now.Sub(r.at) <= removalMemory && u.Born <= r.upstream.Born
+	return known && r.era < era && now.Sub(r.at) <= removalMemory && u.Born <= r.upstream.Born
 }
 
 // useDistrusted lists the upstreams whose entries have outlived the time of their distrust.
@@ -154,9 +231,16 @@
 	f.mu.Lock()
 	var list []Upstream
 	for id, d := range f.distrusted {
-		if !now.Before(d.until) {
+		if now.Before(d.until) {
+			continue
+		}
+		if d.listed {
 			list = append(list, d.upstream)
-			delete(f.distrusted, id)
+		}
+		delete(f.distrusted, id)
+		if r, known := f.removed[id]; known { // from now on the lists of this era are believed
+			r.era = d.era
+			f.removed[id] = r
 		}
 	}
 	f.mu.Unlock()
@@ -171,13 +255,13 @@
 
 // forget remembers removed upstreams for removalMemory, and ends the distrust of all that
 // the store has changed.
-func (f *Follower) forget(changed []Upstream, removed []string, now time.Time) {
+func (f *Follower) forget(changed []Upstream, removed []string, era int64, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.forgetLocked(changed, removed, now)
+	f.forgetLocked(changed, removed, era, now)
 }
 
-func (f *Follower) forgetLocked(changed []Upstream, removed []string, now time.Time) {
+func (f *Follower) forgetLocked(changed []Upstream, removed []string, era int64, now time.Time) {
 	view := f.state.View()
 	for _, u := range changed {
 		delete(f.distrusted, u.ID)
@@ -191,7 +275,9 @@
 	for _, id := range removed {
 		delete(f.distrusted, id)
 		if u, known := view.Upstream(id); known {
-			f.removed[id] = removedUpstream{upstream: u, at: now}
+			f.removed[id] = removedUpstream{upstream: u, at: now, era: era}
+		} else if r, known := f.removed[id]; known {
+			f.removed[id] = removedUpstream{upstream: r.upstream, at: now, era: era}
 		}
 	}
 }
--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -197,6 +197,8 @@
 	packed  packedUpdate
 	// eraKnownAt is when the era of complete became known.
 	eraKnownAt time.Time
+	// settledEra is the era of the last complete list that the store itself has given.
+	settledEra int64
 	// mu guards the fields below.
 	mu sync.Mutex
 	// version counts the changes of what is known here, from the start of the process on,
@@ -221,6 +223,9 @@
 	// removed holds the upstreams that were removed lately, and distrusted those of them
 	// that an older copy lists again.
 	removed map[string]removedUpstream
+	// leavingEra holds the upstreams whose entries say that they leave, with the era in which they first
+	// did.
+	leavingEra map[string]int64
 	// invalid holds the entries that name no upstream, with the reason.
 	invalid    map[string]string
 	distrusted map[string]distrustedUpstream
@@ -234,7 +239,7 @@
 		fetched: make(chan Update, 1), storeBack: make(chan struct{}, 1),
 		confirm:         confirmation{hurry: make(chan struct{}, 1), changed: make(chan struct{})},
 		outage:          outage{heartbeat: options.UpstreamHeartbeat},
-		pendingRemovals: map[string]time.Time{}, removed: map[string]removedUpstream{}, distrusted: map[string]distrustedUpstream{},
+		pendingRemovals: map[string]time.Time{}, removed: map[string]removedUpstream{}, leavingEra: map[string]int64{}, distrusted: map[string]distrustedUpstream{},
 	}
 }
 
@@ -572,15 +577,13 @@
 		return
 	}
 	f.recordInvalid(u)
-	if newEra {
-		u.Upstreams = f.reconcile(u.Upstreams, now)
-	}
+	u.Upstreams = f.reconcile(u, newEra, now)
 	u.Upstreams = f.keepLeaving(u.Upstreams)
 	if u.Complete {
 		f.replace(u, now)
 		return
 	}
-	f.forget(u.Upstreams, u.Removed, now)
+	f.forget(u.Upstreams, u.Removed, u.Revision.Era, now)
 	f.cancelRemovals(u.Upstreams)
 	removed := without(u.Removed, f.deferRemovals(u, u.Removed, now))
 	if len(u.Upstreams)+len(removed) > 0 {
--- a/internal/deployment/relay.go
+++ b/internal/deployment/relay.go
@@ -247,9 +247,10 @@
 	now := time.Now()
 	f.recordRelayed(now)
 	complete := f.complete.load()
-	if a.News != nil && (known || complete.Before(a.News.Revision)) {
+	if a.News != nil && (known || !a.News.Revision.Before(complete)) {
 		// The relay knows all changes that this instance knows, so what it knows is
-		// complete up to the same version at least.
+		// complete up to the same version at least. It may know more at the same version: which
+		// entries of an older copy are outdated.
 		a.News.Revision, a.News.fetched = latest(a.News.Revision, complete), true
 		if err := f.applyContained(*a.News, now); err != nil {
 			return err
--- a/internal/deployment/removals.go
+++ b/internal/deployment/removals.go
@@ -42,7 +42,7 @@
 			list = append(list, up)
 		}
 	}
-	f.forget(nil, without(ids, deferred), now)
+	f.forget(nil, without(ids, deferred), u.Revision.Era, now)
 	f.logUpstreams(u.Upstreams, nil, u.Revision)
 	f.state.ReplaceUpstreams(list, u.Revision, now)
 }
@@ -152,7 +152,7 @@
 	}
 	if len(removed) > 0 {
 		f.logUpstreams(nil, removed, f.state.View().Revision)
-		f.forgetLocked(nil, removed, now)
+		f.forgetLocked(nil, removed, f.complete.load().Era, now)
 		f.state.RemoveUpstreams(removed, now)
 		f.publish()
 	}
