deployment: an instance asks the store before a relay lifts its check of keys

Cause: what a relay passes on was believed whole. Change: news or a fetched update whose newer configuration needs no keys, while the active one does, is not used; the store says which of both it is. A deployment that drops its workspaces asks the store once for each instance.

Before: TestRelayDoesNotLiftTheCheckOfKeys failed with the check switched off. After: it passes; no message changes.

--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -440,6 +440,11 @@
 				Info("update from another instance ignored; it says nothing of evacuations")
 			return
 		}
+		if f.liftsKeyCheck(u.Config) {
+			log.WithError(errKeysLifted).WithField("table", f.source.Name()).WithField("revision", u.Revision).
+				Info("update from another instance ignored; the store is read")
+			return
+		}
 		if f.complete.load().Before(u.Revision) {
 			log.WithField("table", f.source.Name()).WithField("revision", u.Revision).
 				Info("update from another instance applied")
--- a/internal/deployment/keys_test.go
+++ b/internal/deployment/keys_test.go
@@ -1,10 +1,15 @@
 package deployment
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/banyanroute/banyanroute/internal/peer"
+	"github.com/banyanroute/banyanroute/internal/peer/peertest"
 	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
@@ -67,3 +72,43 @@
 		}
 	}
 }
+
+// TestRelayDoesNotLiftTheCheckOfKeys guards against an instance that lets every key in because its relay,
+// of a build that reads an empty list of workspaces like none, passes on a configuration without keys. The
+// store says which of both it is.
+func TestRelayDoesNotLiftTheCheckOfKeys(t *testing.T) {
+	for _, stored := range []map[string]Workspace{{}, nil} {
+		synctest.Test(t, func(t *testing.T) {
+			before := map[string]Workspace{"k": {Name: "w"}}
+			net := peertest.NewNet(time.Millisecond)
+			ctx, cancel := context.WithCancel(t.Context())
+			var states []*State
+			var sources []*configurationsSource
+			for _, id := range []string{"relay", "follower"} {
+				source := &configurationsSource{fakeSource: &fakeSource{
+					changes: make(chan Update, 1), snapshot: Update{Complete: true, Revision: rev(1), Changed: rev(1), Config: &Configuration{Version: 1, Keys: before}},
+				}}
+				options := oneInstance
+				options.IsWatcher = func() bool { return id == "relay" }
+				options.IsRelay = options.IsWatcher
+				if id == "follower" {
+					options.Relays = func() []string { return []string{"relay"} }
+				}
+				state := NewState()
+				f := NewFollower(state, source, options)
+				NewExchange(state, f).SetBus(net.Join(peer.Member{ID: id}))
+				go f.Run(ctx)
+				states, sources = append(states, state), append(sources, source)
+			}
+			time.Sleep(5 * time.Second)
+			sources[1].changes <- Update{Revision: rev(2), Changed: rev(2), Config: &Configuration{Version: 2, Keys: stored}}
+			sources[0].changes <- Update{Revision: rev(2), Changed: rev(2), Config: &Configuration{Version: 2}}
+			time.Sleep(time.Second)
+			if c := states[1].View().Config; c.Version != 2 || (c.Keys == nil) != (stored == nil) {
+				t.Errorf("the store holds keys %#v, the follower uses version %d with %#v", stored, c.Version, c.Keys)
+			}
+			cancel()
+			time.Sleep(time.Minute)
+		})
+	}
+}
--- a/internal/deployment/relay.go
+++ b/internal/deployment/relay.go
@@ -78,6 +78,16 @@
 // know them, and this instance must know them.
 var errNoEvacuations = errors.New("the relay says nothing of evacuations")
 
+// errKeysLifted is returned if what another instance passes on lifts the check of keys. 9cd15ac passes
+// on an empty list of workspaces, with which no key is valid, like none, so the store is asked.
+var errKeysLifted = errors.New("the other instance's configuration lifts the check of keys")
+
+// liftsKeyCheck reports whether a newer configuration needs no keys although the active one does.
+func (f *Follower) liftsKeyCheck(c *Configuration) bool {
+	active := f.state.View().Config
+	return c != nil && active != nil && active.Version < c.Version && active.Keys != nil && c.Keys == nil
+}
+
 // relayed is what a Follower knows of its relay. Only Run changes it.
 type relayed struct {
 	// id names the relay; empty if the last call was to the store. It is changed with mu held.
@@ -244,6 +254,9 @@
 	if !f.relay.statesEvacuations && f.needsEvacuations() {
 		return errNoEvacuations
 	}
+	if a.News != nil && f.liftsKeyCheck(a.News.Config) {
+		return errKeysLifted
+	}
 	now := time.Now()
 	f.recordRelayed(now)
 	complete := f.complete.load()
