--- a/internal/deployment/relay.go
+++ b/internal/deployment/relay.go
@@ -239,23 +239,8 @@
 	if err != nil {
 		return err
 	}
-	switch changed := f.changed.load(); {
-	case a.Unfit:
-		if a.StoreAway {
-			f.relay.storeAwayAt = time.Now()
-		}
-		return trace.ConnectionProblem(nil, "the relay does not follow the store now")
-	case a.Revision.Before(changed):
-		return trace.CompareFailed("the relay knows the store up to %s only, this instance a change of %s", a.Revision, changed)
-	}
-	if a.News != nil {
-		f.relay.statesEvacuations = a.News.Evacuations != nil
-	}
-	if !f.relay.statesEvacuations && f.needsEvacuations() {
-		return errNoEvacuations
-	}
-	if a.News != nil && f.liftsKeyCheck(a.News.Config) {
-		return errKeysLifted
+	if err := f.checkRelay(a); err != nil {
+		return err
 	}
 	now := time.Now()
 	f.recordRelayed(now)
@@ -282,6 +267,29 @@
 	return nil
 }
 
+// checkRelay reports why a relay's answer must not be used; nil if it may be.
+func (f *Follower) checkRelay(a followAnswer) error {
+	if a.Unfit {
+		if a.StoreAway {
+			f.relay.storeAwayAt = time.Now()
+		}
+		return trace.ConnectionProblem(nil, "the relay does not follow the store now")
+	}
+	if changed := f.changed.load(); a.Revision.Before(changed) {
+		return trace.CompareFailed("the relay knows the store up to %s only, this instance a change of %s", a.Revision, changed)
+	}
+	if a.News != nil {
+		f.relay.statesEvacuations = a.News.Evacuations != nil
+	}
+	if !f.relay.statesEvacuations && f.needsEvacuations() {
+		return errNoEvacuations
+	}
+	if a.News != nil && f.liftsKeyCheck(a.News.Config) {
+		return errKeysLifted
+	}
+	return nil
+}
+
 // avoidRelay has a relay that failed not be asked for some time.
 func (f *Follower) avoidRelay(id string, err error) {
 	if f.relay.avoided == nil {
