banyanrouted: a SIGHUP while the program starts does not end it

Cause: SIGHUP ends a Go program until signal.Notify is called, which happened after all packages were initialised and the settings were read. Change: a package that imports little ignores it from its initialisation on; the reload's Notify takes over.

What is left is the time before the Go runtime initialises packages, in which no program code runs.

--- a/cmd/banyanrouted/main.go
+++ b/cmd/banyanrouted/main.go
@@ -21,6 +21,7 @@
 	"github.com/banyanroute/banyanroute/internal/logging"
 	"github.com/banyanroute/banyanroute/internal/member"
 	"github.com/banyanroute/banyanroute/internal/settings"
+	_ "github.com/banyanroute/banyanroute/internal/startup" // ignores SIGHUP until reloads are handled
 	"github.com/banyanroute/banyanroute/platform"
 )
 
@@ -112,6 +113,7 @@
 
 // run runs an instance with settings from a file until it stops.
 func run(s settings.Settings) error {
+	signal.Reset(syscall.SIGHUP) // nothing is reloaded
 	out := logging.NewBoundedWriter(os.Stderr)
 	defer out.Close()
 	if err := logging.Setup(out, s.Log.Level); err != nil {
