--- a/internal/deployment/follower.go
+++ b/internal/deployment/follower.go
@@ -78,10 +78,10 @@
 // Timing of a Follower.
 const (
 	// pollWait is how long one call waits for changes if others follow the store through this
-	// instance, or the last call failed; ownPollWait is how long the others' calls do. pollSlack is
-	// how much longer than requested an answer may take. A connection that delivers no data is
-	// noticed within wait and slack, whatever answers keep-alive probes; the users count a machine
-	// again 3 s after its connections were disturbed.
+	// instance, or the last call failed; ownPollWait is how long it waits on other instances.
+	// pollSlack is how much longer than requested an answer may take. A connection that delivers no
+	// data is noticed within wait and slack, whatever answers keep-alive probes. Both together are
+	// less than the 3 s after which a disturbed connection excuses nothing.
 	pollWait    = time.Second
 	ownPollWait = 2 * time.Second
 	pollSlack   = 500 * time.Millisecond
--- a/internal/placement/earlyleave.go
+++ b/internal/placement/earlyleave.go
@@ -13,7 +13,7 @@
 }
 
 // recordEarlyLeave remembers an attempt whose caller left early, until its upstream is seen alive or is
-// found to have crashed. It causes no probes while the upstream is listed.
+// found to have crashed. By itself it causes no probe while the upstream is listed.
 func (p *Planner) recordEarlyLeave(pj *placed, now time.Time) {
 	if pj.job.Fingerprint == 0 || pj.answered {
 		return
@@ -63,8 +63,8 @@
 	}
 }
 
-// seenAlive records that the upstream of an answered job was alive: when the job was sent, or, if that
-// is later, the time of a restart before now.
+// seenAlive records that the upstream of a job that has been answered was alive when the job was placed
+// and, since a restart takes longer, minRestartTime ago.
 func (p *Planner) seenAlive(pj *placed, now time.Time) {
 	seen := now.Add(-minRestartTime)
 	if pj.at.After(seen) {
--- a/internal/poison/early.go
+++ b/internal/poison/early.go
@@ -12,7 +12,8 @@
 	maxEarlyLosses    = 128
 )
 
-// earlyLoss is an attempt whose caller left before its upstream had been silent for MinSilence.
+// earlyLoss is an attempt whose caller left before its upstream had been silent for MinSilence. boot is
+// the upstream's incarnation, as in pendingLosses.
 type earlyLoss struct {
 	loss
 	boot string
