Simplify what this landing added: one copy of four pieces

Read once more against the project: recordInvalid made the set of invalid entries in two functions under two locks, now in one function of the update and the set before; the condition 'its upstream has restarted since' stood in recordLoss and recordEarlyLeave, now hasRestarted; the tests of sockets connected pairs in two ways, and two tests of relays built the same pair of instances. A comment says why passthrough detects resets below CheckedDial as well.

No behaviour changes.

--- a/internal/deployment/evacuation_test.go
+++ b/internal/deployment/evacuation_test.go
@@ -209,32 +209,36 @@
 	}
 }
 
+// relayAndFollower runs an instance that follows configurations itself and one that does so through it, each
+// with a source of its own that begins with first.
+func relayAndFollower(ctx context.Context, options FollowerOptions, first Update) (states []*State, followers []*Follower, sources []*configurationsSource) {
+	net := peertest.NewNet(time.Millisecond)
+	for _, id := range []string{"relay", "follower"} {
+		source := &configurationsSource{fakeSource: &fakeSource{changes: make(chan Update, 1), snapshot: first}}
+		options.IsWatcher = func() bool { return id == "relay" }
+		options.IsRelay = options.IsWatcher
+		if id == "follower" {
+			options.Relays = func() []string { return []string{"relay"} }
+		}
+		state := NewState()
+		f := NewFollower(state, source, options)
+		NewExchange(state, f).SetBus(net.Join(peer.Member{ID: id}))
+		go func() { _ = f.Run(ctx) }()
+		states, followers, sources = append(states, state), append(followers, f), append(sources, source)
+	}
+	return states, followers, sources
+}
+
 // TestRelaysPassOnEvacuations guards against an instance of this build that learns of evacuations, or of
 // their revocation, later than its relay by more than the pauses between two calls.
 func TestRelaysPassOnEvacuations(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		first := Update{Complete: true, Revision: rev(1), Changed: rev(1), Config: &Configuration{Version: 1}, Evacuations: evacuating("z1")}
-		net := peertest.NewNet(time.Millisecond)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		var states []*State
-		var followers []*Follower
-		var sources []*configurationsSource
-		for _, id := range []string{"relay", "follower"} {
-			source := &configurationsSource{fakeSource: &fakeSource{changes: make(chan Update), snapshot: first}}
-			options := oneInstance
-			options.EvacuationBound = always(5 * time.Second)
-			options.IsWatcher = func() bool { return id == "relay" }
-			options.IsRelay = options.IsWatcher
-			if id == "follower" {
-				options.Relays = func() []string { return []string{"relay"} }
-			}
-			state := NewState()
-			f := NewFollower(state, source, options)
-			NewExchange(state, f).SetBus(net.Join(peer.Member{ID: id}))
-			go f.Run(ctx)
-			states, followers, sources = append(states, state), append(followers, f), append(sources, source)
-		}
+		options := oneInstance
+		options.EvacuationBound = always(5 * time.Second)
+		states, followers, sources := relayAndFollower(ctx, options, first)
 		time.Sleep(5 * time.Second)
 		if followers[1].Dump().Relay != "relay" {
 			t.Fatal("the relay is not followed")
--- a/internal/deployment/invalid.go
+++ b/internal/deployment/invalid.go
@@ -17,15 +17,8 @@
 // and those that no longer are. Only the store says it, so an instance that follows it through another
 // one knows none.
 func (f *Follower) recordInvalid(u Update) {
-	now := map[string]string{}
-	if !u.fetched {
-		maps.Copy(now, u.Invalid)
-		if !u.Complete {
-			f.keepInvalid(now, u)
-		}
-	}
 	f.mu.Lock()
-	before := f.invalid
+	before, now := f.invalid, invalidAfter(f.invalid, u)
 	f.invalid = now
 	f.mu.Unlock()
 	if u.fetched {
@@ -45,20 +38,21 @@
 	}
 }
 
-// keepInvalid adds the entries that were invalid before and that changes don't mention.
-func (f *Follower) keepInvalid(now map[string]string, u Update) {
-	changed := map[string]bool{}
-	for _, id := range u.Removed {
-		changed[id] = true
-	}
-	for _, up := range u.Upstreams {
-		changed[up.ID] = true
+// invalidAfter returns the entries that are invalid after an update, given those before it.
+func invalidAfter(before map[string]string, u Update) map[string]string {
+	if u.fetched {
+		return nil
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for id, reason := range f.invalid {
-		if !changed[id] {
-			now[id] = reason
+	now := map[string]string{}
+	if !u.Complete { // entries that the changes don't mention stay as they are
+		maps.Copy(now, before)
+		for _, id := range u.Removed {
+			delete(now, id)
+		}
+		for _, up := range u.Upstreams {
+			delete(now, up.ID)
 		}
 	}
+	maps.Copy(now, u.Invalid)
+	return now
 }
--- a/internal/deployment/keys_test.go
+++ b/internal/deployment/keys_test.go
@@ -8,8 +8,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/banyanroute/banyanroute/internal/peer"
-	"github.com/banyanroute/banyanroute/internal/peer/peertest"
 	"github.com/banyanroute/banyanroute/internal/wire"
 )
 
@@ -79,27 +77,9 @@
 func TestRelayDoesNotLiftTheCheckOfKeys(t *testing.T) {
 	for _, stored := range []map[string]Workspace{{}, nil} {
 		synctest.Test(t, func(t *testing.T) {
-			before := map[string]Workspace{"k": {Name: "w"}}
-			net := peertest.NewNet(time.Millisecond)
 			ctx, cancel := context.WithCancel(t.Context())
-			var states []*State
-			var sources []*configurationsSource
-			for _, id := range []string{"relay", "follower"} {
-				source := &configurationsSource{fakeSource: &fakeSource{
-					changes: make(chan Update, 1), snapshot: Update{Complete: true, Revision: rev(1), Changed: rev(1), Config: &Configuration{Version: 1, Keys: before}},
-				}}
-				options := oneInstance
-				options.IsWatcher = func() bool { return id == "relay" }
-				options.IsRelay = options.IsWatcher
-				if id == "follower" {
-					options.Relays = func() []string { return []string{"relay"} }
-				}
-				state := NewState()
-				f := NewFollower(state, source, options)
-				NewExchange(state, f).SetBus(net.Join(peer.Member{ID: id}))
-				go f.Run(ctx)
-				states, sources = append(states, state), append(sources, source)
-			}
+			active := &Configuration{Version: 1, Keys: map[string]Workspace{"k": {Name: "w"}}}
+			states, _, sources := relayAndFollower(ctx, oneInstance, Update{Complete: true, Revision: rev(1), Changed: rev(1), Config: active})
 			time.Sleep(5 * time.Second)
 			sources[1].changes <- Update{Revision: rev(2), Changed: rev(2), Config: &Configuration{Version: 2, Keys: stored}}
 			sources[0].changes <- Update{Revision: rev(2), Changed: rev(2), Config: &Configuration{Version: 2}}
--- a/internal/passthrough/transport.go
+++ b/internal/passthrough/transport.go
@@ -25,6 +25,7 @@
 	if dial == nil {
 		dial = sockets.NewDialer(sockets.Upstream).DialContext
 	}
+	// Resets are detected below CheckedDial too, whose connections may hide the TCP connection.
 	t := sockets.NewTransport(CheckedDial(sockets.DetectResets(dial)))
 	t.MaxResponseHeaderBytes = maxUpstreamHeaderBytes
 	return t
--- a/internal/placement/earlyleave.go
+++ b/internal/placement/earlyleave.go
@@ -19,9 +19,10 @@
 		return
 	}
 	p.poison.LeftEarly(pj.key(), "", pj.job.Fingerprint, pj.decision.Apart, now)
-	if m := p.known(pj.upstream); p.isReplaced(pj.upstream) || m != nil && m.restarts > pj.restarts {
+	switch {
+	case p.hasRestarted(pj):
 		p.crashed(pj.run, now)
-	} else if p.current(pj.upstream) == nil {
+	case p.current(pj.upstream) == nil:
 		p.explainEarlyLeaves(pj.run, now)
 	}
 }
--- a/internal/placement/suspects.go
+++ b/internal/placement/suspects.go
@@ -229,11 +229,17 @@
 	p.recordLostParts(pj, p.current(up), e, now)
 	before, unexplained := p.unexplained[incarnationOf(up)]
 	p.unexplained[incarnationOf(up)] = unexplainedLoss{run: pj.run, at: now, abandoned: abandoned && (!unexplained || before.abandoned), dark: before.dark}
-	if p.isReplaced(up) || m != nil && m.restarts > pj.restarts {
+	if p.hasRestarted(pj) {
 		p.crashed(pj.run, now)
 	}
 }
 
+// hasRestarted reports whether the upstream of a job is known to have restarted since it was placed.
+func (p *Planner) hasRestarted(pj *placed) bool {
+	m := p.known(pj.upstream)
+	return p.isReplaced(pj.upstream) || m != nil && m.restarts > pj.restarts
+}
+
 // recordLostParts records the parts of the prompt of an attempt that was lost or got no answer.
 // m is its upstream, nil if it is not listed any more.
 func (p *Planner) recordLostParts(pj *placed, m *member, e End, now time.Time) {
--- a/internal/sockets/reset_test.go
+++ b/internal/sockets/reset_test.go
@@ -10,21 +10,7 @@
 // detected returns a connection of DetectResets with the options, and its other end.
 func detected(t *testing.T, o Options) (conn net.Conn, peer *net.TCPConn) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	if conn, err = DetectResets(NewDialer(o).DialContext)(t.Context(), "tcp", listener.Addr().String()); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { conn.Close() })
-	accepted, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { accepted.Close() })
-	return conn, accepted.(*net.TCPConn)
+	return dialedPair(t, DetectResets(NewDialer(o).DialContext))
 }
 
 // writeUntilError writes to a connection until that fails.
--- a/internal/sockets/silence_test.go
+++ b/internal/sockets/silence_test.go
@@ -33,13 +33,19 @@
 
 // connectedPair returns a connection with the options and its other end.
 func connectedPair(t *testing.T, o Options) (conn net.Conn, peer *net.TCPConn) {
+	t.Helper()
+	return dialedPair(t, NewDialer(o).DialContext)
+}
+
+// dialedPair returns a connection that dial opens and its other end.
+func dialedPair(t *testing.T, dial DialFunc) (conn net.Conn, peer *net.TCPConn) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
-	if conn, err = NewDialer(o).Dial("tcp", listener.Addr().String()); err != nil {
+	if conn, err = dial(t.Context(), "tcp", listener.Addr().String()); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { conn.Close() })
